Run the whole path, thin, over real sockets

One binary: a node, the stand-in platform and endpoint, and a demo of both example deployments. Callers' requests go through a routing plan, a permit from the endpoint's home node and the endpoint, and are streamed back.

--- /dev/null
+++ b/bulrushhinge.go
@@ -0,0 +1,164 @@
+// Package bulrushhinge is a router fleet for very many returning chats. A Node
+// is one router process; every node is alike.
+package bulrushhinge
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/operator"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/platform"
+)
+
+// DefaultGrace is how long a stopping node still takes requests, so that
+// callers and peers hear of the stop first.
+const DefaultGrace = 2 * time.Second
+
+// ErrStart is returned where a node cannot start.
+var ErrStart = errors.New("bulrushhinge: start")
+
+type (
+	// Config is the settings of a Node.
+	Config struct {
+		// Instance is the node's name on the platform's list.
+		Instance string
+		// Zone is the node's availability zone.
+		Zone string
+		// Callers, Peers and Operators are the node's listeners; the node
+		// closes them.
+		Callers   net.Listener
+		Peers     net.Listener
+		Operators net.Listener
+		// Platform is where the platform listens.
+		Platform netip.AddrPort
+		// Keys are the operators' public keys.
+		Keys []ed25519.PublicKey
+		// Grace is how long a stopping node still takes requests.
+		Grace time.Duration
+		// Log takes the node's log; nil is logrus' standard logger.
+		Log logrus.FieldLogger
+		// Extensions register further plug-ins with the kernel.
+		Extensions []kernel.Extension
+	}
+
+	// Node is a running router process.
+	Node struct {
+		config    Config
+		control   *control
+		reader    *platform.Reader
+		source    *platform.Client
+		peers     *peer.Client
+		server    *peer.Server
+		endpoints *endpoint.Client
+		callers   *http.Server
+		operators *http.Server
+		running   sync.WaitGroup
+	}
+)
+
+// New starts a node.
+func New(c Config) (*Node, error) {
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
+	if c.Grace == 0 {
+		c.Grace = DefaultGrace
+	}
+	n := &Node{config: c, endpoints: endpoint.NewClient()}
+	self := kernel.Node{
+		Name:        c.Instance,
+		Zone:        c.Zone,
+		Incarnation: rand.Uint64(),
+		Caller:      address(c.Callers),
+		Peer:        address(c.Peers),
+	}
+	k, permits := builtin.New(self, builtin.Config{}, c.Extensions...)
+	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
+	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
+	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform})
+	n.reader = platform.NewReader(platform.ReaderConfig{
+		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
+	})
+	if err := n.serve(k, permits); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// View returns the node's published control state.
+func (n *Node) View() *kernel.View { return n.control.View() }
+
+// Stop stops the node as planned: it leaves the entry answers first, waits for
+// the grace time, then lets every request in progress finish, until ctx ends.
+func (n *Node) Stop(ctx context.Context) error {
+	n.control.Offer(kernel.Drain{})
+	timer := time.NewTimer(n.config.Grace)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err := n.callers.Shutdown(ctx)
+	return errors.Join(err, n.Close())
+}
+
+// Close stops the node at once and cuts what is in progress.
+func (n *Node) Close() error {
+	err := errors.Join(n.callers.Close(), n.operators.Close())
+	n.reader.Close()
+	n.control.Close()
+	err = errors.Join(err, n.server.Close(), n.peers.Close())
+	n.running.Wait()
+	n.endpoints.Close()
+	n.source.Close()
+	return err
+}
+
+func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
+	var err error
+	n.server, err = peer.NewServer(peer.ServerConfig{
+		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	d := dispatch.New(dispatch.Config{
+		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+	})
+	n.callers = caller.NewServer(caller.New(caller.Config{View: k.View, Dispatcher: d, Log: n.config.Log}))
+	n.operators = &http.Server{
+		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	start := func(s *http.Server, l net.Listener) {
+		n.running.Go(func() { _ = s.Serve(l) })
+	}
+	start(n.callers, n.config.Callers)
+	start(n.operators, n.config.Operators)
+	return nil
+}
+
+func address(l net.Listener) netip.AddrPort {
+	a, ok := l.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return a.AddrPort()
+}
--- /dev/null
+++ b/cmd/bulrushhinge/main.go
@@ -0,0 +1,42 @@
+// Command bulrushhinge is the router fleet's one binary: the node, the
+// operators' and callers' tools, and the stand-ins.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type commands struct {
+	Node    nodeCommand    `cmd:"" help:"Run one router process."`
+	Demo    demoCommand    `cmd:"" help:"Run an example deployment in this process over loopback."`
+	Standin standinCommand `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
+}
+
+func main() {
+	logrus.SetFormatter(&logrus.JSONFormatter{})
+	logrus.SetOutput(os.Stderr)
+	var c commands
+	parser := kong.Must(&c,
+		kong.Name("bulrushhinge"),
+		kong.Description("A router fleet for very many returning chats."),
+		kong.DefaultEnvars("BULRUSHHINGE"),
+		kong.UsageOnError(),
+	)
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		parser.Errorf("%v", err)
+		os.Exit(exitUsage)
+	}
+	if err := ctx.Run(); err != nil {
+		parser.Errorf("%v", err)
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/internal/builtin/builtin.go
@@ -0,0 +1,31 @@
+// Package builtin lists the kernel plug-ins that every node runs, with their
+// defaults. The root package and the replay both start from it.
+package builtin
+
+import (
+	"bulrushhinge.example/bulrushhinge/internal/config"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
+)
+
+// Config is the settings of the built-in plug-ins; zero values are defaults.
+type Config struct {
+	Membership membership.Config
+	Pool       pool.Config
+}
+
+// New returns a kernel with the built-in plug-ins and the given further ones,
+// and the gate whose loads it spreads.
+func New(self kernel.Node, c Config, more ...kernel.Extension) (*kernel.Kernel, *gate.Gate) {
+	var k *kernel.Kernel
+	permits := gate.New(func() *kernel.View { return k.View() })
+	c.Pool.Own = permits.Loads
+	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
+		config.New(),
+		membership.New(c.Membership),
+		pool.New(c.Pool),
+	}, more...)})
+	return k, permits
+}
--- /dev/null
+++ b/internal/caller/plain.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
+	v, a, p := h.admit(r)
+	if p != nil {
+		p.write(w)
+		return
+	}
+	service, ok := v.Manifest.Service(r.PathValue("service"))
+	if !ok || service.Kind != manifest.KindPlain {
+		(&problem{status: http.StatusNotFound, kind: "unknown_service", text: "no such plain service", ran: RanNot}).write(w)
+		return
+	}
+	data, p := h.body(w, r)
+	if p != nil {
+		p.write(w)
+		return
+	}
+	req, p := h.common(r, v, a)
+	if p != nil {
+		p.write(w)
+		return
+	}
+	req.Service = service.Name
+	req.Once = req.Once || service.Once
+	req.Chat = strconv.FormatUint(req.ID, 16)
+	req.Output = 1
+	call := endpoint.Call{
+		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: data,
+		Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
+	}
+	run, err := h.config.Dispatcher.Do(r.Context(), req, call)
+	if err != nil {
+		refused(err).write(w)
+		return
+	}
+	defer run.Close()
+	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
+	copyAnswer(w, run)
+}
+
+// copyAnswer passes an answer on whole, or as an error where it was cut.
+func copyAnswer(w http.ResponseWriter, run *dispatch.Run) {
+	data, err := io.ReadAll(run.Answer.Body)
+	if err != nil {
+		cutProblem().write(w)
+		return
+	}
+	w.Header().Set("Content-Type", run.Answer.Header.Get("Content-Type"))
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(run.Answer.Status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,118 @@
+package caller
+
+import (
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/hint"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+const (
+	bytesPerToken = 4
+	defaultOutput = 256
+	bearer        = "Bearer "
+	// maxChatBytes is the size of the longest chat name.
+	maxChatBytes = 256
+)
+
+var errTimeout = errors.New("timeout must be a positive duration such as 30s")
+
+// account returns the client account whose key the caller shows. Only the
+// key's digest stands in the manifest.
+func account(v *kernel.View, r *http.Request) (manifest.Account, *problem) {
+	denied := &problem{status: http.StatusUnauthorized, kind: "unauthorized", text: "unknown key", ran: RanNot}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok {
+		return manifest.Account{}, denied
+	}
+	digest := []byte(manifest.KeyDigest(key))
+	for _, a := range v.Manifest.Accounts {
+		if subtle.ConstantTimeCompare(digest, []byte(a.Key)) == 1 {
+			return a, nil
+		}
+	}
+	return manifest.Account{}, denied
+}
+
+// common fills in what both kinds of requests share.
+func (h *Handler) common(r *http.Request, v *kernel.View, a manifest.Account) (route.Request, *problem) {
+	req := route.Request{ID: rand.Uint64(), Account: a.Name, Zone: v.Self.Zone, Priority: a.Priority}
+	timeout := h.config.Timeout
+	if s := r.Header.Get(HeaderTimeout); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil || d <= 0 {
+			return req, badRequest(errTimeout)
+		}
+		timeout = min(d, timeout)
+	}
+	req.Deadline = time.Now().Add(timeout)
+	if s := r.Header.Get(HeaderPriority); s != "" {
+		priority, err := strconv.Atoi(s)
+		if err != nil {
+			return req, badRequest(fmt.Errorf("priority: %w", err))
+		}
+		req.Priority = min(priority, a.Priority)
+	}
+	given, err := hint.Parse(r.Header.Get(HeaderHint))
+	if err != nil {
+		return req, badRequest(err)
+	}
+	req.Hint = given
+	req.Once = r.Header.Get(HeaderOnce) != ""
+	return req, nil
+}
+
+func parseChat(data []byte) (endpoint.ChatRequest, error) {
+	var c endpoint.ChatRequest
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("body: %w", err)
+	}
+	if c.Model == "" {
+		return c, errors.New("body: model is missing")
+	}
+	if len(c.Messages) == 0 {
+		return c, errors.New("body: messages are missing")
+	}
+	return c, nil
+}
+
+// chatName returns the name under which a chat's prefix is cached: the one the
+// caller gives, or one made from the chat's first turn, which every later turn
+// repeats. It holds the account, so that accounts never share a chat.
+func chatName(r *http.Request, account string, c endpoint.ChatRequest) (string, *problem) {
+	name := r.Header.Get(HeaderChat)
+	if len(name) > maxChatBytes {
+		return "", badRequest(fmt.Errorf("chat name is over %d bytes", maxChatBytes))
+	}
+	if name == "" {
+		name = firstTurn(c)
+	}
+	return account + "/" + name, nil
+}
+
+func firstTurn(c endpoint.ChatRequest) string {
+	d := xxhash.New()
+	_, _ = d.WriteString(c.Model)
+	for _, m := range c.Messages {
+		_, _ = d.WriteString(m.Role)
+		_, _ = d.Write(m.Content)
+		if m.Role == "user" {
+			break
+		}
+	}
+	return hex.EncodeToString(d.Sum(nil))
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,222 @@
+// Package dispatch carries one request through its routing plan: it asks homes
+// for permits, calls endpoints and tells the control state what came of it.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+)
+
+const (
+	askTimeout     = 250 * time.Millisecond
+	releaseTimeout = time.Second
+	// leaseSlack keeps a permit a little past the deadline, for the release
+	// under way.
+	leaseSlack = time.Second
+)
+
+type (
+	// Endpoints calls endpoints.
+	Endpoints interface {
+		Do(ctx context.Context, addr netip.AddrPort, call endpoint.Call) (*endpoint.Answer, error)
+	}
+
+	// Peers asks other nodes for permits.
+	Peers interface {
+		Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error)
+		Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error
+	}
+
+	// Gate grants the permits of the endpoints whose home the node is.
+	Gate interface {
+		Admit(now time.Time, a gate.Ask) gate.Verdict
+		Release(id uint64)
+	}
+
+	// Sink takes events for the control state.
+	Sink interface {
+		Offer(ev kernel.Event)
+	}
+
+	// Config is the settings of a Dispatcher.
+	Config struct {
+		View      func() *kernel.View
+		Gate      Gate
+		Peers     Peers
+		Endpoints Endpoints
+		Sink      Sink
+	}
+
+	// Dispatcher runs requests. It is safe for concurrent use.
+	Dispatcher struct {
+		config Config
+		serial atomic.Uint64
+		base   uint64
+	}
+
+	// Refusal is the error of a request that got no answer.
+	Refusal struct {
+		Reason     route.Reason
+		RetryAfter time.Duration
+		// NotRun is set only where no endpoint ran the request.
+		NotRun bool
+	}
+
+	// Run is a request that an endpoint answers. The caller closes it.
+	Run struct {
+		Answer   *endpoint.Answer
+		Attempt  string
+		Endpoint kernel.Endpoint
+		release  func()
+	}
+
+	job struct {
+		d      *Dispatcher
+		plan   *route.Plan
+		req    route.Request
+		call   endpoint.Call
+		permit uint64
+		lost   bool
+	}
+)
+
+// New returns a Dispatcher.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{config: c, base: rand.Uint64()}
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("dispatch: refused: %s", r.Reason)
+}
+
+// Close ends the answer and gives the permit back.
+func (r *Run) Close() error {
+	err := r.Answer.Body.Close()
+	r.release()
+	return err
+}
+
+// Do carries a request to an endpoint and returns the head of its answer, or a
+// *Refusal.
+func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
+	j := &job{d: d, plan: route.New(req), req: req, call: call}
+	for {
+		step := j.plan.Next(time.Now(), d.config.View())
+		switch step.Kind {
+		case route.StepAsk:
+			j.plan.Report(j.ask(ctx, step.Endpoint))
+		case route.StepRun:
+			run, outcome := j.run(ctx, step.Endpoint)
+			if run != nil {
+				return run, nil
+			}
+			j.plan.Report(outcome)
+		case route.StepWait:
+			if err := wait(ctx, step.Until); err != nil {
+				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
+			}
+		case route.StepRefuse:
+			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
+		}
+	}
+}
+
+func (j *job) ask(ctx context.Context, e kernel.Endpoint) route.Outcome {
+	j.permit = j.d.base + j.d.serial.Add(1)
+	a := gate.Ask{
+		ID:       j.permit,
+		Endpoint: e.Name,
+		Tokens:   j.req.Input + j.req.Output,
+		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+	}
+	verdict, err := j.d.ask(ctx, e, a)
+	if err != nil {
+		return route.OutcomeUnreachable
+	}
+	switch verdict {
+	case gate.Granted:
+		return route.OutcomeGranted
+	case gate.Full:
+		return route.OutcomeFull
+	case gate.Gone:
+		return route.OutcomeGone
+	default:
+		return route.OutcomeUnreachable
+	}
+}
+
+func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
+	call := j.call
+	call.Attempt = strconv.FormatUint(j.permit, 16)
+	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
+	permit := j.permit
+	if err == nil {
+		release := func() { j.d.release(e, permit) }
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
+	}
+	j.d.release(e, permit)
+	if ctx.Err() == nil {
+		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
+	}
+	if errors.Is(err, endpoint.ErrNotRun) {
+		return nil, route.OutcomeNotRun
+	}
+	j.lost = true
+	return nil, route.OutcomeLost
+}
+
+func (d *Dispatcher) ask(ctx context.Context, e kernel.Endpoint, a gate.Ask) (gate.Verdict, error) {
+	v := d.config.View()
+	if e.Home == v.Self.Name {
+		return d.config.Gate.Admit(time.Now(), a), nil
+	}
+	home, ok := v.Node(e.Home)
+	if !ok {
+		return gate.NotHome, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return d.config.Peers.Ask(ctx, home.Peer, a)
+}
+
+// release gives a permit back. Where the home does not hear of it, the lease
+// ends by itself.
+func (d *Dispatcher) release(e kernel.Endpoint, id uint64) {
+	v := d.config.View()
+	if e.Home == v.Self.Name {
+		d.config.Gate.Release(id)
+		return
+	}
+	home, ok := v.Node(e.Home)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = d.config.Peers.Release(ctx, home.Peer, id, e.Name)
+	}()
+}
+
+func wait(ctx context.Context, until time.Time) error {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/endpoint/wire.go
@@ -0,0 +1,80 @@
+package endpoint
+
+import "encoding/json"
+
+// Headers between nodes and endpoints.
+const (
+	// HeaderAttempt names the attempt; the endpoint repeats it.
+	HeaderAttempt = "X-Attempt"
+	// HeaderPriority is the request's priority; higher goes first.
+	HeaderPriority = "X-Priority"
+	// HeaderDeadline is the time left, as a Go duration.
+	HeaderDeadline = "X-Deadline"
+	// HeaderNotRun is set on a refusal where the endpoint ran nothing.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderChat names the chat whose prefix the engine may reuse.
+	HeaderChat = "X-Chat"
+)
+
+// DoneMark ends a whole stream.
+const DoneMark = "[DONE]"
+
+type (
+	// ChatRequest is the part of a chat completion request that the system
+	// reads. The endpoint gets the caller's body as it came.
+	ChatRequest struct {
+		Model     string    `json:"model"`
+		Messages  []Message `json:"messages"`
+		MaxTokens int       `json:"max_tokens,omitempty"`
+		Stream    bool      `json:"stream,omitempty"`
+	}
+
+	// Message is one turn of a chat.
+	Message struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+
+	// Chunk is one event of a streamed answer.
+	Chunk struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Model   string   `json:"model"`
+		Choices []Choice `json:"choices"`
+		Usage   *Usage   `json:"usage,omitempty"`
+	}
+
+	// Choice is a piece of the answer.
+	Choice struct {
+		Index        int     `json:"index"`
+		Delta        Delta   `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	}
+
+	// Delta is the text that a chunk adds.
+	Delta struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content,omitempty"`
+	}
+
+	// Usage is the tokens that a request took.
+	Usage struct {
+		PromptTokens     int           `json:"prompt_tokens"`
+		CompletionTokens int           `json:"completion_tokens"`
+		TotalTokens      int           `json:"total_tokens"`
+		PromptDetails    PromptDetails `json:"prompt_tokens_details"`
+	}
+
+	// PromptDetails is how much of a prompt the engine's cache held.
+	PromptDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	}
+
+	// LoadReport is an endpoint's own report.
+	LoadReport struct {
+		Requests int      `json:"requests"`
+		Tokens   int      `json:"tokens"`
+		Models   []string `json:"models"`
+		Leaving  bool     `json:"leaving"`
+	}
+)
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,161 @@
+// Package kernel holds the control state of one node: a deterministic state
+// machine that takes events with an explicit time and returns actions. It does
+// no I/O and starts no goroutine, so tests and replays drive it directly.
+//
+// Everything that the kernel decides comes from plug-ins, which register
+// themselves with a priority.
+package kernel
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Priorities of the built-in plug-ins; lower runs first. A plug-in may rely on
+// what those before it wrote into the View.
+const (
+	PriorityConfig     = 100
+	PriorityMembership = 200
+	PriorityPool       = 300
+	PriorityLimit      = 400
+	PriorityPoison     = 500
+	PriorityCapacity   = 600
+)
+
+type (
+	// Event is an input to the kernel: one of the types in event.go or one
+	// that a plug-in declares.
+	Event any
+
+	// Action is something the caller of Step must do: one of the types in
+	// event.go or one that a plug-in declares.
+	Action any
+
+	// Plugin is a part of the control state.
+	Plugin interface {
+		// Handle applies an event.
+		Handle(now time.Time, ev Event, out *Output)
+		// Publish writes the plug-in's part of a new View.
+		Publish(now time.Time, v *View)
+	}
+
+	// Beater is a Plugin that adds to every heartbeat the node sends.
+	Beater interface {
+		Beat(now time.Time, to string, b *Beat)
+	}
+
+	// Dumper is a Plugin that shows its state to operators. The result is
+	// encoded as JSON.
+	Dumper interface {
+		Dump(now time.Time) (name string, state any)
+	}
+
+	// Extension registers plug-ins with a kernel.
+	Extension interface {
+		Extend(k *Kernel)
+	}
+
+	// Config is the settings of a Kernel.
+	Config struct {
+		// Self is the node as the platform lists it.
+		Self Node
+		// Extensions register the plug-ins.
+		Extensions []Extension
+	}
+
+	// Kernel is the control state of one node. It is not safe for concurrent
+	// use but for View.
+	Kernel struct {
+		self    Node
+		plugins []prioritized
+		view    atomic.Pointer[View]
+	}
+
+	// Output collects what handling one event brought.
+	Output struct {
+		actions []Action
+		changed bool
+	}
+
+	prioritized struct {
+		plugin   Plugin
+		priority int
+	}
+)
+
+// New returns a Kernel with the plug-ins of the extensions.
+func New(c Config) *Kernel {
+	k := &Kernel{self: c.Self}
+	for _, e := range c.Extensions {
+		e.Extend(k)
+	}
+	k.view.Store(&View{Self: c.Self, Pools: map[string]*Pool{}})
+	return k
+}
+
+// Register adds a plug-in. Plug-ins run in the order of their priorities, those
+// of equal priority in the order of registration.
+func (k *Kernel) Register(p Plugin, priority int) {
+	k.plugins = append(k.plugins, prioritized{plugin: p, priority: priority})
+	slices.SortStableFunc(k.plugins, func(a, b prioritized) int {
+		return a.priority - b.priority
+	})
+}
+
+// Self returns the node the kernel controls.
+func (k *Kernel) Self() Node { return k.self }
+
+// Step applies an event and returns the actions it calls for. Where a plug-in
+// says so, a new View is published before Step returns.
+func (k *Kernel) Step(now time.Time, ev Event) []Action {
+	out := &Output{}
+	for _, p := range k.plugins {
+		p.plugin.Handle(now, ev, out)
+	}
+	if out.changed {
+		k.publish(now)
+	}
+	return out.actions
+}
+
+// Beat returns the heartbeat to send to a peer.
+func (k *Kernel) Beat(now time.Time, to string) *Beat {
+	b := &Beat{Node: k.self.Name, Incarnation: k.self.Incarnation}
+	for _, p := range k.plugins {
+		if beater, ok := p.plugin.(Beater); ok {
+			beater.Beat(now, to, b)
+		}
+	}
+	return b
+}
+
+// View returns the newest published view. It is safe for concurrent use, and
+// the view never changes once published.
+func (k *Kernel) View() *View { return k.view.Load() }
+
+// Dump returns the state of every plug-in that shows one, by name.
+func (k *Kernel) Dump(now time.Time) map[string]any {
+	state := make(map[string]any)
+	for _, p := range k.plugins {
+		if d, ok := p.plugin.(Dumper); ok {
+			name, s := d.Dump(now)
+			state[name] = s
+		}
+	}
+	return state
+}
+
+func (k *Kernel) publish(now time.Time) {
+	v := &View{At: now, Self: k.self, Pools: make(map[string]*Pool)}
+	for _, p := range k.plugins {
+		p.plugin.Publish(now, v)
+	}
+	k.view.Store(v)
+}
+
+// Do adds an action.
+func (o *Output) Do(a Action) { o.actions = append(o.actions, a) }
+
+// Changed asks for a new View.
+func (o *Output) Changed() { o.changed = true }
--- /dev/null
+++ b/internal/kernel/view.go
@@ -0,0 +1,139 @@
+package kernel
+
+import (
+	"net/netip"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// States of an instance.
+const (
+	// Live is an instance that takes work.
+	Live State = iota
+	// Suspect is an instance that did not answer of late; it gets work only
+	// where no live instance can take it.
+	Suspect
+	// Leaving is an instance that finishes its work and takes no more.
+	Leaving
+	// Dead is an instance that answers no more.
+	Dead
+)
+
+// Kinds of instances.
+const (
+	KindNode     InstanceKind = "node"
+	KindEndpoint InstanceKind = "endpoint"
+)
+
+type (
+	// State is whether an instance takes work.
+	State int
+
+	// InstanceKind tells nodes of the fleet from endpoints.
+	InstanceKind string
+
+	// Instance is an entry of the platform's list.
+	Instance struct {
+		Name    string
+		Kind    InstanceKind
+		Zone    string
+		Service string
+		// Addr is where callers reach a node, and nodes an endpoint.
+		Addr netip.AddrPort
+		// Peer is where nodes reach a node.
+		Peer    netip.AddrPort
+		Leaving bool
+	}
+
+	// Node is a router process of the fleet.
+	Node struct {
+		Name        string
+		Zone        string
+		Incarnation uint64
+		Caller      netip.AddrPort
+		Peer        netip.AddrPort
+		State       State
+	}
+
+	// Endpoint is a process that runs requests.
+	Endpoint struct {
+		Name    string
+		Zone    string
+		Service string
+		Addr    netip.AddrPort
+		State   State
+		// Home is the node that admits work to the endpoint.
+		Home string
+		// Load is the newest known load.
+		Load Load
+		// Models is the models that the endpoint has loaded; nil where it has
+		// not said.
+		Models []string
+	}
+
+	// Pool is the endpoints of one service.
+	Pool struct {
+		Service manifest.Service
+		// Bound is the multiple of the mean load that no endpoint may exceed.
+		Bound float64
+		// Endpoints is sorted by name and holds no dead ones.
+		Endpoints []Endpoint
+		// Total is the sum of the endpoints' loads.
+		Total Load
+		// Live counts the endpoints that take work.
+		Live int
+	}
+
+	// View is the state that traffic reads. It never changes once published.
+	View struct {
+		At   time.Time
+		Self Node
+		// Leaving is set once the node's planned stop has begun.
+		Leaving bool
+		// Manifest is the configuration in force; nil before the first.
+		Manifest *manifest.Manifest
+		// Nodes is every node not known to be dead, with the node itself,
+		// sorted by name.
+		Nodes []Node
+		// Pools is the pool of each service, by name.
+		Pools map[string]*Pool
+	}
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Live:
+		return "live"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
+// MarshalText returns the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Node returns the node with the given name.
+func (v *View) Node(name string) (Node, bool) {
+	for _, n := range v.Nodes {
+		if n.Name == name {
+			return n, true
+		}
+	}
+	return Node{}, false
+}
+
+// Endpoint returns the endpoint with the given name.
+func (p *Pool) Endpoint(name string) (Endpoint, bool) {
+	for _, e := range p.Endpoints {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Endpoint{}, false
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+)
+
+const (
+	poolCapacity    = 1024
+	poolKeyCapacity = 8
+	poolExpiration  = time.Minute
+)
+
+// ErrUnreachable is returned where a peer did not answer. Whether it received
+// the message is unknown.
+var ErrUnreachable = errors.New("peer: unreachable")
+
+type (
+	// Dialer opens connections to peers.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
+	// ClientConfig is the settings of a Client.
+	ClientConfig struct {
+		// Self is the name of the calling node.
+		Self string
+		// Incarnation is that of the calling node.
+		Incarnation uint64
+		// Dialer opens connections; nil is a plain net.Dialer.
+		Dialer Dialer
+	}
+
+	// Client calls peers. It is safe for concurrent use.
+	Client struct {
+		config ClientConfig
+		pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	}
+)
+
+// NewClient returns a Client.
+func NewClient(c ClientConfig) *Client {
+	if c.Dialer == nil {
+		c.Dialer = &net.Dialer{}
+	}
+	return &Client{
+		config: c,
+		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+			Expiration:  poolExpiration,
+			Capacity:    poolCapacity,
+			KeyCapacity: poolKeyCapacity,
+		}),
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// Beat sends a heartbeat and returns the peer's own.
+func (c *Client) Beat(ctx context.Context, to netip.AddrPort, b *kernel.Beat) (*kernel.Beat, error) {
+	reply, err := c.peer(ctx, to).Beat(ctx, EncodeBeat(b))
+	if err != nil {
+		return nil, unreachable(to, err)
+	}
+	return DecodeBeat(reply), nil
+}
+
+// Ask asks a home for a permit.
+func (c *Client) Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error) {
+	req := &peerpb.PermitRequest{
+		Node:        c.config.Self,
+		Incarnation: c.config.Incarnation,
+		Asks:        []*peerpb.Ask{encodeAsk(a)},
+	}
+	reply, err := c.peer(ctx, to).Permit(ctx, req)
+	if err != nil {
+		return 0, unreachable(to, err)
+	}
+	if len(reply.Grants) != 1 || reply.Grants[0].Id != a.ID {
+		return 0, fmt.Errorf("%w: %v answered another ask", ErrUnreachable, to)
+	}
+	return gate.Verdict(reply.Grants[0].Verdict), nil
+}
+
+// Release gives a permit back.
+func (c *Client) Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error {
+	req := &peerpb.PermitRequest{
+		Node:        c.config.Self,
+		Incarnation: c.config.Incarnation,
+		Releases:    []*peerpb.Release{{Id: id, Endpoint: endpoint}},
+	}
+	if _, err := c.peer(ctx, to).Permit(ctx, req); err != nil {
+		return unreachable(to, err)
+	}
+	return nil
+}
+
+// Config reads a value of the accepted configuration. The value is nil where
+// the peer does not have it.
+func (c *Client) Config(ctx context.Context, to netip.AddrPort, key string) ([]byte, error) {
+	reply, err := c.peer(ctx, to).Config(ctx, &peerpb.ConfigRequest{Key: key})
+	if err != nil {
+		return nil, unreachable(to, err)
+	}
+	if !reply.Found {
+		return nil, nil
+	}
+	return reply.Value, nil
+}
+
+func (c *Client) peer(ctx context.Context, to netip.AddrPort) peerpb.DRPCPeerClient {
+	conn := c.pool.Get(ctx, to, func(ctx context.Context, to netip.AddrPort) (drpcpool.Conn, error) {
+		raw, err := c.config.Dialer.DialContext(ctx, "tcp", to.String())
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(raw), nil
+	})
+	return peerpb.NewDRPCPeerClient(drpc.Conn(conn))
+}
+
+func unreachable(to netip.AddrPort, err error) error {
+	return fmt.Errorf("%w: %v: %v", ErrUnreachable, to, err)
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+)
+
+// EncodeBeat returns the wire form of a heartbeat.
+func EncodeBeat(b *kernel.Beat) *peerpb.Heartbeat {
+	return &peerpb.Heartbeat{
+		Node:        b.Node,
+		Incarnation: b.Incarnation,
+		Serial:      b.Serial,
+		Leaving:     b.Leaving,
+		Revision:    b.Revision,
+		Loads:       mapped(b.Loads, encodeLoad),
+		Leaves:      b.Leaves,
+	}
+}
+
+// DecodeBeat returns the heartbeat of a wire form.
+func DecodeBeat(b *peerpb.Heartbeat) *kernel.Beat {
+	return &kernel.Beat{
+		Node:        b.Node,
+		Incarnation: b.Incarnation,
+		Serial:      b.Serial,
+		Leaving:     b.Leaving,
+		Revision:    b.Revision,
+		Loads:       mapped(b.Loads, decodeLoad),
+		Leaves:      b.Leaves,
+	}
+}
+
+func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
+	return &peerpb.EndpointLoad{
+		Endpoint: l.Endpoint,
+		Requests: uint32(max(l.Load.Requests, 0)),
+		Tokens:   uint64(max(l.Load.Tokens, 0)),
+	}
+}
+
+func decodeLoad(l *peerpb.EndpointLoad) kernel.EndpointLoad {
+	return kernel.EndpointLoad{
+		Endpoint: l.Endpoint,
+		Load:     kernel.Load{Requests: int(l.Requests), Tokens: int(l.Tokens)},
+	}
+}
+
+func encodeAsk(a gate.Ask) *peerpb.Ask {
+	return &peerpb.Ask{
+		Id:       a.ID,
+		Endpoint: a.Endpoint,
+		Tokens:   uint32(max(a.Tokens, 0)),
+		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+	}
+}
+
+func decodeAsk(a *peerpb.Ask) gate.Ask {
+	return gate.Ask{
+		ID:       a.Id,
+		Endpoint: a.Endpoint,
+		Tokens:   int(a.Tokens),
+		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
+	}
+}
+
+// mapped returns the values of a list, each turned by f; nil for an empty list.
+func mapped[A, B any](list []A, f func(A) B) []B {
+	if len(list) == 0 {
+		return nil
+	}
+	turned := make([]B, len(list))
+	for i, a := range list {
+		turned[i] = f(a)
+	}
+	return turned
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,202 @@
+// Package route decides where a request runs. A Plan is the state machine of
+// one request: it names the next step, and its driver does the I/O and tells
+// what came of it. The node's traffic goroutines and the replay drive the same
+// plans.
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/pkg/hint"
+)
+
+// Kinds of steps.
+const (
+	// StepAsk asks the home of an endpoint for a permit.
+	StepAsk StepKind = iota + 1
+	// StepRun dispatches the request to an endpoint.
+	StepRun
+	// StepWait lets time pass and asks for the next step then.
+	StepWait
+	// StepRefuse ends the request: it was not run.
+	StepRefuse
+)
+
+// Outcomes of a step.
+const (
+	// OutcomeGranted is a permit that was granted.
+	OutcomeGranted Outcome = iota + 1
+	// OutcomeFull is a permit that was denied because of the bound.
+	OutcomeFull
+	// OutcomeGone is an endpoint that takes no work.
+	OutcomeGone
+	// OutcomeUnreachable is a home that did not answer.
+	OutcomeUnreachable
+	// OutcomeNotRun is a dispatch that certainly did not reach the endpoint.
+	OutcomeNotRun
+	// OutcomeLost is a dispatch of which nobody knows whether it ran.
+	OutcomeLost
+)
+
+// Reasons of a refusal.
+const (
+	// ReasonNone is no refusal.
+	ReasonNone Reason = ""
+	// ReasonNoEndpoint is a service without a live endpoint.
+	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonDeadline is a request that cannot be done before its deadline.
+	ReasonDeadline Reason = "deadline"
+	// ReasonLost is a request that must not be repeated and may have run.
+	ReasonLost Reason = "lost"
+	// ReasonAttempts is a request that used up its attempts.
+	ReasonAttempts Reason = "attempts"
+)
+
+const (
+	fullPause   = 20 * time.Millisecond
+	maxAttempts = 3
+	retryAfter  = time.Second
+)
+
+type (
+	// StepKind is what a step does.
+	StepKind int
+
+	// Outcome is what came of a step.
+	Outcome int
+
+	// Reason is why a request was refused.
+	Reason string
+
+	// Request is what routing knows of a request.
+	Request struct {
+		ID       uint64
+		Account  string
+		Chat     string
+		Service  string
+		Model    string
+		Zone     string
+		Prefix   int
+		Input    int
+		Output   int
+		Once     bool
+		Priority int
+		Deadline time.Time
+		Hint     hint.Hint
+	}
+
+	// Step is what the driver of a Plan does next.
+	Step struct {
+		Kind     StepKind
+		Endpoint kernel.Endpoint
+		// Until is the end of a StepWait.
+		Until time.Time
+		// Reason is why a StepRefuse refuses.
+		Reason Reason
+		// RetryAfter is when a refused caller may come back.
+		RetryAfter time.Duration
+	}
+
+	// Plan is the routing of one request. It is not safe for concurrent use.
+	Plan struct {
+		request  Request
+		tried    map[string]bool
+		next     kernel.Endpoint
+		granted  bool
+		lost     bool
+		attempts int
+	}
+)
+
+// New returns the Plan of a request.
+func New(r Request) *Plan {
+	return &Plan{request: r, tried: map[string]bool{}}
+}
+
+// Next returns the next step.
+func (p *Plan) Next(now time.Time, v *kernel.View) Step {
+	switch {
+	case p.granted:
+		p.attempts++
+		return Step{Kind: StepRun, Endpoint: p.next}
+	case p.lost && p.request.Once:
+		return refuse(ReasonLost)
+	case p.attempts >= maxAttempts:
+		return refuse(ReasonAttempts)
+	case !now.Before(p.request.Deadline):
+		return refuse(ReasonDeadline)
+	}
+	pool := v.Pools[p.request.Service]
+	if pool == nil || len(pool.Endpoints) == 0 {
+		return refuse(ReasonNoEndpoint)
+	}
+	e, ok := p.choose(pool)
+	if !ok {
+		clear(p.tried)
+		return Step{Kind: StepWait, Until: now.Add(fullPause)}
+	}
+	p.next = e
+	return Step{Kind: StepAsk, Endpoint: e}
+}
+
+// Report tells what came of the last step.
+func (p *Plan) Report(o Outcome) {
+	p.granted = false
+	switch o {
+	case OutcomeGranted:
+		p.granted = true
+	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
+		p.tried[p.next.Name] = true
+	case OutcomeLost:
+		p.tried[p.next.Name] = true
+		p.lost = true
+	}
+}
+
+func (p *Plan) choose(pool *kernel.Pool) (kernel.Endpoint, bool) {
+	for _, e := range Order(pool, p.request) {
+		if !p.tried[e.Name] {
+			return e, true
+		}
+	}
+	return kernel.Endpoint{}, false
+}
+
+// Order returns the endpoints that may run a request, best first: the holder of
+// the chat's prefix, then the rendezvous order of the chat, live endpoints
+// before suspect ones.
+func Order(pool *kernel.Pool, r Request) []kernel.Endpoint {
+	order := make([]kernel.Endpoint, 0, len(pool.Endpoints))
+	for _, e := range pool.Endpoints {
+		if e.State == kernel.Live || e.State == kernel.Suspect {
+			order = append(order, e)
+		}
+	}
+	rank := func(e kernel.Endpoint) uint64 {
+		if e.Name == r.Hint.Endpoint {
+			return math.MaxUint64
+		}
+		return kernel.Score(r.Chat, e.Name)
+	}
+	slices.SortFunc(order, func(a, b kernel.Endpoint) int {
+		if a.State != b.State {
+			return int(a.State) - int(b.State)
+		}
+		ra, rb := rank(a), rank(b)
+		switch {
+		case ra > rb:
+			return -1
+		case ra < rb:
+			return 1
+		}
+		return 0
+	})
+	return order
+}
+
+func refuse(r Reason) Step {
+	return Step{Kind: StepRefuse, Reason: r, RetryAfter: retryAfter}
+}
