Publish whether a node watches the platform

The view says whether the node should hold waiting watches, the newest list version heard of, the version applied, and whether authority is in doubt. Watcher is always set until membership chooses watchers.

--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -26,6 +26,10 @@
 	KindEndpoint InstanceKind = "endpoint"
 )
 
+// MaxAge is the age from which a View says nothing more of the present: the
+// control goroutine publishes more often unless the process was paused.
+const MaxAge = 2 * time.Second
+
 type (
 	// State is whether an instance takes work.
 	State int
@@ -98,6 +102,18 @@
 		Nodes []Node
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
+		// Watcher says that the node should hold waiting watches on the
+		// platform. It is set unless live peers of the zone are known to watch.
+		Watcher bool
+		// ListVersion is the newest version of the platform's instance list of
+		// which the node has heard; a reader that holds an older one reads
+		// again.
+		ListVersion uint64
+		// Listed is the version of the instance list that the node has applied.
+		Listed uint64
+		// Doubtful is set after a pause, until the node has heard from its
+		// peers again; a doubtful node starts nothing that needs authority.
+		Doubtful bool
 	}
 )
 
@@ -118,6 +134,15 @@
 // MarshalText returns the state's name.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// Fresh reports whether the view is recent enough to act on with authority.
+//
+// Traffic goroutines may run before the control goroutine after a pause, and
+// read a view from before it; a home would then admit work that another node
+// admits by now. The age of the view shows the pause at once.
+func (v *View) Fresh(now time.Time) bool {
+	return !v.Doubtful && now.Sub(v.At) < MaxAge
+}
+
 // Node returns the node with the given name.
 func (v *View) Node(name string) (Node, bool) {
 	for _, n := range v.Nodes {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -89,6 +89,7 @@
 		self.State = kernel.Leaving
 	}
 	v.Self = self
+	v.Watcher = true
 	v.Nodes = append(v.Nodes, self)
 	for _, m := range p.members {
 		if m.node.State != kernel.Dead {
