--- a/control.go
+++ b/control.go
@@ -166,13 +166,8 @@
 
 // readLoads asks the endpoints whose home the node is for their reports.
 func (c *control) readLoads() {
-	v := c.View()
-	for _, p := range v.Pools {
-		for _, e := range p.Endpoints {
-			if e.Home == v.Self.Name {
-				c.running.Go(func() { c.readLoad(e) })
-			}
-		}
+	for _, e := range c.View().Probes {
+		c.running.Go(func() { c.readLoad(e) })
 	}
 }
 
@@ -183,9 +178,13 @@
 		return
 	}
 	c.Offer(kernel.LoadReported{
-		Endpoint: e.Name,
-		Load:     kernel.Load{Requests: report.Requests, Tokens: report.Tokens},
-		Models:   report.Models,
-		Leaving:  report.Leaving,
+		Endpoint:    e.Name,
+		Load:        kernel.Load{Requests: report.Requests, Tokens: report.Tokens},
+		Models:      report.Models,
+		Leaving:     report.Leaving,
+		Incarnation: report.Incarnation,
+		Adapters:    report.Adapters,
+		Role:        report.Role,
+		Fence:       report.Fence,
 	})
 }
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -6,14 +6,18 @@
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/mark"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/internal/roster"
 )
 
 // Config is the settings of the built-in plug-ins; zero values are defaults.
 type Config struct {
 	Membership membership.Config
 	Pool       pool.Config
+	Roster     roster.Config
+	Mark       mark.Config
 }
 
 // New returns a kernel with the built-in plug-ins and the given further ones,
@@ -24,6 +28,8 @@
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
 		config.New(),
+		roster.New(c.Roster),
+		mark.New(c.Mark),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
 	}, more...)})
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -76,5 +76,13 @@
 		Tokens   int      `json:"tokens"`
 		Models   []string `json:"models"`
 		Leaving  bool     `json:"leaving"`
+		// Incarnation changes when the endpoint restarts; 0 where it does not
+		// say.
+		Incarnation uint64 `json:"incarnation,omitempty"`
+		// Adapters and Role are what the endpoint was last ordered to, Fence
+		// the highest fencing number it has accepted.
+		Adapters []string `json:"adapters,omitempty"`
+		Role     string   `json:"role,omitempty"`
+		Fence    uint64   `json:"fence,omitempty"`
 	}
 )
--- /dev/null
+++ b/internal/kernel/digest.go
@@ -0,0 +1,128 @@
+package kernel
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// nearPart is the change of a number, as a part of it, that is not worth a
+	// message; nearFloor is the change that never is.
+	nearPart  = 0.05
+	nearFloor = 2
+	// maxDemands bounds the accounts of a digest; the heaviest stay.
+	maxDemands = 32
+)
+
+type (
+	// Digest summarises a cell or a region for nodes outside it. Its size does
+	// not grow with the number of endpoints.
+	Digest struct {
+		// Scope is the name of the cell or region.
+		Scope string
+		// Origin is the incarnation of the node that made the digest, and
+		// Serial numbers that node's digests.
+		Origin uint64
+		Serial uint64
+		// ListVersion is the newest version of the instance list known there.
+		ListVersion uint64
+		// Sums holds the load of each service.
+		Sums []Sum
+		// Absent holds the listed instances that are not live.
+		Absent []Absence
+		// Extra holds the live nodes that the list does not name yet.
+		Extra []Intro
+		// Demands is what the heavy accounts ask for.
+		Demands []Demand
+	}
+
+	// Sum is the load of one service in the scope.
+	Sum struct {
+		Service string
+		Live    int
+		Load    Load
+	}
+
+	// Absence is a listed instance that is not live.
+	Absence struct {
+		Instance string
+		State    State
+	}
+)
+
+// Merge adds another scope's digest.
+func (d *Digest) Merge(o Digest) {
+	d.ListVersion = max(d.ListVersion, o.ListVersion)
+	for _, s := range o.Sums {
+		d.add(s)
+	}
+	d.Absent = append(d.Absent, o.Absent...)
+	d.Extra = append(d.Extra, o.Extra...)
+	d.Demands = MergeDemands(d.Demands, o.Demands)
+}
+
+// Near reports whether a digest says about the same as another.
+func (d *Digest) Near(o *Digest) bool {
+	if d.ListVersion != o.ListVersion || len(d.Sums) != len(o.Sums) || len(d.Demands) != len(o.Demands) {
+		return false
+	}
+	for i, s := range d.Sums {
+		t := o.Sums[i]
+		if s.Service != t.Service || s.Live != t.Live || !nearLoad(s.Load, t.Load) {
+			return false
+		}
+	}
+	for i, a := range d.Demands {
+		if a.Account != o.Demands[i].Account || !near(a.Rate, o.Demands[i].Rate) {
+			return false
+		}
+	}
+	sameNode := func(a, b Intro) bool { return a.Instance == b.Instance }
+	return slices.Equal(d.Absent, o.Absent) && slices.EqualFunc(d.Extra, o.Extra, sameNode)
+}
+
+func (d *Digest) add(s Sum) {
+	for i := range d.Sums {
+		if d.Sums[i].Service == s.Service {
+			d.Sums[i].Live += s.Live
+			d.Sums[i].Load = d.Sums[i].Load.Add(s.Load)
+			return
+		}
+	}
+	d.Sums = append(d.Sums, s)
+}
+
+// MergeDemands adds two lists of demands, account by account. The result is
+// sorted by account.
+func MergeDemands(a, b []Demand) []Demand {
+	merged := slices.Concat(a, b)
+	slices.SortFunc(merged, func(a, b Demand) int { return cmp.Compare(a.Account, b.Account) })
+	out := merged[:0]
+	for _, d := range merged {
+		if n := len(out); n > 0 && out[n-1].Account == d.Account {
+			out[n-1].Rate += d.Rate
+			continue
+		}
+		out = append(out, d)
+	}
+	return heaviest(out)
+}
+
+func heaviest(list []Demand) []Demand {
+	if len(list) <= maxDemands {
+		return list
+	}
+	slices.SortStableFunc(list, func(a, b Demand) int { return cmp.Compare(b.Rate, a.Rate) })
+	list = list[:maxDemands]
+	slices.SortFunc(list, func(a, b Demand) int { return cmp.Compare(a.Account, b.Account) })
+	return list
+}
+
+func nearLoad(a, b Load) bool {
+	return near(float64(a.Requests), float64(b.Requests)) && near(float64(a.Tokens), float64(b.Tokens))
+}
+
+func near(a, b float64) bool {
+	return math.Abs(a-b) <= max(nearFloor, nearPart*max(a, b))
+}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -21,6 +21,37 @@
 		Manifest *manifest.Manifest
 	}
 
+	// Listed is the instance list in force: the newest version that the platform
+	// or a peer told. It is raised by the kernel itself.
+	Listed struct {
+		Version uint64
+		List    []Instance
+	}
+
+	// Marked is a leave mark that the node learned or found out. It is raised
+	// by the kernel itself.
+	Marked struct {
+		Mark Mark
+	}
+
+	// Digested is a digest that is newer than those before. It is raised by the
+	// kernel itself.
+	Digested struct {
+		Digest Digest
+	}
+
+	// Urgent asks for heartbeats to all peers at the next tick. It is raised
+	// by the kernel itself.
+	Urgent struct{}
+
+	// Woken is raised when the process was paused for Gap.
+	Woken struct {
+		Gap time.Duration
+	}
+
+	// Reread asks for a new reading of what the platform publishes.
+	Reread struct{}
+
 	// BeatReceived is a heartbeat from a peer, as a call or as the answer to
 	// one.
 	BeatReceived struct {
@@ -38,6 +69,14 @@
 		Load     Load
 		Models   []string
 		Leaving  bool
+		// Incarnation changes when the endpoint restarts; 0 where it does not
+		// say.
+		Incarnation uint64
+		// Adapters and Role are what the endpoint was last ordered to.
+		Adapters []string
+		Role     string
+		// Fence is the highest fencing number the endpoint has accepted.
+		Fence uint64
 	}
 
 	// EndpointFailed is an attempt or a load request that an endpoint did not
@@ -64,14 +103,59 @@
 		Revision uint64
 		// Loads is the load of the endpoints whose home the sender is.
 		Loads []EndpointLoad
-		// Leaves names endpoints that the sender knows to be leaving.
-		Leaves []string
+		// Marks are the leave marks that the receiver may not know.
+		Marks []Mark
+		// Intro describes the sender to a receiver that may not know it.
+		Intro *Intro
+		// ListVersion is the version of the instance list that the sender has
+		// applied or heard of.
+		ListVersion uint64
+		// News is the newest change of the instance list.
+		News *News
+		// Digests are summaries of cells and regions.
+		Digests []Digest
+		// Demands are the sender's heavy accounts.
+		Demands []Demand
+		// Near is set where sender and receiver are of one cell. It is not
+		// transmitted.
+		Near bool
+	}
+
+	// Intro is what a node tells of itself.
+	Intro struct {
+		Instance Instance
+		// Age is how long the node has been running.
+		Age time.Duration
+	}
+
+	// Mark says that an incarnation of an instance is leaving.
+	Mark struct {
+		Name        string
+		Kind        InstanceKind
+		Incarnation uint64
+	}
+
+	// News is the difference between two versions of the instance list.
+	News struct {
+		Base    uint64
+		Version uint64
+		Changed []Instance
+		Removed []string
+	}
+
+	// Demand is what an account asks for.
+	Demand struct {
+		Account string
+		// Rate is in tokens a second.
+		Rate float64
 	}
 
 	// EndpointLoad is the load of one endpoint.
 	EndpointLoad struct {
 		Endpoint string
 		Load     Load
+		// State is the home's opinion of the endpoint.
+		State State
 	}
 
 	// Load is the work outstanding at an endpoint.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -16,6 +16,8 @@
 // what those before it wrote into the View.
 const (
 	PriorityConfig     = 100
+	PriorityRoster     = 150
+	PriorityMark       = 160
 	PriorityMembership = 200
 	PriorityPool       = 300
 	PriorityLimit      = 400
@@ -45,6 +47,11 @@
 		Beat(now time.Time, to string, b *Beat)
 	}
 
+	// Summarizer is a Plugin that adds to the digest of the node's cell.
+	Summarizer interface {
+		Summarize(now time.Time, d *Digest)
+	}
+
 	// Dumper is a Plugin that shows its state to operators. The result is
 	// encoded as JSON.
 	Dumper interface {
@@ -75,6 +82,7 @@
 	// Output collects what handling one event brought.
 	Output struct {
 		actions []Action
+		raised  []Event
 		changed bool
 	}
 
@@ -110,8 +118,11 @@
 // says so, a new View is published before Step returns.
 func (k *Kernel) Step(now time.Time, ev Event) []Action {
 	out := &Output{}
-	for _, p := range k.plugins {
-		p.plugin.Handle(now, ev, out)
+	k.handle(now, ev, out)
+	for len(out.raised) > 0 {
+		next := out.raised[0]
+		out.raised = out.raised[1:]
+		k.handle(now, next, out)
 	}
 	if out.changed {
 		k.publish(now)
@@ -130,6 +141,17 @@
 	return b
 }
 
+// Digest returns the summary of the node's cell.
+func (k *Kernel) Digest(now time.Time, scope string) Digest {
+	d := Digest{Scope: scope, Origin: k.self.Incarnation}
+	for _, p := range k.plugins {
+		if s, ok := p.plugin.(Summarizer); ok {
+			s.Summarize(now, &d)
+		}
+	}
+	return d
+}
+
 // View returns the newest published view. It is safe for concurrent use, and
 // the view never changes once published.
 func (k *Kernel) View() *View { return k.view.Load() }
@@ -146,6 +168,12 @@
 	return state
 }
 
+func (k *Kernel) handle(now time.Time, ev Event, out *Output) {
+	for _, p := range k.plugins {
+		p.plugin.Handle(now, ev, out)
+	}
+}
+
 func (k *Kernel) publish(now time.Time) {
 	v := &View{At: now, Self: k.self, Pools: make(map[string]*Pool)}
 	for _, p := range k.plugins {
@@ -157,5 +185,8 @@
 // Do adds an action.
 func (o *Output) Do(a Action) { o.actions = append(o.actions, a) }
 
+// Raise hands an event to all plug-ins once they have handled the current one.
+func (o *Output) Raise(ev Event) { o.raised = append(o.raised, ev) }
+
 // Changed asks for a new View.
 func (o *Output) Changed() { o.changed = true }
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -58,6 +58,11 @@
 		Caller      netip.AddrPort
 		Peer        netip.AddrPort
 		State       State
+		// Region is that of the availability zone; "" where it is unknown.
+		Region string
+		// Settled is set once the node has been live for so long that its peers
+		// know of it.
+		Settled bool
 	}
 
 	// Endpoint is a process that runs requests.
@@ -67,10 +72,18 @@
 		Service string
 		Addr    netip.AddrPort
 		State   State
+		// Region is that of the availability zone; "" where it is unknown.
+		Region string
 		// Home is the node that admits work to the endpoint.
 		Home string
+		// Settling is set while nodes may disagree on the home: it changed of
+		// late, is not in the endpoint's zone, or the zone's nodes are in doubt.
+		Settling bool
 		// Load is the newest known load.
 		Load Load
+		// Reported is when the load was last told by the home or the endpoint;
+		// zero for a load that is a mean over the endpoint's cell.
+		Reported time.Time
 		// Models is the models that the endpoint has loaded; nil where it has
 		// not said.
 		Models []string
@@ -83,9 +96,9 @@
 		Bound float64
 		// Endpoints is sorted by name and holds no dead ones.
 		Endpoints []Endpoint
-		// Total is the sum of the endpoints' loads.
+		// Total is the sum of the loads of the region's live endpoints.
 		Total Load
-		// Live counts the endpoints that take work.
+		// Live counts the region's endpoints that take work.
 		Live int
 	}
 
@@ -102,6 +115,13 @@
 		Nodes []Node
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
+		// Cell is the scope of the node's cell, Scopes the scope of the digests
+		// that tell of a zone.
+		Cell   string
+		Scopes map[string]string
+		// Probes is the endpoints whose home the node is, dead ones included:
+		// it reads their loads.
+		Probes []Endpoint
 		// Watcher says that the node should hold waiting watches on the
 		// platform. It is set unless live peers of the zone are known to watch.
 		Watcher bool
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,248 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// frameBytes is what drpc adds to a call and to its answer: the name of the
+// call and four packet headers one way, two headers the other.
+const (
+	callFrameBytes  = 15 + 4*5
+	replyFrameBytes = 2 * 5
+)
+
+type (
+	// size is how large a fleet is.
+	size struct {
+		nodes, zones, regions, endpoints int
+		rate                             float64
+		hold                             time.Duration
+	}
+
+	// fakeNode is a real kernel with a fake network before it.
+	fakeNode struct {
+		*kernel.Kernel
+		gate     *gate.Gate
+		down     bool
+		paused   bool
+		sent     int
+		received int
+		beats    int
+		rereads  int
+	}
+
+	// fakeFleet passes heartbeats between kernels in virtual time, through the
+	// real codec.
+	fakeFleet struct {
+		now     time.Time
+		size    size
+		rand    *rand.Rand
+		m       *manifest.Manifest
+		list    []kernel.Instance
+		names   []string
+		nodes   map[string]*fakeNode
+		cut     func(a, b string) bool
+		done    []release
+		permits uint64
+		due     float64
+	}
+
+	release struct {
+		at   time.Time
+		gate *gate.Gate
+		id   uint64
+	}
+)
+
+var (
+	small  = size{nodes: 8, zones: 3, regions: 1, endpoints: 15, rate: 20, hold: time.Second}
+	medium = size{nodes: 64, zones: 6, regions: 2, endpoints: 240, rate: 560, hold: 12 * time.Second}
+	target = size{nodes: 330, zones: 19, regions: 5, endpoints: 1200, rate: 2900, hold: 12 * time.Second}
+)
+
+func newFleet(s size) *fakeFleet {
+	f := &fakeFleet{
+		now: time.Unix(1000, 0), size: s, rand: rand.New(rand.NewPCG(1, 2)),
+		nodes: map[string]*fakeNode{}, cut: func(string, string) bool { return false },
+	}
+	f.m = &manifest.Manifest{
+		Revision:    1,
+		Deployments: []manifest.Deployment{{Name: "d", Bound: 1.5}},
+	}
+	for i := range 3 {
+		f.m.Services = append(f.m.Services, manifest.Service{Name: fmt.Sprintf("service-%d", i), Deployment: "d", Kind: manifest.KindChat})
+	}
+	for i := range s.zones {
+		f.m.Zones = append(f.m.Zones, manifest.Zone{Name: zone(i), Region: fmt.Sprintf("region-%d", i%s.regions)})
+	}
+	for i := range s.nodes {
+		f.list = append(f.list, kernel.Instance{
+			Name: node(i), Kind: kernel.KindNode, Zone: zone(i % s.zones), Addr: addr(1, i), Peer: addr(2, i),
+		})
+	}
+	for i := range s.endpoints {
+		f.list = append(f.list, kernel.Instance{
+			Name: fmt.Sprintf("endpoint-%04d", i), Kind: kernel.KindEndpoint, Zone: zone(i % s.zones),
+			Service: f.m.Services[i%3].Name, Addr: addr(3, i),
+		})
+	}
+	for i := range s.nodes {
+		f.start(f.list[i])
+	}
+	return f
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%02d", i) }
+func node(i int) string { return fmt.Sprintf("node-%04d", i) }
+
+func addr(kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), byte(i >> 8), byte(i)}), 7000)
+}
+
+// start runs a new incarnation of a node.
+func (f *fakeFleet) start(i kernel.Instance) *fakeNode {
+	n := &fakeNode{}
+	self := kernel.Node{Name: i.Name, Zone: i.Zone, Incarnation: f.rand.Uint64(), Caller: i.Addr, Peer: i.Peer}
+	n.Kernel, n.gate = builtin.New(self, builtin.Config{})
+	if f.nodes[i.Name] == nil {
+		f.names = append(f.names, i.Name)
+	}
+	f.nodes[i.Name] = n
+	f.step(n, kernel.Accepted{Manifest: f.m})
+	f.step(n, kernel.Instances{Version: 1, List: f.list})
+	return n
+}
+
+func (f *fakeFleet) step(n *fakeNode, ev kernel.Event) {
+	for _, a := range n.Step(f.now, ev) {
+		switch a := a.(type) {
+		case kernel.SendBeat:
+			f.beat(n, a.To.Name)
+		case kernel.Reread:
+			n.rereads++
+		}
+	}
+}
+
+func (f *fakeFleet) beat(from *fakeNode, to string) {
+	n, name := f.nodes[to], from.Self().Name
+	msg := f.wire(from, n, from.Beat(f.now, to), callFrameBytes)
+	if n == nil || n.down || n.paused || f.cut(name, to) {
+		f.step(from, kernel.BeatFailed{Node: to})
+		return
+	}
+	f.step(n, kernel.BeatReceived{Beat: msg})
+	reply := f.wire(n, from, n.Beat(f.now, name), replyFrameBytes)
+	f.step(from, kernel.BeatReceived{Beat: reply})
+}
+
+func (f *fakeFleet) wire(from, to *fakeNode, b *kernel.Beat, frame int) *kernel.Beat {
+	data, err := proto.Marshal(peer.EncodeBeat(b))
+	if err != nil {
+		panic(err)
+	}
+	from.beats++
+	from.sent += len(data) + frame
+	if to != nil {
+		to.received += len(data) + frame
+	}
+	var msg peerpb.Heartbeat
+	if err := proto.Unmarshal(data, &msg); err != nil {
+		panic(err)
+	}
+	return peer.DecodeBeat(&msg)
+}
+
+// run lets time pass.
+func (f *fakeFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(kernel.DefaultTick)
+		f.work()
+		for _, name := range f.names {
+			n := f.nodes[name]
+			if !n.down && !n.paused {
+				f.step(n, kernel.Tick{})
+			}
+		}
+	}
+}
+
+// work admits and ends requests at the fleet's rate.
+func (f *fakeFleet) work() {
+	for len(f.done) > 0 && !f.now.Before(f.done[0].at) {
+		f.done[0].gate.Release(f.done[0].id)
+		f.done = f.done[1:]
+	}
+	f.due += f.size.rate * kernel.DefaultTick.Seconds()
+	for ; f.due >= 1; f.due-- {
+		e := f.list[f.size.nodes+f.rand.IntN(f.size.endpoints)]
+		v := f.nodes[f.names[0]].View()
+		seen, ok := v.Pools[e.Service].Endpoint(e.Name)
+		if !ok || f.nodes[seen.Home] == nil {
+			continue
+		}
+		g := f.nodes[seen.Home].gate
+		f.permits++
+		g.Admit(f.now, gate.Ask{ID: f.permits, Endpoint: e.Name, Tokens: 500 + f.rand.IntN(1000), Lease: time.Hour})
+		f.done = append(f.done, release{at: f.now.Add(f.size.hold), gate: g, id: f.permits})
+	}
+}
+
+// state returns how a node sees another.
+func (f *fakeFleet) state(observer, name string) kernel.State {
+	n, ok := f.nodes[observer].View().Node(name)
+	if !ok {
+		return kernel.Dead
+	}
+	return n.State
+}
+
+func (f *fakeFleet) resetBytes() {
+	for _, n := range f.nodes {
+		n.sent, n.received, n.beats = 0, 0, 0
+	}
+}
+
+func TestControlBytes(t *testing.T) {
+	sizes := []size{small, medium, target}
+	if testing.Short() {
+		sizes = sizes[:2]
+	}
+	for _, s := range sizes {
+		f := newFleet(s)
+		f.run(6 * time.Second)
+		f.resetBytes()
+		const span = 6
+		begin := time.Now()
+		f.run(span * time.Second)
+		spent := time.Since(begin)
+		var sent, received, most, beats int
+		for _, n := range f.nodes {
+			sent += n.sent
+			received += n.received
+			beats += n.beats
+			most = max(most, n.sent+n.received)
+		}
+		per := func(v int) float64 { return float64(v) / float64(s.nodes) / span }
+		t.Logf("%d nodes, %d endpoints: %.0f B/s sent, %.0f B/s received, %.1f messages/s per node; the most at one node %d B/s both ways; %.2f%% of a core per node",
+			s.nodes, s.endpoints, per(sent), per(received), per(beats), most/span, 100*spent.Seconds()/span/float64(s.nodes))
+		require.Less(t, most/span, 14000)
+		for _, name := range f.names {
+			require.Len(t, f.nodes[name].View().Nodes, s.nodes)
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,5 +1,13 @@
 // Package membership is the kernel's plug-in that knows the fleet's nodes: it
 // merges the platform's lagging list with heartbeats between peers.
+//
+// Nodes of one cell, which is an availability zone or a whole small region,
+// exchange heartbeats with each other. A few relays of each cell exchange
+// digests with those of the region's other cells, and a few gateways of each
+// region with those of other regions, so that a node's cost does not grow with
+// the fleet. Relays, gateways and watchers are the first in a rendezvous order
+// over live nodes: nobody elects them, and two nodes that disagree only send a
+// message too many.
 package membership
 
 import (
@@ -12,9 +20,12 @@
 
 // Defaults of a Config.
 const (
-	DefaultInterval = 500 * time.Millisecond
-	DefaultSuspect  = 1500 * time.Millisecond
+	DefaultInterval = time.Second
+	DefaultSuspect  = 2500 * time.Millisecond
 	DefaultDead     = 5 * time.Second
+	DefaultSettle   = 3 * time.Second
+	DefaultPause    = 1500 * time.Millisecond
+	DefaultMesh     = 24
 )
 
 type (
@@ -26,167 +37,223 @@
 		Suspect time.Duration
 		// Dead is the silence after which a node is dead.
 		Dead time.Duration
+		// Settle is how long a node is live before it becomes a home.
+		Settle time.Duration
+		// Pause is the time between two events from which the process is taken
+		// to have been paused.
+		Pause time.Duration
+		// Mesh is the number of nodes up to which a region is one cell.
+		Mesh int
 	}
 
 	extension struct{ config Config }
 
-	member struct {
-		node   kernel.Node
-		listed bool
-		heard  time.Time
-		sent   time.Time
-	}
-
 	plugin struct {
 		config  Config
+		kernel  *kernel.Kernel
 		self    kernel.Node
 		members map[string]*member
+		regions map[string]string
 		leaving bool
 		serial  uint64
+		started time.Time
+		last    time.Time
+		urgent  bool
+		settled bool
+		doubt   doubt
+		topo    *topology
+		digests digests
+		// nodes is what the last view showed; nil where it must be made anew.
+		nodes []kernel.Node
+	}
+
+	// doubt is the state of a node that was paused.
+	doubt struct {
+		active bool
+		since  time.Time
+		heard  map[string]bool
 	}
 )
 
+// doubtLast is how long a node that was paused waits for its peers.
+const doubtLast = 5 * time.Second
+
 // New returns the extension that registers the plug-in. Zero settings take
 // their defaults.
 func New(c Config) kernel.Extension {
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
-	if c.Suspect == 0 {
-		c.Suspect = DefaultSuspect
-	}
-	if c.Dead == 0 {
-		c.Dead = DefaultDead
-	}
+	setDefault(&c.Interval, DefaultInterval)
+	setDefault(&c.Suspect, DefaultSuspect)
+	setDefault(&c.Dead, DefaultDead)
+	setDefault(&c.Settle, DefaultSettle)
+	setDefault(&c.Pause, DefaultPause)
+	setDefault(&c.Mesh, DefaultMesh)
 	return extension{config: c}
 }
 
 // Extend registers the plug-in.
 func (e extension) Extend(k *kernel.Kernel) {
-	p := &plugin{config: e.config, self: k.Self(), members: map[string]*member{}}
+	p := &plugin{
+		config:  e.config,
+		kernel:  k,
+		self:    k.Self(),
+		members: map[string]*member{},
+		regions: map[string]string{},
+		digests: digests{stored: map[string]*stored{}},
+	}
 	k.Register(p, kernel.PriorityMembership)
 }
 
 // Handle applies the platform's list, heartbeats and the passing of time.
 func (p *plugin) Handle(now time.Time, ev kernel.Event, out *kernel.Output) {
+	p.clock(now, out)
 	switch ev := ev.(type) {
-	case kernel.Instances:
+	case kernel.Listed:
 		p.list(now, ev.List, out)
+	case kernel.Accepted:
+		p.accept(ev, out)
 	case kernel.BeatReceived:
 		p.receive(now, ev.Beat, out)
-	case kernel.Drain:
-		p.leaving = true
-		p.beatAll(now, out)
+	case kernel.BeatFailed:
+		p.fail(now, ev.Node, out)
+	case kernel.Marked:
+		p.mark(now, ev.Mark, out)
+	case kernel.Urgent:
+		p.urgent = true
 	case kernel.Tick:
 		p.tick(now, out)
 	}
 }
 
 // Publish writes the nodes that are not dead.
-func (p *plugin) Publish(_ time.Time, v *kernel.View) {
-	self := p.self
-	if p.leaving {
-		self.State = kernel.Leaving
+func (p *plugin) Publish(now time.Time, v *kernel.View) {
+	if p.nodes == nil {
+		p.nodes = p.alive(now)
 	}
-	v.Self = self
-	v.Watcher = true
-	v.Nodes = append(v.Nodes, self)
-	for _, m := range p.members {
-		if m.node.State != kernel.Dead {
-			v.Nodes = append(v.Nodes, m.node)
-		}
-	}
-	slices.SortFunc(v.Nodes, func(a, b kernel.Node) int {
-		return strings.Compare(a.Name, b.Name)
-	})
+	v.Nodes = p.nodes
+	v.Self = p.own(now)
+	v.Watcher = p.watcher()
+	v.Doubtful = p.doubt.active
+	v.Cell = p.topology().cell
+	v.Scopes = p.topology().scopes
+	v.Leaving = v.Leaving || p.leaving
 }
 
-// Beat numbers the heartbeat.
-func (p *plugin) Beat(_ time.Time, _ string, b *kernel.Beat) {
+// Beat numbers the heartbeat and adds what a peer needs to know the sender.
+func (p *plugin) Beat(now time.Time, to string, b *kernel.Beat) {
 	p.serial++
 	b.Serial = p.serial
+	b.Leaving = b.Leaving || p.leaving
+	m := p.members[to]
+	if m == nil {
+		b.Intro = p.intro(now)
+		return
+	}
+	b.Near = p.near(m)
+	if m.introduced != m.node.Incarnation || m.node.Incarnation == 0 {
+		m.introduced = m.node.Incarnation
+		b.Intro = p.intro(now)
+	}
+	b.Digests = p.digestsFor(m)
+}
+
+// Summarize adds the nodes of the cell that the list does not tell right.
+func (p *plugin) Summarize(_ time.Time, d *kernel.Digest) {
+	for _, name := range p.names() {
+		m := p.members[name]
+		if !p.near(m) {
+			continue
+		}
+		switch {
+		case m.listed && m.node.State != kernel.Live:
+			d.Absent = append(d.Absent, kernel.Absence{Instance: name, State: m.node.State})
+		case !m.listed && m.node.State == kernel.Live:
+			d.Extra = append(d.Extra, m.intro())
+		}
+	}
 }
 
-// Dump shows every node that was ever heard of.
+// Dump shows every node that was ever heard of, and the node's roles.
 func (p *plugin) Dump(time.Time) (name string, state any) {
 	nodes := make(map[string]kernel.Node, len(p.members))
 	for name, m := range p.members {
 		nodes[name] = m.node
 	}
-	return "membership", nodes
+	t := p.topology()
+	return "membership", map[string]any{
+		"nodes": nodes, "cell": t.cell, "relays": t.relays[t.cell], "gateways": t.gateways[t.region],
+		"watcher": p.watcher(), "doubtful": p.doubt.active,
+	}
 }
 
-func (p *plugin) list(now time.Time, list []kernel.Instance, out *kernel.Output) {
+func (p *plugin) accept(ev kernel.Accepted, out *kernel.Output) {
+	clear(p.regions)
+	for _, z := range ev.Manifest.Zones {
+		p.regions[z.Name] = z.Region
+	}
+	p.self.Region = p.regions[p.self.Zone]
 	for _, m := range p.members {
-		m.listed = false
+		m.node.Region = p.regions[m.node.Zone]
 	}
-	for _, i := range list {
-		if i.Kind != kernel.KindNode || i.Name == p.self.Name {
-			continue
-		}
-		m := p.members[i.Name]
-		if m == nil {
-			m = &member{heard: now}
-			p.members[i.Name] = m
-		}
-		m.listed = true
-		m.node.Name = i.Name
-		m.node.Zone = i.Zone
-		m.node.Caller = i.Addr
-		m.node.Peer = i.Peer
-		if i.Leaving && m.node.State == kernel.Live {
-			m.node.State = kernel.Leaving
+	p.changed(out)
+}
+
+// alive returns the node itself and every other not dead, sorted by name.
+func (p *plugin) alive(now time.Time) []kernel.Node {
+	nodes := make([]kernel.Node, 0, len(p.members)+1)
+	nodes = append(nodes, p.own(now))
+	for _, m := range p.members {
+		if m.node.State != kernel.Dead {
+			nodes = append(nodes, m.node)
 		}
 	}
-	out.Changed()
+	slices.SortFunc(nodes, func(a, b kernel.Node) int { return strings.Compare(a.Name, b.Name) })
+	return nodes
 }
 
-func (p *plugin) receive(now time.Time, b *kernel.Beat, out *kernel.Output) {
-	m := p.members[b.Node]
-	if m == nil {
-		return
-	}
-	state := kernel.Live
-	if b.Leaving {
-		state = kernel.Leaving
-	}
-	m.heard = now
-	if m.node.State != state || m.node.Incarnation != b.Incarnation {
-		m.node.State = state
-		m.node.Incarnation = b.Incarnation
-		out.Changed()
+// own returns the node itself as its peers should see it.
+func (p *plugin) own(now time.Time) kernel.Node {
+	self := p.self
+	self.Settled = now.Sub(p.started) >= p.config.Settle
+	switch {
+	case p.leaving:
+		self.State = kernel.Leaving
+	case p.doubt.active:
+		self.State = kernel.Suspect
 	}
+	return self
 }
 
-func (p *plugin) tick(now time.Time, out *kernel.Output) {
-	for name, m := range p.members {
-		p.age(now, name, m, out)
-		if now.Sub(m.sent) >= p.config.Interval {
-			m.sent = now
-			out.Do(kernel.SendBeat{To: m.node})
-		}
+func (p *plugin) intro(now time.Time) *kernel.Intro {
+	return &kernel.Intro{
+		Instance: kernel.Instance{
+			Name: p.self.Name, Kind: kernel.KindNode, Zone: p.self.Zone,
+			Addr: p.self.Caller, Peer: p.self.Peer, Leaving: p.leaving,
+		},
+		Age: now.Sub(p.started),
 	}
 }
 
-func (p *plugin) age(now time.Time, name string, m *member, out *kernel.Output) {
-	silent := now.Sub(m.heard)
-	switch {
-	case silent >= p.config.Dead && !m.listed:
-		delete(p.members, name)
-		out.Changed()
-	case silent >= p.config.Dead && m.node.State != kernel.Dead:
-		m.node.State = kernel.Dead
-		out.Changed()
-	case silent >= p.config.Suspect && m.node.State == kernel.Live:
-		m.node.State = kernel.Suspect
-		out.Changed()
+// names returns the names of all members, sorted, so that nothing depends on
+// the order of a map.
+func (p *plugin) names() []string {
+	names := make([]string, 0, len(p.members))
+	for name := range p.members {
+		names = append(names, name)
 	}
+	slices.Sort(names)
+	return names
 }
 
-func (p *plugin) beatAll(now time.Time, out *kernel.Output) {
-	for _, m := range p.members {
-		m.sent = now
-		out.Do(kernel.SendBeat{To: m.node})
-	}
+// changed notes that nodes came, went or changed their state.
+func (p *plugin) changed(out *kernel.Output) {
+	p.nodes = nil
+	p.topo = nil
 	out.Changed()
 }
+
+func setDefault[T comparable](v *T, standard T) {
+	var zero T
+	if *v == zero {
+		*v = standard
+	}
+}
--- /dev/null
+++ b/internal/membership/topology.go
@@ -0,0 +1,183 @@
+package membership
+
+import (
+	"slices"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+)
+
+const (
+	// relaysPerCell, gatewaysPerRegion and watchersPerZone are how many nodes
+	// share a role, so that the loss of one does not stop it.
+	relaysPerCell     = 2
+	gatewaysPerRegion = 2
+	watchersPerZone   = 2
+	// meshSlack keeps a region that is one cell from turning into several and
+	// back while nodes come and go.
+	meshSlack = 4
+
+	prefixCell   = "cell/"
+	prefixRegion = "region/"
+)
+
+// topology is who exchanges what with whom, as the node sees it.
+type topology struct {
+	region string
+	cell   string
+	// meshed holds the regions that are one cell.
+	meshed map[string]bool
+	// relays holds the relays of the cells in the node's region, gateways those
+	// of all regions, best first.
+	relays   map[string][]string
+	gateways map[string][]string
+	watchers []string
+	links    map[string]bool
+	// scopes holds the scope of the digests that tell of a zone.
+	scopes map[string]string
+}
+
+// topology returns the current topology.
+func (p *plugin) topology() *topology {
+	if p.topo != nil {
+		return p.topo
+	}
+	t := &topology{
+		region:   prefixRegion + p.self.Region,
+		meshed:   p.meshes(),
+		relays:   map[string][]string{},
+		gateways: map[string][]string{},
+		links:    map[string]bool{},
+	}
+	p.topo = t
+	t.cell = t.cellOf(p.self)
+	cells, regions, zone := p.group(t)
+	for cell, nodes := range cells {
+		t.relays[cell] = first("relay/"+cell, nodes, relaysPerCell)
+	}
+	for region, nodes := range regions {
+		t.gateways[region] = first("gateway/"+region, nodes, gatewaysPerRegion)
+	}
+	t.watchers = first("watcher/"+p.self.Zone, zone, watchersPerZone)
+	p.link(t)
+	t.scopes = map[string]string{p.self.Zone: t.cell}
+	for zone, region := range p.regions {
+		t.scopes[zone] = prefixRegion + region
+		if region == p.self.Region {
+			t.scopes[zone] = t.cellOf(kernel.Node{Zone: zone, Region: region})
+		}
+	}
+	return t
+}
+
+// group returns the names of the usable nodes of each cell in the node's region,
+// of each region and of the node's zone.
+func (p *plugin) group(t *topology) (cells, regions map[string][]string, zone []string) {
+	cells, regions = map[string][]string{}, map[string][]string{}
+	add := func(n kernel.Node) {
+		region := prefixRegion + n.Region
+		regions[region] = append(regions[region], n.Name)
+		if region == t.region {
+			cell := t.cellOf(n)
+			cells[cell] = append(cells[cell], n.Name)
+		}
+		if n.Zone == p.self.Zone {
+			zone = append(zone, n.Name)
+		}
+	}
+	if !p.leaving && !p.doubt.active {
+		add(p.self)
+	}
+	for _, m := range p.members {
+		if m.node.State == kernel.Live {
+			add(m.node)
+		}
+	}
+	return cells, regions, zone
+}
+
+// link notes the nodes that the node beats to.
+func (p *plugin) link(t *topology) {
+	for name, m := range p.members {
+		if t.cellOf(m.node) == t.cell {
+			t.links[name] = true
+		}
+	}
+	all := func(groups map[string][]string, own string) {
+		for scope, names := range groups {
+			for _, name := range names {
+				if scope != own {
+					t.links[name] = true
+				}
+			}
+		}
+	}
+	if slices.Contains(t.relays[t.cell], p.self.Name) {
+		all(t.relays, t.cell)
+	}
+	if slices.Contains(t.gateways[t.region], p.self.Name) {
+		all(t.gateways, t.region)
+	}
+}
+
+// meshes returns the regions that are small enough to be one cell.
+func (p *plugin) meshes() map[string]bool {
+	count := map[string]int{p.self.Region: 1}
+	for _, m := range p.members {
+		count[m.node.Region]++
+	}
+	meshed := map[string]bool{}
+	for region, n := range count {
+		limit := p.config.Mesh
+		if p.digests.meshed[region] {
+			limit += meshSlack
+		}
+		meshed[region] = n <= limit
+	}
+	p.digests.meshed = meshed
+	return meshed
+}
+
+func (t *topology) cellOf(n kernel.Node) string {
+	if t.meshed[n.Region] {
+		return prefixCell + prefixRegion + n.Region
+	}
+	return prefixCell + n.Zone
+}
+
+// near reports whether a member is of the node's own cell.
+func (p *plugin) near(m *member) bool {
+	t := p.topology()
+	return t.cellOf(m.node) == t.cell
+}
+
+// linked reports whether the node beats to a member.
+func (p *plugin) linked(m *member) bool { return p.topology().links[m.node.Name] }
+
+// scope returns the scope of the digests that tell of a member.
+func (p *plugin) scope(m *member) string {
+	if m.node.Region == p.self.Region {
+		return p.topology().cellOf(m.node)
+	}
+	return prefixRegion + m.node.Region
+}
+
+// watcher reports whether the node should hold watches on the platform.
+func (p *plugin) watcher() bool {
+	t := p.topology()
+	return len(t.watchers) < watchersPerZone || slices.Contains(t.watchers, p.self.Name)
+}
+
+// first returns the first names in a key's rendezvous order.
+func first(key string, names []string, count int) []string {
+	slices.SortFunc(names, func(a, b string) int {
+		sa, sb := kernel.Score(key, a), kernel.Score(key, b)
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		}
+		return 0
+	})
+	return slices.Clone(names[:min(count, len(names))])
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -17,7 +17,12 @@
 		Leaving:     b.Leaving,
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, encodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, encodeMark),
+		Intro:       pointed(b.Intro, encodeIntro),
+		ListVersion: b.ListVersion,
+		News:        pointed(b.News, encodeNews),
+		Digests:     mapped(b.Digests, encodeDigest),
+		Demands:     mapped(b.Demands, encodeDemand),
 	}
 }
 
@@ -30,7 +35,12 @@
 		Leaving:     b.Leaving,
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, decodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, decodeMark),
+		Intro:       valued(b.Intro, decodeIntro),
+		ListVersion: b.ListVersion,
+		News:        valued(b.News, decodeNews),
+		Digests:     mapped(b.Digests, decodeDigest),
+		Demands:     mapped(b.Demands, decodeDemand),
 	}
 }
 
@@ -39,6 +49,7 @@
 		Endpoint: l.Endpoint,
 		Requests: uint32(max(l.Load.Requests, 0)),
 		Tokens:   uint64(max(l.Load.Tokens, 0)),
+		State:    uint32(l.State),
 	}
 }
 
@@ -46,6 +57,7 @@
 	return kernel.EndpointLoad{
 		Endpoint: l.Endpoint,
 		Load:     kernel.Load{Requests: int(l.Requests), Tokens: int(l.Tokens)},
+		State:    kernel.State(l.State),
 	}
 }
 
@@ -78,3 +90,20 @@
 	}
 	return turned
 }
+
+// pointed returns the message of a value; nil for nil.
+func pointed[A, B any](a *A, f func(A) *B) *B {
+	if a == nil {
+		return nil
+	}
+	return f(*a)
+}
+
+// valued returns a pointer to a message turned by f; nil for nil.
+func valued[A, B any](a *A, f func(*A) B) *B {
+	if a == nil {
+		return nil
+	}
+	b := f(a)
+	return &b
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,33 +11,41 @@
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 )
 
-// DefaultQuiet is how long an endpoint that failed gets work only where no
-// other can take it.
-const DefaultQuiet = 2 * time.Second
+// Defaults of a Config.
+const (
+	DefaultQuiet  = 2 * time.Second
+	DefaultSettle = 3 * time.Second
+)
 
 type (
 	// Config is the settings of the plug-in.
 	Config struct {
-		// Quiet is how long a failed endpoint stays suspect.
+		// Quiet is how long an endpoint that failed gets work only where no
+		// other can take it.
 		Quiet time.Duration
+		// Settle is how long nodes may disagree on a home that has changed.
+		Settle time.Duration
 		// Own returns the loads that the node admitted as a home. It is called
 		// for each heartbeat and each view.
 		Own func() []kernel.EndpointLoad
+		// Sent returns the loads that the node has dispatched itself and that
+		// are not done.
+		Sent func() []kernel.EndpointLoad
 	}
 
 	extension struct{ config Config }
 
-	member struct {
-		endpoint kernel.Endpoint
-		listed   bool
-		leaving  bool
-		failed   time.Time
-	}
-
 	plugin struct {
 		config  Config
-		self    string
+		self    kernel.Node
 		members map[string]*member
+		names   []string
+		sums    map[string]scopeSums
+		homes   homes
+		told    map[string]*peerLoads
+		// cell and scopes are those of the newest view.
+		cell   string
+		scopes map[string]string
 	}
 )
 
@@ -47,38 +55,60 @@
 	if c.Quiet == 0 {
 		c.Quiet = DefaultQuiet
 	}
+	if c.Settle == 0 {
+		c.Settle = DefaultSettle
+	}
+	none := func() []kernel.EndpointLoad { return nil }
 	if c.Own == nil {
-		c.Own = func() []kernel.EndpointLoad { return nil }
+		c.Own = none
+	}
+	if c.Sent == nil {
+		c.Sent = none
 	}
 	return extension{config: c}
 }
 
 // Extend registers the plug-in.
 func (e extension) Extend(k *kernel.Kernel) {
-	p := &plugin{config: e.config, self: k.Self().Name, members: map[string]*member{}}
+	p := &plugin{
+		config:  e.config,
+		self:    k.Self(),
+		members: map[string]*member{},
+		sums:    map[string]scopeSums{},
+		told:    map[string]*peerLoads{},
+	}
 	k.Register(p, kernel.PriorityPool)
 }
 
 // Handle applies the platform's list, load reports, failures and heartbeats.
 func (p *plugin) Handle(now time.Time, ev kernel.Event, out *kernel.Output) {
 	switch ev := ev.(type) {
-	case kernel.Instances:
-		p.list(ev.List)
+	case kernel.Listed:
+		p.list(now, ev.List, out)
 		out.Changed()
 	case kernel.LoadReported:
-		p.report(ev, out)
+		p.report(now, ev, out)
 	case kernel.EndpointFailed:
 		p.fail(now, ev.Endpoint, out)
+	case kernel.Marked:
+		p.mark(now, ev.Mark, out)
 	case kernel.BeatReceived:
-		p.receive(ev.Beat)
-		out.Changed()
+		p.receive(now, ev.Beat)
+	case kernel.BeatFailed:
+		delete(p.told, ev.Node)
+	case kernel.Digested:
+		p.digest(now, ev.Digest)
+	case kernel.Woken:
+		p.wake(now)
 	case kernel.Tick:
+		p.age(now)
 		out.Changed()
 	}
 }
 
 // Publish writes the pools of all services in force.
 func (p *plugin) Publish(now time.Time, v *kernel.View) {
+	p.cell, p.scopes = v.Cell, v.Scopes
 	if v.Manifest == nil {
 		return
 	}
@@ -89,31 +119,13 @@
 		}
 		v.Pools[s.Name] = pool
 	}
-	for _, own := range p.config.Own() {
-		if m := p.members[own.Endpoint]; m != nil {
-			m.endpoint.Load = own.Load
-		}
-	}
-	for _, m := range p.members {
-		p.place(now, m, v)
-	}
-	for _, pool := range v.Pools {
-		slices.SortFunc(pool.Endpoints, func(a, b kernel.Endpoint) int {
-			return strings.Compare(a.Name, b.Name)
-		})
+	p.homes.update(v, p)
+	p.takeOwn(now)
+	sent := loadsByName(p.config.Sent())
+	for _, name := range p.names {
+		p.place(now, p.members[name], sent[name], v)
 	}
-}
-
-// Beat tells peers the loads of the endpoints whose home the node is, and the
-// endpoints known to be leaving.
-func (p *plugin) Beat(_ time.Time, _ string, b *kernel.Beat) {
-	b.Loads = append(b.Loads, p.config.Own()...)
-	for name, m := range p.members {
-		if m.leaving {
-			b.Leaves = append(b.Leaves, name)
-		}
-	}
-	slices.Sort(b.Leaves)
+	p.addSums(now, v)
 }
 
 // Dump shows every endpoint known.
@@ -125,113 +137,97 @@
 	return "pool", endpoints
 }
 
-func (p *plugin) list(list []kernel.Instance) {
+func (p *plugin) list(now time.Time, list []kernel.Instance, out *kernel.Output) {
 	for _, m := range p.members {
 		m.listed = false
 	}
 	for _, i := range list {
-		if i.Kind != kernel.KindEndpoint {
-			continue
-		}
-		m := p.members[i.Name]
-		if m == nil {
-			m = &member{}
-			p.members[i.Name] = m
-		}
-		m.listed = true
-		m.leaving = m.leaving || i.Leaving
-		m.endpoint.Name = i.Name
-		m.endpoint.Zone = i.Zone
-		m.endpoint.Service = i.Service
-		m.endpoint.Addr = i.Addr
-	}
-	for name, m := range p.members {
-		if !m.listed {
-			delete(p.members, name)
+		if i.Kind == kernel.KindEndpoint {
+			p.listOne(now, i, out)
 		}
 	}
-}
-
-func (p *plugin) report(ev kernel.LoadReported, out *kernel.Output) {
-	m := p.members[ev.Endpoint]
-	if m == nil {
-		return
-	}
-	m.endpoint.Load = ev.Load
-	m.endpoint.Models = ev.Models
-	m.failed = time.Time{}
-	if ev.Leaving && !m.leaving {
-		m.leaving = true
-		out.Changed()
+	p.unlist(now)
+	p.names = p.names[:0]
+	for name := range p.members {
+		p.names = append(p.names, name)
 	}
+	slices.SortFunc(p.names, strings.Compare)
+	p.homes.forget()
 }
 
-func (p *plugin) fail(now time.Time, name string, out *kernel.Output) {
-	if m := p.members[name]; m != nil {
-		m.failed = now
-		out.Changed()
+func (p *plugin) listOne(now time.Time, i kernel.Instance, out *kernel.Output) {
+	m := p.members[i.Name]
+	if m == nil || m.endpoint.Addr != i.Addr {
+		m = &member{}
+		p.members[i.Name] = m
+	}
+	m.listed = true
+	m.endpoint.Name = i.Name
+	m.endpoint.Zone = i.Zone
+	m.endpoint.Service = i.Service
+	m.endpoint.Addr = i.Addr
+	// The list may go on about an incarnation that has ended, so only its turn
+	// to leaving counts.
+	turned := i.Leaving && !m.listLeaving
+	m.listLeaving = i.Leaving
+	if turned {
+		p.leave(now, m, out)
 	}
 }
 
-func (p *plugin) receive(b *kernel.Beat) {
-	for _, l := range b.Loads {
-		if m := p.members[l.Endpoint]; m != nil {
-			m.endpoint.Load = l.Load
+// unlist drops the endpoints that the list does not name any more.
+//
+// A platform that answers with half a list would take away most endpoints at
+// once; one would notice a fleet without endpoints while all of them answer.
+// Where a list drops more than half, those that answered their home of late are
+// kept for a while.
+func (p *plugin) unlist(now time.Time) {
+	var gone []string
+	for name, m := range p.members {
+		if !m.listed {
+			gone = append(gone, name)
 		}
 	}
-	for _, name := range b.Leaves {
-		if m := p.members[name]; m != nil {
-			m.leaving = true
+	mass := len(gone) >= massDrop && 2*len(gone) > len(p.members)
+	for _, name := range gone {
+		m := p.members[name]
+		if mass && m.dropped.IsZero() {
+			m.dropped = now
 		}
+		if mass && now.Sub(m.dropped) < dropHold && m.raw == kernel.Live {
+			continue
+		}
+		delete(p.members, name)
 	}
 }
 
-func (p *plugin) place(now time.Time, m *member, v *kernel.View) {
+// place adds an endpoint to its pool.
+func (p *plugin) place(now time.Time, m *member, sent kernel.Load, v *kernel.View) {
+	m.endpoint.State = m.state(now)
+	p.homes.assign(now, m, p.config.Settle)
+	if m.endpoint.Home == p.self.Name {
+		v.Probes = append(v.Probes, m.endpoint)
+	}
 	pool := v.Pools[m.endpoint.Service]
-	if pool == nil {
+	if pool == nil || m.endpoint.State == kernel.Dead {
 		return
 	}
 	e := m.endpoint
-	e.State = p.state(now, m)
-	e.Home = Home(e, v.Nodes)
+	e.Load = m.current(sent, e.Home == p.self.Name)
+	e.Reported = m.toldAt
+	if !p.near(e.Zone) {
+		e.Load, e.Reported = p.mean(now, e), time.Time{}
+	}
 	pool.Endpoints = append(pool.Endpoints, e)
-	pool.Total = pool.Total.Add(e.Load)
-	if e.State == kernel.Live {
+	if p.near(e.Zone) && e.State == kernel.Live {
+		pool.Total = pool.Total.Add(e.Load)
 		pool.Live++
 	}
 }
 
-func (p *plugin) state(now time.Time, m *member) kernel.State {
-	switch {
-	case m.leaving:
-		return kernel.Leaving
-	case !m.failed.IsZero() && now.Sub(m.failed) < p.config.Quiet:
-		return kernel.Suspect
-	default:
-		return kernel.Live
-	}
-}
-
-// Home returns the node that admits work to an endpoint: the first in the
-// endpoint's rendezvous order among the live nodes of its availability zone, or
-// of the whole fleet where the zone has none.
-func Home(e kernel.Endpoint, nodes []kernel.Node) string {
-	if home := first(e.Name, nodes, e.Zone); home != "" {
-		return home
-	}
-	return first(e.Name, nodes, "")
-}
-
-func first(key string, nodes []kernel.Node, zone string) string {
-	var best string
-	var high uint64
-	for _, n := range nodes {
-		if n.State != kernel.Live || zone != "" && n.Zone != zone {
-			continue
-		}
-		if s := kernel.Score(key, n.Name); best == "" || s > high {
-			best, high = n.Name, s
-		}
-	}
-	return best
+// near reports whether the homes of a zone's endpoints tell the node each
+// endpoint's load.
+func (p *plugin) near(zone string) bool {
+	scope, known := p.scopes[zone]
+	return !known || scope == p.cell
 }
