--- a/internal/kernel/digest.go
+++ b/internal/kernel/digest.go
@@ -64,7 +64,7 @@
 
 // Near reports whether a digest says about the same as another.
 func (d *Digest) Near(o *Digest) bool {
-	if d.ListVersion != o.ListVersion || len(d.Sums) != len(o.Sums) || len(d.Demands) != len(o.Demands) {
+	if !d.SameNodes(o) || len(d.Sums) != len(o.Sums) || len(d.Demands) != len(o.Demands) {
 		return false
 	}
 	for i, s := range d.Sums {
@@ -78,8 +78,14 @@
 			return false
 		}
 	}
+	return true
+}
+
+// SameNodes reports whether two digests tell the same of instances.
+func (d *Digest) SameNodes(o *Digest) bool {
 	sameNode := func(a, b Intro) bool { return a.Instance == b.Instance }
-	return slices.Equal(d.Absent, o.Absent) && slices.EqualFunc(d.Extra, o.Extra, sameNode)
+	return d.ListVersion == o.ListVersion && slices.Equal(d.Absent, o.Absent) &&
+		slices.EqualFunc(d.Extra, o.Extra, sameNode)
 }
 
 func (d *Digest) add(s Sum) {
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -16,9 +16,9 @@
 // what those before it wrote into the View.
 const (
 	PriorityConfig     = 100
-	PriorityRoster     = 150
-	PriorityMark       = 160
 	PriorityMembership = 200
+	PriorityRoster     = 220
+	PriorityMark       = 240
 	PriorityPool       = 300
 	PriorityLimit      = 400
 	PriorityPoison     = 500
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -8,15 +8,19 @@
 )
 
 const (
-	// digestInterval is how often a digest is made, digestRefresh how often one
-	// that has not changed is sent all the same.
+	// digestInterval is how often a digest is made. One that tells of nodes
+	// anew is sent at once, one that tells of loads and demands only waits for
+	// cellPause or regionPause, and one that has not changed is sent all the
+	// same after digestRefresh.
 	digestInterval = time.Second
-	digestRefresh  = 3 * time.Second
+	cellPause      = 2 * time.Second
+	regionPause    = 4 * time.Second
+	digestRefresh  = 5 * time.Second
 	// markHold is how long a leave mark outweighs a digest that does not name
 	// the node; later the digest speaks of a new incarnation.
 	markHold = 10 * time.Second
 	// digestStale is the age from which a digest says nothing of the present.
-	digestStale = 8 * time.Second
+	digestStale = 10 * time.Second
 )
 
 type (
@@ -65,10 +69,10 @@
 	}
 	cell := p.kernel.Digest(now, t.cell)
 	if relay {
-		p.digests.keep(now, cell)
+		p.digests.keep(now, cell, cellPause)
 	}
 	if gateway {
-		p.digests.keep(now, p.regional(now, t, cell))
+		p.digests.keep(now, p.regional(now, t, cell), regionPause)
 	}
 }
 
@@ -92,9 +96,9 @@
 
 // keep stores a digest that the node made, under a new number where it differs
 // from the last or that one is due again.
-func (d *digests) keep(now time.Time, made kernel.Digest) {
+func (d *digests) keep(now time.Time, made kernel.Digest, pause time.Duration) {
 	s := d.stored[made.Scope]
-	if s != nil && s.digest.Origin == made.Origin && now.Sub(s.at) < digestRefresh && s.digest.Near(&made) {
+	if s != nil && s.digest.Origin == made.Origin && !d.due(now, s, &made, pause) {
 		return
 	}
 	d.serial++
@@ -102,6 +106,16 @@
 	d.stored[made.Scope] = &stored{digest: made, at: now}
 }
 
+func (d *digests) due(now time.Time, s *stored, made *kernel.Digest, pause time.Duration) bool {
+	age := now.Sub(s.at)
+	switch {
+	case age >= digestRefresh || !s.digest.SameNodes(made):
+		return true
+	default:
+		return age >= pause && !s.digest.Near(made)
+	}
+}
+
 // takeDigests stores digests of other cells and regions.
 func (p *plugin) takeDigests(now time.Time, from *member, list []kernel.Digest, out *kernel.Output) {
 	t := p.topology()
@@ -141,11 +155,13 @@
 // applyDigest takes over the states of the nodes that a digest tells of.
 func (p *plugin) applyDigest(now time.Time, d kernel.Digest, out *kernel.Output) {
 	for _, e := range d.Extra {
-		if e.Instance.Name != p.self.Name {
-			m := p.member(now, e.Instance.Name)
-			m.extra = now
-			m.describe(e.Instance, p.regions[e.Instance.Zone])
+		if e.Instance.Name == p.self.Name {
+			continue
 		}
+		m := p.member(now, e.Instance.Name)
+		m.extra = now
+		m.describe(e.Instance, p.regions[e.Instance.Zone])
+		p.changed(out)
 	}
 	absent := make(map[string]kernel.State, len(d.Absent))
 	for _, a := range d.Absent {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -137,7 +137,7 @@
 	if b.Node == "" || b.Node == p.self.Name {
 		return
 	}
-	m := p.sender(now, b)
+	m := p.sender(now, b, out)
 	if m == nil {
 		return
 	}
@@ -163,7 +163,7 @@
 // under its name. Taken for news, it would bring back the old incarnation, and
 // with it leave marks and addresses; one would notice a node that changes its
 // incarnation twice. The incarnation that started last wins.
-func (p *plugin) sender(now time.Time, b *kernel.Beat) *member {
+func (p *plugin) sender(now time.Time, b *kernel.Beat, out *kernel.Output) *member {
 	m := p.members[b.Node]
 	if m == nil && b.Intro == nil {
 		return nil
@@ -171,13 +171,16 @@
 	if m == nil {
 		m = p.member(now, b.Node)
 	}
-	if m.node.Incarnation != b.Incarnation && !p.succeed(now, m, b) {
-		return nil
+	if m.node.Incarnation != b.Incarnation {
+		if !p.succeed(now, m, b) {
+			return nil
+		}
+		p.changed(out)
 	}
 	if b.Intro != nil {
 		m.describe(b.Intro.Instance, p.regions[b.Intro.Instance.Zone])
 		m.node.Name = b.Node
-		p.topo = nil
+		p.changed(out)
 	}
 	return m
 }
@@ -268,9 +271,13 @@
 	if state == m.node.State && settled == m.node.Settled {
 		return
 	}
+	if state != m.node.State {
+		p.topo = nil
+	}
 	m.node.State = state
 	m.node.Settled = settled
-	p.changed(out)
+	p.nodes = nil
+	out.Changed()
 }
 
 func (m *member) state(now time.Time) kernel.State {
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -169,15 +169,21 @@
 
 // first returns the first names in a key's rendezvous order.
 func first(key string, names []string, count int) []string {
-	slices.SortFunc(names, func(a, b string) int {
-		sa, sb := kernel.Score(key, a), kernel.Score(key, b)
-		switch {
-		case sa > sb:
-			return -1
-		case sa < sb:
-			return 1
+	best := make([]string, 0, count+1)
+	scores := make([]uint64, 0, count+1)
+	for _, name := range names {
+		score := kernel.Score(key, name)
+		at := len(best)
+		for at > 0 && score > scores[at-1] {
+			at--
 		}
-		return 0
-	})
-	return slices.Clone(names[:min(count, len(names))])
+		if at == count {
+			continue
+		}
+		best = slices.Insert(best, at, name)
+		scores = slices.Insert(scores, at, score)
+		best = best[:min(count, len(best))]
+		scores = scores[:len(best)]
+	}
+	return best
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -43,6 +43,8 @@
 		sums    map[string]scopeSums
 		homes   homes
 		told    map[string]*peerLoads
+		// counts is how many endpoints each pool of the newest view has.
+		counts map[string]int
 		// cell and scopes are those of the newest view.
 		cell   string
 		scopes map[string]string
@@ -76,6 +78,7 @@
 		members: map[string]*member{},
 		sums:    map[string]scopeSums{},
 		told:    map[string]*peerLoads{},
+		counts:  map[string]int{},
 	}
 	k.Register(p, kernel.PriorityPool)
 }
@@ -113,7 +116,7 @@
 		return
 	}
 	for _, s := range v.Manifest.Services {
-		pool := &kernel.Pool{Service: s}
+		pool := &kernel.Pool{Service: s, Endpoints: make([]kernel.Endpoint, 0, p.counts[s.Name])}
 		if d, ok := v.Manifest.Deployment(s.Deployment); ok {
 			pool.Bound = d.Bound
 		}
@@ -125,6 +128,9 @@
 	for _, name := range p.names {
 		p.place(now, p.members[name], sent[name], v)
 	}
+	for name, pool := range v.Pools {
+		p.counts[name] = len(pool.Endpoints)
+	}
 	p.addSums(now, v)
 }
 
