--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -3,6 +3,7 @@
 package bulrushhinge
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"errors"
@@ -12,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,14 +24,20 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
-// DefaultGrace is how long a stopping node still takes requests, so that
-// callers and peers hear of the stop first.
-const DefaultGrace = 2 * time.Second
+const (
+	// DefaultGrace is how long a stopping node still takes requests, so that
+	// callers and peers hear of the stop first.
+	DefaultGrace = 2 * time.Second
+	// DefaultLinger is how long a stopping node at least answers that it takes
+	// no more requests, before it closes its listener.
+	DefaultLinger = time.Second
+)
 
 // ErrStart is returned where a node cannot start.
 var ErrStart = errors.New("bulrushhinge: start")
@@ -52,6 +60,11 @@
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
 		Grace time.Duration
+		// Linger is how long a stopping node at least refuses requests before
+		// its listener closes.
+		Linger time.Duration
+		// Callers' limits; zero values are defaults.
+		Limits caller.Config
 		// Log takes the node's log; nil is logrus' standard logger.
 		Log logrus.FieldLogger
 		// Extensions register further plug-ins with the kernel.
@@ -67,6 +80,7 @@
 		peers     *peer.Client
 		server    *peer.Server
 		endpoints *endpoint.Client
+		handler   *caller.Handler
 		callers   *http.Server
 		operators *http.Server
 		running   sync.WaitGroup
@@ -78,9 +92,9 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
-	if c.Grace == 0 {
-		c.Grace = DefaultGrace
-	}
+	c.Grace = cmp.Or(c.Grace, DefaultGrace)
+	c.Linger = cmp.Or(c.Linger, DefaultLinger)
+	c.Limits.Active = &atomic.Int64{}
 	n := &Node{config: c, endpoints: endpoint.NewClient()}
 	self := kernel.Node{
 		Name:        c.Instance,
@@ -89,7 +103,8 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
-	k, permits := builtin.New(self, builtin.Config{}, c.Extensions...)
+	active := func() int { return int(c.Limits.Active.Load()) }
+	k, permits := builtin.New(self, builtin.Config{Membership: membership.Config{Active: active}}, c.Extensions...)
 	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
 	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform})
@@ -105,17 +120,22 @@
 // View returns the node's published control state.
 func (n *Node) View() *kernel.View { return n.control.View() }
 
-// Stop stops the node as planned: it leaves the entry answers first, waits for
-// the grace time, then lets every request in progress finish, until ctx ends.
+// Stop stops the node as planned: it leaves the entry answers first and tells
+// its peers, still serves for the grace time, then refuses further requests as
+// not run while those in progress finish, until ctx ends.
+//
+// A listener that closes at once resets the connections it has not yet accepted
+// and those that callers keep; their callers could not tell whether a request
+// was run. The node therefore goes on answering, that it is stopping, for a
+// time after the last request.
 func (n *Node) Stop(ctx context.Context) error {
 	n.control.Offer(kernel.Drain{})
-	timer := time.NewTimer(n.config.Grace)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	err := n.callers.Shutdown(ctx)
+	pause(ctx, n.config.Grace)
+	n.handler.Refuse()
+	refused := time.Now()
+	err := n.handler.Wait(ctx)
+	pause(ctx, time.Until(refused.Add(n.config.Linger)))
+	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
 }
 
@@ -142,7 +162,10 @@
 	d := dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
 	})
-	n.callers = caller.NewServer(caller.New(caller.Config{View: k.View, Dispatcher: d, Log: n.config.Log}))
+	limits := n.config.Limits
+	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	n.handler = caller.New(limits)
+	n.callers = caller.NewServer(n.handler)
 	n.operators = &http.Server{
 		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -150,7 +173,7 @@
 	start := func(s *http.Server, l net.Listener) {
 		n.running.Go(func() { _ = s.Serve(l) })
 	}
-	start(n.callers, n.config.Callers)
+	start(n.callers, caller.Limit(n.config.Callers, caller.DefaultMaxConnections))
 	start(n.operators, n.config.Operators)
 	return nil
 }
@@ -162,3 +185,12 @@
 	}
 	return a.AddrPort()
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"encoding/json"
-	"errors"
+	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,37 +13,23 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
 	"bulrushhinge.example/bulrushhinge/pkg/hint"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
-type (
-	completion struct {
-		ID      string             `json:"id"`
-		Object  string             `json:"object"`
-		Model   string             `json:"model"`
-		Choices []completionChoice `json:"choices"`
-		Usage   *endpoint.Usage    `json:"usage,omitempty"`
-	}
-
-	completionChoice struct {
-		Index        int             `json:"index"`
-		Message      completionReply `json:"message"`
-		FinishReason string          `json:"finish_reason"`
-	}
-
-	completionReply struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	}
-)
-
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
 	v, a, p := h.admit(r)
 	if p != nil {
 		p.write(w)
 		return
 	}
+	done, p := h.slots.wait(a.Name)
+	if p != nil {
+		p.write(w)
+		return
+	}
+	defer done()
 	data, p := h.body(w, r)
 	if p != nil {
 		p.write(w)
@@ -62,10 +46,14 @@
 		return
 	}
 	call := endpoint.Call{
-		Path: "/v1/chat/completions", Type: "application/json", Body: data,
+		Path: entry.PathChat, Type: "application/json", Body: data,
 		Chat: req.Chat, Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	run, err := h.config.Dispatcher.Do(r.Context(), req, call)
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
+	run, err := h.config.Dispatcher.Do(ctx, req, call)
+	done()
 	if err != nil {
 		refused(err).write(w)
 		return
@@ -78,10 +66,7 @@
 func (h *Handler) admit(r *http.Request) (*kernel.View, manifest.Account, *problem) {
 	v := h.config.View()
 	if v.Manifest == nil {
-		return nil, manifest.Account{}, &problem{
-			status: http.StatusServiceUnavailable, kind: "not_ready",
-			text: "no accepted configuration yet", ran: RanNot, retry: DefaultRetry,
-		}
+		return nil, manifest.Account{}, notReady()
 	}
 	a, p := account(v, r)
 	return v, a, p
@@ -90,7 +75,7 @@
 func (h *Handler) chatRequest(r *http.Request, v *kernel.View, a manifest.Account, c endpoint.ChatRequest, size int) (route.Request, *problem) {
 	service, ok := v.Manifest.ServiceOf(c.Model)
 	if !ok {
-		return route.Request{}, &problem{status: http.StatusNotFound, kind: "unknown_model", text: fmt.Sprintf("model %q", c.Model), ran: RanNot}
+		return route.Request{}, notFound("unknown_model", fmt.Sprintf("model %q", c.Model))
 	}
 	req, p := h.common(r, v, a)
 	if p != nil {
@@ -112,103 +97,57 @@
 }
 
 func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) {
-	if run.Answer.Status != http.StatusOK {
-		copyAnswer(w, run)
-		return
+	isStream := strings.HasPrefix(run.Answer.Header.Get("Content-Type"), "text/event-stream")
+	if run.Answer.Status == http.StatusOK {
+		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input}.String())
 	}
-	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
-	w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input}.String())
-	stream := endpoint.NewStream(run.Answer, run.Attempt)
-	var err error
-	if c.Stream {
-		err = relay(w, stream)
-	} else {
-		err = collect(w, stream)
+	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
+		h.stream(w, req, run)
+		return
 	}
+	data, err := h.read(run, isStream)
 	if err != nil {
-		h.config.Log.WithError(err).WithFields(logrus.Fields{
-			"request": req.ID, "chat": req.Chat, "account": req.Account,
-			"endpoint": run.Endpoint.Name, "attempt": run.Attempt,
-		}).Warn("answer not delivered whole")
+		h.logBroken(err, req, run)
+		h.broken(err, req.Deadline).write(w)
+		return
 	}
-}
-
-// relay passes a stream on as it comes. The caller sees the end mark only
-// after the endpoint's own; where the answer was cut, an error event takes its
-// place.
-func relay(w http.ResponseWriter, s *endpoint.Stream) error {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	for {
-		c, err := s.Next()
-		if errors.Is(err, io.EOF) {
-			_, err = fmt.Fprintf(w, "data: %s\n\n", endpoint.DoneMark)
-			return err
-		}
-		if err != nil {
-			_ = event(w, cutProblem().body())
-			return err
-		}
-		if err := event(w, c); err != nil {
-			return err
-		}
-		if err := control.Flush(); err != nil {
-			return err
-		}
+	if isStream {
+		run.Answer.Header.Set("Content-Type", "application/json")
+	}
+	if err := h.pass(w, run, data); err != nil {
+		h.logBroken(err, req, run)
 	}
 }
 
-// collect gathers a stream into one whole answer.
-func collect(w http.ResponseWriter, s *endpoint.Stream) error {
-	answer := completion{Object: "chat.completion"}
-	var text strings.Builder
-	finish := ""
-	for {
-		c, err := s.Next()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			cutProblem().write(w)
-			return err
-		}
-		answer.ID, answer.Model = c.ID, c.Model
-		if c.Usage != nil {
-			answer.Usage = c.Usage
-		}
-		for _, choice := range c.Choices {
-			text.WriteString(choice.Delta.Content)
-			if choice.FinishReason != nil {
-				finish = *choice.FinishReason
-			}
-		}
-	}
-	answer.Choices = []completionChoice{{
-		Message:      completionReply{Role: "assistant", Content: text.String()},
-		FinishReason: finish,
-	}}
-	data, err := json.Marshal(answer)
-	if err != nil {
-		return err
+// stream passes a stream on. Where it was cut, an event says so, and the
+// connection breaks, so that even a caller that reads to the end of the body
+// cannot take the answer for a whole one.
+func (h *Handler) stream(w http.ResponseWriter, req route.Request, run *dispatch.Run) {
+	w.Header().Set(HeaderRan, string(RanYes))
+	out := newEvents(w, h.config.WriteTimeout)
+	err := out.relay(endpoint.NewStream(run.Answer, run.Attempt))
+	if err == nil {
+		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, err = w.Write(data)
-	return err
+	h.logBroken(err, req, run)
+	out.fail(h.broken(err, req.Deadline))
+	panic(http.ErrAbortHandler)
 }
 
-func event(w io.Writer, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err
+func (h *Handler) read(run *dispatch.Run, isStream bool) ([]byte, error) {
+	switch {
+	case run.Answer.Status != http.StatusOK:
+		return whole(run.Answer, h.config.MaxAnswer)
+	case isStream:
+		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer)
+	default:
+		return wholeChat(run, h.config.MaxAnswer)
 	}
-	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
-	return err
 }
 
-func cutProblem() *problem {
-	return &problem{
-		status: http.StatusBadGateway, kind: "cut",
-		text: "the endpoint's answer ended early", ran: RanUnknown, retry: DefaultRetry,
-	}
+func (h *Handler) logBroken(err error, req route.Request, run *dispatch.Run) {
+	h.config.Log.WithError(err).WithFields(logrus.Fields{
+		"request": req.ID, "chat": req.Chat, "account": req.Account,
+		"endpoint": run.Endpoint.Name, "attempt": run.Attempt,
+	}).Warn("answer not delivered whole")
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -1,16 +1,31 @@
 package caller
 
 import (
-	"io"
+	"context"
+	"errors"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 
-	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
+const plainMethods = "GET, POST, PUT, PATCH, DELETE"
+
+var (
+	// passedOn is the headers of a call that a plain service sees.
+	passedOn = []string{"Accept", "Accept-Language", "If-Match", "If-None-Match", "Traceparent", "Tracestate"}
+
+	errDots = errors.New("path: . and .. are not allowed")
+)
+
 func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
+	if !slices.Contains(strings.Split(plainMethods, ", "), r.Method) {
+		notAllowed(plainMethods)(w, r)
+		return
+	}
 	v, a, p := h.admit(r)
 	if p != nil {
 		p.write(w)
@@ -18,9 +33,19 @@
 	}
 	service, ok := v.Manifest.Service(r.PathValue("service"))
 	if !ok || service.Kind != manifest.KindPlain {
-		(&problem{status: http.StatusNotFound, kind: "unknown_service", text: "no such plain service", ran: RanNot}).write(w)
+		notFound("unknown_service", "no such plain service").write(w)
+		return
+	}
+	if hasDots(r.PathValue("rest")) {
+		badRequest(errDots).write(w)
+		return
+	}
+	done, p := h.slots.wait(a.Name)
+	if p != nil {
+		p.write(w)
 		return
 	}
+	defer done()
 	data, p := h.body(w, r)
 	if p != nil {
 		p.write(w)
@@ -37,27 +62,46 @@
 	req.Output = 1
 	call := endpoint.Call{
 		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: data,
-		Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
+		Header: chosen(r.Header), Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	run, err := h.config.Dispatcher.Do(r.Context(), req, call)
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
+	run, err := h.config.Dispatcher.Do(ctx, req, call)
+	done()
 	if err != nil {
 		refused(err).write(w)
 		return
 	}
 	defer run.Close()
-	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
-	copyAnswer(w, run)
-}
-
-// copyAnswer passes an answer on whole, or as an error where it was cut.
-func copyAnswer(w http.ResponseWriter, run *dispatch.Run) {
-	data, err := io.ReadAll(run.Answer.Body)
+	answer, err := whole(run.Answer, h.config.MaxAnswer)
 	if err != nil {
-		cutProblem().write(w)
+		h.logBroken(err, req, run)
+		h.broken(err, req.Deadline).write(w)
 		return
 	}
-	w.Header().Set("Content-Type", run.Answer.Header.Get("Content-Type"))
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.WriteHeader(run.Answer.Status)
-	_, _ = w.Write(data)
+	if err := h.pass(w, run, answer); err != nil {
+		h.logBroken(err, req, run)
+	}
+}
+
+func chosen(all http.Header) http.Header {
+	some := http.Header{}
+	for _, name := range passedOn {
+		if values := all.Values(name); len(values) > 0 {
+			some[name] = values
+		}
+	}
+	return some
+}
+
+// hasDots reports whether a path climbs. An endpoint that resolves an escaped
+// ".." would serve what lies outside its service.
+func hasDots(path string) bool {
+	for part := range strings.SplitSeq(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -3,55 +3,45 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
 // What is known of a request that got no whole answer.
 const (
-	// RanNot means that no endpoint ran the request.
-	RanNot Ran = "not_run"
-	// RanUnknown means that an endpoint may have run the request.
-	RanUnknown Ran = "unknown"
-	// RanYes means that an endpoint ran the request.
-	RanYes Ran = "ran"
+	RanNot     = entry.RanNot
+	RanUnknown = entry.RanUnknown
+	RanYes     = entry.RanYes
 )
 
-type (
-	// Ran is whether a request was run.
-	Ran string
-
-	// Problem is the body of a refusal.
-	Problem struct {
-		Error ProblemError `json:"error"`
-	}
-
-	// ProblemError describes a refusal.
-	ProblemError struct {
-		Type    string `json:"type"`
-		Message string `json:"message"`
-		Ran     Ran    `json:"ran"`
-		// RetryAfterMS is when the caller may come back, in milliseconds; 0
-		// where coming back does not help.
-		RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	}
-
-	problem struct {
-		status int
-		kind   string
-		text   string
-		ran    Ran
-		retry  time.Duration
-	}
+const (
+	// DefaultRetry is when a refused caller may come back.
+	DefaultRetry = time.Second
+	// retryJitter spreads the callers that are refused together.
+	retryJitter = 500 * time.Millisecond
 )
 
-func (p *problem) body() Problem {
-	return Problem{Error: ProblemError{
+// problem is a refusal.
+type problem struct {
+	status int
+	kind   string
+	text   string
+	ran    entry.Ran
+	retry  time.Duration
+	// close ends the connection after the answer.
+	close bool
+}
+
+func (p *problem) body() entry.Problem {
+	return entry.Problem{Error: entry.Refusal{
 		Type:         p.kind,
 		Message:      p.text,
 		Ran:          p.ran,
@@ -60,22 +50,67 @@
 }
 
 func (p *problem) write(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(p.body())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	head := w.Header()
+	head.Set("Content-Type", "application/json")
+	head.Set("Content-Length", strconv.Itoa(len(data)))
+	head.Set(HeaderRan, string(p.ran))
 	if p.retry > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retry.Seconds()))))
+		head.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retry.Seconds()))))
+	}
+	if p.close {
+		head.Set("Connection", "close")
 	}
 	w.WriteHeader(p.status)
-	_ = json.NewEncoder(w).Encode(p.body())
+	_, _ = w.Write(data)
 }
 
 func badRequest(err error) *problem {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return &problem{status: http.StatusRequestEntityTooLarge, kind: "too_large", text: err.Error(), ran: RanNot}
+		return &problem{status: http.StatusRequestEntityTooLarge, kind: "too_large", text: err.Error(), ran: RanNot, close: true}
 	}
 	return &problem{status: http.StatusBadRequest, kind: "bad_request", text: err.Error(), ran: RanNot}
 }
 
+func notReady() *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: "not_ready",
+		text: "no accepted configuration yet", ran: RanNot, retry: retryDelay(),
+	}
+}
+
+func stopping() *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: "stopping",
+		text: "the node is stopping; use another", ran: RanNot, retry: retryDelay(), close: true,
+	}
+}
+
+func busy(status int, text string) *problem {
+	return &problem{status: status, kind: "busy", text: text, ran: RanNot, retry: retryDelay()}
+}
+
+func notFound(kind, text string) *problem {
+	return &problem{status: http.StatusNotFound, kind: kind, text: text, ran: RanNot}
+}
+
+// notAllowed returns a handler that names the methods a path has.
+func notAllowed(methods string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", methods)
+		p := &problem{
+			status: http.StatusMethodNotAllowed, kind: "method_not_allowed",
+			text: fmt.Sprintf("%s takes %s", r.URL.Path, methods), ran: RanNot,
+		}
+		p.write(w)
+	}
+}
+
 func refused(err error) *problem {
 	var r *dispatch.Refusal
 	if !errors.As(err, &r) {
@@ -90,3 +125,27 @@
 	}
 	return p
 }
+
+// cut is an answer that ended early, after the endpoint had begun it.
+func cut() *problem {
+	return &problem{
+		status: http.StatusBadGateway, kind: "cut",
+		text: "the endpoint's answer ended early", ran: RanYes, retry: retryDelay(),
+	}
+}
+
+func tooLong(limit int64) *problem {
+	return &problem{
+		status: http.StatusBadGateway, kind: "answer_too_large",
+		text: fmt.Sprintf("the endpoint's answer is over %d bytes", limit), ran: RanYes,
+	}
+}
+
+func late() *problem {
+	return &problem{
+		status: http.StatusGatewayTimeout, kind: "deadline",
+		text: "the deadline passed within the answer", ran: RanYes,
+	}
+}
+
+func retryDelay() time.Duration { return DefaultRetry + rand.N(retryJitter) }
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -27,9 +28,15 @@
 	bearer        = "Bearer "
 	// maxChatBytes is the size of the longest chat name.
 	maxChatBytes = 256
+	// maxOutput is the most tokens that a request can ask for.
+	maxOutput = 1 << 20
 )
 
-var errTimeout = errors.New("timeout must be a positive duration such as 30s")
+var (
+	errTimeout  = errors.New(HeaderTimeout + " must be a positive duration such as 30s")
+	errLongName = fmt.Errorf("a name is over %d bytes", maxChatBytes)
+	errOnce     = errors.New(HeaderOnce + " must be true or false")
+)
 
 // account returns the client account whose key the caller shows. Only the
 // key's digest stands in the manifest.
@@ -57,13 +64,13 @@
 		if err != nil || d <= 0 {
 			return req, badRequest(errTimeout)
 		}
-		timeout = min(d, timeout)
+		timeout = min(d, h.config.MaxTimeout)
 	}
 	req.Deadline = time.Now().Add(timeout)
 	if s := r.Header.Get(HeaderPriority); s != "" {
 		priority, err := strconv.Atoi(s)
 		if err != nil {
-			return req, badRequest(fmt.Errorf("priority: %w", err))
+			return req, badRequest(fmt.Errorf("%s: %w", HeaderPriority, err))
 		}
 		req.Priority = min(priority, a.Priority)
 	}
@@ -72,7 +79,12 @@
 		return req, badRequest(err)
 	}
 	req.Hint = given
-	req.Once = r.Header.Get(HeaderOnce) != ""
+	if s := r.Header.Get(HeaderOnce); s != "" {
+		req.Once, err = strconv.ParseBool(s)
+		if err != nil {
+			return req, badRequest(errOnce)
+		}
+	}
 	return req, nil
 }
 
@@ -87,21 +99,30 @@
 	if len(c.Messages) == 0 {
 		return c, errors.New("body: messages are missing")
 	}
+	for i, m := range c.Messages {
+		if m.Role == "" {
+			return c, fmt.Errorf("body: messages[%d]: role is missing", i)
+		}
+	}
+	if c.MaxTokens < 0 || c.MaxTokens > maxOutput {
+		return c, fmt.Errorf("body: max_tokens must be from 0 to %d", maxOutput)
+	}
 	return c, nil
 }
 
 // chatName returns the name under which a chat's prefix is cached: the one the
 // caller gives, or one made from the chat's first turn, which every later turn
-// repeats. It holds the account, so that accounts never share a chat.
+// repeats. It begins with the account, escaped, so that accounts never share a
+// chat: account "a" with chat "b/c" is not account "a/b" with chat "c".
 func chatName(r *http.Request, account string, c endpoint.ChatRequest) (string, *problem) {
 	name := r.Header.Get(HeaderChat)
 	if len(name) > maxChatBytes {
-		return "", badRequest(fmt.Errorf("chat name is over %d bytes", maxChatBytes))
+		return "", badRequest(errLongName)
 	}
 	if name == "" {
 		name = firstTurn(c)
 	}
-	return account + "/" + name, nil
+	return url.PathEscape(account) + "/" + name, nil
 }
 
 func firstTurn(c endpoint.ChatRequest) string {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,9 +3,12 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,29 +17,35 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
-// Headers between callers and nodes.
+// Headers between callers and nodes; package entry documents them.
 const (
-	// HeaderChat names the caller's chat.
-	HeaderChat = "X-Chat"
-	// HeaderHint carries the chat's hint, both ways.
-	HeaderHint = "X-Hint"
-	// HeaderOnce marks a request that must not be repeated.
-	HeaderOnce = "X-Once"
-	// HeaderTimeout is how long the caller waits, as a Go duration.
-	HeaderTimeout = "X-Timeout"
-	// HeaderPriority orders the account's requests; higher goes first.
-	HeaderPriority = "X-Priority"
-	// HeaderRequest names the request in logs and decision traces.
-	HeaderRequest = "X-Request-Id"
+	HeaderChat     = entry.HeaderChat
+	HeaderHint     = entry.HeaderHint
+	HeaderOnce     = entry.HeaderOnce
+	HeaderTimeout  = entry.HeaderTimeout
+	HeaderPriority = entry.HeaderPriority
+	HeaderRequest  = entry.HeaderRequest
+	HeaderRan      = entry.HeaderRan
 )
 
 // Defaults of a Config.
 const (
-	DefaultTimeout  = 60 * time.Second
-	DefaultMaxBody  = 4 << 20
+	DefaultTimeout        = 3 * time.Minute
+	DefaultMaxTimeout     = 15 * time.Minute
+	DefaultReadTimeout    = 30 * time.Second
+	DefaultWriteTimeout   = 20 * time.Second
+	DefaultMaxBody        = 4 << 20
+	DefaultMaxAnswer      = 16 << 20
+	DefaultMaxActive      = 8192
+	DefaultMaxWaiting     = 2048
+	DefaultMaxAccount     = 512
+	DefaultMaxConnections = 16384
+
 	readHeaderLimit = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
 )
 
@@ -46,41 +55,78 @@
 		Do(ctx context.Context, req route.Request, call endpoint.Call) (*dispatch.Run, error)
 	}
 
-	// Config is the settings of a Handler.
+	// Config is the settings of a Handler; zero values are defaults.
 	Config struct {
 		View       func() *kernel.View
 		Dispatcher Dispatcher
 		Log        logrus.FieldLogger
 		// Timeout is the deadline of a request that names none.
 		Timeout time.Duration
+		// MaxTimeout is the longest deadline a request can name.
+		MaxTimeout time.Duration
+		// ReadTimeout is how long a caller may take to send a body.
+		ReadTimeout time.Duration
+		// WriteTimeout is how long a caller may take to read a piece of the
+		// answer.
+		WriteTimeout time.Duration
 		// MaxBody is the size of the largest request body, in bytes.
 		MaxBody int64
+		// MaxAnswer is the size of the largest answer that is not streamed, in
+		// bytes.
+		MaxAnswer int64
+		// Active counts the requests in progress; nil is a counter of the
+		// handler's own.
+		Active *atomic.Int64
+		// MaxActive is how many requests the node serves at once.
+		MaxActive int
+		// MaxWaiting is how many requests wait for an endpoint at once.
+		MaxWaiting int
+		// MaxAccount is how many of them one client account may have.
+		MaxAccount int
 	}
 
 	// Handler is the http.Handler for callers.
 	Handler struct {
 		config Config
 		mux    *http.ServeMux
+		slots  *slots
+		// refusing is set once the node takes no more requests.
+		refusing atomic.Bool
 	}
 )
 
-// New returns a Handler. Zero settings take their defaults.
+// New returns a Handler.
 func New(c Config) *Handler {
-	if c.Timeout == 0 {
-		c.Timeout = DefaultTimeout
-	}
-	if c.MaxBody == 0 {
-		c.MaxBody = DefaultMaxBody
-	}
-	h := &Handler{config: c, mux: http.NewServeMux()}
-	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
-	h.mux.HandleFunc("/v1/services/{service}/{rest...}", h.plain)
-	h.mux.HandleFunc("GET /v1/entry", h.entry)
+	c = withDefaults(c)
+	h := &Handler{config: c, mux: http.NewServeMux(), slots: newSlots(c)}
+	h.mux.HandleFunc("POST "+entry.PathChat, h.guard(h.chat))
+	h.mux.HandleFunc(entry.PathChat, notAllowed(http.MethodPost))
+	h.mux.HandleFunc(entry.PathServices+"{service}/{rest...}", h.guard(h.plain))
+	h.mux.HandleFunc("GET "+entry.PathEntry, h.entry)
+	h.mux.HandleFunc(entry.PathEntry, notAllowed(http.MethodGet))
+	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		notFound("unknown_path", r.URL.Path).write(w)
+	})
 	return h
 }
 
 // ServeHTTP serves one request of a caller.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+//
+// A caller that keeps its connection to a leaving node would find it closed
+// under its next request, and could not tell whether that was run. While the
+// node is leaving, each answer therefore ends its connection.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.refusing.Load() || h.config.View().Leaving {
+		w.Header().Set("Connection", "close")
+	}
+	h.mux.ServeHTTP(w, r)
+}
+
+// Refuse makes every further request end as not run.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
+// Wait waits until no request is in progress or ctx ends.
+func (h *Handler) Wait(ctx context.Context) error { return h.slots.drain(ctx) }
 
 // NewServer returns an HTTP server for the handler with limits on slow and
 // oversized requests.
@@ -88,14 +134,67 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderLimit,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
+// Limit returns a listener that closes connections above a number of open ones
+// at once, before any request is read from them.
+func Limit(l net.Listener, connections int) net.Listener {
+	return &limited{Listener: l, max: int64(connections)}
+}
+
+// guard bounds the requests in progress and the time that callers take.
+func (h *Handler) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		leave, ok := h.slots.enter()
+		if !ok {
+			busy(http.StatusServiceUnavailable, "the node serves too many requests").write(w)
+			return
+		}
+		defer leave()
+		if h.refusing.Load() {
+			stopping().write(w)
+			return
+		}
+		// The deadline of an earlier request on the connection must not end
+		// this one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.MaxTimeout + h.config.WriteTimeout))
+		next(w, r)
+	}
+}
+
+// body reads a request's body.
+//
+// A caller that sends its body a byte at a time would hold memory and a place
+// on the node without end; the read deadline ends it. It is cleared afterwards,
+// as the server reads on to notice callers that hang up.
 func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(h.config.ReadTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.MaxBody))
 	if err != nil {
-		return nil, badRequest(err)
+		p := badRequest(err)
+		p.close = true
+		return nil, p
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return data, nil
 }
+
+func withDefaults(c Config) Config {
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.MaxTimeout = cmp.Or(c.MaxTimeout, DefaultMaxTimeout)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxAnswer = cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
+	if c.Active == nil {
+		c.Active = &atomic.Int64{}
+	}
+	c.MaxActive = cmp.Or(c.MaxActive, DefaultMaxActive)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, DefaultMaxWaiting)
+	c.MaxAccount = cmp.Or(c.MaxAccount, DefaultMaxAccount)
+	return c
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -36,10 +37,12 @@
 	// Call is one attempt at a request.
 	Call struct {
 		// Attempt is unique over the fleet; the answer must carry it.
-		Attempt  string
-		Method   string
-		Path     string
-		Type     string
+		Attempt string
+		Method  string
+		Path    string
+		Type    string
+		// Header is further headers that are passed on.
+		Header   http.Header
 		Body     []byte
 		Chat     string
 		Priority int
@@ -53,6 +56,9 @@
 		Status int
 		Header http.Header
 		Body   io.ReadCloser
+		// Framed says that the body's end is marked, by its length or by a last
+		// chunk, so that a cut body can be told from a whole one.
+		Framed bool
 	}
 
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
@@ -114,7 +120,8 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("%w: answer is of attempt %q", ErrLost, got)
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Framed: framed}, nil
 }
 
 // Load reads an endpoint's own report of its load, which lags.
@@ -149,6 +156,9 @@
 	if call.Once {
 		req.GetBody = nil
 	}
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
 	if call.Type != "" {
 		req.Header.Set("Content-Type", call.Type)
 	}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -60,6 +60,8 @@
 		Incarnation uint64
 		Serial      uint64
 		Leaving     bool
+		// Active is the callers' requests in progress at the sender.
+		Active int
 		// Revision is the accepted revision in force at the sender.
 		Revision uint64
 		// Loads is the load of the endpoints whose home the sender is.
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -54,6 +54,8 @@
 		Caller      netip.AddrPort
 		Peer        netip.AddrPort
 		State       State
+		// Active is the callers' requests in progress, as last heard.
+		Active int
 	}
 
 	// Endpoint is a process that runs requests.
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bulrushhinge.example/bulrushhinge"
+	"bulrushhinge.example/bulrushhinge/internal/caller"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/standin"
@@ -42,6 +43,10 @@
 		Log       logrus.FieldLogger
 		// Grace is how long a stopping node still takes requests.
 		Grace time.Duration
+		// Linger is how long a stopping node at least refuses requests.
+		Linger time.Duration
+		// Limits is the nodes' limits on callers.
+		Limits caller.Config
 	}
 
 	// NodeConfig is a node to start.
@@ -57,6 +62,8 @@
 		Service string
 		Models  []string
 		Step    time.Duration
+		// Engine is further settings of the stand-in.
+		Engine standin.EndpointConfig
 	}
 
 	// Fleet is a running deployment. It is safe for concurrent use.
@@ -169,7 +176,13 @@
 
 // StartEndpoint starts an endpoint and lists it.
 func (f *Fleet) StartEndpoint(c EndpointConfig) error {
-	e := &Endpoint{Endpoint: standin.NewEndpoint(standin.EndpointConfig{Name: c.Name, Step: c.Step, Models: c.Models})}
+	engine := c.Engine
+	engine.Name, engine.Models = c.Name, c.Models
+	if c.Step > 0 {
+		engine.Step = c.Step
+	}
+	engine.OnCrash = func() { _ = f.KillEndpoint(c.Name) }
+	e := &Endpoint{Endpoint: standin.NewEndpoint(engine)}
 	var err error
 	if e.server, err = serve(e.Endpoint); err != nil {
 		return err
@@ -326,7 +339,7 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{public},
-		Grace: f.config.Grace, Log: f.config.Log.WithField("node", c.Name),
+		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -26,6 +26,9 @@
 		Suspect time.Duration
 		// Dead is the silence after which a node is dead.
 		Dead time.Duration
+		// Active returns the callers' requests in progress at the node. It is
+		// called for each heartbeat and each view.
+		Active func() int
 	}
 
 	extension struct{ config Config }
@@ -58,6 +61,9 @@
 	if c.Dead == 0 {
 		c.Dead = DefaultDead
 	}
+	if c.Active == nil {
+		c.Active = func() int { return 0 }
+	}
 	return extension{config: c}
 }
 
@@ -88,6 +94,7 @@
 	if p.leaving {
 		self.State = kernel.Leaving
 	}
+	self.Active = p.config.Active()
 	v.Self = self
 	v.Nodes = append(v.Nodes, self)
 	for _, m := range p.members {
@@ -104,6 +111,7 @@
 func (p *plugin) Beat(_ time.Time, _ string, b *kernel.Beat) {
 	p.serial++
 	b.Serial = p.serial
+	b.Active = p.config.Active()
 }
 
 // Dump shows every node that was ever heard of.
@@ -120,7 +128,11 @@
 		m.listed = false
 	}
 	for _, i := range list {
-		if i.Kind != kernel.KindNode || i.Name == p.self.Name {
+		if i.Kind != kernel.KindNode {
+			continue
+		}
+		if i.Name == p.self.Name {
+			p.listSelf(i)
 			continue
 		}
 		m := p.members[i.Name]
@@ -140,6 +152,17 @@
 	out.Changed()
 }
 
+// listSelf takes the node's own addresses from the list where it listens on
+// every address of its instance and so cannot tell which one others reach.
+func (p *plugin) listSelf(i kernel.Instance) {
+	if p.self.Caller.Addr().IsUnspecified() {
+		p.self.Caller = i.Addr
+	}
+	if p.self.Peer.Addr().IsUnspecified() {
+		p.self.Peer = i.Peer
+	}
+}
+
 func (p *plugin) receive(now time.Time, b *kernel.Beat, out *kernel.Output) {
 	m := p.members[b.Node]
 	if m == nil {
@@ -150,6 +173,7 @@
 		state = kernel.Leaving
 	}
 	m.heard = now
+	m.node.Active = b.Active
 	if m.node.State != state || m.node.Incarnation != b.Incarnation {
 		m.node.State = state
 		m.node.Incarnation = b.Incarnation
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -4,22 +4,41 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 )
 
+// Defaults of an EndpointConfig.
 const (
-	defaultStep      = 5 * time.Millisecond
+	DefaultStep        = 5 * time.Millisecond
+	DefaultPrefill     = 20 * time.Microsecond
+	DefaultMaxBatch    = 64
+	DefaultCacheTokens = 1 << 20
+
 	defaultMaxTokens = 16
 	bytesPerToken    = 4
 	maxBodyBytes     = 4 << 20
+	maxRanBodies     = 1 << 16
 )
 
 type (
-	// EndpointConfig is the settings of an Endpoint.
+	// EndpointConfig is the settings of an Endpoint; zero values are defaults.
 	EndpointConfig struct {
 		Name string
 		// Step is the time an engine takes for one token of each stream.
-		Step   time.Duration
-		Models []string
+		Step time.Duration
+		// Prefill is the time an engine takes for one prompt token that its
+		// cache does not hold.
+		Prefill time.Duration
+		// MaxBatch is how many requests run at once; more wait by priority.
+		MaxBatch int
+		// CacheTokens is the size of the prefix cache, in tokens.
+		CacheTokens int
+		Models      []string
+		Faults      EndpointFaults
+		// OnCrash ends the process that the endpoint stands for, when a request
+		// that carries the crash mark runs. Connections break in any case.
+		OnCrash func()
 	}
 
 	// Endpoint is a stand-in of a model engine and of a plain service. It is
@@ -28,34 +47,63 @@
 		config  EndpointConfig
 		mux     *http.ServeMux
 		mu      sync.Mutex
-		running int
-		tokens  int
+		faults  EndpointFaults
 		leaving bool
-		cached  map[string]int
+		batch   batch
+		cache   *prefixCache
+		loads   loadHistory
 		ran     map[string]int
+		// crashed is closed when the endpoint crashes.
+		crashed chan struct{}
 	}
 )
 
 // NewEndpoint returns an idle Endpoint.
 func NewEndpoint(c EndpointConfig) *Endpoint {
-	if c.Step == 0 {
-		c.Step = defaultStep
+	c = withDefaults(c)
+	e := &Endpoint{
+		config:  c,
+		mux:     http.NewServeMux(),
+		faults:  c.Faults,
+		batch:   batch{size: c.MaxBatch},
+		cache:   newPrefixCache(c.CacheTokens),
+		ran:     map[string]int{},
+		crashed: make(chan struct{}),
 	}
-	e := &Endpoint{config: c, mux: http.NewServeMux(), cached: map[string]int{}, ran: map[string]int{}}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	e.mux.HandleFunc("GET /v1/load", e.load)
 	e.mux.HandleFunc("/v1/services/", e.plain)
+	e.mux.HandleFunc("GET /v1/events", e.events)
+	e.mux.HandleFunc("GET /v1/kv/{chat...}", e.exportKV)
+	e.mux.HandleFunc("PUT /v1/kv/{chat...}", e.importKV)
+	e.mux.HandleFunc("GET /admin/faults", e.showFaults)
+	e.mux.HandleFunc("PUT /admin/faults", e.setFaults)
+	e.mux.HandleFunc("PUT /admin/leaving", e.leave)
 	return e
 }
 
-// ServeHTTP serves the endpoints' published protocol.
-func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+// ServeHTTP serves the endpoints' published protocol and the admin calls.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if isAdmin(r) {
+		e.mux.ServeHTTP(w, r)
+		return
+	}
+	f := e.Faults()
+	if f.Down || e.isCrashed() {
+		panic(http.ErrAbortHandler)
+	}
+	if !pause(r, f.Delay) {
+		return
+	}
+	e.mux.ServeHTTP(w, r)
+}
 
 // SetLeaving makes the endpoint report that it is leaving.
 func (e *Endpoint) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = leaving
+	e.note()
 }
 
 // Ran returns how often each body was run.
@@ -69,9 +117,68 @@
 	return ran
 }
 
-// Running returns how many requests are in progress.
+// Running returns how many requests are in progress, with those that wait.
 func (e *Endpoint) Running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running
+	return e.batch.load().Requests
+}
+
+// Cached returns how many tokens of a chat the prefix cache holds.
+func (e *Endpoint) Cached(chat string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.tokens(chat)
+}
+
+func (e *Endpoint) leave(w http.ResponseWriter, _ *http.Request) {
+	e.SetLeaving(true)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Endpoint) isCrashed() bool {
+	select {
+	case <-e.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
+// crash breaks every connection, as the death of the process would.
+func (e *Endpoint) crash() {
+	e.mu.Lock()
+	first := !e.isCrashed()
+	if first {
+		close(e.crashed)
+	}
+	e.mu.Unlock()
+	if first && e.config.OnCrash != nil {
+		go e.config.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// report returns the load now. The caller holds the lock.
+func (e *Endpoint) report() endpoint.LoadReport {
+	r := e.batch.load()
+	r.Models = e.config.Models
+	r.Leaving = e.leaving
+	return r
+}
+
+func withDefaults(c EndpointConfig) EndpointConfig {
+	if c.Step == 0 {
+		c.Step = DefaultStep
+	}
+	if c.Prefill == 0 {
+		c.Prefill = DefaultPrefill
+	}
+	if c.MaxBatch == 0 {
+		c.MaxBatch = DefaultMaxBatch
+	}
+	if c.CacheTokens == 0 {
+		c.CacheTokens = DefaultCacheTokens
+	}
+	return c
 }
--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/platform"
+)
+
+// maxVersions is how many versions of a value are kept.
+const maxVersions = 16
+
+type (
+	// history is the newest versions of one value. Its owner locks it.
+	history struct {
+		versions []published
+		turn     bool
+	}
+
+	published struct {
+		platform.Value
+		at time.Time
+	}
+)
+
+func (h *history) add(now time.Time, data []byte) {
+	var version uint64
+	if last := len(h.versions) - 1; last >= 0 {
+		version = h.versions[last].Version
+	}
+	h.versions = append(h.versions, published{Value: platform.Value{Version: version + 1, Data: data}, at: now})
+	if len(h.versions) > maxVersions {
+		h.versions = h.versions[1:]
+	}
+}
+
+// read returns the newest version that was published by a time. Where flip is
+// set, each second read returns the one before.
+func (h *history) read(until time.Time, flip bool) platform.Value {
+	newest := -1
+	for i, v := range h.versions {
+		if !v.at.After(until) {
+			newest = i
+		}
+	}
+	if newest < 0 {
+		return platform.Value{}
+	}
+	h.turn = !h.turn
+	if flip && h.turn && newest > 0 {
+		newest--
+	}
+	return h.versions[newest].Value
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,7 +15,13 @@
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
-const maxWatchWait = time.Minute
+const (
+	maxWatchWait   = time.Minute
+	lagPoll        = 20 * time.Millisecond
+	maxPublishSize = 2 << 20
+	configPath     = "/v1/config/"
+	watchPath      = "/v1/watch/"
+)
 
 type (
 	// Platform is a stand-in of the platform's configuration service: a set of
@@ -22,11 +29,13 @@
 	Platform struct {
 		mux *http.ServeMux
 		mu  sync.Mutex
-		// changed is closed and replaced whenever a value changes.
+		// changed is closed and replaced whenever a value or a fault changes.
 		changed chan struct{}
-		values  map[string]platform.Value
-		down    bool
-		reads   int
+		values  map[string]*history
+		faults  PlatformFaults
+		// frozen is when the platform became stale.
+		frozen time.Time
+		reads  int
 	}
 )
 
@@ -35,20 +44,30 @@
 	p := &Platform{
 		mux:     http.NewServeMux(),
 		changed: make(chan struct{}),
-		values:  map[string]platform.Value{},
+		values:  map[string]*history{},
 	}
 	p.mux.HandleFunc("GET /v1/config/", p.get)
 	p.mux.HandleFunc("GET /v1/watch/", p.watch)
+	p.mux.HandleFunc("GET /admin/faults", p.showFaults)
+	p.mux.HandleFunc("PUT /admin/faults", p.setFaults)
+	p.mux.HandleFunc("PUT /admin/{key...}", p.publish)
 	return p
 }
 
-// ServeHTTP serves the platform's published protocol.
+// ServeHTTP serves the platform's published protocol and the admin calls.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if isAdmin(r) {
+		p.mux.ServeHTTP(w, r)
+		return
+	}
 	p.mu.Lock()
 	p.reads++
-	down := p.down
+	f := p.faults
 	p.mu.Unlock()
-	if down {
+	if !pause(r, f.Delay) {
+		return
+	}
+	if f.Down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
@@ -59,17 +78,20 @@
 func (p *Platform) Set(key string, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	version := p.values[key].Version + 1
-	p.values[key] = platform.Value{Version: version, Data: data}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	h := p.values[key]
+	if h == nil {
+		h = &history{}
+		p.values[key] = h
+	}
+	h.add(time.Now(), data)
+	p.wake()
 }
 
 // SetDown makes every read fail, or ends that.
 func (p *Platform) SetDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
+	f := p.Faults()
+	f.Down = down
+	p.SetFaults(f)
 }
 
 // Reads returns how many calls were made.
@@ -79,17 +101,23 @@
 	return p.reads
 }
 
+// wake tells the watches that something changed. The caller holds the lock.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	v, _ := p.value(strings.TrimPrefix(r.URL.Path, "/v1/config/"))
+	v, _ := p.value(strings.TrimPrefix(r.URL.Path, configPath))
 	if v.Version == 0 {
 		http.NotFound(w, r)
 		return
 	}
-	write(w, v)
+	p.write(w, v)
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	key := strings.TrimPrefix(r.URL.Path, "/v1/watch/")
+	key := strings.TrimPrefix(r.URL.Path, watchPath)
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, fmt.Sprintf("after: %v", err), http.StatusBadRequest)
@@ -100,32 +128,67 @@
 		http.Error(w, fmt.Sprintf("wait: %v", err), http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(min(wait, maxWatchWait))
+	v, found := p.await(r, key, after, min(wait, maxWatchWait))
+	if !found {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	p.write(w, v)
+}
+
+// await waits for a value with a higher version.
+func (p *Platform) await(r *http.Request, key string, after uint64, wait time.Duration) (platform.Value, bool) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		v, changed := p.value(key)
 		if v.Version > after {
-			write(w, v)
-			return
+			return v, true
+		}
+		var poll <-chan time.Time
+		if p.Faults().Lag > 0 {
+			poll = time.After(lagPoll)
 		}
 		select {
 		case <-changed:
+		case <-poll:
 		case <-timer.C:
-			w.WriteHeader(http.StatusNotModified)
-			return
+			return v, false
 		case <-r.Context().Done():
-			return
+			return v, false
 		}
 	}
 }
 
+func (p *Platform) publish(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPublishSize))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Set(r.PathValue("key"), data)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (p *Platform) value(key string) (platform.Value, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.values[key], p.changed
+	h := p.values[key]
+	if h == nil {
+		return platform.Value{}, p.changed
+	}
+	return h.read(p.visible(time.Now()), p.faults.Flip), p.changed
 }
 
-func write(w http.ResponseWriter, v platform.Value) {
+func (p *Platform) write(w http.ResponseWriter, v platform.Value) {
+	f := p.Faults()
+	data := v.Data
+	if f.Half {
+		data = data[:len(data)/2]
+	}
+	if f.Pad > 0 {
+		data = append(append([]byte{}, data...), make([]byte, f.Pad)...)
+	}
 	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.Version, 10))
-	_, _ = w.Write(v.Data)
+	_, _ = w.Write(data)
 }
