Stop a node without cutting a request, and test the path's refusals

Cause: a stopping node closed its listener and idle connections as soon as the grace time had passed. A caller on a kept connection saw it close under its request and could not tell whether that was run.

Change: while leaving, each answer ends its connection; after the grace time further requests are refused as not run, with the connection closed, until those in progress are done and at least the linger time has passed; only then does the listener close. The node logs the addresses it listens on.

--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -26,6 +26,7 @@
 	Platform  netip.AddrPort `help:"Address of the platform." required:""`
 	Keys      []string       `help:"Operators' Ed25519 public keys, in hexadecimal." required:""`
 	Grace     time.Duration  `help:"How long a stopping node still takes requests." default:"2s"`
+	Linger    time.Duration  `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
 	Patience  time.Duration  `help:"How long a stopping node waits for requests in progress." default:"5m"`
 }
 
@@ -44,15 +45,18 @@
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Instance, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: c.Platform, Keys: keys, Grace: c.Grace,
+		Platform: c.Platform, Keys: keys, Grace: c.Grace, Linger: c.Linger,
 		Log: logrus.WithField("instance", c.Instance),
 	})
 	if err != nil {
 		return err
 	}
-	logrus.WithFields(logrus.Fields{"instance": c.Instance, "callers": c.Callers}).Info("node started")
+	logrus.WithFields(logrus.Fields{
+		"instance": c.Instance, "callers": listeners[0].Addr().String(), "peers": listeners[1].Addr().String(), "operators": listeners[2].Addr().String(),
+	}).Info("node started")
 	<-stop.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), c.Grace+c.Patience)
+	logrus.WithField("instance", c.Instance).Info("node stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), c.Grace+c.Linger+c.Patience)
 	defer cancel()
 	return n.Stop(ctx)
 }
--- /dev/null
+++ b/internal/caller/fake_test.go
@@ -0,0 +1,165 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+const secret = "secret"
+
+type (
+	// endpoints answers calls in place of an endpoint.
+	endpoints struct {
+		calls  atomic.Int64
+		answer func(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error)
+	}
+
+	openGate struct{}
+
+	noSink struct{}
+
+	// body is a response body that tells when it is closed.
+	body struct {
+		io.Reader
+		closed chan struct{}
+	}
+)
+
+func (e *endpoints) Do(ctx context.Context, _ netip.AddrPort, call endpoint.Call) (*endpoint.Answer, error) {
+	e.calls.Add(1)
+	return e.answer(ctx, call)
+}
+
+func (openGate) Admit(time.Time, gate.Ask) gate.Verdict { return gate.Granted }
+
+func (openGate) Release(uint64) {}
+
+func (noSink) Offer(kernel.Event) {}
+
+func (b *body) Close() error {
+	close(b.closed)
+	return nil
+}
+
+func newBody(r io.Reader) *body { return &body{Reader: r, closed: make(chan struct{})} }
+
+// view is that of a lone node before one chat service and one plain service.
+func view() *kernel.View {
+	m := &manifest.Manifest{
+		Revision: 1,
+		Models:   []manifest.Model{{Name: "m"}},
+		Services: []manifest.Service{
+			{Name: "engines", Kind: manifest.KindChat, Models: []string{"m"}},
+			{Name: "prices", Kind: manifest.KindPlain},
+		},
+		Accounts: []manifest.Account{{Name: "a", Key: manifest.KeyDigest(secret)}, {Name: "b", Key: manifest.KeyDigest("other")}},
+	}
+	v := &kernel.View{Self: kernel.Node{Name: "n1"}, Manifest: m, Pools: map[string]*kernel.Pool{}}
+	for _, s := range m.Services {
+		e := kernel.Endpoint{Name: s.Name + "-1", Service: s.Name, Home: "n1"}
+		v.Pools[s.Name] = &kernel.Pool{Service: s, Bound: 1, Endpoints: []kernel.Endpoint{e}, Live: 1}
+	}
+	return v
+}
+
+// serve runs a handler before the endpoints over a real socket. Its callers'
+// side of each connection has a small receive buffer.
+func serve(t *testing.T, e *endpoints, limits caller.Config) (*httptest.Server, *caller.Handler) {
+	t.Helper()
+	v := view()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	limits.View = func() *kernel.View { return v }
+	limits.Log = log
+	limits.Dispatcher = dispatch.New(dispatch.Config{View: limits.View, Gate: openGate{}, Endpoints: e, Sink: noSink{}})
+	h := caller.New(limits)
+	s := httptest.NewUnstartedServer(h)
+	s.Config = caller.NewServer(h)
+	s.Start()
+	t.Cleanup(s.Close)
+	return s, h
+}
+
+func events(attempt string, more ...string) string {
+	return "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n" + strings.Join(more, "")
+}
+
+func streamed(text string) *endpoint.Answer {
+	return &endpoint.Answer{
+		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}},
+		Body: newBody(strings.NewReader(text)),
+	}
+}
+
+func request(t *testing.T, method, url, text string, headers ...string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(text))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+secret)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return req
+}
+
+func do(t *testing.T, req *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+func dial(t *testing.T, s *httptest.Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// iotestError is a reader that fails.
+type iotestError struct{}
+
+func (iotestError) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// endless repeats a text without end.
+func endless(text string) io.Reader { return &repeated{text: text} }
+
+type repeated struct {
+	text string
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
+
+func record(t *testing.T, h http.Handler, method, target string) []byte {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, target, http.NoBody))
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	return w.Body.Bytes()
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -190,6 +190,9 @@
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
 	c.MaxAnswer = cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	if c.Active == nil {
 		c.Active = &atomic.Int64{}
 	}
--- /dev/null
+++ b/internal/endpoint/stream_test.go
@@ -0,0 +1,102 @@
+package endpoint_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+)
+
+const (
+	own    = `{"id":"1f","choices":[]}`
+	late   = `{"choices":[],"id":"1f"}`
+	others = `{"id":"1f2","choices":[]}`
+	done   = "data: [DONE]\n\n"
+)
+
+func TestStreamReads(t *testing.T) {
+	long := `{"id":"1f","text":"` + strings.Repeat("x", 20<<10) + `"}`
+	tests := []struct {
+		name    string
+		text    string
+		events  []string
+		dropped int
+		end     error
+	}{
+		{"whole", "data: " + own + "\n\n" + done, []string{own}, 0, io.EOF},
+		{"id in another place", "data: " + late + "\n\n" + done, []string{late}, 0, io.EOF},
+		{"carriage returns", "data: " + own + "\r\n\r\ndata: [DONE]\r\n\r\n", []string{own}, 0, io.EOF},
+		{"no space", "data:" + own + "\n\n" + done, []string{own}, 0, io.EOF},
+		{"comments and other fields", ": ping\nevent: x\ndata: " + own + "\n\n" + done, []string{own}, 0, io.EOF},
+		{"end mark without a line end", "data: " + own + "\n\ndata: [DONE]", []string{own}, 0, io.EOF},
+		{"another attempt's", "data: " + others + "\n\ndata: " + own + "\n\n" + done, []string{own}, 1, io.EOF},
+		{"long event", "data: " + long + "\n\n" + done, []string{long}, 0, io.EOF},
+		{"no end mark", "data: " + own + "\n\n", []string{own}, 0, endpoint.ErrCut},
+		{"cut within a line", "data: " + own, nil, 0, endpoint.ErrCut},
+		{"cut within the end mark", "data: " + own + "\n\ndata: [DO", []string{own}, 0, endpoint.ErrCut},
+		{"broken event", "data: {\"id\":\"1f\"\n\n" + done, nil, 0, endpoint.ErrCut},
+		{"not JSON", "data: hello\n\n" + done, nil, 0, endpoint.ErrCut},
+		{"endless line", "data: " + strings.Repeat("x", 2<<20) + "\n\n" + done, nil, 0, endpoint.ErrCut},
+		{"empty", "", nil, 0, endpoint.ErrCut},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, r := range []io.Reader{strings.NewReader(test.text), iotest.HalfReader(strings.NewReader(test.text))} {
+				s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(r)}, "1f")
+				var events []string
+				data, err := s.Next()
+				for ; err == nil; data, err = s.Next() {
+					events = append(events, string(data))
+				}
+				require.ErrorIs(t, err, test.end)
+				require.Equal(t, test.events, events)
+				require.Equal(t, test.dropped, s.Dropped())
+			}
+		})
+	}
+}
+
+func TestStreamTellsWhatHasArrived(t *testing.T) {
+	s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(io.MultiReader(
+		strings.NewReader("data: "+own+"\n\ndata: "+own+"\n\n"), strings.NewReader(done),
+	))}, "1f")
+	for _, more := range []bool{true, false} {
+		_, err := s.Next()
+		require.NoError(t, err)
+		require.Equal(t, more, s.More())
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add("data: " + own + "\n\n" + done)
+	f.Add("data: " + others + "\n\ndata: {\"id\":\"1f\"\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+		for {
+			data, err := s.Next()
+			if err != nil {
+				require.True(t, errors.Is(err, io.EOF) || errors.Is(err, endpoint.ErrCut))
+				return
+			}
+			require.Contains(t, string(data), "1f")
+		}
+	})
+}
+
+// BenchmarkStream measures one event of a stream.
+func BenchmarkStream(b *testing.B) {
+	event := "data: {\"id\":\"1f\",\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n"
+	text := strings.Repeat(event, b.N)
+	s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Next(); err != nil {
+			s = endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+		}
+	}
+}
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -254,6 +254,23 @@
 	return nil
 }
 
+// PlatformAddr returns where the stand-in platform listens.
+func (f *Fleet) PlatformAddr() netip.AddrPort { return f.platform.addr }
+
+// OperatorKey returns the public key of the operators that accept changes.
+func (f *Fleet) OperatorKey() ed25519.PublicKey {
+	public, _ := f.key.Public().(ed25519.PublicKey)
+	return public
+}
+
+// List puts an instance that the fleet did not start on the platform's list.
+func (f *Fleet) List(i platform.Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list[i.Name] = i
+	return f.publish()
+}
+
 // Endpoint returns a running endpoint, or nil.
 func (f *Fleet) Endpoint(name string) *Endpoint {
 	f.mu.Lock()
@@ -331,14 +348,10 @@
 		}
 		listeners[i] = l
 	}
-	public, ok := f.key.Public().(ed25519.PublicKey)
-	if !ok {
-		return nil, errors.New("loopback: operator key has no public part")
-	}
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Keys: []ed25519.PublicKey{public},
+		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/loopback/stop_test.go
@@ -0,0 +1,214 @@
+package loopback_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/loopback"
+	"bulrushhinge.example/bulrushhinge/internal/platform"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
+)
+
+const (
+	stopGrace   = 300 * time.Millisecond
+	stopLinger  = time.Second
+	stopCallers = 8
+	// stopTokens makes a stream that outlasts the grace.
+	stopTokens = 200
+)
+
+var errCutAnswer = errors.New("an answer was cut")
+
+// Symptom: a caller loses an answer, or cannot tell whether its request was
+// run, when a node is replaced. Sequence: a node gets SIGTERM while a stream is
+// in progress and callers keep their connections and go on asking. Cause: the
+// node closes connections under requests, or refuses before the entry answers
+// have left it out.
+func TestStopCutsNothing(t *testing.T) {
+	f := start(t, stopConfig())
+	addr := f.Caller("n1")
+	stopped := make(chan error, 1)
+	stopUnderLoad(t, f, addr, func() {
+		go func() { stopped <- f.StopNode(context.WithoutCancel(t.Context()), "n1") }()
+	})
+	require.NoError(t, <-stopped)
+	requireRefused(t, addr)
+}
+
+// TestProcessStopCutsNothing is the same with the real program and a signal.
+func TestProcessStopCutsNothing(t *testing.T) {
+	f := start(t, stopConfig())
+	node := startProcess(t, f, "n9")
+	require.NoError(t, f.List(platform.Instance{
+		Name: "n9", Kind: kernel.KindNode, Zone: "thies-a", Addr: node.Callers, Peer: node.Peers,
+	}))
+	awaitEntry(t, f.Caller("n2"), node.Callers, true)
+	awaitAnswer(t, node.Callers)
+	stopUnderLoad(t, f, node.Callers, func() {
+		require.NoError(t, node.command.Process.Signal(syscall.SIGTERM))
+	})
+	require.NoError(t, node.command.Wait(), "a planned stop exits with 0")
+	requireRefused(t, node.Callers)
+}
+
+func stopConfig() loopback.Config {
+	c := loopback.Thies()
+	c.Nodes = c.Nodes[:3]
+	c.Grace, c.Linger = stopGrace, stopLinger
+	return c
+}
+
+// stopUnderLoad stops the node at addr while callers load it, and checks what
+// each of them got.
+func stopUnderLoad(t *testing.T, f *loopback.Fleet, addr netip.AddrPort, stop func()) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	long, err := open(t.Context(), client, addr, stopTokens)
+	require.NoError(t, err)
+	defer long.Body.Close()
+	_, err = long.Body.Read(make([]byte, 1))
+	require.NoError(t, err)
+	var callers sync.WaitGroup
+	results := make(chan error, stopCallers)
+	answered := make(chan struct{}, stopCallers)
+	for range stopCallers {
+		callers.Go(func() { results <- askUntilRefused(t.Context(), addr, answered) })
+	}
+	for range stopCallers {
+		<-answered
+	}
+	stop()
+	awaitEntry(t, f.Caller("n2"), addr, false)
+	callers.Wait()
+	for range stopCallers {
+		require.NoError(t, <-results)
+	}
+	rest, err := io.ReadAll(long.Body)
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+	require.Equal(t, stopTokens+1, strings.Count(string(rest), `"id"`))
+}
+
+// askUntilRefused sends requests over one kept connection until one is refused
+// as not run, as a caller does that then turns to another node.
+func askUntilRefused(ctx context.Context, addr netip.AddrPort, answered chan<- struct{}) error {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i := 0; ; i++ {
+		refused, err := askOnce(ctx, client, addr)
+		if err != nil || refused {
+			return err
+		}
+		if i == 0 {
+			answered <- struct{}{}
+		}
+	}
+}
+
+func askOnce(ctx context.Context, client *http.Client, addr netip.AddrPort) (refused bool, err error) {
+	body := strings.NewReader(`{"model":"notices","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%v%s", addr, entry.PathChat), body)
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+loopback.Secret("a2"))
+	resp, err := client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return false, err
+	case resp.StatusCode == http.StatusOK && strings.HasSuffix(string(data), "data: [DONE]\n\n"):
+		return false, nil
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(entry.HeaderRan) == string(entry.RanNot) && resp.Close:
+		return true, nil
+	default:
+		return false, fmt.Errorf("%w: %s: %s", errCutAnswer, resp.Status, data)
+	}
+}
+
+// awaitEntry waits until a node's entry answer names an address, or no more.
+func awaitEntry(t *testing.T, from, addr netip.AddrPort, named bool) {
+	t.Helper()
+	for {
+		resp, err := http.Get(fmt.Sprintf("http://%v%s?zone=thies-a", from, entry.PathEntry))
+		require.NoError(t, err)
+		var a entry.Answer
+		err = json.NewDecoder(resp.Body).Decode(&a)
+		resp.Body.Close()
+		require.NoError(t, err)
+		if slices.Contains(a.Nodes, addr) == named {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// awaitAnswer waits until a node serves requests.
+func awaitAnswer(t *testing.T, addr netip.AddrPort) {
+	t.Helper()
+	for {
+		refused, err := askOnce(t.Context(), http.DefaultClient, addr)
+		if err == nil && !refused {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func requireRefused(t *testing.T, addr netip.AddrPort) {
+	t.Helper()
+	_, err := askOnce(t.Context(), &http.Client{Transport: &http.Transport{}}, addr)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
+// process is a node in a process of its own, with the addresses it logs.
+type process struct {
+	command *exec.Cmd
+	Callers netip.AddrPort `json:"callers"`
+	Peers   netip.AddrPort `json:"peers"`
+}
+
+func startProcess(t *testing.T, f *loopback.Fleet, name string) *process {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "bulrushhinge")
+	out, err := exec.Command("go", "build", "-o", program, "../../cmd/bulrushhinge").CombinedOutput()
+	require.NoError(t, err, string(out))
+	p := &process{command: exec.Command(program, "node",
+		"--instance", name, "--zone", "thies-a", "--platform", f.PlatformAddr().String(),
+		"--keys", hex.EncodeToString(f.OperatorKey()), "--grace", stopGrace.String(), "--linger", stopLinger.String(),
+		"--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0", "--operators", "127.0.0.1:0")}
+	log, err := p.command.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.command.Start())
+	t.Cleanup(func() { _ = p.command.Process.Kill() })
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "node started") {
+		t.Log(lines.Text())
+	}
+	require.NoError(t, json.Unmarshal(lines.Bytes(), p))
+	go func() { _, _ = io.Copy(io.Discard, log) }()
+	return p
+}
