--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -96,6 +96,7 @@
 	}
 	self.Active = p.config.Active()
 	v.Self = self
+	v.Watcher = true
 	v.Nodes = append(v.Nodes, self)
 	for _, m := range p.members {
 		if m.node.State != kernel.Dead {
