Let tests cut processes from each other

Cause: no test could part nodes while each side still reaches callers and endpoints. Change: every connection a node makes goes through its configured dialer; the loopback fleet's loses what passes between processes that are cut from each other, without a reset, as a failed switch does.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -65,12 +65,20 @@
 		Linger time.Duration
 		// Callers' limits; zero values are defaults.
 		Limits caller.Config
+		// Dialer opens every connection the node makes, to peers, endpoints and
+		// the platform; nil is the default of each.
+		Dialer Dialer
 		// Log takes the node's log; nil is logrus' standard logger.
 		Log logrus.FieldLogger
 		// Extensions register further plug-ins with the kernel.
 		Extensions []kernel.Extension
 	}
 
+	// Dialer opens connections.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
 	// Node is a running router process.
 	Node struct {
 		config    Config
@@ -95,7 +103,7 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, endpoints: endpoint.NewClient()}
+	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -105,9 +113,9 @@
 	}
 	active := func() int { return int(c.Limits.Active.Load()) }
 	k, permits := builtin.New(self, builtin.Config{Membership: membership.Config{Active: active}}, c.Extensions...)
-	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
+	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
 	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
-	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform})
+	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
 		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
 	})
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -61,6 +61,17 @@
 		Framed bool
 	}
 
+	// Dialer opens connections to endpoints.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
+	// ClientConfig is the settings of a Client.
+	ClientConfig struct {
+		// Dialer opens connections; nil is a net.Dialer with a short timeout.
+		Dialer Dialer
+	}
+
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
 	Client struct {
 		shared *http.Client
@@ -74,8 +85,11 @@
 // breaks before the answer and the request looks repeatable; the endpoint might
 // run the call twice. Calls marked Once therefore get a connection of their
 // own, on which there is nothing to send again.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewClient(c ClientConfig) *Client {
+	dialer := c.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: dialTimeout}
+	}
 	return &Client{
 		shared: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -28,6 +28,8 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	readyPoll = 10 * time.Millisecond
+	// platformName names the platform in cuts.
+	platformName = "platform"
 )
 
 // ErrReady is returned where the fleet did not become ready in time.
@@ -68,8 +70,10 @@
 
 	// Fleet is a running deployment. It is safe for concurrent use.
 	Fleet struct {
-		config    Config
-		Platform  *standin.Platform
+		config   Config
+		Platform *standin.Platform
+		// Network is what stands between the processes.
+		Network   *Network
 		key       ed25519.PrivateKey
 		platform  *server
 		mu        sync.Mutex
@@ -110,6 +114,7 @@
 	f := &Fleet{
 		config:    c,
 		Platform:  standin.NewPlatform(),
+		Network:   newNetwork(),
 		key:       key,
 		nodes:     map[string]*node{},
 		endpoints: map[string]*Endpoint{},
@@ -118,6 +123,7 @@
 	if f.platform, err = serve(f.Platform); err != nil {
 		return nil, err
 	}
+	f.Network.listens(platformName, f.platform.addr)
 	return f, f.start()
 }
 
@@ -188,6 +194,7 @@
 		return err
 	}
 	e.Addr = e.server.addr
+	f.Network.listens(c.Name, e.Addr)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endpoints[c.Name] = e
@@ -339,11 +346,13 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{public},
-		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
+		Dialer: dialer{network: f.Network, from: c.Name},
+		Grace:  f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
 	}
+	f.Network.listens(c.Name, addrPort(listeners[0]), addrPort(listeners[1]), addrPort(listeners[2]))
 	return &node{Node: n, caller: addrPort(listeners[0]), operator: addrPort(listeners[2])}, nil
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -46,6 +47,13 @@
 	ClientConfig struct {
 		// Addr is where the platform listens.
 		Addr netip.AddrPort
+		// Dialer opens connections; nil is a plain net.Dialer.
+		Dialer Dialer
+	}
+
+	// Dialer opens connections to the platform.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
 	// Client reads and watches values. It is safe for concurrent use.
@@ -63,9 +71,12 @@
 
 // NewClient returns a Client.
 func NewClient(c ClientConfig) *Client {
+	if c.Dialer == nil {
+		c.Dialer = &net.Dialer{}
+	}
 	return &Client{
 		base: "http://" + c.Addr.String(),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http: &http.Client{Transport: &http.Transport{DialContext: c.Dialer.DialContext, MaxIdleConnsPerHost: 4}},
 	}
 }
 
