--- a/internal/endpoint/stream_test.go
+++ b/internal/endpoint/stream_test.go
@@ -17,6 +17,8 @@
 	late   = `{"choices":[],"id":"1f"}`
 	others = `{"id":"1f2","choices":[]}`
 	done   = "data: [DONE]\n\n"
+
+	streamEvents = 1000
 )
 
 func TestStreamReads(t *testing.T) {
@@ -88,15 +90,18 @@
 	})
 }
 
-// BenchmarkStream measures one event of a stream.
+// BenchmarkStream measures a stream of streamEvents events.
 func BenchmarkStream(b *testing.B) {
 	event := "data: {\"id\":\"1f\",\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n"
-	text := strings.Repeat(event, b.N)
-	s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+	text := strings.Repeat(event, streamEvents) + done
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := s.Next(); err != nil {
-			s = endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+		s := endpoint.NewStream(&endpoint.Answer{Body: io.NopCloser(strings.NewReader(text))}, "1f")
+		for {
+			if _, err := s.Next(); err != nil {
+				break
+			}
 		}
 	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*streamEvents), "ns/event")
 }
