Add the callers' library and the ask command

Cause: callers had to write for themselves what the entry answer, hints and the mark of completeness ask of them.

Change: pkg/entry keeps the entry answer until it expires or one of its nodes fails, sends a chat with its hint, goes to the next node only where the request was not run, may be repeated, or is held to one run by a ticket, and gives an answer as whole only after its mark. ask uses it.

--- /dev/null
+++ b/cmd/bulrushhinge/ask.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
+)
+
+// askAttempts is how often a turn whose answer was cut is asked again.
+const askAttempts = 3
+
+type askCommand struct {
+	Entry     []netip.AddrPort `help:"Addresses of any nodes, to ask which ones to use." required:""`
+	Key       string           `help:"Secret key of the client account." required:""`
+	Model     string           `help:"Model to ask." required:""`
+	Zone      string           `help:"Availability zone of the caller."`
+	Chat      string           `help:"Name of the chat." default:"chat"`
+	Once      bool             `help:"Send requests that must not be repeated."`
+	Priority  int              `help:"Priority among the account's requests; higher goes first."`
+	MaxTokens int              `help:"Most tokens of an answer; 0 leaves it to the engine."`
+	Timeout   time.Duration    `help:"How long to wait for each whole answer." default:"2m"`
+	Text      []string         `arg:"" optional:"" help:"One turn each; without any, turns are read from the standard input, one a line."`
+}
+
+// Run asks one turn after the other within one chat.
+func (c *askCommand) Run() error {
+	client := entry.New(entry.Config{Addrs: c.Entry, Key: c.Key, Zone: c.Zone})
+	defer client.Close()
+	chat := client.Chat(c.Chat, c.Model)
+	for _, text := range c.Text {
+		if err := c.turn(chat, text); err != nil {
+			return err
+		}
+	}
+	if len(c.Text) > 0 {
+		return nil
+	}
+	lines := bufio.NewScanner(os.Stdin)
+	for lines.Scan() {
+		if err := c.turn(chat, lines.Text()); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+// turn asks until the answer is whole, as far as that is safe, and waits as
+// long as the fleet says.
+func (c *askCommand) turn(chat *entry.Chat, text string) error {
+	o := entry.Options{Once: c.Once, Priority: c.Priority, MaxTokens: c.MaxTokens}
+	for attempt := 1; ; attempt++ {
+		err := c.answer(chat, text, o)
+		if err == nil {
+			return nil
+		}
+		var refused *entry.Refusal
+		isRefusal := errors.As(err, &refused)
+		if isRefusal {
+			o.Ticket = refused.Ticket
+		}
+		notRun := isRefusal && refused.Ran == entry.RanNot && refused.RetryAfterMS > 0
+		repeatable := !c.Once || o.Ticket != "" || notRun
+		if attempt == askAttempts || !repeatable || isRefusal && refused.Status > 0 && !notRun {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "%v; asking again\n", err)
+		if isRefusal {
+			time.Sleep(refused.RetryAfter())
+		}
+	}
+}
+
+func (c *askCommand) answer(chat *entry.Chat, text string, o entry.Options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	s, err := chat.Ask(ctx, text, o)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		piece, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stdout)
+			return err
+		}
+		fmt.Fprint(os.Stdout, piece)
+	}
+	u := s.Usage()
+	fmt.Fprintf(os.Stdout, "\n[node %v, request %s, %d of %d prompt tokens cached]\n",
+		s.Node(), s.Request(), u.PromptDetails.CachedTokens, u.PromptTokens)
+	return nil
+}
--- a/pkg/entry/wire.go
+++ b/pkg/entry/wire.go
@@ -29,6 +29,9 @@
 	// HeaderRan is whether the request was run; it stands on every answer of
 	// a chat or plain service.
 	HeaderRan = "X-Ran"
+	// HeaderTicket carries the ticket of a request that must not be repeated,
+	// and a fresh ticket from a node that asks for one.
+	HeaderTicket = "X-Ticket"
 )
 
 // Paths of the nodes' interface for callers.
@@ -36,6 +39,7 @@
 	PathEntry    = "/v1/entry"
 	PathChat     = "/v1/chat/completions"
 	PathServices = "/v1/services/"
+	PathTickets  = "/v1/tickets/"
 )
 
 // DoneMark is the data of the event that ends a whole stream.
@@ -61,6 +65,9 @@
 		Nodes []netip.AddrPort `json:"nodes"`
 		// KeepMS is how long the answer may be kept, in milliseconds.
 		KeepMS int64 `json:"keep_ms"`
+		// Tickets are for requests that must not be repeated; they come only
+		// to a caller that shows its key.
+		Tickets []string `json:"tickets,omitempty"`
 	}
 
 	// Problem is the body of a refusal, and the data of the event that ends a
@@ -77,8 +84,13 @@
 		// RetryAfterMS is when the caller may come back, in milliseconds; 0
 		// where coming back does not help.
 		RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-		// Status is the HTTP status; 0 where the refusal ended a stream.
+		// Status is the HTTP status; 0 where the refusal ended a stream or no
+		// node answered.
 		Status int `json:"-"`
+		// Ticket is the ticket under which the request was sent. A caller that
+		// sends the request again under it gets the answer that was made, if
+		// one was.
+		Ticket string `json:"-"`
 	}
 )
 
