Read the manifest in sections and put only accepted, newest revisions in force

Cause: the whole manifest was one value; every change cost all of it, only the first fault of a proposal was named, a starting node trusted a stale platform, and a lagging node never learned of a revision from its peers. Every request scanned all accounts.

Change: strict parsing names every fault with its place; sections by digest under a root, accounts in 64 shards; a cache that verifies record and digests whoever delivers them; heartbeats tell the revision and a lagging node fetches from the peer; watches are bounded and backed by plain readings; a starting node first hears from a peer.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -18,6 +18,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
@@ -62,6 +63,7 @@
 	Node struct {
 		config    Config
 		control   *control
+		cache     *platform.Cache
 		reader    *platform.Reader
 		source    *platform.Client
 		peers     *peer.Client
@@ -89,12 +91,17 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
-	k, permits := builtin.New(self, builtin.Config{}, c.Extensions...)
+	k, permits := builtin.New(self, builtin.Config{
+		Config: config.Config{Hold: config.DefaultHold},
+	}, c.Extensions...)
 	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
-	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
+	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	n.control = newControl(controlConfig{
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log,
+	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log,
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -134,7 +141,7 @@
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
+		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.cache,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
--- a/control.go
+++ b/control.go
@@ -2,18 +2,23 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
 const (
 	readHeaderTimeout = 10 * time.Second
 	beatTimeout       = time.Second
+	fetchTimeout      = 2 * time.Second
 	loadInterval      = time.Second
 	queueLength       = 1024
 )
@@ -24,6 +29,9 @@
 		Peers     *peer.Client
 		Endpoints *endpoint.Client
 		Gate      *gate.Gate
+		// Cache takes revisions that peers deliver.
+		Cache *platform.Cache
+		Log   logrus.FieldLogger
 	}
 
 	// control owns the kernel: one goroutine steps it, others do the I/O that
@@ -36,6 +44,12 @@
 		running sync.WaitGroup
 	}
 
+	// valuesOf reads the configuration that a peer holds.
+	valuesOf struct {
+		peers *peer.Client
+		addr  netip.AddrPort
+	}
+
 	// input is an event, a call on the goroutine that owns the kernel, or both.
 	input struct {
 		event kernel.Event
@@ -90,20 +104,24 @@
 
 // Beat takes a peer's heartbeat and returns the node's own.
 func (c *control) Beat(_ context.Context, b *kernel.Beat) *kernel.Beat {
-	reply := &kernel.Beat{}
-	c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
+	var reply *kernel.Beat
+	if !c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
 		reply = c.config.Kernel.Beat(now, b.Node)
-	})
+	}) {
+		return &kernel.Beat{}
+	}
 	return reply
 }
 
 // Dump returns the state of every plug-in.
 func (c *control) Dump() map[string]any {
-	state := map[string]any{}
-	c.do(nil, func(now time.Time) {
+	var state map[string]any
+	if !c.do(nil, func(now time.Time) {
 		state = c.config.Kernel.Dump(now)
 		state["view"] = c.View()
-	})
+	}) {
+		return map[string]any{}
+	}
 	return state
 }
 
@@ -113,17 +131,21 @@
 	c.running.Wait()
 }
 
-// do applies an event and runs a call on the control goroutine, and waits.
-func (c *control) do(ev kernel.Event, call func(now time.Time)) {
+// do applies an event and runs a call on the control goroutine, and waits. It
+// reports whether the call has ended; where the node closes meanwhile, the call
+// may still run, and what it writes must not be read.
+func (c *control) do(ev kernel.Event, call func(now time.Time)) bool {
 	in := input{event: ev, call: call, done: make(chan struct{})}
 	select {
 	case c.inputs <- in:
 	case <-c.ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-in.done:
+		return true
 	case <-c.ctx.Done():
+		return false
 	}
 }
 
@@ -150,6 +172,8 @@
 	case kernel.SendBeat:
 		beat := c.config.Kernel.Beat(now, a.To.Name)
 		c.running.Go(func() { c.sendBeat(a.To, beat) })
+	case kernel.FetchConfig:
+		c.running.Go(func() { c.fetchConfig(a) })
 	}
 }
 
@@ -164,6 +188,29 @@
 	c.Offer(kernel.BeatReceived{Beat: reply})
 }
 
+// fetchConfig takes the newest accepted revision from a peer. The cache
+// verifies it, so a peer cannot put anything in force that operators did not
+// accept.
+func (c *control) fetchConfig(a kernel.FetchConfig) {
+	node, ok := c.View().Node(a.Node)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	defer cancel()
+	m, err := c.config.Cache.Fetch(ctx, valuesOf{peers: c.config.Peers, addr: node.Peer})
+	if err != nil {
+		c.config.Log.WithError(err).WithFields(logrus.Fields{
+			"peer": a.Node, "revision": a.Revision,
+		}).Warn("accepted revision not delivered by peer")
+		c.Offer(kernel.ConfigFailed{Node: a.Node})
+		return
+	}
+	if m != nil {
+		c.Offer(kernel.Accepted{Manifest: m})
+	}
+}
+
 // readLoads asks the endpoints whose home the node is for their reports.
 func (c *control) readLoads() {
 	v := c.View()
@@ -189,3 +236,8 @@
 		Leaving:  report.Leaving,
 	})
 }
+
+// Values reads values by their keys.
+func (v valuesOf) Values(ctx context.Context, keys []string) (map[string][]byte, error) {
+	return v.peers.Values(ctx, v.addr, keys)
+}
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -12,6 +12,7 @@
 
 // Config is the settings of the built-in plug-ins; zero values are defaults.
 type Config struct {
+	Config     config.Config
 	Membership membership.Config
 	Pool       pool.Config
 }
@@ -23,7 +24,7 @@
 	permits := gate.New(func() *kernel.View { return k.View() })
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
-		config.New(),
+		config.New(c.Config),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
 	}, more...)})
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -39,13 +38,11 @@
 	if !ok {
 		return manifest.Account{}, denied
 	}
-	digest := []byte(manifest.KeyDigest(key))
-	for _, a := range v.Manifest.Accounts {
-		if subtle.ConstantTimeCompare(digest, []byte(a.Key)) == 1 {
-			return a, nil
-		}
+	a, ok := v.Manifest.Account(manifest.KeyDigest(key))
+	if !ok {
+		return manifest.Account{}, denied
 	}
-	return manifest.Account{}, denied
+	return a, nil
 }
 
 // common fills in what both kinds of requests share.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,36 +8,78 @@
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
+const (
+	// DefaultHold is the Hold of a node that has peers.
+	DefaultHold = 1500 * time.Millisecond
+
+	// heardHolds is how many Holds a starting node waits for a revision that a
+	// peer told of.
+	heardHolds = 4
+	// fetchPause is the time between two fetches, so that a change of which
+	// many peers tell at once is fetched once.
+	fetchPause = 300 * time.Millisecond
+	// failPause is how long a peer that did not deliver is not asked again.
+	failPause = 2 * time.Second
+)
+
 type (
-	extension struct{}
+	// Config is the settings of the plug-in.
+	Config struct {
+		// Hold is how long a starting node waits to hear from a peer before it
+		// puts its first revision in force; 0 is not at all.
+		Hold time.Duration
+	}
+
+	extension struct{ config Config }
 
 	plugin struct {
+		config   Config
+		self     string
 		manifest *manifest.Manifest
 		leaving  bool
+		start    start
+		fetched  time.Time
+		failed   map[string]time.Time
+	}
+
+	// start is the state of a node that has no revision in force.
+	start struct {
+		// held is the newest accepted revision, not yet in force.
+		held  *manifest.Manifest
+		since time.Time
+		// heard is the highest revision that a peer told of.
+		heard   uint64
+		answers bool
+		// alone is set where the platform's list names no other node.
+		alone bool
 	}
 )
 
 // New returns the extension that registers the plug-in.
-func New() kernel.Extension { return extension{} }
+func New(c Config) kernel.Extension { return extension{config: c} }
 
 // Extend registers the plug-in.
-func (extension) Extend(k *kernel.Kernel) {
-	k.Register(&plugin{}, kernel.PriorityConfig)
+func (e extension) Extend(k *kernel.Kernel) {
+	k.Register(&plugin{
+		config: e.config, self: k.Self().Name, failed: map[string]time.Time{},
+	}, kernel.PriorityConfig)
 }
 
-// Handle puts a higher accepted revision in force.
-//
-// A stale platform or a late peer may bring an older revision after a newer
-// one; operators would notice settings that revert. Only a higher revision
-// replaces the one in force, so the order of arrival does not matter.
-func (p *plugin) Handle(_ time.Time, ev kernel.Event, out *kernel.Output) {
+// Handle puts a higher accepted revision in force and asks peers for revisions
+// that they have and the node has not.
+func (p *plugin) Handle(now time.Time, ev kernel.Event, out *kernel.Output) {
 	switch ev := ev.(type) {
 	case kernel.Accepted:
-		if p.manifest != nil && ev.Manifest.Revision <= p.manifest.Revision {
-			return
-		}
-		p.manifest = ev.Manifest
-		out.Changed()
+		p.accept(now, ev.Manifest, out)
+	case kernel.Instances:
+		p.start.alone = !namesOther(ev.List, p.self)
+		p.release(now, out)
+	case kernel.BeatReceived:
+		p.hear(now, ev.Beat, out)
+	case kernel.ConfigFailed:
+		p.failed[ev.Node] = now
+	case kernel.Tick:
+		p.release(now, out)
 	case kernel.Drain:
 		p.leaving = true
 		out.Changed()
@@ -53,16 +95,105 @@
 // Beat tells peers the revision in force and whether the node is leaving.
 func (p *plugin) Beat(_ time.Time, _ string, b *kernel.Beat) {
 	b.Leaving = p.leaving
-	if p.manifest != nil {
-		b.Revision = p.manifest.Revision
-	}
+	b.Revision = p.revision()
 }
 
 // Dump shows the revision in force.
 func (p *plugin) Dump(time.Time) (name string, state any) {
-	var revision uint64
+	var held uint64
+	if p.start.held != nil {
+		held = p.start.held.Revision
+	}
+	return "config", map[string]any{
+		"revision": p.revision(), "leaving": p.leaving, "heard": p.start.heard, "held": held,
+	}
+}
+
+// accept puts a revision in force, or holds it while the node starts.
+//
+// A stale platform or a late peer may bring an older revision after a newer
+// one; operators would notice settings that revert. Only a higher revision
+// replaces the one in force, so the order of arrival does not matter.
+func (p *plugin) accept(now time.Time, m *manifest.Manifest, out *kernel.Output) {
 	if p.manifest != nil {
-		revision = p.manifest.Revision
+		if m.Revision > p.manifest.Revision {
+			p.force(m, out)
+		}
+		return
+	}
+	if p.start.held == nil {
+		p.start.since = now
+	}
+	if p.start.held == nil || m.Revision > p.start.held.Revision {
+		p.start.held = m
+	}
+	p.release(now, out)
+}
+
+// release puts the held revision in force once the node may.
+//
+// A node that restarts against a stale platform reads an old revision. If it
+// came into force, settings would revert on this node until a peer tells of the
+// newer one. The node therefore first hears from a peer, unless it has none or
+// none answers within Hold. One that heard of a newer revision waits longer, but
+// not for ever: the peer may be gone.
+func (p *plugin) release(now time.Time, out *kernel.Output) {
+	s := &p.start
+	if p.manifest != nil || s.held == nil {
+		return
+	}
+	hold := p.config.Hold
+	if s.heard > s.held.Revision {
+		hold *= heardHolds
+	}
+	current := s.answers && s.held.Revision >= s.heard
+	if current || s.alone || now.Sub(s.since) >= hold {
+		p.force(s.held, out)
+	}
+}
+
+func (p *plugin) force(m *manifest.Manifest, out *kernel.Output) {
+	p.manifest = m
+	p.start.held = nil
+	clear(p.failed)
+	out.Changed()
+}
+
+func (p *plugin) hear(now time.Time, b *kernel.Beat, out *kernel.Output) {
+	p.start.answers = true
+	p.start.heard = max(p.start.heard, b.Revision)
+	p.release(now, out)
+	if b.Revision <= p.known() || now.Sub(p.fetched) < fetchPause {
+		return
+	}
+	if failed, ok := p.failed[b.Node]; ok && now.Sub(failed) < failPause {
+		return
+	}
+	delete(p.failed, b.Node)
+	p.fetched = now
+	out.Do(kernel.FetchConfig{Node: b.Node, Revision: b.Revision})
+}
+
+func (p *plugin) revision() uint64 {
+	if p.manifest == nil {
+		return 0
+	}
+	return p.manifest.Revision
+}
+
+// known returns the highest revision that the node holds.
+func (p *plugin) known() uint64 {
+	if p.start.held != nil {
+		return p.start.held.Revision
+	}
+	return p.revision()
+}
+
+func namesOther(list []kernel.Instance, self string) bool {
+	for _, i := range list {
+		if i.Kind == kernel.KindNode && i.Name != self {
+			return true
+		}
 	}
-	return "config", map[string]any{"revision": revision, "leaving": p.leaving}
+	return false
 }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,109 @@
+package config_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bulrushhinge.example/bulrushhinge/internal/config"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+const hold = time.Second
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	peers = kernel.Instances{List: []kernel.Instance{
+		{Name: "n1", Kind: kernel.KindNode}, {Name: "n2", Kind: kernel.KindNode},
+	}}
+	alone = kernel.Instances{List: []kernel.Instance{
+		{Name: "n1", Kind: kernel.KindNode}, {Name: "w1", Kind: kernel.KindEndpoint},
+	}}
+)
+
+func newKernel(hold time.Duration) *kernel.Kernel {
+	return kernel.New(kernel.Config{
+		Self:       kernel.Node{Name: "n1"},
+		Extensions: []kernel.Extension{config.New(config.Config{Hold: hold})},
+	})
+}
+
+func accepted(revision uint64) kernel.Accepted {
+	return kernel.Accepted{Manifest: &manifest.Manifest{Revision: revision}}
+}
+
+func beat(from string, revision uint64) kernel.BeatReceived {
+	return kernel.BeatReceived{Beat: &kernel.Beat{Node: from, Revision: revision}}
+}
+
+func revision(k *kernel.Kernel) uint64 {
+	if m := k.View().Manifest; m != nil {
+		return m.Revision
+	}
+	return 0
+}
+
+func TestRevisionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKernel(0)
+		highest := uint64(0)
+		for _, r := range rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "revisions") {
+			k.Step(start, accepted(r))
+			highest = max(highest, r)
+			require.Equal(t, highest, revision(k))
+			require.Equal(t, highest, k.Beat(start, "n2").Revision)
+		}
+	})
+}
+
+func TestStartAgainstStalePlatform(t *testing.T) {
+	// Symptom: settings revert for a moment on a node that restarted.
+	// Sequence: the node starts, reads an old accepted revision from a stale
+	// platform, puts it in force, then hears of the newer one.
+	// Cause: a starting node that trusts the platform alone.
+	for _, c := range []struct {
+		name   string
+		events []kernel.Event
+		after  time.Duration
+		want   uint64
+	}{
+		{"waits for a peer", []kernel.Event{peers, accepted(6)}, hold / 2, 0},
+		{"no peer answers", []kernel.Event{peers, accepted(6)}, hold, 6},
+		{"no other node", []kernel.Event{alone, accepted(6)}, 0, 6},
+		{"no other node, list later", []kernel.Event{accepted(6), alone}, 0, 6},
+		{"peer has the same", []kernel.Event{peers, accepted(6), beat("n2", 6)}, 0, 6},
+		{"peer has less", []kernel.Event{peers, beat("n2", 0), accepted(6)}, 0, 6},
+		{"peer has more", []kernel.Event{peers, accepted(6), beat("n2", 7)}, hold, 0},
+		{"peer delivers more", []kernel.Event{peers, accepted(6), beat("n2", 7), accepted(7)}, 0, 7},
+		{"peer delivers first", []kernel.Event{peers, beat("n2", 7), accepted(7), accepted(6)}, 0, 7},
+		{"peer never delivers", []kernel.Event{peers, accepted(6), beat("n2", 7)}, 4 * hold, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := newKernel(hold)
+			for _, ev := range c.events {
+				k.Step(start, ev)
+			}
+			k.Step(start.Add(c.after), kernel.Tick{})
+			require.Equal(t, c.want, revision(k))
+		})
+	}
+}
+
+func TestHigherRevisionIsFetchedFromPeer(t *testing.T) {
+	k := newKernel(0)
+	k.Step(start, accepted(6))
+	require.Empty(t, k.Step(start, beat("n2", 6)))
+	want := []kernel.Action{kernel.FetchConfig{Node: "n2", Revision: 7}}
+	require.Equal(t, want, k.Step(start, beat("n2", 7)))
+	require.Empty(t, k.Step(start, beat("n3", 7)), "one change is fetched once")
+	now := start.Add(time.Second)
+	k.Step(now, kernel.ConfigFailed{Node: "n2"})
+	require.Empty(t, k.Step(now, beat("n2", 7)), "a peer that did not deliver is left alone")
+	want = []kernel.Action{kernel.FetchConfig{Node: "n3", Revision: 7}}
+	require.Equal(t, want, k.Step(now, beat("n3", 7)))
+	k.Step(now, accepted(7))
+	require.Empty(t, k.Step(now.Add(time.Minute), beat("n3", 7)))
+}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -21,6 +21,12 @@
 		Manifest *manifest.Manifest
 	}
 
+	// ConfigFailed is an accepted revision that a peer told of but did not
+	// deliver.
+	ConfigFailed struct {
+		Node string
+	}
+
 	// BeatReceived is a heartbeat from a peer, as a call or as the answer to
 	// one.
 	BeatReceived struct {
@@ -54,6 +60,13 @@
 		To Node
 	}
 
+	// FetchConfig asks for the newest accepted revision to be fetched from a
+	// peer that has a higher one.
+	FetchConfig struct {
+		Node     string
+		Revision uint64
+	}
+
 	// Beat is what a node tells a peer in one heartbeat.
 	Beat struct {
 		Node        string
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -117,16 +117,17 @@
 // Accept publishes a manifest with the operators' record, as their pipeline
 // would.
 func (f *Fleet) Accept(m *manifest.Manifest) error {
-	data, err := json.Marshal(m)
+	parts, err := manifest.Split(m)
 	if err != nil {
 		return fmt.Errorf("loopback: %w", err)
 	}
-	digest := manifest.Sum(data)
-	record, err := json.Marshal(manifest.Accept(f.key, m.Revision, digest))
+	record, err := json.Marshal(manifest.Accept(f.key, m.Revision, parts.Digest))
 	if err != nil {
 		return fmt.Errorf("loopback: %w", err)
 	}
-	f.Platform.Set(platform.PrefixManifest+string(digest), data)
+	for digest, data := range parts.Values {
+		f.Platform.Set(platform.PrefixManifest+string(digest), data)
+	}
 	f.Platform.Set(platform.KeyAccepted, record)
 	return nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -107,17 +109,25 @@
 	return nil
 }
 
-// Config reads a value of the accepted configuration. The value is nil where
-// the peer does not have it.
-func (c *Client) Config(ctx context.Context, to netip.AddrPort, key string) ([]byte, error) {
-	reply, err := c.peer(ctx, to).Config(ctx, &peerpb.ConfigRequest{Key: key})
-	if err != nil {
-		return nil, unreachable(to, err)
-	}
-	if !reply.Found {
-		return nil, nil
+// Values reads values of the accepted configuration by their keys. Those that
+// the peer does not have are left out.
+func (c *Client) Values(ctx context.Context, to netip.AddrPort, keys []string) (map[string][]byte, error) {
+	values := make(map[string][]byte, len(keys))
+	for len(keys) > 0 {
+		reply, err := c.peer(ctx, to).Config(ctx, &peerpb.ConfigRequest{Keys: keys})
+		if err != nil {
+			return nil, unreachable(to, err)
+		}
+		if len(reply.Values) == 0 {
+			return values, nil
+		}
+		maps.Copy(values, reply.Values)
+		keys = slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
+			_, have := reply.Values[key]
+			return have
+		})
 	}
-	return reply.Value, nil
+	return values, nil
 }
 
 func (c *Client) peer(ctx context.Context, to netip.AddrPort) peerpb.DRPCPeerClient {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,10 @@
 	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
 )
 
+// maxReplyBytes is the size from which a reply takes no further value. A single
+// value is at most 1 MiB; the transport takes 4 MiB.
+const maxReplyBytes = 1 << 20
+
 // ErrServe is returned where the peer listener failed.
 var ErrServe = errors.New("peer: serve")
 
@@ -101,8 +105,21 @@
 	return reply, nil
 }
 
-// Config serves a value of the accepted configuration.
+// Config serves values of the accepted configuration. What does not fit one
+// reply is left out; the peer asks for it again.
 func (h *handler) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigReply, error) {
-	value := h.config.Values.Value(r.Key)
-	return &peerpb.ConfigReply{Found: value != nil, Value: value}, nil
+	reply := &peerpb.ConfigReply{Values: map[string][]byte{}}
+	size := 0
+	for _, key := range r.Keys {
+		value := h.config.Values.Value(key)
+		if value == nil {
+			continue
+		}
+		size += len(value)
+		if size > maxReplyBytes && len(reply.Values) > 0 {
+			break
+		}
+		reply.Values[key] = value
+	}
+	return reply, nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -11,7 +11,11 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -26,10 +30,20 @@
 	// HeaderVersion is the response header that holds a value's version.
 	HeaderVersion = "X-Version"
 
+	// DefaultWait is how long a watch waits for a change. A watch that the
+	// platform lost without a word costs at most this and watchSlack, so that a
+	// change still comes into force in time.
+	DefaultWait = 2 * time.Second
+
 	maxValueBytes = 1 << 20
-	watchWait     = 30 * time.Second
-	watchSlack    = 5 * time.Second
-	readTimeout   = 5 * time.Second
+	watchSlack    = 500 * time.Millisecond
+	readTimeout   = 2 * time.Second
+	// readRate and readBurst bound the calls of one node a second: 330 nodes
+	// stay below 2,000. The burst is a first reading of all sections.
+	readRate  = 6
+	readBurst = 96
+	// maxReads is how many values are read at once.
+	maxReads = 8
 )
 
 var (
@@ -46,12 +60,16 @@
 	ClientConfig struct {
 		// Addr is where the platform listens.
 		Addr netip.AddrPort
+		// Wait is how long a watch waits for a change; 0 is DefaultWait.
+		Wait time.Duration
 	}
 
 	// Client reads and watches values. It is safe for concurrent use.
 	Client struct {
-		base string
-		http *http.Client
+		base  string
+		wait  time.Duration
+		http  *http.Client
+		limit *rate.Limiter
 	}
 
 	// Value is one value and its version.
@@ -63,9 +81,14 @@
 
 // NewClient returns a Client.
 func NewClient(c ClientConfig) *Client {
+	if c.Wait == 0 {
+		c.Wait = DefaultWait
+	}
 	return &Client{
-		base: "http://" + c.Addr.String(),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		base:  "http://" + c.Addr.String(),
+		wait:  c.Wait,
+		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxReads}},
+		limit: rate.NewLimiter(readRate, readBurst),
 	}
 }
 
@@ -77,14 +100,37 @@
 	return v, err
 }
 
+// Values reads values by their keys, a few at once. It returns what it got and
+// the first error.
+func (c *Client) Values(ctx context.Context, keys []string) (map[string][]byte, error) {
+	var mu sync.Mutex
+	values := make(map[string][]byte, len(keys))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxReads)
+	for _, key := range keys {
+		group.Go(func() error {
+			v, err := c.Get(ctx, key)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			values[key] = v.Data
+			return nil
+		})
+	}
+	err := group.Wait()
+	return values, err
+}
+
 // Watch waits for a value with a version above after. It reports false where
 // none came within the platform's waiting time. One call counts as one read.
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (Value, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, c.wait+watchSlack)
 	defer cancel()
 	query := url.Values{
 		"after": {strconv.FormatUint(after, 10)},
-		"wait":  {watchWait.String()},
+		"wait":  {c.wait.String()},
 	}
 	return c.read(ctx, "/v1/watch/"+key+"?"+query.Encode())
 }
@@ -93,6 +139,9 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 func (c *Client) read(ctx context.Context, path string) (Value, bool, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return Value{}, false, fmt.Errorf("%w: own limit: %v", ErrUnavailable, err)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return Value{}, false, fmt.Errorf("%w: %v", ErrValue, err)
--- a/internal/platform/instance.go
+++ b/internal/platform/instance.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -20,7 +22,8 @@
 	Leaving bool                `json:"leaving,omitempty"`
 }
 
-// ParseInstances reads an instance list.
+// ParseInstances reads an instance list. It returns ErrValue where the list is
+// not whole or names an instance twice.
 func ParseInstances(data []byte) ([]kernel.Instance, error) {
 	var entries []Instance
 	dec := json.NewDecoder(bytes.NewReader(data))
@@ -28,11 +31,19 @@
 	if err := dec.Decode(&entries); err != nil {
 		return nil, fmt.Errorf("%w: instances: %v", ErrValue, err)
 	}
+	if _, err := dec.Token(); entries == nil || !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("%w: instances: not one list", ErrValue)
+	}
 	list := make([]kernel.Instance, len(entries))
+	seen := make(map[string]bool, len(entries))
 	for i, e := range entries {
-		if e.Name == "" || !e.Addr.IsValid() {
+		switch {
+		case e.Name == "" || !e.Addr.IsValid():
 			return nil, fmt.Errorf("%w: instances[%d]: name and addr are needed", ErrValue, i)
+		case seen[e.Name]:
+			return nil, fmt.Errorf("%w: instances[%d]: %q is given twice", ErrValue, i, e.Name)
 		}
+		seen[e.Name] = true
 		list[i] = kernel.Instance(e)
 	}
 	return list, nil
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"fmt"
+	"errors"
 	"sync"
 	"time"
 
@@ -13,14 +12,19 @@
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
+// Defaults of a ReaderConfig.
 const (
-	retryFirst = 100 * time.Millisecond
-	retryLast  = 5 * time.Second
+	// DefaultPoll is the time between two plain readings of a watcher.
+	DefaultPoll = 20 * time.Second
+	// DefaultCheck is the time between two readings of a node that is no
+	// watcher.
+	DefaultCheck = time.Minute
 )
 
 type (
 	// Source reads and watches values; a Client is one.
 	Source interface {
+		Getter
 		Get(ctx context.Context, key string) (Value, error)
 		Watch(ctx context.Context, key string, after uint64) (Value, bool, error)
 	}
@@ -30,73 +34,80 @@
 		Offer(ev kernel.Event)
 	}
 
+	// Role is what the fleet expects of the reader now.
+	Role struct {
+		// Watcher says that the node holds waiting watches; others hear of
+		// changes from their peers and check rarely.
+		Watcher bool
+		// Listed is the newest version of the instance list of which the node
+		// has heard.
+		Listed uint64
+	}
+
 	// ReaderConfig is the settings of a Reader.
 	ReaderConfig struct {
 		Source Source
 		Sink   Sink
-		// Operators are the keys whose records are accepted.
-		Operators []ed25519.PublicKey
-		Log       logrus.FieldLogger
+		// Cache takes accepted records.
+		Cache *Cache
+		Log   logrus.FieldLogger
+		// Role returns the node's role; nil is always a watcher's.
+		Role func() Role
+		// Poll and Check are 0 for their defaults; both are jittered.
+		Poll  time.Duration
+		Check time.Duration
+		// Meter counts readings; nil counts none.
+		Meter Meter
 	}
 
-	// Reader watches the platform and offers what it reads to a Sink. While
-	// the platform does not answer it tries again with growing pauses.
+	// Reader follows what the platform publishes and offers it to a Sink. While
+	// the platform does not answer it tries again with growing, jittered pauses
+	// and the node carries on with what it last knew.
 	Reader struct {
-		config ReaderConfig
-		cancel context.CancelFunc
-		done   sync.WaitGroup
-		mu     sync.Mutex
-		values map[string][]byte
+		config   ReaderConfig
+		cancel   context.CancelFunc
+		done     sync.WaitGroup
+		statuses statuses
 	}
+
+	noMeter struct{}
 )
 
-// NewReader starts watching.
+// NewReader starts reading. Zero settings take their defaults.
 func NewReader(c ReaderConfig) *Reader {
+	if c.Role == nil {
+		c.Role = func() Role { return Role{Watcher: true} }
+	}
+	if c.Poll == 0 {
+		c.Poll = DefaultPoll
+	}
+	if c.Check == 0 {
+		c.Check = DefaultCheck
+	}
+	if c.Meter == nil {
+		c.Meter = noMeter{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{config: c, cancel: cancel, values: map[string][]byte{}}
-	watch := func(key string, take func(context.Context, Value) error) {
-		r.done.Go(func() { r.watch(ctx, key, take) })
+	r := &Reader{config: c, cancel: cancel}
+	follow := func(t *topic) {
+		t.reader = r
+		t.status = r.statuses.add(t.key)
+		r.done.Go(func() { t.follow(ctx) })
 	}
-	watch(KeyInstances, r.instances)
-	watch(KeyAccepted, r.accepted)
+	follow(&topic{key: KeyInstances, take: r.instances, heard: r.listed, older: r.olderList})
+	follow(&topic{key: KeyAccepted, take: r.accepted, heard: none, older: r.olderRecord, signed: true})
 	return r
 }
 
-// Close stops watching.
+// Status returns the state of each key that the reader follows.
+func (r *Reader) Status() []Status { return r.statuses.all() }
+
+// Close stops reading.
 func (r *Reader) Close() {
 	r.cancel()
 	r.done.Wait()
 }
 
-// Value returns a value of the configuration in force by its key, for peers
-// that cannot read it from the platform.
-func (r *Reader) Value(key string) []byte {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.values[key]
-}
-
-func (r *Reader) watch(ctx context.Context, key string, take func(context.Context, Value) error) {
-	var after uint64
-	pause := retryFirst
-	for ctx.Err() == nil {
-		v, changed, err := r.config.Source.Watch(ctx, key, after)
-		if err == nil && changed {
-			err = take(ctx, v)
-		}
-		if err != nil {
-			r.config.Log.WithError(err).WithField("key", key).Warn("platform read failed")
-			sleep(ctx, pause)
-			pause = min(2*pause, retryLast)
-			continue
-		}
-		if changed {
-			after = v.Version
-		}
-		pause = retryFirst
-	}
-}
-
 func (r *Reader) instances(_ context.Context, v Value) error {
 	list, err := ParseInstances(v.Data)
 	if err != nil {
@@ -108,44 +119,28 @@
 
 // accepted reads what an accepted record names and offers it whole.
 func (r *Reader) accepted(ctx context.Context, v Value) error {
-	record, err := manifest.ParseRecord(v.Data)
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrValue, err)
-	}
-	if err := record.Verify(r.config.Operators); err != nil {
-		return fmt.Errorf("%w: %v", ErrValue, err)
+	m, err := r.config.Cache.Take(ctx, v.Data, patient{reader: r})
+	if errors.Is(err, errDelivered) {
+		return nil
 	}
-	root, err := r.config.Source.Get(ctx, PrefixManifest+string(record.Digest))
 	if err != nil {
 		return err
 	}
-	if manifest.Sum(root.Data) != record.Digest {
-		return fmt.Errorf("%w: manifest does not match its digest", ErrValue)
-	}
-	m, err := manifest.Parse(root.Data)
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrValue, err)
-	}
-	if m.Revision != record.Revision {
-		return fmt.Errorf("%w: manifest is of revision %d, record of %d", ErrValue, m.Revision, record.Revision)
+	if m != nil {
+		r.config.Sink.Offer(kernel.Accepted{Manifest: m})
 	}
-	r.keep(record, v.Data, root.Data)
-	r.config.Sink.Offer(kernel.Accepted{Manifest: m})
 	return nil
 }
 
-func (r *Reader) keep(record manifest.Record, accepted, root []byte) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.values[KeyAccepted] = accepted
-	r.values[PrefixManifest+string(record.Digest)] = root
-}
+func (r *Reader) listed() uint64 { return r.config.Role().Listed }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+func (r *Reader) olderList(v Value) bool { return v.Version < r.listed() }
+
+func (r *Reader) olderRecord(v Value) bool {
+	record, err := manifest.ParseRecord(v.Data)
+	return err == nil && record.Revision < r.config.Cache.Revision()
 }
+
+func none() uint64 { return 0 }
+
+func (noMeter) PlatformRead(string, error) {}
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -3,12 +3,9 @@
 package manifest
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
-	"fmt"
 )
 
 // Kinds of services.
@@ -29,14 +26,19 @@
 	// Digest is the SHA-256 of a section or root, in lower-case hexadecimal.
 	Digest string
 
-	// Manifest is the whole configuration of one revision.
+	// Manifest is the whole configuration of one revision. One that Parse or
+	// Join returned is indexed and must not be changed; Clone gives a copy to
+	// change.
 	Manifest struct {
+		// Revision numbers the accepted changes; a higher one replaces a lower.
 		Revision    uint64       `json:"revision"`
 		Deployments []Deployment `json:"deployments"`
 		Zones       []Zone       `json:"zones"`
 		Models      []Model      `json:"models"`
 		Services    []Service    `json:"services"`
 		Accounts    []Account    `json:"accounts"`
+
+		index *index
 	}
 
 	// Deployment is a set of services that share a bound on skew.
@@ -74,7 +76,8 @@
 	// Account is a client account.
 	Account struct {
 		Name string `json:"name"`
-		// Key is the SHA-256 of the account's secret key, in hexadecimal.
+		// Key is the SHA-256 of the account's secret key, in lower-case
+		// hexadecimal.
 		Key string `json:"key"`
 		// Rate is the tokens a second that the account may ask for, fleet-wide.
 		Rate float64 `json:"rate"`
@@ -85,17 +88,6 @@
 	}
 )
 
-// Parse reads a manifest strictly: unknown fields are refused.
-func Parse(data []byte) (*Manifest, error) {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	m := &Manifest{}
-	if err := dec.Decode(m); err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrFormat, err)
-	}
-	return m, nil
-}
-
 // Sum returns the digest of data.
 func Sum(data []byte) Digest {
 	sum := sha256.Sum256(data)
@@ -108,44 +100,3 @@
 	return string(Sum([]byte(secret)))
 }
 
-// Service returns the service with the given name.
-func (m *Manifest) Service(name string) (Service, bool) {
-	for _, s := range m.Services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Service{}, false
-}
-
-// ServiceOf returns the service whose engines serve a model.
-func (m *Manifest) ServiceOf(model string) (Service, bool) {
-	for _, s := range m.Services {
-		for _, name := range s.Models {
-			if name == model {
-				return s, true
-			}
-		}
-	}
-	return Service{}, false
-}
-
-// Deployment returns the deployment with the given name.
-func (m *Manifest) Deployment(name string) (Deployment, bool) {
-	for _, d := range m.Deployments {
-		if d.Name == name {
-			return d, true
-		}
-	}
-	return Deployment{}, false
-}
-
-// Region returns the region of an availability zone, or "" where it is unknown.
-func (m *Manifest) Region(zone string) string {
-	for _, z := range m.Zones {
-		if z.Name == zone {
-			return z.Region
-		}
-	}
-	return ""
-}
