--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -62,6 +63,13 @@
 		Addr netip.AddrPort
 		// Wait is how long a watch waits for a change; 0 is DefaultWait.
 		Wait time.Duration
+		// Dialer opens connections; nil is a plain net.Dialer.
+		Dialer Dialer
+	}
+
+	// Dialer opens connections to the platform.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
 	// Client reads and watches values. It is safe for concurrent use.
@@ -84,10 +92,14 @@
 	if c.Wait == 0 {
 		c.Wait = DefaultWait
 	}
+	if c.Dialer == nil {
+		c.Dialer = &net.Dialer{}
+	}
+	transport := &http.Transport{DialContext: c.Dialer.DialContext, MaxIdleConnsPerHost: maxReads}
 	return &Client{
 		base:  "http://" + c.Addr.String(),
 		wait:  c.Wait,
-		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxReads}},
+		http:  &http.Client{Transport: transport},
 		limit: rate.NewLimiter(readRate, readBurst),
 	}
 }
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -462,7 +462,7 @@
 	// Sequence: the node's reading of sections hangs; a peer delivers.
 	// Cause: one lock over both ways.
 	cache := newCache()
-	within(t, platform.ReaderConfig{Cache: cache}, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
+	within(t, platform.ReaderConfig{Cache: cache}, func(t *testing.T, f *fakePlatform, _ *fakeSink, _ *platform.Reader) {
 		f.change(func() { f.delay = time.Hour })
 		f.accept(t, sample(1, 3))
 		time.Sleep(time.Second)
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -1,9 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -11,20 +8,37 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 )
 
+// Defaults of an EndpointConfig.
 const (
-	defaultStep      = 5 * time.Millisecond
+	DefaultStep        = 5 * time.Millisecond
+	DefaultPrefill     = 20 * time.Microsecond
+	DefaultMaxBatch    = 64
+	DefaultCacheTokens = 1 << 20
+
 	defaultMaxTokens = 16
 	bytesPerToken    = 4
 	maxBodyBytes     = 4 << 20
+	maxRanBodies     = 1 << 16
 )
 
 type (
-	// EndpointConfig is the settings of an Endpoint.
+	// EndpointConfig is the settings of an Endpoint; zero values are defaults.
 	EndpointConfig struct {
 		Name string
 		// Step is the time an engine takes for one token of each stream.
-		Step   time.Duration
-		Models []string
+		Step time.Duration
+		// Prefill is the time an engine takes for one prompt token that its
+		// cache does not hold.
+		Prefill time.Duration
+		// MaxBatch is how many requests run at once; more wait by priority.
+		MaxBatch int
+		// CacheTokens is the size of the prefix cache, in tokens.
+		CacheTokens int
+		Models      []string
+		Faults      EndpointFaults
+		// OnCrash ends the process that the endpoint stands for, when a request
+		// that carries the crash mark runs. Connections break in any case.
+		OnCrash func()
 	}
 
 	// Endpoint is a stand-in of a model engine and of a plain service. It is
@@ -33,34 +47,63 @@
 		config  EndpointConfig
 		mux     *http.ServeMux
 		mu      sync.Mutex
-		running int
-		tokens  int
+		faults  EndpointFaults
 		leaving bool
-		cached  map[string]int
+		batch   batch
+		cache   *prefixCache
+		loads   loadHistory
 		ran     map[string]int
+		// crashed is closed when the endpoint crashes.
+		crashed chan struct{}
 	}
 )
 
 // NewEndpoint returns an idle Endpoint.
 func NewEndpoint(c EndpointConfig) *Endpoint {
-	if c.Step == 0 {
-		c.Step = defaultStep
+	c = withDefaults(c)
+	e := &Endpoint{
+		config:  c,
+		mux:     http.NewServeMux(),
+		faults:  c.Faults,
+		batch:   batch{size: c.MaxBatch},
+		cache:   newPrefixCache(c.CacheTokens),
+		ran:     map[string]int{},
+		crashed: make(chan struct{}),
 	}
-	e := &Endpoint{config: c, mux: http.NewServeMux(), cached: map[string]int{}, ran: map[string]int{}}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	e.mux.HandleFunc("GET /v1/load", e.load)
 	e.mux.HandleFunc("/v1/services/", e.plain)
+	e.mux.HandleFunc("GET /v1/events", e.events)
+	e.mux.HandleFunc("GET /v1/kv/{chat...}", e.exportKV)
+	e.mux.HandleFunc("PUT /v1/kv/{chat...}", e.importKV)
+	e.mux.HandleFunc("GET /admin/faults", e.showFaults)
+	e.mux.HandleFunc("PUT /admin/faults", e.setFaults)
+	e.mux.HandleFunc("PUT /admin/leaving", e.leave)
 	return e
 }
 
-// ServeHTTP serves the endpoints' published protocol.
-func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+// ServeHTTP serves the endpoints' published protocol and the admin calls.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if isAdmin(r) {
+		e.mux.ServeHTTP(w, r)
+		return
+	}
+	f := e.Faults()
+	if f.Down || e.isCrashed() {
+		panic(http.ErrAbortHandler)
+	}
+	if !pause(r, f.Delay) {
+		return
+	}
+	e.mux.ServeHTTP(w, r)
+}
 
 // SetLeaving makes the endpoint report that it is leaving.
 func (e *Endpoint) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = leaving
+	e.note()
 }
 
 // Ran returns how often each body was run.
@@ -74,129 +117,68 @@
 	return ran
 }
 
-// Running returns how many requests are in progress.
+// Running returns how many requests are in progress, with those that wait.
 func (e *Endpoint) Running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running
-}
-
-func (e *Endpoint) chat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var req endpoint.ChatRequest
-	if err == nil {
-		err = json.Unmarshal(body, &req)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	output := req.MaxTokens
-	if output <= 0 {
-		output = defaultMaxTokens
-	}
-	prompt := len(body) / bytesPerToken
-	cached := e.begin(r, string(body), prompt, output)
-	defer e.end(prompt, output)
-	attempt := r.Header.Get(endpoint.HeaderAttempt)
-	w.Header().Set(endpoint.HeaderAttempt, attempt)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range output {
-		if !e.step(r) {
-			return
-		}
-		send(w, chunk(attempt, req.Model, fmt.Sprintf("%s-%d ", e.config.Name, i)))
-	}
-	last := chunk(attempt, req.Model, "")
-	stop := "stop"
-	last.Choices[0].FinishReason = &stop
-	last.Usage = &endpoint.Usage{
-		PromptTokens:     prompt,
-		CompletionTokens: output,
-		TotalTokens:      prompt + output,
-		PromptDetails:    endpoint.PromptDetails{CachedTokens: cached},
-	}
-	send(w, last)
-	fmt.Fprintf(w, "data: %s\n\n", endpoint.DoneMark)
+	return e.batch.load().Requests
 }
 
-func (e *Endpoint) plain(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.begin(r, string(body), 0, 1)
-	defer e.end(0, 1)
-	if !e.step(r) {
-		return
-	}
-	w.Header().Set(endpoint.HeaderAttempt, r.Header.Get(endpoint.HeaderAttempt))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]string{"endpoint": e.config.Name, "path": r.URL.Path, "echo": string(body)})
-}
-
-func (e *Endpoint) load(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	report := endpoint.LoadReport{
-		Requests: e.running,
-		Tokens:   e.tokens,
-		Models:   e.config.Models,
-		Leaving:  e.leaving,
-	}
-	e.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
-}
-
-func (e *Endpoint) begin(r *http.Request, body string, prompt, output int) int {
+// Cached returns how many tokens of a chat the prefix cache holds.
+func (e *Endpoint) Cached(chat string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running++
-	e.tokens += prompt + output
-	e.ran[body]++
-	chat := r.Header.Get(endpoint.HeaderChat)
-	cached := min(e.cached[chat], prompt)
-	if chat != "" {
-		e.cached[chat] = prompt + output
-	}
-	return cached
+	return e.cache.tokens(chat)
 }
 
-func (e *Endpoint) end(prompt, output int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running--
-	e.tokens -= prompt + output
+func (e *Endpoint) leave(w http.ResponseWriter, _ *http.Request) {
+	e.SetLeaving(true)
+	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Endpoint) step(r *http.Request) bool {
-	timer := time.NewTimer(e.config.Step)
-	defer timer.Stop()
+func (e *Endpoint) isCrashed() bool {
 	select {
-	case <-timer.C:
+	case <-e.crashed:
 		return true
-	case <-r.Context().Done():
+	default:
 		return false
 	}
 }
 
-func chunk(attempt, model, text string) endpoint.Chunk {
-	return endpoint.Chunk{
-		ID:      attempt,
-		Object:  "chat.completion.chunk",
-		Model:   model,
-		Choices: []endpoint.Choice{{Delta: endpoint.Delta{Content: text}}},
+// crash breaks every connection, as the death of the process would.
+func (e *Endpoint) crash() {
+	e.mu.Lock()
+	first := !e.isCrashed()
+	if first {
+		close(e.crashed)
+	}
+	e.mu.Unlock()
+	if first && e.config.OnCrash != nil {
+		go e.config.OnCrash()
 	}
+	panic(http.ErrAbortHandler)
 }
 
-func send(w http.ResponseWriter, c endpoint.Chunk) {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return
+// report returns the load now. The caller holds the lock.
+func (e *Endpoint) report() endpoint.LoadReport {
+	r := e.batch.load()
+	r.Models = e.config.Models
+	r.Leaving = e.leaving
+	return r
+}
+
+func withDefaults(c EndpointConfig) EndpointConfig {
+	if c.Step == 0 {
+		c.Step = DefaultStep
+	}
+	if c.Prefill == 0 {
+		c.Prefill = DefaultPrefill
+	}
+	if c.MaxBatch == 0 {
+		c.MaxBatch = DefaultMaxBatch
 	}
-	fmt.Fprintf(w, "data: %s\n\n", data)
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
+	if c.CacheTokens == 0 {
+		c.CacheTokens = DefaultCacheTokens
 	}
+	return c
 }
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -99,4 +99,3 @@
 func KeyDigest(secret string) string {
 	return string(Sum([]byte(secret)))
 }
-
