Replay traces through the real decisions in virtual time

Found by the determinism test: membership sent its heartbeats in the order of a map, so that two steps over the same state gave different actions. They now go in the order of the names.

--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -18,6 +18,7 @@
 	Node    nodeCommand    `cmd:"" help:"Run one router process."`
 	Demo    demoCommand    `cmd:"" help:"Run an example deployment in this process over loopback."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
+	Replay  replayCommand  `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
 }
 
 func main() {
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -30,17 +30,17 @@
 	v := h.config.View()
 	zone := r.URL.Query().Get("zone")
 	e := Entry{KeepMS: (entryKeep + rand.N(entryJitter)).Milliseconds()}
-	for _, n := range entryOrder(v, zone, r.URL.Query().Get("chat")) {
+	for _, n := range EntryOrder(v, zone, r.URL.Query().Get("chat")) {
 		e.Nodes = append(e.Nodes, n.Caller)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(e)
 }
 
-// entryOrder returns the live nodes for a chat: those of the caller's
+// EntryOrder returns the live nodes for a chat: those of the caller's
 // availability zone first, each group in the chat's rendezvous order, so that a
 // chat comes back to the same nodes and chats spread over all.
-func entryOrder(v *kernel.View, zone, chat string) []kernel.Node {
+func EntryOrder(v *kernel.View, zone, chat string) []kernel.Node {
 	if chat == "" {
 		chat = time.Now().String()
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,7 +51,9 @@
 
 	// Config is the settings of a Dispatcher.
 	Config struct {
-		View      func() *kernel.View
+		View func() *kernel.View
+		// Router plans the requests; nil is one with the defaults.
+		Router    *route.Router
 		Gate      Gate
 		Peers     Peers
 		Endpoints Endpoints
@@ -93,6 +95,9 @@
 
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
+	if c.Router == nil {
+		c.Router = route.NewRouter(route.Config{})
+	}
 	return &Dispatcher{config: c, base: rand.Uint64()}
 }
 
@@ -111,12 +116,12 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: route.New(req), req: req, call: call}
+	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
 	for {
 		step := j.plan.Next(time.Now(), d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
-			j.plan.Report(j.ask(ctx, step.Endpoint))
+			j.plan.Report(j.ask(ctx, step))
 		case route.StepRun:
 			run, outcome := j.run(ctx, step.Endpoint)
 			if run != nil {
@@ -133,12 +138,13 @@
 	}
 }
 
-func (j *job) ask(ctx context.Context, e kernel.Endpoint) route.Outcome {
+func (j *job) ask(ctx context.Context, step route.Step) route.Outcome {
+	e := step.Endpoint
 	j.permit = j.d.base + j.d.serial.Add(1)
 	a := gate.Ask{
 		ID:       j.permit,
 		Endpoint: e.Name,
-		Tokens:   j.req.Input + j.req.Output,
+		Tokens:   step.Tokens,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
 	}
 	verdict, err := j.d.ask(ctx, e, a)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -39,6 +39,12 @@
 		Lease time.Duration
 	}
 
+	// Return gives one permit back.
+	Return struct {
+		ID       uint64
+		Endpoint string
+	}
+
 	// Gate holds the permits of the endpoints whose home the node is. It is
 	// safe for concurrent use.
 	Gate struct {
@@ -76,7 +82,7 @@
 		return Granted
 	}
 	load := g.loads[a.Endpoint]
-	if load.Requests+1 > Limit(pool) {
+	if !Fits(pool, load, a.Tokens) {
 		return Full
 	}
 	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease)}
@@ -133,6 +139,12 @@
 	g.loads[p.endpoint] = load
 }
 
+// Fits reports whether an endpoint of the pool with the given load may run one
+// more request of so many tokens.
+func Fits(p *kernel.Pool, load kernel.Load, _ int) bool {
+	return load.Requests+1 <= Limit(p)
+}
+
 // Limit returns how many requests an endpoint of the pool may run: the bound
 // times the mean with one more request, rounded up, so that an idle pool admits
 // its first request.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -158,7 +159,8 @@
 }
 
 func (p *plugin) tick(now time.Time, out *kernel.Output) {
-	for name, m := range p.members {
+	for _, name := range slices.Sorted(maps.Keys(p.members)) {
+		m := p.members[name]
 		p.age(now, name, m, out)
 		if now.Sub(m.sent) >= p.config.Interval {
 			m.sent = now
@@ -183,7 +185,8 @@
 }
 
 func (p *plugin) beatAll(now time.Time, out *kernel.Output) {
-	for _, m := range p.members {
+	for _, name := range slices.Sorted(maps.Keys(p.members)) {
+		m := p.members[name]
 		m.sent = now
 		out.Do(kernel.SendBeat{To: m.node})
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -79,11 +79,7 @@
 
 // Ask asks a home for a permit.
 func (c *Client) Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error) {
-	req := &peerpb.PermitRequest{
-		Node:        c.config.Self,
-		Incarnation: c.config.Incarnation,
-		Asks:        []*peerpb.Ask{encodeAsk(a)},
-	}
+	req := EncodePermit(c.config.Self, c.config.Incarnation, []gate.Ask{a}, nil)
 	reply, err := c.peer(ctx, to).Permit(ctx, req)
 	if err != nil {
 		return 0, unreachable(to, err)
@@ -96,11 +92,7 @@
 
 // Release gives a permit back.
 func (c *Client) Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error {
-	req := &peerpb.PermitRequest{
-		Node:        c.config.Self,
-		Incarnation: c.config.Incarnation,
-		Releases:    []*peerpb.Release{{Id: id, Endpoint: endpoint}},
-	}
+	req := EncodePermit(c.config.Self, c.config.Incarnation, nil, []gate.Return{{ID: id, Endpoint: endpoint}})
 	if _, err := c.peer(ctx, to).Permit(ctx, req); err != nil {
 		return unreachable(to, err)
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// EncodePermit returns the wire form of a batch of asks and releases.
+func EncodePermit(node string, incarnation uint64, asks []gate.Ask, releases []gate.Return) *peerpb.PermitRequest {
+	return &peerpb.PermitRequest{
+		Node:        node,
+		Incarnation: incarnation,
+		Asks:        mapped(asks, encodeAsk),
+		Releases:    mapped(releases, encodeReturn),
+	}
+}
+
+func encodeReturn(r gate.Return) *peerpb.Release {
+	return &peerpb.Release{Id: r.ID, Endpoint: r.Endpoint}
+}
+
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: l.Endpoint,
--- /dev/null
+++ b/internal/peer/size.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcwire"
+
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+)
+
+// Names of the calls, as they stand on the wire.
+const (
+	CallBeat   CallName = "/peer.Peer/Beat"
+	CallPermit CallName = "/peer.Peer/Permit"
+	CallConfig CallName = "/peer.Peer/Config"
+)
+
+// frameStream is a stream number of a connection that has been in use for a
+// while; its encoded length is that of most calls.
+const frameStream = 1 << 10
+
+type (
+	// CallName is the name of a call between nodes.
+	CallName string
+
+	// Message is a message between nodes.
+	Message interface {
+		*peerpb.Heartbeat | *peerpb.PermitRequest | *peerpb.PermitReply | *peerpb.ConfigRequest | *peerpb.ConfigReply
+		proto.Message
+	}
+)
+
+// RequestBytes returns how many bytes the caller of a call sends, with the
+// frames around the message but without TCP and IP.
+func RequestBytes[M Message](name CallName, m M) int {
+	return frameBytes(drpcwire.KindInvoke, len(name)) +
+		frameBytes(drpcwire.KindMessage, proto.Size(m)) +
+		frameBytes(drpcwire.KindCloseSend, 0)
+}
+
+// ReplyBytes returns how many bytes the answer to a call takes.
+func ReplyBytes[M Message](m M) int {
+	return frameBytes(drpcwire.KindMessage, proto.Size(m)) +
+		frameBytes(drpcwire.KindCloseSend, 0)
+}
+
+func frameBytes(kind drpcwire.Kind, size int) int {
+	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{
+		Data: make([]byte, size),
+		ID:   drpcwire.ID{Stream: frameStream, Message: 1},
+		Kind: kind,
+		Done: true,
+	})
+	return len(frame)
+}
--- /dev/null
+++ b/internal/policy/baseline.go
@@ -0,0 +1,73 @@
+package policy
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+)
+
+type (
+	// roundRobin takes the endpoints of a service in turn.
+	roundRobin struct{ turn int }
+
+	// twoChoices draws two endpoints and takes the one that reported less load.
+	twoChoices struct{ random *rand.Rand }
+
+	// chatHash takes the chat's rendezvous order.
+	chatHash struct{}
+
+	// boundedHash takes the first endpoint of the chat's rendezvous order whose
+	// reported load is under the bound.
+	boundedHash struct{}
+)
+
+// Rank returns the endpoints from the next turn on.
+func (p *roundRobin) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []kernel.Endpoint {
+	list := route.Candidates(pool)
+	if len(list) == 0 {
+		return nil
+	}
+	p.turn++
+	first := p.turn % len(list)
+	return slices.Concat(list[first:], list[:first])
+}
+
+// Rank returns the less loaded of two endpoints first.
+func (p *twoChoices) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []kernel.Endpoint {
+	list := route.Candidates(pool)
+	p.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if len(list) > 1 && list[1].Load.Requests < list[0].Load.Requests {
+		list[0], list[1] = list[1], list[0]
+	}
+	return list
+}
+
+// Rank returns the rendezvous order.
+func (chatHash) Rank(_ time.Time, pool *kernel.Pool, r route.Request) []kernel.Endpoint {
+	list := route.Candidates(pool)
+	slices.SortFunc(list, func(a, b kernel.Endpoint) int {
+		return cmp.Compare(kernel.Score(r.Chat, b.Name), kernel.Score(r.Chat, a.Name))
+	})
+	return list
+}
+
+// Rank returns the rendezvous order, endpoints under the bound first.
+func (boundedHash) Rank(now time.Time, pool *kernel.Pool, r route.Request) []kernel.Endpoint {
+	list := chatHash{}.Rank(now, pool, r)
+	limit := pool.Bound * float64(pool.Total.Requests+1) / float64(max(pool.Live, 1))
+	slices.SortStableFunc(list, func(a, b kernel.Endpoint) int {
+		return cmp.Compare(over(a, limit), over(b, limit))
+	})
+	return list
+}
+
+func over(e kernel.Endpoint, limit float64) int {
+	if float64(e.Load.Requests+1) > limit {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/replay/job.go
@@ -0,0 +1,333 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/hint"
+	"bulrushhinge.example/bulrushhinge/pkg/trace"
+)
+
+const (
+	callerDelay = time.Millisecond
+	entryKeep   = 30 * time.Second
+	askTimeout  = 250 * time.Millisecond
+	leaseSlack  = time.Second
+	// clientsPerAccount is how many caller processes an account runs.
+	clientsPerAccount = 8
+	// One chat in hintless belongs to a caller that brings no hints back.
+	hintless = 5
+)
+
+type (
+	// client is a caller's process; it keeps a node's address for a while.
+	client struct {
+		zone  string
+		node  *node
+		until time.Duration
+	}
+
+	// job is one request at a node.
+	job struct {
+		sim      *simulation
+		node     *node
+		index    int
+		event    *trace.Event
+		plan     *route.Plan
+		request  route.Request
+		permit   uint64
+		home     string
+		endpoint string
+		engine   *engine
+		lost     bool
+		first    bool
+		done     bool
+	}
+)
+
+// ask sends a request of a caller.
+func (s *simulation) ask(i int, e *trace.Event) {
+	s.meter.asked(i, e)
+	s.send(i, e, s.time().Add(time.Duration(e.Deadline)))
+}
+
+func (s *simulation) send(i int, e *trace.Event, deadline time.Time) {
+	if s.config.Ideal {
+		s.sendIdeal(i, e)
+		return
+	}
+	n := s.entry(e)
+	if n == nil {
+		s.meter.unanswered(i)
+		return
+	}
+	j := &job{sim: s, node: n, index: i, event: e}
+	j.request = route.Request{
+		ID: uint64(i) + 1, Account: e.Account, Chat: e.Chat, Service: e.Model, Model: e.Model, Zone: n.zone,
+		Input: e.Prefix + e.Input, Output: asked(e.Output), Once: e.Once, Priority: e.Priority,
+		Deadline: deadline, Hint: s.hints[e.Chat],
+	}
+	s.queue.after(callerDelay, func() { j.begin(deadline) })
+}
+
+// asked is the most tokens that a caller allows for an answer; callers set it
+// far above what they get.
+func asked(output int) int {
+	limit := 256
+	for limit < output {
+		limit *= 2
+	}
+	return limit
+}
+
+// entry returns the node that a caller's process uses; the process asks any
+// node for the address and keeps it for a while.
+func (s *simulation) entry(e *trace.Event) *node {
+	h := xxhash.Sum64String(e.Chat)
+	name := e.Account + "/" + string(rune('a'+h%clientsPerAccount))
+	c := s.clients[name]
+	if c == nil {
+		zones := s.trace.Header.Zones
+		c = &client{zone: zones[xxhash.Sum64String(name)%uint64(len(zones))]}
+		s.clients[name] = c
+	}
+	if c.node != nil && c.node.open() && s.queue.now < c.until {
+		return c.node
+	}
+	c.until = s.queue.now + entryKeep
+	c.node = nil
+	first := s.random.IntN(len(s.nodes))
+	for k := range s.nodes {
+		asked := s.nodes[(first+k)%len(s.nodes)]
+		if !asked.open() {
+			continue
+		}
+		for _, n := range caller.EntryOrder(asked.view(), c.zone, name) {
+			if found := s.node(n.Name); found != nil && found.open() {
+				c.node = found
+				return found
+			}
+		}
+	}
+	return nil
+}
+
+func (n *node) open() bool { return n.alive && !n.closed }
+
+func (n *node) sortedJobs() []*job {
+	list := make([]*job, 0, len(n.jobs))
+	for j := range n.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return a.index - b.index })
+	return list
+}
+
+func (j *job) begin(deadline time.Time) {
+	if !j.node.open() {
+		j.broken(false)
+		return
+	}
+	j.node.jobs[j] = true
+	j.plan = j.node.router.Plan(j.request)
+	j.sim.queue.at(deadline.Sub(epoch), j.expire)
+	j.next()
+}
+
+func (j *job) next() {
+	if j.done {
+		return
+	}
+	s := j.sim
+	step := j.plan.Next(s.time(), j.node.view())
+	switch step.Kind {
+	case route.StepAsk:
+		j.ask(step)
+	case route.StepRun:
+		j.run(step.Endpoint)
+	case route.StepWait:
+		s.queue.at(step.Until.Sub(epoch), j.next)
+	case route.StepRefuse:
+		j.end()
+		s.meter.refused(j.index, step.Reason, !j.lost)
+	}
+}
+
+func (j *job) report(o route.Outcome) {
+	if j.done {
+		return
+	}
+	j.plan.Report(o)
+	j.next()
+}
+
+func (j *job) ask(step route.Step) {
+	s := j.sim
+	s.attempts++
+	j.permit = s.attempts
+	j.home = step.Endpoint.Home
+	j.endpoint = step.Endpoint.Name
+	a := gate.Ask{
+		ID: j.permit, Endpoint: step.Endpoint.Name, Tokens: step.Tokens,
+		Lease: j.request.Deadline.Sub(s.time()) + leaseSlack,
+	}
+	if j.home == j.node.name {
+		j.report(outcome(j.node.gate.Admit(s.time(), a)))
+		return
+	}
+	wire := peer.EncodePermit(j.node.name, 1, []gate.Ask{a}, nil)
+	j.node.spent.permits += peer.RequestBytes(peer.CallPermit, wire)
+	s.queue.after(s.delay, func() { j.arrive(a) })
+}
+
+// arrive is an ask that reaches its home.
+func (j *job) arrive(a gate.Ask) {
+	s := j.sim
+	home := s.node(j.home)
+	if home == nil {
+		s.queue.after(askTimeout, func() { j.report(route.OutcomeUnreachable) })
+		return
+	}
+	verdict := home.gate.Admit(s.time(), a)
+	reply := &peerpb.PermitReply{Grants: []*peerpb.Grant{{Id: a.ID, Verdict: uint32(verdict)}}}
+	home.spent.permits += peer.ReplyBytes(reply)
+	s.queue.after(s.delay, func() { j.report(outcome(verdict)) })
+}
+
+func (j *job) run(e kernel.Endpoint) {
+	s := j.sim
+	permit := j.permit
+	if j.home == "" {
+		s.attempts++
+		permit = s.attempts
+	}
+	g := s.engines[e.Name]
+	r := &run{attempt: permit, index: j.index, ask: j.event, onFirst: j.onFirst, onDone: j.onDone, onBroken: j.onBroken}
+	s.queue.after(s.delay, func() {
+		if j.done {
+			return
+		}
+		if g != nil && g.start(r) {
+			j.engine = g
+			j.permit = permit
+			return
+		}
+		s.queue.after(s.delay, func() {
+			j.node.step(kernel.EndpointFailed{Endpoint: e.Name})
+			j.release()
+			j.report(route.OutcomeNotRun)
+		})
+	})
+}
+
+func (j *job) onFirst(attempt uint64) {
+	if j.done || j.first {
+		return
+	}
+	j.first = true
+	j.sim.meter.first(j.index, attempt == j.permit)
+	if xxhash.Sum64String(j.event.Chat)%hintless != 0 && !j.engine.model.Plain {
+		held := j.event.Prefix + j.event.Input + j.event.Output
+		j.sim.hints[j.event.Chat] = hint.Hint{Endpoint: j.engine.info.Endpoint, Tokens: held}
+	}
+}
+
+func (j *job) onDone(attempt uint64) {
+	if j.done {
+		return
+	}
+	j.end()
+	j.release()
+	j.sim.meter.whole(j.index, attempt == j.permit)
+}
+
+// onBroken is the end of the endpoint that ran the request.
+func (j *job) onBroken(first bool) {
+	if j.done {
+		return
+	}
+	j.node.step(kernel.EndpointFailed{Endpoint: j.engine.info.Endpoint})
+	j.release()
+	j.lost = true
+	if first {
+		j.end()
+		j.sim.meter.broke(j.index)
+		return
+	}
+	j.report(route.OutcomeLost)
+}
+
+// broken is the end of the node that carried the request. The caller notices
+// and asks another node, unless the request must not be repeated.
+func (j *job) broken(begun bool) {
+	s := j.sim
+	j.end()
+	if j.engine != nil {
+		g, permit := j.engine, j.permit
+		s.queue.after(s.delay, func() { g.cancel(permit) })
+	}
+	if begun && j.event.Once || j.first {
+		s.meter.broke(j.index)
+		return
+	}
+	s.queue.after(callerDelay, func() { s.send(j.index, j.event, j.request.Deadline) })
+}
+
+// expire is the caller's deadline.
+func (j *job) expire() {
+	if j.done {
+		return
+	}
+	j.end()
+	if j.engine != nil {
+		j.engine.cancel(j.permit)
+		j.release()
+	}
+	j.sim.meter.expired(j.index)
+}
+
+func (j *job) end() {
+	j.done = true
+	delete(j.node.jobs, j)
+}
+
+// release gives the permit back to the home that granted it.
+func (j *job) release() {
+	s := j.sim
+	permit := j.permit
+	switch j.home {
+	case "":
+	case j.node.name:
+		j.node.gate.Release(permit)
+	default:
+		wire := peer.EncodePermit(j.node.name, 1, nil, []gate.Return{{ID: permit, Endpoint: j.endpoint}})
+		j.node.spent.permits += peer.RequestBytes(peer.CallPermit, wire)
+		s.queue.after(s.delay, func() {
+			if home := s.node(j.home); home != nil {
+				home.spent.permits += peer.ReplyBytes(&peerpb.PermitReply{})
+				home.gate.Release(permit)
+			}
+		})
+	}
+}
+
+func outcome(v gate.Verdict) route.Outcome {
+	switch v {
+	case gate.Granted:
+		return route.OutcomeGranted
+	case gate.Full:
+		return route.OutcomeFull
+	case gate.Gone:
+		return route.OutcomeGone
+	default:
+		return route.OutcomeUnreachable
+	}
+}
--- /dev/null
+++ b/internal/replay/node.go
@@ -0,0 +1,183 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/trace"
+)
+
+const (
+	loadInterval = time.Second
+	beatTimeout  = time.Second
+	nodeGrace    = 2 * time.Second
+	// probeBytes is the request for a load report and the headers of the
+	// answer, as net/http writes them.
+	probeBytes = 180
+)
+
+type (
+	// node is one node of the fleet: its real control state and what drives it.
+	node struct {
+		sim     *simulation
+		name    string
+		zone    string
+		kernel  *kernel.Kernel
+		gate    *gate.Gate
+		router  *route.Router
+		alive   bool
+		leaving bool
+		closed  bool
+		since   time.Duration
+		until   time.Duration
+		listed  uint64
+		jobs    map[*job]bool
+		spent   spending
+	}
+
+	// spending is the bytes of control traffic that a node sent, by purpose.
+	spending struct {
+		beats    int
+		permits  int
+		probes   int
+		platform int
+	}
+)
+
+func newNode(s *simulation, info trace.Node) *node {
+	n := &node{sim: s, name: info.Instance, zone: info.Zone, alive: true, since: s.queue.now, jobs: map[*job]bool{}}
+	self := kernel.Node{
+		Name: info.Instance, Zone: info.Zone, Incarnation: s.random.Uint64(),
+		Caller: address(exampleAddrs), Peer: address(exampleAddrs),
+	}
+	n.kernel, n.gate = builtin.New(self, builtin.Config{})
+	random := rand.New(rand.NewPCG(s.random.Uint64(), seedStream))
+	n.router = route.NewRouter(s.config.Policy.Route(random))
+	s.all = append(s.all, n)
+	phase := time.Duration(s.random.Int64N(int64(kernel.DefaultTick)))
+	s.queue.after(phase, n.tick)
+	s.queue.after(time.Duration(s.random.Int64N(int64(loadInterval))), n.readLoads)
+	return n
+}
+
+func (n *node) view() *kernel.View { return n.kernel.View() }
+
+func (n *node) tick() {
+	if !n.alive {
+		return
+	}
+	n.gate.Expire(n.sim.time())
+	n.step(kernel.Tick{})
+	n.sim.queue.after(kernel.DefaultTick, n.tick)
+}
+
+func (n *node) step(ev kernel.Event) {
+	if !n.alive {
+		return
+	}
+	for _, a := range n.kernel.Step(n.sim.time(), ev) {
+		n.act(a)
+	}
+	n.sim.meter.force()
+}
+
+func (n *node) act(a kernel.Action) {
+	switch a := a.(type) {
+	case kernel.SendBeat:
+		n.sendBeat(a.To.Name)
+	default:
+		n.sim.fail("unknown action %T", a)
+	}
+}
+
+func (n *node) sendBeat(to string) {
+	s := n.sim
+	wire := peer.EncodeBeat(n.kernel.Beat(s.time(), to))
+	n.spent.beats += peer.RequestBytes(peer.CallBeat, wire)
+	s.queue.after(s.delay, func() {
+		target := s.node(to)
+		if target == nil {
+			s.queue.after(beatTimeout, func() { n.step(kernel.BeatFailed{Node: to}) })
+			return
+		}
+		target.step(kernel.BeatReceived{Beat: peer.DecodeBeat(wire)})
+		reply := peer.EncodeBeat(target.kernel.Beat(s.time(), n.name))
+		target.spent.beats += peer.ReplyBytes(reply)
+		s.queue.after(s.delay, func() { n.step(kernel.BeatReceived{Beat: peer.DecodeBeat(reply)}) })
+	})
+}
+
+// readLoads reads the load reports of the endpoints whose home the node is, as
+// the control goroutine of a node does.
+func (n *node) readLoads() {
+	if !n.alive {
+		return
+	}
+	v := n.view()
+	for _, service := range sortedNames(v.Pools) {
+		for _, e := range v.Pools[service].Endpoints {
+			if e.Home == v.Self.Name || n.sim.config.Policy.Poll {
+				n.readLoad(e.Name)
+			}
+		}
+	}
+	n.sim.queue.after(loadInterval, n.readLoads)
+}
+
+func (n *node) readLoad(name string) {
+	s := n.sim
+	s.queue.after(2*s.delay, func() {
+		g := s.engines[name]
+		n.spent.probes += probeBytes
+		if g == nil || !g.alive {
+			n.step(kernel.EndpointFailed{Endpoint: name})
+			return
+		}
+		load := g.report(s.config.LoadLag)
+		report := endpoint.LoadReport{
+			Requests: load.Requests, Tokens: load.Tokens,
+			Models: []string{g.info.Model}, Leaving: g.leaving,
+		}
+		n.spent.probes += jsonBytes(report)
+		n.step(kernel.LoadReported{Endpoint: name, Load: load, Models: report.Models, Leaving: report.Leaving})
+	})
+}
+
+// drain stops the node as planned: it takes requests for the grace time and
+// ends once those in progress are done.
+func (n *node) drain() {
+	n.leaving = true
+	n.step(kernel.Drain{})
+	n.sim.queue.after(nodeGrace, n.close)
+}
+
+func (n *node) close() {
+	n.closed = true
+	if len(n.jobs) > 0 {
+		n.sim.queue.after(loadInterval, n.close)
+		return
+	}
+	n.stop()
+	n.sim.platform.changed()
+}
+
+func (n *node) stop() {
+	n.alive = false
+	n.until = n.sim.queue.now
+}
+
+// die ends the node and breaks every stream that it carries.
+func (n *node) die() {
+	n.stop()
+	for _, j := range n.sortedJobs() {
+		j.broken(true)
+	}
+}
+
+func (b spending) total() int { return b.beats + b.permits + b.probes + b.platform }
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,264 @@
+// Package replay feeds a trace through the real control state of every node,
+// in virtual time: real kernels, gates and routing plans, between a fake
+// platform and fake endpoints. It decides nothing by itself, and it has no
+// fault model of networks or processes; a message between two nodes takes a
+// fixed time. The same trace, policy and seed give the same report.
+package replay
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/policy"
+	"bulrushhinge.example/bulrushhinge/pkg/hint"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+	"bulrushhinge.example/bulrushhinge/pkg/trace"
+)
+
+// Defaults of a Config.
+const (
+	DefaultLoadLag = time.Second
+	DefaultListLag = 3 * time.Second
+)
+
+const (
+	// listJitter is by how much nodes see a new instance list at different
+	// times.
+	listJitter = 500 * time.Millisecond
+	// settle is the time that nodes get to know each other before the first
+	// event of the trace, drain the time after the last deadline.
+	settle = 5 * time.Second
+	drain  = 2 * time.Second
+	// seedStream tells the replay's random numbers from other uses of a seed.
+	seedStream = 0x5eed
+)
+
+// ErrReplay is returned where a replay cannot go on.
+var ErrReplay = errors.New("replay: stopped")
+
+var epoch = time.Date(2000, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+type (
+	// Config is the settings of a replay; zero durations take their defaults.
+	Config struct {
+		Policy policy.Policy
+		// LoadLag is how old the load is that an endpoint reports.
+		LoadLag time.Duration
+		// ListLag is how late the instance list is.
+		ListLag time.Duration
+		// Ideal replaces all nodes by one router that knows the state of every
+		// endpoint at once.
+		Ideal bool
+	}
+
+	simulation struct {
+		config   Config
+		trace    *trace.Trace
+		queue    queue
+		delay    time.Duration
+		random   *rand.Rand
+		manifest *manifest.Manifest
+		platform *platformFake
+		engines  map[string]*engine
+		// nodes is the present nodes, all every one that ever ran.
+		nodes    []*node
+		all      []*node
+		clients  map[string]*client
+		hints    map[string]hint.Hint
+		crash    map[string]bool
+		meter    *meter
+		attempts uint64
+		end      time.Duration
+		err      error
+	}
+)
+
+// Run replays a trace.
+func Run(t *trace.Trace, c Config) (*Result, error) {
+	if c.LoadLag == 0 {
+		c.LoadLag = DefaultLoadLag
+	}
+	if c.ListLag == 0 {
+		c.ListLag = DefaultListLag
+	}
+	s := &simulation{
+		config:  c,
+		trace:   t,
+		delay:   time.Duration(t.Header.Delay),
+		random:  rand.New(rand.NewPCG(t.Header.Seed, seedStream)),
+		engines: map[string]*engine{},
+		clients: map[string]*client{},
+		hints:   map[string]hint.Hint{},
+		crash:   map[string]bool{},
+	}
+	s.meter = newMeter(s)
+	s.platform = newPlatformFake(s)
+	s.start()
+	s.queue.run(s.end)
+	if s.err != nil {
+		return nil, s.err
+	}
+	return s.meter.result(), nil
+}
+
+// time is the virtual time as nodes see it.
+func (s *simulation) time() time.Time { return epoch.Add(s.queue.now) }
+
+func (s *simulation) start() {
+	h := s.trace.Header
+	s.manifest = manifestOf(h)
+	for _, e := range h.Endpoints {
+		s.engines[e.Endpoint] = newEngine(s, e)
+	}
+	for _, n := range h.Nodes {
+		s.nodes = append(s.nodes, newNode(s, n))
+	}
+	s.platform.first()
+	for i := range s.trace.Events {
+		e := &s.trace.Events[i]
+		s.queue.at(settle+time.Duration(e.At), func() { s.apply(i, e) })
+	}
+	last := settle
+	for _, e := range s.trace.Events {
+		last = max(last, settle+time.Duration(e.At))
+		s.end = max(s.end, settle+time.Duration(e.At+e.Deadline)+drain)
+	}
+	s.meter.sample(settle, last)
+}
+
+func (s *simulation) apply(i int, e *trace.Event) {
+	switch e.Kind {
+	case trace.Ask:
+		s.ask(i, e)
+	case trace.Join:
+		s.join(e)
+	case trace.Leave:
+		s.leave(e)
+	case trace.Kill:
+		s.kill(e.Instance)
+	case trace.Crash:
+		s.crash[e.Chat] = true
+	case trace.Accept:
+		s.accept(e.Revision)
+	}
+}
+
+func (s *simulation) join(e *trace.Event) {
+	if e.Endpoint != "" {
+		s.engines[e.Endpoint] = newEngine(s, trace.Endpoint{Endpoint: e.Endpoint, Zone: e.Zone, Model: e.Model})
+		s.platform.changed()
+		return
+	}
+	n := newNode(s, trace.Node{Instance: e.Instance, Zone: e.Zone})
+	s.nodes = append(slices.DeleteFunc(s.nodes, func(o *node) bool { return o.name == n.name }), n)
+	s.platform.boot(n)
+	s.platform.changed()
+}
+
+func (s *simulation) leave(e *trace.Event) {
+	if n := s.node(e.Instance); n != nil {
+		n.drain()
+	}
+	if g := s.engines[e.Endpoint]; g != nil {
+		g.leaving = true
+		g.left = s.queue.now
+		s.retire(g)
+	}
+	s.platform.changed()
+}
+
+// retire ends a leaving engine once it is idle.
+func (s *simulation) retire(g *engine) {
+	s.queue.after(time.Second, func() {
+		if len(g.runs) > 0 || s.queue.now-g.left < s.config.ListLag+2*time.Second {
+			s.retire(g)
+			return
+		}
+		g.alive = false
+		s.platform.changed()
+	})
+}
+
+func (s *simulation) kill(instance string) {
+	if n := s.node(instance); n != nil {
+		n.die()
+	}
+	if g := s.engines[instance]; g != nil && g.alive {
+		g.die()
+	}
+	s.platform.changed()
+}
+
+func (s *simulation) killEngine(g *engine) { s.kill(g.info.Endpoint) }
+
+// crashes reports whether a run is of a chat that crashes its endpoint.
+func (s *simulation) crashes(r *run) bool { return s.crash[r.ask.Chat] }
+
+func (s *simulation) accept(revision uint64) {
+	m := *s.manifest
+	m.Revision = revision
+	s.manifest = &m
+	s.platform.accepted()
+	s.meter.accepted(revision)
+}
+
+func (s *simulation) node(name string) *node {
+	for _, n := range s.nodes {
+		if n.name == name && n.alive {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf("%w: %s", ErrReplay, fmt.Sprintf(format, args...))
+	}
+}
+
+// pool returns the pool of a service as it is, with no lag.
+func (s *simulation) pool(service string) *kernel.Pool {
+	p := &kernel.Pool{Bound: s.trace.Header.Bound}
+	for _, name := range sortedNames(s.engines) {
+		g := s.engines[name]
+		if g.info.Model != service || !g.alive || g.leaving {
+			continue
+		}
+		l := g.load()
+		p.Endpoints = append(p.Endpoints, kernel.Endpoint{Name: name, Zone: g.info.Zone, Service: service, Load: l})
+		p.Total = p.Total.Add(l)
+		p.Live++
+	}
+	return p
+}
+
+func manifestOf(h trace.Header) *manifest.Manifest {
+	m := &manifest.Manifest{Revision: 1, Deployments: []manifest.Deployment{{Name: h.Name, Bound: h.Bound}}}
+	for _, z := range h.Zones {
+		m.Zones = append(m.Zones, manifest.Zone{Name: z, Region: h.Name})
+	}
+	for _, model := range h.Models {
+		service := manifest.Service{Name: model.Name, Deployment: h.Name, Kind: manifest.KindChat, Models: []string{model.Name}}
+		if model.Plain {
+			service.Kind = manifest.KindPlain
+		}
+		m.Models = append(m.Models, manifest.Model{Name: model.Name, Versions: []string{"1"}})
+		m.Services = append(m.Services, service)
+	}
+	for _, a := range h.Accounts {
+		m.Accounts = append(m.Accounts, manifest.Account{
+			Name: a.Account, Key: manifest.KeyDigest(a.Account), Rate: a.Rate, Burst: a.Burst, Priority: a.Priority,
+		})
+	}
+	return m
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/replay/result.go
@@ -0,0 +1,172 @@
+package replay
+
+import (
+	"time"
+)
+
+type (
+	// Result is the measures of one replay. docs/MEASURES.md defines them.
+	Result struct {
+		Trace  string `json:"trace"`
+		Seed   uint64 `json:"seed"`
+		Policy string `json:"policy"`
+		Asks   int    `json:"asks"`
+		// Reuse is reused over reusable prefix tokens, Ideal the same of the
+		// ideal router.
+		Reuse    float64 `json:"reuse"`
+		Ideal    float64 `json:"ideal,omitempty"`
+		Requests Skew    `json:"requests"`
+		Tokens   Skew    `json:"tokens"`
+		// Control is bytes a second, the mean over the nodes and the node that
+		// sent most.
+		Control     Control `json:"control"`
+		ControlMost float64 `json:"controlMost"`
+		First       First   `json:"first"`
+		// Whole, Refused, Broken and Expired count the ends of requests: whole
+		// answers, refusals, streams that an endpoint's or node's death broke,
+		// and deadlines that passed.
+		Whole    int            `json:"whole"`
+		Refused  map[string]int `json:"refused,omitempty"`
+		Broken   int            `json:"broken"`
+		Expired  int            `json:"expired"`
+		Rerun    int            `json:"rerun"`
+		Lost     int            `json:"lost"`
+		Doubled  int            `json:"doubled"`
+		Cut      int            `json:"cut"`
+		Crossed  int            `json:"crossed"`
+		FalseNot int            `json:"falsenot"`
+		Late     int            `json:"late"`
+		// Force is the longest time in seconds until a revision was in force
+		// at every node; negative where one never was.
+		Force float64 `json:"force"`
+	}
+
+	// Skew is the load of the most loaded engine over the mean.
+	Skew struct {
+		P99   float64 `json:"p99"`
+		Worst float64 `json:"worst"`
+		// WorstAt is when in the trace, in seconds.
+		WorstAt float64 `json:"worstAt"`
+		// Over is the share of samples above the bound, Small that of the
+		// small-mean case.
+		Over  float64 `json:"over"`
+		Small float64 `json:"small"`
+		// Raw is the plain ratio at p99, with no small-mean case.
+		Raw float64 `json:"raw"`
+	}
+
+	// Control is bytes of control traffic a second, by purpose.
+	Control struct {
+		Total    float64 `json:"total"`
+		Beats    float64 `json:"beats"`
+		Permits  float64 `json:"permits"`
+		Probes   float64 `json:"probes"`
+		Platform float64 `json:"platform"`
+	}
+
+	// First is the time to the first token, in seconds.
+	First struct {
+		P50 float64 `json:"p50"`
+		P95 float64 `json:"p95"`
+		P99 float64 `json:"p99"`
+	}
+)
+
+const (
+	median = 50
+	ninety = 95
+	tail   = 99
+	micros = 1e6
+)
+
+func (m *meter) result() *Result {
+	h := m.sim.trace.Header
+	r := &Result{
+		Trace: h.Name, Seed: h.Seed, Policy: m.sim.config.Policy.Name, Asks: len(m.order),
+		Requests: m.requests.skew(), Tokens: m.tokens.skew(),
+		Rerun: m.rerun, Crossed: m.crossed, Late: m.late, Refused: map[string]int{},
+	}
+	if m.reusable > 0 {
+		r.Reuse = float64(m.reused) / float64(m.reusable)
+	}
+	quantile := func(q float64) float64 { return float64(m.firsts.ValueAtQuantile(q)) / micros }
+	r.First = First{P50: quantile(median), P95: quantile(ninety), P99: quantile(tail)}
+	for reason, n := range m.reasons {
+		r.Refused[string(reason)] = n
+	}
+	m.ends(r)
+	m.control(r)
+	m.forces(r)
+	return r
+}
+
+func (m *meter) ends(r *Result) {
+	for _, i := range m.order {
+		rec := m.records[i]
+		if rec.event.Once && rec.starts > 1 || rec.wholes > 1 {
+			r.Doubled++
+		}
+		switch rec.end {
+		case endNone:
+			r.Lost++
+		case endWhole:
+			r.Whole++
+		case endBroken:
+			r.Broken++
+		case endExpired:
+			r.Expired++
+		case endRefused:
+			if rec.notRun && rec.starts > 0 {
+				r.FalseNot++
+			}
+		}
+	}
+	r.Cut = m.cut
+}
+
+func (m *meter) control(r *Result) {
+	var nodes float64
+	for _, n := range m.sim.all {
+		until := n.until
+		if n.alive {
+			until = m.sim.queue.now
+		}
+		seconds := max((until - n.since).Seconds(), time.Second.Seconds())
+		nodes++
+		r.Control.Beats += float64(n.spent.beats) / seconds
+		r.Control.Permits += float64(n.spent.permits) / seconds
+		r.Control.Probes += float64(n.spent.probes) / seconds
+		r.Control.Platform += float64(n.spent.platform) / seconds
+		r.ControlMost = max(r.ControlMost, float64(n.spent.total())/seconds)
+	}
+	c := &r.Control
+	for _, part := range []*float64{&c.Beats, &c.Permits, &c.Probes, &c.Platform} {
+		*part /= nodes
+		c.Total += *part
+	}
+}
+
+func (m *meter) forces(r *Result) {
+	for revision := range m.accepts {
+		took, done := m.forced[revision]
+		if !done {
+			r.Force = -1
+			return
+		}
+		r.Force = max(r.Force, took.Seconds())
+	}
+}
+
+func (s *skewMeter) skew() Skew {
+	k := Skew{
+		P99:     float64(s.ratios.ValueAtQuantile(tail)) / thousandth,
+		Worst:   s.worst,
+		WorstAt: s.worstAt.Seconds(),
+		Raw:     float64(s.raw.ValueAtQuantile(tail)) / thousandth,
+	}
+	if s.samples > 0 {
+		k.Small = float64(s.small) / float64(s.samples)
+		k.Over = float64(s.over) / float64(s.samples)
+	}
+	return k
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,8 +5,6 @@
 package route
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -73,13 +71,14 @@
 
 	// Request is what routing knows of a request.
 	Request struct {
-		ID       uint64
-		Account  string
-		Chat     string
-		Service  string
-		Model    string
-		Zone     string
-		Prefix   int
+		ID      uint64
+		Account string
+		Chat    string
+		Service string
+		Model   string
+		Zone    string
+		// Input is the tokens of the whole prompt, Output those of the answer
+		// at most.
 		Input    int
 		Output   int
 		Once     bool
@@ -92,6 +91,8 @@
 	Step struct {
 		Kind     StepKind
 		Endpoint kernel.Endpoint
+		// Tokens is the work that a StepAsk asks a permit for.
+		Tokens int
 		// Until is the end of a StepWait.
 		Until time.Time
 		// Reason is why a StepRefuse refuses.
@@ -102,6 +103,7 @@
 
 	// Plan is the routing of one request. It is not safe for concurrent use.
 	Plan struct {
+		router   *Router
 		request  Request
 		tried    map[string]bool
 		next     kernel.Endpoint
@@ -111,11 +113,6 @@
 	}
 )
 
-// New returns the Plan of a request.
-func New(r Request) *Plan {
-	return &Plan{request: r, tried: map[string]bool{}}
-}
-
 // Next returns the next step.
 func (p *Plan) Next(now time.Time, v *kernel.View) Step {
 	switch {
@@ -133,13 +130,17 @@
 	if pool == nil || len(pool.Endpoints) == 0 {
 		return refuse(ReasonNoEndpoint)
 	}
-	e, ok := p.choose(pool)
+	e, ok := p.choose(now, pool)
 	if !ok {
 		clear(p.tried)
 		return Step{Kind: StepWait, Until: now.Add(fullPause)}
 	}
 	p.next = e
-	return Step{Kind: StepAsk, Endpoint: e}
+	if p.router.config.Open {
+		p.attempts++
+		return Step{Kind: StepRun, Endpoint: e}
+	}
+	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.request.Input + p.request.Output}
 }
 
 // Report tells what came of the last step.
@@ -156,8 +157,8 @@
 	}
 }
 
-func (p *Plan) choose(pool *kernel.Pool) (kernel.Endpoint, bool) {
-	for _, e := range Order(pool, p.request) {
+func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
+	for _, e := range p.router.rank(now, pool, p.request) {
 		if !p.tried[e.Name] {
 			return e, true
 		}
@@ -165,38 +166,6 @@
 	return kernel.Endpoint{}, false
 }
 
-// Order returns the endpoints that may run a request, best first: the holder of
-// the chat's prefix, then the rendezvous order of the chat, live endpoints
-// before suspect ones.
-func Order(pool *kernel.Pool, r Request) []kernel.Endpoint {
-	order := make([]kernel.Endpoint, 0, len(pool.Endpoints))
-	for _, e := range pool.Endpoints {
-		if e.State == kernel.Live || e.State == kernel.Suspect {
-			order = append(order, e)
-		}
-	}
-	rank := func(e kernel.Endpoint) uint64 {
-		if e.Name == r.Hint.Endpoint {
-			return math.MaxUint64
-		}
-		return kernel.Score(r.Chat, e.Name)
-	}
-	slices.SortFunc(order, func(a, b kernel.Endpoint) int {
-		if a.State != b.State {
-			return int(a.State) - int(b.State)
-		}
-		ra, rb := rank(a), rank(b)
-		switch {
-		case ra > rb:
-			return -1
-		case ra < rb:
-			return 1
-		}
-		return 0
-	})
-	return order
-}
-
 func refuse(r Reason) Step {
 	return Step{Kind: StepRefuse, Reason: r, RetryAfter: retryAfter}
 }
