--- a/cmd/bulrushhinge/replay.go
+++ b/cmd/bulrushhinge/replay.go
@@ -119,10 +119,16 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	for i := range results {
-		results[i].Ideal = ideal[i/len(policies)].Reuse
+	var rows []*replay.Result
+	for i, r := range results {
+		top := ideal[i/len(policies)]
+		r.Ideal = top.Reuse
+		if i%len(policies) == 0 {
+			rows = append(rows, top)
+		}
+		rows = append(rows, r)
 	}
-	return results, nil
+	return rows, nil
 }
 
 func readTrace(name string) (*trace.Trace, error) {
--- a/internal/replay/job.go
+++ b/internal/replay/job.go
@@ -110,7 +110,7 @@
 		if !asked.open() {
 			continue
 		}
-		for _, n := range caller.EntryOrder(asked.view(), c.zone, name) {
+		for _, n := range caller.Nodes(asked.view(), c.zone, name) {
 			if found := s.node(n.Name); found != nil && found.open() {
 				c.node = found
 				return found
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -8,6 +8,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
@@ -56,7 +57,9 @@
 		Name: info.Instance, Zone: info.Zone, Incarnation: s.random.Uint64(),
 		Caller: address(exampleAddrs), Peer: address(exampleAddrs),
 	}
-	n.kernel, n.gate = builtin.New(self, builtin.Config{})
+	n.kernel, n.gate = builtin.New(self, builtin.Config{Membership: membership.Config{
+		Active: func() int { return len(n.jobs) },
+	}})
 	random := rand.New(rand.NewPCG(s.random.Uint64(), seedStream))
 	n.router = route.NewRouter(s.config.Policy.Route(random))
 	s.all = append(s.all, n)
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -72,6 +72,9 @@
 	}
 )
 
+// Ideal is the name under which the ideal router stands in reports.
+const Ideal = "ideal"
+
 const (
 	median = 50
 	ninety = 95
@@ -86,6 +89,9 @@
 		Requests: m.requests.skew(), Tokens: m.tokens.skew(),
 		Rerun: m.rerun, Crossed: m.crossed, Late: m.late, Refused: map[string]int{},
 	}
+	if m.sim.config.Ideal {
+		r.Policy = Ideal
+	}
 	if m.reusable > 0 {
 		r.Reuse = float64(m.reused) / float64(m.reusable)
 	}
@@ -95,7 +101,9 @@
 		r.Refused[string(reason)] = n
 	}
 	m.ends(r)
-	m.control(r)
+	if !m.sim.config.Ideal {
+		m.control(r)
+	}
 	m.forces(r)
 	return r
 }
