--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -14,13 +14,15 @@
 type Config struct {
 	Membership membership.Config
 	Pool       pool.Config
+	Gate       gate.Config
 }
 
 // New returns a kernel with the built-in plug-ins and the given further ones,
 // and the gate whose loads it spreads.
 func New(self kernel.Node, c Config, more ...kernel.Extension) (*kernel.Kernel, *gate.Gate) {
 	var k *kernel.Kernel
-	permits := gate.New(func() *kernel.View { return k.View() })
+	c.Gate.View = func() *kernel.View { return k.View() }
+	permits := gate.New(c.Gate)
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
 		config.New(),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,6 @@
 package gate
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +25,14 @@
 )
 
 type (
+	// Config is the settings of a Gate.
+	Config struct {
+		// View returns the newest view of the node's kernel.
+		View func() *kernel.View
+		// Rule bounds the endpoints' loads; nil is NewBoundRule.
+		Rule Rule
+	}
+
 	// Verdict is the answer to an ask.
 	Verdict int
 
@@ -48,8 +55,8 @@
 	// Gate holds the permits of the endpoints whose home the node is. It is
 	// safe for concurrent use.
 	Gate struct {
+		config  Config
 		mu      sync.Mutex
-		view    func() *kernel.View
 		permits map[uint64]permit
 		loads   map[string]kernel.Load
 	}
@@ -61,14 +68,17 @@
 	}
 )
 
-// New returns an empty Gate that reads the views of a kernel.
-func New(view func() *kernel.View) *Gate {
-	return &Gate{view: view, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}}
+// New returns an empty Gate.
+func New(c Config) *Gate {
+	if c.Rule == nil {
+		c.Rule = NewBoundRule()
+	}
+	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}}
 }
 
 // Admit answers an ask.
 func (g *Gate) Admit(now time.Time, a Ask) Verdict {
-	v := g.view()
+	v := g.config.View()
 	e, pool, ok := find(v, a.Endpoint)
 	if !ok || e.State == kernel.Leaving {
 		return Gone
@@ -82,7 +92,7 @@
 		return Granted
 	}
 	load := g.loads[a.Endpoint]
-	if !Fits(pool, load, a.Tokens) {
+	if !g.config.Rule.Fits(pool, load, a.Tokens, g.largest(pool)) {
 		return Full
 	}
 	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease)}
@@ -127,6 +137,20 @@
 	return loads
 }
 
+// largest is the most tokens of a permit held for an endpoint of the pool.
+func (g *Gate) largest(p *kernel.Pool) int {
+	most := 0
+	for _, held := range g.permits {
+		if held.tokens <= most {
+			continue
+		}
+		if _, ok := p.Endpoint(held.endpoint); ok {
+			most = held.tokens
+		}
+	}
+	return most
+}
+
 func (g *Gate) release(id uint64) {
 	p, held := g.permits[id]
 	if !held {
@@ -139,23 +163,6 @@
 	g.loads[p.endpoint] = load
 }
 
-// Fits reports whether an endpoint of the pool with the given load may run one
-// more request of so many tokens.
-func Fits(p *kernel.Pool, load kernel.Load, _ int) bool {
-	return load.Requests+1 <= Limit(p)
-}
-
-// Limit returns how many requests an endpoint of the pool may run: the bound
-// times the mean with one more request, rounded up, so that an idle pool admits
-// its first request.
-func Limit(p *kernel.Pool) int {
-	if p.Live == 0 {
-		return 1
-	}
-	mean := float64(p.Total.Requests+1) / float64(p.Live)
-	return int(math.Ceil(p.Bound * mean))
-}
-
 func find(v *kernel.View, name string) (kernel.Endpoint, *kernel.Pool, bool) {
 	for _, p := range v.Pools {
 		if e, ok := p.Endpoint(name); ok {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -23,6 +24,14 @@
 		Text:  "what nodes run",
 		Route: func(*rand.Rand) route.Config { return route.Config{} },
 	},
+	{
+		Name: "ceil",
+		Text: "hints, then hash order; the home bounds requests, rounded up",
+		Route: func(*rand.Rand) route.Config {
+			return route.Config{Ranker: route.NewHashRanker(), Memory: 1, Whole: true}
+		},
+		Gate: gate.Config{Rule: gate.NewCeilRule()},
+	},
 	{
 		Name:  "round",
 		Text:  "round robin",
@@ -56,6 +65,8 @@
 	Text string
 	// Route makes the settings of one node's Router.
 	Route func(random *rand.Rand) route.Config
+	// Gate is the settings of each node's Gate.
+	Gate gate.Config
 	// Poll makes every node read the loads of all endpoints, not only of those
 	// whose home it is.
 	Poll bool
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -12,7 +12,7 @@
 	// batchSize is how many requests an engine runs in one step, stepTokens
 	// how many prompt tokens it prefills in one.
 	batchSize  = 32
-	stepTokens = 256
+	stepTokens = 128
 	// batchCost is the share of a step's time that each request of the batch
 	// adds to it.
 	batchCost = 0.03
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
 )
 
@@ -12,8 +12,7 @@
 const idealPause = time.Millisecond
 
 // sendIdeal places a request as one router would that knows every engine's
-// load and cache at once: the engine under the bound that holds most of the
-// chat, the least loaded of equals.
+// load and cache at once.
 func (s *simulation) sendIdeal(i int, e *trace.Event) {
 	g := s.idealEngine(e)
 	if g == nil {
@@ -25,7 +24,7 @@
 	r.onFirst = func(uint64) { s.meter.first(i, true) }
 	r.onDone = func(uint64) { s.meter.whole(i, true) }
 	r.onBroken = func(first bool) {
-		if first {
+		if first || e.Once {
 			s.meter.broke(i)
 			return
 		}
@@ -34,30 +33,34 @@
 	g.start(r)
 }
 
+// idealEngine takes the first engine that the present Ranker and Rule allow
+// when they know all.
 func (s *simulation) idealEngine(e *trace.Event) *engine {
 	pool := s.pool(e.Model)
-	var best *engine
-	var held int
-	var load kernel.Load
+	request := route.Request{
+		Chat: e.Chat, Input: e.Prefix + e.Input, Output: e.Output, Cached: map[string]int{},
+	}
 	for _, candidate := range pool.Endpoints {
-		if !gate.Fits(pool, candidate.Load, e.Input+e.Output) {
-			continue
+		if held := min(s.engines[candidate.Name].cache.tokens(e.Chat), e.Prefix); held > 0 {
+			request.Cached[candidate.Name] = held
 		}
-		g := s.engines[candidate.Name]
-		cached := min(g.cache.tokens(e.Chat), e.Prefix)
-		better := cached > held || cached == held && lighter(candidate.Load, load)
-		if best == nil || better {
-			best, held, load = g, cached, candidate.Load
+	}
+	for _, candidate := range s.ideal.Rank(s.time(), pool, request) {
+		work := e.Prefix + e.Input + e.Output - request.Cached[candidate.Name]
+		if s.rule.Fits(pool, candidate.Load, work, s.largest(pool)) {
+			return s.engines[candidate.Name]
 		}
 	}
-	return best
+	return nil
 }
 
-// lighter reports whether a is less load than b: fewer requests, then fewer
-// tokens.
-func lighter(a, b kernel.Load) bool {
-	if a.Requests != b.Requests {
-		return a.Requests < b.Requests
+// largest is the most tokens of a request in progress at a pool.
+func (s *simulation) largest(pool *kernel.Pool) int {
+	most := 0
+	for _, e := range pool.Endpoints {
+		for _, r := range s.engines[e.Name].runs {
+			most = max(most, r.work)
+		}
 	}
-	return a.Tokens < b.Tokens
+	return most
 }
--- a/internal/replay/job.go
+++ b/internal/replay/job.go
@@ -233,6 +233,9 @@
 		return
 	}
 	j.first = true
+	if !j.engine.model.Plain {
+		j.node.router.Learn(j.request, route.Usage{Endpoint: j.engine.info.Endpoint})
+	}
 	j.sim.meter.first(j.index, attempt == j.permit)
 	if xxhash.Sum64String(j.event.Chat)%hintless != 0 && !j.engine.model.Plain {
 		held := j.event.Prefix + j.event.Input + j.event.Output
@@ -244,6 +247,9 @@
 	if j.done {
 		return
 	}
+	if !j.engine.model.Plain {
+		j.node.router.Learn(j.request, route.Usage{Endpoint: j.engine.info.Endpoint, Output: j.event.Output})
+	}
 	j.end()
 	j.release()
 	j.sim.meter.whole(j.index, attempt == j.permit)
--- a/internal/replay/meter.go
+++ b/internal/replay/meter.go
@@ -188,26 +188,21 @@
 		return
 	}
 	var most kernel.Load
-	largest := 0
 	for _, e := range pool.Endpoints {
 		most.Requests = max(most.Requests, e.Load.Requests)
 		most.Tokens = max(most.Tokens, e.Load.Tokens)
-		for _, r := range m.sim.engines[e.Name].runs {
-			largest = max(largest, r.work)
-		}
 	}
 	now := m.sim.queue.now - settle
 	m.requests.add(now, pool.Bound, most.Requests, pool.Total.Requests, pool.Live, 1)
-	m.tokens.add(now, pool.Bound, most.Tokens, pool.Total.Tokens, pool.Live, largest)
+	m.tokens.add(now, pool.Bound, most.Tokens, pool.Total.Tokens, pool.Live, m.sim.largest(pool))
 }
 
 // add takes one sample: the load of the most loaded engine over the mean.
 //
 // Where the mean is so small that one unit of work, a request or the largest
-// request in progress, is more than the bound leaves above the mean, no
-// placement can hold the multiple. There an engine may be one unit above the
-// mean, and the sample is scaled so that it exceeds the bound just where an
-// engine exceeds that.
+// request in progress, is more than what the bound leaves above the mean, no
+// placement can hold the multiple. There the mean counts as the smallest at
+// which it can.
 func (s *skewMeter) add(now time.Duration, bound float64, most, total, live, unit int) {
 	if total == 0 {
 		return
@@ -215,7 +210,7 @@
 	mean := float64(total) / float64(live)
 	s.samples++
 	base := mean
-	if small := (mean + float64(unit)) / bound; small > mean {
+	if small := float64(unit) / (bound - 1); small > mean {
 		base = small
 		s.small++
 	}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -57,9 +57,10 @@
 		Name: info.Instance, Zone: info.Zone, Incarnation: s.random.Uint64(),
 		Caller: address(exampleAddrs), Peer: address(exampleAddrs),
 	}
-	n.kernel, n.gate = builtin.New(self, builtin.Config{Membership: membership.Config{
-		Active: func() int { return len(n.jobs) },
-	}})
+	n.kernel, n.gate = builtin.New(self, builtin.Config{
+		Membership: membership.Config{Active: func() int { return len(n.jobs) }},
+		Gate:       s.config.Policy.Gate,
+	})
 	random := rand.New(rand.NewPCG(s.random.Uint64(), seedStream))
 	n.router = route.NewRouter(s.config.Policy.Route(random))
 	s.all = append(s.all, n)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -6,15 +6,19 @@
 package replay
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/policy"
+	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/hint"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
@@ -66,12 +70,15 @@
 		platform *platformFake
 		engines  map[string]*engine
 		// nodes is the present nodes, all every one that ever ran.
-		nodes    []*node
-		all      []*node
-		clients  map[string]*client
-		hints    map[string]hint.Hint
-		crash    map[string]bool
-		meter    *meter
+		nodes   []*node
+		all     []*node
+		clients map[string]*client
+		hints   map[string]hint.Hint
+		crash   map[string]bool
+		meter   *meter
+		// ideal and rule are the decisions of the ideal router.
+		ideal    route.Ranker
+		rule     gate.Rule
 		attempts uint64
 		end      time.Duration
 		err      error
@@ -96,6 +103,8 @@
 		hints:   map[string]hint.Hint{},
 		crash:   map[string]bool{},
 	}
+	s.ideal = cmp.Or(c.Policy.Route(s.random).Ranker, route.NewCostRanker(route.CostConfig{Choices: math.MaxInt}))
+	s.rule = cmp.Or(c.Policy.Gate.Rule, gate.Rule(gate.NewBoundRule()))
 	s.meter = newMeter(s)
 	s.platform = newPlatformFake(s)
 	s.start()
--- /dev/null
+++ b/internal/route/cost.go
@@ -0,0 +1,109 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+)
+
+// Defaults of a CostConfig.
+const (
+	DefaultWeight  = 1000
+	DefaultChoices = 3
+)
+
+type (
+	// CostConfig is the settings of a cost ranker.
+	CostConfig struct {
+		// Weight is how many tokens of prefill an endpoint at the mean load is
+		// worth to avoid.
+		Weight float64
+		// Choices is how many endpoints of the chat's rendezvous order are
+		// weighed first where none is known to hold the chat.
+		Choices int
+	}
+
+	costRanker struct{ config CostConfig }
+
+	// costed is an endpoint and what it would cost to run a request there.
+	costed struct {
+		endpoint kernel.Endpoint
+		group    int
+		cost     float64
+		score    uint64
+	}
+)
+
+// Groups of endpoints, in the order of preference.
+const (
+	groupFirst = iota
+	groupOther
+	groupSuspect
+)
+
+// NewCostRanker returns the Ranker that takes the endpoint with the least cost:
+// the uncached part of the prompt, in tokens, and the wait that the endpoint's
+// load makes likely.
+//
+// The load counts by the square of its ratio to the mean. An endpoint near the
+// bound is so left to the requests that save most there, while others go where
+// there is room, before the bound denies them.
+func NewCostRanker(c CostConfig) Ranker {
+	c.Weight = cmp.Or(c.Weight, DefaultWeight)
+	c.Choices = cmp.Or(c.Choices, DefaultChoices)
+	return costRanker{config: c}
+}
+
+// Rank returns the endpoints by cost.
+func (r costRanker) Rank(_ time.Time, pool *kernel.Pool, req Request) []kernel.Endpoint {
+	list := make([]costed, 0, len(pool.Endpoints))
+	for _, e := range Candidates(pool) {
+		list = append(list, r.cost(pool, e, req))
+	}
+	r.limit(list, req)
+	slices.SortFunc(list, func(a, b costed) int {
+		return cmp.Or(
+			cmp.Compare(a.group, b.group),
+			cmp.Compare(a.cost, b.cost),
+			cmp.Compare(b.score, a.score),
+		)
+	})
+	order := make([]kernel.Endpoint, len(list))
+	for i, c := range list {
+		order[i] = c.endpoint
+	}
+	return order
+}
+
+func (r costRanker) cost(pool *kernel.Pool, e kernel.Endpoint, req Request) costed {
+	c := costed{endpoint: e, score: kernel.Score(req.Chat, e.Name)}
+	c.cost = float64(max(req.Input-req.Cached[e.Name], 0))
+	mean := float64(pool.Total.Requests+1) / float64(max(pool.Live, 1))
+	ratio := float64(e.Load.Requests) / mean
+	c.cost += r.config.Weight * ratio * ratio
+	if e.State == kernel.Suspect {
+		c.group = groupSuspect
+	}
+	return c
+}
+
+// limit puts the first endpoints of the rendezvous order before others, where
+// no endpoint holds the chat.
+//
+// All nodes see the same lagging loads. Were each to take the least loaded of
+// all endpoints, all would take the same one until the loads change, and it
+// would be flooded; each chat therefore looks at a few endpoints of its own.
+func (r costRanker) limit(list []costed, req Request) {
+	if len(req.Cached) > 0 || len(list) <= r.config.Choices {
+		return
+	}
+	slices.SortFunc(list, func(a, b costed) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(b.score, a.score))
+	})
+	for i := range list[r.config.Choices:] {
+		c := &list[r.config.Choices+i]
+		c.group = max(c.group, groupOther)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -85,6 +85,9 @@
 		Priority int
 		Deadline time.Time
 		Hint     hint.Hint
+		// Cached is how many tokens of the prompt endpoints are believed to
+		// hold, by name. A Router fills it in.
+		Cached map[string]int
 	}
 
 	// Step is what the driver of a Plan does next.
@@ -140,7 +143,7 @@
 		p.attempts++
 		return Step{Kind: StepRun, Endpoint: e}
 	}
-	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.request.Input + p.request.Output}
+	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(p.request, e.Name)}
 }
 
 // Report tells what came of the last step.
--- a/internal/workload/shapes.go
+++ b/internal/workload/shapes.go
@@ -25,18 +25,18 @@
 			{Name: "counter", Plain: true, Step: trace.Duration(5 * time.Millisecond)},
 		},
 		endpoints: map[string]int{"notices": 12, "counter": 3},
-		rate:      50,
+		rate:      45,
 		tasks: []task{
 			{
-				model: "notices", share: 0.25, first: sizes{800, 3000}, later: sizes{40, 150}, output: sizes{100, 300},
+				model: "notices", share: 0.25, first: sizes{800, 3000}, later: sizes{40, 150}, output: sizes{250, 500},
 				turns: 8, pause: 30 * time.Second, deadline: 8 * time.Second,
 			},
 			{
-				model: "notices", share: 0.30, first: sizes{60, 200}, later: sizes{30, 80}, output: sizes{20, 60},
+				model: "notices", share: 0.30, first: sizes{60, 200}, later: sizes{30, 80}, output: sizes{80, 240},
 				turns: 4, pause: 15 * time.Second, deadline: 5 * time.Second, priority: 1,
 			},
 			{
-				model: "notices", share: 0.15, first: sizes{400, 800}, later: sizes{1, 1}, output: sizes{200, 400},
+				model: "notices", share: 0.15, first: sizes{400, 800}, later: sizes{1, 1}, output: sizes{400, 700},
 				turns: 1, deadline: 10 * time.Second, once: true,
 			},
 			{
@@ -63,14 +63,14 @@
 			{Name: "prices", Plain: true, Step: trace.Duration(5 * time.Millisecond)},
 		},
 		endpoints: map[string]int{"catalogue": 20, "prices": 4},
-		rate:      80,
+		rate:      70,
 		tasks: []task{
 			{
-				model: "catalogue", share: 0.10, first: sizes{2000, 5000}, later: sizes{1, 1}, output: sizes{300, 600},
+				model: "catalogue", share: 0.10, first: sizes{2000, 5000}, later: sizes{1, 1}, output: sizes{400, 800},
 				turns: 1, deadline: 20 * time.Second, once: true,
 			},
 			{
-				model: "catalogue", share: 0.20, first: sizes{300, 900}, later: sizes{60, 150}, output: sizes{80, 200},
+				model: "catalogue", share: 0.20, first: sizes{300, 900}, later: sizes{60, 150}, output: sizes{150, 350},
 				turns: 6, pause: 15 * time.Second, deadline: 8 * time.Second,
 			},
 			{
@@ -78,7 +78,7 @@
 				turns: 5, pause: 10 * time.Second, deadline: 4 * time.Second,
 			},
 			{
-				model: "catalogue", share: 0.15, first: sizes{500, 2500}, later: sizes{40, 150}, output: sizes{150, 350},
+				model: "catalogue", share: 0.15, first: sizes{500, 2500}, later: sizes{40, 150}, output: sizes{250, 500},
 				turns: 7, pause: 30 * time.Second, deadline: 8 * time.Second,
 			},
 			{
