--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -19,6 +19,7 @@
 	Demo    demoCommand    `cmd:"" help:"Run an example deployment in this process over loopback."`
 	Ask     askCommand     `cmd:"" help:"Ask as a caller does, within one chat."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
+	Replay  replayCommand  `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
 }
 
 func main() {
