Add tickets and the registry that redeems each at most once

Cause: a caller that resends a request after a lost connection may have it run twice, at this node or at another. Unused tickets take no memory.

--- /dev/null
+++ b/internal/once/registry_test.go
@@ -0,0 +1,266 @@
+package once_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/once"
+)
+
+const account = "a1"
+
+// clock is a monotonic clock that tests set.
+type clock struct{ now atomic.Int64 }
+
+func (c *clock) Now() time.Duration      { return time.Duration(c.now.Load()) }
+func (c *clock) Advance(d time.Duration) { c.now.Add(int64(d)) }
+
+func newRegistry(c once.Config) (*once.Registry, *clock) {
+	clock := &clock{}
+	c.Node, c.Incarnation, c.Now = "n1", 1, clock.Now
+	return once.New(c), clock
+}
+
+// answer runs a record that answers with the given text.
+func answer(text string) func(context.Context, http.ResponseWriter) once.State {
+	return func(_ context.Context, w http.ResponseWriter) once.State {
+		_, _ = w.Write([]byte(text))
+		return once.Done
+	}
+}
+
+func read(t *testing.T, r *once.Record) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	d, err := r.Join()
+	require.NoError(t, err)
+	require.NoError(t, d.Copy(t.Context(), w))
+	return w.Body.String()
+}
+
+// Symptom: a renewal letter goes out twice.
+// Sequence: the caller's connection breaks and it sends the request again with
+// the same ticket, at the same time as its first copy arrives.
+// Cause: two copies at one node both look like the first.
+func TestOneTicketTwiceAtOnceRunsOnce(t *testing.T) {
+	r, _ := newRegistry(once.Config{})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	var runs atomic.Int32
+	var wait sync.WaitGroup
+	for range 16 {
+		wait.Go(func() {
+			record, first, err := r.Redeem(minted, account, once.Print{1})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if first {
+				runs.Add(1)
+				record.Run(t.Context(), answer("letter"))
+			}
+			d, err := record.Join()
+			w := httptest.NewRecorder()
+			if err = errors.Join(err, d.Copy(t.Context(), w)); err != nil || w.Body.String() != "letter" {
+				t.Error(err, w.Body.String())
+			}
+		})
+	}
+	wait.Wait()
+	require.EqualValues(t, 1, runs.Load())
+	require.Equal(t, once.Done, r.State(minted, account))
+}
+
+// Symptom: a caller gets the answer to another of its requests, or a stranger
+// gets it.
+// Sequence: a ticket is used again with another body, or by another account.
+// Cause: the ticket alone was taken for the request.
+func TestTicketIsBoundToAccountAndRequest(t *testing.T) {
+	r, _ := newRegistry(once.Config{})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	_, _, err = r.Redeem(minted, "a2", once.Print{1})
+	require.ErrorIs(t, err, once.ErrUnknown)
+	require.Equal(t, once.Unknown, r.State(minted, "a2"))
+	require.ErrorIs(t, r.Void(minted, "a2"), once.ErrUnknown)
+	record, first, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	require.True(t, first)
+	record.Run(t.Context(), answer("mine"))
+	_, _, err = r.Redeem(minted, account, once.Print{2})
+	require.ErrorIs(t, err, once.ErrOther)
+	r.Wait()
+}
+
+// Symptom: a request runs after its caller was told that it was not run.
+// Sequence: the caller voids the ticket; a delayed copy of the request arrives.
+// Cause: nothing remembers the void ticket.
+func TestVoidTicketNeverRuns(t *testing.T) {
+	r, clock := newRegistry(once.Config{})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	require.Equal(t, once.Unused, r.State(minted, account))
+	require.NoError(t, r.Void(minted, account))
+	require.NoError(t, r.Void(minted, account), "voiding is idempotent")
+	for range 40 {
+		_, _, err = r.Redeem(minted, account, once.Print{1})
+		require.Error(t, err)
+		clock.Advance(time.Minute)
+	}
+}
+
+// Symptom: a request of yesterday runs again today.
+// Sequence: a ticket is used, its record is forgotten, a late copy arrives.
+// Cause: the memory of used tickets ended before the tickets did.
+func TestUsedTicketNeverRunsAgainHoweverLate(t *testing.T) {
+	r, clock := newRegistry(once.Config{Records: 1, Memory: 8, Answer: 4})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	record, _, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	record.Run(t.Context(), answer("letter"))
+	r.Wait()
+	for range 300 {
+		clock.Advance(7 * time.Second)
+		_, first, err := r.Redeem(minted, account, once.Print{1})
+		require.False(t, first && err == nil)
+	}
+	require.Equal(t, once.Unknown, r.State(minted, account))
+	require.Zero(t, r.Stats().Blocks, "and the memory of it ends")
+}
+
+// Symptom: an old request runs after the node was restarted.
+// Sequence: the process ends with unused tickets out; its successor of the same
+// name gets one of them.
+// Cause: the successor knows no used serials.
+func TestRestartEndsEveryTicket(t *testing.T) {
+	before, _ := newRegistry(once.Config{})
+	minted, err := before.Mint(account)
+	require.NoError(t, err)
+	after, _ := newRegistry(once.Config{})
+	_, _, err = after.Redeem(minted, account, once.Print{1})
+	require.ErrorIs(t, err, once.ErrUnknown)
+	require.Equal(t, once.Unknown, after.State(minted, account))
+}
+
+// Symptom: a ticket lives forever, or ends at once.
+// Sequence: the wall clock steps by an hour while tickets are out.
+// Cause: expiry was kept in wall time. Here the ticket holds a duration since
+// the process started, and only the monotonic clock moves it.
+func TestExpiryFollowsTheMonotonicClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := once.New(once.Config{Node: "n1", Incarnation: 1})
+		minted, err := r.Mint(account)
+		require.NoError(t, err)
+		require.Equal(t, once.DefaultLife, minted.Expires)
+		time.Sleep(once.DefaultLife - time.Second)
+		require.Equal(t, once.Unused, r.State(minted, account))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, once.Void, r.State(minted, account))
+		_, _, err = r.Redeem(minted, account, once.Print{1})
+		require.ErrorIs(t, err, once.ErrVoid)
+		time.Sleep(once.DefaultKeep)
+		require.Equal(t, once.Unknown, r.State(minted, account))
+	})
+}
+
+func TestCallerThatComesBackJoinsTheRunningAnswer(t *testing.T) {
+	r, _ := newRegistry(once.Config{})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	record, _, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	half, rest := make(chan struct{}), make(chan struct{})
+	record.Run(t.Context(), func(_ context.Context, w http.ResponseWriter) once.State {
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write([]byte("first "))
+		close(half)
+		<-rest
+		_, _ = w.Write([]byte("second"))
+		return once.Done
+	})
+	<-half
+	require.Equal(t, once.Running, r.State(minted, account))
+	require.ErrorIs(t, r.Void(minted, account), once.ErrRunning)
+	again, first, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	require.False(t, first)
+	close(rest)
+	require.Equal(t, "first second", read(t, again))
+	kept, _, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	require.Equal(t, "first second", read(t, kept))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	r, _ := newRegistry(once.Config{Memory: 1000, Answer: 400, Records: 100, Blocks: 2})
+	for range 50 {
+		minted, err := r.Mint(account)
+		require.NoError(t, err)
+		record, _, err := r.Redeem(minted, account, once.Print{1})
+		require.NoError(t, err)
+		record.Run(t.Context(), answer(string(make([]byte, 300))))
+		r.Wait()
+		require.LessOrEqual(t, r.Stats().Bytes, 1000)
+	}
+	for range 3000 {
+		_, err := r.Mint(account)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, r.Stats().Blocks, "minted tickets take no memory")
+}
+
+// Symptom: a used ticket runs again under load.
+// Sequence: more tickets are used within their lifetime than can be remembered.
+// Cause: the oldest were dropped to make room. Here the newest are refused.
+func TestFullRegistryRefusesInsteadOfForgetting(t *testing.T) {
+	r, _ := newRegistry(once.Config{Blocks: 1})
+	early, err := r.Mint(account)
+	require.NoError(t, err)
+	require.NoError(t, r.Void(early, account))
+	for range 1100 {
+		_, err := r.Mint(account)
+		require.NoError(t, err)
+	}
+	late, err := r.Mint(account)
+	require.NoError(t, err)
+	_, _, err = r.Redeem(late, account, once.Print{1})
+	require.ErrorIs(t, err, once.ErrFull)
+	require.Equal(t, once.Unused, r.State(late, account))
+	_, _, err = r.Redeem(early, account, once.Print{1})
+	require.ErrorIs(t, err, once.ErrVoid)
+}
+
+// Symptom: a node grows without bound while long answers run.
+// Sequence: an answer outgrows what is kept; its caller reads slowly or left.
+// Cause: the whole answer was buffered for a caller that may come back.
+func TestLargeAnswerIsPassedOnAndNotKept(t *testing.T) {
+	r, _ := newRegistry(once.Config{Answer: 64 << 10})
+	minted, err := r.Mint(account)
+	require.NoError(t, err)
+	record, _, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	d, err := record.Join()
+	require.NoError(t, err)
+	text := string(make([]byte, 1<<20))
+	record.Run(t.Context(), answer(text))
+	w := httptest.NewRecorder()
+	require.NoError(t, d.Copy(t.Context(), w))
+	require.Len(t, w.Body.String(), len(text))
+	require.LessOrEqual(t, r.Stats().Bytes, 64<<10)
+	again, first, err := r.Redeem(minted, account, once.Print{1})
+	require.NoError(t, err)
+	require.False(t, first)
+	_, err = again.Join()
+	require.ErrorIs(t, err, once.ErrGone)
+}
