Serve requests that must not be repeated by tickets

Cause: a request marked once was dispatched for every copy that came in. Change: without a ticket it gets 428 and a fresh one; with one it is redeemed by the node that minted it, to which the others relay; the run outlives the caller's connection and every copy reads the same answer.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -22,6 +22,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
@@ -67,6 +68,7 @@
 		peers     *peer.Client
 		server    *peer.Server
 		endpoints *endpoint.Client
+		tickets   *once.Registry
 		callers   *http.Server
 		operators *http.Server
 		running   sync.WaitGroup
@@ -89,6 +91,7 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
+	n.tickets = once.New(once.Config{Node: self.Name, Incarnation: self.Incarnation})
 	k, permits := builtin.New(self, builtin.Config{}, c.Extensions...)
 	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
 	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
@@ -115,7 +118,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	err := n.callers.Shutdown(ctx)
+	err := errors.Join(n.callers.Shutdown(ctx), n.tickets.Wait(ctx))
 	return errors.Join(err, n.Close())
 }
 
@@ -132,17 +135,20 @@
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
+	d := dispatch.New(dispatch.Config{
+		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+	})
+	handler := caller.New(caller.Config{
+		View: k.View, Dispatcher: d, Log: n.config.Log, Tickets: n.tickets, Relays: n.peers,
+	})
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
+		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader, Relays: handler,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	d := dispatch.New(dispatch.Config{
-		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-	})
-	n.callers = caller.NewServer(caller.New(caller.Config{View: k.View, Dispatcher: d, Log: n.config.Log}))
+	n.callers = caller.NewServer(handler)
 	n.operators = &http.Server{
 		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -65,13 +65,9 @@
 		Path: "/v1/chat/completions", Type: "application/json", Body: data,
 		Chat: req.Chat, Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	run, err := h.config.Dispatcher.Do(r.Context(), req, call)
-	if err != nil {
-		refused(err).write(w)
-		return
-	}
-	defer run.Close()
-	h.answerChat(w, c, req, run)
+	h.run(w, r, work{view: v, account: a, request: req, call: call, answer: func(w http.ResponseWriter, run *dispatch.Run) error {
+		return h.answerChat(w, c, req, run)
+	}})
 }
 
 // admit returns the view and the caller's account.
@@ -111,10 +107,9 @@
 	return req, nil
 }
 
-func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) {
+func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) error {
 	if run.Answer.Status != http.StatusOK {
-		copyAnswer(w, run)
-		return
+		return copyAnswer(w, run)
 	}
 	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
 	w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input}.String())
@@ -131,6 +126,7 @@
 			"endpoint": run.Endpoint.Name, "attempt": run.Attempt,
 		}).Warn("answer not delivered whole")
 	}
+	return err
 }
 
 // relay passes a stream on as it comes. The caller sees the end mark only
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -24,12 +24,15 @@
 	Nodes []netip.AddrPort `json:"nodes"`
 	// KeepMS is how long the answer may be kept, in milliseconds.
 	KeepMS int64 `json:"keep_ms"`
+	// Tickets are for requests that must not be repeated; they come only to a
+	// caller that shows its key.
+	Tickets []string `json:"tickets,omitempty"`
 }
 
 func (h *Handler) entry(w http.ResponseWriter, r *http.Request) {
 	v := h.config.View()
 	zone := r.URL.Query().Get("zone")
-	e := Entry{KeepMS: (entryKeep + rand.N(entryJitter)).Milliseconds()}
+	e := Entry{KeepMS: (entryKeep + rand.N(entryJitter)).Milliseconds(), Tickets: h.freshTickets(r, EntryTickets)}
 	for _, n := range entryOrder(v, zone, r.URL.Query().Get("chat")) {
 		e.Nodes = append(e.Nodes, n.Caller)
 	}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -39,25 +39,22 @@
 		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: data,
 		Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	run, err := h.config.Dispatcher.Do(r.Context(), req, call)
-	if err != nil {
-		refused(err).write(w)
-		return
-	}
-	defer run.Close()
-	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
-	copyAnswer(w, run)
+	h.run(w, r, work{view: v, account: a, request: req, call: call, answer: func(w http.ResponseWriter, run *dispatch.Run) error {
+		w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
+		return copyAnswer(w, run)
+	}})
 }
 
 // copyAnswer passes an answer on whole, or as an error where it was cut.
-func copyAnswer(w http.ResponseWriter, run *dispatch.Run) {
+func copyAnswer(w http.ResponseWriter, run *dispatch.Run) error {
 	data, err := io.ReadAll(run.Answer.Body)
 	if err != nil {
 		cutProblem().write(w)
-		return
+		return err
 	}
 	w.Header().Set("Content-Type", run.Answer.Header.Get("Content-Type"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(run.Answer.Status)
-	_, _ = w.Write(data)
+	_, err = w.Write(data)
+	return err
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,6 +13,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -51,6 +52,10 @@
 		View       func() *kernel.View
 		Dispatcher Dispatcher
 		Log        logrus.FieldLogger
+		// Tickets mints and redeems tickets, and Relays reaches the nodes that
+		// minted others.
+		Tickets *once.Registry
+		Relays  Relayer
 		// Timeout is the deadline of a request that names none.
 		Timeout time.Duration
 		// MaxBody is the size of the largest request body, in bytes.
@@ -76,6 +81,8 @@
 	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
 	h.mux.HandleFunc("/v1/services/{service}/{rest...}", h.plain)
 	h.mux.HandleFunc("GET /v1/entry", h.entry)
+	h.mux.HandleFunc("GET /v1/tickets/{ticket}", h.showTicket)
+	h.mux.HandleFunc("DELETE /v1/tickets/{ticket}", h.voidTicket)
 	return h
 }
 
--- /dev/null
+++ b/internal/loopback/once_test.go
@@ -0,0 +1,253 @@
+package loopback_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/loopback"
+	"bulrushhinge.example/bulrushhinge/internal/once"
+)
+
+const (
+	chatPath     = "/v1/chat/completions"
+	readyTimeout = time.Minute
+)
+
+// exchange is one request of a caller and what it got.
+type exchange struct {
+	node, method, path, account, ticket, body string
+	status                                    int
+	header                                    http.Header
+	text                                      string
+}
+
+func (x exchange) request(ctx context.Context, f *loopback.Fleet) (*http.Response, error) {
+	method := x.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%v%s", f.Caller(x.node), x.path), strings.NewReader(x.body))
+	if err != nil {
+		return nil, err
+	}
+	account := x.account
+	if account == "" {
+		account = "a1"
+	}
+	req.Header.Set("Authorization", "Bearer "+loopback.Secret(account))
+	if x.method == "" {
+		req.Header.Set(caller.HeaderOnce, "1")
+	}
+	if x.ticket != "" {
+		req.Header.Set(caller.HeaderTicket, x.ticket)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// do sends the request and reads the answer whole.
+func (x exchange) do(f *loopback.Fleet) (exchange, error) {
+	resp, err := x.request(context.Background(), f)
+	if err != nil {
+		return x, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	x.status, x.header, x.text = resp.StatusCode, resp.Header, string(data)
+	return x, err
+}
+
+func (x exchange) must(t *testing.T, f *loopback.Fleet) exchange {
+	t.Helper()
+	x, err := x.do(f)
+	require.NoError(t, err)
+	return x
+}
+
+func notice(i int) string {
+	return fmt.Sprintf(`{"model":"notices","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"renewal %d"}]}`, i)
+}
+
+// runs returns how often the engines ran a body.
+func runs(f *loopback.Fleet, c loopback.Config, body string) int {
+	total := 0
+	for _, e := range c.Endpoints {
+		if running := f.Endpoint(e.Name); running != nil {
+			total += running.Ran()[body]
+		}
+	}
+	return total
+}
+
+func ticketOf(t *testing.T, f *loopback.Fleet, node, body string) string {
+	t.Helper()
+	x := exchange{node: node, path: chatPath, body: body}.must(t, f)
+	require.Equal(t, http.StatusPreconditionRequired, x.status, x.text)
+	require.Contains(t, x.text, `"ran":"not_run"`)
+	require.NotEmpty(t, x.header.Get(caller.HeaderTicket))
+	return x.header.Get(caller.HeaderTicket)
+}
+
+func stateOf(t *testing.T, f *loopback.Fleet, node, ticket string) once.State {
+	t.Helper()
+	x := exchange{node: node, method: http.MethodGet, path: "/v1/tickets/" + ticket}.must(t, f)
+	var s caller.TicketState
+	require.NoError(t, json.Unmarshal([]byte(x.text), &s), x.text)
+	return s.State
+}
+
+func TestOnceNeedsATicket(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	body := notice(1)
+	ticket := ticketOf(t, f, "n1", body)
+	require.Zero(t, runs(f, c, body))
+	require.Equal(t, once.Unused, stateOf(t, f, "n1", ticket))
+	require.Equal(t, once.Unused, stateOf(t, f, "n2", ticket), "asked at another node")
+
+	first := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.must(t, f)
+	require.Equal(t, http.StatusOK, first.status, first.text)
+	require.True(t, strings.HasSuffix(first.text, "data: [DONE]\n\n"), first.text)
+	again := exchange{node: "n3", path: chatPath, body: body, ticket: ticket}.must(t, f)
+	require.Equal(t, first.text, again.text, "another node relays to the kept answer")
+	require.Equal(t, once.Done, stateOf(t, f, "n4", ticket))
+	require.Equal(t, 1, runs(f, c, body))
+
+	other := exchange{node: "n1", path: chatPath, body: notice(2), ticket: ticket}.must(t, f)
+	require.Equal(t, http.StatusConflict, other.status)
+	stranger := exchange{node: "n1", path: chatPath, body: body, ticket: ticket, account: "a2"}.must(t, f)
+	require.Equal(t, http.StatusConflict, stranger.status)
+	require.Contains(t, stranger.text, `"ran":"unknown"`)
+	require.NotContains(t, stranger.text, "DONE")
+}
+
+func TestEntryCarriesTickets(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	x := exchange{node: "n2", method: http.MethodGet, path: "/v1/entry"}.must(t, f)
+	var e caller.Entry
+	require.NoError(t, json.Unmarshal([]byte(x.text), &e))
+	require.Len(t, e.Tickets, caller.EntryTickets)
+	for i, ticket := range e.Tickets {
+		x := exchange{node: "n2", path: chatPath, body: notice(i), ticket: ticket}.must(t, f)
+		require.Equal(t, http.StatusOK, x.status, x.text)
+	}
+}
+
+// Symptom: two renewal letters for one deposit.
+// Sequence: a caller whose first try seems lost sends the same request with the
+// same ticket to every node at once, twice each.
+// Cause: each node takes its copy for the first.
+func TestSameTicketAtEveryNodeAtOnceRunsOnce(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	for i := range 3 {
+		body := notice(i)
+		ticket := ticketOf(t, f, "n1", body)
+		answers := make([]exchange, 2*len(c.Nodes))
+		var wait sync.WaitGroup
+		for j := range answers {
+			wait.Go(func() {
+				x, err := exchange{node: c.Nodes[j%len(c.Nodes)].Name, path: chatPath, body: body, ticket: ticket}.do(f)
+				if err != nil {
+					t.Error(err)
+				}
+				answers[j] = x
+			})
+		}
+		wait.Wait()
+		for _, x := range answers {
+			require.Equal(t, answers[0].text, x.text)
+			require.True(t, strings.HasSuffix(x.text, "data: [DONE]\n\n"), x.text)
+		}
+		require.Equal(t, 1, runs(f, c, body))
+	}
+}
+
+// Symptom: a caller never gets the letter that was costed.
+// Sequence: its connection breaks after the first token; it comes back through
+// another node.
+// Cause: the run ended with the connection, or the answer went with it.
+func TestCallerThatHungUpComesBackToItsAnswer(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	body := notice(1)
+	ticket := ticketOf(t, f, "n1", body)
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.request(ctx, f)
+	require.NoError(t, err)
+	line, err := bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	resp.Body.Close()
+	again := exchange{node: "n2", path: chatPath, body: body, ticket: ticket}.must(t, f)
+	require.True(t, strings.HasPrefix(again.text, line), again.text)
+	require.True(t, strings.HasSuffix(again.text, "data: [DONE]\n\n"), again.text)
+	require.Equal(t, 1, runs(f, c, body))
+}
+
+// Symptom: a request of which the caller was told "not run" runs after all.
+// Sequence: the caller voids its ticket through another node; a delayed copy of
+// the request arrives at each node.
+// Cause: "not run" was said of now and not of ever.
+func TestVoidedTicketNeverRuns(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	body := notice(1)
+	ticket := ticketOf(t, f, "n1", body)
+	x := exchange{node: "n5", method: http.MethodDelete, path: "/v1/tickets/" + ticket}.must(t, f)
+	require.Equal(t, http.StatusOK, x.status, x.text)
+	require.Contains(t, x.text, string(once.Void))
+	for _, n := range c.Nodes {
+		x := exchange{node: n.Name, path: chatPath, body: body, ticket: ticket}.must(t, f)
+		require.Equal(t, http.StatusConflict, x.status)
+		require.Contains(t, x.text, `"ran":"not_run"`)
+	}
+	require.Zero(t, runs(f, c, body))
+}
+
+// Symptom: a request runs a second time after a node died or was replaced.
+// Sequence: the minting node is killed after it ran the request; the caller asks
+// the others, then a new process of the same name.
+// Cause: another node, or the successor, decides in place of the dead one.
+func TestTicketOfADeadNodeIsUnknownAndNeverRuns(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	body := notice(1)
+	ticket := ticketOf(t, f, "n1", body)
+	unused := ticketOf(t, f, "n1", notice(2))
+	x := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.must(t, f)
+	require.Equal(t, http.StatusOK, x.status, x.text)
+	require.NoError(t, f.KillNode("n1"))
+	refuse := func(node string) {
+		for _, b := range []string{body, notice(2)} {
+			given := ticket
+			if b != body {
+				given = unused
+			}
+			x := exchange{node: node, path: chatPath, body: b, ticket: given}.must(t, f)
+			require.Equal(t, http.StatusConflict, x.status, x.text)
+			require.Contains(t, x.text, `"ran":"unknown"`)
+			require.Equal(t, once.Unknown, stateOf(t, f, node, given))
+		}
+	}
+	refuse("n2")
+	require.NoError(t, f.StartNode(c.Nodes[0]))
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	require.NoError(t, f.Ready(ctx))
+	refuse("n1")
+	refuse("n2")
+	require.Equal(t, 1, runs(f, c, body))
+	require.Zero(t, runs(f, c, notice(2)))
+}
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -123,10 +123,10 @@
 }
 
 // Copy writes the whole answer to a caller as it comes, until the run has ended
-// or ctx has, and leaves the record.
-func (d *Reader) Copy(ctx context.Context, w http.ResponseWriter) error {
+// or ctx has, and leaves the record. It reports whether the answer's head was
+// written before an error.
+func (d *Reader) Copy(ctx context.Context, w http.ResponseWriter) (started bool, err error) {
 	defer d.leave()
-	started := false
 	control := http.NewResponseController(w)
 	for {
 		p := d.next()
@@ -136,20 +136,20 @@
 		}
 		if len(p.data) > 0 {
 			if _, err := w.Write(p.data); err != nil {
-				return err
+				return started, err
 			}
 			if err := control.Flush(); err != nil {
-				return err
+				return started, err
 			}
 			continue
 		}
 		if p.ended {
-			return nil
+			return started, nil
 		}
 		select {
 		case <-p.changed:
 		case <-ctx.Done():
-			return ctx.Err()
+			return started, ctx.Err()
 		}
 	}
 }
@@ -224,7 +224,9 @@
 	r.used.set(c.serial, s, r.forget())
 	r.ended = append(r.ended, c)
 	c.wake()
-	r.running.Done()
+	r.active--
+	close(r.idle)
+	r.idle = make(chan struct{})
 }
 
 func (c *Record) writeHeader(status int) {
--- a/internal/once/registry.go
+++ b/internal/once/registry.go
@@ -10,6 +10,7 @@
 package once
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -103,11 +104,13 @@
 		used    ledger
 		records map[uint64]*Record
 		// ended is the records of ended runs, oldest first.
-		ended   []*Record
-		memory  int
+		ended  []*Record
+		memory int
 		// swept is when what is past its retention was last dropped.
-		swept   time.Duration
-		running sync.WaitGroup
+		swept  time.Duration
+		active int
+		// idle is closed and replaced whenever a run ends.
+		idle chan struct{}
 	}
 )
 
@@ -128,6 +131,7 @@
 		key:     ticket.NewKey(),
 		used:    newLedger(c.Blocks),
 		records: map[uint64]*Record{},
+		idle:    make(chan struct{}),
 	}
 }
 
@@ -178,7 +182,7 @@
 	}
 	record := newRecord(r, t.Serial, p)
 	r.records[t.Serial] = record
-	r.running.Add(1)
+	r.active++
 	return record, true, nil
 }
 
@@ -219,8 +223,22 @@
 	}
 }
 
-// Wait waits until no request runs.
-func (r *Registry) Wait() { r.running.Wait() }
+// Wait waits until no request runs, or ctx ends.
+func (r *Registry) Wait(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		active, idle := r.active, r.idle
+		r.mu.Unlock()
+		if active == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
 // Stats is the size of a Registry, for operators.
 type Stats struct {
--- a/internal/once/registry_test.go
+++ b/internal/once/registry_test.go
@@ -43,7 +43,8 @@
 	w := httptest.NewRecorder()
 	d, err := r.Join()
 	require.NoError(t, err)
-	require.NoError(t, d.Copy(t.Context(), w))
+	_, err = d.Copy(t.Context(), w)
+	require.NoError(t, err)
 	return w.Body.String()
 }
 
@@ -70,7 +71,8 @@
 			}
 			d, err := record.Join()
 			w := httptest.NewRecorder()
-			if err = errors.Join(err, d.Copy(t.Context(), w)); err != nil || w.Body.String() != "letter" {
+			_, copied := d.Copy(t.Context(), w)
+			if err = errors.Join(err, copied); err != nil || w.Body.String() != "letter" {
 				t.Error(err, w.Body.String())
 			}
 		})
@@ -98,7 +100,7 @@
 	record.Run(t.Context(), answer("mine"))
 	_, _, err = r.Redeem(minted, account, once.Print{2})
 	require.ErrorIs(t, err, once.ErrOther)
-	r.Wait()
+	require.NoError(t, r.Wait(t.Context()))
 }
 
 // Symptom: a request runs after its caller was told that it was not run.
@@ -128,7 +130,7 @@
 	record, _, err := r.Redeem(minted, account, once.Print{1})
 	require.NoError(t, err)
 	record.Run(t.Context(), answer("letter"))
-	r.Wait()
+	require.NoError(t, r.Wait(t.Context()))
 	for range 300 {
 		clock.Advance(7 * time.Second)
 		_, first, err := r.Redeem(minted, account, once.Print{1})
@@ -210,7 +212,7 @@
 		record, _, err := r.Redeem(minted, account, once.Print{1})
 		require.NoError(t, err)
 		record.Run(t.Context(), answer(string(make([]byte, 300))))
-		r.Wait()
+		require.NoError(t, r.Wait(t.Context()))
 		require.LessOrEqual(t, r.Stats().Bytes, 1000)
 	}
 	for range 3000 {
@@ -255,7 +257,8 @@
 	text := string(make([]byte, 1<<20))
 	record.Run(t.Context(), answer(text))
 	w := httptest.NewRecorder()
-	require.NoError(t, d.Copy(t.Context(), w))
+	_, err = d.Copy(t.Context(), w)
+	require.NoError(t, err)
 	require.Len(t, w.Body.String(), len(text))
 	require.LessOrEqual(t, r.Stats().Bytes, 64<<10)
 	again, first, err := r.Redeem(minted, account, once.Print{1})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,7 @@
 	poolCapacity    = 1024
 	poolKeyCapacity = 8
 	poolExpiration  = time.Minute
+	dialTimeout     = time.Second
 )
 
 // ErrUnreachable is returned where a peer did not answer. Whether it received
@@ -53,7 +54,7 @@
 // NewClient returns a Client.
 func NewClient(c ClientConfig) *Client {
 	if c.Dialer == nil {
-		c.Dialer = &net.Dialer{}
+		c.Dialer = &net.Dialer{Timeout: dialTimeout}
 	}
 	return &Client{
 		config: c,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,6 +45,7 @@
 		Beats    Beats
 		Permits  Permits
 		Values   Values
+		Relays   Relays
 	}
 
 	// Server serves peers until it is closed.
@@ -66,7 +67,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
-	server := drpcserver.New(mux)
+	server := drpcserver.NewWithOptions(mux, options())
 	go func() {
 		s.done <- server.Serve(ctx, c.Listener)
 	}()
