Tell lost calls from calls not run, resume and cancel streams

Cause: a connection broken while writing was taken for a call not run only by its error's operation; redirects would have sent a body again; a broken stream was final; an answer delimited by its connection's end passed for whole; and a closing node raced on the heartbeat's reply. Change: not run only without a connection; no redirects; numbered events, resume and cancel by attempt; a cut answer of which the caller saw nothing goes to another endpoint.

--- a/control.go
+++ b/control.go
@@ -90,20 +90,24 @@
 
 // Beat takes a peer's heartbeat and returns the node's own.
 func (c *control) Beat(_ context.Context, b *kernel.Beat) *kernel.Beat {
-	reply := &kernel.Beat{}
-	c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
+	var reply *kernel.Beat
+	if !c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
 		reply = c.config.Kernel.Beat(now, b.Node)
-	})
+	}) {
+		return &kernel.Beat{}
+	}
 	return reply
 }
 
 // Dump returns the state of every plug-in.
 func (c *control) Dump() map[string]any {
-	state := map[string]any{}
-	c.do(nil, func(now time.Time) {
+	var state map[string]any
+	if !c.do(nil, func(now time.Time) {
 		state = c.config.Kernel.Dump(now)
 		state["view"] = c.View()
-	})
+	}) {
+		return map[string]any{}
+	}
 	return state
 }
 
@@ -113,17 +117,21 @@
 	c.running.Wait()
 }
 
-// do applies an event and runs a call on the control goroutine, and waits.
-func (c *control) do(ev kernel.Event, call func(now time.Time)) {
+// do applies an event and runs a call on the control goroutine, and waits. It
+// reports whether the call has ended; where the node closes meanwhile, the call
+// may still run, and what it writes must not be read.
+func (c *control) do(ev kernel.Event, call func(now time.Time)) bool {
 	in := input{event: ev, call: call, done: make(chan struct{})}
 	select {
 	case c.inputs <- in:
 	case <-c.ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-in.done:
+		return true
 	case <-c.ctx.Done():
+		return false
 	}
 }
 
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -135,6 +135,7 @@
 func relay(w http.ResponseWriter, s *endpoint.Stream) error {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	begun := false
 	for {
 		c, err := s.Next()
 		if errors.Is(err, io.EOF) {
@@ -142,9 +143,12 @@
 			return err
 		}
 		if err != nil {
-			_ = event(w, cutProblem().body())
+			if begun {
+				_ = event(w, cutProblem().body())
+			}
 			return err
 		}
+		begun = true
 		if err := event(w, c); err != nil {
 			return err
 		}
@@ -165,7 +169,6 @@
 			break
 		}
 		if err != nil {
-			cutProblem().write(w)
 			return err
 		}
 		answer.ID, answer.Model = c.ID, c.Model
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 
@@ -10,6 +9,9 @@
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
+// maxAnswerBytes is the size of the largest plain answer.
+const maxAnswerBytes = 8 << 20
+
 func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
 	v, a, p := h.admit(r)
 	if p != nil {
@@ -45,11 +47,10 @@
 	}})
 }
 
-// copyAnswer passes an answer on whole, or as an error where it was cut.
+// copyAnswer passes an answer on once it came whole.
 func copyAnswer(w http.ResponseWriter, run *dispatch.Run) error {
-	data, err := io.ReadAll(run.Answer.Body)
+	data, err := run.Answer.ReadAll(maxAnswerBytes)
 	if err != nil {
-		cutProblem().write(w)
 		return err
 	}
 	w.Header().Set("Content-Type", run.Answer.Header.Get("Content-Type"))
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -25,6 +25,27 @@
 	answer func(w http.ResponseWriter, run *dispatch.Run) error
 }
 
+// firstWrite tells whether an answer has begun.
+type firstWrite struct {
+	http.ResponseWriter
+	started bool
+}
+
+// WriteHeader writes the head of the answer.
+func (w *firstWrite) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a piece of the answer.
+func (w *firstWrite) Write(data []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *firstWrite) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // run carries a request out: at once, or by its ticket where it must not be
 // repeated.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, k work) {
@@ -38,23 +59,39 @@
 // carry dispatches a request and passes its answer on. It returns what became
 // of the request.
 func (h *Handler) carry(ctx context.Context, w http.ResponseWriter, k work) once.State {
+	ctx, cancel := context.WithDeadline(ctx, k.request.Deadline)
+	defer cancel()
+	out := &firstWrite{ResponseWriter: w}
 	run, err := h.config.Dispatcher.Do(ctx, k.request, k.call)
-	if err != nil {
-		p := refused(err)
-		if k.request.Once && p.ran == RanNot {
-			h.addTicket(w, k.account.Name)
-		}
-		p.write(w)
-		if p.ran == RanNot {
-			return once.Void
+	for err == nil {
+		cut := k.answer(out, run)
+		if cut == nil || out.started || !errors.Is(cut, endpoint.ErrCut) {
+			_ = run.Close()
+			return answered(out, cut)
 		}
-		return once.Unknown
+		// The caller has seen nothing of the cut answer, so that another
+		// endpoint may still give a whole one.
+		run, err = run.Retry(ctx)
+	}
+	p := refused(err)
+	if k.request.Once && p.ran == RanNot {
+		h.addTicket(w, k.account.Name)
+	}
+	p.write(w)
+	if p.ran == RanNot {
+		return once.Void
+	}
+	return once.Unknown
+}
+
+func answered(out *firstWrite, err error) once.State {
+	if err == nil {
+		return once.Done
 	}
-	defer run.Close()
-	if err := k.answer(w, run); err != nil {
-		return once.Unknown
+	if !out.started {
+		cutProblem().write(out)
 	}
-	return once.Done
+	return once.Unknown
 }
 
 // runOnce redeems the request's ticket. The first copy of the request runs
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,6 +79,7 @@
 		Attempt  string
 		Endpoint kernel.Endpoint
 		release  func()
+		job      *job
 	}
 
 	job struct {
@@ -103,7 +104,7 @@
 
 // Close ends the answer and gives the permit back.
 func (r *Run) Close() error {
-	err := r.Answer.Body.Close()
+	err := r.Answer.Close()
 	r.release()
 	return err
 }
@@ -112,8 +113,12 @@
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
 	j := &job{d: d, plan: route.New(req), req: req, call: call}
+	return j.carry(ctx)
+}
+
+func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
-		step := j.plan.Next(time.Now(), d.config.View())
+		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
 			j.plan.Report(j.ask(ctx, step.Endpoint))
@@ -164,7 +169,7 @@
 	permit := j.permit
 	if err == nil {
 		release := func() { j.d.release(e, permit) }
-		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
 	j.d.release(e, permit)
 	if ctx.Err() == nil {
--- /dev/null
+++ b/internal/endpoint/answer.go
@@ -0,0 +1,57 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+)
+
+// ErrLarge is returned where an answer is larger than the reader takes.
+var ErrLarge = errors.New("endpoint: answer too large")
+
+// Answer is an endpoint's response. The caller closes it.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+
+	// bounded is set where the end of the body can be told from a cut.
+	bounded bool
+	// whole is set once the answer was read to its proper end.
+	whole   bool
+	attempt string
+	client  *Client
+	addr    netip.AddrPort
+	ctx     context.Context
+}
+
+// ReadAll reads a whole body of at most limit bytes. It returns ErrCut where the
+// body may have been cut: it ended early, or its length was neither announced
+// nor marked, so that a broken connection looks like its end.
+func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %v", ErrCut, err)
+	case int64(len(data)) > limit:
+		return nil, fmt.Errorf("%w: over %d bytes", ErrLarge, limit)
+	case !a.bounded:
+		return nil, fmt.Errorf("%w: length unknown", ErrCut)
+	}
+	a.whole = true
+	return data, nil
+}
+
+// Close ends the answer. An endpoint that still runs the call is told to stop:
+// it cannot tell a caller that gave up from a broken connection, after which
+// the stream is asked for again.
+func (a *Answer) Close() error {
+	err := a.Body.Close()
+	if !a.whole && a.client != nil {
+		a.client.cancelLater(a.addr, a.attempt)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/endpoint/attempt.go
@@ -0,0 +1,62 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	attemptsPath  = "/v1/attempts/"
+	cancelTimeout = time.Second
+)
+
+// Resume asks for the answer to an attempt again, from the given event on. It
+// returns ErrLost where the endpoint does not have it: that proves nothing, for
+// the call may still be on its way.
+func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Answer, error) {
+	query := url.Values{"from": {strconv.Itoa(from)}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, attemptURL(addr, attempt)+"?"+query, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	resp, err := c.shared.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	if resp.Header.Get(HeaderAttempt) == "" {
+		resp.Body.Close()
+		return nil, fmt.Errorf("%w: status %d", ErrLost, resp.StatusCode)
+	}
+	return c.answer(ctx, addr, attempt, resp)
+}
+
+// Cancel tells an endpoint to stop an attempt. An endpoint that does not know
+// it does nothing.
+func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, attempt string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, attemptURL(addr, attempt), nil)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	resp, err := c.shared.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	return resp.Body.Close()
+}
+
+func (c *Client) cancelLater(addr netip.AddrPort, attempt string) {
+	c.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = c.Cancel(ctx, addr, attempt)
+	})
+}
+
+func attemptURL(addr netip.AddrPort, attempt string) string {
+	return "http://" + addr.String() + attemptsPath + url.PathEscape(attempt)
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -11,8 +11,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +33,8 @@
 	ErrLost = errors.New("endpoint: lost")
 	// ErrCut is returned where an answer ended without its end mark.
 	ErrCut = errors.New("endpoint: answer cut")
+
+	errConnection = errors.New("connection broke")
 )
 
 type (
@@ -48,52 +53,70 @@
 		Once bool
 	}
 
-	// Answer is an endpoint's response. The caller closes Body.
-	Answer struct {
-		Status int
-		Header http.Header
-		Body   io.ReadCloser
-	}
-
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
 	Client struct {
-		shared *http.Client
-		single *http.Client
+		shared  *http.Client
+		single  *http.Client
+		running sync.WaitGroup
 	}
 )
 
 // NewClient returns a Client.
 //
 // The transport of net/http sends a request again when a kept-alive connection
-// breaks before the answer and the request looks repeatable; the endpoint might
-// run the call twice. Calls marked Once therefore get a connection of their
-// own, on which there is nothing to send again.
+// breaks before the answer and the request looks repeatable, as an
+// Idempotency-Key header makes it; the endpoint might run the call twice. Calls
+// marked Once therefore get a connection of their own, on which there is
+// nothing to send again. For the same reason no redirect is followed: a 307 or
+// 308 would send the body again.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		shared: &http.Client{Transport: &http.Transport{
+		shared: newHTTP(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
 			DisableCompression:  true,
-		}},
-		single: &http.Client{Transport: &http.Transport{
+		}),
+		single: newHTTP(&http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-		}},
+		}),
 	}
 }
 
-// Close drops idle connections.
+// Close waits for the cancellations under way and drops idle connections.
 func (c *Client) Close() {
+	c.running.Wait()
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
 }
 
 // Do sends a call and returns the head of the answer. It returns ErrNotRun
-// where the connection could not be made or the endpoint said so, and ErrLost
-// for every other failure.
+// where no connection was made, so that no byte of the call can have gone out,
+// or where the endpoint said so, and ErrLost for every other failure.
+//
+// A connection that breaks before the head of the answer may leave the call
+// running; its answer is asked for once before the call is given up.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, call Call) (*Answer, error) {
+	answer, err := c.send(ctx, addr, call)
+	if !errors.Is(err, ErrLost) {
+		return answer, err
+	}
+	if errors.Is(err, errConnection) && ctx.Err() == nil {
+		if answer, again := c.Resume(ctx, addr, call.Attempt, 0); again == nil {
+			return answer, nil
+		}
+	}
+	c.cancelLater(addr, call.Attempt)
+	return nil, err
+}
+
+func (c *Client) send(ctx context.Context, addr netip.AddrPort, call Call) (*Answer, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	req, err := request(ctx, addr, call)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrNotRun, err)
@@ -104,17 +127,27 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, failure(err)
+		return nil, failure(err, connected.Load())
 	}
-	if resp.Header.Get(HeaderNotRun) != "" {
+	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderNotRun) != "" {
 		resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", ErrNotRun, resp.StatusCode)
 	}
-	if got := resp.Header.Get(HeaderAttempt); got != call.Attempt {
+	return c.answer(ctx, addr, call.Attempt, resp)
+}
+
+// answer checks that a response belongs to the attempt: a crossed or late one
+// must never reach another caller.
+func (c *Client) answer(ctx context.Context, addr netip.AddrPort, attempt string, resp *http.Response) (*Answer, error) {
+	if got := resp.Header.Get(HeaderAttempt); got != attempt {
 		resp.Body.Close()
 		return nil, fmt.Errorf("%w: answer is of attempt %q", ErrLost, got)
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
+		bounded: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		attempt: attempt, client: c, addr: addr, ctx: ctx,
+	}, nil
 }
 
 // Load reads an endpoint's own report of its load, which lags.
@@ -161,10 +194,19 @@
 	return req, nil
 }
 
-func failure(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fmt.Errorf("%w: %v", ErrNotRun, err)
+// failure tells a call that cannot have been sent from one that may have been.
+// Only the first may be said not to have run: once there is a connection, the
+// endpoint may hold the whole call although writing it failed.
+func failure(err error, connected bool) error {
+	if connected {
+		return fmt.Errorf("%w: %w: %v", ErrLost, errConnection, err)
+	}
+	return fmt.Errorf("%w: %v", ErrNotRun, err)
+}
+
+func newHTTP(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return fmt.Errorf("%w: %v", ErrLost, err)
 }
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -16,7 +16,7 @@
 	HeaderChat = "X-Chat"
 )
 
-// DoneMark ends a whole stream.
+// DoneMark ends a whole stream. It is numbered like the chunks before it.
 const DoneMark = "[DONE]"
 
 type (
