Suspect requests that crash endpoints and run them one at a time

Cause: a request that crashes its engine is retried by the node and sent again by its caller until no engine is left.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -26,6 +26,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 )
 
 // DefaultGrace is how long a stopping node still takes requests, so that
@@ -135,8 +136,10 @@
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
+	leases := poison.NewLeases(0)
 	d := dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		Leases: leases, PeerLeases: n.peers,
 	})
 	handler := caller.New(caller.Config{
 		View: k.View, Dispatcher: d, Log: n.config.Log, Tickets: n.tickets, Relays: n.peers,
@@ -144,6 +147,7 @@
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
 		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader, Relays: handler,
+		Leases: leases,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -7,6 +7,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
@@ -14,6 +15,7 @@
 type Config struct {
 	Membership membership.Config
 	Pool       pool.Config
+	Poison     poison.Config
 }
 
 // New returns a kernel with the built-in plug-ins and the given further ones,
@@ -26,6 +28,7 @@
 		config.New(),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
+		poison.New(c.Poison),
 	}, more...)})
 	return k, permits
 }
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -85,8 +85,11 @@
 	if r.NotRun {
 		p.ran = RanNot
 	}
-	if r.Reason == route.ReasonDeadline {
+	switch r.Reason {
+	case route.ReasonDeadline:
 		p.status = http.StatusGatewayTimeout
+	case route.ReasonIsolated:
+		p.status = http.StatusUnprocessableEntity
 	}
 	return p
 }
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -9,6 +9,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/once"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 	"bulrushhinge.example/bulrushhinge/pkg/ticket"
@@ -49,6 +50,7 @@
 // run carries a request out: at once, or by its ticket where it must not be
 // repeated.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, k work) {
+	k.request.Print = poison.Print(k.account.Name, []byte(k.call.Method), []byte(k.call.Path), k.call.Body)
 	if k.request.Once {
 		h.runOnce(w, r, k)
 		return
@@ -66,12 +68,15 @@
 	for err == nil {
 		cut := k.answer(out, run)
 		if cut == nil || out.started || !errors.Is(cut, endpoint.ErrCut) {
+			if errors.Is(cut, endpoint.ErrCut) {
+				run.Fail(ctx, cut)
+			}
 			_ = run.Close()
 			return answered(out, cut)
 		}
 		// The caller has seen nothing of the cut answer, so that another
 		// endpoint may still give a whole one.
-		run, err = run.Retry(ctx)
+		run, err = run.Retry(ctx, cut)
 	}
 	p := refused(err)
 	if k.request.Once && p.ran == RanNot {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Leases and PeerLeases let suspected requests run.
+		Leases     Leases
+		PeerLeases PeerLeases
 	}
 
 	// Dispatcher runs requests. It is safe for concurrent use.
@@ -89,6 +92,8 @@
 		call   endpoint.Call
 		permit uint64
 		lost   bool
+
+		suspicion suspicion
 	}
 )
 
@@ -106,6 +111,7 @@
 func (r *Run) Close() error {
 	err := r.Answer.Close()
 	r.release()
+	r.job.giveBack(false)
 	return err
 }
 
@@ -118,6 +124,10 @@
 
 func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
+		if refusal := j.clear(ctx); refusal != nil {
+			j.giveBack(false)
+			return nil, refusal
+		}
 		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
@@ -130,9 +140,11 @@
 			j.plan.Report(outcome)
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
+				j.giveBack(false)
 				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
+			j.giveBack(false)
 			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
 		}
 	}
@@ -145,6 +157,7 @@
 		Endpoint: e.Name,
 		Tokens:   j.req.Input + j.req.Output,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Suspect:  len(j.suspect().Endpoints),
 	}
 	verdict, err := j.d.ask(ctx, e, a)
 	if err != nil {
@@ -172,9 +185,7 @@
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
 	j.d.release(e, permit)
-	if ctx.Err() == nil {
-		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
-	}
+	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
 	}
--- /dev/null
+++ b/internal/dispatch/suspect.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+)
+
+// suspectPause is the time between two asks for the lease of a request.
+const suspectPause = 100 * time.Millisecond
+
+type (
+	// Leases grants the right to run suspected requests whose holder the node
+	// is.
+	Leases interface {
+		Acquire(now time.Time, l poison.Lease) bool
+		Release(now time.Time, l poison.Lease, died bool)
+	}
+
+	// PeerLeases asks other nodes for that right.
+	PeerLeases interface {
+		Acquire(ctx context.Context, to netip.AddrPort, l poison.Lease) (bool, error)
+		GiveBack(ctx context.Context, to netip.AddrPort, l poison.Lease, died bool) error
+	}
+
+	// suspicion is what a job knows of its own request.
+	suspicion struct {
+		// endpoints is those that died running it here. The control state
+		// hears of them too, but only after the job has gone on.
+		endpoints []string
+		lease     poison.Lease
+		holder    kernel.Node
+		held      bool
+	}
+)
+
+// suspect returns what the node knows of the job's request.
+func (j *job) suspect() kernel.Suspicion {
+	s := j.d.config.View().Suspects[j.req.Print]
+	s, _ = s.Merge(j.suspicion.endpoints)
+	return s
+}
+
+// clear waits until a suspected request may run. It returns a refusal where the
+// request is isolated or its deadline passes.
+func (j *job) clear(ctx context.Context) *Refusal {
+	for j.req.Print != 0 {
+		s := j.suspect()
+		switch {
+		case s.Isolated():
+			return &Refusal{Reason: route.ReasonIsolated, NotRun: !j.lost}
+		case len(s.Endpoints) == 0, j.suspicion.held, j.acquire(ctx):
+			return nil
+		}
+		until := time.Now().Add(suspectPause)
+		if until.After(j.req.Deadline) || wait(ctx, until) != nil {
+			return &Refusal{Reason: route.ReasonDeadline, RetryAfter: poison.DefaultCooldown, NotRun: !j.lost}
+		}
+	}
+	return nil
+}
+
+// acquire asks for the lease of the request at the node that grants it.
+func (j *job) acquire(ctx context.Context) bool {
+	v := j.d.config.View()
+	holder, ok := poison.Holder(j.req.Print, v.Nodes)
+	if !ok {
+		return false
+	}
+	lease := poison.Lease{
+		Print: j.req.Print, ID: j.d.base + j.d.serial.Add(1),
+		Duration: time.Until(j.req.Deadline) + leaseSlack,
+	}
+	granted := false
+	if holder.Name == v.Self.Name {
+		granted = j.d.config.Leases.Acquire(time.Now(), lease)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		granted, _ = j.d.config.PeerLeases.Acquire(ctx, holder.Peer, lease)
+	}
+	j.suspicion.lease, j.suspicion.holder, j.suspicion.held = lease, holder, granted
+	return granted
+}
+
+// giveBack ends the lease, if one is held.
+func (j *job) giveBack(died bool) {
+	s := &j.suspicion
+	if !s.held {
+		return
+	}
+	s.held = false
+	if s.holder.Name == j.d.config.View().Self.Name {
+		j.d.config.Leases.Release(time.Now(), s.lease, died)
+		return
+	}
+	to, lease := s.holder.Peer, s.lease
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = j.d.config.PeerLeases.GiveBack(ctx, to, lease, died)
+	}()
+}
+
+// failed tells the control state of an attempt that broke.
+func (j *job) failed(ctx context.Context, e kernel.Endpoint, err error) {
+	died := errors.Is(err, endpoint.ErrDied)
+	if ctx.Err() == nil {
+		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
+	}
+	if died && j.req.Print != 0 {
+		j.suspicion.endpoints = append(j.suspicion.endpoints, e.Name)
+		j.d.config.Sink.Offer(poison.Died{Print: j.req.Print, Endpoint: e.Name})
+	}
+	j.giveBack(died)
+}
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -28,14 +28,18 @@
 	ctx     context.Context
 }
 
-// ReadAll reads a whole body of at most limit bytes. It returns ErrCut where the
+// ReadAll reads a whole body of at most limit bytes. Where the connection
+// breaks, the answer is asked for once more from its beginning. It returns ErrCut where the
 // body may have been cut: it ended early, or its length was neither announced
 // nor marked, so that a broken connection looks like its end.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil && a.ctx.Err() == nil {
+		data, err = a.readAgain(limit, err)
+	}
 	switch {
 	case err != nil:
-		return nil, fmt.Errorf("%w: %v", ErrCut, err)
+		return nil, fmt.Errorf("%w: %w", ErrCut, err)
 	case int64(len(data)) > limit:
 		return nil, fmt.Errorf("%w: over %d bytes", ErrLarge, limit)
 	case !a.bounded:
@@ -55,3 +59,13 @@
 	}
 	return err
 }
+
+func (a *Answer) readAgain(limit int64, broken error) ([]byte, error) {
+	_ = a.Body.Close()
+	again, err := a.client.Resume(a.ctx, a.addr, a.attempt, 0)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrDied, broken)
+	}
+	a.Body, a.bounded = again.Body, again.bounded
+	return io.ReadAll(io.LimitReader(a.Body, limit+1))
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -34,6 +34,10 @@
 	// ErrCut is returned where an answer ended without its end mark.
 	ErrCut = errors.New("endpoint: answer cut")
 
+	// ErrDied is returned, with ErrLost or ErrCut, where the connection broke
+	// while the call ran and the endpoint no longer knows the attempt.
+	ErrDied = errors.New("endpoint: died")
+
 	errConnection = errors.New("connection broke")
 )
 
@@ -104,9 +108,11 @@
 		return answer, err
 	}
 	if errors.Is(err, errConnection) && ctx.Err() == nil {
-		if answer, again := c.Resume(ctx, addr, call.Attempt, 0); again == nil {
+		answer, again := c.Resume(ctx, addr, call.Attempt, 0)
+		if again == nil {
 			return answer, nil
 		}
+		err = fmt.Errorf("%w: %w", ErrDied, err)
 	}
 	c.cancelLater(addr, call.Attempt)
 	return nil, err
--- a/internal/endpoint/event.go
+++ b/internal/endpoint/event.go
@@ -59,7 +59,7 @@
 		}
 	}
 	if err := s.lines.Err(); err != nil {
-		return event{}, fmt.Errorf("%w: %v", ErrCut, err)
+		return event{}, fmt.Errorf("%w: %w: %v", ErrCut, errConnection, err)
 	}
 	return event{}, fmt.Errorf("%w: no end mark", ErrCut)
 }
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -47,7 +47,7 @@
 		switch {
 		case errors.Is(err, ErrCut):
 			if !s.resume() {
-				return Chunk{}, err
+				return Chunk{}, s.died(err)
 			}
 		case err != nil:
 			return Chunk{}, err
@@ -125,6 +125,15 @@
 	return io.EOF
 }
 
+// died adds ErrDied to the error of a broken connection, unless the caller gave
+// the stream up.
+func (s *Stream) died(err error) error {
+	if s.answer.ctx.Err() == nil && errors.Is(err, errConnection) {
+		return fmt.Errorf("%w: %w", ErrDied, err)
+	}
+	return err
+}
+
 // resume asks the endpoint for the rest of a numbered stream and reports
 // whether it goes on.
 func (s *Stream) resume() bool {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -37,6 +37,8 @@
 		Tokens   int
 		// Lease is how long the permit counts unless it is given back.
 		Lease time.Duration
+		// Suspect is how many endpoints died running the request.
+		Suspect int
 	}
 
 	// Gate holds the permits of the endpoints whose home the node is. It is
@@ -52,6 +54,7 @@
 		endpoint string
 		tokens   int
 		expires  time.Time
+		suspect  int
 	}
 )
 
@@ -76,10 +79,13 @@
 		return Granted
 	}
 	load := g.loads[a.Endpoint]
+	if a.Suspect > 0 && !g.takesSuspect(a) {
+		return Full
+	}
 	if load.Requests+1 > Limit(pool) {
 		return Full
 	}
-	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease)}
+	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease), suspect: a.Suspect}
 	g.loads[a.Endpoint] = load.Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
 	return Granted
 }
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -66,6 +66,8 @@
 		Loads []EndpointLoad
 		// Leaves names endpoints that the sender knows to be leaving.
 		Leaves []string
+		// Suspects is the requests that ran on endpoints when they died.
+		Suspects []Suspicion
 	}
 
 	// EndpointLoad is the load of one endpoint.
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -98,6 +98,9 @@
 		Nodes []Node
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
+		// Suspects is the requests that ran on endpoints when they died, by
+		// print.
+		Suspects map[uint64]Suspicion
 	}
 )
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -18,6 +18,7 @@
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, encodeLoad),
 		Leaves:      b.Leaves,
+		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
 
@@ -31,6 +32,7 @@
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, decodeLoad),
 		Leaves:      b.Leaves,
+		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
 
@@ -55,6 +57,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   uint32(max(a.Tokens, 0)),
 		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+		Suspect:  uint32(a.Suspect),
 	}
 }
 
@@ -64,6 +67,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   int(a.Tokens),
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
+		Suspect:  int(a.Suspect),
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,6 +46,7 @@
 		Permits  Permits
 		Values   Values
 		Relays   Relays
+		Leases   Leases
 	}
 
 	// Server serves peers until it is closed.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,6 +51,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonLost is a request that must not be repeated and may have run.
 	ReasonLost Reason = "lost"
+	// ReasonIsolated is a request that crashes the endpoints that run it.
+	ReasonIsolated Reason = "isolated"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
@@ -86,6 +88,9 @@
 		Priority int
 		Deadline time.Time
 		Hint     hint.Hint
+		// Print identifies the request's content over the whole fleet; 0 where
+		// it is not known.
+		Print uint64
 	}
 
 	// Step is what the driver of a Plan does next.
