--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -3,6 +3,7 @@
 package bulrushhinge
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"errors"
@@ -12,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +24,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
@@ -29,9 +32,14 @@
 	"bulrushhinge.example/bulrushhinge/internal/poison"
 )
 
-// DefaultGrace is how long a stopping node still takes requests, so that
-// callers and peers hear of the stop first.
-const DefaultGrace = 2 * time.Second
+const (
+	// DefaultGrace is how long a stopping node still takes requests, so that
+	// callers and peers hear of the stop first.
+	DefaultGrace = 2 * time.Second
+	// DefaultLinger is how long a stopping node at least answers that it takes
+	// no more requests, before it closes its listener.
+	DefaultLinger = time.Second
+)
 
 // ErrStart is returned where a node cannot start.
 var ErrStart = errors.New("bulrushhinge: start")
@@ -54,12 +62,25 @@
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
 		Grace time.Duration
+		// Linger is how long a stopping node at least refuses requests before
+		// its listener closes.
+		Linger time.Duration
+		// Callers' limits; zero values are defaults.
+		Limits caller.Config
+		// Dialer opens every connection the node makes, to peers, endpoints and
+		// the platform; nil is the default of each.
+		Dialer Dialer
 		// Log takes the node's log; nil is logrus' standard logger.
 		Log logrus.FieldLogger
 		// Extensions register further plug-ins with the kernel.
 		Extensions []kernel.Extension
 	}
 
+	// Dialer opens connections.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
 	// Node is a running router process.
 	Node struct {
 		config    Config
@@ -70,6 +91,7 @@
 		server    *peer.Server
 		endpoints *endpoint.Client
 		tickets   *once.Registry
+		handler   *caller.Handler
 		callers   *http.Server
 		operators *http.Server
 		running   sync.WaitGroup
@@ -81,10 +103,10 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
-	if c.Grace == 0 {
-		c.Grace = DefaultGrace
-	}
-	n := &Node{config: c, endpoints: endpoint.NewClient()}
+	c.Grace = cmp.Or(c.Grace, DefaultGrace)
+	c.Linger = cmp.Or(c.Linger, DefaultLinger)
+	c.Limits.Active = &atomic.Int64{}
+	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -93,10 +115,11 @@
 		Peer:        address(c.Peers),
 	}
 	n.tickets = once.New(once.Config{Node: self.Name, Incarnation: self.Incarnation})
-	k, permits := builtin.New(self, builtin.Config{}, c.Extensions...)
-	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation})
+	active := func() int { return int(c.Limits.Active.Load()) }
+	k, permits := builtin.New(self, builtin.Config{Membership: membership.Config{Active: active}}, c.Extensions...)
+	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
 	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
-	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform})
+	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
 		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
 	})
@@ -109,17 +132,22 @@
 // View returns the node's published control state.
 func (n *Node) View() *kernel.View { return n.control.View() }
 
-// Stop stops the node as planned: it leaves the entry answers first, waits for
-// the grace time, then lets every request in progress finish, until ctx ends.
+// Stop stops the node as planned: it leaves the entry answers first and tells
+// its peers, still serves for the grace time, then refuses further requests as
+// not run while those in progress finish, until ctx ends.
+//
+// A listener that closes at once resets the connections it has not yet accepted
+// and those that callers keep; their callers could not tell whether a request
+// was run. The node therefore goes on answering, that it is stopping, for a
+// time after the last request.
 func (n *Node) Stop(ctx context.Context) error {
 	n.control.Offer(kernel.Drain{})
-	timer := time.NewTimer(n.config.Grace)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	err := errors.Join(n.callers.Shutdown(ctx), n.tickets.Wait(ctx))
+	pause(ctx, n.config.Grace)
+	n.handler.Refuse()
+	refused := time.Now()
+	err := errors.Join(n.handler.Wait(ctx), n.tickets.Wait(ctx))
+	pause(ctx, time.Until(refused.Add(n.config.Linger)))
+	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
 }
 
@@ -141,18 +169,19 @@
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
 		Leases: leases, PeerLeases: n.peers,
 	})
-	handler := caller.New(caller.Config{
-		View: k.View, Dispatcher: d, Log: n.config.Log, Tickets: n.tickets, Relays: n.peers,
-	})
+	limits := n.config.Limits
+	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	limits.Tickets, limits.Relays = n.tickets, n.peers
+	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader, Relays: handler,
-		Leases: leases,
+		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
+		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	n.callers = caller.NewServer(handler)
+	n.callers = caller.NewServer(n.handler)
 	n.operators = &http.Server{
 		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -160,7 +189,7 @@
 	start := func(s *http.Server, l net.Listener) {
 		n.running.Go(func() { _ = s.Serve(l) })
 	}
-	start(n.callers, n.config.Callers)
+	start(n.callers, caller.Limit(n.config.Callers, caller.DefaultMaxConnections))
 	start(n.operators, n.config.Operators)
 	return nil
 }
@@ -172,3 +201,12 @@
 	}
 	return a.AddrPort()
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
@@ -21,6 +22,8 @@
 	account manifest.Account
 	request route.Request
 	call    endpoint.Call
+	// seated gives back the place of a request that waits for an endpoint.
+	seated func()
 	// answer passes the endpoint's answer on. It returns an error unless the
 	// answer came whole.
 	answer func(w http.ResponseWriter, run *dispatch.Run) error
@@ -51,33 +54,57 @@
 // repeated.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, k work) {
 	k.request.Print = poison.Print(k.account.Name, []byte(k.call.Method), []byte(k.call.Path), k.call.Body)
+	w.Header().Set(HeaderRequest, strconv.FormatUint(k.request.ID, 16))
 	if k.request.Once {
 		h.runOnce(w, r, k)
 		return
 	}
-	h.carry(r.Context(), w, k)
+	if _, err := h.carry(r.Context(), w, k); err != nil {
+		// Even a caller that reads to the end of the body must not take a cut
+		// answer for a whole one.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // carry dispatches a request and passes its answer on. It returns what became
-// of the request.
-func (h *Handler) carry(ctx context.Context, w http.ResponseWriter, k work) once.State {
+// of the request, and an error where the answer that w got was cut.
+func (h *Handler) carry(ctx context.Context, w http.ResponseWriter, k work) (once.State, error) {
 	ctx, cancel := context.WithDeadline(ctx, k.request.Deadline)
 	defer cancel()
 	out := &firstWrite{ResponseWriter: w}
 	run, err := h.config.Dispatcher.Do(ctx, k.request, k.call)
 	for err == nil {
+		k.seated()
 		cut := k.answer(out, run)
-		if cut == nil || out.started || !errors.Is(cut, endpoint.ErrCut) {
-			if errors.Is(cut, endpoint.ErrCut) {
-				run.Fail(ctx, cut)
-			}
-			_ = run.Close()
-			return answered(out, cut)
+		if cut == nil {
+			return once.Done, run.Close()
+		}
+		h.logBroken(cut, k.request, run)
+		if out.started || !errors.Is(cut, endpoint.ErrCut) {
+			return once.Unknown, h.giveUp(ctx, out, k, run, cut)
 		}
 		// The caller has seen nothing of the cut answer, so that another
 		// endpoint may still give a whole one.
 		run, err = run.Retry(ctx, cut)
 	}
+	return h.refuse(w, k, err), nil
+}
+
+// giveUp ends a run whose answer was cut beyond repair. It returns an error
+// where the answer had begun.
+func (h *Handler) giveUp(ctx context.Context, out *firstWrite, k work, run *dispatch.Run, cut error) error {
+	if errors.Is(cut, endpoint.ErrCut) {
+		run.Fail(ctx, cut)
+	}
+	_ = run.Close()
+	if out.started {
+		return cut
+	}
+	h.broken(cut, k.request.Deadline).write(out)
+	return nil
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, k work, err error) once.State {
 	p := refused(err)
 	if k.request.Once && p.ran == RanNot {
 		h.addTicket(w, k.account.Name)
@@ -89,16 +116,6 @@
 	return once.Unknown
 }
 
-func answered(out *firstWrite, err error) once.State {
-	if err == nil {
-		return once.Done
-	}
-	if !out.started {
-		cutProblem().write(out)
-	}
-	return once.Unknown
-}
-
 // runOnce redeems the request's ticket. The first copy of the request runs
 // apart from its caller's connection, until its deadline; every copy is
 // answered from that one run.
@@ -111,14 +128,14 @@
 	}
 	t, err := ticket.Parse(text)
 	if err != nil {
-		ticketProblem(err).write(w)
+		ticketProblem(err).write(sure(w))
 		return
 	}
 	if t.Node != k.view.Self.Name {
 		ctx, cancel := context.WithDeadline(r.Context(), k.request.Deadline)
 		defer cancel()
 		if !h.relay(w, r.WithContext(ctx), k.view, t, k.call.Body) {
-			ticketProblem(once.ErrUnknown).write(w)
+			ticketProblem(once.ErrUnknown).write(sure(w))
 		}
 		return
 	}
@@ -127,7 +144,7 @@
 		if errors.Is(err, once.ErrVoid) {
 			h.addTicket(w, k.account.Name)
 		}
-		ticketProblem(err).write(w)
+		ticketProblem(err).write(sure(w))
 		return
 	}
 	h.join(w, r, k, record, first)
@@ -136,14 +153,15 @@
 func (h *Handler) join(w http.ResponseWriter, r *http.Request, k work, record *once.Record, first bool) {
 	reader, err := record.Join()
 	if err != nil {
-		ticketProblem(err).write(w)
+		ticketProblem(err).write(sure(w))
 		return
 	}
 	if first {
 		ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), k.request.Deadline)
-		record.Run(ctx, func(ctx context.Context, w http.ResponseWriter) once.State {
+		k.seated()
+		record.Run(ctx, func(ctx context.Context, w http.ResponseWriter) (once.State, error) {
 			defer cancel()
-			return h.carry(ctx, w, k)
+			return h.carryApart(ctx, w, k)
 		})
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), k.request.Deadline)
@@ -159,9 +177,29 @@
 	}
 }
 
+// carryApart carries a request out that is not bound to its caller's
+// connection. It takes places of its own: a caller that sends and hangs up must
+// not fill the node beyond its bounds.
+func (h *Handler) carryApart(ctx context.Context, w http.ResponseWriter, k work) (once.State, error) {
+	leave, ok := h.slots.enter()
+	if !ok {
+		busy(http.StatusServiceUnavailable, "the node serves too many requests").write(w)
+		return once.Void, nil
+	}
+	defer leave()
+	done, p := h.slots.wait(k.account.Name)
+	if p != nil {
+		p.write(w)
+		return once.Void, nil
+	}
+	defer done()
+	k.seated = done
+	return h.carry(ctx, w, k)
+}
+
 func stillRunning() *problem {
 	return &problem{
 		status: http.StatusGatewayTimeout, kind: string(route.ReasonDeadline),
-		text: "no answer yet; come back with the same ticket", ran: RanUnknown, retry: DefaultRetry,
+		text: "no answer yet; come back with the same ticket", ran: RanUnknown, retry: retryDelay(),
 	}
 }
--- a/internal/caller/ticket.go
+++ b/internal/caller/ticket.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// HeaderTicket carries the ticket of a request that must not be repeated,
-	// and a fresh ticket from a node that asks for one.
-	HeaderTicket = "X-Ticket"
-
 	// EntryTickets is how many tickets an entry answer carries.
 	EntryTickets = 4
 
@@ -43,8 +39,34 @@
 	}
 
 	relayedKey struct{}
+
+	// unsure is the writer of a request that came with a ticket. Until the
+	// ticket was looked at, the node cannot say that the request was not run:
+	// an earlier copy may have been.
+	unsure struct{ http.ResponseWriter }
 )
 
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *unsure) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// sure returns the writer for what was found out from the ticket.
+func sure(w http.ResponseWriter) http.ResponseWriter {
+	if u, ok := w.(*unsure); ok {
+		return u.ResponseWriter
+	}
+	return w
+}
+
+// unless returns the problem as it may be told to a writer.
+func (p *problem) unless(w http.ResponseWriter) *problem {
+	if _, ok := w.(*unsure); !ok || p.ran != RanNot {
+		return p
+	}
+	unknown := *p
+	unknown.ran = RanUnknown
+	return &unknown
+}
+
 // Relay serves a request that came to another node of the fleet. The caller's
 // own key comes with it and is checked here again.
 func (h *Handler) Relay(ctx context.Context, r peer.Relayed, w http.ResponseWriter) {
@@ -112,7 +134,7 @@
 		return false
 	}
 	started, err := h.config.Relays.Relay(r.Context(), to.Peer, peer.Relayed{
-		Method: r.Method, URI: r.URL.RequestURI(), Header: passedOn(r.Header), Body: body,
+		Method: r.Method, URI: r.URL.RequestURI(), Header: relayedHeader(r.Header), Body: body,
 	}, w)
 	if err != nil && started {
 		// The caller must see that the answer was cut.
@@ -168,7 +190,7 @@
 	case errors.Is(err, once.ErrOther):
 		p.kind = "ticket_other"
 	case errors.Is(err, once.ErrFull):
-		p.status, p.kind, p.ran, p.retry = http.StatusServiceUnavailable, "tickets_full", RanNot, DefaultRetry
+		p.status, p.kind, p.ran, p.retry = http.StatusServiceUnavailable, "tickets_full", RanNot, retryDelay()
 	}
 	return p
 }
@@ -185,9 +207,9 @@
 	return once.Print(digest.Sum(nil))
 }
 
-// passedOn returns the headers that the other node needs.
-func passedOn(from http.Header) http.Header {
-	header := http.Header{}
+// relayedHeader returns the headers that the other node needs.
+func relayedHeader(from http.Header) http.Header {
+	header := chosen(from)
 	for name, values := range from {
 		if name == "Authorization" || name == "Content-Type" || strings.HasPrefix(name, extensionStart) {
 			header[name] = values
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -18,8 +18,10 @@
 	Header http.Header
 	Body   io.ReadCloser
 
-	// bounded is set where the end of the body can be told from a cut.
-	bounded bool
+	// Framed says that the body's end is marked, by its length or by a last
+	// chunk, so that a cut body can be told from a whole one.
+	Framed bool
+
 	// whole is set once the answer was read to its proper end.
 	whole   bool
 	attempt string
@@ -42,7 +44,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrCut, err)
 	case int64(len(data)) > limit:
 		return nil, fmt.Errorf("%w: over %d bytes", ErrLarge, limit)
-	case !a.bounded:
+	case !a.Framed:
 		return nil, fmt.Errorf("%w: length unknown", ErrCut)
 	}
 	a.whole = true
@@ -66,6 +68,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrDied, broken)
 	}
-	a.Body, a.bounded = again.Body, again.bounded
+	a.Body, a.Framed = again.Body, again.Framed
 	return io.ReadAll(io.LimitReader(a.Body, limit+1))
 }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -33,7 +34,6 @@
 	ErrLost = errors.New("endpoint: lost")
 	// ErrCut is returned where an answer ended without its end mark.
 	ErrCut = errors.New("endpoint: answer cut")
-
 	// ErrDied is returned, with ErrLost or ErrCut, where the connection broke
 	// while the call ran and the endpoint no longer knows the attempt.
 	ErrDied = errors.New("endpoint: died")
@@ -45,10 +45,12 @@
 	// Call is one attempt at a request.
 	Call struct {
 		// Attempt is unique over the fleet; the answer must carry it.
-		Attempt  string
-		Method   string
-		Path     string
-		Type     string
+		Attempt string
+		Method  string
+		Path    string
+		Type    string
+		// Header is further headers that are passed on.
+		Header   http.Header
 		Body     []byte
 		Chat     string
 		Priority int
@@ -57,6 +59,17 @@
 		Once bool
 	}
 
+	// Dialer opens connections to endpoints.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
+	// ClientConfig is the settings of a Client.
+	ClientConfig struct {
+		// Dialer opens connections; nil is a net.Dialer with a short timeout.
+		Dialer Dialer
+	}
+
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
 	Client struct {
 		shared  *http.Client
@@ -73,8 +86,11 @@
 // marked Once therefore get a connection of their own, on which there is
 // nothing to send again. For the same reason no redirect is followed: a 307 or
 // 308 would send the body again.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewClient(c ClientConfig) *Client {
+	dialer := c.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: dialTimeout}
+	}
 	return &Client{
 		shared: newHTTP(&http.Transport{
 			DialContext:         dialer.DialContext,
@@ -151,7 +167,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
-		bounded: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Framed:  resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked"),
 		attempt: attempt, client: c, addr: addr, ctx: ctx,
 	}, nil
 }
@@ -188,6 +204,9 @@
 	if call.Once {
 		req.GetBody = nil
 	}
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
 	if call.Type != "" {
 		req.Header.Set("Content-Type", call.Type)
 	}
@@ -216,3 +235,8 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -1,63 +1,92 @@
 package endpoint
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"strconv"
-	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	maxEventBytes    = 1 << 20
+	streamBufferSize = 4 << 10
 )
 
-// maxResumes bounds how often one stream is asked for again.
-const maxResumes = 4
+var (
+	dataField   = []byte("data:")
+	idField     = []byte("id:")
+	finishField = []byte(`"finish_reason"`)
+	null        = []byte("null")
 
-// resumePauses is the time before each try to resume a stream.
-var resumePauses = [...]time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
+	droppedEvents = metrics.GetOrCreateCounter("bulrushhinge_endpoint_dropped_events_total")
+)
 
 // Stream reads a streamed chat completion, event by event.
 //
-// An endpoint numbers the events of an answer from 0 in the id field. By these
-// numbers a repeated event is dropped and a gap is found, and after a broken
-// connection the stream goes on where it stopped. An answer without numbers is
-// read as it comes and cannot be resumed.
+// An endpoint numbers the events of an answer from 0 in the id field, the end
+// mark included. By these numbers a repeated event is dropped and a gap is
+// found, and after a broken connection the stream goes on where it stopped. An
+// answer without numbers is read as it comes and cannot be resumed.
 type Stream struct {
-	answer  *Answer
+	answer *Answer
+	// prefix is how the data of nearly every event begins.
+	prefix  []byte
 	attempt string
-	events  *events
+	lines   *bufio.Reader
+	// long collects a line that the buffer cannot hold.
+	long    []byte
+	dropped int
 	// next is the number of the event that comes next.
-	next     int
+	next int
+	// numbered is set once the endpoint numbered an event.
 	numbered bool
+	// finished is set once an event said why the answer finished.
 	finished bool
 	resumes  int
-	dropped  int
 }
 
 // NewStream returns the Stream of an answer to the given attempt.
 func NewStream(a *Answer, attempt string) *Stream {
-	return &Stream{answer: a, attempt: attempt, events: newEvents(a.Body)}
+	return &Stream{
+		answer:  a,
+		attempt: attempt,
+		prefix:  []byte(`{"id":"` + attempt + `"`),
+		lines:   bufio.NewReaderSize(a.Body, streamBufferSize),
+	}
 }
 
-// Next returns the next chunk, io.EOF after the end mark, or ErrCut where the
-// answer ended without one. Chunks of other attempts are dropped: a late or
-// crossed answer must never reach another caller.
-func (s *Stream) Next() (Chunk, error) {
+// Next returns the data of the next event as the endpoint wrote it, valid until
+// the next call; io.EOF after the end mark; or ErrCut where the answer ended
+// without one and could not be resumed. Repeated events and those of other
+// attempts are dropped and counted: a late or crossed answer must never reach
+// another caller.
+func (s *Stream) Next() ([]byte, error) {
 	for {
-		c, ok, err := s.read()
+		data, err := s.event()
 		switch {
-		case errors.Is(err, ErrCut):
-			if !s.resume() {
-				return Chunk{}, s.died(err)
-			}
-		case err != nil:
-			return Chunk{}, err
-		case ok:
-			return c, nil
+		case err == nil:
+			return data, nil
+		case errors.Is(err, io.EOF):
+			s.answer.whole = true
+			return nil, io.EOF
+		case !s.resume():
+			return nil, s.died(err)
 		}
 	}
 }
 
-// Dropped returns how many repeated chunks and chunks of other attempts were
+// More reports whether the data of a further event has already arrived.
+func (s *Stream) More() bool {
+	_, after, ok := bytes.Cut(s.peek(), dataField)
+	return ok && bytes.IndexByte(after, '\n') >= 0
+}
+
+// Dropped returns how many repeated events and events of other attempts were
 // dropped.
 func (s *Stream) Dropped() int { return s.dropped }
 
@@ -67,105 +96,148 @@
 // Close ends the stream; an endpoint that still runs it is freed.
 func (s *Stream) Close() error { return s.answer.Close() }
 
-// read reads one event. It reports whether the event is the next chunk.
-func (s *Stream) read() (Chunk, bool, error) {
-	e, err := s.events.next()
-	if err != nil {
-		return Chunk{}, false, err
+// Decode reads the data of an event.
+func Decode(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("%w: %v", ErrCut, err)
 	}
-	repeated, err := s.check(e)
-	if err != nil || repeated {
-		return Chunk{}, false, err
+	return c, nil
+}
+
+// event reads one event: its data, io.EOF for the end mark, or ErrCut.
+func (s *Stream) event() ([]byte, error) {
+	id := ""
+	for {
+		line, err := s.line()
+		data, isData := bytes.CutPrefix(line, dataField)
+		data = bytes.TrimSpace(data)
+		switch {
+		case isData && string(data) == DoneMark:
+			return nil, s.end(id)
+		case err == io.EOF:
+			return nil, fmt.Errorf("%w: no end mark", ErrCut)
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w: %v", ErrCut, errConnection, err)
+		case !isData:
+			id = field(line, idField, id)
+			continue
+		}
+		mine, err := s.take(id, data)
+		if mine || err != nil {
+			return data, err
+		}
+		s.drop()
 	}
-	if string(e.data) == DoneMark {
-		return Chunk{}, false, s.end()
+}
+
+// take checks an event and reports whether it is the next of the attempt.
+func (s *Stream) take(id string, data []byte) (bool, error) {
+	if due, err := s.due(id); err != nil || !due {
+		return false, err
 	}
-	var c Chunk
-	if err := json.Unmarshal(e.data, &c); err != nil {
-		return Chunk{}, false, fmt.Errorf("%w: %v", ErrCut, err)
+	own, err := s.own(data)
+	if err != nil {
+		return false, fmt.Errorf("%w: %v", ErrCut, err)
 	}
-	if c.ID != s.attempt {
-		s.dropped++
-		return Chunk{}, false, nil
+	if !own {
+		return false, nil
 	}
 	s.next++
-	for _, choice := range c.Choices {
-		s.finished = s.finished || choice.FinishReason != nil
-	}
-	return c, true, nil
+	s.numbered = id != ""
+	s.finished = s.finished || finishes(data)
+	return true, nil
 }
 
-// check compares an event's number with the one that comes next.
-func (s *Stream) check(e event) (repeated bool, err error) {
-	if e.id == "" && !s.numbered {
-		return false, nil
-	}
-	number, err := strconv.Atoi(e.id)
-	switch {
-	case err != nil:
-		return false, fmt.Errorf("%w: event number %q", ErrCut, e.id)
-	case number < s.next:
-		s.dropped++
+// due compares an event's number with the one that comes next.
+func (s *Stream) due(id string) (bool, error) {
+	if id == "" && !s.numbered {
 		return true, nil
-	case number > s.next:
+	}
+	number, err := strconv.Atoi(id)
+	if err != nil {
+		return false, fmt.Errorf("%w: event number %q", ErrCut, id)
+	}
+	if number > s.next {
 		return false, fmt.Errorf("%w: event %d came where %d was due", ErrCut, number, s.next)
 	}
-	s.numbered = true
-	return false, nil
+	return number == s.next, nil
 }
 
-// end takes the end mark. It counts only after a chunk that says why the answer
-// finished: an engine that was cut off from its model may still close its
-// stream properly.
-func (s *Stream) end() error {
-	if !s.finished {
-		return fmt.Errorf("%w: end mark before the finish", ErrCut)
+// end takes the end mark. It counts only after an event that says why the
+// answer finished: an engine that was cut off from its model may still close
+// its stream properly.
+func (s *Stream) end(id string) error {
+	if due, err := s.due(id); err != nil {
+		return err
+	} else if !due || !s.finished {
+		return fmt.Errorf("%w: end mark before the end", ErrCut)
 	}
-	s.answer.whole = true
 	return io.EOF
 }
 
-// died adds ErrDied to the error of a broken connection, unless the caller gave
-// the stream up.
-func (s *Stream) died(err error) error {
-	if s.answer.ctx.Err() == nil && errors.Is(err, errConnection) {
-		return fmt.Errorf("%w: %w", ErrDied, err)
+func (s *Stream) drop() {
+	s.dropped++
+	droppedEvents.Inc()
+}
+
+// own reports whether an event belongs to the attempt. Decoding each event
+// would cost most of what a token costs on a node, so only one that does not
+// begin as expected is decoded.
+func (s *Stream) own(data []byte) (bool, error) {
+	if bytes.HasPrefix(data, s.prefix) && data[len(data)-1] == '}' {
+		return true, nil
+	}
+	var head struct {
+		ID string `json:"id"`
 	}
-	return err
+	if err := json.Unmarshal(data, &head); err != nil {
+		return false, err
+	}
+	return head.ID == s.attempt, nil
 }
 
-// resume asks the endpoint for the rest of a numbered stream and reports
-// whether it goes on.
-func (s *Stream) resume() bool {
-	a := s.answer
-	if !s.numbered || a.client == nil {
-		return false
-	}
-	a.Body.Close()
-	for s.resumes < maxResumes {
-		pause := resumePauses[s.resumes]
-		s.resumes++
-		if !sleep(a, pause) {
-			return false
+// line returns the next line. A last line without its end comes with an error:
+// it may have been cut anywhere.
+func (s *Stream) line() ([]byte, error) {
+	s.long = s.long[:0]
+	for {
+		part, err := s.lines.ReadSlice('\n')
+		if err == nil && len(s.long) == 0 {
+			return part, nil
 		}
-		rest, err := a.client.Resume(a.ctx, a.addr, s.attempt, s.next)
-		if err != nil {
-			continue
+		s.long = append(s.long, part...)
+		switch {
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return s.long, err
+		case len(s.long) > maxEventBytes:
+			return nil, errors.New("event is too long")
 		}
-		a.Body = rest.Body
-		s.events = newEvents(rest.Body)
-		return true
 	}
-	return false
 }
 
-func sleep(a *Answer, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-a.ctx.Done():
-		return false
+// peek returns what is buffered beyond the blank line that ends an event.
+func (s *Stream) peek() []byte {
+	ahead, err := s.lines.Peek(s.lines.Buffered())
+	if err != nil {
+		return nil
+	}
+	return bytes.TrimLeft(ahead, "\r\n")
+}
+
+// field returns the value of a line's field, or otherwise where the line has
+// another.
+func field(line, name []byte, otherwise string) string {
+	value, ok := bytes.CutPrefix(line, name)
+	if !ok {
+		return otherwise
 	}
+	return string(bytes.TrimSpace(value))
+}
+
+// finishes reports whether an event says why the answer finished. It is not
+// decoded, which would cost most of what a token costs on a node.
+func finishes(data []byte) bool {
+	_, after, ok := bytes.Cut(data, finishField)
+	return ok && !bytes.HasPrefix(bytes.TrimLeft(after, " :"), null)
 }
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bulrushhinge.example/bulrushhinge"
+	"bulrushhinge.example/bulrushhinge/internal/caller"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/standin"
@@ -27,6 +28,8 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	readyPoll = 10 * time.Millisecond
+	// platformName names the platform in cuts.
+	platformName = "platform"
 )
 
 // ErrReady is returned where the fleet did not become ready in time.
@@ -42,6 +45,10 @@
 		Log       logrus.FieldLogger
 		// Grace is how long a stopping node still takes requests.
 		Grace time.Duration
+		// Linger is how long a stopping node at least refuses requests.
+		Linger time.Duration
+		// Limits is the nodes' limits on callers.
+		Limits caller.Config
 	}
 
 	// NodeConfig is a node to start.
@@ -57,12 +64,16 @@
 		Service string
 		Models  []string
 		Step    time.Duration
+		// Engine is further settings of the stand-in.
+		Engine standin.EndpointConfig
 	}
 
 	// Fleet is a running deployment. It is safe for concurrent use.
 	Fleet struct {
-		config    Config
-		Platform  *standin.Platform
+		config   Config
+		Platform *standin.Platform
+		// Network is what stands between the processes.
+		Network   *Network
 		key       ed25519.PrivateKey
 		platform  *server
 		mu        sync.Mutex
@@ -103,6 +114,7 @@
 	f := &Fleet{
 		config:    c,
 		Platform:  standin.NewPlatform(),
+		Network:   newNetwork(),
 		key:       key,
 		nodes:     map[string]*node{},
 		endpoints: map[string]*Endpoint{},
@@ -111,6 +123,7 @@
 	if f.platform, err = serve(f.Platform); err != nil {
 		return nil, err
 	}
+	f.Network.listens(platformName, f.platform.addr)
 	return f, f.start()
 }
 
@@ -169,12 +182,19 @@
 
 // StartEndpoint starts an endpoint and lists it.
 func (f *Fleet) StartEndpoint(c EndpointConfig) error {
-	e := &Endpoint{Endpoint: standin.NewEndpoint(standin.EndpointConfig{Name: c.Name, Step: c.Step, Models: c.Models})}
+	engine := c.Engine
+	engine.Name, engine.Models = c.Name, c.Models
+	if c.Step > 0 {
+		engine.Step = c.Step
+	}
+	engine.OnCrash = func() { _ = f.KillEndpoint(c.Name) }
+	e := &Endpoint{Endpoint: standin.NewEndpoint(engine)}
 	var err error
 	if e.server, err = serve(e.Endpoint); err != nil {
 		return err
 	}
 	e.Addr = e.server.addr
+	f.Network.listens(c.Name, e.Addr)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endpoints[c.Name] = e
@@ -326,11 +346,13 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{public},
-		Grace: f.config.Grace, Log: f.config.Log.WithField("node", c.Name),
+		Dialer: dialer{network: f.Network, from: c.Name},
+		Grace:  f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
 	}
+	f.Network.listens(c.Name, addrPort(listeners[0]), addrPort(listeners[1]), addrPort(listeners[2]))
 	return &node{Node: n, caller: addrPort(listeners[0]), operator: addrPort(listeners[2])}, nil
 }
 
--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -17,10 +17,11 @@
 	"bulrushhinge.example/bulrushhinge/internal/caller"
 	"bulrushhinge.example/bulrushhinge/internal/loopback"
 	"bulrushhinge.example/bulrushhinge/internal/once"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
 const (
-	chatPath     = "/v1/chat/completions"
+	chatPath     = entry.PathChat
 	readyTimeout = time.Minute
 )
 
@@ -135,7 +136,7 @@
 	c := loopback.Thies()
 	f := start(t, c)
 	x := exchange{node: "n2", method: http.MethodGet, path: "/v1/entry"}.must(t, f)
-	var e caller.Entry
+	var e entry.Answer
 	require.NoError(t, json.Unmarshal([]byte(x.text), &e))
 	require.Len(t, e.Tickets, caller.EntryTickets)
 	for i, ticket := range e.Tickets {
--- a/internal/once/bench_test.go
+++ b/internal/once/bench_test.go
@@ -35,7 +35,7 @@
 	for b.Loop() {
 		t, _ := r.Mint(account)
 		record, _, _ := r.Redeem(t, account, once.Print{1})
-		record.Run(context.Background(), func(context.Context, http.ResponseWriter) once.State { return once.Done })
+		record.Run(context.Background(), func(context.Context, http.ResponseWriter) (once.State, error) { return once.Done, nil })
 		_ = r.Wait(context.Background())
 	}
 }
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -10,9 +10,13 @@
 // maxPiece is the bytes that are added to a record at once.
 const maxPiece = 16 << 10
 
-// ErrGone is returned where an answer is too large to be given again from its
-// beginning.
-var ErrGone = errors.New("once: answer too large to be given again")
+var (
+	// ErrGone is returned where an answer is too large to be given again from
+	// its beginning.
+	ErrGone = errors.New("once: answer too large to be given again")
+
+	errPanic = errors.New("once: the run ended without an outcome")
+)
 
 type (
 	// Record is the run of one ticket: the running request's answer, as an
@@ -33,6 +37,7 @@
 		base    int
 		held    int
 		state   State
+		cut     error
 		until   time.Duration
 		changed chan struct{}
 		readers map[*Reader]struct{}
@@ -51,6 +56,7 @@
 		header  http.Header
 		data    []byte
 		ended   bool
+		cut     error
 		changed <-chan struct{}
 	}
 )
@@ -98,13 +104,13 @@
 
 // Run starts the run. Its work writes the answer and returns what became of the
 // request: Done where the endpoint ran it, Void where it certainly did not, and
-// Unknown where nobody knows.
-func (c *Record) Run(ctx context.Context, work func(ctx context.Context, w http.ResponseWriter) State) {
+// Unknown where nobody knows; and an error where the answer was cut.
+func (c *Record) Run(ctx context.Context, work func(ctx context.Context, w http.ResponseWriter) (State, error)) {
 	c.ctx = ctx
 	go func() {
-		state := Unknown
-		defer func() { c.end(state) }()
-		state = work(ctx, c)
+		state, err := Unknown, errPanic
+		defer func() { c.end(state, err) }()
+		state, err = work(ctx, c)
 	}()
 }
 
@@ -123,7 +129,7 @@
 }
 
 // Copy writes the whole answer to a caller as it comes, until the run has ended
-// or ctx has, and leaves the record. It reports whether the answer's head was
+// or ctx has, and leaves the record. A cut answer ends with the run's error. It reports whether the answer's head was
 // written before an error.
 func (d *Reader) Copy(ctx context.Context, w http.ResponseWriter) (started bool, err error) {
 	defer d.leave()
@@ -144,7 +150,7 @@
 			continue
 		}
 		if p.ended {
-			return started, nil
+			return started, p.cut
 		}
 		select {
 		case <-p.changed:
@@ -164,7 +170,7 @@
 	if len(data) > 0 && c.waiting {
 		c.wake()
 	}
-	return part{status: c.status, header: c.sent, data: data, ended: c.state != Running, changed: c.changed}
+	return part{status: c.status, header: c.sent, data: data, ended: c.state != Running, cut: c.cut, changed: c.changed}
 }
 
 func (d *Reader) leave() {
@@ -215,11 +221,12 @@
 }
 
 // end ends the run. A work that panicked ends as Unknown.
-func (c *Record) end(s State) {
+func (c *Record) end(s State, cut error) {
 	r := c.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.state = s
+	c.cut = cut
 	c.until = r.config.Now() + r.config.Keep
 	r.used.set(c.serial, s, r.forget())
 	r.ended = append(r.ended, c)
--- a/internal/once/registry_test.go
+++ b/internal/once/registry_test.go
@@ -31,10 +31,10 @@
 }
 
 // answer runs a record that answers with the given text.
-func answer(text string) func(context.Context, http.ResponseWriter) once.State {
-	return func(_ context.Context, w http.ResponseWriter) once.State {
+func answer(text string) func(context.Context, http.ResponseWriter) (once.State, error) {
+	return func(_ context.Context, w http.ResponseWriter) (once.State, error) {
 		_, _ = w.Write([]byte(text))
-		return once.Done
+		return once.Done, nil
 	}
 }
 
@@ -182,14 +182,14 @@
 	record, _, err := r.Redeem(minted, account, once.Print{1})
 	require.NoError(t, err)
 	half, rest := make(chan struct{}), make(chan struct{})
-	record.Run(t.Context(), func(_ context.Context, w http.ResponseWriter) once.State {
+	record.Run(t.Context(), func(_ context.Context, w http.ResponseWriter) (once.State, error) {
 		w.Header().Set("Content-Type", "text/plain")
 		w.WriteHeader(http.StatusAccepted)
 		_, _ = w.Write([]byte("first "))
 		close(half)
 		<-rest
 		_, _ = w.Write([]byte("second"))
-		return once.Done
+		return once.Done, nil
 	})
 	<-half
 	require.Equal(t, once.Running, r.State(minted, account))
