--- a/internal/poison/lease.go
+++ b/internal/poison/lease.go
@@ -80,8 +80,8 @@
 
 // Holder returns the node that grants the leases of a request: the first live
 // one in its rendezvous order.
-func Holder(print uint64, nodes []kernel.Node) (kernel.Node, bool) {
-	for _, n := range kernel.Rendezvous(strconv.FormatUint(print, 16), nodes) {
+func Holder(request uint64, nodes []kernel.Node) (kernel.Node, bool) {
+	for _, n := range kernel.Rendezvous(strconv.FormatUint(request, 16), nodes) {
 		if n.State == kernel.Live {
 			return n, true
 		}
