Cause broken answers at the stand-in and test each over real sockets

Cause: nothing showed what a caller gets when an endpoint breaks within an answer. Change: the stand-in numbers events, keeps attempts to be asked for again and cancelled, and breaks, truncates, repeats, skips, crosses, forgets or crashes at any part; 27 cases over real sockets, repeatable and once. Conclusion: each answer is whole or marked as cut; a once-only call ran at most one time in every case.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -65,9 +65,12 @@
 func (a *Answer) readAgain(limit int64, broken error) ([]byte, error) {
 	_ = a.Body.Close()
 	again, err := a.client.Resume(a.ctx, a.addr, a.attempt, 0)
-	if err != nil {
+	if errors.Is(err, errConnection) {
 		return nil, fmt.Errorf("%w: %v", ErrDied, broken)
 	}
+	if err != nil {
+		return nil, broken
+	}
 	a.Body, a.Framed = again.Body, again.Framed
 	return io.ReadAll(io.LimitReader(a.Body, limit+1))
 }
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -17,7 +17,8 @@
 
 // Resume asks for the answer to an attempt again, from the given event on. It
 // returns ErrLost where the endpoint does not have it: that proves nothing, for
-// the call may still be on its way.
+// the call may still be on its way. Where the endpoint does not answer at all,
+// the error tells so.
 func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Answer, error) {
 	query := url.Values{"from": {strconv.Itoa(from)}}.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, attemptURL(addr, attempt)+"?"+query, nil)
@@ -26,7 +27,7 @@
 	}
 	resp, err := c.shared.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrLost, err)
+		return nil, fmt.Errorf("%w: %w: %v", ErrLost, errConnection, err)
 	}
 	if resp.Header.Get(HeaderAttempt) == "" {
 		resp.Body.Close()
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -35,7 +35,8 @@
 	// ErrCut is returned where an answer ended without its end mark.
 	ErrCut = errors.New("endpoint: answer cut")
 	// ErrDied is returned, with ErrLost or ErrCut, where the connection broke
-	// while the call ran and the endpoint no longer knows the attempt.
+	// while the call ran and the endpoint does not answer any more, or answers
+	// but has lost an attempt that it had begun.
 	ErrDied = errors.New("endpoint: died")
 
 	errConnection = errors.New("connection broke")
@@ -128,7 +129,9 @@
 		if again == nil {
 			return answer, nil
 		}
-		err = fmt.Errorf("%w: %w", ErrDied, err)
+		if errors.Is(again, errConnection) {
+			err = fmt.Errorf("%w: %w", ErrDied, err)
+		}
 	}
 	c.cancelLater(addr, call.Attempt)
 	return nil, err
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -10,20 +10,21 @@
 // bounds how often one stream is asked for again.
 var resumePauses = [...]time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
 
-// died adds ErrDied to the error of a broken connection, unless the caller gave
-// the stream up.
+// died adds ErrDied to the error of a broken connection where the endpoint has
+// lost the attempt.
 func (s *Stream) died(err error) error {
-	if s.answer.ctx != nil && s.answer.ctx.Err() == nil && errors.Is(err, errConnection) {
+	if s.gone && errors.Is(err, errConnection) {
 		return fmt.Errorf("%w: %w", ErrDied, err)
 	}
 	return err
 }
 
 // resume asks the endpoint for the rest of a numbered stream and reports
-// whether it goes on.
+// whether it goes on. Where it does not, the stream is gone unless the caller
+// gave it up.
 func (s *Stream) resume() bool {
 	a := s.answer
-	if !s.numbered || a.client == nil {
+	if a.client == nil {
 		return false
 	}
 	_ = a.Body.Close()
@@ -34,13 +35,20 @@
 			return false
 		}
 		rest, err := a.client.Resume(a.ctx, a.addr, s.attempt, s.next)
-		if err != nil {
-			continue
+		switch {
+		case err == nil && s.numbered:
+			a.Body = rest.Body
+			s.lines.Reset(rest.Body)
+			return true
+		case err == nil:
+			_ = rest.Body.Close()
+			return false
+		case !s.numbered:
+			s.gone = errors.Is(err, errConnection)
+			return false
 		}
-		a.Body = rest.Body
-		s.lines.Reset(rest.Body)
-		return true
 	}
+	s.gone = a.ctx.Err() == nil
 	return false
 }
 
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -48,6 +48,8 @@
 	// finished is set once an event said why the answer finished.
 	finished bool
 	resumes  int
+	// gone is set once the endpoint no longer knows the attempt.
+	gone bool
 }
 
 // NewStream returns the Stream of an answer to the given attempt.
--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -28,9 +28,11 @@
 // exchange is one request of a caller and what it got.
 type exchange struct {
 	node, method, path, account, ticket, body string
-	status                                    int
-	header                                    http.Header
-	text                                      string
+	// repeatable requests are not marked as once-only.
+	repeatable bool
+	status     int
+	header     http.Header
+	text       string
 }
 
 func (x exchange) request(ctx context.Context, f *loopback.Fleet) (*http.Response, error) {
@@ -47,7 +49,7 @@
 		account = "a1"
 	}
 	req.Header.Set("Authorization", "Bearer "+loopback.Secret(account))
-	if x.method == "" {
+	if x.method == "" && !x.repeatable {
 		req.Header.Set(caller.HeaderOnce, "1")
 	}
 	if x.ticket != "" {
@@ -79,17 +81,33 @@
 	return fmt.Sprintf(`{"model":"notices","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"renewal %d"}]}`, i)
 }
 
-// runs returns how often the engines ran a body.
-func runs(f *loopback.Fleet, c loopback.Config, body string) int {
-	total := 0
+// engines is a fleet's endpoints, also those that died since.
+type engines []*loopback.Endpoint
+
+func enginesOf(f *loopback.Fleet, c loopback.Config) engines {
+	var list engines
 	for _, e := range c.Endpoints {
 		if running := f.Endpoint(e.Name); running != nil {
-			total += running.Ran()[body]
+			list = append(list, running)
 		}
 	}
+	return list
+}
+
+// runs returns how often the engines ran a body.
+func (l engines) runs(body string) int {
+	total := 0
+	for _, e := range l {
+		total += e.Ran()[body]
+	}
 	return total
 }
 
+// runs returns how often the living engines ran a body.
+func runs(f *loopback.Fleet, c loopback.Config, body string) int {
+	return enginesOf(f, c).runs(body)
+}
+
 func ticketOf(t *testing.T, f *loopback.Fleet, node, body string) string {
 	t.Helper()
 	x := exchange{node: node, path: chatPath, body: body}.must(t, f)
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -49,52 +49,65 @@
 	if output <= 0 {
 		output = defaultMaxTokens
 	}
+	e.serve(w, r, e.run(r, func(r *http.Request, a *attempt) {
+		e.generate(r, a, req, string(body), output)
+	}), 0)
+}
+
+// generate runs a chat request.
+func (e *Endpoint) generate(r *http.Request, to *attempt, req endpoint.ChatRequest, body string, output int) {
 	prompt := len(body) / bytesPerToken
-	s := e.begin(r, string(body), prompt, output)
+	s := e.begin(r, body, prompt, output, to.faults)
 	if s == nil {
 		return
 	}
 	defer s.end()
-	a := answer{attempt: r.Header.Get(endpoint.HeaderAttempt), model: req.Model, usage: usage(prompt, output, s.cached)}
-	w.Header().Set(endpoint.HeaderAttempt, a.attempt)
+	a := answer{attempt: to.id, model: req.Model, usage: usage(prompt, output, s.cached)}
 	if req.Stream {
-		e.stream(w, s, a, output)
+		e.stream(to, s, a, output)
 		return
 	}
-	e.whole(w, s, a, output)
+	e.whole(to, s, a, output)
 }
 
-func (e *Endpoint) stream(w http.ResponseWriter, s *session, a answer, output int) {
-	w.Header().Set("Content-Type", "text/event-stream")
+func (e *Endpoint) stream(to *attempt, s *session, a answer, output int) {
+	to.kind = "text/event-stream"
 	for i := range output {
 		if !s.step() {
 			return
 		}
-		send(w, chunk(a, e.token(i)))
+		to.add(numbered(i, chunk(a, e.token(i))))
+		s.crashAfter(i + 1)
 	}
 	last := chunk(a, "")
 	stop := finishStop
 	last.Choices[0].FinishReason = &stop
 	last.Usage = &a.usage
-	send(w, last)
-	fmt.Fprintf(w, "data: %s\n\n", endpoint.DoneMark)
+	to.add(numbered(output, last))
+	s.crashAfter(output + 1)
+	to.add(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", output+1, endpoint.DoneMark))
 }
 
-func (e *Endpoint) whole(w http.ResponseWriter, s *session, a answer, output int) {
+func (e *Endpoint) whole(to *attempt, s *session, a answer, output int) {
+	to.kind = "application/json"
 	var text strings.Builder
 	for i := range output {
 		if !s.step() {
 			return
 		}
 		text.WriteString(e.token(i))
+		s.crashAfter(i + 1)
 	}
-	writeJSON(w, completion{
+	data, err := json.Marshal(completion{
 		ID: a.attempt, Object: "chat.completion", Model: a.model, Usage: a.usage,
 		Choices: []completionChoice{{
 			Message:      endpoint.Delta{Role: "assistant", Content: text.String()},
 			FinishReason: finishStop,
 		}},
 	})
+	if err == nil {
+		to.add(data)
+	}
 }
 
 func (e *Endpoint) token(i int) string { return fmt.Sprintf("%s-%d ", e.config.Name, i) }
@@ -117,13 +130,12 @@
 	}
 }
 
-func send(w http.ResponseWriter, c endpoint.Chunk) {
+// numbered returns an event with its number, from which the answer can be asked
+// for again.
+func numbered(number int, c endpoint.Chunk) []byte {
 	data, err := json.Marshal(c)
 	if err != nil {
-		return
-	}
-	fmt.Fprintf(w, "data: %s\n\n", data)
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
+		return nil
 	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s\n\n", number, data)
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -53,6 +53,8 @@
 		cache   *prefixCache
 		loads   loadHistory
 		ran     map[string]int
+		// attempts can be asked for again.
+		attempts *attempts
 		// crashed is closed when the endpoint crashes.
 		crashed chan struct{}
 	}
@@ -62,15 +64,18 @@
 func NewEndpoint(c EndpointConfig) *Endpoint {
 	c = withDefaults(c)
 	e := &Endpoint{
-		config:  c,
-		mux:     http.NewServeMux(),
-		faults:  c.Faults,
-		batch:   batch{size: c.MaxBatch},
-		cache:   newPrefixCache(c.CacheTokens),
-		ran:     map[string]int{},
-		crashed: make(chan struct{}),
+		config:   c,
+		mux:      http.NewServeMux(),
+		faults:   c.Faults,
+		batch:    batch{size: c.MaxBatch},
+		cache:    newPrefixCache(c.CacheTokens),
+		ran:      map[string]int{},
+		attempts: &attempts{byID: map[string]*attempt{}},
+		crashed:  make(chan struct{}),
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("GET /v1/attempts/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/attempts/{id}", e.stop)
 	e.mux.HandleFunc("GET /v1/load", e.load)
 	e.mux.HandleFunc("/v1/services/", e.plain)
 	e.mux.HandleFunc("GET /v1/events", e.events)
--- a/internal/standin/endpoint_fault.go
+++ b/internal/standin/endpoint_fault.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,27 @@
 	EventGap int `help:"Lose each cache event whose number this divides."`
 	// Unfenced makes the endpoint take orders with old fencing numbers.
 	Unfenced bool `help:"Take orders with old fencing numbers."`
+	// CrashAt is how many parts a request with the crash mark answers first.
+	CrashAt int `help:"Crash only after that many parts of the answer."`
+	// Break breaks the connection before a part of an answer; the request
+	// runs on and can be asked for again.
+	Break int `help:"Break the connection before that part of the answer."`
+	// Truncate ends an answer properly before a part.
+	Truncate int `help:"End an answer before that part."`
+	// Skip leaves a part of an answer out.
+	Skip int `help:"Leave that part of the answer out."`
+	// Repeat sends each part twice.
+	Repeat bool `help:"Send each part of an answer twice."`
+	// Cross answers for another attempt, in its "head" or in its "body".
+	Cross string `help:"Answer for another attempt: head or body."`
+	// Forget keeps no attempt, so that none can be asked for again.
+	Forget bool `help:"Keep no attempt."`
+	// Frame is a plain answer that is "short" of its announced length, or
+	// "unframed", without one.
+	Frame string `help:"Wrong length of plain answers: short or unframed."`
+	// Budget is how many more answers go wrong, over all endpoints that share
+	// it; nil is all.
+	Budget *atomic.Int64 `kong:"-"`
 }
 
 // flags names the faults for admin calls, in the same words as the command
@@ -38,6 +60,14 @@
 	s.DurationVar(&f.EventLag, "event-lag", f.EventLag, "")
 	s.IntVar(&f.EventGap, "event-gap", f.EventGap, "")
 	s.BoolVar(&f.Unfenced, "unfenced", f.Unfenced, "")
+	s.IntVar(&f.CrashAt, "crash-at", f.CrashAt, "")
+	s.IntVar(&f.Break, "break", f.Break, "")
+	s.IntVar(&f.Truncate, "truncate", f.Truncate, "")
+	s.IntVar(&f.Skip, "skip", f.Skip, "")
+	s.BoolVar(&f.Repeat, "repeat", f.Repeat, "")
+	s.StringVar(&f.Cross, "cross", f.Cross, "")
+	s.BoolVar(&f.Forget, "forget", f.Forget, "")
+	s.StringVar(&f.Frame, "frame", f.Frame, "")
 	return s
 }
 
@@ -56,6 +86,15 @@
 	e.note()
 }
 
+// next returns what goes wrong with the next answer.
+func (e *Endpoint) next() EndpointFaults {
+	f := e.Faults()
+	if f.Budget != nil && f.Budget.Add(-1) < 0 {
+		return EndpointFaults{}
+	}
+	return f
+}
+
 func (e *Endpoint) showFaults(w http.ResponseWriter, _ *http.Request) {
 	f := e.Faults()
 	writeJSON(w, settings(f.flags()))
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,12 +20,15 @@
 	prompt   int
 	cached   int
 	made     int
+	faults   EndpointFaults
+	// crash is set where the request carries the crash mark.
+	crash bool
 }
 
 // begin waits for a place in the batch and does the prefill. It returns nil
 // where the caller hung up or the deadline passed.
-func (e *Endpoint) begin(r *http.Request, body string, prompt, output int) *session {
-	s := &session{endpoint: e, chat: r.Header.Get(endpoint.HeaderChat), prompt: prompt}
+func (e *Endpoint) begin(r *http.Request, body string, prompt, output int, f EndpointFaults) *session {
+	s := &session{endpoint: e, chat: r.Header.Get(endpoint.HeaderChat), prompt: prompt, faults: f}
 	s.ctx, s.cancel = untilDeadline(r)
 	priority, _ := strconv.Atoi(r.Header.Get(endpoint.HeaderPriority))
 	e.mu.Lock()
@@ -52,10 +55,16 @@
 		e.ran[body]++
 	}
 	s.cached = min(e.cache.tokens(s.chat), s.prompt)
-	mark := e.faults.Crash
 	e.mu.Unlock()
-	if mark != "" && strings.Contains(body, mark) {
-		e.crash()
+	s.crash = s.faults.Crash != "" && strings.Contains(body, s.faults.Crash)
+	s.crashAfter(0)
+}
+
+// crashAfter crashes the endpoint where its request is to do so after so many
+// parts of the answer.
+func (s *session) crashAfter(parts int) {
+	if s.crash && parts == s.faults.CrashAt {
+		s.endpoint.crash()
 	}
 }
 
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 
@@ -19,7 +20,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s := e.begin(r, string(body), 0, 1)
+	f := e.next()
+	s := e.begin(r, string(body), 0, 1, f)
 	if s == nil {
 		return
 	}
@@ -28,5 +30,24 @@
 		return
 	}
 	w.Header().Set(endpoint.HeaderAttempt, r.Header.Get(endpoint.HeaderAttempt))
-	writeJSON(w, echo{Endpoint: e.config.Name, Path: r.URL.Path, Echo: string(body)})
+	answerPlain(w, f, echo{Endpoint: e.config.Name, Path: r.URL.Path, Echo: string(body)})
+}
+
+func answerPlain(w http.ResponseWriter, f EndpointFaults, answer echo) {
+	if f.Cross != "" {
+		w.Header().Set(endpoint.HeaderAttempt, crossed)
+	}
+	if f.Frame == "" {
+		writeJSON(w, answer)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Frame == "short" {
+		short(w, data)
+	}
+	unframed(w, data)
 }
