--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -26,9 +26,11 @@
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 )
 
 const (
@@ -90,6 +92,7 @@
 		peers     *peer.Client
 		server    *peer.Server
 		endpoints *endpoint.Client
+		tickets   *once.Registry
 		handler   *caller.Handler
 		callers   *http.Server
 		operators *http.Server
@@ -113,6 +116,7 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
+	n.tickets = once.New(once.Config{Node: self.Name, Incarnation: self.Incarnation})
 	active := func() int { return int(c.Limits.Active.Load()) }
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
@@ -149,7 +153,7 @@
 	pause(ctx, n.config.Grace)
 	n.handler.Refuse()
 	refused := time.Now()
-	err := n.handler.Wait(ctx)
+	err := errors.Join(n.handler.Wait(ctx), n.tickets.Wait(ctx))
 	pause(ctx, time.Until(refused.Add(n.config.Linger)))
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
@@ -175,19 +179,23 @@
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
+	leases := poison.NewLeases(0)
+	d := dispatch.New(dispatch.Config{
+		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		Leases: leases, PeerLeases: n.peers,
+	})
+	limits := n.config.Limits
+	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	limits.Tickets, limits.Relays = n.tickets, n.peers
+	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
 		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.cache,
+		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	d := dispatch.New(dispatch.Config{
-		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-	})
-	limits := n.config.Limits
-	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
-	n.handler = caller.New(limits)
 	n.callers = caller.NewServer(n.handler)
 	n.operators = &http.Server{
 		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -49,17 +47,9 @@
 		Path: entry.PathChat, Type: "application/json", Body: data,
 		Chat: req.Chat, Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
-	defer cancel()
-	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
-	run, err := h.config.Dispatcher.Do(ctx, req, call)
-	done()
-	if err != nil {
-		refused(err).write(w)
-		return
-	}
-	defer run.Close()
-	h.answerChat(w, c, req, run)
+	k := work{view: v, account: a, request: req, call: call, seated: done}
+	k.answer = func(w http.ResponseWriter, run *dispatch.Run) error { return h.answerChat(w, c, req, run) }
+	h.run(w, r, k)
 }
 
 // admit returns the view and the caller's account.
@@ -96,42 +86,33 @@
 	return req, nil
 }
 
-func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) {
+func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) error {
 	isStream := strings.HasPrefix(run.Answer.Header.Get("Content-Type"), "text/event-stream")
 	if run.Answer.Status == http.StatusOK {
 		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input}.String())
 	}
 	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
-		h.stream(w, req, run)
-		return
+		return h.stream(w, req, run)
 	}
 	data, err := h.read(run, isStream)
 	if err != nil {
-		h.logBroken(err, req, run)
-		h.broken(err, req.Deadline).write(w)
-		return
+		return err
 	}
 	if isStream {
 		run.Answer.Header.Set("Content-Type", "application/json")
 	}
-	if err := h.pass(w, run, data); err != nil {
-		h.logBroken(err, req, run)
-	}
+	return h.pass(w, run, data)
 }
 
-// stream passes a stream on. Where it was cut, an event says so, and the
-// connection breaks, so that even a caller that reads to the end of the body
-// cannot take the answer for a whole one.
-func (h *Handler) stream(w http.ResponseWriter, req route.Request, run *dispatch.Run) {
+// stream passes a stream on. Where it was cut after it began, an event says so.
+func (h *Handler) stream(w http.ResponseWriter, req route.Request, run *dispatch.Run) error {
 	w.Header().Set(HeaderRan, string(RanYes))
 	out := newEvents(w, h.config.WriteTimeout)
 	err := out.relay(endpoint.NewStream(run.Answer, run.Attempt))
-	if err == nil {
-		return
+	if err != nil && out.begun {
+		out.fail(h.broken(err, req.Deadline))
 	}
-	h.logBroken(err, req, run)
-	out.fail(h.broken(err, req.Deadline))
-	panic(http.ErrAbortHandler)
+	return err
 }
 
 func (h *Handler) read(run *dispatch.Run, isStream bool) ([]byte, error) {
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -1,13 +1,13 @@
 package caller
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
@@ -64,25 +64,15 @@
 		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: data,
 		Header: chosen(r.Header), Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
-	defer cancel()
-	w.Header().Set(HeaderRequest, strconv.FormatUint(req.ID, 16))
-	run, err := h.config.Dispatcher.Do(ctx, req, call)
-	done()
-	if err != nil {
-		refused(err).write(w)
-		return
-	}
-	defer run.Close()
-	answer, err := whole(run.Answer, h.config.MaxAnswer)
+	h.run(w, r, work{view: v, account: a, request: req, call: call, seated: done, answer: h.answerPlain})
+}
+
+func (h *Handler) answerPlain(w http.ResponseWriter, run *dispatch.Run) error {
+	data, err := whole(run.Answer, h.config.MaxAnswer)
 	if err != nil {
-		h.logBroken(err, req, run)
-		h.broken(err, req.Deadline).write(w)
-		return
-	}
-	if err := h.pass(w, run, answer); err != nil {
-		h.logBroken(err, req, run)
+		return err
 	}
+	return h.pass(w, run, data)
 }
 
 func chosen(all http.Header) http.Header {
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -104,6 +104,9 @@
 		Nodes []Node
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
+		// Suspects is the requests that ran on endpoints when they died, by
+		// print.
+		Suspects map[uint64]Suspicion
 		// Watcher says that the node should hold waiting watches on the
 		// platform. It is set unless live peers of the zone are known to watch.
 		Watcher bool
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -49,6 +49,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonLost is a request that must not be repeated and may have run.
 	ReasonLost Reason = "lost"
+	// ReasonIsolated is a request that crashes the endpoints that run it.
+	ReasonIsolated Reason = "isolated"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
@@ -88,6 +90,9 @@
 		// Cached is how many tokens of the prompt endpoints are believed to
 		// hold, by name. A Router fills it in.
 		Cached map[string]int
+		// Print identifies the request's content over the whole fleet; 0 where
+		// it is not known.
+		Print uint64
 	}
 
 	// Step is what the driver of a Plan does next.
