--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -127,20 +127,34 @@
 	return f, f.start()
 }
 
-// Accept publishes a manifest with the operators' record, as their pipeline
-// would.
-func (f *Fleet) Accept(m *manifest.Manifest) error {
+// Propose publishes the values of a manifest, as the operators' pipeline would,
+// and returns the digest of its root.
+func (f *Fleet) Propose(m *manifest.Manifest) (manifest.Digest, error) {
 	parts, err := manifest.Split(m)
 	if err != nil {
-		return fmt.Errorf("loopback: %w", err)
-	}
-	record, err := json.Marshal(manifest.Accept(f.key, m.Revision, parts.Digest))
-	if err != nil {
-		return fmt.Errorf("loopback: %w", err)
+		return "", fmt.Errorf("loopback: %w", err)
 	}
 	for digest, data := range parts.Values {
 		f.Platform.Set(platform.PrefixManifest+string(digest), data)
 	}
+	return parts.Digest, nil
+}
+
+// Accept publishes a manifest with the operators' record of its acceptance.
+func (f *Fleet) Accept(m *manifest.Manifest) error { return f.decide(m, manifest.Accept) }
+
+// Reject publishes a manifest with the operators' record of its rejection.
+func (f *Fleet) Reject(m *manifest.Manifest) error { return f.decide(m, manifest.Reject) }
+
+func (f *Fleet) decide(m *manifest.Manifest, sign func(ed25519.PrivateKey, uint64, manifest.Digest) manifest.Record) error {
+	digest, err := f.Propose(m)
+	if err != nil {
+		return err
+	}
+	record, err := json.Marshal(sign(f.key, m.Revision, digest))
+	if err != nil {
+		return fmt.Errorf("loopback: %w", err)
+	}
 	f.Platform.Set(platform.KeyAccepted, record)
 	return nil
 }
--- a/internal/loopback/fleet_test.go
+++ b/internal/loopback/fleet_test.go
@@ -17,7 +17,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/loopback"
 )
 
-func start(t *testing.T, c loopback.Config) *loopback.Fleet {
+func start(t testing.TB, c loopback.Config) *loopback.Fleet {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -11,7 +11,7 @@
 	retryLast  = 2 * time.Second
 	// retryValue is the time until a value that could not be read is read
 	// again, unless it changes before.
-	retryValue = 5 * time.Second
+	retryValue = 2 * time.Second
 	// glance is how often a node that is no watcher looks whether it became
 	// one or heard of a newer list.
 	glance = 250 * time.Millisecond
