--- a/cmd/bulrushhinge/ask.go
+++ b/cmd/bulrushhinge/ask.go
@@ -56,7 +56,7 @@
 func (c *askCommand) turn(chat *entry.Chat, text string) error {
 	o := entry.Options{Once: c.Once, Priority: c.Priority, MaxTokens: c.MaxTokens}
 	for attempt := 1; ; attempt++ {
-		err := c.answer(chat, text, o)
+		err := c.answer(chat, text, &o)
 		if err == nil {
 			return nil
 		}
@@ -77,14 +77,15 @@
 	}
 }
 
-func (c *askCommand) answer(chat *entry.Chat, text string, o entry.Options) error {
+func (c *askCommand) answer(chat *entry.Chat, text string, o *entry.Options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	s, err := chat.Ask(ctx, text, o)
+	s, err := chat.Ask(ctx, text, *o)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
+	o.Ticket = s.Ticket()
 	for {
 		piece, err := s.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -9,9 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,8 +88,9 @@
 	// Endpoint is a running stand-in endpoint.
 	Endpoint struct {
 		*standin.Endpoint
-		Addr   netip.AddrPort
-		server *server
+		Addr    netip.AddrPort
+		Service string
+		server  *server
 	}
 
 	node struct {
@@ -194,6 +198,7 @@
 		return err
 	}
 	e.Addr = e.server.addr
+	e.Service = c.Service
 	f.Network.listens(c.Name, e.Addr)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -285,6 +290,15 @@
 	return f.endpoints[name]
 }
 
+// Endpoints returns the running endpoints, sorted by name.
+func (f *Fleet) Endpoints() []*Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.SortedFunc(maps.Values(f.endpoints), func(a, b *Endpoint) int {
+		return strings.Compare(a.Name(), b.Name())
+	})
+}
+
 // Ready waits until every node has a configuration in force, knows every other
 // node and sees every endpoint.
 func (f *Fleet) Ready(ctx context.Context) error {
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -16,6 +16,9 @@
 		attempt string
 		model   string
 		usage   endpoint.Usage
+		// first begins the answer with what was asked, so that a caller can
+		// tell its own answer from another's.
+		first string
 	}
 
 	completion struct {
@@ -55,7 +58,10 @@
 		return
 	}
 	defer s.end()
-	a := answer{attempt: r.Header.Get(endpoint.HeaderAttempt), model: req.Model, usage: usage(prompt, output, s.cached)}
+	a := answer{
+		attempt: r.Header.Get(endpoint.HeaderAttempt), model: req.Model,
+		usage: usage(prompt, output, s.cached), first: lastWords(req),
+	}
 	w.Header().Set(endpoint.HeaderAttempt, a.attempt)
 	if req.Stream {
 		e.stream(w, s, a, output)
@@ -70,7 +76,7 @@
 		if !s.step() {
 			return
 		}
-		send(w, chunk(a, e.token(i)))
+		send(w, chunk(a, e.token(a, i)))
 	}
 	last := chunk(a, "")
 	stop := finishStop
@@ -86,7 +92,7 @@
 		if !s.step() {
 			return
 		}
-		text.WriteString(e.token(i))
+		text.WriteString(e.token(a, i))
 	}
 	writeJSON(w, completion{
 		ID: a.attempt, Object: "chat.completion", Model: a.model, Usage: a.usage,
@@ -97,7 +103,23 @@
 	})
 }
 
-func (e *Endpoint) token(i int) string { return fmt.Sprintf("%s-%d ", e.config.Name, i) }
+func (e *Endpoint) token(a answer, i int) string {
+	if i == 0 {
+		return fmt.Sprintf("%s on %q: ", e.config.Name, a.first)
+	}
+	return fmt.Sprintf("%s-%d ", e.config.Name, i)
+}
+
+// lastWords returns the end of a chat's last message; empty where that is no
+// plain text.
+func lastWords(req endpoint.ChatRequest) string {
+	const size = 64
+	var text string
+	if len(req.Messages) == 0 || json.Unmarshal(req.Messages[len(req.Messages)-1].Content, &text) != nil {
+		return ""
+	}
+	return text[max(len(text)-size, 0):]
+}
 
 func usage(prompt, output, cached int) endpoint.Usage {
 	return endpoint.Usage{
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -53,6 +53,7 @@
 		cache   *prefixCache
 		loads   loadHistory
 		ran     map[string]int
+		started int
 		// crashed is closed when the endpoint crashes.
 		crashed chan struct{}
 	}
@@ -106,6 +107,23 @@
 	e.note()
 }
 
+// Leaving reports whether the endpoint is leaving.
+func (e *Endpoint) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// Name returns the endpoint's name.
+func (e *Endpoint) Name() string { return e.config.Name }
+
+// Started returns how many requests have begun to run.
+func (e *Endpoint) Started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started
+}
+
 // Ran returns how often each body was run.
 func (e *Endpoint) Ran() map[string]int {
 	e.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -48,6 +48,7 @@
 func (s *session) start(body string) {
 	e := s.endpoint
 	e.mu.Lock()
+	e.started++
 	if len(e.ran) < maxRanBodies || e.ran[body] > 0 {
 		e.ran[body]++
 	}
