--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,6 +20,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
@@ -83,6 +84,7 @@
 	Node struct {
 		config    Config
 		control   *control
+		cache     *platform.Cache
 		reader    *platform.Reader
 		source    *platform.Client
 		peers     *peer.Client
@@ -112,12 +114,18 @@
 		Peer:        address(c.Peers),
 	}
 	active := func() int { return int(c.Limits.Active.Load()) }
-	k, permits := builtin.New(self, builtin.Config{Membership: membership.Config{Active: active}}, c.Extensions...)
+	k, permits := builtin.New(self, builtin.Config{
+		Config:     config.Config{Hold: config.DefaultHold},
+		Membership: membership.Config{Active: active},
+	}, c.Extensions...)
 	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
-	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
+	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	n.control = newControl(controlConfig{
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log,
+	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role,
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -159,10 +167,17 @@
 	return err
 }
 
+// role returns what the fleet expects of the platform's reader. A node that has
+// published no view yet knows no other that would read for it.
+func (n *Node) role() platform.Role {
+	v := n.control.View()
+	return platform.Role{Watcher: v.Watcher || v.At.IsZero()}
+}
+
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
+		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.cache,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -79,11 +81,7 @@
 
 // Ask asks a home for a permit.
 func (c *Client) Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error) {
-	req := &peerpb.PermitRequest{
-		Node:        c.config.Self,
-		Incarnation: c.config.Incarnation,
-		Asks:        []*peerpb.Ask{encodeAsk(a)},
-	}
+	req := EncodePermit(c.config.Self, c.config.Incarnation, []gate.Ask{a}, nil)
 	reply, err := c.peer(ctx, to).Permit(ctx, req)
 	if err != nil {
 		return 0, unreachable(to, err)
@@ -96,28 +94,32 @@
 
 // Release gives a permit back.
 func (c *Client) Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error {
-	req := &peerpb.PermitRequest{
-		Node:        c.config.Self,
-		Incarnation: c.config.Incarnation,
-		Releases:    []*peerpb.Release{{Id: id, Endpoint: endpoint}},
-	}
+	req := EncodePermit(c.config.Self, c.config.Incarnation, nil, []gate.Return{{ID: id, Endpoint: endpoint}})
 	if _, err := c.peer(ctx, to).Permit(ctx, req); err != nil {
 		return unreachable(to, err)
 	}
 	return nil
 }
 
-// Config reads a value of the accepted configuration. The value is nil where
-// the peer does not have it.
-func (c *Client) Config(ctx context.Context, to netip.AddrPort, key string) ([]byte, error) {
-	reply, err := c.peer(ctx, to).Config(ctx, &peerpb.ConfigRequest{Key: key})
-	if err != nil {
-		return nil, unreachable(to, err)
-	}
-	if !reply.Found {
-		return nil, nil
+// Values reads values of the accepted configuration by their keys. Those that
+// the peer does not have are left out.
+func (c *Client) Values(ctx context.Context, to netip.AddrPort, keys []string) (map[string][]byte, error) {
+	values := make(map[string][]byte, len(keys))
+	for len(keys) > 0 {
+		reply, err := c.peer(ctx, to).Config(ctx, &peerpb.ConfigRequest{Keys: keys})
+		if err != nil {
+			return nil, unreachable(to, err)
+		}
+		if len(reply.Values) == 0 {
+			return values, nil
+		}
+		maps.Copy(values, reply.Values)
+		keys = slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
+			_, have := reply.Values[key]
+			return have
+		})
 	}
-	return reply.Value, nil
+	return values, nil
 }
 
 func (c *Client) peer(ctx context.Context, to netip.AddrPort) peerpb.DRPCPeerClient {
--- /dev/null
+++ b/internal/replay/ideal.go
@@ -0,0 +1,66 @@
+package replay
+
+import (
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/trace"
+)
+
+// idealPause is how long the ideal router waits where every engine is full.
+const idealPause = time.Millisecond
+
+// sendIdeal places a request as one router would that knows every engine's
+// load and cache at once.
+func (s *simulation) sendIdeal(i int, e *trace.Event) {
+	g := s.idealEngine(e)
+	if g == nil {
+		s.queue.after(idealPause, func() { s.sendIdeal(i, e) })
+		return
+	}
+	s.attempts++
+	r := &run{attempt: s.attempts, index: i, ask: e}
+	r.onFirst = func(uint64) { s.meter.first(i, true) }
+	r.onDone = func(uint64) { s.meter.whole(i, true) }
+	r.onBroken = func(first bool) {
+		if first || e.Once {
+			s.meter.broke(i)
+			return
+		}
+		s.sendIdeal(i, e)
+	}
+	g.start(r)
+}
+
+// idealEngine takes the first engine that the present Ranker and Rule allow
+// when they know all.
+func (s *simulation) idealEngine(e *trace.Event) *engine {
+	pool := s.pool(e.Model)
+	request := route.Request{
+		Chat: e.Chat, Input: e.Prefix + e.Input, Output: e.Output, Cached: map[string]int{},
+	}
+	for _, candidate := range pool.Endpoints {
+		if held := min(s.engines[candidate.Name].cache.tokens(e.Chat), e.Prefix); held > 0 {
+			request.Cached[candidate.Name] = held
+		}
+	}
+	for _, candidate := range s.ideal.Rank(s.time(), pool, request) {
+		work := e.Prefix + e.Input + e.Output - request.Cached[candidate.Name]
+		if s.rule.Fits(pool, candidate.Load, work, s.largest(pool)) {
+			return s.engines[candidate.Name]
+		}
+	}
+	return nil
+}
+
+// largest is the most tokens of a request in progress at a pool.
+func (s *simulation) largest(pool *kernel.Pool) int {
+	most := 0
+	for _, e := range pool.Endpoints {
+		for _, r := range s.engines[e.Name].runs {
+			most = max(most, r.work)
+		}
+	}
+	return most
+}
