--- a/internal/loopback/answer_test.go
+++ b/internal/loopback/answer_test.go
@@ -84,9 +84,13 @@
 // order.
 func requireWhole(t *testing.T, text string) {
 	t.Helper()
-	name, _, _ := strings.Cut(text, "-")
+	name, _, _ := strings.Cut(text, " ")
+	// The first token repeats what was asked.
+	first, _, found := strings.Cut(text, "\": ")
+	require.True(t, found && strings.HasPrefix(first, name+" on \""), text)
 	var want strings.Builder
-	for i := range tokens {
+	want.WriteString(first + "\": ")
+	for i := 1; i < tokens; i++ {
 		fmt.Fprintf(&want, "%s-%d ", name, i)
 	}
 	require.Equal(t, want.String(), text)
