--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,11 +51,16 @@
 
 	// Config is the settings of a Dispatcher.
 	Config struct {
-		View      func() *kernel.View
+		View func() *kernel.View
+		// Router plans the requests; nil is one with the defaults.
+		Router    *route.Router
 		Gate      Gate
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Leases and PeerLeases let suspected requests run.
+		Leases     Leases
+		PeerLeases PeerLeases
 	}
 
 	// Dispatcher runs requests. It is safe for concurrent use.
@@ -79,6 +84,7 @@
 		Attempt  string
 		Endpoint kernel.Endpoint
 		release  func()
+		job      *job
 	}
 
 	job struct {
@@ -88,11 +94,16 @@
 		call   endpoint.Call
 		permit uint64
 		lost   bool
+
+		suspicion suspicion
 	}
 )
 
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
+	if c.Router == nil {
+		c.Router = route.NewRouter(route.Config{})
+	}
 	return &Dispatcher{config: c, base: rand.Uint64()}
 }
 
@@ -103,20 +114,29 @@
 
 // Close ends the answer and gives the permit back.
 func (r *Run) Close() error {
-	err := r.Answer.Body.Close()
+	err := r.Answer.Close()
 	r.release()
+	r.job.giveBack(false)
 	return err
 }
 
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: route.New(req), req: req, call: call}
+	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
+	return j.carry(ctx)
+}
+
+func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
-		step := j.plan.Next(time.Now(), d.config.View())
+		if refusal := j.clear(ctx); refusal != nil {
+			j.giveBack(false)
+			return nil, refusal
+		}
+		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
-			j.plan.Report(j.ask(ctx, step.Endpoint))
+			j.plan.Report(j.ask(ctx, step))
 		case route.StepRun:
 			run, outcome := j.run(ctx, step.Endpoint)
 			if run != nil {
@@ -125,21 +145,25 @@
 			j.plan.Report(outcome)
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
+				j.giveBack(false)
 				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
+			j.giveBack(false)
 			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
 		}
 	}
 }
 
-func (j *job) ask(ctx context.Context, e kernel.Endpoint) route.Outcome {
+func (j *job) ask(ctx context.Context, step route.Step) route.Outcome {
+	e := step.Endpoint
 	j.permit = j.d.base + j.d.serial.Add(1)
 	a := gate.Ask{
 		ID:       j.permit,
 		Endpoint: e.Name,
-		Tokens:   j.req.Input + j.req.Output,
+		Tokens:   step.Tokens,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Suspect:  len(j.suspect().Endpoints),
 	}
 	verdict, err := j.d.ask(ctx, e, a)
 	if err != nil {
@@ -164,12 +188,10 @@
 	permit := j.permit
 	if err == nil {
 		release := func() { j.d.release(e, permit) }
-		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
 	j.d.release(e, permit)
-	if ctx.Err() == nil {
-		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
-	}
+	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
 	}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -4,60 +4,242 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	maxEventBytes    = 1 << 20
+	streamBufferSize = 4 << 10
 )
 
-const maxEventBytes = 1 << 20
+var (
+	dataField   = []byte("data:")
+	idField     = []byte("id:")
+	finishField = []byte(`"finish_reason"`)
+	null        = []byte("null")
 
-var dataField = []byte("data:")
+	droppedEvents = metrics.GetOrCreateCounter("bulrushhinge_endpoint_dropped_events_total")
+)
 
 // Stream reads a streamed chat completion, event by event.
+//
+// An endpoint numbers the events of an answer from 0 in the id field, the end
+// mark included. By these numbers a repeated event is dropped and a gap is
+// found, and after a broken connection the stream goes on where it stopped. An
+// answer without numbers is read as it comes and cannot be resumed.
 type Stream struct {
-	answer  *Answer
+	answer *Answer
+	// prefix is how the data of nearly every event begins.
+	prefix  []byte
 	attempt string
-	lines   *bufio.Scanner
+	lines   *bufio.Reader
+	// long collects a line that the buffer cannot hold.
+	long    []byte
 	dropped int
+	// next is the number of the event that comes next.
+	next int
+	// numbered is set once the endpoint numbered an event.
+	numbered bool
+	// finished is set once an event said why the answer finished.
+	finished bool
+	resumes  int
+	// gone is set once the endpoint no longer knows the attempt.
+	gone bool
 }
 
 // NewStream returns the Stream of an answer to the given attempt.
 func NewStream(a *Answer, attempt string) *Stream {
-	lines := bufio.NewScanner(a.Body)
-	lines.Buffer(nil, maxEventBytes)
-	return &Stream{answer: a, attempt: attempt, lines: lines}
-}
-
-// Next returns the next chunk, io.EOF after the end mark, or ErrCut where the
-// answer ended without one. Chunks of other attempts are dropped: a late or
-// crossed answer must never reach another caller.
-func (s *Stream) Next() (Chunk, error) {
-	for s.lines.Scan() {
-		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataField)
-		if !ok {
-			continue
+	return &Stream{
+		answer:  a,
+		attempt: attempt,
+		prefix:  []byte(`{"id":"` + attempt + `"`),
+		lines:   bufio.NewReaderSize(a.Body, streamBufferSize),
+	}
+}
+
+// Next returns the data of the next event as the endpoint wrote it, valid until
+// the next call; io.EOF after the end mark; or ErrCut where the answer ended
+// without one and could not be resumed. Repeated events and those of other
+// attempts are dropped and counted: a late or crossed answer must never reach
+// another caller.
+func (s *Stream) Next() ([]byte, error) {
+	for {
+		data, err := s.event()
+		switch {
+		case err == nil:
+			return data, nil
+		case errors.Is(err, io.EOF):
+			s.answer.whole = true
+			return nil, io.EOF
+		case !s.resume():
+			return nil, s.died(err)
 		}
+	}
+}
+
+// More reports whether the data of a further event has already arrived.
+func (s *Stream) More() bool {
+	_, after, ok := bytes.Cut(s.peek(), dataField)
+	return ok && bytes.IndexByte(after, '\n') >= 0
+}
+
+// Dropped returns how many repeated events and events of other attempts were
+// dropped.
+func (s *Stream) Dropped() int { return s.dropped }
+
+// Resumes returns how often the stream was asked for again.
+func (s *Stream) Resumes() int { return s.resumes }
+
+// Close ends the stream; an endpoint that still runs it is freed.
+func (s *Stream) Close() error { return s.answer.Close() }
+
+// Decode reads the data of an event.
+func Decode(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("%w: %v", ErrCut, err)
+	}
+	return c, nil
+}
+
+// event reads one event: its data, io.EOF for the end mark, or ErrCut.
+func (s *Stream) event() ([]byte, error) {
+	id := ""
+	for {
+		line, err := s.line()
+		data, isData := bytes.CutPrefix(line, dataField)
 		data = bytes.TrimSpace(data)
-		if string(data) == DoneMark {
-			return Chunk{}, io.EOF
+		switch {
+		case isData && string(data) == DoneMark:
+			return nil, s.end(id)
+		case err == io.EOF:
+			return nil, fmt.Errorf("%w: no end mark", ErrCut)
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w: %v", ErrCut, errConnection, err)
+		case !isData:
+			id = field(line, idField, id)
+			continue
 		}
-		var c Chunk
-		if err := json.Unmarshal(data, &c); err != nil {
-			return Chunk{}, fmt.Errorf("%w: %v", ErrCut, err)
+		mine, err := s.take(id, data)
+		if mine || err != nil {
+			return data, err
 		}
-		if c.ID != s.attempt {
-			s.dropped++
-			continue
+		s.drop()
+	}
+}
+
+// take checks an event and reports whether it is the next of the attempt.
+func (s *Stream) take(id string, data []byte) (bool, error) {
+	if due, err := s.due(id); err != nil || !due {
+		return false, err
+	}
+	own, err := s.own(data)
+	if err != nil {
+		return false, fmt.Errorf("%w: %v", ErrCut, err)
+	}
+	if !own {
+		return false, nil
+	}
+	s.next++
+	s.numbered = id != ""
+	s.finished = s.finished || finishes(data)
+	return true, nil
+}
+
+// due compares an event's number with the one that comes next.
+func (s *Stream) due(id string) (bool, error) {
+	if id == "" && !s.numbered {
+		return true, nil
+	}
+	number, err := strconv.Atoi(id)
+	if err != nil {
+		return false, fmt.Errorf("%w: event number %q", ErrCut, id)
+	}
+	if number > s.next {
+		return false, fmt.Errorf("%w: event %d came where %d was due", ErrCut, number, s.next)
+	}
+	return number == s.next, nil
+}
+
+// end takes the end mark. It counts only after an event that says why the
+// answer finished: an engine that was cut off from its model may still close
+// its stream properly.
+func (s *Stream) end(id string) error {
+	if due, err := s.due(id); err != nil {
+		return err
+	} else if !due || !s.finished {
+		return fmt.Errorf("%w: end mark before the end", ErrCut)
+	}
+	return io.EOF
+}
+
+func (s *Stream) drop() {
+	s.dropped++
+	droppedEvents.Inc()
+}
+
+// own reports whether an event belongs to the attempt. Decoding each event
+// would cost most of what a token costs on a node, so only one that does not
+// begin as expected is decoded.
+func (s *Stream) own(data []byte) (bool, error) {
+	if bytes.HasPrefix(data, s.prefix) && data[len(data)-1] == '}' {
+		return true, nil
+	}
+	var head struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return false, err
+	}
+	return head.ID == s.attempt, nil
+}
+
+// line returns the next line. A last line without its end comes with an error:
+// it may have been cut anywhere.
+func (s *Stream) line() ([]byte, error) {
+	s.long = s.long[:0]
+	for {
+		part, err := s.lines.ReadSlice('\n')
+		if err == nil && len(s.long) == 0 {
+			return part, nil
+		}
+		s.long = append(s.long, part...)
+		switch {
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return s.long, err
+		case len(s.long) > maxEventBytes:
+			return nil, errors.New("event is too long")
 		}
-		return c, nil
 	}
-	if err := s.lines.Err(); err != nil {
-		return Chunk{}, fmt.Errorf("%w: %v", ErrCut, err)
+}
+
+// peek returns what is buffered beyond the blank line that ends an event.
+func (s *Stream) peek() []byte {
+	ahead, err := s.lines.Peek(s.lines.Buffered())
+	if err != nil {
+		return nil
 	}
-	return Chunk{}, ErrCut
+	return bytes.TrimLeft(ahead, "\r\n")
 }
 
-// Dropped returns how many chunks of other attempts were dropped.
-func (s *Stream) Dropped() int { return s.dropped }
+// field returns the value of a line's field, or otherwise where the line has
+// another.
+func field(line, name []byte, otherwise string) string {
+	value, ok := bytes.CutPrefix(line, name)
+	if !ok {
+		return otherwise
+	}
+	return string(bytes.TrimSpace(value))
+}
 
-// Close ends the stream; an endpoint that still runs it is freed.
-func (s *Stream) Close() error { return s.answer.Body.Close() }
+// finishes reports whether an event says why the answer finished. It is not
+// decoded, which would cost most of what a token costs on a node.
+func finishes(data []byte) bool {
+	_, after, ok := bytes.Cut(data, finishField)
+	return ok && !bytes.HasPrefix(bytes.TrimLeft(after, " :"), null)
+}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -52,6 +52,12 @@
 	// Reread asks for a new reading of what the platform publishes.
 	Reread struct{}
 
+	// ConfigFailed is an accepted revision that a peer told of but did not
+	// deliver.
+	ConfigFailed struct {
+		Node string
+	}
+
 	// BeatReceived is a heartbeat from a peer, as a call or as the answer to
 	// one.
 	BeatReceived struct {
@@ -93,12 +99,21 @@
 		To Node
 	}
 
+	// FetchConfig asks for the newest accepted revision to be fetched from a
+	// peer that has a higher one.
+	FetchConfig struct {
+		Node     string
+		Revision uint64
+	}
+
 	// Beat is what a node tells a peer in one heartbeat.
 	Beat struct {
 		Node        string
 		Incarnation uint64
 		Serial      uint64
 		Leaving     bool
+		// Active is the callers' requests in progress at the sender.
+		Active int
 		// Revision is the accepted revision in force at the sender.
 		Revision uint64
 		// Loads is the load of the endpoints whose home the sender is.
@@ -116,6 +131,8 @@
 		Digests []Digest
 		// Demands are the sender's heavy accounts.
 		Demands []Demand
+		// Suspects is the requests that ran on endpoints when they died.
+		Suspects []Suspicion
 		// Near is set where sender and receiver are of one cell. It is not
 		// transmitted.
 		Near bool
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -63,6 +63,8 @@
 		// Settled is set once the node has been live for so long that its peers
 		// know of it.
 		Settled bool
+		// Active is the callers' requests in progress, as last heard.
+		Active int
 	}
 
 	// Endpoint is a process that runs requests.
@@ -122,6 +124,9 @@
 		// Probes is the endpoints whose home the node is, dead ones included:
 		// it reads their loads.
 		Probes []Endpoint
+		// Suspects is the requests that ran on endpoints when they died, by
+		// print.
+		Suspects map[uint64]Suspicion
 		// Watcher says that the node should hold waiting watches on the
 		// platform. It is set unless live peers of the zone are known to watch.
 		Watcher bool
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -115,7 +115,15 @@
 	p.changed(out)
 }
 
+// listSelf takes the node's own addresses from the list where it listens on
+// every address of its instance and so cannot tell which one others reach.
 func (p *plugin) listSelf(i kernel.Instance, out *kernel.Output) {
+	if p.self.Caller.Addr().IsUnspecified() {
+		p.self.Caller = i.Addr
+	}
+	if p.self.Peer.Addr().IsUnspecified() {
+		p.self.Peer = i.Peer
+	}
 	if i.Leaving && !p.leaving {
 		out.Raise(kernel.Marked{Mark: kernel.Mark{
 			Name: p.self.Name, Kind: kernel.KindNode, Incarnation: p.self.Incarnation,
@@ -144,6 +152,10 @@
 	m.heard = now
 	m.failures = 0
 	m.pause = 0
+	if m.node.Active != b.Active {
+		m.node.Active = b.Active
+		p.nodes = nil
+	}
 	m.next = p.due(now, m)
 	if b.Leaving {
 		m.leave(now)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,6 +44,9 @@
 		Pause time.Duration
 		// Mesh is the number of nodes up to which a region is one cell.
 		Mesh int
+		// Active returns the callers' requests in progress at the node. It is
+		// called for each heartbeat and each view.
+		Active func() int
 	}
 
 	extension struct{ config Config }
@@ -54,6 +57,8 @@
 		self    kernel.Node
 		members map[string]*member
 		regions map[string]string
+		// revision is that of the regions.
+		revision uint64
 		leaving bool
 		serial  uint64
 		started time.Time
@@ -87,6 +92,9 @@
 	setDefault(&c.Settle, DefaultSettle)
 	setDefault(&c.Pause, DefaultPause)
 	setDefault(&c.Mesh, DefaultMesh)
+	if c.Active == nil {
+		c.Active = func() int { return 0 }
+	}
 	return extension{config: c}
 }
 
@@ -126,7 +134,8 @@
 
 // Publish writes the nodes that are not dead.
 func (p *plugin) Publish(now time.Time, v *kernel.View) {
-	if p.nodes == nil {
+	if active := p.config.Active(); p.nodes == nil || active != p.self.Active {
+		p.self.Active = active
 		p.nodes = p.alive(now)
 	}
 	v.Nodes = p.nodes
@@ -142,6 +151,7 @@
 func (p *plugin) Beat(now time.Time, to string, b *kernel.Beat) {
 	p.serial++
 	b.Serial = p.serial
+	b.Active = p.config.Active()
 	b.Leaving = b.Leaving || p.leaving
 	m := p.members[to]
 	if m == nil {
@@ -185,7 +195,12 @@
 	}
 }
 
+// accept takes over the regions of the zones, never from an older revision.
 func (p *plugin) accept(ev kernel.Accepted, out *kernel.Output) {
+	if ev.Manifest.Revision < p.revision {
+		return
+	}
+	p.revision = ev.Manifest.Revision
 	clear(p.regions)
 	for _, z := range ev.Manifest.Zones {
 		p.regions[z.Name] = z.Region
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,6 +15,7 @@
 		Incarnation: b.Incarnation,
 		Serial:      b.Serial,
 		Leaving:     b.Leaving,
+		Active:      uint32(max(b.Active, 0)),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, encodeLoad),
 		Marks:       mapped(b.Marks, encodeMark),
@@ -23,6 +24,7 @@
 		News:        pointed(b.News, encodeNews),
 		Digests:     mapped(b.Digests, encodeDigest),
 		Demands:     mapped(b.Demands, encodeDemand),
+		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
 
@@ -33,6 +35,7 @@
 		Incarnation: b.Incarnation,
 		Serial:      b.Serial,
 		Leaving:     b.Leaving,
+		Active:      int(b.Active),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, decodeLoad),
 		Marks:       mapped(b.Marks, decodeMark),
@@ -41,9 +44,24 @@
 		News:        valued(b.News, decodeNews),
 		Digests:     mapped(b.Digests, decodeDigest),
 		Demands:     mapped(b.Demands, decodeDemand),
+		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
 
+// EncodePermit returns the wire form of a batch of asks and releases.
+func EncodePermit(node string, incarnation uint64, asks []gate.Ask, releases []gate.Return) *peerpb.PermitRequest {
+	return &peerpb.PermitRequest{
+		Node:        node,
+		Incarnation: incarnation,
+		Asks:        mapped(asks, encodeAsk),
+		Releases:    mapped(releases, encodeReturn),
+	}
+}
+
+func encodeReturn(r gate.Return) *peerpb.Release {
+	return &peerpb.Release{Id: r.ID, Endpoint: r.Endpoint}
+}
+
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: l.Endpoint,
@@ -67,6 +85,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   uint32(max(a.Tokens, 0)),
 		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+		Suspect:  uint32(a.Suspect),
 	}
 }
 
@@ -76,6 +95,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   int(a.Tokens),
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
+		Suspect:  int(a.Suspect),
 	}
 }
 
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -64,7 +65,7 @@
 	if h.done == nil {
 		h.done = map[string]uint64{}
 	}
-	if len(h.nodes) > 0 && len(nodes) == len(h.nodes) && &nodes[0] == &h.nodes[0] {
+	if slices.EqualFunc(nodes, h.nodes, sameRole) {
 		return
 	}
 	h.nodes = nodes
@@ -90,6 +91,11 @@
 	}
 }
 
+// sameRole reports whether two states of a node make the same homes.
+func sameRole(a, b kernel.Node) bool {
+	return a.Name == b.Name && a.State == b.State && a.Settled == b.Settled && a.Zone == b.Zone && a.Region == b.Region
+}
+
 // assign writes an endpoint's home.
 func (h *homes) assign(now time.Time, m *member, settle time.Duration) {
 	e := &m.endpoint
