Reread the platform after a pause; test endpoints' states

Cause: a process that was paused went on with a watch that may be lost, and nothing tested stale lists, flaps, leave marks and corrected loads of endpoints. Change: the reader drops its watches and reads plainly when the kernel asks; tests of the pool plug-in in virtual time, and BenchmarkStep.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -124,12 +124,13 @@
 	}, c.Extensions...)
 	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	reread := make(chan struct{}, 1)
 	n.control = newControl(controlConfig{
-		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log,
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Reread: reread,
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Reread: reread,
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
--- a/control.go
+++ b/control.go
@@ -31,6 +31,8 @@
 		Gate      *gate.Gate
 		// Cache takes revisions that peers deliver.
 		Cache *platform.Cache
+		// Reread asks the platform's reader for new readings.
+		Reread chan<- struct{}
 		Log   logrus.FieldLogger
 	}
 
@@ -172,6 +174,11 @@
 	case kernel.SendBeat:
 		beat := c.config.Kernel.Beat(now, a.To.Name)
 		c.running.Go(func() { c.sendBeat(a.To, beat) })
+	case kernel.Reread:
+		select {
+		case c.config.Reread <- struct{}{}:
+		default:
+		}
 	case kernel.FetchConfig:
 		c.running.Go(func() { c.fetchConfig(a) })
 	}
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -53,6 +53,8 @@
 		Log   logrus.FieldLogger
 		// Role returns the node's role; nil is always a watcher's.
 		Role func() Role
+		// Reread asks for new readings at once; nil never does.
+		Reread <-chan struct{}
 		// Poll and Check are 0 for their defaults; both are jittered.
 		Poll  time.Duration
 		Check time.Duration
@@ -68,6 +70,7 @@
 		cancel   context.CancelFunc
 		done     sync.WaitGroup
 		statuses statuses
+		rereads  *rereads
 	}
 
 	noMeter struct{}
@@ -88,7 +91,8 @@
 		c.Meter = noMeter{}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{config: c, cancel: cancel}
+	r := &Reader{config: c, cancel: cancel, rereads: newRereads()}
+	r.done.Go(func() { r.rereads.follow(ctx, c.Reread) })
 	follow := func(t *topic) {
 		t.reader = r
 		t.status = r.statuses.add(t.key)
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -37,6 +37,8 @@
 	plain  time.Time
 	read   time.Time
 	failed bool
+	// called is closed when a new reading is asked for.
+	called <-chan struct{}
 }
 
 func (t *topic) follow(ctx context.Context) {
@@ -63,6 +65,11 @@
 // takes it where it is new. It reports false where nothing was due.
 func (t *topic) next(ctx context.Context) (bool, error) {
 	source, watcher := t.reader.config.Source, t.reader.config.Role().Watcher
+	called := t.reader.rereads.channel()
+	if t.called != nil && t.called != called {
+		t.plain = time.Now()
+	}
+	t.called = called
 	switch {
 	case t.due(watcher):
 		v, err := source.Get(ctx, t.key)
@@ -75,7 +82,12 @@
 		sleep(ctx, jitter(glance))
 		return false, nil
 	default:
-		v, changed, err := source.Watch(ctx, t.key, t.seen)
+		waiting, cancel := until(ctx, called)
+		defer cancel()
+		v, changed, err := source.Watch(waiting, t.key, t.seen)
+		if waiting.Err() != nil && ctx.Err() == nil {
+			return false, nil
+		}
 		if err != nil || !changed {
 			return true, err
 		}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,191 @@
+package pool_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// node is a kernel alone in its fleet, so that it is the home of all endpoints.
+type node struct {
+	*kernel.Kernel
+	now  time.Time
+	list []kernel.Instance
+	sent []kernel.EndpointLoad
+}
+
+func newNode(endpoints int) *node {
+	n := &node{now: time.Unix(1000, 0)}
+	self := kernel.Node{Name: "n1", Zone: "z1", Incarnation: 7}
+	n.Kernel, _ = builtin.New(self, builtin.Config{Pool: pool.Config{
+		Sent: func() []kernel.EndpointLoad { return n.sent },
+	}})
+	for i := range endpoints {
+		n.list = append(n.list, kernel.Instance{
+			Name: fmt.Sprintf("e%d", i), Kind: kernel.KindEndpoint, Zone: "z1", Service: "s",
+			Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1)),
+		})
+	}
+	n.Step(n.now, kernel.Accepted{Manifest: &manifest.Manifest{
+		Revision: 1, Zones: []manifest.Zone{{Name: "z1"}}, Services: []manifest.Service{{Name: "s"}},
+	}})
+	n.Step(n.now, kernel.Instances{Version: 1, List: n.list})
+	return n
+}
+
+func (n *node) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); {
+		n.now = n.now.Add(kernel.DefaultTick)
+		n.Step(n.now, kernel.Tick{})
+	}
+}
+
+// state returns an endpoint's state, kernel.Dead where the view has it not.
+func (n *node) state(name string) kernel.State {
+	e, ok := n.View().Pools["s"].Endpoint(name)
+	if !ok {
+		return kernel.Dead
+	}
+	return e.State
+}
+
+// flap lets an endpoint fail for some seconds and answer again.
+func (n *node) flap(name string) {
+	for range 4 {
+		n.Step(n.now, kernel.EndpointFailed{Endpoint: name})
+		n.run(time.Second)
+	}
+	n.Step(n.now, kernel.LoadReported{Endpoint: name})
+	n.run(kernel.DefaultTick)
+}
+
+func TestDeadEndpointOnAStaleListGetsNoWork(t *testing.T) {
+	// Symptom: attempts go on to an endpoint that died long ago.
+	// Sequence: it dies; the list goes on naming it.
+	// Cause: the list lags, or the platform is down.
+	n := newNode(3)
+	for range 4 {
+		n.Step(n.now, kernel.EndpointFailed{Endpoint: "e1"})
+		n.run(time.Second)
+	}
+	require.Equal(t, kernel.Dead, n.state("e1"))
+	require.Len(t, n.View().Probes, 3, "its home goes on asking it")
+	n.Step(n.now, kernel.Instances{Version: 2, List: n.list})
+	n.run(time.Second)
+	require.Equal(t, kernel.Dead, n.state("e1"))
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1"})
+	n.run(kernel.DefaultTick)
+	require.Equal(t, kernel.Live, n.state("e1"), "the first return is trusted")
+}
+
+func TestFlappingEndpointIsHeldBackLongerEachTime(t *testing.T) {
+	// Symptom: many lost attempts at one endpoint.
+	// Sequence: it dies and comes back, again and again.
+	// Cause: it is trusted at its first answer.
+	n := newNode(3)
+	var quiet []time.Duration
+	for range 4 {
+		n.flap("e1")
+		begin := n.now
+		for n.state("e1") == kernel.Suspect {
+			n.run(kernel.DefaultTick)
+		}
+		quiet = append(quiet, n.now.Sub(begin).Round(time.Second))
+	}
+	require.Equal(t, []time.Duration{0, 2 * time.Second, 4 * time.Second, 8 * time.Second}, quiet)
+}
+
+func TestLeavingEndsWithTheIncarnation(t *testing.T) {
+	// Symptom: an endpoint that was replaced in place never gets work again, or
+	// a leaving one gets it back from a list that does not know.
+	n := newNode(2)
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 1, Leaving: true})
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 1})
+	n.Step(n.now, kernel.Instances{Version: 2, List: n.list})
+	n.run(time.Second)
+	require.Equal(t, kernel.Leaving, n.state("e1"))
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 2})
+	n.run(kernel.DefaultTick)
+	require.Equal(t, kernel.Live, n.state("e1"))
+}
+
+func TestHalfAListDoesNotEmptyTheFleet(t *testing.T) {
+	// Symptom: a fleet without endpoints, while all of them answer.
+	// Sequence: the platform answers with part of its list, then the whole.
+	// Cause: what a list does not name is taken to be gone.
+	n := newNode(8)
+	n.Step(n.now, kernel.Instances{Version: 2, List: n.list[:1]})
+	n.run(time.Second)
+	require.Len(t, n.View().Pools["s"].Endpoints, 8)
+	n.Step(n.now, kernel.Instances{Version: 3, List: n.list[:7]})
+	n.run(time.Second)
+	require.Len(t, n.View().Pools["s"].Endpoints, 7, "an ordinary change counts at once")
+}
+
+func TestOwnDispatchesCorrectALaggedLoad(t *testing.T) {
+	// Symptom: a node sends a burst to the endpoint that seemed idle.
+	// Sequence: the home tells a load; the node sends three requests before
+	// the home's next heartbeat.
+	// Cause: the load that the node sees is old.
+	n := newNode(1)
+	peer := kernel.Instance{Name: "n2", Kind: kernel.KindNode, Zone: "z1"}
+	beat := func(requests int) {
+		n.Step(n.now, kernel.BeatReceived{Beat: &kernel.Beat{
+			Node: "n2", Incarnation: 9, Intro: &kernel.Intro{Instance: peer, Age: time.Minute},
+			Loads: []kernel.EndpointLoad{{Endpoint: "e0", Load: kernel.Load{Requests: requests}}},
+		}})
+		n.run(kernel.DefaultTick)
+	}
+	// The node leaves, so that its peer is the home.
+	n.Step(n.now, kernel.Drain{})
+	beat(2)
+	beat(2)
+	requests := func() int { return n.View().Pools["s"].Endpoints[0].Load.Requests }
+	require.Equal(t, 2, requests())
+	n.sent = []kernel.EndpointLoad{{Endpoint: "e0", Load: kernel.Load{Requests: 3}}}
+	n.run(kernel.DefaultTick)
+	require.Equal(t, 5, requests())
+	beat(5)
+	require.Equal(t, 5, requests(), "the home counts them by now")
+	n.sent = nil
+	n.run(kernel.DefaultTick)
+	require.Equal(t, 2, requests())
+}
+
+func TestHomeWaitsForNodesToSettle(t *testing.T) {
+	nodes := []kernel.Node{
+		{Name: "a", Zone: "z1", Settled: true},
+		{Name: "b", Zone: "z1"},
+		{Name: "c", Zone: "z2", Settled: true},
+	}
+	for i := range 50 {
+		e := kernel.Endpoint{Name: fmt.Sprintf("e%d", i), Zone: "z1"}
+		require.Equal(t, "a", pool.Home(e, nodes))
+	}
+	nodes[0].State = kernel.Leaving
+	require.Equal(t, "b", pool.Home(kernel.Endpoint{Name: "e1", Zone: "z1"}, nodes))
+	nodes[1].State = kernel.Suspect
+	require.Equal(t, "c", pool.Home(kernel.Endpoint{Name: "e1", Zone: "z1"}, nodes))
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, endpoints := range []int{24, 240, 1200} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			n := newNode(endpoints)
+			n.run(5 * time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				n.now = n.now.Add(kernel.DefaultTick)
+				n.Step(n.now, kernel.Tick{})
+			}
+		})
+	}
+}
