--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -81,17 +81,18 @@
 
 	// Node is a running router process.
 	Node struct {
-		config    Config
-		control   *control
-		reader    *platform.Reader
-		source    *platform.Client
-		peers     *peer.Client
-		server    *peer.Server
-		endpoints *endpoint.Client
-		handler   *caller.Handler
-		callers   *http.Server
-		operators *http.Server
-		running   sync.WaitGroup
+		config     Config
+		control    *control
+		reader     *platform.Reader
+		source     *platform.Client
+		peers      *peer.Client
+		server     *peer.Server
+		dispatcher *dispatch.Dispatcher
+		endpoints  *endpoint.Client
+		handler    *caller.Handler
+		callers    *http.Server
+		operators  *http.Server
+		running    sync.WaitGroup
 	}
 )
 
@@ -150,6 +151,7 @@
 // Close stops the node at once and cuts what is in progress.
 func (n *Node) Close() error {
 	err := errors.Join(n.callers.Close(), n.operators.Close())
+	n.dispatcher.Close()
 	n.reader.Close()
 	n.control.Close()
 	err = errors.Join(err, n.server.Close(), n.peers.Close())
@@ -167,11 +169,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	d := dispatch.New(dispatch.Config{
+	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
 	})
 	limits := n.config.Limits
-	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	limits.View, limits.Dispatcher, limits.Log = k.View, n.dispatcher, n.config.Log
 	n.handler = caller.New(limits)
 	n.callers = caller.NewServer(n.handler)
 	n.operators = &http.Server{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +19,10 @@
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
+var errNoHome = errors.New("dispatch: the home is not known")
+
 const (
-	askTimeout     = 250 * time.Millisecond
-	releaseTimeout = time.Second
+	askTimeout = 250 * time.Millisecond
 	// leaseSlack keeps a permit a little past the deadline, for the release
 	// under way.
 	leaseSlack = time.Second
@@ -34,14 +36,12 @@
 
 	// Peers asks other nodes for permits.
 	Peers interface {
-		Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error)
-		Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error
+		Permit(ctx context.Context, to netip.AddrPort, b gate.Batch) (gate.Reply, error)
 	}
 
 	// Gate grants the permits of the endpoints whose home the node is.
 	Gate interface {
-		Admit(now time.Time, a gate.Ask) gate.Verdict
-		Release(id uint64)
+		Apply(now time.Time, b gate.Batch) gate.Reply
 	}
 
 	// Sink takes events for the control state.
@@ -62,9 +62,12 @@
 
 	// Dispatcher runs requests. It is safe for concurrent use.
 	Dispatcher struct {
-		config Config
-		serial atomic.Uint64
-		base   uint64
+		config  Config
+		holder  *gate.Holder
+		serial  atomic.Uint64
+		base    uint64
+		cancel  context.CancelFunc
+		running sync.WaitGroup
 	}
 
 	// Refusal is the error of a request that got no answer.
@@ -98,7 +101,27 @@
 	if c.Router == nil {
 		c.Router = route.NewRouter(route.Config{})
 	}
-	return &Dispatcher{config: c, base: rand.Uint64()}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dispatcher{config: c, holder: gate.NewHolder(), base: rand.Uint64(), cancel: cancel}
+	d.running.Go(func() {
+		tick := time.NewTicker(dueInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				d.due(ctx)
+			}
+		}
+	})
+	return d
+}
+
+// Close stops telling homes. Permits still held there end with their leases.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.running.Wait()
 }
 
 // Error describes the refusal.
@@ -147,20 +170,7 @@
 		Tokens:   step.Tokens,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
 	}
-	verdict, err := j.d.ask(ctx, e, a)
-	if err != nil {
-		return route.OutcomeUnreachable
-	}
-	switch verdict {
-	case gate.Granted:
-		return route.OutcomeGranted
-	case gate.Full:
-		return route.OutcomeFull
-	case gate.Gone:
-		return route.OutcomeGone
-	default:
-		return route.OutcomeUnreachable
-	}
+	return j.d.permit(ctx, e, a)
 }
 
 func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
@@ -169,10 +179,10 @@
 	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	permit := j.permit
 	if err == nil {
-		release := func() { j.d.release(e, permit) }
+		release := func() { j.d.release(permit) }
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
 	}
-	j.d.release(e, permit)
+	j.d.release(permit)
 	if ctx.Err() == nil {
 		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
 	}
@@ -183,39 +193,6 @@
 	return nil, route.OutcomeLost
 }
 
-func (d *Dispatcher) ask(ctx context.Context, e kernel.Endpoint, a gate.Ask) (gate.Verdict, error) {
-	v := d.config.View()
-	if e.Home == v.Self.Name {
-		return d.config.Gate.Admit(time.Now(), a), nil
-	}
-	home, ok := v.Node(e.Home)
-	if !ok {
-		return gate.NotHome, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return d.config.Peers.Ask(ctx, home.Peer, a)
-}
-
-// release gives a permit back. Where the home does not hear of it, the lease
-// ends by itself.
-func (d *Dispatcher) release(e kernel.Endpoint, id uint64) {
-	v := d.config.View()
-	if e.Home == v.Self.Name {
-		d.config.Gate.Release(id)
-		return
-	}
-	home, ok := v.Node(e.Home)
-	if !ok {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		_ = d.config.Peers.Release(ctx, home.Peer, id, e.Name)
-	}()
-}
-
 func wait(ctx context.Context, until time.Time) error {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,14 +42,27 @@
 		ID       uint64
 		Endpoint string
 		Tokens   int
+		// Node is the node that asks.
+		Node string
 		// Lease is how long the permit counts unless it is given back.
 		Lease time.Duration
 	}
 
-	// Return gives one permit back.
-	Return struct {
-		ID       uint64
-		Endpoint string
+	// Batch is what a node tells a home in one message.
+	Batch struct {
+		Asks []Ask
+		// Declares is permits that other homes granted.
+		Declares []Ask
+		// Returns is permits that are given back.
+		Returns []uint64
+	}
+
+	// Reply is what a home answers.
+	Reply struct {
+		// Verdicts answers each ask, in the order asked.
+		Verdicts []Verdict
+		// Loads is the load of the home's endpoints, where it denied an ask.
+		Loads []kernel.EndpointLoad
 	}
 
 	// Gate holds the permits of the endpoints whose home the node is. It is
@@ -59,10 +72,13 @@
 		mu      sync.Mutex
 		permits map[uint64]permit
 		loads   map[string]kernel.Load
+		homes   map[string]adoption
+		adopted *kernel.View
 	}
 
 	permit struct {
 		endpoint string
+		node     string
 		tokens   int
 		expires  time.Time
 	}
@@ -73,7 +89,7 @@
 	if c.Rule == nil {
 		c.Rule = NewBoundRule()
 	}
-	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}}
+	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}}
 }
 
 // Admit answers an ask.
@@ -91,15 +107,43 @@
 	if _, held := g.permits[a.ID]; held {
 		return Granted
 	}
-	load := g.loads[a.Endpoint]
-	if !g.config.Rule.Fits(pool, load, a.Tokens, g.largest(pool)) {
+	g.adopt(v)
+	if !g.config.Rule.Fits(g.current(now, v, pool), g.load(now, a.Endpoint), a.Tokens, g.largest(pool)) {
 		return Full
 	}
-	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease)}
-	g.loads[a.Endpoint] = load.Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
+	g.hold(now, a)
 	return Granted
 }
 
+// Apply takes in a batch and answers it.
+func (g *Gate) Apply(now time.Time, b Batch) Reply {
+	for _, id := range b.Returns {
+		g.Release(id)
+	}
+	for _, a := range b.Declares {
+		g.Declare(now, a)
+	}
+	var r Reply
+	for _, a := range b.Asks {
+		verdict := g.Admit(now, a)
+		r.Verdicts = append(r.Verdicts, verdict)
+		if verdict == Full {
+			r.Loads = g.Loads()
+		}
+	}
+	return r
+}
+
+// Declare takes in a permit that another home granted, whatever the load: its
+// request runs already.
+func (g *Gate) Declare(now time.Time, a Ask) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, held := g.permits[a.ID]; !held {
+		g.hold(now, a)
+	}
+}
+
 // Release gives a permit back. A permit that is not held is ignored.
 func (g *Gate) Release(id uint64) {
 	g.mu.Lock()
@@ -107,29 +151,34 @@
 	g.release(id)
 }
 
-// Expire drops the permits whose lease has ended.
+// Expire drops the permits whose lease has ended or whose node is dead.
 //
 // A node that dies never gives its permits back; its endpoints would seem
-// loaded forever and get no work. The lease ends with the request's deadline,
-// after which the node would have stopped the request.
+// loaded forever and get no work. Its streams end with it. Where its death goes
+// unnoticed, the lease ends with the request's deadline, after which the node
+// would have stopped the request.
 func (g *Gate) Expire(now time.Time) {
+	v := g.config.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.permits {
-		if now.After(p.expires) {
+		_, alive := v.Node(p.node)
+		if now.After(p.expires) || !alive && p.node != "" {
 			g.release(id)
 		}
 	}
 }
 
-// Loads returns the admitted load of each endpoint that has any or had some,
-// sorted by name.
+// Loads returns the load of each endpoint whose home the node is, sorted by
+// name.
 func (g *Gate) Loads() []kernel.EndpointLoad {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	loads := make([]kernel.EndpointLoad, 0, len(g.loads))
-	for name, l := range g.loads {
-		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: l})
+	v := g.config.View()
+	g.adopt(v)
+	loads := make([]kernel.EndpointLoad, 0, len(g.homes))
+	for name := range g.homes {
+		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: g.load(v.At, name)})
 	}
 	slices.SortFunc(loads, func(a, b kernel.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
@@ -151,6 +200,11 @@
 	return most
 }
 
+func (g *Gate) hold(now time.Time, a Ask) {
+	g.permits[a.ID] = permit{endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens, expires: now.Add(a.Lease)}
+	g.loads[a.Endpoint] = g.loads[a.Endpoint].Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
+}
+
 func (g *Gate) release(id uint64) {
 	p, held := g.permits[id]
 	if !held {
@@ -161,6 +215,9 @@
 	load.Requests--
 	load.Tokens -= p.tokens
 	g.loads[p.endpoint] = load
+	if load.Requests == 0 {
+		delete(g.loads, p.endpoint)
+	}
 }
 
 func find(v *kernel.View, name string) (kernel.Endpoint, *kernel.Pool, bool) {
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
@@ -147,20 +149,22 @@
 
 // Node returns the node with the given name.
 func (v *View) Node(name string) (Node, bool) {
-	for _, n := range v.Nodes {
-		if n.Name == name {
-			return n, true
-		}
+	i, ok := slices.BinarySearchFunc(v.Nodes, name, func(n Node, name string) int {
+		return strings.Compare(n.Name, name)
+	})
+	if !ok {
+		return Node{}, false
 	}
-	return Node{}, false
+	return v.Nodes[i], true
 }
 
 // Endpoint returns the endpoint with the given name.
 func (p *Pool) Endpoint(name string) (Endpoint, bool) {
-	for _, e := range p.Endpoints {
-		if e.Name == name {
-			return e, true
-		}
+	i, ok := slices.BinarySearchFunc(p.Endpoints, name, func(e Endpoint, name string) int {
+		return strings.Compare(e.Name, name)
+	})
+	if !ok {
+		return Endpoint{}, false
 	}
-	return Endpoint{}, false
+	return p.Endpoints[i], true
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -77,26 +77,17 @@
 	return DecodeBeat(reply), nil
 }
 
-// Ask asks a home for a permit.
-func (c *Client) Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error) {
-	req := EncodePermit(c.config.Self, c.config.Incarnation, []gate.Ask{a}, nil)
-	reply, err := c.peer(ctx, to).Permit(ctx, req)
+// Permit sends a batch to a home.
+func (c *Client) Permit(ctx context.Context, to netip.AddrPort, b gate.Batch) (gate.Reply, error) {
+	answer, err := c.peer(ctx, to).Permit(ctx, EncodePermit(c.config.Self, b))
 	if err != nil {
-		return 0, unreachable(to, err)
+		return gate.Reply{}, unreachable(to, err)
 	}
-	if len(reply.Grants) != 1 || reply.Grants[0].Id != a.ID {
-		return 0, fmt.Errorf("%w: %v answered another ask", ErrUnreachable, to)
+	reply := DecodeReply(answer)
+	if len(reply.Verdicts) != len(b.Asks) {
+		return gate.Reply{}, fmt.Errorf("%w: %v answered %d of %d asks", ErrUnreachable, to, len(reply.Verdicts), len(b.Asks))
 	}
-	return gate.Verdict(reply.Grants[0].Verdict), nil
-}
-
-// Release gives a permit back.
-func (c *Client) Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error {
-	req := EncodePermit(c.config.Self, c.config.Incarnation, nil, []gate.Return{{ID: id, Endpoint: endpoint}})
-	if _, err := c.peer(ctx, to).Permit(ctx, req); err != nil {
-		return unreachable(to, err)
-	}
-	return nil
+	return reply, nil
 }
 
 // Config reads a value of the accepted configuration. The value is nil where
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -36,18 +36,40 @@
 	}
 }
 
-// EncodePermit returns the wire form of a batch of asks and releases.
-func EncodePermit(node string, incarnation uint64, asks []gate.Ask, releases []gate.Return) *peerpb.PermitRequest {
+// EncodePermit returns the wire form of a batch.
+func EncodePermit(node string, b gate.Batch) *peerpb.PermitRequest {
 	return &peerpb.PermitRequest{
-		Node:        node,
-		Incarnation: incarnation,
-		Asks:        mapped(asks, encodeAsk),
-		Releases:    mapped(releases, encodeReturn),
+		Node:     node,
+		Asks:     mapped(b.Asks, encodeAsk),
+		Declares: mapped(b.Declares, encodeAsk),
+		Returns:  b.Returns,
 	}
 }
 
-func encodeReturn(r gate.Return) *peerpb.Release {
-	return &peerpb.Release{Id: r.ID, Endpoint: r.Endpoint}
+// DecodePermit returns the batch of a wire form.
+func DecodePermit(r *peerpb.PermitRequest) gate.Batch {
+	decode := func(a *peerpb.Ask) gate.Ask { return decodeAsk(r.Node, a) }
+	return gate.Batch{
+		Asks:     mapped(r.Asks, decode),
+		Declares: mapped(r.Declares, decode),
+		Returns:  r.Returns,
+	}
+}
+
+// EncodeReply returns the wire form of the answer to a batch.
+func EncodeReply(r gate.Reply) *peerpb.PermitReply {
+	return &peerpb.PermitReply{
+		Verdicts: mapped(r.Verdicts, func(v gate.Verdict) uint32 { return uint32(v) }),
+		Loads:    mapped(r.Loads, encodeLoad),
+	}
+}
+
+// DecodeReply returns the answer of a wire form.
+func DecodeReply(r *peerpb.PermitReply) gate.Reply {
+	return gate.Reply{
+		Verdicts: mapped(r.Verdicts, func(v uint32) gate.Verdict { return gate.Verdict(v) }),
+		Loads:    mapped(r.Loads, decodeLoad),
+	}
 }
 
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
@@ -74,10 +96,11 @@
 	}
 }
 
-func decodeAsk(a *peerpb.Ask) gate.Ask {
+func decodeAsk(node string, a *peerpb.Ask) gate.Ask {
 	return gate.Ask{
 		ID:       a.Id,
 		Endpoint: a.Endpoint,
+		Node:     node,
 		Tokens:   int(a.Tokens),
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,8 +29,7 @@
 
 	// Permits grants permits.
 	Permits interface {
-		Admit(now time.Time, a gate.Ask) gate.Verdict
-		Release(id uint64)
+		Apply(now time.Time, b gate.Batch) gate.Reply
 	}
 
 	// Values holds the accepted configuration.
@@ -87,18 +86,9 @@
 	return EncodeBeat(h.config.Beats.Beat(ctx, DecodeBeat(b))), nil
 }
 
-// Permit serves a batch of asks and releases.
+// Permit serves a batch of asks, declarations and returns.
 func (h *handler) Permit(_ context.Context, r *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
-	now := time.Now()
-	for _, release := range r.Releases {
-		h.config.Permits.Release(release.Id)
-	}
-	reply := &peerpb.PermitReply{}
-	for _, ask := range r.Asks {
-		verdict := h.config.Permits.Admit(now, decodeAsk(ask))
-		reply.Grants = append(reply.Grants, &peerpb.Grant{Id: ask.Id, Verdict: uint32(verdict)})
-	}
-	return reply, nil
+	return EncodeReply(h.config.Permits.Apply(time.Now(), DecodePermit(r))), nil
 }
 
 // Config serves a value of the accepted configuration.
--- a/internal/replay/job.go
+++ b/internal/replay/job.go
@@ -7,10 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/caller"
-	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
-	"bulrushhinge.example/bulrushhinge/internal/peer"
-	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/hint"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
@@ -37,19 +34,17 @@
 
 	// job is one request at a node.
 	job struct {
-		sim      *simulation
-		node     *node
-		index    int
-		event    *trace.Event
-		plan     *route.Plan
-		request  route.Request
-		permit   uint64
-		home     string
-		endpoint string
-		engine   *engine
-		lost     bool
-		first    bool
-		done     bool
+		sim     *simulation
+		node    *node
+		index   int
+		event   *trace.Event
+		plan    *route.Plan
+		request route.Request
+		permit  uint64
+		engine  *engine
+		lost    bool
+		first   bool
+		done    bool
 	}
 )
 
@@ -169,46 +164,13 @@
 	j.next()
 }
 
-func (j *job) ask(step route.Step) {
-	s := j.sim
-	s.attempts++
-	j.permit = s.attempts
-	j.home = step.Endpoint.Home
-	j.endpoint = step.Endpoint.Name
-	a := gate.Ask{
-		ID: j.permit, Endpoint: step.Endpoint.Name, Tokens: step.Tokens,
-		Lease: j.request.Deadline.Sub(s.time()) + leaseSlack,
-	}
-	if j.home == j.node.name {
-		j.report(outcome(j.node.gate.Admit(s.time(), a)))
-		return
-	}
-	wire := peer.EncodePermit(j.node.name, 1, []gate.Ask{a}, nil)
-	j.node.spent.permits += peer.RequestBytes(peer.CallPermit, wire)
-	s.queue.after(s.delay, func() { j.arrive(a) })
-}
-
-// arrive is an ask that reaches its home.
-func (j *job) arrive(a gate.Ask) {
-	s := j.sim
-	home := s.node(j.home)
-	if home == nil {
-		s.queue.after(askTimeout, func() { j.report(route.OutcomeUnreachable) })
-		return
-	}
-	verdict := home.gate.Admit(s.time(), a)
-	reply := &peerpb.PermitReply{Grants: []*peerpb.Grant{{Id: a.ID, Verdict: uint32(verdict)}}}
-	home.spent.permits += peer.ReplyBytes(reply)
-	s.queue.after(s.delay, func() { j.report(outcome(verdict)) })
-}
-
 func (j *job) run(e kernel.Endpoint) {
 	s := j.sim
-	permit := j.permit
-	if j.home == "" {
+	if j.permit == 0 {
 		s.attempts++
-		permit = s.attempts
+		j.permit = s.attempts
 	}
+	permit := j.permit
 	g := s.engines[e.Name]
 	r := &run{attempt: permit, index: j.index, ask: j.event, onFirst: j.onFirst, onDone: j.onDone, onBroken: j.onBroken}
 	s.queue.after(s.delay, func() {
@@ -217,12 +179,12 @@
 		}
 		if g != nil && g.start(r) {
 			j.engine = g
-			j.permit = permit
 			return
 		}
 		s.queue.after(s.delay, func() {
 			j.node.step(kernel.EndpointFailed{Endpoint: e.Name})
 			j.release()
+			j.permit = 0
 			j.report(route.OutcomeNotRun)
 		})
 	})
@@ -262,6 +224,7 @@
 	}
 	j.node.step(kernel.EndpointFailed{Endpoint: j.engine.info.Endpoint})
 	j.release()
+	j.permit = 0
 	j.lost = true
 	if first {
 		j.end()
@@ -295,8 +258,8 @@
 	j.end()
 	if j.engine != nil {
 		j.engine.cancel(j.permit)
-		j.release()
 	}
+	j.release()
 	j.sim.meter.expired(j.index)
 }
 
@@ -305,35 +268,4 @@
 	delete(j.node.jobs, j)
 }
 
-// release gives the permit back to the home that granted it.
-func (j *job) release() {
-	s := j.sim
-	permit := j.permit
-	switch j.home {
-	case "":
-	case j.node.name:
-		j.node.gate.Release(permit)
-	default:
-		wire := peer.EncodePermit(j.node.name, 1, nil, []gate.Return{{ID: permit, Endpoint: j.endpoint}})
-		j.node.spent.permits += peer.RequestBytes(peer.CallPermit, wire)
-		s.queue.after(s.delay, func() {
-			if home := s.node(j.home); home != nil {
-				home.spent.permits += peer.ReplyBytes(&peerpb.PermitReply{})
-				home.gate.Release(permit)
-			}
-		})
-	}
-}
-
-func outcome(v gate.Verdict) route.Outcome {
-	switch v {
-	case gate.Granted:
-		return route.OutcomeGranted
-	case gate.Full:
-		return route.OutcomeFull
-	case gate.Gone:
-		return route.OutcomeGone
-	default:
-		return route.OutcomeUnreachable
-	}
-}
+func (j *job) release() { j.node.release(j.permit) }
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -18,6 +18,7 @@
 	loadInterval = time.Second
 	beatTimeout  = time.Second
 	nodeGrace    = 2 * time.Second
+	dueInterval  = 25 * time.Millisecond
 	// probeBytes is the request for a load report and the headers of the
 	// answer, as net/http writes them.
 	probeBytes = 180
@@ -32,6 +33,7 @@
 		kernel  *kernel.Kernel
 		gate    *gate.Gate
 		router  *route.Router
+		holder  *gate.Holder
 		alive   bool
 		leaving bool
 		closed  bool
@@ -52,7 +54,7 @@
 )
 
 func newNode(s *simulation, info trace.Node) *node {
-	n := &node{sim: s, name: info.Instance, zone: info.Zone, alive: true, since: s.queue.now, jobs: map[*job]bool{}}
+	n := &node{sim: s, name: info.Instance, zone: info.Zone, alive: true, since: s.queue.now, jobs: map[*job]bool{}, holder: gate.NewHolder()}
 	self := kernel.Node{
 		Name: info.Instance, Zone: info.Zone, Incarnation: s.random.Uint64(),
 		Caller: address(exampleAddrs), Peer: address(exampleAddrs),
@@ -66,6 +68,7 @@
 	s.all = append(s.all, n)
 	phase := time.Duration(s.random.Int64N(int64(kernel.DefaultTick)))
 	s.queue.after(phase, n.tick)
+	s.queue.after(phase, n.tell)
 	s.queue.after(time.Duration(s.random.Int64N(int64(loadInterval))), n.readLoads)
 	return n
 }
@@ -81,6 +84,14 @@
 	n.sim.queue.after(kernel.DefaultTick, n.tick)
 }
 
+// tell tells homes what they have to hear, as the dispatcher of a node does.
+func (n *node) tell() {
+	if n.alive {
+		n.due()
+		n.sim.queue.after(dueInterval, n.tell)
+	}
+}
+
 func (n *node) step(ev kernel.Event) {
 	if !n.alive {
 		return
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -2,12 +2,17 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 )
 
+// hearTime is how long a load that a home reported out of turn is newer than
+// the one in the view.
+const hearTime = 300 * time.Millisecond
+
 type (
 	// Config is the settings of a Router.
 	Config struct {
@@ -30,6 +35,13 @@
 		mu     sync.Mutex
 		chats  *memory
 		sizes  *estimates
+		heard  map[string]hearing
+	}
+
+	// hearing is a load that a home reported out of turn.
+	hearing struct {
+		at   time.Time
+		load kernel.Load
 	}
 
 	// Usage is what became known of a request once it ran.
@@ -47,7 +59,7 @@
 		c.Ranker = NewCostRanker(CostConfig{})
 	}
 	c.Memory = cmp.Or(c.Memory, DefaultMemory)
-	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates()}
+	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), heard: map[string]hearing{}}
 }
 
 // Plan returns the Plan of a request.
@@ -90,8 +102,38 @@
 	return max(req.Input-req.Cached[endpoint], 0) + r.sizes.output(req)
 }
 
+// Observe tells loads that a home reported out of turn.
+func (r *Router) Observe(now time.Time, loads []kernel.EndpointLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range loads {
+		r.heard[l.Endpoint] = hearing{at: now, load: l.Load}
+	}
+}
+
+// fresh returns a pool with the loads that were reported since the view.
+func (r *Router) fresh(now time.Time, pool *kernel.Pool) *kernel.Pool {
+	if len(r.heard) == 0 {
+		return pool
+	}
+	p := *pool
+	p.Endpoints = slices.Clone(pool.Endpoints)
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		h, ok := r.heard[e.Name]
+		switch {
+		case !ok:
+		case now.Sub(h.at) > hearTime:
+			delete(r.heard, e.Name)
+		default:
+			e.Load = h.load
+		}
+	}
+	return &p
+}
+
 func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request) []kernel.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.config.Ranker.Rank(now, pool, req)
+	return r.config.Ranker.Rank(now, r.fresh(now, pool), req)
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -26,6 +26,18 @@
 // ErrUnknown is returned for a name that no workload has.
 var ErrUnknown = errors.New("workload: unknown")
 
+// curve is the demand over the day; between two points it is a line.
+var curve = []point{
+	{0, 0.5},
+	{Day * 15 / 100, 0.5},
+	{Day * 21 / 100, 1.6},
+	{Day * 31 / 100, 1.6},
+	{Day * 37 / 100, 1},
+	{Day * 80 / 100, 1},
+	{Day * 86 / 100, 0.5},
+	{Day, 0.5},
+}
+
 var shapes = map[string]shape{"thies": thies, "karamanlis": karamanlis}
 
 type (
@@ -58,6 +70,12 @@
 		priority int
 	}
 
+	// point is a point of the demand curve.
+	point struct {
+		at     time.Duration
+		demand float64
+	}
+
 	// sizes is a range of token counts.
 	sizes struct{ low, high int }
 
@@ -206,26 +224,23 @@
 }
 
 // demand is an account's demand over that of the day: half at night, a surge
-// in the morning, and one of a large account by day.
+// in the morning, and by day one of a large account, which comes and goes at
+// once.
 func demand(account int, at time.Duration) float64 {
 	const (
-		night     = 0.5
-		morning   = 1.6
 		surge     = 3.0
-		dawn      = Day * 20 / 100
-		forenoon  = Day * 33 / 100
 		surgeFrom = Day * 60 / 100
 		surgeTo   = Day * 67 / 100
-		dusk      = Day * 85 / 100
 	)
-	switch {
-	case at < dawn || at >= dusk:
-		return night
-	case at < forenoon:
-		return morning
-	case account == 0 && at >= surgeFrom && at < surgeTo:
+	if account == 0 && at >= surgeFrom && at < surgeTo {
 		return surge
-	default:
-		return 1
 	}
+	for i := 1; i < len(curve); i++ {
+		from, to := curve[i-1], curve[i]
+		if at < to.at {
+			part := float64(at-from.at) / float64(to.at-from.at)
+			return from.demand + part*(to.demand-from.demand)
+		}
+	}
+	return curve[len(curve)-1].demand
 }
