--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -84,19 +84,20 @@
 
 	// Node is a running router process.
 	Node struct {
-		config    Config
-		control   *control
-		cache     *platform.Cache
-		reader    *platform.Reader
-		source    *platform.Client
-		peers     *peer.Client
-		server    *peer.Server
-		endpoints *endpoint.Client
-		tickets   *once.Registry
-		handler   *caller.Handler
-		callers   *http.Server
-		operators *http.Server
-		running   sync.WaitGroup
+		config     Config
+		control    *control
+		cache      *platform.Cache
+		reader     *platform.Reader
+		source     *platform.Client
+		peers      *peer.Client
+		server     *peer.Server
+		dispatcher *dispatch.Dispatcher
+		endpoints  *endpoint.Client
+		tickets    *once.Registry
+		handler    *caller.Handler
+		callers    *http.Server
+		operators  *http.Server
+		running    sync.WaitGroup
 	}
 )
 
@@ -162,6 +163,7 @@
 // Close stops the node at once and cuts what is in progress.
 func (n *Node) Close() error {
 	err := errors.Join(n.callers.Close(), n.operators.Close())
+	n.dispatcher.Close()
 	n.reader.Close()
 	n.control.Close()
 	err = errors.Join(err, n.server.Close(), n.peers.Close())
@@ -180,12 +182,12 @@
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	leases := poison.NewLeases(0)
-	d := dispatch.New(dispatch.Config{
+	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
 		Leases: leases, PeerLeases: n.peers,
 	})
 	limits := n.config.Limits
-	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	limits.View, limits.Dispatcher, limits.Log = k.View, n.dispatcher, n.config.Log
 	limits.Tickets, limits.Relays = n.tickets, n.peers
 	n.handler = caller.New(limits)
 	var err error
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -49,9 +49,14 @@
 	return e.answer(ctx, call)
 }
 
-func (openGate) Admit(time.Time, gate.Ask) gate.Verdict { return gate.Granted }
-
-func (openGate) Release(uint64) {}
+// Apply grants every ask.
+func (openGate) Apply(_ time.Time, b gate.Batch) gate.Reply {
+	verdicts := make([]gate.Verdict, len(b.Asks))
+	for i := range verdicts {
+		verdicts[i] = gate.Granted
+	}
+	return gate.Reply{Verdicts: verdicts}
+}
 
 func (noSink) Offer(kernel.Event) {}
 
