Show operators what a node does and let them decide on changes

Cause: operators had a bare state dump and global metrics; there was no tool to check, compare, accept or reject a manifest, and a wrong setting of a node was named one at a time.

Change: the operators' listener asks for a token and serves metrics of the node alone, the revision with its record, instances and the decisions on single requests, kept in a bounded ring; commands manifest check, diff, split, accept, reject and key, and state; every wrong setting of a node is named at once with its environment variable, exit code 2.

Conclusion: operators can follow one request and one change end to end.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -66,6 +66,11 @@
 		Linger time.Duration
 		// Callers' limits; zero values are defaults.
 		Limits caller.Config
+		// Token is the secret that operators show; without one only health and
+		// readiness are served to them.
+		Token string
+		// Traces is how many requests' decisions are kept for operators.
+		Traces int
 		// Dialer opens every connection the node makes, to peers, endpoints and
 		// the platform; nil is the default of each.
 		Dialer Dialer
@@ -90,6 +95,8 @@
 		peers     *peer.Client
 		server    *peer.Server
 		endpoints *endpoint.Client
+		metrics   *operator.Metrics
+		traces    *operator.Traces
 		handler   *caller.Handler
 		callers   *http.Server
 		operators *http.Server
@@ -118,14 +125,18 @@
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
 	}, c.Extensions...)
-	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
+	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
+	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
+	n.peers = peer.NewClient(peer.ClientConfig{
+		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
+	})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
 	n.control = newControl(controlConfig{
-		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log,
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics,
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -167,6 +178,17 @@
 	return err
 }
 
+// dump returns the state of every part of the node.
+func (n *Node) dump() map[string]any {
+	state := n.control.Dump()
+	state["platform"] = n.platformStatus()
+	return state
+}
+
+func (n *Node) record() []byte { return n.cache.Value(platform.KeyAccepted) }
+
+func (n *Node) platformStatus() []platform.Status { return n.reader.Status() }
+
 // role returns what the fleet expects of the platform's reader. A node that has
 // published no view yet knows no other that would read for it.
 func (n *Node) role() platform.Role {
@@ -177,20 +199,24 @@
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.cache,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
 	d := dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
 	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
 	n.handler = caller.New(limits)
-	n.callers = caller.NewServer(n.handler)
+	n.callers = caller.NewServer(n.metrics.Observe(n.handler))
 	n.operators = &http.Server{
-		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
+		Handler: operator.New(operator.Config{
+			View: k.View, Dump: n.dump, Record: n.record, Token: n.config.Token,
+			Metrics: n.metrics, Traces: n.traces,
+		}),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	start := func(s *http.Server, l net.Listener) {
@@ -217,3 +243,10 @@
 	case <-ctx.Done():
 	}
 }
+
+func dialerOr(d Dialer) Dialer {
+	if d == nil {
+		return &net.Dialer{}
+	}
+	return d
+}
--- /dev/null
+++ b/cmd/bulrushhinge/command_test.go
@@ -0,0 +1,156 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// binary is the command under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bulrushhinge")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "bulrushhinge")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// run runs the command with an otherwise empty environment.
+func run(t *testing.T, env []string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	c := exec.CommandContext(t.Context(), binary, args...)
+	c.Env, c.Stdout, c.Stderr = env, &out, &errs
+	err := c.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), out.String(), errs.String()
+	}
+	require.NoError(t, err)
+	return 0, out.String(), errs.String()
+}
+
+func write(t *testing.T, name string, data []byte) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name)
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	return file
+}
+
+func sample(t *testing.T, revision uint64, rate float64) []byte {
+	t.Helper()
+	data, err := manifest.Encode(&manifest.Manifest{
+		Revision: revision,
+		Accounts: []manifest.Account{{Name: "a1", Key: manifest.KeyDigest("secret"), Rate: rate, Burst: 10}},
+	})
+	require.NoError(t, err)
+	return data
+}
+
+func TestNodeNamesEveryWrongSetting(t *testing.T) {
+	code, _, stderr := run(t, []string{"BULRUSHHINGE_MAX_BODY=many"},
+		"node", "--callers=nowhere", "--keys=ab,cd", "--grace=-1s", "--timeout=1h", "--level=loud")
+	require.Equal(t, 2, code)
+	for _, want := range []string{
+		"--instance (BULRUSHHINGE_INSTANCE) is missing", "--zone (BULRUSHHINGE_ZONE) is missing",
+		"--platform (BULRUSHHINGE_PLATFORM) is missing", "--callers (BULRUSHHINGE_CALLERS)",
+		`"ab" is no Ed25519 public key`, `"cd" is no Ed25519 public key`,
+		"--grace (BULRUSHHINGE_GRACE): -1s is below 0", `--max-body (BULRUSHHINGE_MAX_BODY): "many"`,
+		"--timeout (BULRUSHHINGE_TIMEOUT) 1h0m0s is over --max-timeout 15m0s", "--level (BULRUSHHINGE_LEVEL)",
+	} {
+		require.Contains(t, stderr, want)
+	}
+}
+
+func TestManifestCheck(t *testing.T) {
+	good := write(t, "manifest.json", sample(t, 1, 5))
+	code, stdout, stderr := run(t, nil, "manifest", "check", good)
+	require.Zero(t, code, stderr)
+	require.Contains(t, stdout, "revision 1 is well formed")
+	bad := write(t, "manifest.json", bytes.Replace(sample(t, 0, -1), []byte(`"burst"`), []byte(`"brust"`), 1))
+	code, _, stderr = run(t, nil, "manifest", "check", bad)
+	require.Equal(t, 1, code)
+	for _, want := range []string{"revision: must be 1 or more", "accounts[0].brust: is no field", "accounts[0].burst: is missing", "accounts[0].rate: -1 is not above 0"} {
+		require.Contains(t, stderr, want)
+	}
+}
+
+func TestManifestDiff(t *testing.T) {
+	before, after := write(t, "old.json", sample(t, 1, 5)), write(t, "new.json", sample(t, 2, 6))
+	code, stdout, _ := run(t, nil, "manifest", "diff", before, after)
+	require.Zero(t, code)
+	require.Equal(t, "manifest: revision changes from 1 to 2\naccount a1: rate changes from 5 tokens/s to 6 tokens/s\n", stdout)
+}
+
+func TestManifestAcceptAndReject(t *testing.T) {
+	_, stdout, _ := run(t, nil, "manifest", "key")
+	var pair map[string]string
+	require.NoError(t, json.Unmarshal([]byte(stdout), &pair))
+	before, after := write(t, "old.json", sample(t, 1, 5)), write(t, "new.json", sample(t, 2, 6))
+	env := []string{"BULRUSHHINGE_SEED=" + pair["seed"]}
+	for _, verdict := range []manifest.Verdict{manifest.VerdictAccept, manifest.VerdictReject} {
+		code, stdout, stderr := run(t, env, "manifest", string(verdict), after)
+		require.Zero(t, code, stderr)
+		record, err := manifest.ParseRecord([]byte(stdout))
+		require.NoError(t, err)
+		require.Equal(t, verdict, record.Verdict)
+		require.Equal(t, uint64(2), record.Revision)
+	}
+	code, _, stderr := run(t, env, "manifest", "accept", after, "--old", before)
+	require.Zero(t, code)
+	require.Contains(t, stderr, "rate changes")
+	code, _, stderr = run(t, env, "manifest", "accept", before, "--old", after)
+	require.Equal(t, 1, code)
+	require.Contains(t, stderr, "must be above")
+	code, _, stderr = run(t, []string{"BULRUSHHINGE_SEED=abcdef"}, "manifest", "accept", after)
+	require.Equal(t, 2, code)
+	require.NotContains(t, stderr, "abcdef", "a secret is not shown")
+	code, _, _ = run(t, nil, "manifest", "accept", after)
+	require.Equal(t, 2, code)
+}
+
+func TestManifestSplitWritesWhatIsPublished(t *testing.T) {
+	data := sample(t, 1, 5)
+	m, err := manifest.Parse(data)
+	require.NoError(t, err)
+	parts, err := manifest.Split(m)
+	require.NoError(t, err)
+	file, dir := write(t, "manifest.json", data), t.TempDir()
+	code, _, stderr := run(t, nil, "manifest", "split", file, dir)
+	require.Zero(t, code, stderr)
+	for d, want := range parts.Values {
+		got, err := os.ReadFile(filepath.Join(dir, "manifest", string(d)))
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(got))
+	}
+	_, stdout, _ := run(t, nil, "manifest", "split", file)
+	require.Equal(t, len(parts.Values), strings.Count(stdout, "\n"))
+	for line := range strings.Lines(stdout) {
+		var published struct {
+			Key   string
+			Value json.RawMessage
+		}
+		require.NoError(t, json.Unmarshal([]byte(line), &published))
+		require.Equal(t, "manifest/"+string(manifest.Sum(published.Value)), published.Key)
+	}
+}
--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -15,11 +15,13 @@
 )
 
 type commands struct {
-	Node    nodeCommand    `cmd:"" help:"Run one router process."`
-	Demo    demoCommand    `cmd:"" help:"Run an example deployment in this process over loopback."`
-	Ask     askCommand     `cmd:"" help:"Ask as a caller does, within one chat."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
-	Replay  replayCommand  `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
+	Node     nodeCommand     `cmd:"" help:"Run one router process."`
+	Demo     demoCommand     `cmd:"" help:"Run an example deployment in this process over loopback."`
+	Ask      askCommand      `cmd:"" help:"Ask as a caller does, within one chat."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
+	Manifest manifestCommand `cmd:"" help:"Check, compare, accept and reject manifests."`
+	State    stateCommand    `cmd:"" help:"Show the state of a running node."`
+	Replay   replayCommand   `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
 }
 
 func main() {
--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -3,51 +3,65 @@
 import (
 	"context"
 	"crypto/ed25519"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"bulrushhinge.example/bulrushhinge"
+	"bulrushhinge.example/bulrushhinge/internal/caller"
 )
 
 type nodeCommand struct {
-	Instance  string         `help:"Name of this instance on the platform's list." required:""`
-	Zone      string         `help:"Availability zone of this instance." required:""`
-	Callers   netip.AddrPort `help:"Address for callers." default:"127.0.0.1:8080"`
-	Peers     netip.AddrPort `help:"Address for other nodes." default:"127.0.0.1:8081"`
-	Operators netip.AddrPort `help:"Address for operators." default:"127.0.0.1:8082"`
-	Platform  netip.AddrPort `help:"Address of the platform." required:""`
-	Keys      []string       `help:"Operators' Ed25519 public keys, in hexadecimal." required:""`
-	Grace     time.Duration  `help:"How long a stopping node still takes requests." default:"2s"`
-	Linger    time.Duration  `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
-	Patience  time.Duration  `help:"How long a stopping node waits for requests in progress." default:"5m"`
+	Instance     string      `help:"Name of this instance on the platform's list (required)." need:"true"`
+	Zone         string      `help:"Availability zone of this instance (required)." need:"true"`
+	Callers      address     `help:"Address and port for callers." default:"127.0.0.1:8080" placeholder:"ADDR:PORT"`
+	Peers        address     `help:"Address and port for other nodes." default:"127.0.0.1:8081" placeholder:"ADDR:PORT"`
+	Operators    address     `help:"Address and port for operators." default:"127.0.0.1:8082" placeholder:"ADDR:PORT"`
+	Platform     address     `help:"Address and port of the platform (required)." need:"true" placeholder:"ADDR:PORT"`
+	Keys         []publicKey `help:"Operators' Ed25519 public keys in hexadecimal, separated by commas (required)." need:"true" placeholder:"KEY,..."`
+	Token        string      `help:"Secret that operators show as a bearer token; without one only health and readiness are served."`
+	Grace        duration    `help:"How long a stopping node still takes requests." default:"2s"`
+	Linger       duration    `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
+	Patience     duration    `help:"How long a stopping node waits for requests in progress." default:"5m"`
+	Timeout      duration    `help:"Deadline of a request that names none." default:"3m"`
+	MaxTimeout   duration    `name:"max-timeout" help:"Longest deadline that a request can name." default:"15m"`
+	ReadTimeout  duration    `name:"read-timeout" help:"How long a caller may take to send a body." default:"30s"`
+	WriteTimeout duration    `name:"write-timeout" help:"How long a caller may take to read a piece of its answer." default:"20s"`
+	MaxBody      count       `name:"max-body" help:"Largest request body, in bytes." default:"4194304" placeholder:"BYTES"`
+	MaxAnswer    count       `name:"max-answer" help:"Largest answer that is not streamed, in bytes." default:"16777216" placeholder:"BYTES"`
+	MaxActive    count       `name:"max-active" help:"Requests that the node serves at once." default:"8192" placeholder:"COUNT"`
+	MaxWaiting   count       `name:"max-waiting" help:"Requests that wait for an endpoint at once." default:"2048" placeholder:"COUNT"`
+	MaxAccount   count       `name:"max-account" help:"Requests of one client account that wait at once." default:"512" placeholder:"COUNT"`
+	Traces       count       `help:"Requests whose decisions are kept for operators." default:"1024" placeholder:"COUNT"`
+	Level        string      `help:"Least level that is logged: debug, info, warn or error." default:"info"`
+}
+
+// Validate names every wrong setting at once.
+func (c *nodeCommand) Validate() error {
+	err := checkSettings(c)
+	if c.Timeout.Duration > c.MaxTimeout.Duration {
+		err = errors.Join(err, fmt.Errorf("--timeout (%s) %v is over --max-timeout %v", envOf("timeout"), c.Timeout.Duration, c.MaxTimeout.Duration))
+	}
+	if _, bad := logrus.ParseLevel(c.Level); bad != nil {
+		err = errors.Join(err, fmt.Errorf("--level (%s): %w", envOf("level"), bad))
+	}
+	return err
 }
 
 // Run runs a node until it is told to stop.
 func (c *nodeCommand) Run() error {
-	keys, err := parseKeys(c.Keys)
-	if err != nil {
-		return err
-	}
-	listeners, err := listen(c.Callers, c.Peers, c.Operators)
+	listeners, err := listen(c.Callers.AddrPort, c.Peers.AddrPort, c.Operators.AddrPort)
 	if err != nil {
 		return err
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	n, err := bulrushhinge.New(bulrushhinge.Config{
-		Instance: c.Instance, Zone: c.Zone,
-		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: c.Platform, Keys: keys, Grace: c.Grace, Linger: c.Linger,
-		Log: logrus.WithField("instance", c.Instance),
-	})
+	n, err := bulrushhinge.New(c.config(listeners))
 	if err != nil {
 		return err
 	}
@@ -56,23 +70,33 @@
 	}).Info("node started")
 	<-stop.Done()
 	logrus.WithField("instance", c.Instance).Info("node stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), c.Grace+c.Linger+c.Patience)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Grace.Duration+c.Linger.Duration+c.Patience.Duration)
 	defer cancel()
 	return n.Stop(ctx)
 }
 
-func parseKeys(texts []string) ([]ed25519.PublicKey, error) {
-	var keys []ed25519.PublicKey
-	var errs []error
-	for _, text := range texts {
-		key, err := hex.DecodeString(text)
-		if err != nil || len(key) != ed25519.PublicKeySize {
-			errs = append(errs, fmt.Errorf("keys: %q is no Ed25519 public key in hexadecimal", text))
-			continue
-		}
-		keys = append(keys, key)
+func (c *nodeCommand) config(listeners []net.Listener) bulrushhinge.Config {
+	if level, err := logrus.ParseLevel(c.Level); err == nil {
+		logrus.SetLevel(level)
+	}
+	keys := make([]ed25519.PublicKey, len(c.Keys))
+	for i, k := range c.Keys {
+		keys[i] = k.key
+	}
+	return bulrushhinge.Config{
+		Instance: c.Instance, Zone: c.Zone,
+		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
+		Platform: c.Platform.AddrPort, Keys: keys,
+		Grace: c.Grace.Duration, Linger: c.Linger.Duration,
+		Limits: caller.Config{
+			Timeout: c.Timeout.Duration, MaxTimeout: c.MaxTimeout.Duration,
+			ReadTimeout: c.ReadTimeout.Duration, WriteTimeout: c.WriteTimeout.Duration,
+			MaxBody: int64(c.MaxBody.n), MaxAnswer: int64(c.MaxAnswer.n),
+			MaxActive: c.MaxActive.n, MaxWaiting: c.MaxWaiting.n, MaxAccount: c.MaxAccount.n,
+		},
+		Token: c.Token, Traces: c.Traces.n,
+		Log: logrus.WithField("instance", c.Instance),
 	}
-	return keys, errors.Join(errs...)
 }
 
 func listen(addrs ...netip.AddrPort) ([]net.Listener, error) {
--- a/control.go
+++ b/control.go
@@ -11,6 +11,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
@@ -32,6 +33,8 @@
 		// Cache takes revisions that peers deliver.
 		Cache *platform.Cache
 		Log   logrus.FieldLogger
+		// Metrics counts heartbeats and fetches.
+		Metrics *operator.Metrics
 	}
 
 	// control owns the kernel: one goroutine steps it, others do the I/O that
@@ -118,7 +121,7 @@
 	var state map[string]any
 	if !c.do(nil, func(now time.Time) {
 		state = c.config.Kernel.Dump(now)
-		state["view"] = c.View()
+		state["view"] = summary(c.View())
 	}) {
 		return map[string]any{}
 	}
@@ -162,9 +165,13 @@
 }
 
 func (c *control) step(now time.Time, ev kernel.Event) {
+	before := revisionOf(c.View())
 	for _, a := range c.config.Kernel.Step(now, ev) {
 		c.act(now, a)
 	}
+	if after := revisionOf(c.View()); after != before {
+		c.config.Log.WithFields(logrus.Fields{"revision": after, "before": before}).Info("revision in force")
+	}
 }
 
 func (c *control) act(now time.Time, a kernel.Action) {
@@ -181,6 +188,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, beatTimeout)
 	defer cancel()
 	reply, err := c.config.Peers.Beat(ctx, to.Peer, beat)
+	c.config.Metrics.Beat(err)
 	if err != nil {
 		c.Offer(kernel.BeatFailed{Node: to.Name})
 		return
@@ -199,6 +207,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 	defer cancel()
 	m, err := c.config.Cache.Fetch(ctx, valuesOf{peers: c.config.Peers, addr: node.Peer})
+	c.config.Metrics.Fetch(err)
 	if err != nil {
 		c.config.Log.WithError(err).WithFields(logrus.Fields{
 			"peer": a.Node, "revision": a.Revision,
@@ -241,3 +250,18 @@
 func (v valuesOf) Values(ctx context.Context, keys []string) (map[string][]byte, error) {
 	return v.peers.Values(ctx, v.addr, keys)
 }
+
+func revisionOf(v *kernel.View) uint64 {
+	if v.Manifest == nil {
+		return 0
+	}
+	return v.Manifest.Revision
+}
+
+// summary returns a view without its manifest, which operators have; at 1,600
+// accounts it would be most of a dump.
+func summary(v *kernel.View) *kernel.View {
+	s := *v
+	s.Manifest = nil
+	return &s
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,7 +53,9 @@
 	Config struct {
 		View func() *kernel.View
 		// Router plans the requests; nil is one with the defaults.
-		Router    *route.Router
+		Router *route.Router
+		// Recorder keeps what the plans did; nil keeps nothing.
+		Recorder  Recorder
 		Gate      Gate
 		Peers     Peers
 		Endpoints Endpoints
@@ -85,7 +87,7 @@
 
 	job struct {
 		d      *Dispatcher
-		plan   *route.Plan
+		plan   planner
 		req    route.Request
 		call   endpoint.Call
 		permit uint64
@@ -116,7 +118,7 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
+	j := &job{d: d, plan: d.record(req, d.config.Router.Plan(req)), req: req, call: call}
 	for {
 		step := j.plan.Next(time.Now(), d.config.View())
 		switch step.Kind {
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -136,6 +137,17 @@
 // MarshalText returns the state's name.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	for state := Live; state <= Dead; state++ {
+		if state.String() == string(text) {
+			*s = state
+			return nil
+		}
+	}
+	return fmt.Errorf("kernel: %q is no state", text)
+}
+
 // Fresh reports whether the view is recent enough to act on with authority.
 //
 // Traffic goroutines may run before the control goroutine after a pause, and
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -28,6 +28,8 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	readyPoll = 10 * time.Millisecond
+	// Token is what operators of a fleet show.
+	Token = "operators-token"
 	// platformName names the platform in cuts.
 	platformName = "platform"
 )
@@ -374,8 +376,8 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
-		Dialer: dialer{network: f.Network, from: c.Name},
-		Grace:  f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
+		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token,
+		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/loopback/operator_test.go
@@ -0,0 +1,54 @@
+package loopback_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/loopback"
+)
+
+func operate(t *testing.T, f *loopback.Fleet, node, path string) string {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("http://%v%s", f.Operator(node), path), nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+loopback.Token)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, string(data))
+	return string(data)
+}
+
+func TestOperatorsSeeWhatHappened(t *testing.T) {
+	f := start(t, loopback.Thies())
+	body := `{"model":"notices","messages":[{"role":"user","content":"why here"}]}`
+	resp, text := post(t, f.Caller("n1"), "/v1/chat/completions", "a1", body)
+	require.Equal(t, http.StatusOK, resp.StatusCode, text)
+	trace := operate(t, f, "n1", "/requests/"+resp.Header.Get("X-Request-Id"))
+	require.Contains(t, trace, `"outcome": "granted"`)
+	require.Contains(t, trace, `"step": "run"`)
+	resp, _ = post(t, f.Caller("n1"), "/v1/chat/completions", "nobody", body)
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	metrics := operate(t, f, "n1", "/metrics")
+	for _, want := range []string{
+		`bulrushhinge_requests_total{outcome="answered"} 1`,
+		`bulrushhinge_refusals_total{reason="unauthorized",ran="not_run"} 1`,
+		`bulrushhinge_revision 1`, `bulrushhinge_nodes{state="live"} 8`,
+		`bulrushhinge_permits_total{outcome="granted"} 1`, `bulrushhinge_platform_reads_total{key="accepted",result="ok"}`,
+		`bulrushhinge_heartbeats_total{result="ok"}`,
+	} {
+		require.Contains(t, metrics, want)
+	}
+	require.Contains(t, operate(t, f, "n2", "/metrics"), `bulrushhinge_revision 1`)
+	require.NotContains(t, operate(t, f, "n2", "/metrics"), `outcome="answered"`, "each node counts for itself")
+	state := operate(t, f, "n1", "/state")
+	require.Contains(t, state, `"platform"`)
+	require.NotContains(t, state, "accounts")
+	require.Contains(t, operate(t, f, "n1", "/revision"), `"verdict": "accept"`)
+}
--- /dev/null
+++ b/internal/operator/trace.go
@@ -0,0 +1,172 @@
+package operator
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+)
+
+const (
+	// DefaultTraces is how many requests are kept.
+	DefaultTraces = 1024
+	// maxSteps bounds one trace; a request that waits long takes many steps.
+	maxSteps = 32
+)
+
+var (
+	stepNames = map[route.StepKind]string{
+		route.StepAsk: "ask", route.StepRun: "run", route.StepWait: "wait", route.StepRefuse: "refuse",
+	}
+	outcomeNames = map[route.Outcome]string{
+		route.OutcomeGranted: "granted", route.OutcomeFull: "full", route.OutcomeGone: "gone",
+		route.OutcomeUnreachable: "unreachable", route.OutcomeNotRun: "not_run", route.OutcomeLost: "lost",
+	}
+)
+
+type (
+	// TracesConfig is the settings of Traces.
+	TracesConfig struct {
+		// Size is how many requests are kept; 0 is DefaultTraces.
+		Size int
+	}
+
+	// Traces keeps what the plans of the newest requests did, in bounded
+	// memory. It is safe for concurrent use.
+	Traces struct {
+		mu   sync.Mutex
+		ring []*Trace
+		next int
+		byID map[uint64]*Trace
+	}
+
+	// Trace is the decisions on one request, in order.
+	Trace struct {
+		ID       string      `json:"id"`
+		Account  string      `json:"account"`
+		Chat     string      `json:"chat"`
+		Service  string      `json:"service"`
+		Model    string      `json:"model,omitempty"`
+		Once     bool        `json:"once"`
+		Priority int         `json:"priority"`
+		Began    time.Time   `json:"began"`
+		Deadline time.Time   `json:"deadline"`
+		Hint     string      `json:"hint,omitempty"`
+		Steps    []TraceStep `json:"steps"`
+		// Omitted counts further steps that were not kept.
+		Omitted int `json:"omitted,omitempty"`
+
+		id uint64
+	}
+
+	// TraceStep is one decision and what came of it.
+	TraceStep struct {
+		// AfterMS is the time since the request began, in milliseconds.
+		AfterMS float64 `json:"after_ms"`
+		// Step is ask, run, wait or refuse.
+		Step     string `json:"step"`
+		Endpoint string `json:"endpoint,omitempty"`
+		Home     string `json:"home,omitempty"`
+		// State and Requests are what the node knew of the endpoint.
+		State    string `json:"state,omitempty"`
+		Requests int    `json:"requests,omitempty"`
+		// Hinted says that the caller's hint named the endpoint.
+		Hinted bool `json:"hinted,omitempty"`
+		// WaitMS is how long a wait lasts, in milliseconds.
+		WaitMS float64 `json:"wait_ms,omitempty"`
+		// Reason is why a refusal refused.
+		Reason string `json:"reason,omitempty"`
+		// Outcome is empty for a run that the endpoint answered or has yet to.
+		Outcome string `json:"outcome,omitempty"`
+	}
+)
+
+// NewTraces returns an empty Traces.
+func NewTraces(c TracesConfig) *Traces {
+	if c.Size <= 0 {
+		c.Size = DefaultTraces
+	}
+	return &Traces{ring: make([]*Trace, c.Size), byID: make(map[uint64]*Trace, c.Size)}
+}
+
+// Trace returns a copy of the trace of a request, by the id that callers get.
+func (t *Traces) Trace(id string) (Trace, bool) {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil {
+		return Trace{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	trace := t.byID[n]
+	if trace == nil {
+		return Trace{}, false
+	}
+	c := *trace
+	c.Steps = append([]TraceStep{}, trace.Steps...)
+	return c, true
+}
+
+// Step keeps a step of a request's plan.
+func (t *Traces) Step(now time.Time, req route.Request, s route.Step) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	trace := t.byID[req.ID]
+	if trace == nil {
+		trace = t.begin(now, req)
+	}
+	if len(trace.Steps) == maxSteps && s.Kind != route.StepRefuse {
+		trace.Omitted++
+		return
+	}
+	trace.Steps = append(trace.Steps, traceStep(now, trace, req, s))
+}
+
+// Outcome keeps what came of a request's last step.
+func (t *Traces) Outcome(_ time.Time, req route.Request, o route.Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	trace := t.byID[req.ID]
+	if trace == nil || trace.Omitted > 0 || len(trace.Steps) == 0 {
+		return
+	}
+	trace.Steps[len(trace.Steps)-1].Outcome = outcomeNames[o]
+}
+
+// begin puts a new trace in the place of the oldest.
+func (t *Traces) begin(now time.Time, req route.Request) *Trace {
+	if old := t.ring[t.next]; old != nil {
+		delete(t.byID, old.id)
+	}
+	trace := &Trace{
+		ID: strconv.FormatUint(req.ID, 16), id: req.ID,
+		Account: req.Account, Chat: req.Chat, Service: req.Service, Model: req.Model,
+		Once: req.Once, Priority: req.Priority, Began: now, Deadline: req.Deadline,
+		Hint: req.Hint.String(),
+	}
+	t.ring[t.next] = trace
+	t.byID[req.ID] = trace
+	t.next = (t.next + 1) % len(t.ring)
+	return trace
+}
+
+func traceStep(now time.Time, t *Trace, req route.Request, s route.Step) TraceStep {
+	e := s.Endpoint
+	step := TraceStep{
+		AfterMS: milliseconds(now.Sub(t.Began)),
+		Step:    stepNames[s.Kind], Endpoint: e.Name, Home: e.Home,
+		Reason: string(s.Reason),
+	}
+	if e.Name != "" {
+		step.State = kernel.State(e.State).String()
+		step.Requests = e.Load.Requests
+		step.Hinted = e.Name == req.Hint.Endpoint
+	}
+	if s.Kind == route.StepWait {
+		step.WaitMS = milliseconds(s.Until.Sub(now))
+	}
+	return step
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
