--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -26,9 +26,11 @@
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 )
 
 const (
@@ -97,6 +99,7 @@
 		endpoints *endpoint.Client
 		metrics   *operator.Metrics
 		traces    *operator.Traces
+		tickets   *once.Registry
 		handler   *caller.Handler
 		callers   *http.Server
 		operators *http.Server
@@ -120,6 +123,7 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
+	n.tickets = once.New(once.Config{Node: self.Name, Incarnation: self.Incarnation})
 	active := func() int { return int(c.Limits.Active.Load()) }
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
@@ -160,7 +164,7 @@
 	pause(ctx, n.config.Grace)
 	n.handler.Refuse()
 	refused := time.Now()
-	err := n.handler.Wait(ctx)
+	err := errors.Join(n.handler.Wait(ctx), n.tickets.Wait(ctx))
 	pause(ctx, time.Until(refused.Add(n.config.Linger)))
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
@@ -197,20 +201,24 @@
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
-	var err error
-	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
-	})
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrStart, err)
-	}
+	leases := poison.NewLeases(0)
 	d := dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		Leases: leases, PeerLeases: n.peers,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
 	limits.View, limits.Dispatcher, limits.Log = k.View, d, n.config.Log
+	limits.Tickets, limits.Relays = n.tickets, n.peers
 	n.handler = caller.New(limits)
+	var err error
+	n.server, err = peer.NewServer(peer.ServerConfig{
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Relays: n.handler, Leases: leases,
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrStart, err)
+	}
 	n.callers = caller.NewServer(n.metrics.Observe(n.handler))
 	n.operators = &http.Server{
 		Handler: operator.New(operator.Config{
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -20,6 +20,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
@@ -90,6 +91,7 @@
 	limits.View = func() *kernel.View { return v }
 	limits.Log = log
 	limits.Dispatcher = dispatch.New(dispatch.Config{View: limits.View, Gate: openGate{}, Endpoints: e, Sink: noSink{}})
+	limits.Tickets = once.New(once.Config{Node: v.Self.Name, Incarnation: 1})
 	h := caller.New(limits)
 	s := httptest.NewUnstartedServer(h)
 	s.Config = caller.NewServer(h)
@@ -99,7 +101,7 @@
 }
 
 func events(attempt string, more ...string) string {
-	return "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n" + strings.Join(more, "")
+	return "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"delta\":{\"content\":\"hi\"},\"finish_reason\":\"stop\"}]}\n\n" + strings.Join(more, "")
 }
 
 func streamed(text string) *endpoint.Answer {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -16,6 +16,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
@@ -29,6 +30,7 @@
 	HeaderPriority = entry.HeaderPriority
 	HeaderRequest  = entry.HeaderRequest
 	HeaderRan      = entry.HeaderRan
+	HeaderTicket   = entry.HeaderTicket
 )
 
 // Defaults of a Config.
@@ -60,6 +62,10 @@
 		View       func() *kernel.View
 		Dispatcher Dispatcher
 		Log        logrus.FieldLogger
+		// Tickets mints and redeems tickets, and Relays reaches the nodes that
+		// minted others.
+		Tickets *once.Registry
+		Relays  Relayer
 		// Timeout is the deadline of a request that names none.
 		Timeout time.Duration
 		// MaxTimeout is the longest deadline a request can name.
@@ -104,6 +110,9 @@
 	h.mux.HandleFunc(entry.PathServices+"{service}/{rest...}", h.guard(h.plain))
 	h.mux.HandleFunc("GET "+entry.PathEntry, h.entry)
 	h.mux.HandleFunc(entry.PathEntry, notAllowed(http.MethodGet))
+	h.mux.HandleFunc("GET "+entry.PathTickets+"{ticket}", h.showTicket)
+	h.mux.HandleFunc("DELETE "+entry.PathTickets+"{ticket}", h.voidTicket)
+	h.mux.HandleFunc(entry.PathTickets+"{ticket}", notAllowed("GET, DELETE"))
 	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		notFound("unknown_path", r.URL.Path).write(w)
 	})
@@ -119,6 +128,9 @@
 	if h.refusing.Load() || h.config.View().Leaving {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Header.Get(HeaderTicket) != "" {
+		w = &unsure{ResponseWriter: w}
+	}
 	h.mux.ServeHTTP(w, r)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Leases and PeerLeases let suspected requests run.
+		Leases     Leases
+		PeerLeases PeerLeases
 	}
 
 	// Dispatcher runs requests. It is safe for concurrent use.
@@ -83,6 +86,7 @@
 		Attempt  string
 		Endpoint kernel.Endpoint
 		release  func()
+		job      *job
 	}
 
 	job struct {
@@ -92,6 +96,8 @@
 		call   endpoint.Call
 		permit uint64
 		lost   bool
+
+		suspicion suspicion
 	}
 )
 
@@ -110,8 +116,9 @@
 
 // Close ends the answer and gives the permit back.
 func (r *Run) Close() error {
-	err := r.Answer.Body.Close()
+	err := r.Answer.Close()
 	r.release()
+	r.job.giveBack(false)
 	return err
 }
 
@@ -119,8 +126,16 @@
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
 	j := &job{d: d, plan: d.record(req, d.config.Router.Plan(req)), req: req, call: call}
+	return j.carry(ctx)
+}
+
+func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
-		step := j.plan.Next(time.Now(), d.config.View())
+		if refusal := j.clear(ctx); refusal != nil {
+			j.giveBack(false)
+			return nil, refusal
+		}
+		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
 			j.plan.Report(j.ask(ctx, step))
@@ -132,9 +147,11 @@
 			j.plan.Report(outcome)
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
+				j.giveBack(false)
 				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
+			j.giveBack(false)
 			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
 		}
 	}
@@ -148,6 +165,7 @@
 		Endpoint: e.Name,
 		Tokens:   step.Tokens,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Suspect:  len(j.suspect().Endpoints),
 	}
 	verdict, err := j.d.ask(ctx, e, a)
 	if err != nil {
@@ -172,12 +190,10 @@
 	permit := j.permit
 	if err == nil {
 		release := func() { j.d.release(e, permit) }
-		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
 	j.d.release(e, permit)
-	if ctx.Err() == nil {
-		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
-	}
+	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -44,6 +44,8 @@
 		Tokens   int
 		// Lease is how long the permit counts unless it is given back.
 		Lease time.Duration
+		// Suspect is how many endpoints died running the request.
+		Suspect int
 	}
 
 	// Return gives one permit back.
@@ -65,6 +67,7 @@
 		endpoint string
 		tokens   int
 		expires  time.Time
+		suspect  int
 	}
 )
 
@@ -92,10 +95,13 @@
 		return Granted
 	}
 	load := g.loads[a.Endpoint]
+	if a.Suspect > 0 && !g.takesSuspect(a) {
+		return Full
+	}
 	if !g.config.Rule.Fits(pool, load, a.Tokens, g.largest(pool)) {
 		return Full
 	}
-	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease)}
+	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease), suspect: a.Suspect}
 	g.loads[a.Endpoint] = load.Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
 	return Granted
 }
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -16,6 +16,9 @@
 		attempt string
 		model   string
 		usage   endpoint.Usage
+		// first begins the answer with what was asked, so that a caller can
+		// tell its own answer from another's.
+		first string
 	}
 
 	completion struct {
@@ -49,55 +52,84 @@
 	if output <= 0 {
 		output = defaultMaxTokens
 	}
+	e.serve(w, r, e.run(r, func(r *http.Request, a *attempt) {
+		e.generate(r, a, req, string(body), output)
+	}), 0)
+}
+
+// generate runs a chat request.
+func (e *Endpoint) generate(r *http.Request, to *attempt, req endpoint.ChatRequest, body string, output int) {
 	prompt := len(body) / bytesPerToken
-	s := e.begin(r, string(body), prompt, output)
+	s := e.begin(r, body, prompt, output, to.faults)
 	if s == nil {
 		return
 	}
 	defer s.end()
-	a := answer{attempt: r.Header.Get(endpoint.HeaderAttempt), model: req.Model, usage: usage(prompt, output, s.cached)}
-	w.Header().Set(endpoint.HeaderAttempt, a.attempt)
+	a := answer{attempt: to.id, model: req.Model, usage: usage(prompt, output, s.cached), first: lastWords(req)}
 	if req.Stream {
-		e.stream(w, s, a, output)
+		e.stream(to, s, a, output)
 		return
 	}
-	e.whole(w, s, a, output)
+	e.whole(to, s, a, output)
 }
 
-func (e *Endpoint) stream(w http.ResponseWriter, s *session, a answer, output int) {
-	w.Header().Set("Content-Type", "text/event-stream")
+func (e *Endpoint) stream(to *attempt, s *session, a answer, output int) {
+	to.kind = "text/event-stream"
 	for i := range output {
 		if !s.step() {
 			return
 		}
-		send(w, chunk(a, e.token(i)))
+		to.add(numbered(i, chunk(a, e.token(a, i))))
+		s.crashAfter(i + 1)
 	}
 	last := chunk(a, "")
 	stop := finishStop
 	last.Choices[0].FinishReason = &stop
 	last.Usage = &a.usage
-	send(w, last)
-	fmt.Fprintf(w, "data: %s\n\n", endpoint.DoneMark)
+	to.add(numbered(output, last))
+	s.crashAfter(output + 1)
+	to.add(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", output+1, endpoint.DoneMark))
 }
 
-func (e *Endpoint) whole(w http.ResponseWriter, s *session, a answer, output int) {
+func (e *Endpoint) whole(to *attempt, s *session, a answer, output int) {
+	to.kind = "application/json"
 	var text strings.Builder
 	for i := range output {
 		if !s.step() {
 			return
 		}
-		text.WriteString(e.token(i))
+		text.WriteString(e.token(a, i))
+		s.crashAfter(i + 1)
 	}
-	writeJSON(w, completion{
+	data, err := json.Marshal(completion{
 		ID: a.attempt, Object: "chat.completion", Model: a.model, Usage: a.usage,
 		Choices: []completionChoice{{
 			Message:      endpoint.Delta{Role: "assistant", Content: text.String()},
 			FinishReason: finishStop,
 		}},
 	})
+	if err == nil {
+		to.add(data)
+	}
 }
 
-func (e *Endpoint) token(i int) string { return fmt.Sprintf("%s-%d ", e.config.Name, i) }
+func (e *Endpoint) token(a answer, i int) string {
+	if i == 0 {
+		return fmt.Sprintf("%s on %q: ", e.config.Name, a.first)
+	}
+	return fmt.Sprintf("%s-%d ", e.config.Name, i)
+}
+
+// lastWords returns the end of a chat's last message; empty where that is no
+// plain text.
+func lastWords(req endpoint.ChatRequest) string {
+	const size = 64
+	var text string
+	if len(req.Messages) == 0 || json.Unmarshal(req.Messages[len(req.Messages)-1].Content, &text) != nil {
+		return ""
+	}
+	return text[max(len(text)-size, 0):]
+}
 
 func usage(prompt, output, cached int) endpoint.Usage {
 	return endpoint.Usage{
@@ -117,13 +149,12 @@
 	}
 }
 
-func send(w http.ResponseWriter, c endpoint.Chunk) {
+// numbered returns an event with its number, from which the answer can be asked
+// for again.
+func numbered(number int, c endpoint.Chunk) []byte {
 	data, err := json.Marshal(c)
 	if err != nil {
-		return
-	}
-	fmt.Fprintf(w, "data: %s\n\n", data)
-	if f, ok := w.(http.Flusher); ok {
-		f.Flush()
+		return nil
 	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s\n\n", number, data)
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -84,13 +84,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := standin.NewEndpoint(standin.EndpointConfig{})
 		start := time.Now()
-		call(e, "POST", "/v1/chat/completions", chat(1000, "x"), endpoint.HeaderDeadline, "20ms")
+		require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+			call(e, "POST", "/v1/chat/completions", chat(1000, "x"), endpoint.HeaderDeadline, "20ms")
+		}, "an answer without its end must not look whole")
 		require.Equal(t, 20*time.Millisecond, time.Since(start))
 		ctx, hangUp := context.WithCancel(t.Context())
 		go e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(chat(1000, "x"))).WithContext(ctx))
 		synctest.Wait()
 		require.Equal(t, 1, e.Running())
 		hangUp()
+		// The engine holds a broken stream for its resumption, but not for long.
+		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		require.Zero(t, e.Running())
 	})
