--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -20,6 +20,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
@@ -48,9 +49,14 @@
 	return e.answer(ctx, call)
 }
 
-func (openGate) Admit(time.Time, gate.Ask) gate.Verdict { return gate.Granted }
-
-func (openGate) Release(uint64) {}
+// Apply grants every ask.
+func (openGate) Apply(_ time.Time, b gate.Batch) gate.Reply {
+	verdicts := make([]gate.Verdict, len(b.Asks))
+	for i := range verdicts {
+		verdicts[i] = gate.Granted
+	}
+	return gate.Reply{Verdicts: verdicts}
+}
 
 func (noSink) Offer(kernel.Event) {}
 
@@ -90,6 +96,7 @@
 	limits.View = func() *kernel.View { return v }
 	limits.Log = log
 	limits.Dispatcher = dispatch.New(dispatch.Config{View: limits.View, Gate: openGate{}, Endpoints: e, Sink: noSink{}})
+	limits.Tickets = once.New(once.Config{Node: v.Self.Name, Incarnation: 1})
 	h := caller.New(limits)
 	s := httptest.NewUnstartedServer(h)
 	s.Config = caller.NewServer(h)
@@ -99,7 +106,7 @@
 }
 
 func events(attempt string, more ...string) string {
-	return "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n" + strings.Join(more, "")
+	return "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"delta\":{\"content\":\"hi\"},\"finish_reason\":\"stop\"}]}\n\n" + strings.Join(more, "")
 }
 
 func streamed(text string) *endpoint.Answer {
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -50,6 +50,7 @@
 }
 
 func (p *problem) write(w http.ResponseWriter) {
+	p = p.unless(w)
 	data, err := json.Marshal(p.body())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -120,8 +121,11 @@
 	if r.NotRun {
 		p.ran = RanNot
 	}
-	if r.Reason == route.ReasonDeadline {
+	switch r.Reason {
+	case route.ReasonDeadline:
 		p.status = http.StatusGatewayTimeout
+	case route.ReasonIsolated:
+		p.status = http.StatusUnprocessableEntity
 	}
 	return p
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -21,6 +21,8 @@
 	// extend is when the write deadline is moved again.
 	extend time.Time
 	buffer []byte
+	// begun is set once something was written.
+	begun bool
 }
 
 func newEvents(w http.ResponseWriter, timeout time.Duration) *events {
@@ -64,6 +66,7 @@
 }
 
 func (e *events) write(data []byte) error {
+	e.begun = true
 	e.keepAlive()
 	e.buffer = append(e.buffer[:0], "data: "...)
 	e.buffer = append(e.buffer, data...)
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -231,17 +231,25 @@
 }
 
 func TestDeadlineAndPriorityReachTheEndpoint(t *testing.T) {
-	var got endpoint.Call
+	calls := make(chan endpoint.Call, 1)
 	e := &endpoints{answer: func(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
-		got = call
+		calls <- call
 		<-ctx.Done()
 		return nil, endpoint.ErrLost
 	}}
 	s, _ := serve(t, e, caller.Config{})
-	resp, text, _ := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody,
-		entry.HeaderTimeout, "20ms", entry.HeaderPriority, "-3", entry.HeaderOnce, "true", entry.HeaderChat, "c1"))
-	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	headers := []string{
+		entry.HeaderTimeout, "20ms", entry.HeaderPriority, "-3",
+		entry.HeaderOnce, "true", entry.HeaderChat, "c1",
+	}
+	resp, text, _ := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, headers...))
+	require.Equal(t, http.StatusPreconditionRequired, resp.StatusCode)
+	require.Contains(t, text, `"ran":"not_run"`)
+	headers = append(headers, caller.HeaderTicket, resp.Header.Get(caller.HeaderTicket))
+	resp, text, _ = do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, headers...))
+	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
 	require.Contains(t, text, `"ran":"unknown"`)
+	got := <-calls
 	require.Equal(t, -3, got.Priority)
 	require.True(t, got.Once)
 	require.Equal(t, "a/c1", got.Chat)
--- a/internal/caller/whole.go
+++ b/internal/caller/whole.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,9 +20,8 @@
 		"Content-Type", "Content-Encoding", "Content-Language", "Cache-Control", "ETag", "Last-Modified", "Location",
 	}
 
-	errUnframed = errors.New("caller: the end of the endpoint's answer is not marked")
-	errTooLong  = errors.New("caller: the endpoint's answer is too long")
-	errCrossed  = errors.New("caller: the endpoint's answer is of another attempt")
+	errTooLong = errors.New("caller: the endpoint's answer is too long")
+	errCrossed = fmt.Errorf("%w: answer is of another attempt", endpoint.ErrCut)
 )
 
 type (
@@ -47,17 +47,11 @@
 
 // whole reads an answer to its marked end, within a limit.
 func whole(a *endpoint.Answer, limit int64) ([]byte, error) {
-	if !a.Framed {
-		return nil, errUnframed
-	}
-	data, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
+	data, err := a.ReadAll(limit)
+	if errors.Is(err, endpoint.ErrLarge) {
 		return nil, errTooLong
 	}
-	return data, nil
+	return data, err
 }
 
 // wholeChat reads a chat completion that is not streamed and checks that it
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +19,10 @@
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
+var errNoHome = errors.New("dispatch: the home is not known")
+
 const (
-	askTimeout     = 250 * time.Millisecond
-	releaseTimeout = time.Second
+	askTimeout = 250 * time.Millisecond
 	// leaseSlack keeps a permit a little past the deadline, for the release
 	// under way.
 	leaseSlack = time.Second
@@ -34,14 +36,12 @@
 
 	// Peers asks other nodes for permits.
 	Peers interface {
-		Ask(ctx context.Context, to netip.AddrPort, a gate.Ask) (gate.Verdict, error)
-		Release(ctx context.Context, to netip.AddrPort, id uint64, endpoint string) error
+		Permit(ctx context.Context, to netip.AddrPort, b gate.Batch) (gate.Reply, error)
 	}
 
 	// Gate grants the permits of the endpoints whose home the node is.
 	Gate interface {
-		Admit(now time.Time, a gate.Ask) gate.Verdict
-		Release(id uint64)
+		Apply(now time.Time, b gate.Batch) gate.Reply
 	}
 
 	// Sink takes events for the control state.
@@ -53,18 +53,26 @@
 	Config struct {
 		View func() *kernel.View
 		// Router plans the requests; nil is one with the defaults.
-		Router    *route.Router
+		Router *route.Router
+		// Recorder keeps what the plans did; nil keeps nothing.
+		Recorder  Recorder
 		Gate      Gate
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Leases and PeerLeases let suspected requests run.
+		Leases     Leases
+		PeerLeases PeerLeases
 	}
 
 	// Dispatcher runs requests. It is safe for concurrent use.
 	Dispatcher struct {
-		config Config
-		serial atomic.Uint64
-		base   uint64
+		config  Config
+		holder  *gate.Holder
+		serial  atomic.Uint64
+		base    uint64
+		cancel  context.CancelFunc
+		running sync.WaitGroup
 	}
 
 	// Refusal is the error of a request that got no answer.
@@ -81,15 +89,18 @@
 		Attempt  string
 		Endpoint kernel.Endpoint
 		release  func()
+		job      *job
 	}
 
 	job struct {
 		d      *Dispatcher
-		plan   *route.Plan
+		plan   planner
 		req    route.Request
 		call   endpoint.Call
 		permit uint64
 		lost   bool
+
+		suspicion suspicion
 	}
 )
 
@@ -98,7 +109,27 @@
 	if c.Router == nil {
 		c.Router = route.NewRouter(route.Config{})
 	}
-	return &Dispatcher{config: c, base: rand.Uint64()}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dispatcher{config: c, holder: gate.NewHolder(), base: rand.Uint64(), cancel: cancel}
+	d.running.Go(func() {
+		tick := time.NewTicker(dueInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				d.due(ctx)
+			}
+		}
+	})
+	return d
+}
+
+// Close stops telling homes. Permits still held there end with their leases.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.running.Wait()
 }
 
 // Error describes the refusal.
@@ -108,17 +139,26 @@
 
 // Close ends the answer and gives the permit back.
 func (r *Run) Close() error {
-	err := r.Answer.Body.Close()
+	err := r.Answer.Close()
 	r.release()
+	r.job.giveBack(false)
 	return err
 }
 
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
+	j := &job{d: d, plan: d.record(req, d.config.Router.Plan(req)), req: req, call: call}
+	return j.carry(ctx)
+}
+
+func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
-		step := j.plan.Next(time.Now(), d.config.View())
+		if refusal := j.clear(ctx); refusal != nil {
+			j.giveBack(false)
+			return nil, refusal
+		}
+		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
 			j.plan.Report(j.ask(ctx, step))
@@ -130,9 +170,11 @@
 			j.plan.Report(outcome)
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
+				j.giveBack(false)
 				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
+			j.giveBack(false)
 			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
 		}
 	}
@@ -146,21 +188,9 @@
 		Endpoint: e.Name,
 		Tokens:   step.Tokens,
 		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Suspect:  len(j.suspect().Endpoints),
 	}
-	verdict, err := j.d.ask(ctx, e, a)
-	if err != nil {
-		return route.OutcomeUnreachable
-	}
-	switch verdict {
-	case gate.Granted:
-		return route.OutcomeGranted
-	case gate.Full:
-		return route.OutcomeFull
-	case gate.Gone:
-		return route.OutcomeGone
-	default:
-		return route.OutcomeUnreachable
-	}
+	return j.d.permit(ctx, e, a)
 }
 
 func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
@@ -169,13 +199,11 @@
 	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	permit := j.permit
 	if err == nil {
-		release := func() { j.d.release(e, permit) }
-		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
-	}
-	j.d.release(e, permit)
-	if ctx.Err() == nil {
-		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
+		release := func() { j.d.release(permit) }
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
+	j.d.release(permit)
+	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
 	}
@@ -183,39 +211,6 @@
 	return nil, route.OutcomeLost
 }
 
-func (d *Dispatcher) ask(ctx context.Context, e kernel.Endpoint, a gate.Ask) (gate.Verdict, error) {
-	v := d.config.View()
-	if e.Home == v.Self.Name {
-		return d.config.Gate.Admit(time.Now(), a), nil
-	}
-	home, ok := v.Node(e.Home)
-	if !ok {
-		return gate.NotHome, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return d.config.Peers.Ask(ctx, home.Peer, a)
-}
-
-// release gives a permit back. Where the home does not hear of it, the lease
-// ends by itself.
-func (d *Dispatcher) release(e kernel.Endpoint, id uint64) {
-	v := d.config.View()
-	if e.Home == v.Self.Name {
-		d.config.Gate.Release(id)
-		return
-	}
-	home, ok := v.Node(e.Home)
-	if !ok {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		_ = d.config.Peers.Release(ctx, home.Peer, id, e.Name)
-	}()
-}
-
 func wait(ctx context.Context, until time.Time) error {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
--- a/internal/endpoint/stream_test.go
+++ b/internal/endpoint/stream_test.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	own    = `{"id":"1f","choices":[]}`
-	late   = `{"choices":[],"id":"1f"}`
+	own    = `{"id":"1f","choices":[{"finish_reason":"stop"}]}`
+	late   = `{"choices":[{"finish_reason":"stop"}],"id":"1f"}`
+	open   = `{"id":"1f","choices":[{"finish_reason":null}]}`
 	others = `{"id":"1f2","choices":[]}`
 	done   = "data: [DONE]\n\n"
 
@@ -22,7 +23,7 @@
 )
 
 func TestStreamReads(t *testing.T) {
-	long := `{"id":"1f","text":"` + strings.Repeat("x", 20<<10) + `"}`
+	long := `{"id":"1f","text":"` + strings.Repeat("x", 20<<10) + `","choices":[{"finish_reason":"stop"}]}`
 	tests := []struct {
 		name    string
 		text    string
@@ -38,6 +39,7 @@
 		{"end mark without a line end", "data: " + own + "\n\ndata: [DONE]", []string{own}, 0, io.EOF},
 		{"another attempt's", "data: " + others + "\n\ndata: " + own + "\n\n" + done, []string{own}, 1, io.EOF},
 		{"long event", "data: " + long + "\n\n" + done, []string{long}, 0, io.EOF},
+		{"end mark before the finish", "data: " + open + "\n\n" + done, []string{open}, 0, endpoint.ErrCut},
 		{"no end mark", "data: " + own + "\n\n", []string{own}, 0, endpoint.ErrCut},
 		{"cut within a line", "data: " + own, nil, 0, endpoint.ErrCut},
 		{"cut within the end mark", "data: " + own + "\n\ndata: [DO", []string{own}, 0, endpoint.ErrCut},
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -1,7 +1,10 @@
 package kernel
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
@@ -104,6 +107,9 @@
 		Nodes []Node
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
+		// Suspects is the requests that ran on endpoints when they died, by
+		// print.
+		Suspects map[uint64]Suspicion
 		// Watcher says that the node should hold waiting watches on the
 		// platform. It is set unless live peers of the zone are known to watch.
 		Watcher bool
@@ -136,6 +142,17 @@
 // MarshalText returns the state's name.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	for state := Live; state <= Dead; state++ {
+		if state.String() == string(text) {
+			*s = state
+			return nil
+		}
+	}
+	return fmt.Errorf("kernel: %q is no state", text)
+}
+
 // Fresh reports whether the view is recent enough to act on with authority.
 //
 // Traffic goroutines may run before the control goroutine after a pause, and
@@ -147,20 +164,22 @@
 
 // Node returns the node with the given name.
 func (v *View) Node(name string) (Node, bool) {
-	for _, n := range v.Nodes {
-		if n.Name == name {
-			return n, true
-		}
+	i, ok := slices.BinarySearchFunc(v.Nodes, name, func(n Node, name string) int {
+		return strings.Compare(n.Name, name)
+	})
+	if !ok {
+		return Node{}, false
 	}
-	return Node{}, false
+	return v.Nodes[i], true
 }
 
 // Endpoint returns the endpoint with the given name.
 func (p *Pool) Endpoint(name string) (Endpoint, bool) {
-	for _, e := range p.Endpoints {
-		if e.Name == name {
-			return e, true
-		}
+	i, ok := slices.BinarySearchFunc(p.Endpoints, name, func(e Endpoint, name string) int {
+		return strings.Compare(e.Name, name)
+	})
+	if !ok {
+		return Endpoint{}, false
 	}
-	return Endpoint{}, false
+	return p.Endpoints[i], true
 }
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -31,6 +31,8 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	readyPoll = 10 * time.Millisecond
+	// Token is what operators of a fleet show.
+	Token = "operators-token"
 	// platformName names the platform in cuts.
 	platformName = "platform"
 )
@@ -131,20 +133,34 @@
 	return f, f.start()
 }
 
-// Accept publishes a manifest with the operators' record, as their pipeline
-// would.
-func (f *Fleet) Accept(m *manifest.Manifest) error {
+// Propose publishes the values of a manifest, as the operators' pipeline would,
+// and returns the digest of its root.
+func (f *Fleet) Propose(m *manifest.Manifest) (manifest.Digest, error) {
 	parts, err := manifest.Split(m)
 	if err != nil {
-		return fmt.Errorf("loopback: %w", err)
-	}
-	record, err := json.Marshal(manifest.Accept(f.key, m.Revision, parts.Digest))
-	if err != nil {
-		return fmt.Errorf("loopback: %w", err)
+		return "", fmt.Errorf("loopback: %w", err)
 	}
 	for digest, data := range parts.Values {
 		f.Platform.Set(platform.PrefixManifest+string(digest), data)
 	}
+	return parts.Digest, nil
+}
+
+// Accept publishes a manifest with the operators' record of its acceptance.
+func (f *Fleet) Accept(m *manifest.Manifest) error { return f.decide(m, manifest.Accept) }
+
+// Reject publishes a manifest with the operators' record of its rejection.
+func (f *Fleet) Reject(m *manifest.Manifest) error { return f.decide(m, manifest.Reject) }
+
+func (f *Fleet) decide(m *manifest.Manifest, sign func(ed25519.PrivateKey, uint64, manifest.Digest) manifest.Record) error {
+	digest, err := f.Propose(m)
+	if err != nil {
+		return err
+	}
+	record, err := json.Marshal(sign(f.key, m.Revision, digest))
+	if err != nil {
+		return fmt.Errorf("loopback: %w", err)
+	}
 	f.Platform.Set(platform.KeyAccepted, record)
 	return nil
 }
@@ -374,8 +390,8 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
-		Dialer: dialer{network: f.Network, from: c.Name},
-		Grace:  f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
+		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token,
+		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
