Keep the example deployments as files that operators can read and run

Cause: the examples were built in code; an operator had no manifest or settings to start from.

Conclusion: what the demo runs is what operators read.

--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/examples"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
@@ -154,3 +155,18 @@
 		require.Equal(t, "manifest/"+string(manifest.Sum(published.Value)), published.Key)
 	}
 }
+
+func TestExampleSettings(t *testing.T) {
+	for _, name := range []string{examples.Thies, examples.Karamanlis} {
+		e, err := examples.Load(name)
+		require.NoError(t, err)
+		var env []string
+		for line := range strings.Lines(string(e.Settings)) {
+			if !strings.HasPrefix(line, "#") {
+				env = append(env, strings.TrimSpace(line))
+			}
+		}
+		code, _, stderr := run(t, env, "node", "--check")
+		require.Zero(t, code, stderr)
+	}
+}
--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -38,6 +38,7 @@
 	MaxWaiting   count       `name:"max-waiting" help:"Requests that wait for an endpoint at once." default:"2048" placeholder:"COUNT"`
 	MaxAccount   count       `name:"max-account" help:"Requests of one client account that wait at once." default:"512" placeholder:"COUNT"`
 	Traces       count       `help:"Requests whose decisions are kept for operators." default:"1024" placeholder:"COUNT"`
+	Check        bool        `help:"Check the settings and end."`
 	Level        string      `help:"Least level that is logged: debug, info, warn or error." default:"info"`
 }
 
@@ -55,6 +56,9 @@
 
 // Run runs a node until it is told to stop.
 func (c *nodeCommand) Run() error {
+	if c.Check {
+		return nil
+	}
 	listeners, err := listen(c.Callers.AddrPort, c.Peers.AddrPort, c.Operators.AddrPort)
 	if err != nil {
 		return err
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,73 @@
+// Package examples holds the deployments of the first users, at the sizes they
+// run today: manifest, instances and settings. The demo and the tests of the
+// whole path run them.
+package examples
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// Names of the examples.
+const (
+	Thies      = "thies"
+	Karamanlis = "karamanlis"
+)
+
+var (
+	// ErrExample is returned where there is no such example or it cannot be
+	// read.
+	ErrExample = errors.New("examples: bad example")
+
+	//go:embed thies karamanlis
+	files embed.FS
+)
+
+type (
+	// Example is one deployment.
+	Example struct {
+		Manifest *manifest.Manifest
+		// Settings is the environment of its first node, as an env file.
+		Settings []byte
+		Instances
+	}
+
+	// Instances is what runs in a deployment.
+	Instances struct {
+		Nodes     []Instance `json:"nodes"`
+		Endpoints []Instance `json:"endpoints"`
+	}
+
+	// Instance is a node or an endpoint.
+	Instance struct {
+		Name    string `json:"name"`
+		Zone    string `json:"zone"`
+		Service string `json:"service"`
+	}
+)
+
+// Load returns the example with the given name. The manifest may be changed.
+func Load(name string) (Example, error) {
+	text, errText := files.ReadFile(name + "/manifest.json")
+	list, errList := files.ReadFile(name + "/instances.json")
+	settings, errSettings := files.ReadFile(name + "/node.env")
+	if err := errors.Join(errText, errList, errSettings); err != nil {
+		return Example{}, fmt.Errorf("%w: %v", ErrExample, err)
+	}
+	m, err := manifest.Parse(text)
+	if err != nil {
+		return Example{}, fmt.Errorf("%w: %s: %v", ErrExample, name, err)
+	}
+	e := Example{Manifest: m.Clone(), Settings: settings}
+	dec := json.NewDecoder(bytes.NewReader(list))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&e.Instances); err != nil {
+		return Example{}, fmt.Errorf("%w: %s: instances: %v", ErrExample, name, err)
+	}
+	return e, nil
+}
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -117,6 +117,7 @@
 		"down":      {Down: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := loopback.Thies()
 			f := start(t, c)
 			f.Platform.SetFaults(faults)
