--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -12,8 +12,12 @@
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
-// suspectPause is the time between two asks for the lease of a request.
-const suspectPause = 100 * time.Millisecond
+const (
+	// suspectPause is the time between two asks for the lease of a request.
+	suspectPause = 100 * time.Millisecond
+	// leaseTimeout bounds the message that gives a lease back.
+	leaseTimeout = time.Second
+)
 
 type (
 	// Leases grants the right to run suspected requests whose holder the node
@@ -102,7 +106,7 @@
 	}
 	to, lease := s.holder.Peer, s.lease
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
 		defer cancel()
 		_ = j.d.config.PeerLeases.GiveBack(ctx, to, lease, died)
 	}()
