--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -170,3 +170,15 @@
 		require.Zero(t, code, stderr)
 	}
 }
+
+// TestSettingsPage fails where the operators' page and the command line differ;
+// the table to put there is the output of the command.
+func TestSettingsPage(t *testing.T) {
+	code, stdout, stderr := run(t, nil, "settings", "node", "state", "manifest")
+	require.Zero(t, code, stderr)
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	require.NoError(t, err)
+	_, tables, found := strings.Cut(string(page), "<!-- tables -->\n")
+	require.True(t, found)
+	require.Equal(t, stdout, tables)
+}
--- a/cmd/bulrushhinge/state.go
+++ b/cmd/bulrushhinge/state.go
@@ -27,7 +27,7 @@
 
 // stateCommand shows the state of a running node.
 type stateCommand struct {
-	Operators address `help:"Address and port of the node's operators' listener." default:"127.0.0.1:8082" placeholder:"ADDR:PORT"`
+	Operators address `help:"Address and port of the node's operators' listener." default:"127.0.0.1:8082"`
 	Token     string  `help:"The node's operators' token."`
 	Request   string  `help:"Show the decisions on this request instead." placeholder:"ID"`
 	JSON      bool    `name:"json" help:"Print the whole dump as JSON."`
--- /dev/null
+++ b/internal/operator/page_test.go
@@ -0,0 +1,49 @@
+package operator_test
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
+)
+
+// TestMetricsPage fails where a metric is missing on the operators' page, or
+// one is named there that does not exist.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/metrics.md")
+	require.NoError(t, err)
+	m := newMetrics(view())
+	m.PlatformRead("accepted", errors.New("down"))
+	m.Beat(nil)
+	m.Fetch(nil)
+	m.Step(now, route.Request{}, route.Step{Kind: route.StepAsk})
+	m.Outcome(now, route.Request{}, route.OutcomeFull)
+	m.Outcome(now, route.Request{}, route.OutcomeLost)
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		m.Observe(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(caller.HeaderRan, string(entry.RanNot))
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(`{"error":{"type":"busy","ran":"not_run"}}`))
+		})).ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, entry.PathChat, nil))
+	}
+	var text bytes.Buffer
+	m.Write(&text)
+	written := map[string]bool{}
+	for _, match := range regexp.MustCompile(`(?m)^(bulrushhinge_[a-z_]+?)(_bucket|_sum|_count)?(\{| )`).FindAllStringSubmatch(text.String(), -1) {
+		written[match[1]] = true
+	}
+	listed := map[string]bool{}
+	for _, match := range regexp.MustCompile("(?m)^\\| `(bulrushhinge_[a-z_]+)` \\|").FindAllSubmatch(page, -1) {
+		listed[string(match[1])] = true
+	}
+	require.Equal(t, written, listed)
+}
