--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/examples"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
@@ -154,3 +155,30 @@
 		require.Equal(t, "manifest/"+string(manifest.Sum(published.Value)), published.Key)
 	}
 }
+
+func TestExampleSettings(t *testing.T) {
+	for _, name := range []string{examples.Thies, examples.Karamanlis} {
+		e, err := examples.Load(name)
+		require.NoError(t, err)
+		var env []string
+		for line := range strings.Lines(string(e.Settings)) {
+			if !strings.HasPrefix(line, "#") {
+				env = append(env, strings.TrimSpace(line))
+			}
+		}
+		code, _, stderr := run(t, env, "node", "--check")
+		require.Zero(t, code, stderr)
+	}
+}
+
+// TestSettingsPage fails where the operators' page and the command line differ;
+// the table to put there is the output of the command.
+func TestSettingsPage(t *testing.T) {
+	code, stdout, stderr := run(t, nil, "settings", "node", "state", "manifest")
+	require.Zero(t, code, stderr)
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	require.NoError(t, err)
+	_, tables, found := strings.Cut(string(page), "<!-- tables -->\n")
+	require.True(t, found)
+	require.Equal(t, stdout, tables)
+}
