Measure the path against a lean endpoint; read event numbers without copying

Cause: the stand-in engine cost more than the node between it and the caller, and each event's number was copied to a string of its own.

Change: the benchmark's endpoint only writes; answers of two lengths give the cost of a token and of a request apart; a paced benchmark sends a token each 33 ms. Event numbers are parsed where they lie.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -13,7 +13,7 @@
 
 const (
 	chatsPerCaller = 4
-	answerTokens   = 12
+	answerTokens   = 24
 	// Of every cycle of requests one is plain and one must not be repeated.
 	cycle     = 6
 	plainTurn = 2
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	maxEventBytes    = 1 << 20
+	maxEventBytes = 1 << 20
+	// noNumber is the number of an event that has none.
+	noNumber         = -1
 	streamBufferSize = 4 << 10
 )
 
@@ -109,7 +111,7 @@
 
 // event reads one event: its data, io.EOF for the end mark, or ErrCut.
 func (s *Stream) event() ([]byte, error) {
-	id := ""
+	id := noNumber
 	for {
 		line, err := s.line()
 		data, isData := bytes.CutPrefix(line, dataField)
@@ -122,7 +124,9 @@
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w: %v", ErrCut, errConnection, err)
 		case !isData:
-			id = field(line, idField, id)
+			if id, err = eventNumber(line, id); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		mine, err := s.take(id, data)
@@ -134,7 +138,7 @@
 }
 
 // take checks an event and reports whether it is the next of the attempt.
-func (s *Stream) take(id string, data []byte) (bool, error) {
+func (s *Stream) take(id int, data []byte) (bool, error) {
 	if due, err := s.due(id); err != nil || !due {
 		return false, err
 	}
@@ -146,30 +150,28 @@
 		return false, nil
 	}
 	s.next++
-	s.numbered = id != ""
+	s.numbered = id != noNumber
 	s.finished = s.finished || finishes(data)
 	return true, nil
 }
 
 // due compares an event's number with the one that comes next.
-func (s *Stream) due(id string) (bool, error) {
-	if id == "" && !s.numbered {
+func (s *Stream) due(id int) (bool, error) {
+	switch {
+	case id == noNumber && s.numbered:
+		return false, fmt.Errorf("%w: event without a number", ErrCut)
+	case id == noNumber:
 		return true, nil
+	case id > s.next:
+		return false, fmt.Errorf("%w: event %d came where %d was due", ErrCut, id, s.next)
 	}
-	number, err := strconv.Atoi(id)
-	if err != nil {
-		return false, fmt.Errorf("%w: event number %q", ErrCut, id)
-	}
-	if number > s.next {
-		return false, fmt.Errorf("%w: event %d came where %d was due", ErrCut, number, s.next)
-	}
-	return number == s.next, nil
+	return id == s.next, nil
 }
 
 // end takes the end mark. It counts only after an event that says why the
 // answer finished: an engine that was cut off from its model may still close
 // its stream properly.
-func (s *Stream) end(id string) error {
+func (s *Stream) end(id int) error {
 	if due, err := s.due(id); err != nil {
 		return err
 	} else if !due || !s.finished {
@@ -227,14 +229,18 @@
 	return bytes.TrimLeft(ahead, "\r\n")
 }
 
-// field returns the value of a line's field, or otherwise where the line has
-// another.
-func field(line, name []byte, otherwise string) string {
-	value, ok := bytes.CutPrefix(line, name)
+// eventNumber returns the number in a line, or otherwise where the line holds
+// another field.
+func eventNumber(line []byte, otherwise int) (int, error) {
+	text, ok := bytes.CutPrefix(line, idField)
 	if !ok {
-		return otherwise
+		return otherwise, nil
+	}
+	number, err := strconv.Atoi(string(bytes.TrimSpace(text)))
+	if err != nil || number < 0 {
+		return 0, fmt.Errorf("%w: event number %q", ErrCut, text)
 	}
-	return string(bytes.TrimSpace(value))
+	return number, nil
 }
 
 // finishes reports whether an event says why the answer finished. It is not
--- a/internal/loopback/path_test.go
+++ b/internal/loopback/path_test.go
@@ -4,13 +4,16 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,95 +21,158 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/loopback"
-	"bulrushhinge.example/bulrushhinge/internal/standin"
+	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
-const benchTokens = 64
-
-// quick is an engine that makes tokens without pause, so that what is measured
-// is the path.
-var quick = standin.EndpointConfig{Step: time.Nanosecond, Prefill: time.Nanosecond, MaxBatch: 1 << 12}
+// pace is the time between the tokens of one stream at the target.
+const pace = 33 * time.Millisecond
 
 // BenchmarkPath measures requests through one node against the same requests
 // sent straight to the endpoint: requests a second, time to the first token,
 // processor time and allocations a token. Caller, node and endpoint share the
-// process, so the node's own share is the difference of the two.
+// process, so the node's own share is the difference of the two; that of two
+// lengths of answers gives the cost of a token and of a request.
 func BenchmarkPath(b *testing.B) {
-	f, node, direct := bench(b, quick)
-	defer func() { require.NoError(b, f.Close()) }()
-	targets := []struct {
-		name string
-		addr netip.AddrPort
-	}{{"straight", direct}, {"node", node}}
+	p := newPath(b, 0)
 	for _, streams := range []int{1, 16, 64} {
-		for _, target := range targets {
+		for _, tokens := range []int{16, 256} {
+			for _, target := range p.targets() {
+				b.Run(fmt.Sprintf("%s/streams=%d/tokens=%d", target.name, streams, tokens), func(b *testing.B) {
+					measure(b, target.addr, streams, tokens, b.N)
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkPathPaced measures streams whose tokens come one by one, as from an
+// engine: each one wakes the node.
+func BenchmarkPathPaced(b *testing.B) {
+	const tokens = 60
+	p := newPath(b, pace)
+	for _, streams := range []int{64, 256, 1024} {
+		for _, target := range p.targets() {
 			b.Run(fmt.Sprintf("%s/streams=%d", target.name, streams), func(b *testing.B) {
-				measure(b, target.addr, streams)
+				measure(b, target.addr, streams, tokens, b.N*streams)
 			})
 		}
 	}
 }
 
-// BenchmarkPathMemory measures the memory that open streams take, through one
-// node and straight to the endpoint.
+// BenchmarkPathMemory measures the memory that open streams take.
 func BenchmarkPathMemory(b *testing.B) {
-	slow := quick
-	slow.Step = 500 * time.Millisecond
 	for _, streams := range []int{100, 400, 1600} {
-		for _, name := range []string{"straight", "node"} {
+		for i, name := range []string{"straight", "node"} {
 			b.Run(fmt.Sprintf("%s/streams=%d", name, streams), func(b *testing.B) {
 				for b.Loop() {
-					f, node, direct := bench(b, slow)
-					addr := node
-					if name == "straight" {
-						addr = direct
-					}
-					b.ReportMetric(float64(held(b, addr, streams))/float64(streams), "B/stream")
-					require.NoError(b, f.Close())
+					p := newPath(b, time.Hour)
+					b.ReportMetric(float64(held(b, p.targets()[i].addr, streams))/float64(streams), "B/stream")
 				}
 			})
 		}
 	}
 }
 
-func bench(b *testing.B, engine standin.EndpointConfig) (f *loopback.Fleet, node, direct netip.AddrPort) {
+type (
+	// path is one node before one endpoint.
+	path struct {
+		node, direct netip.AddrPort
+	}
+
+	target struct {
+		name string
+		addr netip.AddrPort
+	}
+
+	// lean is an endpoint that costs as little as possible: what is measured is
+	// the path.
+	lean struct{ pace time.Duration }
+)
+
+func newPath(b *testing.B, pace time.Duration) path {
 	b.Helper()
+	server := httptest.NewServer(lean{pace: pace})
+	b.Cleanup(server.Close)
 	c := loopback.Thies()
 	c.Nodes = c.Nodes[:1]
-	c.Endpoints = c.Endpoints[:1]
-	c.Endpoints[0].Engine = engine
+	c.Endpoints = nil
 	c.Limits.MaxAccount = 1 << 12
 	c.Limits.MaxWaiting = 1 << 12
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	c.Log = log
-	f, err := loopback.New(c)
-	require.NoError(b, err)
-	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
-	defer cancel()
-	require.NoError(b, f.Ready(ctx))
-	return f, f.Caller("n1"), f.Endpoint("w1").Addr
+	f := start(b, c)
+	direct := netip.MustParseAddrPort(server.Listener.Addr().String())
+	require.NoError(b, f.List(platform.Instance{
+		Name: "w1", Kind: kernel.KindEndpoint, Zone: c.Nodes[0].Zone, Service: "engines", Addr: direct,
+	}))
+	p := path{node: f.Caller("n1"), direct: direct}
+	for {
+		if _, err := stream(b.Context(), http.DefaultClient, p.node, 0); err == nil {
+			return p
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (p path) targets() []target { return []target{{"straight", p.direct}, {"node", p.node}} }
+
+// ServeHTTP streams as many tokens as the request asks for.
+func (l lean) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/load" {
+		_, _ = io.WriteString(w, `{"models":["notices"]}`)
+		return
+	}
+	var req endpoint.ChatRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	attempt := r.Header.Get(endpoint.HeaderAttempt)
+	w.Header().Set(endpoint.HeaderAttempt, attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	l.stream(r.Context(), w, attempt, req.MaxTokens)
+}
+
+func (l lean) stream(ctx context.Context, w http.ResponseWriter, attempt string, tokens int) {
+	control := http.NewResponseController(w)
+	data := `data: {"id":"` + attempt + `","object":"chat.completion.chunk","model":"notices","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}`
+	var event []byte
+	for i := range tokens {
+		event = strconv.AppendInt(append(event[:0], "id: "...), int64(i), 10)
+		event = append(append(append(event, '\n'), data...), "\n\n"...)
+		_, _ = w.Write(event)
+		_ = control.Flush()
+		if l.pace == 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(l.pace):
+		}
+	}
+	last := strings.Replace(data, "null", `"stop"`, 1)
+	fmt.Fprintf(w, "id: %d\n%s\n\nid: %d\ndata: %s\n\n", tokens, last, tokens+1, endpoint.DoneMark)
 }
 
-func measure(b *testing.B, addr netip.AddrPort, streams int) {
+// measure sends requests over a number of streams at once.
+func measure(b *testing.B, addr netip.AddrPort, streams, tokens, requests int) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
 	defer client.CloseIdleConnections()
-	firsts := make([]time.Duration, b.N)
+	firsts := make([]time.Duration, requests)
 	var next atomic.Int64
 	var running sync.WaitGroup
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	cpu := processorTime()
 	b.ResetTimer()
-	for range streams {
+	for range min(streams, requests) {
 		running.Go(func() {
-			for i := next.Add(1) - 1; i < int64(b.N); i = next.Add(1) - 1 {
-				first, err := stream(b.Context(), client, addr, benchTokens)
+			for i := next.Add(1) - 1; i < int64(requests); i = next.Add(1) - 1 {
+				first, err := stream(b.Context(), client, addr, tokens)
 				if err != nil {
 					b.Error(err)
 					return
@@ -118,13 +184,13 @@
 	running.Wait()
 	b.StopTimer()
 	runtime.ReadMemStats(&after)
-	tokens := float64(b.N * benchTokens)
+	total := float64(requests * tokens)
 	slices.Sort(firsts)
-	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
-	b.ReportMetric(float64(processorTime()-cpu)/tokens, "cpu-ns/token")
-	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/tokens, "allocs/token")
-	b.ReportMetric(float64(firsts[b.N/2].Microseconds()), "first-p50-us")
-	b.ReportMetric(float64(firsts[b.N*95/100].Microseconds()), "first-p95-us")
+	b.ReportMetric(float64(requests)/b.Elapsed().Seconds(), "requests/s")
+	b.ReportMetric(float64(processorTime()-cpu)/total, "cpu-ns/token")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/total, "allocs/token")
+	b.ReportMetric(float64(firsts[requests/2].Microseconds()), "first-p50-us")
+	b.ReportMetric(float64(firsts[requests*95/100].Microseconds()), "first-p95-us")
 }
 
 // stream sends one request, reads the answer to its end mark and returns the
