--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -6,9 +6,11 @@
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/mark"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/internal/roster"
 )
 
 // Config is the settings of the built-in plug-ins; zero values are defaults.
@@ -16,6 +18,8 @@
 	Config     config.Config
 	Membership membership.Config
 	Pool       pool.Config
+	Roster     roster.Config
+	Mark       mark.Config
 	Gate       gate.Config
 	Poison     poison.Config
 }
@@ -29,6 +33,8 @@
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
 		config.New(c.Config),
+		roster.New(c.Roster),
+		mark.New(c.Mark),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
 		poison.New(c.Poison),
