Say in one place when a request may be sent again

Cause: the demo and ask each decided that by themselves, and a cut answer lost its ticket.

Change: Client.Again tells whether and when, keeps or drops the ticket, and gives an unused ticket up as proof that the request was not run. A cut answer is a Refusal with its ticket that wraps ErrCut.

--- a/cmd/bulrushhinge/ask.go
+++ b/cmd/bulrushhinge/ask.go
@@ -35,7 +35,7 @@
 	defer client.Close()
 	chat := client.Chat(c.Chat, c.Model)
 	for _, text := range c.Text {
-		if err := c.turn(chat, text); err != nil {
+		if err := c.turn(client, chat, text); err != nil {
 			return err
 		}
 	}
@@ -44,7 +44,7 @@
 	}
 	lines := bufio.NewScanner(os.Stdin)
 	for lines.Scan() {
-		if err := c.turn(chat, lines.Text()); err != nil {
+		if err := c.turn(client, chat, lines.Text()); err != nil {
 			return err
 		}
 	}
@@ -53,39 +53,30 @@
 
 // turn asks until the answer is whole, as far as that is safe, and waits as
 // long as the fleet says.
-func (c *askCommand) turn(chat *entry.Chat, text string) error {
+func (c *askCommand) turn(client *entry.Client, chat *entry.Chat, text string) error {
 	o := entry.Options{Once: c.Once, Priority: c.Priority, MaxTokens: c.MaxTokens}
 	for attempt := 1; ; attempt++ {
-		err := c.answer(chat, text, &o)
+		err := c.answer(chat, text, o)
 		if err == nil {
 			return nil
 		}
-		var refused *entry.Refusal
-		isRefusal := errors.As(err, &refused)
-		if isRefusal {
-			o.Ticket = refused.Ticket
-		}
-		notRun := isRefusal && refused.Ran == entry.RanNot && refused.RetryAfterMS > 0
-		repeatable := !c.Once || o.Ticket != "" || notRun
-		if attempt == askAttempts || !repeatable || isRefusal && refused.Status > 0 && !notRun {
+		after, ok := client.Again(context.Background(), err, &o)
+		if !ok || attempt == askAttempts {
 			return err
 		}
-		fmt.Fprintf(os.Stderr, "%v; asking again\n", err)
-		if isRefusal {
-			time.Sleep(refused.RetryAfter())
-		}
+		fmt.Fprintf(os.Stderr, "%v; asking again in %v\n", err, after)
+		time.Sleep(after)
 	}
 }
 
-func (c *askCommand) answer(chat *entry.Chat, text string, o *entry.Options) error {
+func (c *askCommand) answer(chat *entry.Chat, text string, o entry.Options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	s, err := chat.Ask(ctx, text, *o)
+	s, err := chat.Ask(ctx, text, o)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	o.Ticket = s.Ticket()
 	for {
 		piece, err := s.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -77,19 +76,13 @@
 			t.whole(k, m)
 			return
 		}
-		var refused *entry.Refusal
-		if !errors.As(err, &refused) {
-			t.failed(k, m, err)
-			return
-		}
-		o.Ticket = refused.Ticket
-		again := refused.Ran == entry.RanNot && refused.RetryAfterMS > 0 || refused.Status == 0 && (!once || o.Ticket != "")
-		if !again || try == maxTries {
+		after, ok := c.client.Again(ctx, err, &o)
+		if !ok || try == maxTries {
 			t.failed(k, m, err)
 			return
 		}
 		t.again(k)
-		time.Sleep(refused.RetryAfter())
+		time.Sleep(after)
 	}
 }
 
--- a/pkg/entry/client_test.go
+++ b/pkg/entry/client_test.go
@@ -104,6 +104,8 @@
 		{"hangs up, once", hangUp, true, "", 0, "lost", entry.RanUnknown},
 		{"hangs up, once with ticket", hangUp, true, "t1", 1, "", ""},
 		{"asks for a ticket", askForTicket, true, "", 0, "", ""},
+		{"busy, nobody looked at the ticket", refuse(503, "busy", entry.RanUnknown), true, "t1", 1, "", ""},
+		{"the ticket's node is gone", refuse(409, "ticket_unknown", entry.RanUnknown), true, "t1", 0, "ticket_unknown", entry.RanUnknown},
 		{"no refusal of a node", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, false, "", 0, "status", entry.RanUnknown},
 	}
 	for _, test := range tests {
@@ -223,3 +225,41 @@
 	_, err = c.Call(t.Context(), entry.Request{Service: "prices", Path: "cut"})
 	require.ErrorIs(t, err, entry.ErrCut)
 }
+
+func TestAgainKeepsOnceToOneRun(t *testing.T) {
+	void := entry.TicketVoid
+	n := newNode(t, func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, http.MethodDelete, r.Method)
+		_ = json.NewEncoder(w).Encode(map[string]any{"ticket": "t1", "state": void})
+	})
+	n.entry = entry.Answer{KeepMS: 60_000, Nodes: []netip.AddrPort{n.addr()}}
+	c := entry.New(entry.Config{Addrs: []netip.AddrPort{n.addr()}})
+	defer c.Close()
+	tests := []struct {
+		name   string
+		err    error
+		once   bool
+		state  entry.TicketState
+		ok     bool
+		ticket string
+	}{
+		{"no node", entry.ErrNoNode, true, "", true, ""},
+		{"not run, may come back", &entry.Refusal{Ran: entry.RanNot, RetryAfterMS: 1, Ticket: "t2"}, true, "", true, "t2"},
+		{"not run, no use", &entry.Refusal{Ran: entry.RanNot, Status: 401}, false, "", false, ""},
+		{"cut, repeatable", &entry.Refusal{Ran: entry.RanYes}, false, "", true, ""},
+		{"cut, once", &entry.Refusal{Ran: entry.RanYes}, true, "", false, ""},
+		{"cut, once with ticket", &entry.Refusal{Ran: entry.RanYes, Ticket: "t1"}, true, "", true, "t1"},
+		{"unknown, ticket unused", &entry.Refusal{Ran: entry.RanUnknown, Status: 409, Ticket: "t1"}, true, entry.TicketVoid, true, ""},
+		{"unknown, ticket used", &entry.Refusal{Ran: entry.RanUnknown, Status: 409, Ticket: "t1"}, true, entry.TicketDone, false, "t1"},
+		{"another error", io.ErrUnexpectedEOF, false, "", false, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			void = test.state
+			o := entry.Options{Once: test.once}
+			_, ok := c.Again(t.Context(), test.err, &o)
+			require.Equal(t, test.ok, ok)
+			require.Equal(t, test.ticket, o.Ticket)
+		})
+	}
+}
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -62,6 +62,7 @@
 				return s, nil
 			}
 			last = err
+			r.learn(err)
 			if ctx.Err() != nil || !r.mayGoOn(err) {
 				return nil, err
 			}
@@ -79,13 +80,22 @@
 		return true
 	case refused.Ran == RanNot:
 		return elsewhere[refused.Type]
-	case refused.Status == 0:
+	case refused.Status == 0 || elsewhere[refused.Type]:
 		return !r.Once || r.Ticket != ""
 	default:
 		return false
 	}
 }
 
+// learn takes over the ticket under which to go on. A request that was not run
+// has used its ticket up.
+func (r *call) learn(err error) {
+	var refused *Refusal
+	if errors.As(err, &refused) {
+		r.Ticket = refused.Ticket
+	}
+}
+
 // try sends a call to one node. Where the node asks for a ticket, it sends the
 // call again under the one that came along.
 func (c *Client) try(ctx context.Context, addr netip.AddrPort, r *call) (*sent, error) {
@@ -111,6 +121,9 @@
 	}
 	refused := refusal(resp, data)
 	refused.Ticket = r.Ticket
+	if refused.Ran == RanNot {
+		refused.Ticket = resp.Header.Get(HeaderTicket)
+	}
 	return nil, refused
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -55,12 +55,12 @@
 }
 
 // Next returns the next piece of the answer, io.EOF after the last one of a
-// whole answer, a *Refusal where the fleet says that the answer was cut, or an
-// error that wraps ErrCut where it ended without its mark.
+// whole answer, or a *Refusal where the answer was cut; it wraps ErrCut where
+// nobody said so and the answer ended without its mark.
 func (s *Stream) Next() (string, error) {
 	for s.err == nil {
 		if !s.lines.Scan() {
-			s.err = fmt.Errorf("%w: %v", ErrCut, errors.Join(s.lines.Err()))
+			s.err = s.cut(s.lines.Err())
 			break
 		}
 		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataField)
@@ -121,7 +121,7 @@
 	}
 	var e event
 	if err := json.Unmarshal(data, &e); err != nil {
-		return "", fmt.Errorf("%w: %v", ErrCut, err)
+		return "", s.cut(err)
 	}
 	if e.Error != nil {
 		e.Error.Ticket = s.sent.ticket
@@ -135,3 +135,8 @@
 	}
 	return e.Choices[0].Delta.Content, nil
 }
+
+func (s *Stream) cut(err error) *Refusal {
+	cause := fmt.Errorf("%w: %v", ErrCut, err)
+	return &Refusal{Type: "cut", Message: cause.Error(), Ran: RanYes, Ticket: s.sent.ticket, cause: cause}
+}
--- a/pkg/entry/wire.go
+++ b/pkg/entry/wire.go
@@ -87,10 +87,11 @@
 		// Status is the HTTP status; 0 where the refusal ended a stream or no
 		// node answered.
 		Status int `json:"-"`
-		// Ticket is the ticket under which the request was sent. A caller that
-		// sends the request again under it gets the answer that was made, if
-		// one was.
+		// Ticket is the ticket under which to send the request again; it gets
+		// the answer that was made, if one was.
 		Ticket string `json:"-"`
+
+		cause error
 	}
 )
 
@@ -103,6 +104,9 @@
 	return time.Duration(r.RetryAfterMS) * time.Millisecond
 }
 
+// Unwrap returns the error that the refusal stands for, if any.
+func (r *Refusal) Unwrap() error { return r.cause }
+
 // Error describes the refusal.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("entry: refused: %s (%s): %s", r.Type, r.Ran, r.Message)
