Name the attempt in traces and logs, bound lost watches at 2.5 s

Cause: log lines of lost attempts and traces did not say which attempt at which endpoint; a platform that answers after a second failed every watch.

Conclusion: an operator can follow one attempt from the node to the endpoint.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -128,7 +129,7 @@
 
 func (h *Handler) logBroken(err error, req route.Request, run *dispatch.Run) {
 	h.config.Log.WithError(err).WithFields(logrus.Fields{
-		"request": req.ID, "chat": req.Chat, "account": req.Account,
+		"request": strconv.FormatUint(req.ID, 16), "chat": req.Chat, "account": req.Account,
 		"endpoint": run.Endpoint.Name, "attempt": run.Attempt,
 	}).Warn("answer not delivered whole")
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,8 +148,8 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: d.record(req, d.config.Router.Plan(req)), req: req, call: call}
-	return j.carry(ctx)
+	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
+	return j.record().carry(ctx)
 }
 
 func (j *job) carry(ctx context.Context) (*Run, error) {
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -8,12 +9,22 @@
 )
 
 type (
+	// Record is a step of a request's plan, once when the plan names it and
+	// once more when its outcome is known.
+	Record struct {
+		Time    time.Time
+		Request route.Request
+		Step    route.Step
+		// Attempt names the attempt at endpoints and homes; empty before the
+		// first permit was asked for.
+		Attempt string
+		// Outcome is 0 when the plan has just named the step.
+		Outcome route.Outcome
+	}
+
 	// Recorder keeps what plans did, for operators.
 	Recorder interface {
-		// Step is a step that a request's plan named.
-		Step(now time.Time, req route.Request, s route.Step)
-		// Outcome is what came of the request's last step.
-		Outcome(now time.Time, req route.Request, o route.Outcome)
+		Record(r Record)
 	}
 
 	// Recorders hands everything to each of several recorders.
@@ -24,44 +35,47 @@
 		Report(o route.Outcome)
 	}
 
+	// recorded is a plan whose steps are recorded.
 	recorded struct {
 		planner
-		req route.Request
-		to  Recorder
+		job  *job
+		to   Recorder
+		step route.Step
 	}
 )
 
-// Step hands a step on.
-func (r Recorders) Step(now time.Time, req route.Request, s route.Step) {
+// Record hands a record on.
+func (r Recorders) Record(rec Record) {
 	for _, recorder := range r {
-		recorder.Step(now, req, s)
-	}
-}
-
-// Outcome hands an outcome on.
-func (r Recorders) Outcome(now time.Time, req route.Request, o route.Outcome) {
-	for _, recorder := range r {
-		recorder.Outcome(now, req, o)
+		recorder.Record(rec)
 	}
 }
 
 // Next names the next step and records it.
 func (r *recorded) Next(now time.Time, v *kernel.View) route.Step {
-	s := r.planner.Next(now, v)
-	r.to.Step(now, r.req, s)
-	return s
+	r.step = r.planner.Next(now, v)
+	r.record(now, 0)
+	return r.step
 }
 
 // Report records an outcome and tells the plan.
 func (r *recorded) Report(o route.Outcome) {
-	r.to.Outcome(time.Now(), r.req, o)
+	r.record(time.Now(), o)
 	r.planner.Report(o)
 }
 
-// record returns the plan of a request whose steps are recorded.
-func (d *Dispatcher) record(req route.Request, p planner) planner {
-	if d.config.Recorder == nil {
-		return p
+func (r *recorded) record(now time.Time, o route.Outcome) {
+	rec := Record{Time: now, Request: r.job.req, Step: r.step, Outcome: o}
+	if r.job.permit != 0 {
+		rec.Attempt = strconv.FormatUint(r.job.permit, 16)
+	}
+	r.to.Record(rec)
+}
+
+// record lets the steps of a job's plan be recorded.
+func (j *job) record() *job {
+	if to := j.d.config.Recorder; to != nil {
+		j.plan = &recorded{planner: j.plan, job: j, to: to}
 	}
-	return &recorded{planner: p, req: req, to: d.config.Recorder}
+	return j
 }
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -115,6 +115,8 @@
 		"half":      {Half: true},
 		"oversized": {Pad: 2 << 20},
 		"down":      {Down: true},
+		"in turn":   {Flip: true},
+		"slow":      {Delay: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -149,6 +151,7 @@
 			}
 			var worst time.Duration
 			reads := f.Platform.Reads()
+			b.Logf("%d reads of the platform until %d nodes are ready", reads, len(c.Nodes))
 			for b.Loop() {
 				m = next(m)
 				require.NoError(b, f.Accept(m))
--- a/internal/operator/log.go
+++ b/internal/operator/log.go
@@ -2,10 +2,10 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -15,22 +15,21 @@
 	To logrus.FieldLogger
 }
 
-// Step logs a refusal.
-func (l Log) Step(_ time.Time, req route.Request, s route.Step) {
-	if s.Kind == route.StepRefuse {
-		l.fields(req).WithField("reason", string(s.Reason)).Info("request refused")
+// Record logs refusals, and attempts that were not answered.
+func (l Log) Record(r dispatch.Record) {
+	switch {
+	case r.Outcome == route.OutcomeLost:
+		l.line(r).Warn("attempt lost")
+	case r.Outcome == route.OutcomeNotRun:
+		l.line(r).Info("attempt not run")
+	case r.Outcome == 0 && r.Step.Kind == route.StepRefuse:
+		l.line(r).WithField("reason", string(r.Step.Reason)).Info("request refused")
 	}
 }
 
-// Outcome logs an attempt of which nobody knows whether it ran.
-func (l Log) Outcome(_ time.Time, req route.Request, o route.Outcome) {
-	if o == route.OutcomeLost {
-		l.fields(req).WithField("once", req.Once).Warn("attempt lost")
-	}
-}
-
-func (l Log) fields(req route.Request) logrus.FieldLogger {
+func (l Log) line(r dispatch.Record) logrus.FieldLogger {
 	return l.To.WithFields(logrus.Fields{
-		"request": strconv.FormatUint(req.ID, 16), "chat": req.Chat, "account": req.Account, "service": req.Service,
+		"request": strconv.FormatUint(r.Request.ID, 16), "chat": r.Request.Chat, "account": r.Request.Account,
+		"endpoint": r.Step.Endpoint.Name, "attempt": r.Attempt, "once": r.Request.Once,
 	})
 }
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/route"
@@ -86,19 +87,17 @@
 // Fetch counts an accepted revision that was asked of a peer.
 func (m *Metrics) Fetch(err error) { m.count("revision_fetches_total", `result=%q`, result(err)) }
 
-// Step counts the steps of plans.
-func (m *Metrics) Step(_ time.Time, _ route.Request, s route.Step) {
-	m.count("steps_total", `step=%q`, stepNames[s.Kind])
-}
-
-// Outcome counts what came of steps: permits by verdict, attempts that were
-// lost or not run.
-func (m *Metrics) Outcome(_ time.Time, _ route.Request, o route.Outcome) {
-	name := "permits_total"
-	if o == route.OutcomeLost || o == route.OutcomeNotRun {
-		name = "attempts_failed_total"
+// Record counts the steps of plans and what came of them: permits by verdict,
+// attempts that were lost or not run.
+func (m *Metrics) Record(r dispatch.Record) {
+	switch r.Outcome {
+	case 0:
+		m.count("steps_total", `step=%q`, stepNames[r.Step.Kind])
+	case route.OutcomeLost, route.OutcomeNotRun:
+		m.count("attempts_failed_total", `outcome=%q`, outcomeNames[r.Outcome])
+	default:
+		m.count("permits_total", `outcome=%q`, outcomeNames[r.Outcome])
 	}
-	m.count(name, `outcome=%q`, outcomeNames[o])
 }
 
 func (m *Metrics) count(name, labels string, values ...any) {
--- a/internal/operator/page_test.go
+++ b/internal/operator/page_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
@@ -25,9 +26,9 @@
 	m.PlatformRead("accepted", errors.New("down"))
 	m.Beat(nil)
 	m.Fetch(nil)
-	m.Step(now, route.Request{}, route.Step{Kind: route.StepAsk})
-	m.Outcome(now, route.Request{}, route.OutcomeFull)
-	m.Outcome(now, route.Request{}, route.OutcomeLost)
+	m.Record(dispatch.Record{Step: route.Step{Kind: route.StepAsk}})
+	m.Record(dispatch.Record{Outcome: route.OutcomeFull})
+	m.Record(dispatch.Record{Outcome: route.OutcomeLost})
 	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
 		m.Observe(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(caller.HeaderRan, string(entry.RanNot))
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -145,9 +145,9 @@
 	m.PlatformRead("accepted", errors.New("down"))
 	m.Beat(nil)
 	m.Fetch(nil)
-	m.Step(now, route.Request{}, route.Step{Kind: route.StepAsk})
-	m.Outcome(now, route.Request{}, route.OutcomeFull)
-	m.Outcome(now, route.Request{}, route.OutcomeLost)
+	m.Record(dispatch.Record{Step: route.Step{Kind: route.StepAsk}})
+	m.Record(dispatch.Record{Outcome: route.OutcomeFull})
+	m.Record(dispatch.Record{Outcome: route.OutcomeLost})
 	var text bytes.Buffer
 	m.Write(&text)
 	for _, want := range []string{
@@ -238,18 +238,21 @@
 	h, traces := newHandler(view(), token)
 	req := route.Request{ID: 0xabc, Account: "a1", Chat: "a1/x", Service: "engines", Hint: hint.Hint{Endpoint: "w1", Tokens: 9}}
 	e := kernel.Endpoint{Name: "w1", Home: "n1", Load: kernel.Load{Requests: 3}}
-	traces.Step(now, req, route.Step{Kind: route.StepAsk, Endpoint: e})
-	traces.Outcome(now, req, route.OutcomeFull)
-	traces.Step(now.Add(time.Millisecond), req, route.Step{Kind: route.StepWait, Until: now.Add(21 * time.Millisecond)})
+	record := func(after time.Duration, s route.Step, o route.Outcome) {
+		traces.Record(dispatch.Record{Time: now.Add(after), Request: req, Step: s, Outcome: o, Attempt: "f1"})
+	}
+	record(0, route.Step{Kind: route.StepAsk, Endpoint: e}, 0)
+	record(0, route.Step{Kind: route.StepAsk, Endpoint: e}, route.OutcomeFull)
+	record(time.Millisecond, route.Step{Kind: route.StepWait, Until: now.Add(21 * time.Millisecond)}, 0)
 	for range 100 {
-		traces.Step(now, req, route.Step{Kind: route.StepWait, Until: now})
+		record(0, route.Step{Kind: route.StepWait, Until: now}, 0)
 	}
-	traces.Step(now.Add(time.Second), req, route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline})
+	record(time.Second, route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline}, 0)
 	status, body := get(h, "/requests/abc", token)
 	require.Equal(t, http.StatusOK, status)
 	var got operator.Trace
 	require.NoError(t, json.Unmarshal([]byte(body), &got))
-	require.Equal(t, operator.TraceStep{Step: "ask", Endpoint: "w1", Home: "n1", State: "live", Requests: 3, Hinted: true, Outcome: "full"}, got.Steps[0])
+	require.Equal(t, operator.TraceStep{Step: "ask", Endpoint: "w1", Home: "n1", State: "live", Requests: 3, Hinted: true, Outcome: "full", Attempt: "f1"}, got.Steps[0])
 	require.Equal(t, operator.TraceStep{AfterMS: 1, Step: "wait", WaitMS: 20}, got.Steps[1])
 	require.Equal(t, operator.TraceStep{AfterMS: 1000, Step: "refuse", Reason: "deadline"}, got.Steps[len(got.Steps)-1])
 	require.Positive(t, got.Omitted)
@@ -258,7 +261,7 @@
 func TestTracesAreBounded(t *testing.T) {
 	h, traces := newHandler(view(), token)
 	for id := range uint64(5) {
-		traces.Step(now, route.Request{ID: id}, route.Step{Kind: route.StepRun})
+		traces.Record(dispatch.Record{Time: now, Request: route.Request{ID: id}, Step: route.Step{Kind: route.StepRun}})
 	}
 	for id, want := range []int{404, 404, 404, 200, 200} {
 		status, _ := get(h, fmt.Sprintf("/requests/%x", id), token)
@@ -275,14 +278,19 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	l := operator.Log{To: log}
 	req := route.Request{ID: 0xabc, Account: "a1", Chat: "a1/x", Service: "engines"}
-	l.Step(now, req, route.Step{Kind: route.StepAsk})
+	l.Record(dispatch.Record{Request: req, Step: route.Step{Kind: route.StepAsk}})
+	l.Record(dispatch.Record{Request: req, Step: route.Step{Kind: route.StepAsk}, Outcome: route.OutcomeFull})
 	require.Empty(t, text.String())
-	l.Step(now, req, route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline})
+	step := route.Step{Kind: route.StepRun, Endpoint: kernel.Endpoint{Name: "w1"}}
+	l.Record(dispatch.Record{Request: req, Step: step, Outcome: route.OutcomeLost, Attempt: "f1"})
 	var line map[string]any
 	require.NoError(t, json.Unmarshal(text.Bytes(), &line))
-	require.Equal(t, "abc", line["request"])
-	require.Equal(t, "a1", line["account"])
-	require.Equal(t, "deadline", line["reason"])
+	for field, want := range map[string]string{"request": "abc", "account": "a1", "chat": "a1/x", "endpoint": "w1", "attempt": "f1"} {
+		require.Equal(t, want, line[field], field)
+	}
+	text.Reset()
+	l.Record(dispatch.Record{Request: req, Step: route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline}})
+	require.Contains(t, text.String(), `"reason":"deadline"`)
 }
 
 func BenchmarkTrace(b *testing.B) {
@@ -292,9 +300,14 @@
 	e := kernel.Endpoint{Name: "w1", Home: "n1"}
 	b.ReportAllocs()
 	for id := uint64(0); b.Loop(); id++ {
-		req := route.Request{ID: id, Account: "a1", Chat: "a1/x"}
-		recorders.Step(now, req, route.Step{Kind: route.StepAsk, Endpoint: e})
-		recorders.Outcome(now, req, route.OutcomeGranted)
-		recorders.Step(now, req, route.Step{Kind: route.StepRun, Endpoint: e})
+		rec := dispatch.Record{
+			Time: now, Request: route.Request{ID: id, Account: "a1", Chat: "a1/x"},
+			Step: route.Step{Kind: route.StepAsk, Endpoint: e}, Attempt: "f1",
+		}
+		recorders.Record(rec)
+		rec.Outcome = route.OutcomeGranted
+		recorders.Record(rec)
+		rec.Step.Kind, rec.Outcome = route.StepRun, 0
+		recorders.Record(rec)
 	}
 }
--- a/internal/operator/trace.go
+++ b/internal/operator/trace.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -72,6 +72,8 @@
 		// State and Requests are what the node knew of the endpoint.
 		State    string `json:"state,omitempty"`
 		Requests int    `json:"requests,omitempty"`
+		// Attempt names the attempt in logs, at homes and endpoints.
+		Attempt string `json:"attempt,omitempty"`
 		// Hinted says that the caller's hint named the endpoint.
 		Hinted bool `json:"hinted,omitempty"`
 		// WaitMS is how long a wait lasts, in milliseconds.
@@ -108,30 +110,23 @@
 	return c, true
 }
 
-// Step keeps a step of a request's plan.
-func (t *Traces) Step(now time.Time, req route.Request, s route.Step) {
+// Record keeps a step of a request's plan, or what came of its last step.
+func (t *Traces) Record(r dispatch.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	trace := t.byID[req.ID]
+	trace := t.byID[r.Request.ID]
 	if trace == nil {
-		trace = t.begin(now, req)
+		trace = t.begin(r.Time, r.Request)
 	}
-	if len(trace.Steps) == maxSteps && s.Kind != route.StepRefuse {
-		trace.Omitted++
+	if r.Outcome != 0 {
+		trace.outcome(r)
 		return
 	}
-	trace.Steps = append(trace.Steps, traceStep(now, trace, req, s))
-}
-
-// Outcome keeps what came of a request's last step.
-func (t *Traces) Outcome(_ time.Time, req route.Request, o route.Outcome) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	trace := t.byID[req.ID]
-	if trace == nil || trace.Omitted > 0 || len(trace.Steps) == 0 {
+	if len(trace.Steps) == maxSteps && r.Step.Kind != route.StepRefuse {
+		trace.Omitted++
 		return
 	}
-	trace.Steps[len(trace.Steps)-1].Outcome = outcomeNames[o]
+	trace.Steps = append(trace.Steps, traceStep(trace, r))
 }
 
 // begin puts a new trace in the place of the oldest.
@@ -151,20 +146,32 @@
 	return trace
 }
 
-func traceStep(now time.Time, t *Trace, req route.Request, s route.Step) TraceStep {
-	e := s.Endpoint
+func (t *Trace) outcome(r dispatch.Record) {
+	if t.Omitted > 0 || len(t.Steps) == 0 {
+		return
+	}
+	last := &t.Steps[len(t.Steps)-1]
+	last.Outcome = outcomeNames[r.Outcome]
+	last.Attempt = r.Attempt
+}
+
+func traceStep(t *Trace, r dispatch.Record) TraceStep {
+	e := r.Step.Endpoint
 	step := TraceStep{
-		AfterMS: milliseconds(now.Sub(t.Began)),
-		Step:    stepNames[s.Kind], Endpoint: e.Name, Home: e.Home,
-		Reason: string(s.Reason),
+		AfterMS: milliseconds(r.Time.Sub(t.Began)),
+		Step:    stepNames[r.Step.Kind], Endpoint: e.Name, Home: e.Home,
+		Reason: string(r.Step.Reason),
 	}
 	if e.Name != "" {
-		step.State = kernel.State(e.State).String()
+		step.State = e.State.String()
 		step.Requests = e.Load.Requests
-		step.Hinted = e.Name == req.Hint.Endpoint
+		step.Hinted = e.Name == r.Request.Hint.Endpoint
 	}
-	if s.Kind == route.StepWait {
-		step.WaitMS = milliseconds(s.Until.Sub(now))
+	switch r.Step.Kind {
+	case route.StepRun:
+		step.Attempt = r.Attempt
+	case route.StepWait:
+		step.WaitMS = milliseconds(r.Step.Until.Sub(r.Time))
 	}
 	return step
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -34,11 +34,11 @@
 	// DefaultWait is how long a watch waits for a change. A watch that the
 	// platform lost without a word costs at most this and watchSlack, so that a
 	// change still comes into force in time.
-	DefaultWait = 2 * time.Second
+	DefaultWait = 1500 * time.Millisecond
 
 	maxValueBytes = 1 << 20
-	watchSlack    = 500 * time.Millisecond
-	readTimeout   = 2 * time.Second
+	watchSlack    = time.Second
+	readTimeout   = 5 * time.Second
 	// readRate and readBurst bound the calls of one node a second: 330 nodes
 	// stay below 2,000. The burst is a first reading of all sections.
 	readRate  = 6
--- a/pkg/manifest/manifest_test.go
+++ b/pkg/manifest/manifest_test.go
@@ -105,6 +105,32 @@
 	}
 }
 
+// TestParseOfAnything changes a manifest's text at random places; whatever
+// comes out is refused or says the same when it is encoded and read again.
+func TestParseOfAnything(t *testing.T) {
+	text, err := manifest.Encode(sample(2))
+	require.NoError(t, err)
+	pieces := []string{"", "{", "}", "[", "]", ",", "null", `"name":`, `"a"`, "-1", "1e999", "0.5", "true", "\"", "\x00", "é"}
+	rapid.Check(t, func(t *rapid.T) {
+		data := string(text)
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			from := rapid.IntRange(0, len(data)).Draw(t, "from")
+			to := min(len(data), from+rapid.IntRange(0, 8).Draw(t, "length"))
+			data = data[:from] + rapid.SampledFrom(pieces).Draw(t, "piece") + data[to:]
+		}
+		m, err := manifest.Parse([]byte(data))
+		if err != nil {
+			require.ErrorIs(t, err, manifest.ErrFormat)
+			return
+		}
+		encoded, err := manifest.Encode(m)
+		require.NoError(t, err)
+		again, err := manifest.Parse(encoded)
+		require.NoError(t, err)
+		require.Empty(t, manifest.Diff(m, again))
+	})
+}
+
 func TestSplitAndJoinKeepTheManifest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := sample(rapid.IntRange(0, 200).Draw(t, "accounts"))
