Hold client accounts to their rates over the whole fleet

Cause: rates of the manifest were not looked at; a surging account took what it asked for. Change: a limiter admits requests before they are planned, within the node's share; the rest waits in a bounded queue of its account by priority and deadline and is refused at once, with a time to come back, where its turn would be too late. The kernel's limit plug-in spreads the demand of heavy accounts in heartbeats and digests and divides each rate by it; in a partition the nodes in sight divide only their part of the listed fleet's rate. The dispatcher counts what it has sent, which corrects loads that homes told a while ago.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -25,12 +25,14 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
 const (
@@ -101,6 +103,8 @@
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
+		limiter    *limit.Limiter
+		ledger     *dispatch.Ledger
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -116,7 +120,12 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	n := &Node{
+		config:    c,
+		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
+		ledger:    dispatch.NewLedger(),
+		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+	}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -129,6 +138,8 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
+		Pool:       pool.Config{Sent: n.ledger.Loads},
+		Limit:      limit.Config{Limiter: n.limiter},
 	}, c.Extensions...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
@@ -211,7 +222,7 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -6,6 +6,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/mark"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
@@ -20,6 +21,7 @@
 	Pool       pool.Config
 	Roster     roster.Config
 	Mark       mark.Config
+	Limit      limit.Config
 	Gate       gate.Config
 	Poison     poison.Config
 }
@@ -37,6 +39,7 @@
 		mark.New(c.Mark),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
+		limit.New(c.Limit),
 		poison.New(c.Poison),
 	}, more...)})
 	return k, permits
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -124,6 +124,8 @@
 	switch r.Reason {
 	case route.ReasonDeadline:
 		p.status = http.StatusGatewayTimeout
+	case route.ReasonLimited:
+		p.status = http.StatusTooManyRequests
 	case route.ReasonIsolated:
 		p.status = http.StatusUnprocessableEntity
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -44,6 +45,11 @@
 		Apply(now time.Time, b gate.Batch) gate.Reply
 	}
 
+	// Limiter admits requests within their accounts' shares.
+	Limiter interface {
+		Offer(now time.Time, a limit.Ask) *limit.Entry
+	}
+
 	// Sink takes events for the control state.
 	Sink interface {
 		Offer(ev kernel.Event)
@@ -60,6 +66,10 @@
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Limiter holds accounts to their rates; nil does not.
+		Limiter Limiter
+		// Ledger counts what the node has dispatched; nil counts nothing.
+		Ledger *Ledger
 		// Leases and PeerLeases let suspected requests run.
 		Leases     Leases
 		PeerLeases PeerLeases
@@ -98,6 +108,7 @@
 		req    route.Request
 		call   endpoint.Call
 		permit uint64
+		tokens int
 		lost   bool
 
 		suspicion suspicion
@@ -148,6 +159,9 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
+	if refusal := d.admit(ctx, req); refusal != nil {
+		return nil, refusal
+	}
 	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
 	return j.record().carry(ctx)
 }
@@ -183,6 +197,7 @@
 func (j *job) ask(ctx context.Context, step route.Step) route.Outcome {
 	e := step.Endpoint
 	j.permit = j.d.base + j.d.serial.Add(1)
+	j.tokens = step.Tokens
 	a := gate.Ask{
 		ID:       j.permit,
 		Endpoint: e.Name,
@@ -196,12 +211,17 @@
 func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
 	call := j.call
 	call.Attempt = strconv.FormatUint(j.permit, 16)
+	permit, tokens := j.permit, j.tokens
+	j.d.config.Ledger.Add(e.Name, tokens)
 	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
-	permit := j.permit
 	if err == nil {
-		release := func() { j.d.release(permit) }
+		release := func() {
+			j.d.config.Ledger.Done(e.Name, tokens)
+			j.d.release(permit)
+		}
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
+	j.d.config.Ledger.Done(e.Name, tokens)
 	j.d.release(permit)
 	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -118,6 +118,9 @@
 		// Nodes is every node not known to be dead, with the node itself,
 		// sorted by name.
 		Nodes []Node
+		// Fleet counts the nodes that should be there: the listed ones and
+		// those that beat, without the leaving ones.
+		Fleet int
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
 		// Cell is the scope of the node's cell, Scopes the scope of the digests
--- /dev/null
+++ b/internal/limit/entry.go
@@ -0,0 +1,87 @@
+package limit
+
+import (
+	"cmp"
+	"time"
+)
+
+// States of an entry.
+const (
+	entryWaiting entryState = iota
+	entryAdmitted
+	entryRefused
+)
+
+type (
+	entryState int
+
+	// Entry is a request that asked for admission. It is safe for concurrent
+	// use.
+	Entry struct {
+		limiter *Limiter
+		bucket  *bucket
+		ask     Ask
+		serial  uint64
+		state   entryState
+		retry   time.Duration
+		wake    chan struct{}
+	}
+)
+
+// Poll returns what becomes of the request now.
+func (e *Entry) Poll(now time.Time) Step {
+	e.limiter.mu.Lock()
+	defer e.limiter.mu.Unlock()
+	if e.state == entryWaiting {
+		e.bucket.admit(now)
+		e.bucket.sweep(now)
+		e.limiter.count()
+	}
+	switch e.state {
+	case entryAdmitted:
+		return Step{Kind: StepGo}
+	case entryRefused:
+		return Step{Kind: StepRefuse, RetryAfter: e.retry}
+	}
+	for i, other := range e.bucket.queue {
+		if other == e {
+			return Step{Kind: StepWait, Until: now.Add(max(e.bucket.turn(now, i), time.Millisecond))}
+		}
+	}
+	return Step{Kind: StepGo}
+}
+
+// Wake returns a channel that tells when it is worth polling before the time
+// that the last Step named.
+func (e *Entry) Wake() <-chan struct{} { return e.wake }
+
+// Cancel takes a waiting request out.
+func (e *Entry) Cancel() {
+	e.limiter.mu.Lock()
+	defer e.limiter.mu.Unlock()
+	if e.state == entryWaiting {
+		e.bucket.remove(e)
+		e.state = entryRefused
+		e.limiter.count()
+	}
+}
+
+func (e *Entry) end(s entryState) {
+	e.state = s
+	e.notify()
+}
+
+func (e *Entry) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func compareEntries(a, b *Entry) int {
+	return cmp.Or(
+		cmp.Compare(b.ask.Priority, a.ask.Priority),
+		a.ask.Deadline.Compare(b.ask.Deadline),
+		cmp.Compare(a.serial, b.serial),
+	)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -142,6 +142,7 @@
 	v.Nodes = p.nodes
 	v.Self = p.own(now)
 	v.Watcher = p.watcher()
+	v.Fleet = p.fleet()
 	v.Doubtful = p.doubt.active
 	v.Cell = p.topology().cell
 	v.Scopes = p.topology().scopes
@@ -226,6 +227,17 @@
 	return nodes
 }
 
+// fleet counts the nodes that should be there, the dead ones included.
+func (p *plugin) fleet() int {
+	count := 1
+	for _, m := range p.members {
+		if m.node.State != kernel.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // own returns the node itself as its peers should see it.
 func (p *plugin) own(now time.Time) kernel.Node {
 	self := p.self
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,6 +51,9 @@
 	ReasonLost Reason = "lost"
 	// ReasonIsolated is a request that crashes the endpoints that run it.
 	ReasonIsolated Reason = "isolated"
+	// ReasonLimited is a request over its account's share whose turn would
+	// come after its deadline.
+	ReasonLimited Reason = "limited"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
