Learn how many requests each endpoint finishes in time

Cause: the bound follows the mean load, and under overload every endpoint is equally late. Engines took in what they could not finish before the deadlines, and callers were told 'ran' or 'unknown' in place of 'not run'. A request that waited until its deadline was refused without saying when to come back. Ruled out: refusing by the usual time for a token. Change: the home learns a limit for each endpoint from requests that end in time or too late, as a congestion window does; returns carry how long the request ran; a request that cannot be done even at the best pace is refused at once; pauses between rounds of asks grow, and a round asks eight homes at most; refusals after waiting say when to come back.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,9 +23,9 @@
 
 const (
 	askTimeout = 250 * time.Millisecond
-	// leaseSlack keeps a permit a little past the deadline, for the release
-	// under way.
-	leaseSlack = time.Second
+	// waitedRetry is when a caller may come back whose request waited for an
+	// endpoint until its deadline.
+	waitedRetry = time.Second
 )
 
 type (
@@ -171,7 +171,7 @@
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
 				j.giveBack(false)
-				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
+				return nil, &Refusal{Reason: route.ReasonDeadline, RetryAfter: waitedRetry, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
 			j.giveBack(false)
@@ -187,7 +187,7 @@
 		ID:       j.permit,
 		Endpoint: e.Name,
 		Tokens:   step.Tokens,
-		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Lease:    time.Until(j.req.Deadline) + gate.LeaseSlack,
 		Suspect:  len(j.suspect().Endpoints),
 	}
 	return j.d.permit(ctx, e, a)
@@ -202,7 +202,11 @@
 		release := func() { j.d.release(permit) }
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
-	j.d.release(permit)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		j.d.release(permit)
+	} else {
+		j.d.void(permit)
+	}
 	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -18,6 +18,7 @@
 	gate.Full:    route.OutcomeFull,
 	gate.Gone:    route.OutcomeGone,
 	gate.NotHome: route.OutcomeUnreachable,
+	gate.Late:    route.OutcomeLate,
 }
 
 // permit asks the home of an endpoint for a permit and keeps it.
@@ -27,7 +28,7 @@
 	reply, err := d.send(ctx, v, e.Home, gate.Batch{Asks: []gate.Ask{a}, Returns: d.holder.Returns(e.Home)})
 	if err != nil {
 		// The home may have granted what nobody will use.
-		d.holder.Return(time.Now(), e.Home, a.ID)
+		d.holder.Return(time.Now(), e.Home, gate.Return{ID: a.ID})
 		return route.OutcomeUnreachable
 	}
 	d.config.Router.Observe(time.Now(), reply.Loads)
@@ -43,8 +44,12 @@
 
 // release gives a permit back. Where the home does not hear of it, the lease
 // ends by itself.
-func (d *Dispatcher) release(id uint64) {
-	home := d.holder.Drop(time.Now(), id)
+func (d *Dispatcher) release(id uint64) { d.tell(d.holder.Drop(time.Now(), id)) }
+
+// void gives the permit of an attempt back that failed before its time.
+func (d *Dispatcher) void(id uint64) { d.tell(d.holder.Void(time.Now(), id)) }
+
+func (d *Dispatcher) tell(home string) {
 	if v := d.config.View(); home == v.Self.Name {
 		d.config.Gate.Apply(time.Now(), gate.Batch{Returns: d.holder.Returns(home)})
 	}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -79,7 +79,7 @@
 	}
 	lease := poison.Lease{
 		Print: j.req.Print, ID: j.d.base + j.d.serial.Add(1),
-		Duration: time.Until(j.req.Deadline) + leaseSlack,
+		Duration: time.Until(j.req.Deadline) + leaseTimeout,
 	}
 	granted := false
 	if holder.Name == v.Self.Name {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,8 @@
 	Gone
 	// NotHome is an ask that reached a node which is not the endpoint's home.
 	NotHome
+	// Late is a request that no endpoint can do before its deadline.
+	Late
 )
 
 type (
@@ -56,7 +58,14 @@
 		// Declares is permits that other homes granted.
 		Declares []Ask
 		// Returns is permits that are given back.
-		Returns []uint64
+		Returns []Return
+	}
+
+	// Return gives one permit back.
+	Return struct {
+		ID uint64
+		// Took is how long the request ran; 0 where it did not.
+		Took time.Duration
 	}
 
 	// Reply is what a home answers.
@@ -76,14 +85,18 @@
 		loads   map[string]kernel.Load
 		homes   map[string]adoption
 		adopted *kernel.View
+		// learned is how much each endpoint finishes in time.
+		learned map[string]*concurrency
 	}
 
 	permit struct {
 		endpoint string
 		node     string
 		tokens   int
-		expires  time.Time
-		suspect  int
+		// lease is how long the permit was to count when it was granted.
+		lease   time.Duration
+		expires time.Time
+		suspect int
 	}
 )
 
@@ -92,7 +105,13 @@
 	if c.Rule == nil {
 		c.Rule = NewBoundRule()
 	}
-	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}}
+	return &Gate{
+		config:  c,
+		permits: map[uint64]permit{},
+		loads:   map[string]kernel.Load{},
+		homes:   map[string]adoption{},
+		learned: map[string]*concurrency{},
+	}
 }
 
 // Admit answers an ask.
@@ -114,7 +133,14 @@
 	if a.Suspect > 0 && !g.takesSuspect(a) {
 		return Full
 	}
-	if !g.config.Rule.Fits(g.current(now, v, pool), g.load(now, a.Endpoint), a.Tokens, g.largest(pool)) {
+	load, learned := g.load(now, a.Endpoint), g.concurrency(a.Endpoint)
+	if learned.late(now, a.Tokens, a.Lease-LeaseSlack) {
+		return Late
+	}
+	if !learned.takes(load.Requests) {
+		return Full
+	}
+	if !g.config.Rule.Fits(g.current(now, v, pool), load, a.Tokens, g.largest(pool)) {
 		return Full
 	}
 	g.hold(now, a)
@@ -123,8 +149,8 @@
 
 // Apply takes in a batch and answers it.
 func (g *Gate) Apply(now time.Time, b Batch) Reply {
-	for _, id := range b.Returns {
-		g.Release(id)
+	for _, r := range b.Returns {
+		g.Release(now, r)
 	}
 	for _, a := range b.Declares {
 		g.Declare(now, a)
@@ -151,10 +177,17 @@
 }
 
 // Release gives a permit back. A permit that is not held is ignored.
-func (g *Gate) Release(id uint64) {
+func (g *Gate) Release(now time.Time, r Return) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.release(id)
+	p, held := g.permits[r.ID]
+	if !held {
+		return
+	}
+	g.release(r.ID)
+	if r.Took > 0 {
+		g.concurrency(p.endpoint).learn(now, p, r.Took, g.loads[p.endpoint].Requests+1)
+	}
 }
 
 // Expire drops the permits whose lease has ended or whose node is dead.
@@ -206,9 +239,21 @@
 	return most
 }
 
+// concurrency returns what is known of an endpoint; it is forgotten when the
+// home moves.
+func (g *Gate) concurrency(endpoint string) *concurrency {
+	c := g.learned[endpoint]
+	if c == nil {
+		c = &concurrency{}
+		g.learned[endpoint] = c
+	}
+	return c
+}
+
 func (g *Gate) hold(now time.Time, a Ask) {
 	g.permits[a.ID] = permit{
-		endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens, expires: now.Add(a.Lease), suspect: a.Suspect,
+		endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens,
+		lease: a.Lease, expires: now.Add(a.Lease), suspect: a.Suspect,
 	}
 	g.loads[a.Endpoint] = g.loads[a.Endpoint].Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
 }
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -36,10 +36,11 @@
 	// returns is permits that wait to be given back to one home.
 	returns struct {
 		since time.Time
-		ids   []uint64
+		list  []Return
 	}
 
 	held struct {
+		since       time.Time
 		endpoint    string
 		home        string
 		incarnation uint64
@@ -59,40 +60,40 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.permits[a.ID] = held{
-		endpoint: a.Endpoint, home: home, incarnation: n.Incarnation, tokens: a.Tokens, expires: now.Add(a.Lease),
+		since: now, endpoint: a.Endpoint, home: home, incarnation: n.Incarnation,
+		tokens: a.Tokens, expires: now.Add(a.Lease),
 	}
 }
 
 // Drop forgets a permit and queues it to be given back to its home. It returns
 // the home, "" where the permit is not held.
 func (h *Holder) Drop(now time.Time, id uint64) string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p, ok := h.permits[id]
-	if ok {
-		delete(h.permits, id)
-		h.giveBack(now, p.home, id)
-	}
-	return p.home
+	return h.drop(now, id, true)
+}
+
+// Void forgets a permit whose request failed before its time, which says nothing
+// of how fast its endpoint is, and queues it to be given back.
+func (h *Holder) Void(now time.Time, id uint64) string {
+	return h.drop(now, id, false)
 }
 
-// Return queues ids to be given back to a home that may have granted them.
-func (h *Holder) Return(now time.Time, home string, ids ...uint64) {
+// Return queues permits to be given back to a home that may have granted them.
+func (h *Holder) Return(now time.Time, home string, list ...Return) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, id := range ids {
-		h.giveBack(now, home, id)
+	for _, r := range list {
+		h.giveBack(now, home, r)
 	}
 }
 
 // Returns takes the permits that wait to be given back to a home, for a message
 // that goes there anyhow.
-func (h *Holder) Returns(home string) []uint64 {
+func (h *Holder) Returns(home string) []Return {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ids := h.returns[home].ids
+	list := h.returns[home].list
 	delete(h.returns, home)
-	return ids
+	return list
 }
 
 // Load returns the work that the node has in progress at an endpoint.
@@ -128,7 +129,7 @@
 		if batches[home] == nil {
 			batches[home] = &Batch{}
 		}
-		batches[home].Returns = r.ids
+		batches[home].Returns = r.list
 		delete(h.returns, home)
 	}
 	sends := make([]Send, 0, len(batches))
@@ -150,7 +151,7 @@
 			continue
 		}
 		if p.home != home.name {
-			h.giveBack(now, p.home, id)
+			h.giveBack(now, p.home, Return{ID: id})
 		}
 		if batches[home.name] == nil {
 			batches[home.name] = &Batch{}
@@ -164,15 +165,31 @@
 	}
 }
 
-func (h *Holder) giveBack(now time.Time, home string, id uint64) {
+func (h *Holder) drop(now time.Time, id uint64, ran bool) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.permits[id]
+	if !ok {
+		return ""
+	}
+	delete(h.permits, id)
+	r := Return{ID: id}
+	if ran {
+		r.Took = now.Sub(p.since)
+	}
+	h.giveBack(now, p.home, r)
+	return p.home
+}
+
+func (h *Holder) giveBack(now time.Time, home string, back Return) {
 	r := h.returns[home]
-	if len(r.ids) >= maxReturns {
+	if len(r.list) >= maxReturns {
 		return
 	}
-	if len(r.ids) == 0 {
+	if len(r.list) == 0 {
 		r.since = now
 	}
-	r.ids = append(r.ids, id)
+	r.list = append(r.list, back)
 	h.returns[home] = r
 }
 
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -196,7 +196,7 @@
 // work admits and ends requests at the fleet's rate.
 func (f *fakeFleet) work() {
 	for len(f.done) > 0 && !f.now.Before(f.done[0].at) {
-		f.done[0].gate.Release(f.done[0].id)
+		f.done[0].gate.Release(f.now, gate.Return{ID: f.done[0].id})
 		f.done = f.done[1:]
 	}
 	f.due += f.size.rate * kernel.DefaultTick.Seconds()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -54,7 +54,8 @@
 		Node:     node,
 		Asks:     mapped(b.Asks, encodeAsk),
 		Declares: mapped(b.Declares, encodeAsk),
-		Returns:  b.Returns,
+		Returns:  mapped(b.Returns, func(r gate.Return) uint64 { return r.ID }),
+		TookMs:   mapped(b.Returns, tookMS),
 	}
 }
 
@@ -64,10 +65,26 @@
 	return gate.Batch{
 		Asks:     mapped(r.Asks, decode),
 		Declares: mapped(r.Declares, decode),
-		Returns:  r.Returns,
+		Returns:  decodeReturns(r),
 	}
 }
 
+// tookMS rounds up, since 0 stands for a request that did not run.
+func tookMS(r gate.Return) uint32 {
+	return uint32((max(r.Took, 0) + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeReturns(r *peerpb.PermitRequest) []gate.Return {
+	returns := make([]gate.Return, len(r.Returns))
+	for i, id := range r.Returns {
+		returns[i].ID = id
+		if i < len(r.TookMs) {
+			returns[i].Took = time.Duration(r.TookMs[i]) * time.Millisecond
+		}
+	}
+	return returns
+}
+
 // EncodeReply returns the wire form of the answer to a batch.
 func EncodeReply(r gate.Reply) *peerpb.PermitReply {
 	return &peerpb.PermitReply{
--- a/internal/replay/permit.go
+++ b/internal/replay/permit.go
@@ -19,7 +19,7 @@
 	batch := gate.Batch{Asks: []gate.Ask{a}, Returns: n.holder.Returns(home)}
 	n.send(home, batch, func(r gate.Reply, ok bool) {
 		if !ok {
-			n.holder.Return(s.time(), home, a.ID)
+			n.holder.Return(s.time(), home, gate.Return{ID: a.ID})
 			j.report(route.OutcomeUnreachable)
 			return
 		}
@@ -87,6 +87,8 @@
 		return route.OutcomeFull
 	case gate.Gone:
 		return route.OutcomeGone
+	case gate.Late:
+		return route.OutcomeLate
 	default:
 		return route.OutcomeUnreachable
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -31,6 +31,8 @@
 	OutcomeFull
 	// OutcomeGone is an endpoint that takes no work.
 	OutcomeGone
+	// OutcomeLate is a request that cannot be done before its deadline.
+	OutcomeLate
 	// OutcomeUnreachable is a home that did not answer.
 	OutcomeUnreachable
 	// OutcomeNotRun is a dispatch that certainly did not reach the endpoint.
@@ -56,9 +58,14 @@
 )
 
 const (
-	fullPause   = 20 * time.Millisecond
-	maxAttempts = 3
-	retryAfter  = time.Second
+	fullPause = 20 * time.Millisecond
+	maxPause  = 200 * time.Millisecond
+	// maxDoublings bounds the growth of the pause, maxAsks the homes that are
+	// asked in one round.
+	maxDoublings = 4
+	maxAsks      = 8
+	maxAttempts  = 3
+	retryAfter   = time.Second
 )
 
 type (
@@ -117,7 +124,12 @@
 		next     kernel.Endpoint
 		granted  bool
 		lost     bool
+		late     bool
 		attempts int
+		// asks counts those of the present round, waits the rounds that found
+		// no endpoint.
+		asks  int
+		waits int
 	}
 )
 
@@ -131,7 +143,7 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
-	case !now.Before(p.request.Deadline):
+	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
 	pool := v.Pools[p.request.Service]
@@ -139,11 +151,11 @@
 		return refuse(ReasonNoEndpoint)
 	}
 	e, ok := p.choose(now, pool)
-	if !ok {
-		clear(p.tried)
-		return Step{Kind: StepWait, Until: now.Add(fullPause)}
+	if !ok || p.asks >= maxAsks {
+		return p.wait(now)
 	}
 	p.next = e
+	p.asks++
 	if p.router.config.Open {
 		p.attempts++
 		return Step{Kind: StepRun, Endpoint: e}
@@ -159,12 +171,24 @@
 		p.granted = true
 	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
 		p.tried[p.next.Name] = true
+	case OutcomeLate:
+		p.late = true
 	case OutcomeLost:
 		p.tried[p.next.Name] = true
 		p.lost = true
 	}
 }
 
+// wait ends a round in which no endpoint took the request. The pauses grow:
+// under overload, asking would otherwise cost more than the requests.
+func (p *Plan) wait(now time.Time) Step {
+	clear(p.tried)
+	p.asks = 0
+	pause := min(fullPause<<min(p.waits, maxDoublings), maxPause)
+	p.waits++
+	return Step{Kind: StepWait, Until: now.Add(pause)}
+}
+
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
 	for _, e := range p.router.rank(now, pool, p.request) {
 		if !p.tried[e.Name] {
