Import a chat's prefix where it costs less; learn what holders still have

Cause: past the bound a returning chat was computed anew, so that a tighter margin at the home cost as much reuse as it won evenness; and holders were taken to have what they had long dropped. Change: a plan imports the prefix from its holder where the service's engines do so for less than computing it; the share of a prefix still held is learnt by the time since the last turn, which hints now carry; margin 0.8 to 0.5; load costs by the fourth power towards the bound.

--- a/cmd/bulrushhinge/replay.go
+++ b/cmd/bulrushhinge/replay.go
@@ -111,7 +111,7 @@
 		})
 	}
 	for i, t := range traces {
-		start(&ideal[i], t, replay.Config{Policy: policy.All()[0], Ideal: true})
+		start(&ideal[i], t, replay.Config{Policy: policies[0], Ideal: true})
 		for k, p := range policies {
 			start(&results[i*len(policies)+k], t, replay.Config{Policy: p})
 		}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -99,7 +100,7 @@
 func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) {
 	isStream := strings.HasPrefix(run.Answer.Header.Get("Content-Type"), "text/event-stream")
 	if run.Answer.Status == http.StatusOK {
-		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input}.String())
+		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input, At: time.Now()}.String())
 	}
 	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
 		h.stream(w, req, run)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -139,7 +139,7 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
-	j := &job{d: d, plan: d.config.Router.Plan(req), req: req, call: call}
+	j := &job{d: d, plan: d.config.Router.Plan(time.Now(), req), req: req, call: call}
 	for {
 		step := j.plan.Next(time.Now(), d.config.View())
 		switch step.Kind {
--- a/internal/gate/rule.go
+++ b/internal/gate/rule.go
@@ -7,7 +7,7 @@
 )
 
 // DefaultMargin is the part of the bound that a BoundRule uses.
-const DefaultMargin = 0.8
+const DefaultMargin = 0.5
 
 type (
 	// Rule decides whether an endpoint may run one more request.
@@ -59,7 +59,9 @@
 	mean := float64(total+units) / float64(max(p.Live, 1))
 	small := float64(largest) / above
 	limit := max(p.Bound*small, (1+r.Margin*above)*mean)
-	return float64(load+units) <= limit
+	// An endpoint below the mean may always take one more, or a pool of even
+	// loads would be full.
+	return float64(load+units) <= limit || float64(load) < mean
 }
 
 // Fits reports whether the requests stay under the bound times the mean with
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,32 +28,34 @@
 		Name: "ceil",
 		Text: "hints, then hash order; the home bounds requests, rounded up",
 		Route: func(*rand.Rand) route.Config {
-			return route.Config{Ranker: route.NewHashRanker(), Memory: 1, Whole: true}
+			return route.Config{Ranker: route.NewHashRanker(), Memory: 1, Whole: true, Stay: true}
 		},
 		Gate: gate.Config{Rule: gate.NewCeilRule()},
 	},
 	{
 		Name:  "round",
 		Text:  "round robin",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: &roundRobin{}, Open: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: &roundRobin{}, Open: true, Stay: true} },
 		Poll:  true,
 	},
 	{
-		Name:  "two",
-		Text:  "two random choices on lagged load",
-		Route: func(r *rand.Rand) route.Config { return route.Config{Ranker: &twoChoices{random: r}, Open: true} },
-		Poll:  true,
+		Name: "two",
+		Text: "two random choices on lagged load",
+		Route: func(r *rand.Rand) route.Config {
+			return route.Config{Ranker: &twoChoices{random: r}, Open: true, Stay: true}
+		},
+		Poll: true,
 	},
 	{
 		Name:  "hash",
 		Text:  "consistent hashing",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: chatHash{}, Open: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: chatHash{}, Open: true, Stay: true} },
 		Poll:  true,
 	},
 	{
 		Name:  "bounded",
 		Text:  "consistent hashing with bounded lagged load",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: boundedHash{}, Open: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: boundedHash{}, Open: true, Stay: true} },
 		Poll:  true,
 	},
 }
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -38,10 +38,15 @@
 
 	// run is one attempt at a request on an engine.
 	run struct {
-		attempt  uint64
-		index    int
-		ask      *trace.Event
+		attempt uint64
+		index   int
+		ask     *trace.Event
+		// from is the engine to import the chat's prefix from, ready when it
+		// will be here.
+		from     string
+		ready    time.Duration
 		prefill  int
+		cached   int
 		decode   int
 		work     int
 		started  bool
@@ -62,6 +67,14 @@
 	return &engine{sim: s, info: info, model: m, cache: newPrefixCache(m.Cache), alive: true}
 }
 
+// prefillRate is how many prompt tokens a second an engine computes with a few
+// other requests in its batch.
+func prefillRate(m trace.Model) float64 {
+	const others = 6
+	step := time.Duration(m.Step).Seconds() * (1 + batchCost*others)
+	return stepTokens / step
+}
+
 // load is the work in progress. A request counts whole, its uncached prompt
 // and its answer, until it is done.
 func (e *engine) load() kernel.Load {
@@ -91,6 +104,13 @@
 		return false
 	}
 	cached := min(e.cache.use(r.ask.Chat), r.ask.Prefix)
+	if got := min(e.held(r.from, r.ask.Chat), r.ask.Prefix); got > cached {
+		e.sim.meter.moved += got - cached
+		wait := time.Duration(float64(got-cached) / float64(e.model.Import) * float64(time.Second))
+		r.ready = e.sim.queue.now + wait
+		cached = got
+	}
+	r.cached = cached
 	r.prefill = r.ask.Prefix + r.ask.Input - cached
 	r.decode = r.ask.Output
 	r.work = r.prefill + r.decode
@@ -106,6 +126,15 @@
 	return true
 }
 
+// held returns what another engine can export of a chat.
+func (e *engine) held(from, chat string) int {
+	g := e.sim.engines[from]
+	if g == nil || !g.alive || e.model.Import == 0 {
+		return 0
+	}
+	return g.cache.use(chat)
+}
+
 // cancel ends an attempt whose caller has gone.
 func (e *engine) cancel(attempt uint64) {
 	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool { return r.attempt == attempt })
@@ -146,6 +175,9 @@
 			e.sim.killEngine(e)
 			return
 		}
+		if r.ready > e.sim.queue.now {
+			continue
+		}
 		if r.prefill > 0 {
 			n := min(r.prefill, budget)
 			r.prefill -= n
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -14,13 +14,13 @@
 // sendIdeal places a request as one router would that knows every engine's
 // load and cache at once.
 func (s *simulation) sendIdeal(i int, e *trace.Event) {
-	g := s.idealEngine(e)
+	g, from := s.idealEngine(e)
 	if g == nil {
 		s.queue.after(idealPause, func() { s.sendIdeal(i, e) })
 		return
 	}
 	s.attempts++
-	r := &run{attempt: s.attempts, index: i, ask: e}
+	r := &run{attempt: s.attempts, index: i, ask: e, from: from}
 	r.onFirst = func(uint64) { s.meter.first(i, true) }
 	r.onDone = func(uint64) { s.meter.whole(i, true) }
 	r.onBroken = func(first bool) {
@@ -35,8 +35,9 @@
 
 // idealEngine takes the first engine that the present Ranker and Rule allow
 // when they know all.
-func (s *simulation) idealEngine(e *trace.Event) *engine {
+func (s *simulation) idealEngine(e *trace.Event) (g *engine, from string) {
 	pool := s.pool(e.Model)
+	pool.Service, _ = s.manifest.Service(e.Model)
 	request := route.Request{
 		Chat: e.Chat, Input: e.Prefix + e.Input, Output: e.Output, Cached: map[string]int{},
 	}
@@ -48,10 +49,10 @@
 	for _, candidate := range s.ideal.Rank(s.time(), pool, request) {
 		work := e.Prefix + e.Input + e.Output - request.Cached[candidate.Name]
 		if s.rule.Fits(pool, candidate.Load, work, s.largest(pool)) {
-			return s.engines[candidate.Name]
+			return s.engines[candidate.Name], route.Source(pool, request, candidate.Name).Name
 		}
 	}
-	return nil
+	return nil, ""
 }
 
 // largest is the most tokens of a request in progress at a pool.
--- a/internal/replay/job.go
+++ b/internal/replay/job.go
@@ -42,6 +42,7 @@
 		request route.Request
 		permit  uint64
 		engine  *engine
+		run     *run
 		lost    bool
 		first   bool
 		done    bool
@@ -132,7 +133,7 @@
 		return
 	}
 	j.node.jobs[j] = true
-	j.plan = j.node.router.Plan(j.request)
+	j.plan = j.node.router.Plan(j.sim.time(), j.request)
 	j.sim.queue.at(deadline.Sub(epoch), j.expire)
 	j.next()
 }
@@ -147,7 +148,7 @@
 	case route.StepAsk:
 		j.ask(step)
 	case route.StepRun:
-		j.run(step.Endpoint)
+		j.start(step.Endpoint, step.From.Name)
 	case route.StepWait:
 		s.queue.at(step.Until.Sub(epoch), j.next)
 	case route.StepRefuse:
@@ -164,7 +165,7 @@
 	j.next()
 }
 
-func (j *job) run(e kernel.Endpoint) {
+func (j *job) start(e kernel.Endpoint, from string) {
 	s := j.sim
 	if j.permit == 0 {
 		s.attempts++
@@ -172,13 +173,14 @@
 	}
 	permit := j.permit
 	g := s.engines[e.Name]
-	r := &run{attempt: permit, index: j.index, ask: j.event, onFirst: j.onFirst, onDone: j.onDone, onBroken: j.onBroken}
+	r := &run{attempt: permit, index: j.index, ask: j.event, from: from, onFirst: j.onFirst, onDone: j.onDone, onBroken: j.onBroken}
 	s.queue.after(s.delay, func() {
 		if j.done {
 			return
 		}
 		if g != nil && g.start(r) {
 			j.engine = g
+			j.run = r
 			return
 		}
 		s.queue.after(s.delay, func() {
@@ -196,12 +198,12 @@
 	}
 	j.first = true
 	if !j.engine.model.Plain {
-		j.node.router.Learn(j.request, route.Usage{Endpoint: j.engine.info.Endpoint})
+		j.plan.Learn(j.sim.time(), route.Usage{Endpoint: j.engine.info.Endpoint})
 	}
 	j.sim.meter.first(j.index, attempt == j.permit)
 	if xxhash.Sum64String(j.event.Chat)%hintless != 0 && !j.engine.model.Plain {
 		held := j.event.Prefix + j.event.Input + j.event.Output
-		j.sim.hints[j.event.Chat] = hint.Hint{Endpoint: j.engine.info.Endpoint, Tokens: held}
+		j.sim.hints[j.event.Chat] = hint.Hint{Endpoint: j.engine.info.Endpoint, Tokens: held, At: j.sim.time().Truncate(time.Second)}
 	}
 }
 
@@ -210,7 +212,9 @@
 		return
 	}
 	if !j.engine.model.Plain {
-		j.node.router.Learn(j.request, route.Usage{Endpoint: j.engine.info.Endpoint, Output: j.event.Output})
+		j.plan.Learn(j.sim.time(), route.Usage{
+			Endpoint: j.engine.info.Endpoint, Done: true, Output: j.event.Output, Cached: j.run.cached,
+		})
 	}
 	j.end()
 	j.release()
--- a/internal/replay/meter.go
+++ b/internal/replay/meter.go
@@ -56,6 +56,7 @@
 		order     []int
 		reused    int
 		reusable  int
+		moved     int
 		firsts    *hdrhistogram.Histogram
 		requests  skewMeter
 		tokens    skewMeter
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -257,6 +257,9 @@
 		if model.Plain {
 			service.Kind = manifest.KindPlain
 		}
+		if model.Import > 0 {
+			service.Import = prefillRate(model) / float64(model.Import)
+		}
 		m.Models = append(m.Models, manifest.Model{Name: model.Name, Versions: []string{"1"}})
 		m.Services = append(m.Services, service)
 	}
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -13,8 +13,10 @@
 		Asks   int    `json:"asks"`
 		// Reuse is reused over reusable prefix tokens, Ideal the same of the
 		// ideal router.
-		Reuse    float64 `json:"reuse"`
-		Ideal    float64 `json:"ideal,omitempty"`
+		Reuse float64 `json:"reuse"`
+		Ideal float64 `json:"ideal,omitempty"`
+		// Moved is the part of Reuse that was imported from another engine.
+		Moved    float64 `json:"moved"`
 		Requests Skew    `json:"requests"`
 		Tokens   Skew    `json:"tokens"`
 		// Control is bytes a second, the mean over the nodes and the node that
@@ -94,6 +96,7 @@
 	}
 	if m.reusable > 0 {
 		r.Reuse = float64(m.reused) / float64(m.reusable)
+		r.Moved = float64(m.moved) / float64(m.reusable)
 	}
 	quantile := func(q float64) float64 { return float64(m.firsts.ValueAtQuantile(q)) / micros }
 	r.First = First{P50: quantile(median), P95: quantile(ninety), P99: quantile(tail)}
--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -8,7 +8,7 @@
 )
 
 var columns = []string{
-	"policy", "reuse", "ideal", "skew req p99/worst", "skew tok p99/worst", "over % req/tok", "small % req/tok",
+	"policy", "reuse", "moved", "ideal", "skew req p99/worst", "skew tok p99/worst", "over % req/tok", "small % req/tok",
 	"control B/s", "first ms p50/p95/p99", "refused", "expired", "broken",
 	"lost", "doubled", "cut", "crossed", "falsenot", "late", "force s",
 }
@@ -37,6 +37,7 @@
 	return []string{
 		fmt.Sprintf("%s/%d %s", r.Trace, r.Seed, r.Policy),
 		fmt.Sprintf("%.4f", r.Reuse),
+		fmt.Sprintf("%.4f", r.Moved),
 		fmt.Sprintf("%.4f", r.Ideal),
 		fmt.Sprintf("%.2f/%.2f", r.Requests.P99, r.Requests.Worst),
 		fmt.Sprintf("%.2f/%.2f", r.Tokens.P99, r.Tokens.Worst),
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 // Defaults of a CostConfig.
 const (
 	DefaultWeight  = 1000
+	DefaultPower   = 4
 	DefaultChoices = 3
 )
 
@@ -20,6 +22,8 @@
 		// Weight is how many tokens of prefill an endpoint at the mean load is
 		// worth to avoid.
 		Weight float64
+		// Power is how steeply the cost of load rises towards the bound.
+		Power float64
 		// Choices is how many endpoints of the chat's rendezvous order are
 		// weighed first where none is known to hold the chat.
 		Choices int
@@ -44,7 +48,8 @@
 )
 
 // NewCostRanker returns the Ranker that takes the endpoint with the least cost:
-// the uncached part of the prompt, in tokens, and the wait that the endpoint's
+// the uncached part of the prompt, in tokens, or what it costs to import it
+// from the endpoint that holds it, and the wait that the endpoint's
 // load makes likely.
 //
 // The load counts by the square of its ratio to the mean. An endpoint near the
@@ -52,6 +57,7 @@
 // there is room, before the bound denies them.
 func NewCostRanker(c CostConfig) Ranker {
 	c.Weight = cmp.Or(c.Weight, DefaultWeight)
+	c.Power = cmp.Or(c.Power, DefaultPower)
 	c.Choices = cmp.Or(c.Choices, DefaultChoices)
 	return costRanker{config: c}
 }
@@ -79,10 +85,10 @@
 
 func (r costRanker) cost(pool *kernel.Pool, e kernel.Endpoint, req Request) costed {
 	c := costed{endpoint: e, score: kernel.Score(req.Chat, e.Name)}
-	c.cost = float64(max(req.Input-req.Cached[e.Name], 0))
+	c.cost = uncached(pool, req, e)
 	mean := float64(pool.Total.Requests+1) / float64(max(pool.Live, 1))
-	ratio := float64(e.Load.Requests) / mean
-	c.cost += r.config.Weight * ratio * ratio
+	ratio := float64(e.Load.Requests) / (mean * pool.Bound)
+	c.cost += r.config.Weight * math.Pow(ratio, r.config.Power)
 	if e.State == kernel.Suspect {
 		c.group = groupSuspect
 	}
--- a/internal/route/memory.go
+++ b/internal/route/memory.go
@@ -1,5 +1,7 @@
 package route
 
+import "time"
+
 // DefaultMemory is how many chats a node remembers.
 const DefaultMemory = 1 << 14
 
@@ -16,6 +18,7 @@
 	place struct {
 		endpoint string
 		tokens   int
+		at       time.Time
 	}
 )
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -94,6 +94,9 @@
 	Step struct {
 		Kind     StepKind
 		Endpoint kernel.Endpoint
+		// From is the endpoint from which a StepRun first imports the chat's
+		// prefix; its name is empty where there is nothing to import.
+		From kernel.Endpoint
 		// Tokens is the work that a StepAsk asks a permit for.
 		Tokens int
 		// Until is the end of a StepWait.
@@ -106,9 +109,14 @@
 
 	// Plan is the routing of one request. It is not safe for concurrent use.
 	Plan struct {
-		router   *Router
-		request  Request
-		tried    map[string]bool
+		router  *Router
+		request Request
+		tried   map[string]bool
+		// believed is where the chat's prefix was taken to be when the request
+		// came, at the time planned; from is where it was imported from.
+		believed place
+		planned  time.Time
+		from     string
 		next     kernel.Endpoint
 		granted  bool
 		lost     bool
@@ -120,8 +128,7 @@
 func (p *Plan) Next(now time.Time, v *kernel.View) Step {
 	switch {
 	case p.granted:
-		p.attempts++
-		return Step{Kind: StepRun, Endpoint: p.next}
+		return p.run(v.Pools[p.request.Service])
 	case p.lost && p.request.Once:
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
@@ -140,12 +147,24 @@
 	}
 	p.next = e
 	if p.router.config.Open {
-		p.attempts++
-		return Step{Kind: StepRun, Endpoint: e}
+		return p.run(pool)
 	}
-	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(p.request, e.Name)}
+	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(pool, p.request, e.Name)}
 }
 
+func (p *Plan) run(pool *kernel.Pool) Step {
+	p.attempts++
+	step := Step{Kind: StepRun, Endpoint: p.next}
+	if !p.router.config.Stay {
+		step.From = Source(pool, p.request, p.next.Name)
+	}
+	p.from = step.From.Name
+	return step
+}
+
+// Learn tells what became known of the request once it ran.
+func (p *Plan) Learn(now time.Time, u Usage) { p.router.learn(now, p, u) }
+
 // Report tells what came of the last step.
 func (p *Plan) Report(o Outcome) {
 	p.granted = false
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -21,6 +21,8 @@
 		// Open dispatches without asking homes for permits. It serves
 		// comparisons; no bound holds with it.
 		Open bool
+		// Stay never imports a prefix from another endpoint.
+		Stay bool
 		// Memory is how many recent chats are remembered.
 		Memory int
 		// Whole counts prompts and allowed answers whole as load, whatever is
@@ -35,6 +37,7 @@
 		mu     sync.Mutex
 		chats  *memory
 		sizes  *estimates
+		hits   *hits
 		heard  map[string]hearing
 	}
 
@@ -48,8 +51,12 @@
 	Usage struct {
 		// Endpoint ran the request.
 		Endpoint string
-		// Output is the tokens of the answer; 0 while it is not known.
+		// Done is set once the answer has ended; what follows is known then.
+		Done bool
+		// Output is the tokens of the answer, Cached those of the prompt that
+		// the endpoint had.
 		Output int
+		Cached int
 	}
 )
 
@@ -59,47 +66,60 @@
 		c.Ranker = NewCostRanker(CostConfig{})
 	}
 	c.Memory = cmp.Or(c.Memory, DefaultMemory)
-	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), heard: map[string]hearing{}}
+	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), heard: map[string]hearing{}}
 }
 
 // Plan returns the Plan of a request.
-func (r *Router) Plan(req Request) *Plan {
-	req.Cached = r.cached(req)
-	return &Plan{router: r, request: req, tried: map[string]bool{}}
-}
-
-// Learn tells what became known of a request that ran.
-func (r *Router) Learn(req Request, u Usage) {
+func (r *Router) Plan(now time.Time, req Request) *Plan {
+	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output})
-	if u.Output > 0 {
-		r.sizes.learn(req, u.Output)
+	p.believed = r.believed(req)
+	if p.believed.endpoint != "" {
+		share := r.hits.share(now.Sub(p.believed.at))
+		held := int(share * float64(min(p.believed.tokens, req.Input)))
+		p.request.Cached = map[string]int{p.believed.endpoint: held}
+	}
+	return p
+}
+
+// believed returns where the newest word of a chat places it.
+func (r *Router) believed(req Request) place {
+	p, _ := r.chats.get(req.Chat)
+	if h := req.Hint; h.Endpoint != "" && !h.At.Before(p.at.Truncate(time.Second)) {
+		p = place{endpoint: h.Endpoint, tokens: h.Tokens, at: h.At}
 	}
+	return p
 }
 
-// cached returns what endpoints are believed to hold of a request's prompt.
-func (r *Router) cached(req Request) map[string]int {
+// learn notes what became known of a request that ran.
+func (r *Router) learn(now time.Time, p *Plan, u Usage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held := map[string]int{}
-	if p, ok := r.chats.get(req.Chat); ok {
-		held[p.endpoint] = min(p.tokens, req.Input)
+	req := p.request
+	r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	if !u.Done {
+		return
 	}
-	if h := req.Hint; h.Endpoint != "" {
-		held[h.Endpoint] = min(h.Tokens, req.Input)
+	r.sizes.learn(req, u.Output)
+	b := p.believed
+	if expected := min(b.tokens, req.Input); expected > 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
+		r.hits.learn(p.planned.Sub(b.at), float64(u.Cached)/float64(expected))
 	}
-	return held
 }
 
 // work is the load that a request will probably be at an endpoint, in tokens.
-func (r *Router) work(req Request, endpoint string) int {
+func (r *Router) work(pool *kernel.Pool, req Request, endpoint string) int {
 	if r.config.Whole {
 		return req.Input + req.Output
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(req.Input-req.Cached[endpoint], 0) + r.sizes.output(req)
+	held := req.Cached[endpoint]
+	if s := Source(pool, req, endpoint); s.Name != "" {
+		held = req.Cached[s.Name]
+	}
+	return max(req.Input-held, 0) + r.sizes.output(req)
 }
 
 // Observe tells loads that a home reported out of turn.
--- a/internal/workload/shapes.go
+++ b/internal/workload/shapes.go
@@ -9,6 +9,9 @@
 const (
 	boundThies      = 1.5
 	boundKaramanlis = 1.25
+
+	// importRate is that of a model of 64 KB a token over 25 Gbit/s.
+	importRate = 48_000
 )
 
 var (
@@ -21,7 +24,7 @@
 		delay: time.Millisecond,
 		zones: []string{"z1", "z2", "z3"},
 		models: []trace.Model{
-			{Name: "notices", Step: trace.Duration(5 * time.Millisecond), Cache: 250_000},
+			{Name: "notices", Step: trace.Duration(5 * time.Millisecond), Cache: 250_000, Import: importRate},
 			{Name: "counter", Plain: true, Step: trace.Duration(5 * time.Millisecond)},
 		},
 		endpoints: map[string]int{"notices": 12, "counter": 3},
@@ -59,7 +62,7 @@
 		delay: 500 * time.Microsecond,
 		zones: []string{"z1", "z2", "z3", "z4"},
 		models: []trace.Model{
-			{Name: "catalogue", Step: trace.Duration(10 * time.Millisecond), Cache: 250_000},
+			{Name: "catalogue", Step: trace.Duration(10 * time.Millisecond), Cache: 250_000, Import: importRate},
 			{Name: "prices", Plain: true, Step: trace.Duration(5 * time.Millisecond)},
 		},
 		endpoints: map[string]int{"catalogue": 20, "prices": 4},
--- a/pkg/hint/hint.go
+++ b/pkg/hint/hint.go
@@ -7,11 +7,12 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
 	version  = "h1"
-	parts    = 3
+	parts    = 4
 	maxBytes = 256
 )
 
@@ -25,6 +26,8 @@
 	Endpoint string
 	// Tokens is how much of the chat it holds.
 	Tokens int
+	// At is when it did, to the second.
+	At time.Time
 }
 
 // String returns the form that callers carry.
@@ -32,7 +35,7 @@
 	if h.Endpoint == "" {
 		return ""
 	}
-	return version + ":" + strconv.Itoa(h.Tokens) + ":" + h.Endpoint
+	return fmt.Sprintf("%s:%d:%d:%s", version, h.Tokens, h.At.Unix(), h.Endpoint)
 }
 
 // Parse reads a hint. The empty string is the zero Hint.
@@ -44,12 +47,16 @@
 		return Hint{}, fmt.Errorf("%w: %d bytes", ErrFormat, len(s))
 	}
 	f := strings.SplitN(s, ":", parts)
-	if len(f) != parts || f[0] != version || f[2] == "" {
+	if len(f) != parts || f[0] != version || f[3] == "" {
 		return Hint{}, ErrFormat
 	}
 	n, err := strconv.Atoi(f[1])
 	if err != nil || n < 0 {
 		return Hint{}, fmt.Errorf("%w: tokens %q", ErrFormat, f[1])
 	}
-	return Hint{Endpoint: f[2], Tokens: n}, nil
+	at, err := strconv.ParseInt(f[2], 10, 64)
+	if err != nil {
+		return Hint{}, fmt.Errorf("%w: time %q", ErrFormat, f[2])
+	}
+	return Hint{Endpoint: f[3], Tokens: n, At: time.Unix(at, 0)}, nil
 }
--- a/pkg/manifest/manifest.go
+++ b/pkg/manifest/manifest.go
@@ -67,6 +67,9 @@
 		Models     []string `json:"models"`
 		// Once marks that no call of the service may be repeated.
 		Once bool `json:"once"`
+		// Import is the cost of importing one cached token from another engine,
+		// over that of computing it anew; 0 where the engines cannot import.
+		Import float64 `json:"import,omitempty"`
 		// Fenced says that the endpoints refuse orders with an old fencing number.
 		Fenced bool `json:"fenced"`
 	}
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -66,6 +66,9 @@
 		Step Duration `json:"step"`
 		// Cache is how many prefix tokens an endpoint can hold.
 		Cache int `json:"cache,omitempty"`
+		// Import is how many prefix tokens a second an endpoint takes over from
+		// another; 0 where it cannot.
+		Import int `json:"import,omitempty"`
 	}
 
 	// Endpoint is an endpoint that serves a model.
