--- a/internal/loopback/recovery_test.go
+++ b/internal/loopback/recovery_test.go
@@ -158,6 +158,7 @@
 			require.Zero(t, ran[mark], "%s was said not to have run: %v", mark, what.err)
 		default:
 			unknown++
+			t.Logf("%s unknown: %v", mark, what.err)
 		}
 	}
 	return unknown
