Follow demand with what endpoints have loaded

Cause: nothing ordered endpoints; the manifest's models were what they happened to have. Change: the kernel's capacity plug-in counts endpoints per model by the demand in the cell with hysteresis, assigns them by rendezvous, and the home orders what is missing with a fencing number that follows the endpoint's own. POST /v1/orders in the client and in the stand-in, which checks numbers or takes any. A heartbeat looks only at the endpoints whose home the node is.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,6 +20,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
@@ -105,6 +106,7 @@
 		tickets    *once.Registry
 		limiter    *limit.Limiter
 		ledger     *dispatch.Ledger
+		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -124,6 +126,7 @@
 		config:    c,
 		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
 		ledger:    dispatch.NewLedger(),
+		meter:     capacity.NewMeter(),
 		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
 	}
 	self := kernel.Node{
@@ -140,6 +143,7 @@
 		Membership: membership.Config{Active: active},
 		Pool:       pool.Config{Sent: n.ledger.Loads},
 		Limit:      limit.Config{Limiter: n.limiter},
+		Capacity:   capacity.Config{Meter: n.meter},
 	}, c.Extensions...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
@@ -222,7 +226,7 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger, Meter: n.meter,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
--- a/control.go
+++ b/control.go
@@ -186,6 +186,8 @@
 		case c.config.Reread <- struct{}{}:
 		default:
 		}
+	case kernel.Order:
+		c.running.Go(func() { c.order(a) })
 	case kernel.FetchConfig:
 		c.running.Go(func() { c.fetchConfig(a) })
 	}
@@ -227,6 +229,22 @@
 	}
 }
 
+// order sends an order to an endpoint.
+func (c *control) order(o kernel.Order) {
+	reply, err := c.config.Endpoints.Order(c.ctx, o.Addr, endpoint.Order{
+		Fence: o.Fence, Revision: o.Revision, Models: o.Models, Adapters: o.Adapters, Role: o.Role,
+	})
+	log := c.config.Log.WithFields(logrus.Fields{
+		"endpoint": o.Endpoint, "fence": o.Fence, "models": o.Models, "revision": o.Revision,
+	})
+	if err != nil {
+		log.WithError(err).Warn("order not accepted")
+	} else {
+		log.Info("order accepted")
+	}
+	c.Offer(kernel.OrderEnded{Endpoint: o.Endpoint, Accepted: err == nil, Fence: reply.Fence})
+}
+
 // readLoads asks the endpoints whose home the node is for their reports.
 func (c *control) readLoads() {
 	for _, e := range c.View().Probes {
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -3,6 +3,7 @@
 package builtin
 
 import (
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -22,6 +23,7 @@
 	Roster     roster.Config
 	Mark       mark.Config
 	Limit      limit.Config
+	Capacity   capacity.Config
 	Gate       gate.Config
 	Poison     poison.Config
 }
@@ -40,6 +42,7 @@
 		membership.New(c.Membership),
 		pool.New(c.Pool),
 		limit.New(c.Limit),
+		capacity.New(c.Capacity),
 		poison.New(c.Poison),
 	}, more...)})
 	return k, permits
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -12,6 +12,9 @@
 // turn would come after its deadline is refused at once: nothing has run, and
 // the caller still has time to come back or go elsewhere.
 func (d *Dispatcher) admit(ctx context.Context, req route.Request) *Refusal {
+	if d.config.Meter != nil && req.Model != "" {
+		d.config.Meter.Add(time.Now(), req.Model, req.Input+req.Output)
+	}
 	if d.config.Limiter == nil {
 		return nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,11 @@
 		Offer(now time.Time, a limit.Ask) *limit.Entry
 	}
 
+	// Meter measures the demand for models.
+	Meter interface {
+		Add(now time.Time, model string, tokens int)
+	}
+
 	// Sink takes events for the control state.
 	Sink interface {
 		Offer(ev kernel.Event)
@@ -68,6 +73,8 @@
 		Sink      Sink
 		// Limiter holds accounts to their rates; nil does not.
 		Limiter Limiter
+		// Meter measures demand; nil does not.
+		Meter Meter
 		// Ledger counts what the node has dispatched; nil counts nothing.
 		Ledger *Ledger
 		// Leases and PeerLeases let suspected requests run.
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"net/netip"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
@@ -91,6 +92,29 @@
 		Endpoint string
 	}
 
+	// Order asks for an order to an endpoint. Its outcome is an OrderEnded.
+	Order struct {
+		Endpoint string
+		Addr     netip.AddrPort
+		// Fence is the fencing number; an endpoint that checks refuses one that
+		// is not above those it has accepted.
+		Fence    uint64
+		Revision uint64
+		Models   []string
+		Adapters []string
+		Role     string
+	}
+
+	// OrderEnded is the outcome of an Order.
+	OrderEnded struct {
+		Endpoint string
+		// Accepted is unset where the endpoint refused or did not answer.
+		Accepted bool
+		// Fence is the highest number that the endpoint has accepted; 0 where
+		// it did not say.
+		Fence uint64
+	}
+
 	// Drain starts the node's planned stop.
 	Drain struct{}
 
@@ -133,6 +157,8 @@
 		Demands []Demand
 		// Suspects is the requests that ran on endpoints when they died.
 		Suspects []Suspicion
+		// Models is what the sender's callers ask of each model.
+		Models []ModelDemand
 		// Near is set where sender and receiver are of one cell. It is not
 		// transmitted.
 		Near bool
@@ -160,6 +186,13 @@
 		Removed []string
 	}
 
+	// ModelDemand is what callers ask of a model.
+	ModelDemand struct {
+		Model string
+		// Rate is in tokens a second.
+		Rate float64
+	}
+
 	// Demand is what an account asks for.
 	Demand struct {
 		Account string
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,6 +24,7 @@
 		News:        pointed(b.News, encodeNews),
 		Digests:     mapped(b.Digests, encodeDigest),
 		Demands:     mapped(b.Demands, encodeDemand),
+		Models:      mapped(b.Models, encodeModelDemand),
 		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
@@ -44,6 +45,7 @@
 		News:        valued(b.News, decodeNews),
 		Digests:     mapped(b.Digests, decodeDigest),
 		Demands:     mapped(b.Demands, decodeDemand),
+		Models:      mapped(b.Models, decodeModelDemand),
 		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -126,6 +126,14 @@
 	return kernel.Demand{Account: d.Account, Rate: float64(d.Rate)}
 }
 
+func encodeModelDemand(d kernel.ModelDemand) *peerpb.ModelDemand {
+	return &peerpb.ModelDemand{Model: d.Model, Rate: uint64(math.Ceil(max(d.Rate, 0)))}
+}
+
+func decodeModelDemand(d *peerpb.ModelDemand) kernel.ModelDemand {
+	return kernel.ModelDemand{Model: d.Model, Rate: float64(d.Rate)}
+}
+
 // encodeAddr returns the binary form of an address; an invalid one has none.
 func encodeAddr(a netip.AddrPort) []byte {
 	if !a.IsValid() {
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -56,13 +56,12 @@
 func (p *plugin) Summarize(now time.Time, d *kernel.Digest) {
 	sums := map[string]kernel.Sum{}
 	p.takeOwn(now)
-	for _, name := range p.names {
-		m := p.members[name]
+	for _, m := range p.sorted {
 		if !p.near(m.endpoint.Zone) {
 			continue
 		}
 		if state := m.state(now); state != kernel.Live {
-			d.Absent = append(d.Absent, kernel.Absence{Instance: name, State: state})
+			d.Absent = append(d.Absent, kernel.Absence{Instance: m.endpoint.Name, State: state})
 			continue
 		}
 		s := sums[m.endpoint.Service]
@@ -133,13 +132,9 @@
 // ownLoads returns the loads of the endpoints whose home the node is.
 func (p *plugin) ownLoads(now time.Time) []kernel.EndpointLoad {
 	p.takeOwn(now)
-	var loads []kernel.EndpointLoad
-	for _, name := range p.names {
-		m := p.members[name]
-		if m.endpoint.Home != p.self.Name {
-			continue
-		}
-		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: m.told, State: m.state(now)})
+	loads := make([]kernel.EndpointLoad, 0, len(p.mine))
+	for _, m := range p.mine {
+		loads = append(loads, kernel.EndpointLoad{Endpoint: m.endpoint.Name, Load: m.told, State: m.state(now)})
 	}
 	return loads
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -39,10 +39,12 @@
 		config  Config
 		self    kernel.Node
 		members map[string]*member
-		names   []string
-		sums    map[string]scopeSums
-		homes   homes
-		told    map[string]*peerLoads
+		// sorted holds the members by name, mine those whose home the node is.
+		sorted []*member
+		mine   []*member
+		sums   map[string]scopeSums
+		homes  homes
+		told   map[string]*peerLoads
 		// counts is how many endpoints each pool of the newest view has.
 		counts map[string]int
 		// cell and scopes are those of the newest view.
@@ -125,8 +127,9 @@
 	p.homes.update(v, p)
 	p.takeOwn(now)
 	sent := loadsByName(p.config.Sent())
-	for _, name := range p.names {
-		p.place(now, p.members[name], sent[name], v)
+	p.mine = p.mine[:0]
+	for _, m := range p.sorted {
+		p.place(now, m, sent[m.endpoint.Name], v)
 	}
 	for name, pool := range v.Pools {
 		p.counts[name] = len(pool.Endpoints)
@@ -153,11 +156,13 @@
 		}
 	}
 	p.unlist(now)
-	p.names = p.names[:0]
-	for name := range p.members {
-		p.names = append(p.names, name)
+	p.sorted = p.sorted[:0]
+	for _, m := range p.members {
+		p.sorted = append(p.sorted, m)
 	}
-	slices.SortFunc(p.names, strings.Compare)
+	slices.SortFunc(p.sorted, func(a, b *member) int {
+		return strings.Compare(a.endpoint.Name, b.endpoint.Name)
+	})
 	p.homes.forget()
 }
 
@@ -212,6 +217,7 @@
 	m.endpoint.State = m.state(now)
 	p.homes.assign(now, m, p.config.Settle)
 	if m.endpoint.Home == p.self.Name {
+		p.mine = append(p.mine, m)
 		v.Probes = append(v.Probes, m.endpoint)
 	}
 	pool := v.Pools[m.endpoint.Service]
@@ -221,11 +227,12 @@
 	e := m.endpoint
 	e.Load = m.current(sent, e.Home == p.self.Name)
 	e.Reported = m.toldAt
-	if !p.near(e.Zone) {
+	near := p.near(e.Zone)
+	if !near {
 		e.Load, e.Reported = p.mean(now, e), time.Time{}
 	}
 	pool.Endpoints = append(pool.Endpoints, e)
-	if p.near(e.Zone) && e.State == kernel.Live {
+	if near && e.State == kernel.Live {
 		pool.Total = pool.Total.Add(e.Load)
 		pool.Live++
 	}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -35,7 +35,10 @@
 		// CacheTokens is the size of the prefix cache, in tokens.
 		CacheTokens int
 		Models      []string
-		Faults      EndpointFaults
+		// Unfenced makes the endpoint take every order, also one with an old
+		// fencing number.
+		Unfenced bool
+		Faults   EndpointFaults
 		// OnCrash ends the process that the endpoint stands for, when a request
 		// that carries the crash mark runs. Connections break in any case.
 		OnCrash func()
@@ -56,6 +59,7 @@
 		// attempts can be asked for again.
 		attempts *attempts
 		started  int
+		orders   orders
 		// crashed is closed when the endpoint crashes.
 		crashed chan struct{}
 	}
@@ -78,6 +82,7 @@
 	e.mux.HandleFunc("GET /v1/attempts/{id}", e.resume)
 	e.mux.HandleFunc("DELETE /v1/attempts/{id}", e.stop)
 	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("/v1/services/", e.plain)
 	e.mux.HandleFunc("GET /v1/events", e.events)
 	e.mux.HandleFunc("GET /v1/kv/{chat...}", e.exportKV)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -53,6 +53,9 @@
 	e.mu.Lock()
 	report := e.loads.at(time.Now().Add(-e.faults.Lag))
 	report.Models = e.config.Models
+	report.Adapters = e.orders.last.Adapters
+	report.Role = e.orders.last.Role
+	report.Fence = e.orders.last.Fence
 	e.mu.Unlock()
 	writeJSON(w, report)
 }
--- /dev/null
+++ b/internal/standin/order_test.go
@@ -0,0 +1,44 @@
+package standin_test
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/standin"
+)
+
+func TestOrdersWithOldFencingNumbers(t *testing.T) {
+	// Symptom: a home that was replaced while it was paused undoes the new
+	// home's order.
+	// Sequence: order 2 by the new home, then order 1 by the old one.
+	// Cause: a process that wakes believes in authority that it has lost. An
+	// endpoint that checks refuses it; one that does not obeys.
+	for _, unfenced := range []bool{false, true} {
+		e := standin.NewEndpoint(standin.EndpointConfig{Name: "e", Unfenced: unfenced})
+		server := httptest.NewServer(e)
+		defer server.Close()
+		addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+		client := endpoint.NewClient(endpoint.ClientConfig{})
+		defer client.Close()
+		newer := endpoint.Order{Fence: 2, Models: []string{"new"}}
+		for range 2 {
+			reply, err := client.Order(t.Context(), addr, newer)
+			require.NoError(t, err, "also where the answer was lost and it is sent again")
+			require.Equal(t, uint64(2), reply.Fence)
+		}
+		reply, err := client.Order(t.Context(), addr, endpoint.Order{Fence: 1, Models: []string{"old"}})
+		last, _ := e.Orders()
+		if unfenced {
+			require.NoError(t, err)
+			require.Equal(t, []string{"old"}, last.Models)
+			continue
+		}
+		require.ErrorIs(t, err, endpoint.ErrFenced)
+		require.Equal(t, uint64(2), reply.Fence)
+		require.Equal(t, []string{"new"}, last.Models)
+	}
+}
