Keep demands and digests within the budget at the target

Change: a node that passes nothing on gets only the demands of accounts that it has told of itself; small changes of demand wait; digests hold 8 and 12 accounts; regions are told of every 8 s unless nodes change; relays and gateways meet only those of their own rank.

--- a/internal/capacity/plugin.go
+++ b/internal/capacity/plugin.go
@@ -23,7 +23,10 @@
 	wakePause = 10 * time.Second
 	// demandStale is the age from which a peer's demand counts no more.
 	demandStale = 30 * time.Second
-	tellPart    = 0.1
+	// tellPart is the change of a demand, as a part of it, that is told, and
+	// tellPause the least time between two messages.
+	tellPart  = 0.2
+	tellPause = 5 * time.Second
 )
 
 type (
@@ -128,7 +131,8 @@
 	}
 	for _, model := range sortedKeys(p.rates) {
 		rate, last := p.rates[model], sent[model]
-		if math.Abs(last.rate-rate) <= tellPart*last.rate && now.Sub(last.at) < demandStale/2 {
+		age := now.Sub(last.at)
+		if age < tellPause || age < demandStale/2 && math.Abs(last.rate-rate) <= tellPart*last.rate {
 			continue
 		}
 		sent[model] = told{rate: rate, at: now}
--- a/internal/kernel/digest.go
+++ b/internal/kernel/digest.go
@@ -11,8 +11,10 @@
 	// message; nearFloor is the change that never is.
 	nearPart  = 0.05
 	nearFloor = 2
+	// nearDemand is the change of a demand that is not worth a message.
+	nearDemand = 0.25
 	// maxDemands bounds the accounts of a digest; the heaviest stay.
-	maxDemands = 32
+	maxDemands = 12
 )
 
 type (
@@ -74,7 +76,7 @@
 		}
 	}
 	for i, a := range d.Demands {
-		if a.Account != o.Demands[i].Account || !near(a.Rate, o.Demands[i].Rate) {
+		if a.Account != o.Demands[i].Account || math.Abs(a.Rate-o.Demands[i].Rate) > nearDemand*a.Rate {
 			return false
 		}
 	}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -162,6 +162,9 @@
 		// Near is set where sender and receiver are of one cell. It is not
 		// transmitted.
 		Near bool
+		// Ends is set where the receiver does not pass digests on. It is not
+		// transmitted.
+		Ends bool
 	}
 
 	// Intro is what a node tells of itself.
--- a/internal/limit/plugin.go
+++ b/internal/limit/plugin.go
@@ -18,7 +18,7 @@
 	// nodeDemands and cellDemands bound the accounts of a heartbeat and of a
 	// digest; those that use most of their rate come first.
 	nodeDemands = 8
-	cellDemands = 16
+	cellDemands = 8
 	// initialPart is the part of the rate that a node gives an account before
 	// its demand is known to others; with fewer nodes it is one over their
 	// number.
@@ -33,11 +33,15 @@
 	// refreshDemand is how often an unchanged demand is told again; demandStale
 	// and scopeStale are the ages from which a peer's and a scope's count no
 	// more.
-	refreshDemand = 2 * time.Second
-	demandStale   = 6 * time.Second
-	scopeStale    = 15 * time.Second
-	// tellPart is the change of a demand, as a part of it, that is told.
-	tellPart = 0.1
+	refreshDemand = 4 * time.Second
+	demandStale   = 10 * time.Second
+	scopeStale    = 25 * time.Second
+	// tellPart is the change of a demand that is told, as a part of the rate;
+	// as a part of the demand, but at least of smallPart of the rate, it is
+	// told after tellPause.
+	tellPart  = 0.25
+	smallPart = 0.5
+	tellPause = 2 * time.Second
 )
 
 type (
@@ -57,8 +61,9 @@
 	plugin struct {
 		limiter *Limiter
 		kernel  *kernel.Kernel
-		// heavy is the node's own heavy accounts; since is when each became
+		// own is the node's own demand, heavy that of its heavy accounts; since is when each became
 		// heavy.
+		own   map[string]float64
 		heavy map[string]float64
 		since map[string]time.Time
 		// past is what heavy was at the last divisions, newest last.
@@ -133,21 +138,58 @@
 		p.sent[to] = sent
 	}
 	for account, rate := range p.heavy {
-		last, known := sent[account]
-		same := known && math.Abs(last.rate-rate) <= tellPart*last.rate
-		if same && now.Sub(last.at) < refreshDemand {
+		if last, known := sent[account]; known && !p.worthTelling(now, account, last, rate) {
 			continue
 		}
 		sent[account] = told{rate: rate, at: now}
 		b.Demands = append(b.Demands, kernel.Demand{Account: account, Rate: rate})
 	}
-	for account := range sent {
-		if _, still := p.heavy[account]; !still {
+	for account, last := range sent {
+		_, still := p.heavy[account]
+		// One that others have pushed out of the list is forgotten by the peer
+		// in time; only demand that has gone is told.
+		if !still && p.own[account] < last.rate/2 {
 			delete(sent, account)
 			b.Demands = append(b.Demands, kernel.Demand{Account: account})
 		}
 	}
 	sortDemands(b.Demands)
+	if b.Ends {
+		b.Digests = p.concerning(to, b.Digests)
+	}
+}
+
+// concerning returns digests with the demands of the accounts that a peer has
+// told of only. A node needs to know of no other: at the target size the demands
+// of all accounts would be most of what a relay sends.
+func (p *plugin) concerning(to string, digests []kernel.Digest) []kernel.Digest {
+	known := p.peers[to]
+	list := make([]kernel.Digest, len(digests))
+	for i, d := range digests {
+		list[i] = d
+		list[i].Demands = nil
+		for _, demand := range d.Demands {
+			if _, serves := known[demand.Account]; serves {
+				list[i].Demands = append(list[i].Demands, demand)
+			}
+		}
+	}
+	return list
+}
+
+// worthTelling reports whether a peer must hear of an account's demand anew: at
+// once where it changed by much of the rate, less often for smaller changes, and
+// now and then in any case.
+func (p *plugin) worthTelling(now time.Time, account string, last told, rate float64) bool {
+	limit := p.accounts[account].Rate
+	change := math.Abs(last.rate - rate)
+	age := now.Sub(last.at)
+	switch {
+	case age >= refreshDemand || change >= tellPart*limit:
+		return true
+	default:
+		return age >= tellPause && change >= tellPart*max(last.rate, smallPart*limit)
+	}
 }
 
 // Summarize adds the cell's heavy accounts.
@@ -175,6 +217,7 @@
 	}
 	p.measure(v)
 	own := p.limiter.Demands(now)
+	p.own = own
 	p.heavy = map[string]float64{}
 	for _, d := range p.heaviest(own, p.fleet.listed, nodeDemands) {
 		p.heavy[d.Account] = d.Rate
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -14,13 +15,15 @@
 	// same after digestRefresh.
 	digestInterval = time.Second
 	cellPause      = 2 * time.Second
-	regionPause    = 4 * time.Second
+	regionPause    = 8 * time.Second
 	digestRefresh  = 5 * time.Second
 	// markHold is how long a leave mark outweighs a digest that does not name
 	// the node; later the digest speaks of a new incarnation.
 	markHold = 10 * time.Second
-	// digestStale is the age from which a digest says nothing of the present.
+	// digestStale is the age from which a cell's digest says nothing of the
+	// present, regionStale that of a region's.
 	digestStale = 10 * time.Second
+	regionStale = 25 * time.Second
 )
 
 type (
@@ -52,6 +55,9 @@
 // never told of is stale too: nobody speaks for it.
 func (d *digests) stale(now time.Time, scope string) bool {
 	s := d.stored[scope]
+	if strings.HasPrefix(scope, prefixRegion) {
+		return s == nil || now.Sub(s.at) >= regionStale
+	}
 	return s == nil || now.Sub(s.at) >= digestStale
 }
 
@@ -109,7 +115,7 @@
 func (d *digests) due(now time.Time, s *stored, made *kernel.Digest, pause time.Duration) bool {
 	age := now.Sub(s.at)
 	switch {
-	case age >= digestRefresh || !s.digest.SameNodes(made):
+	case age >= max(digestRefresh, pause) || !s.digest.SameNodes(made):
 		return true
 	default:
 		return age >= pause && !s.digest.Near(made)
@@ -194,6 +200,14 @@
 	return list
 }
 
+// ends reports whether a member of the cell has no role in which it passes
+// digests on.
+func (p *plugin) ends(m *member) bool {
+	t := p.topology()
+	return t.cellOf(m.node) == t.cell && !slices.Contains(t.relays[t.cell], m.node.Name) &&
+		!slices.Contains(t.gateways[t.region], m.node.Name)
+}
+
 func (p *plugin) scopesFor(m *member) []string {
 	t := p.topology()
 	rank := slices.Index(t.relays[t.cell], p.self.Name)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -329,7 +329,7 @@
 
 func (p *plugin) told(now time.Time, m *member, silent time.Duration) kernel.State {
 	switch {
-	case !m.listed && silent >= p.config.Dead && now.Sub(m.extra) >= digestStale:
+	case !m.listed && silent >= p.config.Dead && now.Sub(m.extra) >= regionStale:
 		return kernel.Dead
 	case m.absent != kernel.Live:
 		return m.absent
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -166,6 +166,7 @@
 		b.Intro = p.intro(now)
 	}
 	b.Digests = p.digestsFor(m)
+	b.Ends = p.ends(m)
 }
 
 // Summarize adds the nodes of the cell that the list does not tell right.
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -102,21 +102,23 @@
 			t.links[name] = true
 		}
 	}
-	all := func(groups map[string][]string, own string) {
-		for scope, names := range groups {
-			for _, name := range names {
-				if scope != own {
-					t.links[name] = true
-				}
-			}
+	t.pair(t.relays, t.cell, p.self.Name)
+	t.pair(t.gateways, t.region, p.self.Name)
+}
+
+// pair links a node that has a role in its own group with the one of the same
+// rank in every other group. Both ranks carry the same digests, so that the loss
+// of one node stops none of them.
+func (t *topology) pair(groups map[string][]string, own, self string) {
+	rank := slices.Index(groups[own], self)
+	if rank < 0 {
+		return
+	}
+	for scope, names := range groups {
+		if scope != own && len(names) > 0 {
+			t.links[names[rank%len(names)]] = true
 		}
 	}
-	if slices.Contains(t.relays[t.cell], p.self.Name) {
-		all(t.relays, t.cell)
-	}
-	if slices.Contains(t.gateways[t.region], p.self.Name) {
-		all(t.gateways, t.region)
-	}
 }
 
 // meshes returns the regions that are small enough to be one cell.
@@ -155,6 +157,9 @@
 
 // scope returns the scope of the digests that tell of a member.
 func (p *plugin) scope(m *member) string {
+	if scope, known := p.topology().scopes[m.node.Zone]; known {
+		return scope
+	}
 	if m.node.Region == p.self.Region {
 		return p.topology().cellOf(m.node)
 	}
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -16,7 +16,6 @@
 	zones  map[string][]kernel.Node
 	// doubtful holds the zones with a suspect node.
 	doubtful map[string]bool
-	done     map[string]uint64
 	regions  map[string]string
 }
 
@@ -60,11 +59,8 @@
 func (h *homes) forget() { h.nodes = nil }
 
 // update notes the nodes of a new view.
-func (h *homes) update(v *kernel.View, p *plugin) {
+func (h *homes) update(v *kernel.View) {
 	nodes := v.Nodes
-	if h.done == nil {
-		h.done = map[string]uint64{}
-	}
 	if slices.EqualFunc(nodes, h.nodes, sameRole) {
 		return
 	}
@@ -84,11 +80,6 @@
 			h.doubtful[n.Zone] = true
 		}
 	}
-	for name := range h.done {
-		if p.members[name] == nil {
-			delete(h.done, name)
-		}
-	}
 }
 
 // sameRole reports whether two states of a node make the same homes.
@@ -99,8 +90,8 @@
 // assign writes an endpoint's home.
 func (h *homes) assign(now time.Time, m *member, settle time.Duration) {
 	e := &m.endpoint
-	if h.done[e.Name] != h.serial {
-		h.done[e.Name] = h.serial
+	if m.homeSerial != h.serial {
+		m.homeSerial = h.serial
 		e.Region = h.regions[e.Zone]
 		near := h.zones[e.Zone]
 		if len(near) == 0 {
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// sumsStale is the age from which the sums of another cell do not count.
+	// sumsStale is the age from which the sums of another cell do not count in
+	// the region's mean, meanStale that from which they say nothing of an
+	// endpoint.
 	sumsStale = 10 * time.Second
+	meanStale = 25 * time.Second
 	// fullInterval is how often a peer is told loads that have not changed.
 	fullInterval = 10 * time.Second
 	// handover is how long an endpoint's own report counts beside its new
@@ -161,7 +164,7 @@
 func (p *plugin) mean(now time.Time, e kernel.Endpoint) kernel.Load {
 	s := p.sums[p.scopes[e.Zone]]
 	sum := s.sums[e.Service]
-	if sum.Live == 0 || now.Sub(s.at) >= sumsStale {
+	if sum.Live == 0 || now.Sub(s.at) >= meanStale {
 		return kernel.Load{}
 	}
 	return kernel.Load{Requests: sum.Load.Requests / sum.Live, Tokens: sum.Load.Tokens / sum.Live}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -35,8 +35,10 @@
 	firstFailure time.Time
 	failed       time.Time
 	damper       kernel.Damper
-	// homeChanged is when the home last changed.
+	// homeChanged is when the home last changed, homeSerial the nodes it was
+	// worked out for.
 	homeChanged time.Time
+	homeSerial  uint64
 	// told is the load that the home told last, toldAt when, and base what the
 	// node itself had dispatched then.
 	told   kernel.Load
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -124,7 +124,7 @@
 		}
 		v.Pools[s.Name] = pool
 	}
-	p.homes.update(v, p)
+	p.homes.update(v)
 	p.takeOwn(now)
 	sent := loadsByName(p.config.Sent())
 	p.mine = p.mine[:0]
