Bound the wait for a broken attempt, test the transport's traps

Cause: an endpoint that took the question for a broken attempt and did not answer it held the call until its deadline; found by the test that closes within the body.

--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -13,6 +13,7 @@
 const (
 	attemptsPath  = "/v1/attempts/"
 	cancelTimeout = time.Second
+	resumeTimeout = 5 * time.Second
 )
 
 // Resume asks for the answer to an attempt again, from the given event on. It
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrLost, err)
 	}
-	resp, err := c.shared.Do(req)
+	resp, err := c.control.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w: %v", ErrLost, errConnection, err)
 	}
@@ -43,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrLost, err)
 	}
-	resp, err := c.shared.Do(req)
+	resp, err := c.control.Do(req)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrLost, err)
 	}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -75,6 +75,9 @@
 	Client struct {
 		shared  *http.Client
 		single  *http.Client
+		// control asks for attempts again and cancels them. An endpoint that
+		// takes the question and does not answer must not hold the call.
+		control *http.Client
 		running sync.WaitGroup
 	}
 )
@@ -98,6 +101,12 @@
 			MaxIdleConnsPerHost: idlePerHost,
 			DisableCompression:  true,
 		}),
+		control: newHTTP(&http.Transport{
+			DialContext:           dialer.DialContext,
+			MaxIdleConnsPerHost:   idlePerHost,
+			DisableCompression:    true,
+			ResponseHeaderTimeout: resumeTimeout,
+		}),
 		single: newHTTP(&http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
@@ -111,6 +120,7 @@
 	c.running.Wait()
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 }
 
 // Do sends a call and returns the head of the answer. It returns ErrNotRun
--- /dev/null
+++ b/internal/endpoint/client_test.go
@@ -0,0 +1,216 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+)
+
+// serve answers each connection by a function until the test ends.
+func serve(t *testing.T, handle func(c net.Conn)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() {
+				defer c.Close()
+				handle(c)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		running.Wait()
+	})
+	addr, err := netip.ParseAddrPort(l.Addr().String())
+	require.NoError(t, err)
+	return addr
+}
+
+func readFull(c net.Conn, into []byte) bool {
+	_, err := io.ReadFull(c, into)
+	return err == nil
+}
+
+func newClient(t *testing.T) *endpoint.Client {
+	t.Helper()
+	c := endpoint.NewClient(endpoint.ClientConfig{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Symptom: a renewal letter goes out twice although the node sent one request.
+// Sequence: a kept-alive connection; the endpoint takes the next request on it
+// and closes without an answer, as a service that restarts does.
+// Cause: the transport of net/http sends a request with an Idempotency-Key again
+// on a new connection, below everything that counts attempts.
+func TestTransportNeverSendsACallTwice(t *testing.T) {
+	var letters atomic.Int32
+	addr := serve(t, func(c net.Conn) {
+		requests := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/letter" {
+				letters.Add(1)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt: warm\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := newClient(t)
+	warm := func() {
+		a, err := client.Do(t.Context(), addr, endpoint.Call{Attempt: "warm", Path: "/warm"})
+		require.NoError(t, err)
+		_, err = a.ReadAll(1)
+		require.NoError(t, err)
+		require.NoError(t, a.Close())
+	}
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+		warm()
+		letters.Store(0)
+		_, err := client.Do(t.Context(), addr, endpoint.Call{
+			Attempt: "1", Method: method, Path: "/letter", Body: []byte("letter"), Once: true,
+			Header: http.Header{"Idempotency-Key": {"1"}},
+		})
+		require.ErrorIs(t, err, endpoint.ErrLost)
+		require.NotErrorIs(t, err, endpoint.ErrNotRun)
+		require.EqualValues(t, 1, letters.Load(), method)
+	}
+}
+
+// Symptom: the same, from a redirect.
+// Sequence: the service runs the call and answers 307.
+// Cause: the client of net/http sends the body again to where it points.
+func TestNoRedirectIsFollowed(t *testing.T) {
+	var calls atomic.Int32
+	addr := serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		calls.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\nX-Attempt: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	a, err := newClient(t).Do(t.Context(), addr, endpoint.Call{Attempt: "1", Path: "/letter", Body: []byte("letter"), Once: true})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusTemporaryRedirect, a.Status)
+	_, err = a.ReadAll(1)
+	require.NoError(t, err)
+	require.NoError(t, a.Close())
+	require.EqualValues(t, 1, calls.Load())
+}
+
+// Symptom: the caller is told "not run" of a request that ran.
+// Sequence: the endpoint accepts the connection and closes it at some point.
+// Cause: an error while writing was taken for proof that nothing was read.
+func TestNotRunIsSaidOnlyWithoutAConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing, err := netip.ParseAddrPort(l.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	readSome := func(n int64) func(net.Conn) {
+		return func(c net.Conn) {
+			method := make([]byte, 4)
+			// The question for the attempt that broke is not answered either.
+			if n == 0 || readFull(c, method) && string(method) == "GET " {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, c, n-int64(len(method)))
+		}
+	}
+	answer := func(head string) func(net.Conn) {
+		return func(c net.Conn) {
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+			}
+		}
+	}
+	cases := []struct {
+		name string
+		addr netip.AddrPort
+		want error
+	}{
+		{"refused", refusing, endpoint.ErrNotRun},
+		{"closed at once", serve(t, readSome(0)), endpoint.ErrLost},
+		{"closed within the head", serve(t, readSome(10)), endpoint.ErrLost},
+		{"closed within the body", serve(t, readSome(4096)), endpoint.ErrLost},
+		{"said so", serve(t, answer("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n")), endpoint.ErrNotRun},
+		{"said so of an answer", serve(t, answer("HTTP/1.1 200 OK\r\nX-Not-Run: 1\r\n")), endpoint.ErrLost},
+		{"answered for another", serve(t, answer("HTTP/1.1 200 OK\r\nX-Attempt: 2\r\n")), endpoint.ErrLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, once := range []bool{true, false} {
+				call := endpoint.Call{Attempt: "1", Path: "/letter", Body: make([]byte, 1<<20), Once: once}
+				_, err := newClient(t).Do(t.Context(), c.addr, call)
+				require.ErrorIs(t, err, c.want)
+				other := endpoint.ErrLost
+				if c.want == endpoint.ErrLost {
+					other = endpoint.ErrNotRun
+				}
+				require.NotErrorIs(t, err, other)
+			}
+		})
+	}
+}
+
+// Symptom: an answer that came after the node gave up reaches the next caller.
+// Sequence: the deadline passes; the endpoint answers late on the same
+// connection; another call goes out.
+// Cause: the connection was used again.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	late := make(chan struct{})
+	var first atomic.Bool
+	addr := serve(t, func(c net.Conn) {
+		requests := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			id := r.Header.Get("X-Attempt")
+			if id == "late" && first.CompareAndSwap(false, true) {
+				<-late
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt: "+id+"\r\nContent-Length: 4\r\n\r\n"+(id + "    ")[:4])
+		}
+	})
+	client := newClient(t)
+	ctx, cancel := contextWithTimeout(t, 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, addr, endpoint.Call{Attempt: "late", Path: "/"})
+	require.ErrorIs(t, err, endpoint.ErrLost)
+	close(late)
+	for range 4 {
+		a, err := client.Do(t.Context(), addr, endpoint.Call{Attempt: "next", Path: "/"})
+		require.NoError(t, err)
+		data, err := a.ReadAll(16)
+		require.NoError(t, err)
+		require.Equal(t, "next", string(data))
+		require.NoError(t, a.Close())
+	}
+}
