--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -6,15 +6,21 @@
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/mark"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/internal/roster"
 )
 
 // Config is the settings of the built-in plug-ins; zero values are defaults.
 type Config struct {
+	Config     config.Config
 	Membership membership.Config
 	Pool       pool.Config
+	Roster     roster.Config
+	Mark       mark.Config
+	Gate       gate.Config
 	Poison     poison.Config
 }
 
@@ -22,10 +28,13 @@
 // and the gate whose loads it spreads.
 func New(self kernel.Node, c Config, more ...kernel.Extension) (*kernel.Kernel, *gate.Gate) {
 	var k *kernel.Kernel
-	permits := gate.New(func() *kernel.View { return k.View() })
+	c.Gate.View = func() *kernel.View { return k.View() }
+	permits := gate.New(c.Gate)
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
-		config.New(),
+		config.New(c.Config),
+		roster.New(c.Roster),
+		mark.New(c.Mark),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
 		poison.New(c.Poison),
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -73,6 +73,7 @@
 	defer cancel()
 	out := &firstWrite{ResponseWriter: w}
 	run, err := h.config.Dispatcher.Do(ctx, k.request, k.call)
+	var last error
 	for err == nil {
 		k.seated()
 		cut := k.answer(out, run)
@@ -85,8 +86,13 @@
 		}
 		// The caller has seen nothing of the cut answer, so that another
 		// endpoint may still give a whole one.
+		last = cut
 		run, err = run.Retry(ctx, cut)
 	}
+	if last != nil {
+		h.broken(last, k.request.Deadline).write(w)
+		return once.Unknown, nil
+	}
 	return h.refuse(w, k, err), nil
 }
 
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -31,12 +31,13 @@
 }
 
 // ReadAll reads a whole body of at most limit bytes. Where the connection
-// breaks, the answer is asked for once more from its beginning. It returns ErrCut where the
+// breaks, the answer is asked for once more from its beginning. It returns
+// ErrCut where the
 // body may have been cut: it ended early, or its length was neither announced
 // nor marked, so that a broken connection looks like its end.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
-	if err != nil && a.ctx.Err() == nil {
+	if err != nil && a.client != nil && a.ctx.Err() == nil {
 		data, err = a.readAgain(limit, err)
 	}
 	switch {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -73,12 +73,15 @@
 
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
 	Client struct {
-		shared  *http.Client
-		single  *http.Client
+		shared *http.Client
+		single *http.Client
 		// control asks for attempts again and cancels them. An endpoint that
 		// takes the question and does not answer must not hold the call.
 		control *http.Client
 		running sync.WaitGroup
+		// mu guards closed, after which nothing more is started.
+		mu     sync.Mutex
+		closed bool
 	}
 )
 
@@ -117,6 +120,9 @@
 
 // Close waits for the cancellations under way and drops idle connections.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.running.Wait()
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,6 @@
 package gate
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +25,14 @@
 )
 
 type (
+	// Config is the settings of a Gate.
+	Config struct {
+		// View returns the newest view of the node's kernel.
+		View func() *kernel.View
+		// Rule bounds the endpoints' loads; nil is NewBoundRule.
+		Rule Rule
+	}
+
 	// Verdict is the answer to an ask.
 	Verdict int
 
@@ -35,37 +42,62 @@
 		ID       uint64
 		Endpoint string
 		Tokens   int
+		// Node is the node that asks.
+		Node string
 		// Lease is how long the permit counts unless it is given back.
 		Lease time.Duration
 		// Suspect is how many endpoints died running the request.
 		Suspect int
 	}
 
+	// Batch is what a node tells a home in one message.
+	Batch struct {
+		Asks []Ask
+		// Declares is permits that other homes granted.
+		Declares []Ask
+		// Returns is permits that are given back.
+		Returns []uint64
+	}
+
+	// Reply is what a home answers.
+	Reply struct {
+		// Verdicts answers each ask, in the order asked.
+		Verdicts []Verdict
+		// Loads is the load of the home's endpoints, where it denied an ask.
+		Loads []kernel.EndpointLoad
+	}
+
 	// Gate holds the permits of the endpoints whose home the node is. It is
 	// safe for concurrent use.
 	Gate struct {
+		config  Config
 		mu      sync.Mutex
-		view    func() *kernel.View
 		permits map[uint64]permit
 		loads   map[string]kernel.Load
+		homes   map[string]adoption
+		adopted *kernel.View
 	}
 
 	permit struct {
 		endpoint string
+		node     string
 		tokens   int
 		expires  time.Time
 		suspect  int
 	}
 )
 
-// New returns an empty Gate that reads the views of a kernel.
-func New(view func() *kernel.View) *Gate {
-	return &Gate{view: view, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}}
+// New returns an empty Gate.
+func New(c Config) *Gate {
+	if c.Rule == nil {
+		c.Rule = NewBoundRule()
+	}
+	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}}
 }
 
 // Admit answers an ask.
 func (g *Gate) Admit(now time.Time, a Ask) Verdict {
-	v := g.view()
+	v := g.config.View()
 	e, pool, ok := find(v, a.Endpoint)
 	if !ok || e.State == kernel.Leaving {
 		return Gone
@@ -78,18 +110,46 @@
 	if _, held := g.permits[a.ID]; held {
 		return Granted
 	}
-	load := g.loads[a.Endpoint]
+	g.adopt(v)
 	if a.Suspect > 0 && !g.takesSuspect(a) {
 		return Full
 	}
-	if load.Requests+1 > Limit(pool) {
+	if !g.config.Rule.Fits(g.current(now, v, pool), g.load(now, a.Endpoint), a.Tokens, g.largest(pool)) {
 		return Full
 	}
-	g.permits[a.ID] = permit{endpoint: a.Endpoint, tokens: a.Tokens, expires: now.Add(a.Lease), suspect: a.Suspect}
-	g.loads[a.Endpoint] = load.Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
+	g.hold(now, a)
 	return Granted
 }
 
+// Apply takes in a batch and answers it.
+func (g *Gate) Apply(now time.Time, b Batch) Reply {
+	for _, id := range b.Returns {
+		g.Release(id)
+	}
+	for _, a := range b.Declares {
+		g.Declare(now, a)
+	}
+	var r Reply
+	for _, a := range b.Asks {
+		verdict := g.Admit(now, a)
+		r.Verdicts = append(r.Verdicts, verdict)
+		if verdict == Full {
+			r.Loads = g.Loads()
+		}
+	}
+	return r
+}
+
+// Declare takes in a permit that another home granted, whatever the load: its
+// request runs already.
+func (g *Gate) Declare(now time.Time, a Ask) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, held := g.permits[a.ID]; !held {
+		g.hold(now, a)
+	}
+}
+
 // Release gives a permit back. A permit that is not held is ignored.
 func (g *Gate) Release(id uint64) {
 	g.mu.Lock()
@@ -97,29 +157,34 @@
 	g.release(id)
 }
 
-// Expire drops the permits whose lease has ended.
+// Expire drops the permits whose lease has ended or whose node is dead.
 //
 // A node that dies never gives its permits back; its endpoints would seem
-// loaded forever and get no work. The lease ends with the request's deadline,
-// after which the node would have stopped the request.
+// loaded forever and get no work. Its streams end with it. Where its death goes
+// unnoticed, the lease ends with the request's deadline, after which the node
+// would have stopped the request.
 func (g *Gate) Expire(now time.Time) {
+	v := g.config.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.permits {
-		if now.After(p.expires) {
+		_, alive := v.Node(p.node)
+		if now.After(p.expires) || !alive && p.node != "" {
 			g.release(id)
 		}
 	}
 }
 
-// Loads returns the admitted load of each endpoint that has any or had some,
-// sorted by name.
+// Loads returns the load of each endpoint whose home the node is, sorted by
+// name.
 func (g *Gate) Loads() []kernel.EndpointLoad {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	loads := make([]kernel.EndpointLoad, 0, len(g.loads))
-	for name, l := range g.loads {
-		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: l})
+	v := g.config.View()
+	g.adopt(v)
+	loads := make([]kernel.EndpointLoad, 0, len(g.homes))
+	for name := range g.homes {
+		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: g.load(v.At, name)})
 	}
 	slices.SortFunc(loads, func(a, b kernel.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
@@ -127,6 +192,27 @@
 	return loads
 }
 
+// largest is the most tokens of a permit held for an endpoint of the pool.
+func (g *Gate) largest(p *kernel.Pool) int {
+	most := 0
+	for _, held := range g.permits {
+		if held.tokens <= most {
+			continue
+		}
+		if _, ok := p.Endpoint(held.endpoint); ok {
+			most = held.tokens
+		}
+	}
+	return most
+}
+
+func (g *Gate) hold(now time.Time, a Ask) {
+	g.permits[a.ID] = permit{
+		endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens, expires: now.Add(a.Lease), suspect: a.Suspect,
+	}
+	g.loads[a.Endpoint] = g.loads[a.Endpoint].Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
+}
+
 func (g *Gate) release(id uint64) {
 	p, held := g.permits[id]
 	if !held {
@@ -137,17 +223,9 @@
 	load.Requests--
 	load.Tokens -= p.tokens
 	g.loads[p.endpoint] = load
-}
-
-// Limit returns how many requests an endpoint of the pool may run: the bound
-// times the mean with one more request, rounded up, so that an idle pool admits
-// its first request.
-func Limit(p *kernel.Pool) int {
-	if p.Live == 0 {
-		return 1
+	if load.Requests == 0 {
+		delete(g.loads, p.endpoint)
 	}
-	mean := float64(p.Total.Requests+1) / float64(p.Live)
-	return int(math.Ceil(p.Bound * mean))
 }
 
 func find(v *kernel.View, name string) (kernel.Endpoint, *kernel.Pool, bool) {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -18,7 +18,12 @@
 		Active:      uint32(max(b.Active, 0)),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, encodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, encodeMark),
+		Intro:       pointed(b.Intro, encodeIntro),
+		ListVersion: b.ListVersion,
+		News:        pointed(b.News, encodeNews),
+		Digests:     mapped(b.Digests, encodeDigest),
+		Demands:     mapped(b.Demands, encodeDemand),
 		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
@@ -33,16 +38,58 @@
 		Active:      int(b.Active),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, decodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, decodeMark),
+		Intro:       valued(b.Intro, decodeIntro),
+		ListVersion: b.ListVersion,
+		News:        valued(b.News, decodeNews),
+		Digests:     mapped(b.Digests, decodeDigest),
+		Demands:     mapped(b.Demands, decodeDemand),
 		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
 
+// EncodePermit returns the wire form of a batch.
+func EncodePermit(node string, b gate.Batch) *peerpb.PermitRequest {
+	return &peerpb.PermitRequest{
+		Node:     node,
+		Asks:     mapped(b.Asks, encodeAsk),
+		Declares: mapped(b.Declares, encodeAsk),
+		Returns:  b.Returns,
+	}
+}
+
+// DecodePermit returns the batch of a wire form.
+func DecodePermit(r *peerpb.PermitRequest) gate.Batch {
+	decode := func(a *peerpb.Ask) gate.Ask { return decodeAsk(r.Node, a) }
+	return gate.Batch{
+		Asks:     mapped(r.Asks, decode),
+		Declares: mapped(r.Declares, decode),
+		Returns:  r.Returns,
+	}
+}
+
+// EncodeReply returns the wire form of the answer to a batch.
+func EncodeReply(r gate.Reply) *peerpb.PermitReply {
+	return &peerpb.PermitReply{
+		Verdicts: mapped(r.Verdicts, func(v gate.Verdict) uint32 { return uint32(v) }),
+		Loads:    mapped(r.Loads, encodeLoad),
+	}
+}
+
+// DecodeReply returns the answer of a wire form.
+func DecodeReply(r *peerpb.PermitReply) gate.Reply {
+	return gate.Reply{
+		Verdicts: mapped(r.Verdicts, func(v uint32) gate.Verdict { return gate.Verdict(v) }),
+		Loads:    mapped(r.Loads, decodeLoad),
+	}
+}
+
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: l.Endpoint,
 		Requests: uint32(max(l.Load.Requests, 0)),
 		Tokens:   uint64(max(l.Load.Tokens, 0)),
+		State:    uint32(l.State),
 	}
 }
 
@@ -50,6 +97,7 @@
 	return kernel.EndpointLoad{
 		Endpoint: l.Endpoint,
 		Load:     kernel.Load{Requests: int(l.Requests), Tokens: int(l.Tokens)},
+		State:    kernel.State(l.State),
 	}
 }
 
@@ -63,10 +111,11 @@
 	}
 }
 
-func decodeAsk(a *peerpb.Ask) gate.Ask {
+func decodeAsk(node string, a *peerpb.Ask) gate.Ask {
 	return gate.Ask{
 		ID:       a.Id,
 		Endpoint: a.Endpoint,
+		Node:     node,
 		Tokens:   int(a.Tokens),
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
 		Suspect:  int(a.Suspect),
@@ -84,3 +133,20 @@
 	}
 	return turned
 }
+
+// pointed returns the message of a value; nil for nil.
+func pointed[A, B any](a *A, f func(A) *B) *B {
+	if a == nil {
+		return nil
+	}
+	return f(*a)
+}
+
+// valued returns a pointer to a message turned by f; nil for nil.
+func valued[A, B any](a *A, f func(*A) B) *B {
+	if a == nil {
+		return nil
+	}
+	b := f(a)
+	return &b
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,10 @@
 	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
 )
 
+// maxReplyBytes is the size from which a reply takes no further value. A single
+// value is at most 1 MiB; the transport takes 4 MiB.
+const maxReplyBytes = 1 << 20
+
 // ErrServe is returned where the peer listener failed.
 var ErrServe = errors.New("peer: serve")
 
@@ -29,8 +33,7 @@
 
 	// Permits grants permits.
 	Permits interface {
-		Admit(now time.Time, a gate.Ask) gate.Verdict
-		Release(id uint64)
+		Apply(now time.Time, b gate.Batch) gate.Reply
 	}
 
 	// Values holds the accepted configuration.
@@ -89,22 +92,26 @@
 	return EncodeBeat(h.config.Beats.Beat(ctx, DecodeBeat(b))), nil
 }
 
-// Permit serves a batch of asks and releases.
+// Permit serves a batch of asks, declarations and returns.
 func (h *handler) Permit(_ context.Context, r *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
-	now := time.Now()
-	for _, release := range r.Releases {
-		h.config.Permits.Release(release.Id)
-	}
-	reply := &peerpb.PermitReply{}
-	for _, ask := range r.Asks {
-		verdict := h.config.Permits.Admit(now, decodeAsk(ask))
-		reply.Grants = append(reply.Grants, &peerpb.Grant{Id: ask.Id, Verdict: uint32(verdict)})
-	}
-	return reply, nil
+	return EncodeReply(h.config.Permits.Apply(time.Now(), DecodePermit(r))), nil
 }
 
-// Config serves a value of the accepted configuration.
+// Config serves values of the accepted configuration. What does not fit one
+// reply is left out; the peer asks for it again.
 func (h *handler) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigReply, error) {
-	value := h.config.Values.Value(r.Key)
-	return &peerpb.ConfigReply{Found: value != nil, Value: value}, nil
+	reply := &peerpb.ConfigReply{Values: map[string][]byte{}}
+	size := 0
+	for _, key := range r.Keys {
+		value := h.config.Values.Value(key)
+		if value == nil {
+			continue
+		}
+		size += len(value)
+		if size > maxReplyBytes && len(reply.Values) > 0 {
+			break
+		}
+		reply.Values[key] = value
+	}
+	return reply, nil
 }
--- a/pkg/entry/wire.go
+++ b/pkg/entry/wire.go
@@ -84,8 +84,14 @@
 		// RetryAfterMS is when the caller may come back, in milliseconds; 0
 		// where coming back does not help.
 		RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-		// Status is the HTTP status; 0 where the refusal ended a stream.
+		// Status is the HTTP status; 0 where the refusal ended a stream or no
+		// node answered.
 		Status int `json:"-"`
+		// Ticket is the ticket under which to send the request again; it gets
+		// the answer that was made, if one was.
+		Ticket string `json:"-"`
+
+		cause error
 	}
 )
 
@@ -98,6 +104,9 @@
 	return time.Duration(r.RetryAfterMS) * time.Millisecond
 }
 
+// Unwrap returns the error that the refusal stands for, if any.
+func (r *Refusal) Unwrap() error { return r.cause }
+
 // Error describes the refusal.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("entry: refused: %s (%s): %s", r.Type, r.Ran, r.Message)
