--- /dev/null
+++ b/internal/poison/poison_test.go
@@ -0,0 +1,132 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
+)
+
+// begin is when the tests' virtual time begins.
+var begin = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newKernel(name string, c poison.Config) *kernel.Kernel {
+	return kernel.New(kernel.Config{Self: kernel.Node{Name: name}, Extensions: []kernel.Extension{poison.New(c)}})
+}
+
+// tell carries one heartbeat between two kernels.
+func tell(now time.Time, from, to *kernel.Kernel) {
+	to.Step(now, kernel.BeatReceived{Beat: from.Beat(now, to.Self().Name)})
+}
+
+// Symptom: a request crashes one engine after another at a different node each.
+// Sequence: three nodes see one death each.
+// Cause: each counts for itself.
+func TestDeathsAddUpAcrossNodes(t *testing.T) {
+	var nodes []*kernel.Kernel
+	for i := range 8 {
+		nodes = append(nodes, newKernel(fmt.Sprint(i), poison.Config{}))
+	}
+	for i := range kernel.IsolateAfter {
+		nodes[i].Step(begin, poison.Died{Print: 7, Endpoint: fmt.Sprintf("w%d", i)})
+	}
+	require.False(t, nodes[0].View().Suspects[7].Isolated())
+	for _, from := range nodes {
+		for _, to := range nodes {
+			tell(begin, from, to)
+			tell(begin, from, to)
+		}
+	}
+	for _, k := range nodes {
+		require.Len(t, k.View().Suspects[7].Endpoints, kernel.IsolateAfter, "repeated news counts once")
+		require.True(t, k.View().Suspects[7].Isolated())
+	}
+}
+
+// Symptom: a request stays isolated forever.
+// Sequence: its time is up at one node a little before the others, which tell
+// that node of it again.
+// Cause: news of old deaths was taken for new.
+func TestSuspicionEndsEverywhere(t *testing.T) {
+	a, b := newKernel("a", poison.Config{Keep: time.Minute, Spread: time.Hour}), newKernel("b", poison.Config{Keep: time.Minute, Spread: time.Hour})
+	a.Step(begin, poison.Died{Print: 7, Endpoint: "w1"})
+	now := begin
+	for now.Before(begin.Add(2 * time.Minute)) {
+		now = now.Add(700 * time.Millisecond)
+		tell(now, a, b)
+		tell(now, b, a)
+		a.Step(now, kernel.Tick{})
+		b.Step(now.Add(300*time.Millisecond), kernel.Tick{})
+	}
+	require.Empty(t, a.View().Suspects)
+	require.Empty(t, b.View().Suspects)
+}
+
+func TestTableAndHeartbeatsAreBounded(t *testing.T) {
+	k := newKernel("a", poison.Config{Memory: 100, Beat: 5})
+	for i := range kernel.IsolateAfter {
+		k.Step(begin, poison.Died{Print: 1, Endpoint: fmt.Sprint(i)})
+	}
+	for i := range 1000 {
+		k.Step(begin.Add(time.Duration(i)), poison.Died{Print: uint64(i + 2), Endpoint: "w1"})
+	}
+	require.Len(t, k.View().Suspects, 100)
+	require.True(t, k.View().Suspects[1].Isolated(), "the least suspected are evicted first")
+	beat := k.Beat(begin, "b")
+	require.Len(t, beat.Suspects, 5)
+	require.EqualValues(t, 1, beat.Suspects[0].Print)
+	require.Empty(t, k.Beat(begin.Add(poison.DefaultSpread+time.Second), "b").Suspects)
+}
+
+func TestPrintsTellRequestsApart(t *testing.T) {
+	prints := map[uint64]bool{}
+	for _, p := range []uint64{
+		poison.Print("a1", []byte("x")), poison.Print("a2", []byte("x")), poison.Print("a1", []byte("y")),
+		poison.Print("a1", []byte("x"), nil), poison.Print("a1x"), poison.Print("a1", []byte("xy")), poison.Print("a1", []byte("x"), []byte("y")),
+	} {
+		require.False(t, prints[p])
+		prints[p] = true
+	}
+	require.Equal(t, poison.Print("a1", []byte("x")), poison.Print("a1", []byte("x")))
+}
+
+// Symptom: a suspected request runs at two endpoints at a time, or never again.
+// Sequence: two nodes ask for it; the first holder dies, or its endpoint does.
+// Cause: nobody keeps them apart, or nobody ends the lease of a dead holder.
+func TestOneLeaseAtATime(t *testing.T) {
+	l := poison.NewLeases(0)
+	first := poison.Lease{Print: 7, ID: 1, Duration: time.Minute}
+	second := poison.Lease{Print: 7, ID: 2, Duration: time.Minute}
+	require.True(t, l.Acquire(begin, first))
+	require.True(t, l.Acquire(begin, first), "asked again after a lost answer")
+	require.False(t, l.Acquire(begin, second))
+	require.True(t, l.Acquire(begin, poison.Lease{Print: 8, ID: 3, Duration: time.Minute}))
+	l.Release(begin, second, false)
+	require.False(t, l.Acquire(begin, second), "only the holder gives it back")
+	l.Release(begin, first, true)
+	require.False(t, l.Acquire(begin, second), "it cools down after a death")
+	now := begin.Add(poison.DefaultCooldown + time.Millisecond)
+	require.True(t, l.Acquire(now, second))
+	now = now.Add(time.Minute + time.Millisecond)
+	require.True(t, l.Acquire(now, first), "the lease of a dead holder ends")
+}
+
+func TestHolderIsLiveAndEqualForAll(t *testing.T) {
+	nodes := []kernel.Node{{Name: "n1"}, {Name: "n2"}, {Name: "n3"}}
+	holder, ok := poison.Holder(7, nodes)
+	require.True(t, ok)
+	for i, n := range nodes {
+		if n.Name == holder.Name {
+			nodes[i].State = kernel.Suspect
+		}
+	}
+	other, ok := poison.Holder(7, nodes)
+	require.True(t, ok)
+	require.NotEqual(t, holder.Name, other.Name)
+	_, ok = poison.Holder(7, nil)
+	require.False(t, ok)
+}
