Authenticate peers by a fleet secret in mutual TLS 1.3

Cause: whoever reached the peers' port could inject heartbeats, permits and leases. Change: all nodes derive one Ed25519 key from a secret in their settings and show it on both sides; strangers in plain, without or with a certificate of their own, or of another fleet get nothing through.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -73,6 +73,10 @@
 		Token string
 		// Traces is how many requests' decisions are kept for operators.
 		Traces int
+		// FleetSecrets are what all nodes of the fleet share and nobody else
+		// has, of peer.SecretSize random bytes each: the first is shown to
+		// peers, all are accepted.
+		FleetSecrets [][]byte
 		// Dialer opens every connection the node makes, to peers, endpoints and
 		// the platform; nil is the default of each.
 		Dialer Dialer
@@ -90,6 +94,7 @@
 	// Node is a running router process.
 	Node struct {
 		config     Config
+		key        *peer.Key
 		control    *control
 		cache      *platform.Cache
 		reader     *platform.Reader
@@ -116,7 +121,11 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	key, err := peer.NewKey(c.FleetSecrets...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	n := &Node{config: c, key: key, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -134,6 +143,7 @@
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
 		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
+		Key: key,
 	})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
 	n.control = newControl(controlConfig{
@@ -219,6 +229,7 @@
 	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
+		Key:      n.key,
 		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
 		Relays: n.handler, Leases: leases,
 	})
--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -25,6 +25,7 @@
 	Platform     address     `help:"Address and port of the platform (required)." need:"true" placeholder:"ADDR:PORT"`
 	Keys         []publicKey `help:"Operators' Ed25519 public keys in hexadecimal, separated by commas (required)." need:"true" placeholder:"KEY,..."`
 	Token        string      `help:"Secret that operators show as a bearer token; without one only health and readiness are served."`
+	FleetKey     []secret    `name:"fleet-key" help:"Secrets that the fleet's nodes share, of 64 hexadecimal digits, separated by commas: the first is shown to peers, all are accepted (required). Give them in the environment, not on the command line." need:"true" placeholder:"SECRET,..."`
 	Grace        duration    `help:"How long a stopping node still takes requests." default:"2s"`
 	Linger       duration    `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
 	Patience     duration    `help:"How long a stopping node waits for requests in progress." default:"5m"`
@@ -87,10 +88,14 @@
 	for i, k := range c.Keys {
 		keys[i] = k.key
 	}
+	secrets := make([][]byte, len(c.FleetKey))
+	for i, s := range c.FleetKey {
+		secrets[i] = s.data
+	}
 	return bulrushhinge.Config{
 		Instance: c.Instance, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: c.Platform.AddrPort, Keys: keys,
+		Platform: c.Platform.AddrPort, Keys: keys, FleetSecrets: secrets,
 		Grace: c.Grace.Duration, Linger: c.Linger.Duration,
 		Limits: caller.Config{
 			Timeout: c.Timeout.Duration, MaxTimeout: c.MaxTimeout.Duration,
--- a/cmd/bulrushhinge/setting.go
+++ b/cmd/bulrushhinge/setting.go
@@ -9,6 +9,8 @@
 	"reflect"
 	"strings"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/peer"
 )
 
 const (
@@ -49,6 +51,12 @@
 		key ed25519.PublicKey
 	}
 
+	// secret is the setting of a secret that the fleet's nodes share.
+	secret struct {
+		fault
+		data []byte
+	}
+
 	// privateKey is the setting of an Ed25519 seed.
 	privateKey struct {
 		fault
@@ -105,6 +113,17 @@
 	return nil
 }
 
+// UnmarshalText reads a secret in hexadecimal. The fault does not show it.
+func (s *secret) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(data) != peer.SecretSize {
+		s.err = fmt.Errorf("is no secret of %d hexadecimal digits", 2*peer.SecretSize)
+		return nil
+	}
+	s.data = data
+	return nil
+}
+
 // checkSettings returns everything that is wrong with the settings of a
 // command, a pointer to a struct of flags.
 func checkSettings(command any) error {
--- a/internal/caller/ticket.go
+++ b/internal/caller/ticket.go
@@ -179,20 +179,21 @@
 // redeemed. A ticket that cannot be read or told is not proof that the request
 // was not run under it.
 func ticketProblem(err error) *problem {
-	p := &problem{status: http.StatusConflict, kind: "ticket_unknown", text: err.Error(), ran: RanUnknown}
+	text := err.Error()
 	switch {
 	case errors.Is(err, ticket.ErrFormat):
-		p.status, p.kind = http.StatusBadRequest, "ticket_format"
+		return &problem{status: http.StatusBadRequest, kind: "ticket_format", text: text, ran: RanUnknown}
 	case errors.Is(err, once.ErrVoid):
-		p.kind, p.ran = "ticket_void", RanNot
+		return &problem{status: http.StatusConflict, kind: "ticket_void", text: text, ran: RanNot}
 	case errors.Is(err, once.ErrUsed), errors.Is(err, once.ErrGone):
-		p.kind, p.ran = "ticket_used", RanYes
+		return &problem{status: http.StatusConflict, kind: "ticket_used", text: text, ran: RanYes}
 	case errors.Is(err, once.ErrOther):
-		p.kind = "ticket_other"
+		return &problem{status: http.StatusConflict, kind: "ticket_other", text: text, ran: RanUnknown}
 	case errors.Is(err, once.ErrFull):
-		p.status, p.kind, p.ran, p.retry = http.StatusServiceUnavailable, "tickets_full", RanNot, retryDelay()
+		return &problem{status: http.StatusServiceUnavailable, kind: "tickets_full", text: text, ran: RanNot, retry: retryDelay()}
+	default:
+		return &problem{status: http.StatusConflict, kind: "ticket_unknown", text: text, ran: RanUnknown}
 	}
-	return p
 }
 
 // printOf identifies a request, so that a ticket's answer never goes to another
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"bulrushhinge.example/bulrushhinge"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/standin"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
@@ -80,6 +82,7 @@
 		// Network is what stands between the processes.
 		Network   *Network
 		key       ed25519.PrivateKey
+		secret    []byte
 		platform  *server
 		mu        sync.Mutex
 		nodes     map[string]*node
@@ -117,7 +120,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("loopback: %w", err)
 	}
+	secret := make([]byte, peer.SecretSize)
+	// Read never fails.
+	_, _ = rand.Read(secret)
 	f := &Fleet{
+		secret:    secret,
 		config:    c,
 		Platform:  standin.NewPlatform(),
 		Network:   newNetwork(),
@@ -165,6 +172,9 @@
 	return nil
 }
 
+// FleetSecret returns what the nodes share to know each other.
+func (f *Fleet) FleetSecret() []byte { return f.secret }
+
 // StartNode starts a node and lists it.
 func (f *Fleet) StartNode(c NodeConfig) error {
 	n, err := f.newNode(c)
@@ -390,7 +400,7 @@
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
-		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token,
+		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token, FleetSecrets: [][]byte{f.secret},
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
--- a/internal/loopback/stop_test.go
+++ b/internal/loopback/stop_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -200,6 +201,7 @@
 		"--instance", name, "--zone", "thies-a", "--platform", f.PlatformAddr().String(),
 		"--keys", hex.EncodeToString(f.OperatorKey()), "--grace", stopGrace.String(), "--linger", stopLinger.String(),
 		"--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0", "--operators", "127.0.0.1:0")}
+	p.command.Env = append(os.Environ(), "BULRUSHHINGE_FLEET_KEY="+hex.EncodeToString(f.FleetSecret()))
 	log, err := p.command.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, p.command.Start())
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -44,6 +44,8 @@
 		Incarnation uint64
 		// Dialer opens connections; nil is a plain net.Dialer.
 		Dialer Dialer
+		// Key proves the node to its peers and checks them.
+		Key *Key
 	}
 
 	// Client calls peers. It is safe for concurrent use.
@@ -120,7 +122,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return drpcconn.New(raw), nil
+		secure, err := c.config.Key.dialed(ctx, raw)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(secure), nil
 	})
 	return peerpb.NewDRPCPeerClient(drpc.Conn(conn))
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,11 +45,13 @@
 	// ServerConfig is the settings of a Server.
 	ServerConfig struct {
 		Listener net.Listener
-		Beats    Beats
-		Permits  Permits
-		Values   Values
-		Relays   Relays
-		Leases   Leases
+		// Key proves the node to its peers and checks them.
+		Key     *Key
+		Beats   Beats
+		Permits Permits
+		Values  Values
+		Relays  Relays
+		Leases  Leases
 	}
 
 	// Server serves peers until it is closed.
@@ -73,7 +75,7 @@
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
 	server := drpcserver.NewWithOptions(mux, options())
 	go func() {
-		s.done <- server.Serve(ctx, c.Listener)
+		s.done <- server.Serve(ctx, &listener{Listener: c.Listener, config: c.Key.config()})
 	}()
 	return s, nil
 }
