--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -123,7 +123,10 @@
 	Plan struct {
 		router  *Router
 		request Request
-		tried   map[string]bool
+		// tried is the endpoints that were asked in the present round, failed
+		// those that an attempt failed at.
+		tried  map[string]bool
+		failed map[string]bool
 		// believed is where the chat's prefix was taken to be when the request
 		// came, at the time planned; from is where it was imported from.
 		believed place
@@ -170,7 +173,6 @@
 }
 
 func (p *Plan) run(pool *kernel.Pool) Step {
-	p.attempts++
 	step := Step{Kind: StepRun, Endpoint: p.next}
 	if !p.router.config.Stay {
 		step.From = Source(pool, p.request, p.next.Name)
@@ -188,13 +190,21 @@
 	switch o {
 	case OutcomeGranted:
 		p.granted = true
-	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
+	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
 		p.tried[p.next.Name] = true
+	case OutcomeNotRun:
+		p.tried[p.next.Name] = true
+		p.failed[p.next.Name] = true
 	case OutcomeLate:
 		p.late = true
 	case OutcomeLost:
 		p.tried[p.next.Name] = true
+		p.failed[p.next.Name] = true
 		p.lost = true
+		// Only attempts that may have run count. Were refused connections to
+		// count too, a request would fail because three endpoints died, while
+		// others could answer it.
+		p.attempts++
 	}
 }
 
@@ -208,13 +218,25 @@
 	return Step{Kind: StepWait, Until: now.Add(pause)}
 }
 
+// choose returns the best endpoint not tried yet. One that the request failed
+// at comes after all others: it would fail there again and use up its attempts
+// while a healthy endpoint has room a moment later.
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
+	var again kernel.Endpoint
+	others := false
 	for _, e := range p.router.rank(now, pool, p.request) {
-		if !p.tried[e.Name] {
+		switch {
+		case p.failed[e.Name]:
+			if again.Name == "" && !p.tried[e.Name] {
+				again = e
+			}
+		case !p.tried[e.Name]:
 			return e, true
+		default:
+			others = true
 		}
 	}
-	return kernel.Endpoint{}, false
+	return again, again.Name != "" && !others
 }
 
 func refuse(r Reason) Step {
