Check the promises over random schedules; no permits on an old view

Cause: nothing showed the promises under pauses, restarts, partitions and lost messages together. Change: a property test over four kernels, gates and ticket registries; it found that a home woken from a pause admitted work on the view from before it, to endpoints long leaving, and that a node which just became a home did so until its next reading of reports. The gate now refuses on a view older than MaxAge or in doubt, and a new home reads reports at once. The fake under the overload test publishes its view again each step, as a kernel does; its limits are unchanged.

--- a/control.go
+++ b/control.go
@@ -40,10 +40,14 @@
 	// control owns the kernel: one goroutine steps it, others do the I/O that
 	// it asks for.
 	control struct {
-		config  controlConfig
-		inputs  chan input
-		cancel  context.CancelFunc
-		ctx     context.Context
+		config controlConfig
+		inputs chan input
+		cancel context.CancelFunc
+		ctx    context.Context
+		// seen is the last view whose probes were read, and probed those
+		// probes; both belong to the goroutine that owns the kernel.
+		seen    *kernel.View
+		probed  map[string]bool
 		running sync.WaitGroup
 	}
 
@@ -172,6 +176,28 @@
 	if after := revisionOf(c.View()); after != before {
 		c.config.Log.WithFields(logrus.Fields{"revision": after, "before": before}).Info("revision in force")
 	}
+	c.probeNew()
+}
+
+// probeNew reads the reports of endpoints whose home the node has become.
+//
+// A node that just learned of an endpoint may have it from an old list, and
+// would admit work to one that has long been leaving until it reads its report
+// with the others, up to a second later. Asking at once leaves a round trip.
+func (c *control) probeNew() {
+	v := c.View()
+	if v == c.seen {
+		return
+	}
+	c.seen = v
+	probed := make(map[string]bool, len(v.Probes))
+	for _, e := range v.Probes {
+		probed[e.Name] = true
+		if !c.probed[e.Name] {
+			c.running.Go(func() { c.readLoad(e) })
+		}
+	}
+	c.probed = probed
 }
 
 func (c *control) act(now time.Time, a kernel.Action) {
--- /dev/null
+++ b/internal/check/check_test.go
@@ -0,0 +1,268 @@
+package check_test
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
+	"bulrushhinge.example/bulrushhinge/pkg/ticket"
+)
+
+// calmAfter is the time without a fault after which nodes agree on homes.
+const calmAfter = 15 * time.Second
+
+// ticketState is what the world knows of a ticket.
+type ticketState struct {
+	ticket   ticket.Ticket
+	minter   *process
+	dispatch int
+	void     bool
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20300101", "rapid.steps": "150", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestPromisesHold runs random schedules and checks after each step that
+//
+//   - the configuration in force at a node never reverts;
+//   - a ticket is dispatched at most one time, and never once it was void;
+//   - a leaving endpoint gets no new work after the grace;
+//   - a gate holds no endpoint above its bound, and where nothing failed for a
+//     while only one gate grants permits for an endpoint.
+func TestPromisesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"":        w.check,
+			"advance": w.drawAdvance,
+			"flow":    w.flow,
+			"deliver": w.drawMessage(func(m message) { w.deliver(m) }),
+			"repeat":  w.drawMessage(func(m message) { w.deliver(m); w.deliver(m) }),
+			"lose":    w.drawMessage(func(m message) { w.lose(m); w.calm = w.now }),
+			"cut":     w.drawCut,
+			"heal":    func(*rapid.T) { clear(w.cut); w.calm = w.now },
+			"pause":   w.drawPause,
+			"restart": w.drawRestart,
+			"accept":  func(*rapid.T) { w.publishManifest() },
+			"read":    w.drawRead,
+			"leave":   w.drawLeave,
+			"request": w.drawRequest,
+			"finish":  w.drawFinish,
+			"mint":    w.drawMint,
+			"redeem":  w.drawRedeem,
+			"void":    w.drawVoid,
+		})
+	})
+}
+
+var steps = []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 6 * time.Second}
+
+// drawAdvance lets time pass while no message arrives.
+func (w *world) drawAdvance(t *rapid.T) {
+	w.advance(rapid.SampledFrom(steps).Draw(t, "time"))
+	w.calm = w.now
+}
+
+func (w *world) check(t *rapid.T) {
+	for _, p := range w.processes {
+		m := p.kernel.View().Manifest
+		if m == nil {
+			continue
+		}
+		if m.Revision < p.revision {
+			t.Fatalf("%s went back from revision %d to %d", p.name, p.revision, m.Revision)
+		}
+		p.revision = m.Revision
+	}
+	for _, s := range w.tickets {
+		if s.dispatch > 1 {
+			t.Fatalf("ticket %d of %s dispatched %d times", s.ticket.Serial, s.minter.name, s.dispatch)
+		}
+	}
+}
+
+// granted checks a permit that a gate granted.
+func (w *world) granted(t *rapid.T, home *process, e *engine) {
+	if e.leaving && w.now.Sub(e.left) > leaveGrace {
+		t.Fatalf("%s granted a permit for %s, which has been leaving for %v", home.name, e.name, w.now.Sub(e.left))
+	}
+	if w.now.Sub(w.calm) < calmAfter || w.faulty() {
+		return
+	}
+	for _, g := range e.running {
+		if g.home != home && w.alive(g.home) {
+			t.Fatalf("%s and %s both granted permits for %s although nothing failed for %v", home.name, g.home.name, e.name, calmAfter)
+		}
+	}
+}
+
+func (w *world) faulty() bool {
+	for _, p := range w.processes {
+		if p.paused {
+			return true
+		}
+	}
+	return len(w.cut) > 0
+}
+
+// flow lets time pass with all messages delivered at once, so that schedules
+// also reach states in which nodes agree.
+func (w *world) flow(t *rapid.T) {
+	for range rapid.IntRange(1, 100).Draw(t, "ticks") {
+		w.advance(kernel.DefaultTick)
+		for len(w.messages) > 0 {
+			m := w.messages[0]
+			w.messages = w.messages[1:]
+			w.deliver(m)
+		}
+	}
+}
+
+func (w *world) drawMessage(do func(message)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		if len(w.messages) == 0 {
+			t.Skip("no message")
+		}
+		i := rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+		m := w.messages[i]
+		w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+		do(m)
+	}
+}
+
+func (w *world) drawProcess(t *rapid.T) *process {
+	return w.processes[rapid.IntRange(0, nodeCount-1).Draw(t, "node")]
+}
+
+func (w *world) drawEngine(t *rapid.T) *engine {
+	return w.engines[rapid.IntRange(0, endpointCount-1).Draw(t, "endpoint")]
+}
+
+func (w *world) drawCut(t *rapid.T) {
+	a, b := rapid.IntRange(0, nodeCount-1).Draw(t, "from"), rapid.IntRange(0, nodeCount-1).Draw(t, "to")
+	if a != b {
+		w.cut[link(a, b)] = true
+	}
+}
+
+// drawPause stops a process or lets it go on. It goes on with what it last
+// knew: its next event may be any, not only the passing of time.
+func (w *world) drawPause(t *rapid.T) {
+	p := w.drawProcess(t)
+	p.paused = !p.paused
+	w.calm = w.now
+}
+
+func (w *world) drawRestart(t *rapid.T) {
+	w.start(w.index(w.drawProcess(t)))
+	w.calm = w.now
+}
+
+// drawRead lets a node read the platform, which may answer with old values.
+func (w *world) drawRead(t *rapid.T) {
+	p := w.drawProcess(t)
+	if p.paused {
+		return
+	}
+	w.step(p, kernel.Accepted{Manifest: rapid.SampledFrom(w.manifests).Draw(t, "manifest")})
+	w.step(p, w.lists[rapid.IntRange(0, len(w.lists)-1).Draw(t, "list")])
+}
+
+func (w *world) drawLeave(t *rapid.T) {
+	e := w.drawEngine(t)
+	if e.leaving {
+		return
+	}
+	e.leaving, e.left = true, w.now
+	w.publishList()
+}
+
+func (w *world) drawRequest(t *rapid.T) {
+	if p := w.drawProcess(t); !p.paused {
+		w.request(t, p, w.drawEngine(t))
+	}
+}
+
+func (w *world) drawFinish(t *rapid.T) {
+	e := w.drawEngine(t)
+	var first uint64
+	for id := range e.running {
+		if first == 0 || id < first {
+			first = id
+		}
+	}
+	if first != 0 {
+		w.finish(e, first)
+	}
+}
+
+func (w *world) drawMint(t *rapid.T) {
+	p := w.drawProcess(t)
+	minted, err := p.tickets.Mint(account)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.tickets = append(w.tickets, &ticketState{ticket: minted, minter: p})
+}
+
+// drawRedeem lets a copy of a request with a ticket arrive at any node, however
+// late: that node redeems its own tickets and passes others on.
+func (w *world) drawRedeem(t *rapid.T) {
+	s, at := w.drawTicket(t)
+	if at == nil {
+		return
+	}
+	record, first, err := at.tickets.Redeem(s.ticket, account, once.Print{1})
+	if err != nil || !first {
+		return
+	}
+	if s.void {
+		t.Fatalf("ticket %d of %s redeemed after it was void", s.ticket.Serial, s.minter.name)
+	}
+	s.dispatch++
+	record.Run(context.Background(), func(context.Context, http.ResponseWriter) (once.State, error) { return once.Done, nil })
+	if err := at.tickets.Wait(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (w *world) drawVoid(t *rapid.T) {
+	s, at := w.drawTicket(t)
+	if at == nil || at.tickets.Void(s.ticket, account) != nil {
+		return
+	}
+	s.void = true
+	if s.dispatch > 0 {
+		t.Fatalf("ticket %d of %s void after it was dispatched", s.ticket.Serial, s.minter.name)
+	}
+}
+
+// drawTicket returns a ticket and the process that decides on it: the one that
+// has the name of its minter, if the node where the copy arrives reaches it.
+func (w *world) drawTicket(t *rapid.T) (*ticketState, *process) {
+	if len(w.tickets) == 0 {
+		t.Skip("no ticket")
+	}
+	s := rapid.SampledFrom(w.tickets).Draw(t, "ticket")
+	arrives, decides := w.drawProcess(t), w.named(s.ticket.Node)
+	if !w.reaches(arrives, decides) || decides.paused {
+		return s, nil
+	}
+	return s, decides
+}
--- /dev/null
+++ b/internal/check/world_test.go
@@ -0,0 +1,310 @@
+package check_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/config"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/once"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+const (
+	nodeCount     = 4
+	endpointCount = 3
+	account       = "a1"
+	service       = "s"
+	zone          = "z"
+	loadEvery     = time.Second
+	// lease is how long a permit counts unless it is given back.
+	lease = 20 * time.Second
+	// leaveGrace is the time after which a leaving endpoint gets no new work:
+	// its home reads its report each second, and acts on no view older than
+	// MaxAge.
+	leaveGrace = loadEvery + kernel.MaxAge + kernel.DefaultTick
+	ticketLife = 10 * time.Second
+	ticketKeep = 5 * time.Second
+)
+
+type (
+	// process is one incarnation of a node.
+	process struct {
+		name        string
+		incarnation uint64
+		kernel      *kernel.Kernel
+		gate        *gate.Gate
+		tickets     *once.Registry
+		started     time.Time
+		paused      bool
+		read        time.Time
+		// probes is the endpoints whose home the process took itself for.
+		probes map[string]bool
+		// revision is the highest that was in force.
+		revision uint64
+	}
+
+	// engine is an endpoint.
+	engine struct {
+		name    string
+		leaving bool
+		left    time.Time
+		running map[uint64]grant
+	}
+
+	// grant is a permit under which a request runs.
+	grant struct {
+		home *process
+		ends time.Time
+	}
+
+	// message is a heartbeat on its way, or the answer to one.
+	message struct {
+		from, to *process
+		beat     *kernel.Beat
+		answer   bool
+	}
+
+	// world is a fleet, its platform and its endpoints in virtual time.
+	world struct {
+		now       time.Time
+		processes []*process
+		engines   []*engine
+		messages  []message
+		cut       map[[2]int]bool
+		manifests []*manifest.Manifest
+		lists     []kernel.Instances
+		serial    uint64
+		tickets   []*ticketState
+		// calm is when the last fault ended.
+		calm time.Time
+	}
+)
+
+func newWorld() *world {
+	w := &world{
+		now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		cut: map[[2]int]bool{}, processes: make([]*process, nodeCount),
+	}
+	for i := range endpointCount {
+		w.engines = append(w.engines, &engine{name: fmt.Sprintf("w%d", i), running: map[uint64]grant{}})
+	}
+	w.publishList()
+	w.publishManifest()
+	for i := range nodeCount {
+		w.start(i)
+	}
+	w.calm = w.now
+	return w
+}
+
+// start starts a new incarnation of a node.
+func (w *world) start(i int) {
+	w.serial++
+	p := &process{name: fmt.Sprintf("n%d", i), incarnation: w.serial, started: w.now}
+	self := kernel.Node{Name: p.name, Zone: zone, Incarnation: p.incarnation, Caller: addr(i), Peer: addr(i)}
+	p.kernel, p.gate = builtin.New(self, builtin.Config{Config: config.Config{Hold: config.DefaultHold}})
+	p.tickets = once.New(once.Config{
+		Node: p.name, Incarnation: p.incarnation, Life: ticketLife, Keep: ticketKeep,
+		Now: func() time.Duration { return w.now.Sub(p.started) },
+	})
+	w.processes[i] = p
+	w.step(p, w.lists[len(w.lists)-1])
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
+}
+
+func (w *world) publishManifest() {
+	w.manifests = append(w.manifests, &manifest.Manifest{
+		Revision:    uint64(len(w.manifests) + 1),
+		Deployments: []manifest.Deployment{{Name: "d", Bound: 1.5}},
+		Zones:       []manifest.Zone{{Name: zone, Region: "r"}},
+		Services:    []manifest.Service{{Name: service, Deployment: "d"}},
+	})
+}
+
+func (w *world) publishList() {
+	l := kernel.Instances{Version: uint64(len(w.lists) + 1)}
+	for i := range nodeCount {
+		l.List = append(l.List, kernel.Instance{Name: fmt.Sprintf("n%d", i), Kind: kernel.KindNode, Zone: zone, Addr: addr(i), Peer: addr(i)})
+	}
+	for i, e := range w.engines {
+		l.List = append(l.List, kernel.Instance{
+			Name: e.name, Kind: kernel.KindEndpoint, Zone: zone, Service: service, Addr: addr(100 + i), Leaving: e.leaving,
+		})
+	}
+	w.lists = append(w.lists, l)
+}
+
+// step hands an event to a process and does what it asks for.
+func (w *world) step(p *process, ev kernel.Event) {
+	for _, a := range p.kernel.Step(w.now, ev) {
+		switch a := a.(type) {
+		case kernel.SendBeat:
+			w.send(message{from: p, to: w.named(a.To.Name), beat: p.kernel.Beat(w.now, a.To.Name)})
+		case kernel.FetchConfig:
+			w.fetch(p, w.named(a.Node))
+		}
+	}
+	w.probeNew(p)
+}
+
+// probeNew reads the reports of endpoints whose home a process has become, as
+// the node's control does.
+func (w *world) probeNew(p *process) {
+	probes := map[string]bool{}
+	for _, probe := range p.kernel.View().Probes {
+		probes[probe.Name] = true
+	}
+	before := p.probes
+	p.probes = probes
+	for _, e := range w.engines {
+		if probes[e.name] && !before[e.name] {
+			w.reportOne(p, e)
+		}
+	}
+}
+
+func (w *world) fetch(p, from *process) {
+	if from == nil || !w.reaches(p, from) || from.kernel.View().Manifest == nil {
+		w.step(p, kernel.ConfigFailed{Node: from.name})
+		return
+	}
+	w.step(p, kernel.Accepted{Manifest: from.kernel.View().Manifest})
+}
+
+// send puts a message on its way, through the real codec.
+func (w *world) send(m message) {
+	m.beat = peer.DecodeBeat(peer.EncodeBeat(m.beat))
+	w.messages = append(w.messages, m)
+}
+
+// deliver ends the way of a message, which is lost where the link is cut or the
+// receiver is paused or no more.
+func (w *world) deliver(m message) {
+	switch {
+	case m.to == nil || !w.alive(m.to) || !w.reaches(m.from, m.to):
+		w.lose(m)
+	case m.answer:
+		w.step(m.to, kernel.BeatReceived{Beat: m.beat})
+	default:
+		w.step(m.to, kernel.BeatReceived{Beat: m.beat})
+		w.send(message{from: m.to, to: m.from, beat: m.to.kernel.Beat(w.now, m.from.name), answer: true})
+	}
+}
+
+func (w *world) lose(m message) {
+	if !m.answer && w.alive(m.from) && m.to != nil {
+		w.step(m.from, kernel.BeatFailed{Node: m.to.name})
+	}
+}
+
+// advance lets time pass: processes tick and read their endpoints' reports.
+func (w *world) advance(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(kernel.DefaultTick)
+		for _, p := range w.processes {
+			if p.paused {
+				continue
+			}
+			p.gate.Expire(w.now)
+			w.step(p, kernel.Tick{})
+			if w.now.Sub(p.read) >= loadEvery {
+				p.read = w.now
+				w.report(p)
+			}
+		}
+		for _, e := range w.engines {
+			for id, g := range e.running {
+				if w.now.After(g.ends) {
+					delete(e.running, id)
+				}
+			}
+		}
+	}
+}
+
+func (w *world) report(p *process) {
+	for _, probe := range p.kernel.View().Probes {
+		for _, e := range w.engines {
+			if e.name == probe.Name {
+				w.reportOne(p, e)
+			}
+		}
+	}
+}
+
+func (w *world) reportOne(p *process, e *engine) {
+	w.step(p, kernel.LoadReported{Endpoint: e.name, Load: kernel.Load{Requests: len(e.running)}, Leaving: e.leaving})
+}
+
+// request asks the home of an endpoint, as a node sees it, for a permit, and
+// dispatches where it is granted.
+func (w *world) request(t *rapid.T, p *process, e *engine) {
+	v := p.kernel.View()
+	pool := v.Pools[service]
+	if pool == nil {
+		return
+	}
+	seen, ok := pool.Endpoint(e.name)
+	home := w.named(seen.Home)
+	if !ok || home == nil || !w.reaches(p, home) {
+		return
+	}
+	w.serial++
+	ask := gate.Ask{ID: w.serial, Endpoint: e.name, Tokens: 10, Node: p.name, Lease: lease}
+	reply := home.gate.Apply(w.now, gate.Batch{Asks: []gate.Ask{ask}})
+	if reply.Verdicts[0] != gate.Granted {
+		return
+	}
+	w.granted(t, home, e)
+	e.running[w.serial] = grant{home: home, ends: w.now.Add(lease)}
+}
+
+// finish ends a request and gives its permit back.
+func (w *world) finish(e *engine, id uint64) {
+	g := e.running[id]
+	delete(e.running, id)
+	if w.alive(g.home) {
+		g.home.gate.Apply(w.now, gate.Batch{Returns: []gate.Return{{ID: id}}})
+	}
+}
+
+func (w *world) named(name string) *process {
+	for _, p := range w.processes {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *world) alive(p *process) bool {
+	return w.named(p.name) == p && !p.paused
+}
+
+func (w *world) reaches(a, b *process) bool {
+	if a == b {
+		return true
+	}
+	return w.alive(a) && w.alive(b) && !w.cut[link(w.index(a), w.index(b))]
+}
+
+func (w *world) index(p *process) int {
+	for i, other := range w.processes {
+		if other.name == p.name {
+			return i
+		}
+	}
+	return -1
+}
+
+func link(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -117,6 +117,12 @@
 // Admit answers an ask.
 func (g *Gate) Admit(now time.Time, a Ask) Verdict {
 	v := g.config.View()
+	// A process that wakes from a pause holds a view from before it, and would
+	// admit work to endpoints that have left or have another home by now. It is
+	// no home until it has heard what it missed.
+	if !v.Fresh(now) {
+		return NotHome
+	}
 	e, pool, ok := find(v, a.Endpoint)
 	if !ok || e.State == kernel.Leaving {
 		return Gone
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -34,6 +34,7 @@
 	// pressed is one engine under overload before a real gate.
 	pressed struct {
 		gate    *gate.Gate
+		view    *kernel.View
 		now     time.Time
 		random  *rand.Rand
 		serial  uint64
@@ -52,6 +53,7 @@
 	v.Pools["s"] = &kernel.Pool{Service: manifest.Service{Name: "s"}, Bound: 100, Endpoints: []kernel.Endpoint{e}, Live: 1}
 	return &pressed{
 		gate:   gate.New(gate.Config{View: func() *kernel.View { return v }}),
+		view:   v,
 		now:    time.Unix(0, 0),
 		random: rand.New(rand.NewPCG(1, 2)),
 	}
@@ -62,6 +64,8 @@
 func (p *pressed) run(callers int, span time.Duration) {
 	end := p.now.Add(span)
 	for ; p.now.Before(end); p.now = p.now.Add(time.Millisecond) {
+		// The kernel publishes its view again at each tick.
+		p.view.At = p.now
 		for len(p.outside)+len(p.engine) < callers {
 			p.serial++
 			p.outside = append(p.outside, waiting{id: p.serial, deadline: p.now.Add(allowed), next: p.now})
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -72,7 +72,7 @@
 // FuzzPermit decodes asks and returns and lets a gate take them.
 func FuzzPermit(f *testing.F) {
 	for _, data := range encoded(f,
-		peer.EncodePermit("n2", gate.Batch{Asks: []gate.Ask{{ID: 1, Endpoint: "w1", Tokens: 100, Lease: time.Minute, Suspect: 2}}, Returns: []uint64{1}}),
+		peer.EncodePermit("n2", gate.Batch{Asks: []gate.Ask{{ID: 1, Endpoint: "w1", Tokens: 100, Lease: time.Minute, Suspect: 2}}, Returns: []gate.Return{{ID: 1}}}),
 	) {
 		f.Add(data)
 	}
