--- /dev/null
+++ b/internal/gate/suspect_test.go
@@ -0,0 +1,45 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+)
+
+// Symptom: innocent requests are isolated together with the one that crashes
+// endpoints.
+// Sequence: an endpoint dies; all that it ran is suspected, and runs again side
+// by side on the next endpoint, which dies too, and on a third.
+// Cause: nothing kept the suspects apart, so each death counts for all of them.
+func TestStrongSuspectRunsAloneAmongSuspects(t *testing.T) {
+	cases := []struct {
+		name string
+		held []int
+		next int
+		want gate.Verdict
+	}{
+		{"among others", []int{0, 0, 0}, 2, gate.Granted},
+		{"weak beside weak", []int{1, 1, 1}, 1, gate.Granted},
+		{"too many weak", []int{1, 1, 1, 1}, 1, gate.Full},
+		{"weak beside strong", []int{2}, 1, gate.Full},
+		{"strong beside weak", []int{1}, 2, gate.Full},
+		{"strong beside strong", []int{2}, 2, gate.Full},
+		{"others beside strong", []int{2}, 0, gate.Granted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPressed()
+			p.view.At = p.now
+			ask := gate.Ask{Endpoint: "w1", Lease: time.Minute}
+			for i, suspect := range c.held {
+				ask.ID, ask.Suspect = uint64(i+1), suspect
+				require.Equal(t, gate.Granted, p.gate.Admit(p.now, ask))
+			}
+			ask.ID, ask.Suspect = 100, c.next
+			require.Equal(t, c.want, p.gate.Admit(p.now, ask))
+		})
+	}
+}
--- a/internal/loopback/answer_test.go
+++ b/internal/loopback/answer_test.go
@@ -225,6 +225,10 @@
 // stream is asked for again, and runs on; nobody told it to stop.
 func TestCallerWhoHangsUpFreesTheEngine(t *testing.T) {
 	config := small()
+	for i := range config.Endpoints {
+		// No engine stops by itself while the test runs.
+		config.Endpoints[i].Engine.Linger = time.Hour
+	}
 	f := start(t, config)
 	body := strings.Replace(chatBody(true, "long"), `"max_tokens":8`, `"max_tokens":1000000`, 1)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -30,9 +30,11 @@
 	node, method, path, account, ticket, body string
 	// repeatable requests are not marked as once-only.
 	repeatable bool
-	status     int
-	header     http.Header
-	text       string
+	// timeout is the X-Timeout that the caller names.
+	timeout string
+	status  int
+	header  http.Header
+	text    string
 }
 
 func (x exchange) request(ctx context.Context, f *loopback.Fleet) (*http.Response, error) {
@@ -52,6 +54,9 @@
 	if x.method == "" && !x.repeatable {
 		req.Header.Set(caller.HeaderOnce, "1")
 	}
+	if x.timeout != "" {
+		req.Header.Set(caller.HeaderTimeout, x.timeout)
+	}
 	if x.ticket != "" {
 		req.Header.Set(caller.HeaderTicket, x.ticket)
 	}
@@ -270,3 +275,22 @@
 	require.Equal(t, 1, runs(f, c, body))
 	require.Zero(t, runs(f, c, notice(2)))
 }
+
+// Symptom: a caller is told "not run" of a request that ran, and sends it with a
+// fresh ticket.
+// Sequence: the request runs; its answer is lost; the caller sends it again with
+// its ticket, and the node refuses it for another reason before it looks at the
+// ticket.
+// Cause: the refusal speaks of this copy, the caller takes it for the request.
+func TestRefusalOfACopyDoesNotSayNotRun(t *testing.T) {
+	c := small()
+	f := start(t, c)
+	body := notice(1)
+	ticket := ticketOf(t, f, "n1", body)
+	x := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.must(t, f)
+	require.Equal(t, http.StatusOK, x.status, x.text)
+	x = exchange{node: "n1", path: chatPath, body: body, ticket: ticket, timeout: "soon"}.must(t, f)
+	require.Equal(t, http.StatusBadRequest, x.status, x.text)
+	require.Contains(t, x.text, `"ran":"unknown"`)
+	require.Equal(t, string(entry.RanUnknown), x.header.Get(entry.HeaderRan))
+}
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// linger is how long a request runs on after its connection broke.
-	linger = 2 * time.Second
+	// DefaultLinger is how long a request runs on after its connection broke.
+	DefaultLinger = 2 * time.Second
 	// maxAttempts is how many attempts are remembered.
 	maxAttempts = 1024
 )
@@ -24,6 +24,7 @@
 		id     string
 		cancel context.CancelFunc
 		faults EndpointFaults
+		linger time.Duration
 
 		mu      sync.Mutex
 		kind    string
@@ -84,7 +85,7 @@
 	if a.readers > 0 || a.ended {
 		return
 	}
-	time.AfterFunc(linger, func() {
+	time.AfterFunc(a.linger, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if a.readers == 0 {
@@ -114,7 +115,7 @@
 func (e *Endpoint) run(r *http.Request, work func(r *http.Request, a *attempt)) *attempt {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	a := newAttempt(r.Header.Get(endpoint.HeaderAttempt), cancel)
-	a.faults = e.next()
+	a.faults, a.linger = e.next(), e.config.Linger
 	if !a.faults.Forget {
 		e.attempts.put(a)
 	}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -35,7 +35,9 @@
 		// CacheTokens is the size of the prefix cache, in tokens.
 		CacheTokens int
 		Models      []string
-		Faults      EndpointFaults
+		// Linger is how long a request runs on after its connection broke.
+		Linger time.Duration
+		Faults EndpointFaults
 		// OnCrash ends the process that the endpoint stands for, when a request
 		// that carries the crash mark runs. Connections break in any case.
 		OnCrash func()
@@ -197,6 +199,9 @@
 	if c.Prefill == 0 {
 		c.Prefill = DefaultPrefill
 	}
+	if c.Linger == 0 {
+		c.Linger = DefaultLinger
+	}
 	if c.MaxBatch == 0 {
 		c.MaxBatch = DefaultMaxBatch
 	}
