Start no cancellation once the endpoint client closes

Cause: a node that is killed closes its client while requests still end; each started a cancellation while Close waited for them.

Change: Close marks the client first, and no cancellation starts after.

--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -50,7 +50,14 @@
 	return resp.Body.Close()
 }
 
+// cancelLater tells an endpoint apart from the caller's own goroutine. Requests
+// may still end while the client closes; those tell nobody any more.
 func (c *Client) cancelLater(addr netip.AddrPort, attempt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
 	c.running.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -75,6 +75,8 @@
 	Client struct {
 		shared  *http.Client
 		single  *http.Client
+		mu      sync.Mutex
+		closed  bool
 		running sync.WaitGroup
 	}
 )
@@ -108,6 +110,9 @@
 
 // Close waits for the cancellations under way and drops idle connections.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.running.Wait()
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
