--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -75,9 +75,10 @@
 	Client struct {
 		shared  *http.Client
 		single  *http.Client
-		mu      sync.Mutex
-		closed  bool
 		running sync.WaitGroup
+		// mu guards closed, after which nothing more is started.
+		mu     sync.Mutex
+		closed bool
 	}
 )
 
