--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -150,8 +150,8 @@
 // Curl returns the lines by which a shell reaches the deployment.
 func (d *Demo) Curl() string {
 	return fmt.Sprintf(`export NODE=%v KEY=%s MODEL=%s SERVICE=%s
-curl -N -H "Authorization: Bearer $KEY" http://$NODE%s -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"hello"}]}'
-`, d.Addr(), loopback.Secret(d.account(0)), d.model, d.plain, entry.PathChat, d.model)
+curl -N -H "Authorization: Bearer $KEY" http://$NODE%s -d "{\"model\":\"$MODEL\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}"
+`, d.Addr(), loopback.Secret(d.account(0)), d.model, d.plain, entry.PathChat)
 }
 
 // change makes an endpoint join, another leave and a node stop.
