Bound the memory of all request bodies together

Cause: each body was bounded and so was the number of requests, but 2,048 waiting requests of 4 MiB are 8 GiB.

Where nothing is left the request is refused as busy, not run.

Test: TestMemoryOfBodiesIsBounded. Answers that are not streamed are still bounded one by one only.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -29,11 +29,12 @@
 		return
 	}
 	defer done()
-	data, p := h.body(w, r)
+	data, held, p := h.body(w, r)
 	if p != nil {
 		p.write(w)
 		return
 	}
+	defer held.release()
 	c, err := parseChat(data)
 	if err != nil {
 		badRequest(err).write(w)
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -46,11 +46,12 @@
 		return
 	}
 	defer done()
-	data, p := h.body(w, r)
+	data, held, p := h.body(w, r)
 	if p != nil {
 		p.write(w)
 		return
 	}
+	defer held.release()
 	req, p := h.common(r, v, a)
 	if p != nil {
 		p.write(w)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -199,6 +199,12 @@
 		return once.Void, nil
 	}
 	defer done()
+	held, ok := h.slots.hold(int64(len(k.call.Body)))
+	if !ok {
+		fullOfBodies().write(w)
+		return once.Void, nil
+	}
+	defer held.release()
 	k.seated = done
 	return h.carry(ctx, w, k)
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,6 +40,7 @@
 	DefaultWriteTimeout   = 20 * time.Second
 	DefaultMaxBody        = 4 << 20
 	DefaultMaxAnswer      = 16 << 20
+	DefaultMaxHeld        = 256 << 20
 	DefaultMaxActive      = 8192
 	DefaultMaxWaiting     = 2048
 	DefaultMaxAccount     = 512
@@ -77,6 +77,9 @@
 		WriteTimeout time.Duration
 		// MaxBody is the size of the largest request body, in bytes.
 		MaxBody int64
+		// MaxHeld is the size of all request bodies that the node holds at once,
+		// in bytes.
+		MaxHeld int64
 		// MaxAnswer is the size of the largest answer that is not streamed, in
 		// bytes.
 		MaxAnswer int64
@@ -177,30 +180,13 @@
 	}
 }
 
-// body reads a request's body.
-//
-// A caller that sends its body a byte at a time would hold memory and a place
-// on the node without end; the read deadline ends it. It is cleared afterwards,
-// as the server reads on to notice callers that hang up.
-func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(h.config.ReadTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.MaxBody))
-	if err != nil {
-		p := badRequest(err)
-		p.close = true
-		return nil, p
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return data, nil
-}
-
 func withDefaults(c Config) Config {
 	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
 	c.MaxTimeout = cmp.Or(c.MaxTimeout, DefaultMaxTimeout)
 	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxHeld = cmp.Or(c.MaxHeld, DefaultMaxHeld)
 	c.MaxAnswer = cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -287,3 +287,47 @@
 	require.Contains(t, text, `"ran":"not_run"`)
 	require.True(t, resp.Close)
 }
+
+// Symptom: a node is killed for its memory, and all its requests with it.
+// Sequence: many callers send large bodies at once, each within its own limit.
+// Cause: limits on one body and on the number of requests, none on their
+// product.
+func TestMemoryOfBodiesIsBounded(t *testing.T) {
+	entered := make(chan struct{})
+	leave := make(chan struct{})
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		entered <- struct{}{}
+		<-leave
+		return streamed(events(call.Attempt, "data: [DONE]\n\n")), nil
+	}}
+	s, h := serve(t, e, caller.Config{MaxHeld: int64(2*len(chatBody) - 1), MaxBody: int64(len(chatBody))})
+	whole := make(chan error, 1)
+	go func() {
+		_, _, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody))
+		whole <- err
+	}()
+	<-entered
+	tests := []struct {
+		name   string
+		length int64
+	}{{"known length", int64(len(chatBody))}, {"unknown length", -1}}
+	for _, test := range tests {
+		req := request(t, "POST", s.URL+entry.PathChat, chatBody)
+		req.ContentLength = test.length
+		resp, text, _ := do(t, req)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, test.name)
+		require.Contains(t, text, `"ran":"not_run"`)
+	}
+	leave <- struct{}{}
+	require.NoError(t, <-whole)
+	require.NoError(t, h.Wait(t.Context()))
+	go func() {
+		<-entered
+		leave <- struct{}{}
+	}()
+	req := request(t, "POST", s.URL+entry.PathChat, chatBody)
+	req.ContentLength = -1
+	resp, text, err := do(t, req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, text)
+}
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -18,6 +18,9 @@
 	// accounts is how many requests of each client account wait; an account
 	// without any has no entry.
 	accounts map[string]int
+	// held is the bytes of request bodies, maxHeld their bound.
+	held    int64
+	maxHeld int64
 	// idle is closed and replaced whenever no request is left.
 	idle chan struct{}
 }
@@ -27,6 +30,7 @@
 		maxActive:  c.MaxActive,
 		maxWaiting: c.MaxWaiting,
 		maxAccount: c.MaxAccount,
+		maxHeld:    c.MaxHeld,
 		active:     c.Active,
 		accounts:   map[string]int{},
 		idle:       make(chan struct{}),
