Move chats off loaded nodes sooner

Cause: with a few heavy callers the entry answer's weights hardly evened loads out: chances fell only in proportion to the load above 1.25 times the mean.

Change: they fall with its fourth power, from 1.1 times the mean.

--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -24,8 +24,10 @@
 	maxEntryNear  = 6
 	// loadSlack is how far above the mean a node's load may lie before chats
 	// move away from it, and nearShare how far before callers of its own
-	// availability zone do. loadFloor keeps small numbers from counting.
-	loadSlack = 1.25
+	// availability zone do. loadFloor keeps small numbers from counting, and
+	// loadPower is how fast chances fall with the load above.
+	loadSlack = 1.1
+	loadPower = 4.0
 	nearShare = 2.0
 	loadFloor = 8.0
 )
@@ -135,7 +137,7 @@
 func score(n kernel.Node, chat string, mean float64) float64 {
 	weight := 1.0
 	if share := loadSlack*mean + loadFloor; float64(n.Active) > share {
-		weight = share / float64(n.Active)
+		weight = math.Pow(share/float64(n.Active), loadPower)
 	}
 	uniform := (float64(kernel.Score(chat, n.Name)>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(uniform)
