--- /dev/null
+++ b/internal/caller/limits_test.go
@@ -0,0 +1,124 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
+)
+
+func TestWaitingRequestsAreBounded(t *testing.T) {
+	entered := make(chan struct{})
+	leave := make(chan struct{})
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		entered <- struct{}{}
+		<-leave
+		return streamed(events(call.Attempt, "data: [DONE]\n\n")), nil
+	}}
+	s, h := serve(t, e, caller.Config{MaxAccount: 1, MaxWaiting: 2, MaxActive: 3})
+	whole := make(chan error, 2)
+	ask := func(key string) {
+		go func() {
+			_, _, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, "Authorization", "Bearer "+key))
+			whole <- err
+		}()
+		<-entered
+	}
+	ask(secret)
+	resp, text, _ := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody))
+	require.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
+	require.Contains(t, text, `"ran":"not_run"`)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	ask("other")
+	resp, _, _ = do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, "Authorization", "Bearer other"))
+	require.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
+	close(leave)
+	require.NoError(t, <-whole)
+	require.NoError(t, <-whole)
+	require.NoError(t, h.Wait(t.Context()))
+}
+
+// Symptom: memory grows and engines stay taken. Sequence: a caller asks for a
+// stream and stops reading. Cause: a write without a deadline waits as long as
+// the caller likes.
+func TestSlowReadersAreCutOff(t *testing.T) {
+	answer := &body{closed: make(chan struct{})}
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		answer.Reader = endless(events(call.Attempt))
+		a := streamed("")
+		a.Body = answer
+		return a, nil
+	}}
+	s, _ := serve(t, e, caller.Config{WriteTimeout: 50 * time.Millisecond})
+	c := dial(t, s)
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		entry.PathChat, secret, len(chatBody), chatBody)
+	require.NoError(t, err)
+	<-answer.closed
+}
+
+// Symptom: a place on the node is taken without end. Sequence: a caller sends a
+// body a byte at a time or not at all. Cause: a read without a deadline.
+func TestSlowWritersAreCutOff(t *testing.T) {
+	e := &endpoints{}
+	s, h := serve(t, e, caller.Config{ReadTimeout: 50 * time.Millisecond})
+	c := dial(t, s)
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", entry.PathChat, secret)
+	require.NoError(t, err)
+	text, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "400 Bad Request")
+	require.NoError(t, h.Wait(t.Context()))
+}
+
+// Symptom: a node is killed for its memory, and all its requests with it.
+// Sequence: many callers send large bodies at once, each within its own limit.
+// Cause: limits on one body and on the number of requests, none on their
+// product.
+func TestMemoryOfBodiesIsBounded(t *testing.T) {
+	entered := make(chan struct{})
+	leave := make(chan struct{})
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		entered <- struct{}{}
+		<-leave
+		return streamed(events(call.Attempt, "data: [DONE]\n\n")), nil
+	}}
+	s, h := serve(t, e, caller.Config{MaxHeld: int64(2*len(chatBody) - 1), MaxBody: int64(len(chatBody))})
+	whole := make(chan error, 1)
+	go func() {
+		_, _, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody))
+		whole <- err
+	}()
+	<-entered
+	tests := []struct {
+		name   string
+		length int64
+	}{{"known length", int64(len(chatBody))}, {"unknown length", -1}}
+	for _, test := range tests {
+		req := request(t, "POST", s.URL+entry.PathChat, chatBody)
+		req.ContentLength = test.length
+		resp, text, _ := do(t, req)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, test.name)
+		require.Contains(t, text, `"ran":"not_run"`)
+	}
+	leave <- struct{}{}
+	require.NoError(t, <-whole)
+	require.NoError(t, h.Wait(t.Context()))
+	go func() {
+		<-entered
+		leave <- struct{}{}
+	}()
+	req := request(t, "POST", s.URL+entry.PathChat, chatBody)
+	req.ContentLength = -1
+	resp, text, err := do(t, req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, text)
+}
--- a/internal/loopback/stop_test.go
+++ b/internal/loopback/stop_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,11 +29,11 @@
 )
 
 const (
-	stopGrace   = 300 * time.Millisecond
-	stopLinger  = time.Second
+	stopGrace   = 600 * time.Millisecond
+	stopLinger  = 600 * time.Millisecond
 	stopCallers = 8
-	// stopTokens makes a stream that outlasts the grace.
-	stopTokens = 200
+	// stopTokens makes a stream that outlasts grace and linger.
+	stopTokens = 400
 )
 
 var errCutAnswer = errors.New("an answer was cut")
@@ -89,9 +90,10 @@
 	require.NoError(t, err)
 	var callers sync.WaitGroup
 	results := make(chan error, stopCallers)
+	var leaving atomic.Int64
 	answered := make(chan struct{}, stopCallers)
 	for range stopCallers {
-		callers.Go(func() { results <- askUntilRefused(t.Context(), addr, answered) })
+		callers.Go(func() { results <- askUntilRefused(t.Context(), addr, answered, &leaving) })
 	}
 	for range stopCallers {
 		<-answered
@@ -102,50 +104,59 @@
 	for range stopCallers {
 		require.NoError(t, <-results)
 	}
+	require.Positive(t, leaving.Load(), "the node serves on while its callers hear of the stop")
 	rest, err := io.ReadAll(long.Body)
 	require.NoError(t, err)
 	require.True(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
 	require.Equal(t, stopTokens+1, strings.Count(string(rest), `"id"`))
 }
 
+// askResult is a whole answer, or a refusal as not run, and whether it ended its
+// connection.
+type askResult struct{ refused, closed bool }
+
 // askUntilRefused sends requests over one kept connection until one is refused
-// as not run, as a caller does that then turns to another node.
-func askUntilRefused(ctx context.Context, addr netip.AddrPort, answered chan<- struct{}) error {
+// as not run, as a caller does that then turns to another node. It counts the
+// whole answers that ended their connection.
+func askUntilRefused(ctx context.Context, addr netip.AddrPort, answered chan<- struct{}, leaving *atomic.Int64) error {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	for i := 0; ; i++ {
-		refused, err := askOnce(ctx, client, addr)
-		if err != nil || refused {
+		result, err := askOnce(ctx, client, addr)
+		if err != nil || result.refused {
 			return err
 		}
+		if result.closed {
+			leaving.Add(1)
+		}
 		if i == 0 {
 			answered <- struct{}{}
 		}
 	}
 }
 
-func askOnce(ctx context.Context, client *http.Client, addr netip.AddrPort) (refused bool, err error) {
+func askOnce(ctx context.Context, client *http.Client, addr netip.AddrPort) (askResult, error) {
 	body := strings.NewReader(`{"model":"notices","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%v%s", addr, entry.PathChat), body)
 	if err != nil {
-		return false, err
+		return askResult{}, err
 	}
 	req.Header.Set("Authorization", "Bearer "+loopback.Secret("a2"))
 	resp, err := client.Do(req)
 	if err != nil {
-		return false, err
+		return askResult{}, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
-		return false, err
+		return askResult{}, err
 	case resp.StatusCode == http.StatusOK && strings.HasSuffix(string(data), "data: [DONE]\n\n"):
-		return false, nil
+		return askResult{closed: resp.Close}, nil
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(entry.HeaderRan) == string(entry.RanNot) && resp.Close:
-		return true, nil
+		return askResult{refused: true, closed: true}, nil
 	default:
-		return false, fmt.Errorf("%w: %s: %s", errCutAnswer, resp.Status, data)
+		return askResult{}, fmt.Errorf("%w: %s: %s", errCutAnswer, resp.Status, data)
 	}
 }
 
@@ -170,8 +181,8 @@
 func awaitAnswer(t *testing.T, addr netip.AddrPort) {
 	t.Helper()
 	for {
-		refused, err := askOnce(t.Context(), http.DefaultClient, addr)
-		if err == nil && !refused {
+		result, err := askOnce(t.Context(), http.DefaultClient, addr)
+		if err == nil && !result.refused {
 			return
 		}
 		time.Sleep(time.Millisecond)
