--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -31,6 +31,8 @@
 	OutcomeFull
 	// OutcomeGone is an endpoint that takes no work.
 	OutcomeGone
+	// OutcomeLate is a request that cannot be done before its deadline.
+	OutcomeLate
 	// OutcomeUnreachable is a home that did not answer.
 	OutcomeUnreachable
 	// OutcomeNotRun is a dispatch that certainly did not reach the endpoint.
@@ -56,9 +58,14 @@
 )
 
 const (
-	fullPause   = 20 * time.Millisecond
-	maxAttempts = 3
-	retryAfter  = time.Second
+	fullPause = 20 * time.Millisecond
+	maxPause  = 200 * time.Millisecond
+	// maxDoublings bounds the growth of the pause, maxAsks the homes that are
+	// asked in one round.
+	maxDoublings = 4
+	maxAsks      = 8
+	maxAttempts  = 3
+	retryAfter   = time.Second
 )
 
 type (
@@ -99,6 +106,9 @@
 	Step struct {
 		Kind     StepKind
 		Endpoint kernel.Endpoint
+		// From is the endpoint from which a StepRun first imports the chat's
+		// prefix; its name is empty where there is nothing to import.
+		From kernel.Endpoint
 		// Tokens is the work that a StepAsk asks a permit for.
 		Tokens int
 		// Until is the end of a StepWait.
@@ -111,13 +121,23 @@
 
 	// Plan is the routing of one request. It is not safe for concurrent use.
 	Plan struct {
-		router   *Router
-		request  Request
-		tried    map[string]bool
+		router  *Router
+		request Request
+		tried   map[string]bool
+		// believed is where the chat's prefix was taken to be when the request
+		// came, at the time planned; from is where it was imported from.
+		believed place
+		planned  time.Time
+		from     string
 		next     kernel.Endpoint
 		granted  bool
 		lost     bool
+		late     bool
 		attempts int
+		// asks counts those of the present round, waits the rounds that found
+		// no endpoint.
+		asks  int
+		waits int
 	}
 )
 
@@ -125,13 +145,12 @@
 func (p *Plan) Next(now time.Time, v *kernel.View) Step {
 	switch {
 	case p.granted:
-		p.attempts++
-		return Step{Kind: StepRun, Endpoint: p.next}
+		return p.run(v.Pools[p.request.Service])
 	case p.lost && p.request.Once:
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
-	case !now.Before(p.request.Deadline):
+	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
 	pool := v.Pools[p.request.Service]
@@ -139,18 +158,30 @@
 		return refuse(ReasonNoEndpoint)
 	}
 	e, ok := p.choose(now, pool)
-	if !ok {
-		clear(p.tried)
-		return Step{Kind: StepWait, Until: now.Add(fullPause)}
+	if !ok || p.asks >= maxAsks {
+		return p.wait(now)
 	}
 	p.next = e
+	p.asks++
 	if p.router.config.Open {
-		p.attempts++
-		return Step{Kind: StepRun, Endpoint: e}
+		return p.run(pool)
 	}
-	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(p.request, e.Name)}
+	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(pool, p.request, e.Name)}
 }
 
+func (p *Plan) run(pool *kernel.Pool) Step {
+	p.attempts++
+	step := Step{Kind: StepRun, Endpoint: p.next}
+	if !p.router.config.Stay {
+		step.From = Source(pool, p.request, p.next.Name)
+	}
+	p.from = step.From.Name
+	return step
+}
+
+// Learn tells what became known of the request once it ran.
+func (p *Plan) Learn(now time.Time, u Usage) { p.router.learn(now, p, u) }
+
 // Report tells what came of the last step.
 func (p *Plan) Report(o Outcome) {
 	p.granted = false
@@ -159,12 +190,24 @@
 		p.granted = true
 	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
 		p.tried[p.next.Name] = true
+	case OutcomeLate:
+		p.late = true
 	case OutcomeLost:
 		p.tried[p.next.Name] = true
 		p.lost = true
 	}
 }
 
+// wait ends a round in which no endpoint took the request. The pauses grow:
+// under overload, asking would otherwise cost more than the requests.
+func (p *Plan) wait(now time.Time) Step {
+	clear(p.tried)
+	p.asks = 0
+	pause := min(fullPause<<min(p.waits, maxDoublings), maxPause)
+	p.waits++
+	return Step{Kind: StepWait, Until: now.Add(pause)}
+}
+
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
 	for _, e := range p.router.rank(now, pool, p.request) {
 		if !p.tried[e.Name] {
