--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -7,14 +7,43 @@
 	"time"
 )
 
-// hold is the share that one request's body has of the memory for bodies.
-type hold struct {
-	slots *slots
-	bytes int64
+type (
+	// hold is the share that one request's body has of the memory for bodies.
+	hold struct {
+		slots *slots
+		bytes int64
+	}
+
+	// seat is a request with its body and its place among those that wait.
+	seat struct {
+		body []byte
+		held *hold
+		// seated gives back the place of a request that waits.
+		seated func()
+	}
+)
+
+// seat takes a place for a request and reads its body.
+func (h *Handler) seat(w http.ResponseWriter, r *http.Request, account string) (*seat, *problem) {
+	done, p := h.slots.wait(account)
+	if p != nil {
+		return nil, p
+	}
+	data, held, p := h.body(w, r)
+	if p != nil {
+		done()
+		return nil, p
+	}
+	return &seat{body: data, held: held, seated: done}, nil
+}
+
+// leave gives back all that the request holds.
+func (s *seat) leave() {
+	s.seated()
+	s.held.release()
 }
 
-// body reads a request's body. The caller releases the hold once the body is
-// needed no more.
+// body reads a request's body.
 //
 // A caller that sends its body a byte at a time would hold memory and a place
 // on the node without end; the read deadline ends it. It is cleared afterwards,
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -24,33 +24,27 @@
 		p.write(w)
 		return
 	}
-	done, p := h.slots.wait(a.Name)
+	s, p := h.seat(w, r, a.Name)
 	if p != nil {
 		p.write(w)
 		return
 	}
-	defer done()
-	data, held, p := h.body(w, r)
-	if p != nil {
-		p.write(w)
-		return
-	}
-	defer held.release()
-	c, err := parseChat(data)
+	defer s.leave()
+	c, err := parseChat(s.body)
 	if err != nil {
 		badRequest(err).write(w)
 		return
 	}
-	req, p := h.chatRequest(r, v, a, c, len(data))
+	req, p := h.chatRequest(r, v, a, c, len(s.body))
 	if p != nil {
 		p.write(w)
 		return
 	}
 	call := endpoint.Call{
-		Path: entry.PathChat, Type: "application/json", Body: data,
+		Path: entry.PathChat, Type: "application/json", Body: s.body,
 		Chat: req.Chat, Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	k := work{view: v, account: a, request: req, call: call, seated: done}
+	k := work{view: v, account: a, request: req, call: call, seated: s.seated}
 	k.answer = func(w http.ResponseWriter, run *dispatch.Run) error { return h.answerChat(w, c, req, run) }
 	h.run(w, r, k)
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -40,18 +40,12 @@
 		badRequest(errDots).write(w)
 		return
 	}
-	done, p := h.slots.wait(a.Name)
+	s, p := h.seat(w, r, a.Name)
 	if p != nil {
 		p.write(w)
 		return
 	}
-	defer done()
-	data, held, p := h.body(w, r)
-	if p != nil {
-		p.write(w)
-		return
-	}
-	defer held.release()
+	defer s.leave()
 	req, p := h.common(r, v, a)
 	if p != nil {
 		p.write(w)
@@ -62,10 +56,10 @@
 	req.Chat = strconv.FormatUint(req.ID, 16)
 	req.Output = 1
 	call := endpoint.Call{
-		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: data,
+		Method: r.Method, Path: r.URL.RequestURI(), Type: r.Header.Get("Content-Type"), Body: s.body,
 		Header: chosen(r.Header), Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	h.run(w, r, work{view: v, account: a, request: req, call: call, seated: done, answer: h.answerPlain})
+	h.run(w, r, work{view: v, account: a, request: req, call: call, seated: s.seated, answer: h.answerPlain})
 }
 
 func (h *Handler) answerPlain(w http.ResponseWriter, run *dispatch.Run) error {
