--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -86,18 +86,22 @@
 	return v
 }
 
-// serve runs a handler before the endpoints over a real socket. Its callers'
-// side of each connection has a small receive buffer.
-func serve(t *testing.T, e *endpoints, limits caller.Config) (*httptest.Server, *caller.Handler) {
-	t.Helper()
-	v := view()
+// handler returns a handler before the endpoints.
+func handler(e *endpoints, v *kernel.View, limits caller.Config) *caller.Handler {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	limits.View = func() *kernel.View { return v }
 	limits.Log = log
 	limits.Dispatcher = dispatch.New(dispatch.Config{View: limits.View, Gate: openGate{}, Endpoints: e, Sink: noSink{}})
 	limits.Tickets = once.New(once.Config{Node: v.Self.Name, Incarnation: 1})
-	h := caller.New(limits)
+	return caller.New(limits)
+}
+
+// serve runs a handler before the endpoints over a real socket. Its callers'
+// side of each connection has a small receive buffer.
+func serve(t *testing.T, e *endpoints, limits caller.Config) (*httptest.Server, *caller.Handler) {
+	t.Helper()
+	h := handler(e, view(), limits)
 	s := httptest.NewUnstartedServer(h)
 	s.Config = caller.NewServer(h)
 	s.Start()
@@ -170,3 +174,11 @@
 	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
 	return w.Body.Bytes()
 }
+
+// stalled is a reader that gives nothing until its context ends.
+type stalled struct{ ctx context.Context }
+
+func (s stalled) Read([]byte) (int, error) {
+	<-s.ctx.Done()
+	return 0, s.ctx.Err()
+}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -222,3 +224,45 @@
 	require.Contains(t, text, `"ran":"not_run"`)
 	require.True(t, resp.Close)
 }
+
+// Symptom: a stream goes on although its caller's time is over, or ends without
+// a word. Sequence: the engine stalls within an answer. Cause: a deadline that
+// ends at the head of the answer.
+func TestDeadlineEndsStreams(t *testing.T) {
+	freed := make(chan struct{})
+	e := &endpoints{answer: func(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		a := streamed("")
+		a.Body = &body{Reader: io.MultiReader(strings.NewReader(events(call.Attempt)), stalled{ctx}), closed: freed}
+		return a, nil
+	}}
+	s, _ := serve(t, e, caller.Config{})
+	_, text, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, entry.HeaderTimeout, "50ms"))
+	require.Error(t, err, "the connection must break")
+	require.Contains(t, text, `"type":"deadline"`)
+	require.Contains(t, text, `"ran":"ran"`)
+	require.NotContains(t, text, entry.DoneMark)
+	<-freed
+}
+
+func FuzzRequest(f *testing.F) {
+	f.Add(chatBody, "c", "", "30s")
+	f.Add(`{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}],"max_tokens":1}`, "", "h1:3:w1", "")
+	f.Add(`{"model":"m","messages":[null]}`, "\x00", "h1::", "1e9h")
+	e := &endpoints{answer: func(context.Context, endpoint.Call) (*endpoint.Answer, error) {
+		return nil, endpoint.ErrNotRun
+	}}
+	v := view()
+	h := handler(e, v, caller.Config{})
+	f.Fuzz(func(t *testing.T, text, chat, hint, timeout string) {
+		r := request(t, "POST", entry.PathChat, text)
+		r.Header[entry.HeaderChat] = []string{chat}
+		r.Header[entry.HeaderHint] = []string{hint}
+		r.Header[entry.HeaderTimeout] = []string{timeout}
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		var p entry.Problem
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p), w.Body.String())
+		require.Equal(t, entry.RanNot, p.Error.Ran)
+		require.True(t, w.Code == http.StatusServiceUnavailable || w.Code >= 400 && w.Code < 500, w.Code)
+	})
+}
