Bound the memory of answers that are kept until whole

Cause: an answer that is not streamed may take 16 MiB, and as many answers as requests could be in progress.

Change: such answers take their bytes, as they are read, from the same 256 MiB a node as request bodies. Beyond it the caller is told busy, ran.

Test: TestMemoryOfAnswersIsBounded.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 )
 
 type (
@@ -90,6 +92,9 @@
 	return &hold{slots: s, bytes: bytes}, true
 }
 
+// empty returns a hold of nothing yet.
+func (s *slots) empty() *hold { return &hold{slots: s} }
+
 // shrink gives back what the body did not need.
 func (h *hold) shrink(bytes int64) {
 	h.slots.mu.Lock()
@@ -98,6 +103,18 @@
 	h.bytes = bytes
 }
 
+// grow takes more, for an answer that is kept until it is whole.
+func (h *hold) grow(bytes int) error {
+	h.slots.mu.Lock()
+	defer h.slots.mu.Unlock()
+	if h.slots.held+int64(bytes) > h.slots.maxHeld {
+		return endpoint.ErrFull
+	}
+	h.slots.held += int64(bytes)
+	h.bytes += int64(bytes)
+	return nil
+}
+
 // release gives back all of it.
 func (h *hold) release() { h.shrink(0) }
 
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -91,6 +91,9 @@
 	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
 		return h.stream(w, req, run)
 	}
+	held := h.slots.empty()
+	defer held.release()
+	run.Answer.Meter = held.grow
 	data, err := h.read(run, isStream)
 	if err != nil {
 		return err
@@ -117,7 +120,7 @@
 	case run.Answer.Status != http.StatusOK:
 		return whole(run.Answer, h.config.MaxAnswer)
 	case isStream:
-		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer)
+		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer, run.Answer.Meter)
 	default:
 		return wholeChat(run, h.config.MaxAnswer)
 	}
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,3 +123,23 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode, text)
 }
+
+// The same for answers that are not streamed.
+func TestMemoryOfAnswersIsBounded(t *testing.T) {
+	stream := false
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		if stream {
+			return streamed(strings.Repeat(events(call.Attempt), 30)), nil
+		}
+		return &endpoint.Answer{Status: 200, Header: http.Header{}, Body: newBody(strings.NewReader(strings.Repeat("x", 2<<10))), Framed: true}, nil
+	}}
+	s, h := serve(t, e, caller.Config{MaxHeld: 1 << 10})
+	for _, path := range []string{"/v1/services/prices/x", entry.PathChat, entry.PathChat} {
+		resp, text, err := do(t, request(t, "POST", s.URL+path, strings.Replace(chatBody, "true", "false", 1)))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, text)
+		require.Contains(t, text, `"ran":"ran"`)
+		require.NoError(t, h.Wait(t.Context()))
+		stream = path == entry.PathChat
+	}
+}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -63,6 +63,9 @@
 }
 
 func (h *Handler) answerPlain(w http.ResponseWriter, run *dispatch.Run) error {
+	held := h.slots.empty()
+	defer held.release()
+	run.Answer.Meter = held.grow
 	data, err := whole(run.Answer, h.config.MaxAnswer)
 	if err != nil {
 		return err
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// noRoom is an answer for which the node has no memory.
+func noRoom() *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: "busy",
+		text: "the node holds too many large answers", ran: RanYes, retry: retryDelay(),
+	}
+}
+
 func late() *problem {
 	return &problem{
 		status: http.StatusGatewayTimeout, kind: "deadline",
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -77,8 +77,8 @@
 		WriteTimeout time.Duration
 		// MaxBody is the size of the largest request body, in bytes.
 		MaxBody int64
-		// MaxHeld is the size of all request bodies that the node holds at once,
-		// in bytes.
+		// MaxHeld is the size of all request bodies and answers that are not
+		// streamed which the node holds at once, in bytes.
 		MaxHeld int64
 		// MaxAnswer is the size of the largest answer that is not streamed, in
 		// bytes.
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -18,7 +18,8 @@
 	// accounts is how many requests of each client account wait; an account
 	// without any has no entry.
 	accounts map[string]int
-	// held is the bytes of request bodies, maxHeld their bound.
+	// held is the bytes of request bodies and answers that are not streamed,
+	// maxHeld their bound.
 	held    int64
 	maxHeld int64
 	// idle is closed and replaced whenever no request is left.
--- a/internal/caller/whole.go
+++ b/internal/caller/whole.go
@@ -75,7 +75,7 @@
 
 // collect gathers a stream into one whole answer, for a caller that asked for
 // no stream and an endpoint that streams all the same.
-func collect(s *endpoint.Stream, limit int64) ([]byte, error) {
+func collect(s *endpoint.Stream, limit int64, meter func(bytes int) error) ([]byte, error) {
 	answer := completion{Object: "chat.completion"}
 	var texts []*strings.Builder
 	var size int64
@@ -90,6 +90,9 @@
 		if size += int64(len(data)); size > limit {
 			return nil, errTooLong
 		}
+		if err := meter(len(data)); err != nil {
+			return nil, err
+		}
 		c, err := endpoint.Decode(data)
 		if err != nil {
 			return nil, err
@@ -150,6 +153,8 @@
 	switch {
 	case errors.Is(err, errTooLong):
 		return tooLong(h.config.MaxAnswer)
+	case errors.Is(err, endpoint.ErrFull):
+		return noRoom()
 	case !time.Now().Before(deadline):
 		return late()
 	default:
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -9,8 +9,12 @@
 	"net/netip"
 )
 
-// ErrLarge is returned where an answer is larger than the reader takes.
-var ErrLarge = errors.New("endpoint: answer too large")
+var (
+	// ErrLarge is returned where an answer is larger than the reader takes.
+	ErrLarge = errors.New("endpoint: answer too large")
+	// ErrFull is returned where the reader has no memory left for an answer.
+	ErrFull = errors.New("endpoint: no memory for the answer")
+)
 
 // Answer is an endpoint's response. The caller closes it.
 type Answer struct {
@@ -22,6 +26,10 @@
 	// chunk, so that a cut body can be told from a whole one.
 	Framed bool
 
+	// Meter is asked before each piece of a whole answer is kept; an error,
+	// ErrFull, ends the reading. Nil keeps all.
+	Meter func(bytes int) error
+
 	// whole is set once the answer was read to its proper end.
 	whole   bool
 	attempt string
@@ -30,13 +38,22 @@
 	ctx     context.Context
 }
 
+// metered is a body whose size is accounted for as it is read.
+type metered struct {
+	io.Reader
+	meter func(bytes int) error
+}
+
 // ReadAll reads a whole body of at most limit bytes. Where the connection
 // breaks, the answer is asked for once more from its beginning. It returns
 // ErrCut where the
 // body may have been cut: it ended early, or its length was neither announced
 // nor marked, so that a broken connection looks like its end.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	data, err := a.read(limit)
+	if errors.Is(err, ErrFull) {
+		return nil, err
+	}
 	if err != nil && a.client != nil && a.ctx.Err() == nil {
 		data, err = a.readAgain(limit, err)
 	}
@@ -73,5 +90,21 @@
 		return nil, broken
 	}
 	a.Body, a.Framed = again.Body, again.Framed
-	return io.ReadAll(io.LimitReader(a.Body, limit+1))
+	return a.read(limit)
+}
+
+func (a *Answer) read(limit int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(&metered{Reader: a.Body, meter: a.Meter}, limit+1))
+}
+
+// Read reads a piece and asks whether it may be kept.
+func (m *metered) Read(p []byte) (int, error) {
+	n, err := m.Reader.Read(p)
+	if m.meter == nil || n == 0 {
+		return n, err
+	}
+	if full := m.meter(n); full != nil {
+		return 0, full
+	}
+	return n, err
 }
