Tell peers of a change at once and read the platform as the fleet expects

Cause: with a heartbeat a second and cells, a change that one node has waited for a regular heartbeat at each hop; a second change within 0.3 s of a fetch waited for the peer's next heartbeat, a second later.

Change: putting a revision in force makes heartbeats urgent; a revision told during the pause between fetches is fetched at the first tick after it. The reader honours the node's role: watchers watch, others read rarely, when the fleet tells of a newer list, or after a pause of the process. An older list never replaces a newer one, however long the platform shows it.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -199,7 +199,11 @@
 // published no view yet knows no other that would read for it.
 func (n *Node) role() platform.Role {
 	v := n.control.View()
-	return platform.Role{Watcher: v.Watcher || v.At.IsZero()}
+	return platform.Role{
+		Watcher: v.Watcher || v.At.IsZero(),
+		Heard:   v.ListVersion, Listed: v.Listed,
+		Reread: n.control.rereads.Load(),
+	}
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
--- a/control.go
+++ b/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,8 @@
 		cancel  context.CancelFunc
 		ctx     context.Context
 		running sync.WaitGroup
+		// rereads counts how often the platform should be read anew.
+		rereads atomic.Uint64
 	}
 
 	// valuesOf reads the configuration that a peer holds.
@@ -179,6 +182,8 @@
 	case kernel.SendBeat:
 		beat := c.config.Kernel.Beat(now, a.To.Name)
 		c.running.Go(func() { c.sendBeat(a.To, beat) })
+	case kernel.Reread:
+		c.rereads.Add(1)
 	case kernel.FetchConfig:
 		c.running.Go(func() { c.fetchConfig(a) })
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,8 +38,11 @@
 		manifest *manifest.Manifest
 		leaving  bool
 		start    start
-		fetched  time.Time
-		failed   map[string]time.Time
+		// offer is the newest revision that a peer told of, fetched when one
+		// was last fetched.
+		offer   kernel.FetchConfig
+		fetched time.Time
+		failed  map[string]time.Time
 	}
 
 	// start is the state of a node that has no revision in force.
@@ -80,6 +83,7 @@
 		p.failed[ev.Node] = now
 	case kernel.Tick:
 		p.release(now, out)
+		p.fetch(now, out)
 	case kernel.Drain:
 		p.leaving = true
 		out.Changed()
@@ -152,10 +156,14 @@
 	}
 }
 
+// force puts a revision in force and lets the peers hear of it at once: at one
+// heartbeat a second, a change that crosses cells and regions would not be
+// everywhere in time.
 func (p *plugin) force(m *manifest.Manifest, out *kernel.Output) {
 	p.manifest = m
 	p.start.held = nil
 	clear(p.failed)
+	out.Raise(kernel.Urgent{})
 	out.Changed()
 }
 
@@ -163,15 +171,31 @@
 	p.start.answers = true
 	p.start.heard = max(p.start.heard, b.Revision)
 	p.release(now, out)
-	if b.Revision <= p.known() || now.Sub(p.fetched) < fetchPause {
+	if b.Revision >= p.offer.Revision && !p.failing(now, b.Node) {
+		p.offer = kernel.FetchConfig{Node: b.Node, Revision: b.Revision}
+	}
+	p.fetch(now, out)
+}
+
+// fetch asks for the revision that a peer offers. Where changes follow each
+// other closely, it comes with the first tick after the pause: the peer's next
+// heartbeat may be a second away.
+func (p *plugin) fetch(now time.Time, out *kernel.Output) {
+	if p.offer.Revision <= p.known() || now.Sub(p.fetched) < fetchPause {
 		return
 	}
-	if failed, ok := p.failed[b.Node]; ok && now.Sub(failed) < failPause {
+	if p.failing(now, p.offer.Node) {
+		p.offer = kernel.FetchConfig{}
 		return
 	}
-	delete(p.failed, b.Node)
 	p.fetched = now
-	out.Do(kernel.FetchConfig{Node: b.Node, Revision: b.Revision})
+	out.Do(p.offer)
+}
+
+// failing reports whether a peer did not deliver of late.
+func (p *plugin) failing(now time.Time, node string) bool {
+	failed, ok := p.failed[node]
+	return ok && now.Sub(failed) < failPause
 }
 
 func (p *plugin) revision() uint64 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -101,9 +101,28 @@
 	require.Empty(t, k.Step(start, beat("n3", 7)), "one change is fetched once")
 	now := start.Add(time.Second)
 	k.Step(now, kernel.ConfigFailed{Node: "n2"})
-	require.Empty(t, k.Step(now, beat("n2", 7)), "a peer that did not deliver is left alone")
 	want = []kernel.Action{kernel.FetchConfig{Node: "n3", Revision: 7}}
-	require.Equal(t, want, k.Step(now, beat("n3", 7)))
+	require.Equal(t, want, k.Step(now, beat("n2", 7)), "the other peer that told of it is asked")
+	now = now.Add(time.Second)
+	k.Step(now, kernel.ConfigFailed{Node: "n3"})
+	require.Empty(t, k.Step(now, beat("n2", 7)), "a peer that did not deliver is left alone")
+	require.Empty(t, k.Step(now, beat("n3", 7)), "a peer that did not deliver is left alone")
+	want = []kernel.Action{kernel.FetchConfig{Node: "n2", Revision: 7}}
+	require.Equal(t, want, k.Step(now.Add(2*time.Second), beat("n2", 7)))
 	k.Step(now, accepted(7))
 	require.Empty(t, k.Step(now.Add(time.Minute), beat("n3", 7)))
 }
+
+func TestChangesThatFollowEachOtherAreFetchedAtATick(t *testing.T) {
+	// Symptom: the second of two quick changes is a second late.
+	// Sequence: a peer tells of 7, then of 8 just after 7 was fetched.
+	// Cause: the pause between fetches, after which only the peer's next
+	// heartbeat would count.
+	k := newKernel(0)
+	k.Step(start, accepted(6))
+	k.Step(start, beat("n2", 7))
+	k.Step(start, accepted(7))
+	require.Empty(t, k.Step(start.Add(kernel.DefaultTick), beat("n2", 8)))
+	want := []kernel.Action{kernel.FetchConfig{Node: "n2", Revision: 8}}
+	require.Equal(t, want, k.Step(start.Add(3*kernel.DefaultTick), kernel.Tick{}))
+}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -59,6 +59,15 @@
 		done    []release
 		permits uint64
 		due     float64
+		// fetches are revisions under way, each for delay.
+		fetches []fetch
+		delay   time.Duration
+	}
+
+	fetch struct {
+		at   time.Time
+		to   *fakeNode
+		from string
 	}
 
 	release struct {
@@ -146,6 +155,8 @@
 			f.beat(n, a.To.Name)
 		case kernel.Reread:
 			n.rereads++
+		case kernel.FetchConfig:
+			f.fetches = append(f.fetches, fetch{at: f.now.Add(f.delay), to: n, from: a.Node})
 		}
 	}
 }
@@ -184,6 +195,7 @@
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(kernel.DefaultTick)
 		f.work()
+		f.deliver()
 		for _, name := range f.names {
 			n := f.nodes[name]
 			if !n.down && !n.paused {
@@ -193,6 +205,20 @@
 	}
 }
 
+// deliver ends the fetches that are due.
+func (f *fakeFleet) deliver() {
+	for len(f.fetches) > 0 && !f.now.Before(f.fetches[0].at) {
+		fetch := f.fetches[0]
+		f.fetches = f.fetches[1:]
+		from := f.nodes[fetch.from]
+		if from.down || from.paused || f.cut(fetch.from, fetch.to.Self().Name) {
+			f.step(fetch.to, kernel.ConfigFailed{Node: fetch.from})
+			continue
+		}
+		f.step(fetch.to, kernel.Accepted{Manifest: from.View().Manifest})
+	}
+}
+
 // work admits and ends requests at the fleet's rate.
 func (f *fakeFleet) work() {
 	for len(f.done) > 0 && !f.now.Before(f.done[0].at) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -59,15 +59,15 @@
 		regions map[string]string
 		// revision is that of the regions.
 		revision uint64
-		leaving bool
-		serial  uint64
-		started time.Time
-		last    time.Time
-		urgent  bool
-		settled bool
-		doubt   doubt
-		topo    *topology
-		digests digests
+		leaving  bool
+		serial   uint64
+		started  time.Time
+		last     time.Time
+		urgent   bool
+		settled  bool
+		doubt    doubt
+		topo     *topology
+		digests  digests
 		// nodes is what the last view showed; nil where it must be made anew.
 		nodes []kernel.Node
 	}
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -39,9 +39,12 @@
 		// Watcher says that the node holds waiting watches; others hear of
 		// changes from their peers and check rarely.
 		Watcher bool
-		// Listed is the newest version of the instance list of which the node
-		// has heard.
+		// Heard is the newest version of the instance list of which peers told,
+		// Listed the version that the node has.
+		Heard  uint64
 		Listed uint64
+		// Reread rises when everything should be read anew.
+		Reread uint64
 	}
 
 	// ReaderConfig is the settings of a Reader.
@@ -94,7 +97,7 @@
 		t.status = r.statuses.add(t.key)
 		r.done.Go(func() { t.follow(ctx) })
 	}
-	follow(&topic{key: KeyInstances, take: r.instances, heard: r.listed, older: r.olderList})
+	follow(&topic{key: KeyInstances, take: r.instances, heard: r.missed, older: r.olderList})
 	follow(&topic{key: KeyAccepted, take: r.accepted, heard: none, older: r.olderRecord, signed: true})
 	return r
 }
@@ -132,9 +135,20 @@
 	return nil
 }
 
-func (r *Reader) listed() uint64 { return r.config.Role().Listed }
+// missed returns the version of the instance list that the node heard of but
+// does not have; 0 is none.
+func (r *Reader) missed() uint64 {
+	role := r.config.Role()
+	if role.Heard <= role.Listed {
+		return 0
+	}
+	return role.Heard
+}
 
-func (r *Reader) olderList(v Value) bool { return v.Version < r.listed() }
+func (r *Reader) olderList(v Value) bool {
+	role := r.config.Role()
+	return v.Version < max(role.Heard, role.Listed)
+}
 
 func (r *Reader) olderRecord(v Value) bool {
 	record, err := manifest.ParseRecord(v.Data)
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -331,6 +332,39 @@
 	})
 }
 
+func TestReaderKeepsItsListWhileThePlatformIsStaleForLong(t *testing.T) {
+	// Symptom: endpoints that joined vanish, those that left come back.
+	// Sequence: the platform shows an older list for an hour.
+	// Cause: a reader that takes an old list for a new numbering.
+	within(t, platform.ReaderConfig{}, func(t *testing.T, f *fakePlatform, s *fakeSink, r *platform.Reader) {
+		f.put(platform.KeyInstances, platform.Value{Version: 9, Data: []byte(`[]`)})
+		time.Sleep(inForce)
+		f.put(platform.KeyInstances, platform.Value{Version: 7, Data: []byte(`[]`)})
+		time.Sleep(time.Hour)
+		_, lists := s.got()
+		require.Equal(t, []uint64{9}, lists)
+		require.Equal(t, uint64(9), status(r, platform.KeyInstances).Version)
+		require.True(t, status(r, platform.KeyInstances).Behind)
+		f.put(platform.KeyInstances, platform.Value{Version: 10, Data: []byte(`[]`)})
+		time.Sleep(inForce)
+		_, lists = s.got()
+		require.Equal(t, []uint64{9, 10}, lists)
+	})
+}
+
+func TestReaderReadsAnewWhenAsked(t *testing.T) {
+	var asked atomic.Uint64
+	c := platform.ReaderConfig{Role: func() platform.Role { return platform.Role{Reread: asked.Load()} }}
+	within(t, c, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
+		f.accept(t, sample(1, 3))
+		time.Sleep(inForce)
+		f.accept(t, sample(2, 3))
+		asked.Add(1)
+		time.Sleep(time.Second)
+		requireRevisions(t, s, 1, 2)
+	})
+}
+
 func TestReaderWaitsForHalfPublishedSections(t *testing.T) {
 	// Symptom: a node runs with new services and old accounts.
 	// Sequence: the record is published while some sections are missing or cut.
@@ -418,7 +452,7 @@
 		require.Less(t, after-before, 200, "reads an hour")
 		f.set(platform.KeyInstances, list)
 		mu.Lock()
-		role.Listed = 2
+		role.Heard = 2
 		mu.Unlock()
 		time.Sleep(inForce)
 		require.Equal(t, uint64(2), status(r, platform.KeyInstances).Version)
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -35,6 +35,7 @@
 	seen    uint64
 	// plain is when the next plain reading is due.
 	plain  time.Time
+	reread uint64
 	read   time.Time
 	failed bool
 }
@@ -62,9 +63,10 @@
 // next reads the value once, by the way that the node's role asks for, and
 // takes it where it is new. It reports false where nothing was due.
 func (t *topic) next(ctx context.Context) (bool, error) {
-	source, watcher := t.reader.config.Source, t.reader.config.Role().Watcher
+	source, role := t.reader.config.Source, t.reader.config.Role()
+	watcher := role.Watcher
 	switch {
-	case t.due(watcher):
+	case t.due(role):
 		v, err := source.Get(ctx, t.key)
 		if err != nil {
 			t.plain = time.Now()
@@ -90,28 +92,32 @@
 // that only watched would never hear of the change. Every node therefore reads
 // plainly now and then. One that is no watcher also does when peers tell of a
 // newer version.
-func (t *topic) due(watcher bool) bool {
+func (t *topic) due(role Role) bool {
 	now := time.Now()
 	period := t.reader.config.Poll
-	if !watcher {
+	if !role.Watcher {
 		period = t.reader.config.Check
 	}
 	first := t.plain.IsZero()
-	late := !watcher && t.heard() > t.seen && now.Sub(t.read) >= retryLast
-	if !first && !late && now.Before(t.plain) {
+	asked := role.Reread > t.reread
+	late := !role.Watcher && t.heard() > t.seen && now.Sub(t.read) >= retryLast
+	if !first && !asked && !late && now.Before(t.plain) {
 		return false
 	}
 	t.plain = now.Add(jitter(period))
 	t.read = now
-	return !first || !watcher
+	t.reread = role.Reread
+	return !first || !role.Watcher
 }
 
 // apply takes a value that is newer than the last one. A platform whose
-// replicas disagree shows old and new in turn; only the newest counts. An
-// accepted record tells its own age, so that one counts also where the platform
-// began to number its values anew.
+// replicas disagree shows old and new in turn, and one that is stale shows the
+// old for long; an older list would bring back instances that are gone and drop
+// those that joined. Only the newest counts. An accepted record tells its own
+// age, so that one counts also where the platform began to number its values
+// anew.
 func (t *topic) apply(ctx context.Context, v Value) error {
-	behind := t.older(v)
+	behind := t.older(v) || v.Version < t.version && !t.signed
 	t.reader.statuses.update(func() { t.status.Behind = behind })
 	if v.Version == t.version || v.Version < t.version && !t.signed {
 		return nil
