Let a node start while the platform is down

Cause: a node without an instance list knows no peer; during a long outage of the platform every replaced instance was lost to the fleet until the end.

Change: nodes named in BULRUSHHINGE_JOIN tell the instance list to one that starts while the platform does not answer; peers then deliver the newest accepted revision.

Conclusion: what needs the platform at the start is a convenience, not a condition, as long as one named node lives.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -59,6 +59,9 @@
 		Operators net.Listener
 		// Platform is where the platform listens.
 		Platform netip.AddrPort
+		// Join is where some other nodes listen for peers: a node that starts
+		// while the platform is down asks them for the instance list.
+		Join []netip.AddrPort
 		// Keys are the operators' public keys.
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
@@ -92,6 +95,7 @@
 		config     Config
 		control    *control
 		cache      *platform.Cache
+		lister     lister
 		reader     *platform.Reader
 		source     *platform.Client
 		peers      *peer.Client
@@ -129,7 +133,7 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
-	}, c.Extensions...)
+	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
@@ -142,6 +146,7 @@
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
 		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
+		Join: n.joins(),
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -219,7 +224,7 @@
 	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: values{cache: n.cache, lister: &n.lister},
 		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -23,6 +23,7 @@
 	Peers        address     `help:"Address and port for other nodes." default:"127.0.0.1:8081"`
 	Operators    address     `help:"Address and port for operators." default:"127.0.0.1:8082"`
 	Platform     address     `help:"Address and port of the platform (required)." need:"true" placeholder:"ADDR:PORT"`
+	Join         []address   `help:"Addresses and ports for peers of some other nodes, separated by commas: a node that starts while the platform is down asks them for the instance list." placeholder:"ADDR:PORT,..."`
 	Keys         []publicKey `help:"Operators' Ed25519 public keys in hexadecimal, separated by commas (required)." need:"true" placeholder:"KEY,..."`
 	Token        string      `help:"Secret that operators show as a bearer token; without one only health and readiness are served."`
 	Grace        duration    `help:"How long a stopping node still takes requests." default:"2s"`
@@ -90,7 +91,7 @@
 	return bulrushhinge.Config{
 		Instance: c.Instance, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: c.Platform.AddrPort, Keys: keys,
+		Platform: c.Platform.AddrPort, Join: addresses(c.Join), Keys: keys,
 		Grace: c.Grace.Duration, Linger: c.Linger.Duration,
 		Limits: caller.Config{
 			Timeout: c.Timeout.Duration, MaxTimeout: c.MaxTimeout.Duration,
@@ -103,6 +104,14 @@
 	}
 }
 
+func addresses(list []address) []netip.AddrPort {
+	addrs := make([]netip.AddrPort, len(list))
+	for i, a := range list {
+		addrs[i] = a.AddrPort
+	}
+	return addrs
+}
+
 func listen(addrs ...netip.AddrPort) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, addr := range addrs {
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -110,6 +110,21 @@
 	require.Equal(t, m.Revision, f.Node("n3").View().Manifest.Revision)
 }
 
+func TestNodeStartsWhileThePlatformIsDown(t *testing.T) {
+	// Symptom: the fleet shrinks during a long outage of the platform.
+	// Sequence: the platform goes down; a node is replaced.
+	// Cause: a starting node that learns of its peers from the platform alone.
+	c := loopback.Thies()
+	f := start(t, c)
+	f.Platform.SetDown(true)
+	require.NoError(t, f.KillNode("n3"))
+	require.NoError(t, f.StartNode(c.Nodes[2]))
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	require.NoError(t, f.Ready(ctx))
+	askAll(t, f, "joined", []string{"n3"})
+}
+
 func TestFaultyPlatformStopsNothing(t *testing.T) {
 	for name, faults := range map[string]standin.PlatformFaults{
 		"half":      {Half: true},
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -377,6 +377,17 @@
 	return true
 }
 
+// peers returns where the running nodes listen for peers.
+func (f *Fleet) peers() []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addrs []netip.AddrPort
+	for _, n := range f.nodes {
+		addrs = append(addrs, n.View().Self.Peer)
+	}
+	return addrs
+}
+
 func (f *Fleet) newNode(c NodeConfig) (*node, error) {
 	var listeners [3]net.Listener
 	for i := range listeners {
@@ -389,7 +400,7 @@
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
+		Platform: f.platform.addr, Join: f.peers(), Keys: []ed25519.PublicKey{f.OperatorKey()},
 		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token,
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +21,8 @@
 	// DefaultCheck is the time between two readings of a node that is no
 	// watcher.
 	DefaultCheck = time.Minute
+
+	joinTimeout = 2 * time.Second
 )
 
 type (
@@ -56,6 +60,9 @@
 		Log   logrus.FieldLogger
 		// Role returns the node's role; nil is always a watcher's.
 		Role func() Role
+		// Join are nodes that tell the instance list to one that starts while
+		// the platform does not answer.
+		Join []Getter
 		// Poll and Check are 0 for their defaults; both are jittered.
 		Poll  time.Duration
 		Check time.Duration
@@ -97,7 +104,7 @@
 		t.status = r.statuses.add(t.key)
 		r.done.Go(func() { t.follow(ctx) })
 	}
-	follow(&topic{key: KeyInstances, take: r.instances, heard: r.missed, older: r.olderList})
+	follow(&topic{key: KeyInstances, take: r.instances, heard: r.missed, older: r.olderList, join: r.join})
 	follow(&topic{key: KeyAccepted, take: r.accepted, heard: none, older: r.olderRecord, signed: true})
 	return r
 }
@@ -135,6 +142,39 @@
 	return nil
 }
 
+// join takes the instance list from a node, in random order until one tells it,
+// and returns its version.
+//
+// A node that starts while the platform is down knows no other node, and would
+// serve nothing until the platform is back, which may be hours; the fleet would
+// shrink with every instance that is replaced meanwhile.
+func (r *Reader) join(ctx context.Context) uint64 {
+	for _, i := range rand.Perm(len(r.config.Join)) {
+		l, err := listFrom(ctx, r.config.Join[i])
+		if err == nil {
+			r.config.Log.WithField("version", l.Version).Info("instance list taken from a peer")
+			r.config.Sink.Offer(l)
+			return l.Version
+		}
+		r.config.Log.WithError(err).Warn("no instance list from a peer to join")
+	}
+	return 0
+}
+
+func listFrom(ctx context.Context, g Getter) (kernel.Instances, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	values, err := g.Values(ctx, []string{KeyInstances})
+	if err != nil {
+		return kernel.Instances{}, err
+	}
+	data, ok := values[KeyInstances]
+	if !ok {
+		return kernel.Instances{}, fmt.Errorf("%w: %s", ErrNotFound, KeyInstances)
+	}
+	return ParseList(data)
+}
+
 // missed returns the version of the instance list that the node heard of but
 // does not have; 0 is none.
 func (r *Reader) missed() uint64 {
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -352,6 +353,38 @@
 	})
 }
 
+func TestReaderTakesTheListFromPeersAtTheStart(t *testing.T) {
+	list := []kernel.Instance{{Name: "n1", Kind: kernel.KindNode, Addr: netip.MustParseAddrPort("127.0.0.1:1")}}
+	told, err := platform.EncodeList(kernel.Instances{Version: 5, List: list})
+	require.NoError(t, err)
+	deaf, broken, peer := newFakePlatform(), newFakePlatform(), newFakePlatform()
+	deaf.fail = platform.ErrUnavailable
+	broken.set(platform.KeyInstances, told[:len(told)/2])
+	peer.set(platform.KeyInstances, told)
+	c := platform.ReaderConfig{Join: []platform.Getter{deaf, broken, peer}}
+	within(t, c, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
+		f.change(func() { f.fail = platform.ErrUnavailable })
+		time.Sleep(time.Minute)
+		_, lists := s.got()
+		require.Equal(t, []uint64{5}, lists)
+		f.change(func() { f.fail = nil })
+		f.put(platform.KeyInstances, platform.Value{Version: 4, Data: []byte(`[]`)})
+		time.Sleep(inForce)
+		f.put(platform.KeyInstances, platform.Value{Version: 6, Data: []byte(`[]`)})
+		time.Sleep(inForce)
+		_, lists = s.got()
+		require.Equal(t, []uint64{5, 6}, lists)
+	})
+	// Nobody is asked while the platform answers.
+	before, _ := peer.cost()
+	within(t, c, func(_ *testing.T, f *fakePlatform, _ *fakeSink, _ *platform.Reader) {
+		f.set(platform.KeyInstances, []byte(`[]`))
+		time.Sleep(time.Minute)
+	})
+	after, _ := peer.cost()
+	require.Equal(t, before, after)
+}
+
 func TestReaderReadsAnewWhenAsked(t *testing.T) {
 	var asked atomic.Uint64
 	c := platform.ReaderConfig{Role: func() platform.Role { return platform.Role{Reread: asked.Load()} }}
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -27,6 +27,9 @@
 	heard func() uint64
 	// older reports whether a value is older than what the node has.
 	older func(v Value) bool
+	// join takes the value from a peer and returns its version, 0 for none; nil
+	// where peers are not asked.
+	join func(ctx context.Context) uint64
 	// signed says that the value itself tells new from old.
 	signed bool
 	// version is that of the newest value taken, seen that of the newest value
@@ -55,6 +58,10 @@
 			pause = retryFirst
 			continue
 		}
+		if t.join != nil && t.version == 0 {
+			t.version = t.join(ctx)
+			t.seen = max(t.seen, t.version)
+		}
 		sleep(ctx, jitter(pause))
 		pause = min(2*pause, retryLast)
 	}
