Measure what the configuration holds, read each file once, bound peers' replies

Change: a benchmark of the memory at three sizes; accept reads once; only asked keys count as an answer; a test of the state command against a running fleet; the test of a change through one node takes the platform down as soon as that node has it, and starts a further node.

--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -2,18 +2,23 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"bulrushhinge.example/bulrushhinge/examples"
+	"bulrushhinge.example/bulrushhinge/internal/loopback"
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
@@ -182,3 +187,30 @@
 	require.True(t, found)
 	require.Equal(t, stdout, tables)
 }
+
+func TestStateShowsARunningNode(t *testing.T) {
+	c := loopback.Thies()
+	c.Log = logrus.New()
+	c.Log.(*logrus.Logger).SetOutput(io.Discard)
+	f, err := loopback.New(c)
+	require.NoError(t, err)
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	require.NoError(t, f.Ready(ctx))
+	env := []string{"BULRUSHHINGE_TOKEN=" + loopback.Token, "BULRUSHHINGE_OPERATORS=" + f.Operator("n1").String()}
+	code, stdout, stderr := run(t, env, "state")
+	require.Zero(t, code, stderr)
+	for _, want := range []string{"revision in force: 1", "accepted", "n8", "w12", "counter", "live"} {
+		require.Contains(t, stdout, want)
+	}
+	code, stdout, _ = run(t, env, "state", "--json")
+	require.Zero(t, code)
+	require.True(t, json.Valid([]byte(stdout)))
+	code, _, stderr = run(t, env, "state", "--request", "abc")
+	require.Equal(t, 1, code)
+	require.Contains(t, stderr, "no such request")
+	code, _, stderr = run(t, env[1:], "state")
+	require.Equal(t, 1, code)
+	require.Contains(t, stderr, "bearer token")
+}
--- a/cmd/bulrushhinge/manifest.go
+++ b/cmd/bulrushhinge/manifest.go
@@ -128,25 +128,43 @@
 
 // Run prints a record of acceptance.
 func (c *manifestAccept) Run() error {
-	if c.Old == "" {
-		return printRecord(c.File, c.Seed.key, manifest.Accept)
+	m, err := readManifest(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Old != "" {
+		if err := showChanges(c.Old, m); err != nil {
+			return err
+		}
 	}
-	before, after, err := readBoth(c.Old, c.File)
+	return printRecord(m, c.Seed.key, manifest.Accept)
+}
+
+// showChanges prints what a manifest changes in the one in force, and returns
+// errOlder where it could not come into force.
+func showChanges(old string, m *manifest.Manifest) error {
+	before, err := readManifest(old)
 	if err != nil {
 		return err
 	}
-	if after.Revision <= before.Revision {
-		return fmt.Errorf("%w: %d, in force %d", errOlder, after.Revision, before.Revision)
+	if m.Revision <= before.Revision {
+		return fmt.Errorf("%w: %d, in force %d", errOlder, m.Revision, before.Revision)
 	}
-	printChanges(os.Stderr, manifest.Diff(before, after))
-	return printRecord(c.File, c.Seed.key, manifest.Accept)
+	printChanges(os.Stderr, manifest.Diff(before, m))
+	return nil
 }
 
 // Validate names every wrong setting at once.
 func (c *manifestReject) Validate() error { return checkSettings(c) }
 
 // Run prints a record of rejection.
-func (c *manifestReject) Run() error { return printRecord(c.File, c.Seed.key, manifest.Reject) }
+func (c *manifestReject) Run() error {
+	m, err := readManifest(c.File)
+	if err != nil {
+		return err
+	}
+	return printRecord(m, c.Seed.key, manifest.Reject)
+}
 
 // Run makes a key pair.
 func (c *manifestKey) Run() error {
@@ -160,11 +178,7 @@
 	})
 }
 
-func printRecord(file string, key ed25519.PrivateKey, sign func(ed25519.PrivateKey, uint64, manifest.Digest) manifest.Record) error {
-	m, err := readManifest(file)
-	if err != nil {
-		return err
-	}
+func printRecord(m *manifest.Manifest, key ed25519.PrivateKey, sign func(ed25519.PrivateKey, uint64, manifest.Digest) manifest.Record) error {
 	parts, err := manifest.Split(m)
 	if err != nil {
 		return err
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -76,7 +76,8 @@
 func TestChangeReachesAllThroughOneNode(t *testing.T) {
 	// Symptom: some nodes keep old settings during a partition.
 	// Sequence: all nodes but one are cut from the platform; a change is
-	// accepted; the platform goes down for good; a node joins.
+	// accepted; the platform goes down for good once that node has it; a
+	// further node starts.
 	// Cause: nodes that learn of changes from the platform alone.
 	c := loopback.Thies()
 	f := start(t, c)
@@ -84,8 +85,11 @@
 	f.Network.Cut(all[1:], []string{"platform"})
 	m := next(c.Manifest)
 	require.NoError(t, f.Accept(m))
-	awaitRevision(t, f, all, m.Revision)
+	awaitRevision(t, f, all[:1], m.Revision)
 	f.Platform.SetDown(true)
+	require.NoError(t, f.StartNode(loopback.NodeConfig{Name: "n9", Zone: c.Nodes[0].Zone}))
+	all = append(all, "n9")
+	awaitRevision(t, f, all, m.Revision)
 	askAll(t, f, "down", all)
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -93,8 +91,8 @@
 	return reply, nil
 }
 
-// Values reads values of the accepted configuration by their keys. Those that
-// the peer does not have are left out.
+// Values reads values of the accepted configuration by their keys, in as many
+// calls as their size needs. Those that the peer does not have are left out.
 func (c *Client) Values(ctx context.Context, to netip.AddrPort, keys []string) (map[string][]byte, error) {
 	values := make(map[string][]byte, len(keys))
 	for len(keys) > 0 {
@@ -102,14 +100,20 @@
 		if err != nil {
 			return nil, unreachable(to, err)
 		}
-		if len(reply.Values) == 0 {
+		var rest []string
+		for _, key := range keys {
+			if value, ok := reply.Values[key]; ok {
+				values[key] = value
+			} else {
+				rest = append(rest, key)
+			}
+		}
+		// A reply without any of them ends it; a peer could otherwise be asked
+		// without end.
+		if len(rest) == len(keys) {
 			return values, nil
 		}
-		maps.Copy(values, reply.Values)
-		keys = slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
-			_, have := reply.Values[key]
-			return have
-		})
+		keys = rest
 	}
 	return values, nil
 }
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -593,3 +594,41 @@
 		})
 	}
 }
+
+// BenchmarkCacheMemory prints the memory that a node holds for the
+// configuration: values, manifest and index.
+func BenchmarkCacheMemory(b *testing.B) {
+	for _, accounts := range []int{10, 160, 1600} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			peer := newFakePlatform()
+			parts := split(b, sample(1, accounts))
+			for d, data := range parts.Values {
+				peer.set(platform.PrefixManifest+string(d), data)
+			}
+			peer.set(platform.KeyAccepted, recordOf(b, manifest.Accept(operatorKey, 1, parts.Digest)))
+			values := 0
+			for _, data := range parts.Values {
+				values += len(data)
+			}
+			var held uint64
+			for b.Loop() {
+				before := heap()
+				cache := newCache()
+				m, err := cache.Fetch(b.Context(), peer)
+				require.NoError(b, err)
+				held = heap() - before
+				runtime.KeepAlive(cache)
+				runtime.KeepAlive(m)
+			}
+			// The fake shares the values with the cache; a real node holds them.
+			b.ReportMetric(float64(held)+float64(values), "bytes-held")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
