Keep a whole fleet's readers below the platform's rate

Cause: 330 readers before one platform in virtual time showed 2,524 calls in the highest second when all nodes start at once, over the platform's 2,000: the 38 watchers waited 0.25 to 0.75 s for their peers, less than news takes.

Change: watchers that start wait 0.2 to 5.2 s, running ones 0.2 to 2.2 s where much changes at once, others 6 s longer; readers take a random generator, so that tests seed it.

--- a/internal/platform/patient.go
+++ b/internal/platform/patient.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 )
 
@@ -11,10 +10,17 @@
 	// manyValues is the number of values from which a node first lets its
 	// peers deliver them.
 	manyValues = 24
-	peersFirst = 500 * time.Millisecond
-	// peersLast is how long a node that is no watcher waits for its peers.
-	peersLast = 4 * time.Second
-	peersPoll = 50 * time.Millisecond
+	// waitFirst is the least time that a node waits for its peers, waitStart
+	// the most that a starting one waits longer, waitChange the most that a
+	// running one does, where much changes at once. The spread is wide, so that
+	// the first of the watchers has read everything, and the others have heard
+	// of it, before the most of them would.
+	waitFirst  = 200 * time.Millisecond
+	waitStart  = 5 * time.Second
+	waitChange = 2 * time.Second
+	// waitOthers is how much longer nodes wait that are no watchers.
+	waitOthers = 6 * time.Second
+	peersPoll  = 100 * time.Millisecond
 )
 
 // errDelivered is returned where a peer delivered a revision before the platform
@@ -36,12 +42,16 @@
 	if len(keys) < manyValues {
 		return c.Source.Values(ctx, keys)
 	}
-	wait := peersFirst
+	before := c.Cache.Revision()
+	spread := waitChange
+	if before == 0 {
+		spread = waitStart
+	}
+	wait := waitFirst + c.Rand(spread)
 	if !c.Role().Watcher {
-		wait = peersLast
+		wait += waitOthers
 	}
-	before := c.Cache.Revision()
-	until := time.Now().Add(jitter(wait))
+	until := time.Now().Add(wait)
 	for time.Now().Before(until) && ctx.Err() == nil {
 		if c.Cache.Revision() > before {
 			return nil, errDelivered
@@ -53,7 +63,7 @@
 
 // jitter returns a duration between half of d and one and a half, so that nodes
 // that started or failed together do not read together.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+func (r *Reader) jitter(d time.Duration) time.Duration { return d/2 + r.config.Rand(d) }
 
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -66,6 +66,9 @@
 		// Poll and Check are 0 for their defaults; both are jittered.
 		Poll  time.Duration
 		Check time.Duration
+		// Rand returns a random time below the given one; it is safe for
+		// concurrent use. Nil is the process's own generator.
+		Rand func(time.Duration) time.Duration
 		// Meter counts readings; nil counts none.
 		Meter Meter
 	}
@@ -94,6 +97,9 @@
 	if c.Check == 0 {
 		c.Check = DefaultCheck
 	}
+	if c.Rand == nil {
+		c.Rand = rand.N[time.Duration]
+	}
 	if c.Meter == nil {
 		c.Meter = noMeter{}
 	}
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -62,7 +62,7 @@
 			t.version = t.join(ctx)
 			t.seen = max(t.seen, t.version)
 		}
-		sleep(ctx, jitter(pause))
+		sleep(ctx, t.reader.jitter(pause))
 		pause = min(2*pause, retryLast)
 	}
 }
@@ -81,7 +81,7 @@
 		}
 		return true, t.apply(ctx, v)
 	case !watcher:
-		sleep(ctx, jitter(glance))
+		sleep(ctx, t.reader.jitter(glance))
 		return false, nil
 	default:
 		v, changed, err := source.Watch(ctx, t.key, t.seen)
@@ -111,7 +111,7 @@
 	if !first && !asked && !late && now.Before(t.plain) {
 		return false
 	}
-	t.plain = now.Add(jitter(period))
+	t.plain = now.Add(t.reader.jitter(period))
 	t.read = now
 	t.reread = role.Reread
 	return !first || !role.Watcher
@@ -150,7 +150,7 @@
 // version; the value is read again later, since only half of it may have come.
 func (t *topic) refuse(v Value, err error) {
 	t.seen = max(t.seen, v.Version)
-	t.plain = time.Now().Add(jitter(retryValue))
+	t.plain = time.Now().Add(t.reader.jitter(retryValue))
 	t.reader.statuses.update(func() { t.status.Refused = err.Error() })
 }
 
