--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -140,13 +140,14 @@
 		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
 	})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	reread := make(chan struct{}, 1)
 	n.control = newControl(controlConfig{
-		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics,
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics, Reread: reread,
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
 		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
-		Join: n.joins(),
+		Reread: reread, Join: n.joins(),
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -207,7 +208,6 @@
 	return platform.Role{
 		Watcher: v.Watcher || v.At.IsZero(),
 		Heard:   v.ListVersion, Listed: v.Listed,
-		Reread: n.control.rereads.Load(),
 	}
 }
 
--- a/control.go
+++ b/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +32,9 @@
 		Gate      *gate.Gate
 		// Cache takes revisions that peers deliver.
 		Cache *platform.Cache
-		Log   logrus.FieldLogger
+		// Reread asks the platform's reader for new readings.
+		Reread chan<- struct{}
+		Log    logrus.FieldLogger
 		// Metrics counts heartbeats and fetches.
 		Metrics *operator.Metrics
 	}
@@ -46,8 +47,6 @@
 		cancel  context.CancelFunc
 		ctx     context.Context
 		running sync.WaitGroup
-		// rereads counts how often the platform should be read anew.
-		rereads atomic.Uint64
 	}
 
 	// valuesOf reads the configuration that a peer holds.
@@ -183,7 +182,10 @@
 		beat := c.config.Kernel.Beat(now, a.To.Name)
 		c.running.Go(func() { c.sendBeat(a.To, beat) })
 	case kernel.Reread:
-		c.rereads.Add(1)
+		select {
+		case c.config.Reread <- struct{}{}:
+		default:
+		}
 	case kernel.FetchConfig:
 		c.running.Go(func() { c.fetchConfig(a) })
 	}
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -47,8 +47,6 @@
 		// Listed the version that the node has.
 		Heard  uint64
 		Listed uint64
-		// Reread rises when everything should be read anew.
-		Reread uint64
 	}
 
 	// ReaderConfig is the settings of a Reader.
@@ -63,6 +61,8 @@
 		// Join are nodes that tell the instance list to one that starts while
 		// the platform does not answer.
 		Join []Getter
+		// Reread asks for new readings at once; nil never does.
+		Reread <-chan struct{}
 		// Poll and Check are 0 for their defaults; both are jittered.
 		Poll  time.Duration
 		Check time.Duration
@@ -81,6 +81,7 @@
 		cancel   context.CancelFunc
 		done     sync.WaitGroup
 		statuses statuses
+		rereads  *rereads
 	}
 
 	noMeter struct{}
@@ -104,7 +105,8 @@
 		c.Meter = noMeter{}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{config: c, cancel: cancel}
+	r := &Reader{config: c, cancel: cancel, rereads: newRereads()}
+	r.done.Go(func() { r.rereads.follow(ctx, c.Reread) })
 	follow := func(t *topic) {
 		t.reader = r
 		t.status = r.statuses.add(t.key)
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -389,14 +388,19 @@
 	require.Equal(t, before, after)
 }
 
-func TestReaderReadsAnewWhenAsked(t *testing.T) {
-	var asked atomic.Uint64
-	c := platform.ReaderConfig{Role: func() platform.Role { return platform.Role{Reread: asked.Load()} }}
-	within(t, c, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
+func TestReaderThatIsNoWatcherReadsAnewWhenAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := make(chan struct{}, 1)
+		f, s := newFakePlatform(), &fakeSink{}
+		r := platform.NewReader(platform.ReaderConfig{
+			Source: f, Sink: s, Log: quiet(), Cache: newCache(), Reread: asked, Rand: seeded(0),
+			Role: func() platform.Role { return platform.Role{} },
+		})
+		defer r.Close()
 		f.accept(t, sample(1, 3))
 		time.Sleep(inForce)
 		f.accept(t, sample(2, 3))
-		asked.Add(1)
+		asked <- struct{}{}
 		time.Sleep(time.Second)
 		requireRevisions(t, s, 1, 2)
 	})
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -38,9 +38,10 @@
 	seen    uint64
 	// plain is when the next plain reading is due.
 	plain  time.Time
-	reread uint64
 	read   time.Time
 	failed bool
+	// called is closed when a new reading is asked for.
+	called <-chan struct{}
 }
 
 func (t *topic) follow(ctx context.Context) {
@@ -71,7 +72,11 @@
 // takes it where it is new. It reports false where nothing was due.
 func (t *topic) next(ctx context.Context) (bool, error) {
 	source, role := t.reader.config.Source, t.reader.config.Role()
-	watcher := role.Watcher
+	called := t.reader.rereads.channel()
+	if t.called != nil && t.called != called {
+		t.plain = time.Now()
+	}
+	t.called = called
 	switch {
 	case t.due(role):
 		v, err := source.Get(ctx, t.key)
@@ -80,11 +85,16 @@
 			return true, err
 		}
 		return true, t.apply(ctx, v)
-	case !watcher:
+	case !role.Watcher:
 		sleep(ctx, t.reader.jitter(glance))
 		return false, nil
 	default:
-		v, changed, err := source.Watch(ctx, t.key, t.seen)
+		waiting, cancel := until(ctx, called)
+		defer cancel()
+		v, changed, err := source.Watch(waiting, t.key, t.seen)
+		if waiting.Err() != nil && ctx.Err() == nil {
+			return false, nil
+		}
 		if err != nil || !changed {
 			return true, err
 		}
@@ -106,14 +116,12 @@
 		period = t.reader.config.Check
 	}
 	first := t.plain.IsZero()
-	asked := role.Reread > t.reread
 	late := !role.Watcher && t.heard() > t.seen && now.Sub(t.read) >= retryLast
-	if !first && !asked && !late && now.Before(t.plain) {
+	if !first && !late && now.Before(t.plain) {
 		return false
 	}
 	t.plain = now.Add(t.reader.jitter(period))
 	t.read = now
-	t.reread = role.Reread
 	return !first || !role.Watcher
 }
 
