Check the page on state dumps against a running node

Cause: the page named the parts of the dump from before the fleet knew cells, marks and poison requests.

Conclusion: every part that a plug-in adds to the dump needs its row.

--- a/internal/loopback/operator_test.go
+++ b/internal/loopback/operator_test.go
@@ -1,9 +1,11 @@
 package loopback_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -52,3 +54,16 @@
 	require.NotContains(t, state, "accounts")
 	require.Contains(t, operate(t, f, "n1", "/revision"), `"verdict": "accept"`)
 }
+
+// TestStatePage fails where a part of the dump is missing on the operators'
+// page.
+func TestStatePage(t *testing.T) {
+	f := start(t, loopback.Thies())
+	page, err := os.ReadFile("../../docs/operators/state.md")
+	require.NoError(t, err)
+	var parts map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal([]byte(operate(t, f, "n1", "/state")), &parts))
+	for part := range parts {
+		require.Contains(t, string(page), fmt.Sprintf("\n| `%s` |", part))
+	}
+}
