--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -59,6 +59,9 @@
 		Operators net.Listener
 		// Platform is where the platform listens.
 		Platform netip.AddrPort
+		// Join is where some other nodes listen for peers: a node that starts
+		// while the platform is down asks them for the instance list.
+		Join []netip.AddrPort
 		// Keys are the operators' public keys.
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
@@ -97,6 +100,7 @@
 		key        *peer.Key
 		control    *control
 		cache      *platform.Cache
+		lister     lister
 		reader     *platform.Reader
 		source     *platform.Client
 		peers      *peer.Client
@@ -138,7 +142,7 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
-	}, c.Extensions...)
+	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
@@ -152,7 +156,8 @@
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics, Reread: reread,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
+		Reread: reread, Join: n.joins(),
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -210,11 +215,10 @@
 // published no view yet knows no other that would read for it.
 func (n *Node) role() platform.Role {
 	v := n.control.View()
-	role := platform.Role{Watcher: v.Watcher || v.At.IsZero()}
-	if v.ListVersion > v.Listed {
-		role.Listed = v.ListVersion
+	return platform.Role{
+		Watcher: v.Watcher || v.At.IsZero(),
+		Heard:   v.ListVersion, Listed: v.Listed,
 	}
-	return role
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
@@ -231,7 +235,8 @@
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
 		Key:      n.key,
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits,
+		Values: values{cache: n.cache, lister: &n.lister},
 		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
