--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,17 +20,20 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
 const (
@@ -110,6 +113,9 @@
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
+		limiter    *limit.Limiter
+		ledger     *dispatch.Ledger
+		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -129,7 +135,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	n := &Node{config: c, key: key, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	n := &Node{
+		config:    c,
+		key:       key,
+		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
+		ledger:    dispatch.NewLedger(),
+		meter:     capacity.NewMeter(),
+		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+	}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -142,6 +155,9 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
+		Pool:       pool.Config{Sent: n.ledger.Loads},
+		Limit:      limit.Config{Limiter: n.limiter},
+		Capacity:   capacity.Config{Meter: n.meter},
 	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
@@ -225,7 +241,7 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger, Meter: n.meter,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
