Compare a home's counts with the endpoints' own reports

Change: half of what an endpoint's lagging report was above the home's count of that time counts as load.

--- a/internal/gate/adopt.go
+++ b/internal/gate/adopt.go
@@ -43,6 +43,7 @@
 // load returns the load that counts for an endpoint whose home the node is.
 func (g *Gate) load(now time.Time, endpoint string) kernel.Load {
 	l := g.loads[endpoint]
+	l.Tokens = max(l.Tokens+g.hidden(now, endpoint), 0)
 	if a := g.homes[endpoint]; now.Sub(a.since) < adoptTime {
 		l.Requests = max(l.Requests, a.load.Requests)
 		l.Tokens = max(l.Tokens, a.load.Tokens)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -74,6 +74,9 @@
 		loads   map[string]kernel.Load
 		homes   map[string]adoption
 		adopted *kernel.View
+		// history and differences compare the counts with endpoints' reports.
+		history     map[string][]past
+		differences map[string]difference
 	}
 
 	permit struct {
@@ -89,7 +92,7 @@
 	if c.Rule == nil {
 		c.Rule = NewBoundRule()
 	}
-	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}}
+	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}, history: map[string][]past{}, differences: map[string]difference{}}
 }
 
 // Admit answers an ask.
@@ -176,6 +179,7 @@
 	defer g.mu.Unlock()
 	v := g.config.View()
 	g.adopt(v)
+	g.remember(v.At)
 	loads := make([]kernel.EndpointLoad, 0, len(g.homes))
 	for name := range g.homes {
 		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: g.load(v.At, name)})
