Pass sums with permits, choose anew after a denial by the loads told

Change: permit messages carry the sum of the sender's own endpoints; a denial carries the loads of the home's; a denied request goes first where the rule fits. Nodes tell the pool what they dispatched themselves. What an import costs is a setting of the router.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,14 +20,18 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
 const (
@@ -65,6 +69,11 @@
 		Linger time.Duration
 		// Callers' limits; zero values are defaults.
 		Limits caller.Config
+		// Token is the secret that operators show; without one only health and
+		// readiness are served to them.
+		Token string
+		// Traces is how many requests' decisions are kept for operators.
+		Traces int
 		// Dialer opens every connection the node makes, to peers, endpoints and
 		// the platform; nil is the default of each.
 		Dialer Dialer
@@ -83,12 +92,17 @@
 	Node struct {
 		config     Config
 		control    *control
+		cache      *platform.Cache
 		reader     *platform.Reader
 		source     *platform.Client
 		peers      *peer.Client
 		server     *peer.Server
 		dispatcher *dispatch.Dispatcher
+		holder     *gate.Holder
 		endpoints  *endpoint.Client
+		metrics    *operator.Metrics
+		traces     *operator.Traces
+		tickets    *once.Registry
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -104,7 +118,7 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	n := &Node{config: c, holder: gate.NewHolder(), endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -112,13 +126,25 @@
 		Caller:      address(c.Callers),
 		Peer:        address(c.Peers),
 	}
+	n.tickets = once.New(once.Config{Node: self.Name, Incarnation: self.Incarnation})
 	active := func() int { return int(c.Limits.Active.Load()) }
-	k, permits := builtin.New(self, builtin.Config{Membership: membership.Config{Active: active}}, c.Extensions...)
-	n.peers = peer.NewClient(peer.ClientConfig{Self: self.Name, Incarnation: self.Incarnation, Dialer: c.Dialer})
-	n.control = newControl(controlConfig{Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits})
+	k, permits := builtin.New(self, builtin.Config{
+		Config:     config.Config{Hold: config.DefaultHold},
+		Membership: membership.Config{Active: active},
+		Pool:       pool.Config{Sent: n.holder.Loads},
+	}, c.Extensions...)
+	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
+	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
+	n.peers = peer.NewClient(peer.ClientConfig{
+		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
+	})
+	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	n.control = newControl(controlConfig{
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics,
+	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Operators: c.Keys, Log: c.Log,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -142,7 +168,7 @@
 	pause(ctx, n.config.Grace)
 	n.handler.Refuse()
 	refused := time.Now()
-	err := n.handler.Wait(ctx)
+	err := errors.Join(n.handler.Wait(ctx), n.tickets.Wait(ctx))
 	pause(ctx, time.Until(refused.Add(n.config.Linger)))
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
@@ -161,23 +187,53 @@
 	return err
 }
 
-func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
-	var err error
-	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.config.Peers, Beats: n.control, Permits: permits, Values: n.reader,
-	})
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrStart, err)
+// dump returns the state of every part of the node.
+func (n *Node) dump() map[string]any {
+	state := n.control.Dump()
+	state["platform"] = n.platformStatus()
+	return state
+}
+
+func (n *Node) record() []byte { return n.cache.Value(platform.KeyAccepted) }
+
+func (n *Node) platformStatus() []platform.Status { return n.reader.Status() }
+
+// role returns what the fleet expects of the platform's reader. A node that has
+// published no view yet knows no other that would read for it.
+func (n *Node) role() platform.Role {
+	v := n.control.View()
+	role := platform.Role{Watcher: v.Watcher || v.At.IsZero()}
+	if v.ListVersion > v.Listed {
+		role.Listed = v.ListVersion
 	}
+	return role
+}
+
+func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
+	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		Leases: leases, PeerLeases: n.peers, Holder: n.holder,
+		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
 	limits.View, limits.Dispatcher, limits.Log = k.View, n.dispatcher, n.config.Log
+	limits.Tickets, limits.Relays = n.tickets, n.peers
 	n.handler = caller.New(limits)
-	n.callers = caller.NewServer(n.handler)
+	var err error
+	n.server, err = peer.NewServer(peer.ServerConfig{
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Relays: n.handler, Leases: leases,
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	n.callers = caller.NewServer(n.metrics.Observe(n.handler))
 	n.operators = &http.Server{
-		Handler:           operator.New(operator.Config{View: k.View, Dump: n.control.Dump}),
+		Handler: operator.New(operator.Config{
+			View: k.View, Dump: n.dump, Record: n.record, Token: n.config.Token,
+			Metrics: n.metrics, Traces: n.traces,
+		}),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	start := func(s *http.Server, l net.Listener) {
@@ -204,3 +260,10 @@
 	case <-ctx.Done():
 	}
 }
+
+func dialerOr(d Dialer) Dialer {
+	if d == nil {
+		return &net.Dialer{}
+	}
+	return d
+}
--- a/control.go
+++ b/control.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
 const (
 	readHeaderTimeout = 10 * time.Second
 	beatTimeout       = time.Second
+	fetchTimeout      = 2 * time.Second
 	loadInterval      = time.Second
 	queueLength       = 1024
 )
@@ -24,6 +30,11 @@
 		Peers     *peer.Client
 		Endpoints *endpoint.Client
 		Gate      *gate.Gate
+		// Cache takes revisions that peers deliver.
+		Cache *platform.Cache
+		Log   logrus.FieldLogger
+		// Metrics counts heartbeats and fetches.
+		Metrics *operator.Metrics
 	}
 
 	// control owns the kernel: one goroutine steps it, others do the I/O that
@@ -36,6 +47,12 @@
 		running sync.WaitGroup
 	}
 
+	// valuesOf reads the configuration that a peer holds.
+	valuesOf struct {
+		peers *peer.Client
+		addr  netip.AddrPort
+	}
+
 	// input is an event, a call on the goroutine that owns the kernel, or both.
 	input struct {
 		event kernel.Event
@@ -90,20 +107,24 @@
 
 // Beat takes a peer's heartbeat and returns the node's own.
 func (c *control) Beat(_ context.Context, b *kernel.Beat) *kernel.Beat {
-	reply := &kernel.Beat{}
-	c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
+	var reply *kernel.Beat
+	if !c.do(kernel.BeatReceived{Beat: b}, func(now time.Time) {
 		reply = c.config.Kernel.Beat(now, b.Node)
-	})
+	}) {
+		return &kernel.Beat{}
+	}
 	return reply
 }
 
 // Dump returns the state of every plug-in.
 func (c *control) Dump() map[string]any {
-	state := map[string]any{}
-	c.do(nil, func(now time.Time) {
+	var state map[string]any
+	if !c.do(nil, func(now time.Time) {
 		state = c.config.Kernel.Dump(now)
-		state["view"] = c.View()
-	})
+		state["view"] = summary(c.View())
+	}) {
+		return map[string]any{}
+	}
 	return state
 }
 
@@ -113,17 +134,21 @@
 	c.running.Wait()
 }
 
-// do applies an event and runs a call on the control goroutine, and waits.
-func (c *control) do(ev kernel.Event, call func(now time.Time)) {
+// do applies an event and runs a call on the control goroutine, and waits. It
+// reports whether the call has ended; where the node closes meanwhile, the call
+// may still run, and what it writes must not be read.
+func (c *control) do(ev kernel.Event, call func(now time.Time)) bool {
 	in := input{event: ev, call: call, done: make(chan struct{})}
 	select {
 	case c.inputs <- in:
 	case <-c.ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-in.done:
+		return true
 	case <-c.ctx.Done():
+		return false
 	}
 }
 
@@ -140,9 +165,13 @@
 }
 
 func (c *control) step(now time.Time, ev kernel.Event) {
+	before := revisionOf(c.View())
 	for _, a := range c.config.Kernel.Step(now, ev) {
 		c.act(now, a)
 	}
+	if after := revisionOf(c.View()); after != before {
+		c.config.Log.WithFields(logrus.Fields{"revision": after, "before": before}).Info("revision in force")
+	}
 }
 
 func (c *control) act(now time.Time, a kernel.Action) {
@@ -150,6 +179,8 @@
 	case kernel.SendBeat:
 		beat := c.config.Kernel.Beat(now, a.To.Name)
 		c.running.Go(func() { c.sendBeat(a.To, beat) })
+	case kernel.FetchConfig:
+		c.running.Go(func() { c.fetchConfig(a) })
 	}
 }
 
@@ -157,6 +188,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, beatTimeout)
 	defer cancel()
 	reply, err := c.config.Peers.Beat(ctx, to.Peer, beat)
+	c.config.Metrics.Beat(err)
 	if err != nil {
 		c.Offer(kernel.BeatFailed{Node: to.Name})
 		return
@@ -164,15 +196,34 @@
 	c.Offer(kernel.BeatReceived{Beat: reply})
 }
 
+// fetchConfig takes the newest accepted revision from a peer. The cache
+// verifies it, so a peer cannot put anything in force that operators did not
+// accept.
+func (c *control) fetchConfig(a kernel.FetchConfig) {
+	node, ok := c.View().Node(a.Node)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	defer cancel()
+	m, err := c.config.Cache.Fetch(ctx, valuesOf{peers: c.config.Peers, addr: node.Peer})
+	c.config.Metrics.Fetch(err)
+	if err != nil {
+		c.config.Log.WithError(err).WithFields(logrus.Fields{
+			"peer": a.Node, "revision": a.Revision,
+		}).Warn("accepted revision not delivered by peer")
+		c.Offer(kernel.ConfigFailed{Node: a.Node})
+		return
+	}
+	if m != nil {
+		c.Offer(kernel.Accepted{Manifest: m})
+	}
+}
+
 // readLoads asks the endpoints whose home the node is for their reports.
 func (c *control) readLoads() {
-	v := c.View()
-	for _, p := range v.Pools {
-		for _, e := range p.Endpoints {
-			if e.Home == v.Self.Name {
-				c.running.Go(func() { c.readLoad(e) })
-			}
-		}
+	for _, e := range c.View().Probes {
+		c.running.Go(func() { c.readLoad(e) })
 	}
 }
 
@@ -184,9 +235,33 @@
 	}
 	c.config.Gate.Reported(time.Now(), e.Name, kernel.Load{Requests: report.Requests, Tokens: report.Tokens})
 	c.Offer(kernel.LoadReported{
-		Endpoint: e.Name,
-		Load:     kernel.Load{Requests: report.Requests, Tokens: report.Tokens},
-		Models:   report.Models,
-		Leaving:  report.Leaving,
+		Endpoint:    e.Name,
+		Load:        kernel.Load{Requests: report.Requests, Tokens: report.Tokens},
+		Models:      report.Models,
+		Leaving:     report.Leaving,
+		Incarnation: report.Incarnation,
+		Adapters:    report.Adapters,
+		Role:        report.Role,
+		Fence:       report.Fence,
 	})
 }
+
+// Values reads values by their keys.
+func (v valuesOf) Values(ctx context.Context, keys []string) (map[string][]byte, error) {
+	return v.peers.Values(ctx, v.addr, keys)
+}
+
+func revisionOf(v *kernel.View) uint64 {
+	if v.Manifest == nil {
+		return 0
+	}
+	return v.Manifest.Revision
+}
+
+// summary returns a view without its manifest, which operators have; at 1,600
+// accounts it would be most of a dump.
+func summary(v *kernel.View) *kernel.View {
+	s := *v
+	s.Manifest = nil
+	return &s
+}
--- a/internal/builtin/builtin.go
+++ b/internal/builtin/builtin.go
@@ -6,15 +6,22 @@
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/mark"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/internal/roster"
 )
 
 // Config is the settings of the built-in plug-ins; zero values are defaults.
 type Config struct {
+	Config     config.Config
 	Membership membership.Config
 	Pool       pool.Config
+	Roster     roster.Config
+	Mark       mark.Config
 	Gate       gate.Config
+	Poison     poison.Config
 }
 
 // New returns a kernel with the built-in plug-ins and the given further ones,
@@ -25,9 +32,12 @@
 	permits := gate.New(c.Gate)
 	c.Pool.Own = permits.Loads
 	k = kernel.New(kernel.Config{Self: self, Extensions: append([]kernel.Extension{
-		config.New(),
+		config.New(c.Config),
+		roster.New(c.Roster),
+		mark.New(c.Mark),
 		membership.New(c.Membership),
 		pool.New(c.Pool),
+		poison.New(c.Poison),
 	}, more...)})
 	return k, permits
 }
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -60,7 +60,10 @@
 		notReady().write(w)
 		return
 	}
-	answer := entry.Answer{KeepMS: (entryKeep + rand.N(entryJitter)).Milliseconds()}
+	answer := entry.Answer{
+		KeepMS:  (entryKeep + rand.N(entryJitter)).Milliseconds(),
+		Tickets: h.freshTickets(r, EntryTickets),
+	}
 	for _, n := range nodes {
 		answer.Nodes = append(answer.Nodes, n.Caller)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,9 +23,9 @@
 
 const (
 	askTimeout = 250 * time.Millisecond
-	// leaseSlack keeps a permit a little past the deadline, for the release
-	// under way.
-	leaseSlack = time.Second
+	// waitedRetry is when a caller may come back whose request waited for an
+	// endpoint until its deadline.
+	waitedRetry = time.Second
 )
 
 type (
@@ -42,6 +42,8 @@
 	// Gate grants the permits of the endpoints whose home the node is.
 	Gate interface {
 		Apply(now time.Time, b gate.Batch) gate.Reply
+		Own(now time.Time, endpoint string) kernel.Load
+		Heard(now time.Time, node, endpoint string, l kernel.Load)
 	}
 
 	// Sink takes events for the control state.
@@ -53,11 +55,18 @@
 	Config struct {
 		View func() *kernel.View
 		// Router plans the requests; nil is one with the defaults.
-		Router    *route.Router
+		Router *route.Router
+		// Holder keeps the permits that the node holds; nil is an empty one.
+		Holder *gate.Holder
+		// Recorder keeps what the plans did; nil keeps nothing.
+		Recorder  Recorder
 		Gate      Gate
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Leases and PeerLeases let suspected requests run.
+		Leases     Leases
+		PeerLeases PeerLeases
 	}
 
 	// Dispatcher runs requests. It is safe for concurrent use.
@@ -84,25 +93,31 @@
 		Attempt  string
 		Endpoint kernel.Endpoint
 		release  func()
+		job      *job
 	}
 
 	job struct {
 		d      *Dispatcher
-		plan   *route.Plan
+		plan   planner
 		req    route.Request
 		call   endpoint.Call
 		permit uint64
 		lost   bool
+
+		suspicion suspicion
 	}
 )
 
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
+	if c.Holder == nil {
+		c.Holder = gate.NewHolder()
+	}
 	if c.Router == nil {
 		c.Router = route.NewRouter(route.Config{})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Dispatcher{config: c, holder: gate.NewHolder(), base: rand.Uint64(), cancel: cancel}
+	d := &Dispatcher{config: c, holder: c.Holder, base: rand.Uint64(), cancel: cancel}
 	d.running.Go(func() {
 		tick := time.NewTicker(dueInterval)
 		defer tick.Stop()
@@ -131,8 +146,9 @@
 
 // Close ends the answer and gives the permit back.
 func (r *Run) Close() error {
-	err := r.Answer.Body.Close()
+	err := r.Answer.Close()
 	r.release()
+	r.job.giveBack(false)
 	return err
 }
 
@@ -140,8 +156,16 @@
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
 	j := &job{d: d, plan: d.config.Router.Plan(time.Now(), req), req: req, call: call}
+	return j.record().carry(ctx)
+}
+
+func (j *job) carry(ctx context.Context) (*Run, error) {
 	for {
-		step := j.plan.Next(time.Now(), d.config.View())
+		if refusal := j.clear(ctx); refusal != nil {
+			j.giveBack(false)
+			return nil, refusal
+		}
+		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
 		case route.StepAsk:
 			j.plan.Report(j.ask(ctx, step))
@@ -153,9 +177,11 @@
 			j.plan.Report(outcome)
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
-				return nil, &Refusal{Reason: route.ReasonDeadline, NotRun: !j.lost}
+				j.giveBack(false)
+				return nil, &Refusal{Reason: route.ReasonDeadline, RetryAfter: waitedRetry, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
+			j.giveBack(false)
 			return nil, &Refusal{Reason: step.Reason, RetryAfter: step.RetryAfter, NotRun: !j.lost}
 		}
 	}
@@ -168,7 +194,8 @@
 		ID:       j.permit,
 		Endpoint: e.Name,
 		Tokens:   step.Tokens,
-		Lease:    time.Until(j.req.Deadline) + leaseSlack,
+		Lease:    time.Until(j.req.Deadline) + gate.LeaseSlack,
+		Suspect:  len(j.suspect().Endpoints),
 	}
 	return j.d.permit(ctx, e, a)
 }
@@ -180,12 +207,14 @@
 	permit := j.permit
 	if err == nil {
 		release := func() { j.d.release(permit) }
-		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release}, 0
+		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
-	j.d.release(permit)
-	if ctx.Err() == nil {
-		j.d.config.Sink.Offer(kernel.EndpointFailed{Endpoint: e.Name})
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		j.d.release(permit)
+	} else {
+		j.d.void(permit)
 	}
+	j.failed(ctx, e, err)
 	if errors.Is(err, endpoint.ErrNotRun) {
 		return nil, route.OutcomeNotRun
 	}
--- a/internal/endpoint/cache.go
+++ b/internal/endpoint/cache.go
@@ -92,7 +92,7 @@
 	}
 	resp, err := c.shared.Do(req)
 	if err != nil {
-		return failure(err)
+		return failure(err, !dialFailed(err))
 	}
 	defer resp.Body.Close()
 	switch {
--- a/internal/gate/adopt.go
+++ b/internal/gate/adopt.go
@@ -50,18 +50,3 @@
 	}
 	return l
 }
-
-// current returns a pool with the loads of the node's own endpoints as they are
-// now; the view has those of its last publication.
-func (g *Gate) current(now time.Time, v *kernel.View, p *kernel.Pool) *kernel.Pool {
-	fresh := *p
-	for _, e := range p.Endpoints {
-		if e.Home != v.Self.Name || e.State != kernel.Live {
-			continue
-		}
-		l := g.load(now, e.Name)
-		fresh.Total.Requests += l.Requests - e.Load.Requests
-		fresh.Total.Tokens += l.Tokens - e.Load.Tokens
-	}
-	return &fresh
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,8 @@
 	Gone
 	// NotHome is an ask that reached a node which is not the endpoint's home.
 	NotHome
+	// Late is a request that no endpoint can do before its deadline.
+	Late
 )
 
 type (
@@ -46,6 +48,8 @@
 		Node string
 		// Lease is how long the permit counts unless it is given back.
 		Lease time.Duration
+		// Suspect is how many endpoints died running the request.
+		Suspect int
 	}
 
 	// Batch is what a node tells a home in one message.
@@ -54,14 +58,26 @@
 		// Declares is permits that other homes granted.
 		Declares []Ask
 		// Returns is permits that are given back.
-		Returns []uint64
+		Returns []Return
+		// Own is the load of the sender's own endpoints of the first ask's
+		// service.
+		Own kernel.Load
+	}
+
+	// Return gives one permit back.
+	Return struct {
+		ID uint64
+		// Took is how long the request ran; 0 where it did not.
+		Took time.Duration
 	}
 
 	// Reply is what a home answers.
 	Reply struct {
 		// Verdicts answers each ask, in the order asked.
 		Verdicts []Verdict
-		// Loads is the load of the home's endpoints, where it denied an ask.
+		// Own is the load of the home's endpoints of the first ask's service.
+		Own kernel.Load
+		// Loads is the load of each of them, where the home denied an ask.
 		Loads []kernel.EndpointLoad
 	}
 
@@ -77,13 +93,19 @@
 		// history and differences compare the counts with endpoints' reports.
 		history     map[string][]past
 		differences map[string]difference
+		heard       map[heardKey]heardSum
+		// learned is how much each endpoint finishes in time.
+		learned map[string]*concurrency
 	}
 
 	permit struct {
 		endpoint string
 		node     string
 		tokens   int
-		expires  time.Time
+		// lease is how long the permit was to count when it was granted.
+		lease   time.Duration
+		expires time.Time
+		suspect int
 	}
 )
 
@@ -92,7 +114,16 @@
 	if c.Rule == nil {
 		c.Rule = NewBoundRule()
 	}
-	return &Gate{config: c, permits: map[uint64]permit{}, loads: map[string]kernel.Load{}, homes: map[string]adoption{}, history: map[string][]past{}, differences: map[string]difference{}}
+	return &Gate{
+		config:      c,
+		permits:     map[uint64]permit{},
+		loads:       map[string]kernel.Load{},
+		homes:       map[string]adoption{},
+		heard:       map[heardKey]heardSum{},
+		learned:     map[string]*concurrency{},
+		history:     map[string][]past{},
+		differences: map[string]difference{},
+	}
 }
 
 // Admit answers an ask.
@@ -111,7 +142,17 @@
 		return Granted
 	}
 	g.adopt(v)
-	if !g.config.Rule.Fits(g.current(now, v, pool), g.load(now, a.Endpoint), a.Tokens, g.largest(pool)) {
+	if a.Suspect > 0 && !g.takesSuspect(a) {
+		return Full
+	}
+	load, learned := g.load(now, a.Endpoint), g.concurrency(a.Endpoint)
+	if learned.late(now, a.Tokens, a.Lease-LeaseSlack) {
+		return Late
+	}
+	if !learned.takes(load.Requests) {
+		return Full
+	}
+	if !g.config.Rule.Fits(g.current(now, v, pool), load, a.Tokens, g.largest(pool)) {
 		return Full
 	}
 	g.hold(now, a)
@@ -119,19 +160,23 @@
 }
 
 // Apply takes in a batch and answers it.
-func (g *Gate) Apply(now time.Time, b Batch) Reply {
-	for _, id := range b.Returns {
-		g.Release(id)
+func (g *Gate) Apply(now time.Time, b Batch) (r Reply) {
+	for _, r := range b.Returns {
+		g.Release(now, r)
 	}
 	for _, a := range b.Declares {
 		g.Declare(now, a)
 	}
-	var r Reply
+	if len(b.Asks) > 0 {
+		first := b.Asks[0]
+		g.Heard(now, first.Node, first.Endpoint, b.Own)
+		defer func() { r.Own = g.Own(now, first.Endpoint) }()
+	}
 	for _, a := range b.Asks {
 		verdict := g.Admit(now, a)
 		r.Verdicts = append(r.Verdicts, verdict)
 		if verdict == Full {
-			r.Loads = g.Loads()
+			r.Loads = g.loadsBeside(a.Endpoint)
 		}
 	}
 	return r
@@ -148,10 +193,17 @@
 }
 
 // Release gives a permit back. A permit that is not held is ignored.
-func (g *Gate) Release(id uint64) {
+func (g *Gate) Release(now time.Time, r Return) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.release(id)
+	p, held := g.permits[r.ID]
+	if !held {
+		return
+	}
+	g.release(r.ID)
+	if r.Took > 0 {
+		g.concurrency(p.endpoint).learn(now, p, r.Took, g.loads[p.endpoint].Requests+1)
+	}
 }
 
 // Expire drops the permits whose lease has ended or whose node is dead.
@@ -190,6 +242,18 @@
 	return loads
 }
 
+// loadsBeside returns the loads of the node's endpoints of the same service.
+func (g *Gate) loadsBeside(endpoint string) []kernel.EndpointLoad {
+	_, pool, ok := find(g.config.View(), endpoint)
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(g.Loads(), func(l kernel.EndpointLoad) bool {
+		_, beside := pool.Endpoint(l.Endpoint)
+		return !beside
+	})
+}
+
 // largest is the most tokens of a permit held for an endpoint of the pool.
 func (g *Gate) largest(p *kernel.Pool) int {
 	most := 0
@@ -204,8 +268,22 @@
 	return most
 }
 
+// concurrency returns what is known of an endpoint; it is forgotten when the
+// home moves.
+func (g *Gate) concurrency(endpoint string) *concurrency {
+	c := g.learned[endpoint]
+	if c == nil {
+		c = &concurrency{}
+		g.learned[endpoint] = c
+	}
+	return c
+}
+
 func (g *Gate) hold(now time.Time, a Ask) {
-	g.permits[a.ID] = permit{endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens, expires: now.Add(a.Lease)}
+	g.permits[a.ID] = permit{
+		endpoint: a.Endpoint, node: a.Node, tokens: a.Tokens,
+		lease: a.Lease, expires: now.Add(a.Lease), suspect: a.Suspect,
+	}
 	g.loads[a.Endpoint] = g.loads[a.Endpoint].Add(kernel.Load{Requests: 1, Tokens: a.Tokens})
 }
 
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -9,9 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +31,8 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	readyPoll = 10 * time.Millisecond
+	// Token is what operators of a fleet show.
+	Token = "operators-token"
 	// platformName names the platform in cuts.
 	platformName = "platform"
 )
@@ -85,8 +90,9 @@
 	// Endpoint is a running stand-in endpoint.
 	Endpoint struct {
 		*standin.Endpoint
-		Addr   netip.AddrPort
-		server *server
+		Addr    netip.AddrPort
+		Service string
+		server  *server
 	}
 
 	node struct {
@@ -127,19 +133,34 @@
 	return f, f.start()
 }
 
-// Accept publishes a manifest with the operators' record, as their pipeline
-// would.
-func (f *Fleet) Accept(m *manifest.Manifest) error {
-	data, err := json.Marshal(m)
+// Propose publishes the values of a manifest, as the operators' pipeline would,
+// and returns the digest of its root.
+func (f *Fleet) Propose(m *manifest.Manifest) (manifest.Digest, error) {
+	parts, err := manifest.Split(m)
 	if err != nil {
-		return fmt.Errorf("loopback: %w", err)
+		return "", fmt.Errorf("loopback: %w", err)
 	}
-	digest := manifest.Sum(data)
-	record, err := json.Marshal(manifest.Accept(f.key, m.Revision, digest))
+	for digest, data := range parts.Values {
+		f.Platform.Set(platform.PrefixManifest+string(digest), data)
+	}
+	return parts.Digest, nil
+}
+
+// Accept publishes a manifest with the operators' record of its acceptance.
+func (f *Fleet) Accept(m *manifest.Manifest) error { return f.decide(m, manifest.Accept) }
+
+// Reject publishes a manifest with the operators' record of its rejection.
+func (f *Fleet) Reject(m *manifest.Manifest) error { return f.decide(m, manifest.Reject) }
+
+func (f *Fleet) decide(m *manifest.Manifest, sign func(ed25519.PrivateKey, uint64, manifest.Digest) manifest.Record) error {
+	digest, err := f.Propose(m)
+	if err != nil {
+		return err
+	}
+	record, err := json.Marshal(sign(f.key, m.Revision, digest))
 	if err != nil {
 		return fmt.Errorf("loopback: %w", err)
 	}
-	f.Platform.Set(platform.PrefixManifest+string(digest), data)
 	f.Platform.Set(platform.KeyAccepted, record)
 	return nil
 }
@@ -194,6 +215,7 @@
 		return err
 	}
 	e.Addr = e.server.addr
+	e.Service = c.Service
 	f.Network.listens(c.Name, e.Addr)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,6 +283,23 @@
 	return nil
 }
 
+// PlatformAddr returns where the stand-in platform listens.
+func (f *Fleet) PlatformAddr() netip.AddrPort { return f.platform.addr }
+
+// OperatorKey returns the public key of the operators that accept changes.
+func (f *Fleet) OperatorKey() ed25519.PublicKey {
+	public, _ := f.key.Public().(ed25519.PublicKey)
+	return public
+}
+
+// List puts an instance that the fleet did not start on the platform's list.
+func (f *Fleet) List(i platform.Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list[i.Name] = i
+	return f.publish()
+}
+
 // Endpoint returns a running endpoint, or nil.
 func (f *Fleet) Endpoint(name string) *Endpoint {
 	f.mu.Lock()
@@ -268,6 +307,15 @@
 	return f.endpoints[name]
 }
 
+// Endpoints returns the running endpoints, sorted by name.
+func (f *Fleet) Endpoints() []*Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.SortedFunc(maps.Values(f.endpoints), func(a, b *Endpoint) int {
+		return strings.Compare(a.Name(), b.Name())
+	})
+}
+
 // Ready waits until every node has a configuration in force, knows every other
 // node and sees every endpoint.
 func (f *Fleet) Ready(ctx context.Context) error {
@@ -338,16 +386,12 @@
 		}
 		listeners[i] = l
 	}
-	public, ok := f.key.Public().(ed25519.PublicKey)
-	if !ok {
-		return nil, errors.New("loopback: operator key has no public part")
-	}
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Keys: []ed25519.PublicKey{public},
-		Dialer: dialer{network: f.Network, from: c.Name},
-		Grace:  f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
+		Platform: f.platform.addr, Keys: []ed25519.PublicKey{f.OperatorKey()},
+		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token,
+		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -18,7 +18,13 @@
 		Active:      uint32(max(b.Active, 0)),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, encodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, encodeMark),
+		Intro:       pointed(b.Intro, encodeIntro),
+		ListVersion: b.ListVersion,
+		News:        pointed(b.News, encodeNews),
+		Digests:     mapped(b.Digests, encodeDigest),
+		Demands:     mapped(b.Demands, encodeDemand),
+		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
 
@@ -32,7 +38,13 @@
 		Active:      int(b.Active),
 		Revision:    b.Revision,
 		Loads:       mapped(b.Loads, decodeLoad),
-		Leaves:      b.Leaves,
+		Marks:       mapped(b.Marks, decodeMark),
+		Intro:       valued(b.Intro, decodeIntro),
+		ListVersion: b.ListVersion,
+		News:        valued(b.News, decodeNews),
+		Digests:     mapped(b.Digests, decodeDigest),
+		Demands:     mapped(b.Demands, decodeDemand),
+		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
 
@@ -42,7 +54,9 @@
 		Node:     node,
 		Asks:     mapped(b.Asks, encodeAsk),
 		Declares: mapped(b.Declares, encodeAsk),
-		Returns:  b.Returns,
+		Returns:  mapped(b.Returns, func(r gate.Return) uint64 { return r.ID }),
+		TookMs:   mapped(b.Returns, tookMS),
+		Own:      encodeOwn(b.Own),
 	}
 }
 
@@ -52,15 +66,33 @@
 	return gate.Batch{
 		Asks:     mapped(r.Asks, decode),
 		Declares: mapped(r.Declares, decode),
-		Returns:  r.Returns,
+		Returns:  decodeReturns(r),
+		Own:      decodeOwn(r.Own),
 	}
 }
 
+// tookMS rounds up, since 0 stands for a request that did not run.
+func tookMS(r gate.Return) uint32 {
+	return uint32((max(r.Took, 0) + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeReturns(r *peerpb.PermitRequest) []gate.Return {
+	returns := make([]gate.Return, len(r.Returns))
+	for i, id := range r.Returns {
+		returns[i].ID = id
+		if i < len(r.TookMs) {
+			returns[i].Took = time.Duration(r.TookMs[i]) * time.Millisecond
+		}
+	}
+	return returns
+}
+
 // EncodeReply returns the wire form of the answer to a batch.
 func EncodeReply(r gate.Reply) *peerpb.PermitReply {
 	return &peerpb.PermitReply{
 		Verdicts: mapped(r.Verdicts, func(v gate.Verdict) uint32 { return uint32(v) }),
 		Loads:    mapped(r.Loads, encodeLoad),
+		Own:      encodeOwn(r.Own),
 	}
 }
 
@@ -69,7 +101,23 @@
 	return gate.Reply{
 		Verdicts: mapped(r.Verdicts, func(v uint32) gate.Verdict { return gate.Verdict(v) }),
 		Loads:    mapped(r.Loads, decodeLoad),
+		Own:      decodeOwn(r.Own),
+	}
+}
+
+// encodeOwn returns nil for no load, which takes no bytes.
+func encodeOwn(l kernel.Load) *peerpb.EndpointLoad {
+	if l == (kernel.Load{}) {
+		return nil
+	}
+	return encodeLoad(kernel.EndpointLoad{Load: l})
+}
+
+func decodeOwn(l *peerpb.EndpointLoad) kernel.Load {
+	if l == nil {
+		return kernel.Load{}
 	}
+	return decodeLoad(l).Load
 }
 
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
@@ -77,6 +125,7 @@
 		Endpoint: l.Endpoint,
 		Requests: uint32(max(l.Load.Requests, 0)),
 		Tokens:   uint64(max(l.Load.Tokens, 0)),
+		State:    uint32(l.State),
 	}
 }
 
@@ -84,6 +133,7 @@
 	return kernel.EndpointLoad{
 		Endpoint: l.Endpoint,
 		Load:     kernel.Load{Requests: int(l.Requests), Tokens: int(l.Tokens)},
+		State:    kernel.State(l.State),
 	}
 }
 
@@ -93,6 +143,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   uint32(max(a.Tokens, 0)),
 		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+		Suspect:  uint32(a.Suspect),
 	}
 }
 
@@ -103,6 +154,7 @@
 		Node:     node,
 		Tokens:   int(a.Tokens),
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
+		Suspect:  int(a.Suspect),
 	}
 }
 
@@ -117,3 +169,20 @@
 	}
 	return turned
 }
+
+// pointed returns the message of a value; nil for nil.
+func pointed[A, B any](a *A, f func(A) *B) *B {
+	if a == nil {
+		return nil
+	}
+	return f(*a)
+}
+
+// valued returns a pointer to a message turned by f; nil for nil.
+func valued[A, B any](a *A, f func(*A) B) *B {
+	if a == nil {
+		return nil
+	}
+	b := f(a)
+	return &b
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -20,42 +20,48 @@
 
 var policies = []Policy{
 	{
-		Name:  Present,
-		Text:  "what nodes run",
+		Name:   Present,
+		Text:   "what nodes run",
+		Route:  func(*rand.Rand) route.Config { return route.Config{} },
+		Import: true,
+	},
+	{
+		Name:  "noimport",
+		Text:  "what nodes run where engines cannot import prefixes",
 		Route: func(*rand.Rand) route.Config { return route.Config{} },
 	},
 	{
 		Name: "ceil",
 		Text: "hints, then hash order; the home bounds requests, rounded up",
 		Route: func(*rand.Rand) route.Config {
-			return route.Config{Ranker: route.NewHashRanker(), Memory: 1, Whole: true, Stay: true}
+			return route.Config{Ranker: route.NewHashRanker(), Memory: 1, Whole: true}
 		},
 		Gate: gate.Config{Rule: gate.NewCeilRule()},
 	},
 	{
 		Name:  "round",
 		Text:  "round robin",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: &roundRobin{}, Open: true, Stay: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: &roundRobin{}, Open: true} },
 		Poll:  true,
 	},
 	{
 		Name: "two",
 		Text: "two random choices on lagged load",
 		Route: func(r *rand.Rand) route.Config {
-			return route.Config{Ranker: &twoChoices{random: r}, Open: true, Stay: true}
+			return route.Config{Ranker: &twoChoices{random: r}, Open: true}
 		},
 		Poll: true,
 	},
 	{
 		Name:  "hash",
 		Text:  "consistent hashing",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: chatHash{}, Open: true, Stay: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: chatHash{}, Open: true} },
 		Poll:  true,
 	},
 	{
 		Name:  "bounded",
 		Text:  "consistent hashing with bounded lagged load",
-		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: boundedHash{}, Open: true, Stay: true} },
+		Route: func(*rand.Rand) route.Config { return route.Config{Ranker: boundedHash{}, Open: true} },
 		Poll:  true,
 	},
 }
@@ -69,6 +75,8 @@
 	Route func(random *rand.Rand) route.Config
 	// Gate is the settings of each node's Gate.
 	Gate gate.Config
+	// Import lets prefixes be imported where the trace's engines can.
+	Import bool
 	// Poll makes every node read the loads of all endpoints, not only of those
 	// whose home it is.
 	Poll bool
--- a/internal/replay/job.go
+++ b/internal/replay/job.go
@@ -150,6 +150,7 @@
 	case route.StepRun:
 		j.start(step.Endpoint, step.From.Name)
 	case route.StepWait:
+		s.meter.waits++
 		s.queue.at(step.Until.Sub(epoch), j.next)
 	case route.StepRefuse:
 		j.end()
--- a/internal/replay/platform.go
+++ b/internal/replay/platform.go
@@ -58,7 +58,11 @@
 		p.list = list
 		for _, n := range s.nodes {
 			jitter := time.Duration(s.random.Int64N(int64(listJitter)))
-			s.queue.after(jitter, func() { p.tellList(n, version, list) })
+			s.queue.after(jitter, func() {
+				if n.watches() {
+					p.tellList(n, version, list)
+				}
+			})
 		}
 	})
 }
@@ -66,10 +70,21 @@
 // accepted publishes the newest configuration.
 func (p *platformFake) accepted() {
 	for _, n := range p.sim.nodes {
-		p.tellAccepted(n)
+		if n.watches() {
+			p.tellAccepted(n)
+		}
 	}
 }
 
+// read is a node's own reading of the list.
+func (p *platformFake) read(n *node) { p.tellList(n, p.version, p.list) }
+
+// watches reports whether a node has waiting watches on the platform.
+func (n *node) watches() bool {
+	v := n.view()
+	return n.alive && (v.Watcher || v.At.IsZero())
+}
+
 func (p *platformFake) tellList(n *node, version uint64, list []kernel.Instance) {
 	if !n.alive || version < n.listed {
 		return
@@ -93,8 +108,10 @@
 // rewatch counts the watches that end without news.
 func (p *platformFake) rewatch(n *node) {
 	p.sim.queue.after(watchWait, func() {
-		if n.alive {
+		if n.watches() {
 			n.spent.platform += 2 * watchBytes
+		}
+		if n.alive {
 			p.rewatch(n)
 		}
 	})
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -257,9 +257,6 @@
 		if model.Plain {
 			service.Kind = manifest.KindPlain
 		}
-		if model.Import > 0 {
-			service.Import = prefillRate(model) / float64(model.Import)
-		}
 		m.Models = append(m.Models, manifest.Model{Name: model.Name, Versions: []string{"1"}})
 		m.Services = append(m.Services, service)
 	}
@@ -271,6 +268,17 @@
 	return m
 }
 
+// imports returns what importing a token costs over computing it, by service.
+func (s *simulation) imports() map[string]float64 {
+	costs := map[string]float64{}
+	for _, m := range s.trace.Header.Models {
+		if m.Import > 0 && s.config.Policy.Import {
+			costs[m.Name] = prefillRate(m) / float64(m.Import)
+		}
+	}
+	return costs
+}
+
 func sortedNames[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 )
 
 type (
@@ -24,6 +26,11 @@
 		Control     Control `json:"control"`
 		ControlMost float64 `json:"controlMost"`
 		First       First   `json:"first"`
+		// Granted and Denied count permits, Waits the pauses of requests that
+		// no endpoint took.
+		Granted int `json:"granted"`
+		Denied  int `json:"denied"`
+		Waits   int `json:"waits"`
 		// Whole, Refused, Broken and Expired count the ends of requests: whole
 		// answers, refusals, streams that an endpoint's or node's death broke,
 		// and deadlines that passed.
@@ -64,6 +71,7 @@
 		Permits  float64 `json:"permits"`
 		Probes   float64 `json:"probes"`
 		Platform float64 `json:"platform"`
+		Config   float64 `json:"config"`
 	}
 
 	// First is the time to the first token, in seconds.
@@ -89,6 +97,7 @@
 	r := &Result{
 		Trace: h.Name, Seed: h.Seed, Policy: m.sim.config.Policy.Name, Asks: len(m.order),
 		Requests: m.requests.skew(), Tokens: m.tokens.skew(),
+		Granted: m.verdicts[gate.Granted], Denied: m.verdicts[gate.Full], Waits: m.waits,
 		Rerun: m.rerun, Crossed: m.crossed, Late: m.late, Refused: map[string]int{},
 	}
 	if m.sim.config.Ideal {
@@ -147,11 +156,12 @@
 		r.Control.Beats += float64(n.spent.beats) / seconds
 		r.Control.Permits += float64(n.spent.permits) / seconds
 		r.Control.Probes += float64(n.spent.probes) / seconds
+		r.Control.Config += float64(n.spent.config) / seconds
 		r.Control.Platform += float64(n.spent.platform) / seconds
 		r.ControlMost = max(r.ControlMost, float64(n.spent.total())/seconds)
 	}
 	c := &r.Control
-	for _, part := range []*float64{&c.Beats, &c.Permits, &c.Probes, &c.Platform} {
+	for _, part := range []*float64{&c.Beats, &c.Permits, &c.Probes, &c.Platform, &c.Config} {
 		*part /= nodes
 		c.Total += *part
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -31,6 +31,8 @@
 	OutcomeFull
 	// OutcomeGone is an endpoint that takes no work.
 	OutcomeGone
+	// OutcomeLate is a request that cannot be done before its deadline.
+	OutcomeLate
 	// OutcomeUnreachable is a home that did not answer.
 	OutcomeUnreachable
 	// OutcomeNotRun is a dispatch that certainly did not reach the endpoint.
@@ -49,14 +51,21 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonLost is a request that must not be repeated and may have run.
 	ReasonLost Reason = "lost"
+	// ReasonIsolated is a request that crashes the endpoints that run it.
+	ReasonIsolated Reason = "isolated"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
 
 const (
-	fullPause   = 20 * time.Millisecond
-	maxAttempts = 3
-	retryAfter  = time.Second
+	fullPause = 20 * time.Millisecond
+	maxPause  = 200 * time.Millisecond
+	// maxDoublings bounds the growth of the pause, maxAsks the homes that are
+	// asked in one round.
+	maxDoublings = 4
+	maxAsks      = 8
+	maxAttempts  = 3
+	retryAfter   = time.Second
 )
 
 type (
@@ -88,6 +97,13 @@
 		// Cached is how many tokens of the prompt endpoints are believed to
 		// hold, by name. A Router fills it in.
 		Cached map[string]int
+		// Import is the cost of importing one cached token from another
+		// endpoint, over that of computing it anew; 0 where the endpoints
+		// cannot. A Router fills it in.
+		Import float64
+		// Print identifies the request's content over the whole fleet; 0 where
+		// it is not known.
+		Print uint64
 	}
 
 	// Step is what the driver of a Plan does next.
@@ -120,7 +136,12 @@
 		next     kernel.Endpoint
 		granted  bool
 		lost     bool
+		late     bool
 		attempts int
+		// asks counts those of the present round, waits the rounds that found
+		// no endpoint.
+		asks  int
+		waits int
 	}
 )
 
@@ -133,7 +154,7 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
-	case !now.Before(p.request.Deadline):
+	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
 	pool := v.Pools[p.request.Service]
@@ -141,11 +162,11 @@
 		return refuse(ReasonNoEndpoint)
 	}
 	e, ok := p.choose(now, pool)
-	if !ok {
-		clear(p.tried)
-		return Step{Kind: StepWait, Until: now.Add(fullPause)}
+	if !ok || p.asks >= maxAsks {
+		return p.wait(now)
 	}
 	p.next = e
+	p.asks++
 	if p.router.config.Open {
 		return p.run(pool)
 	}
@@ -155,9 +176,7 @@
 func (p *Plan) run(pool *kernel.Pool) Step {
 	p.attempts++
 	step := Step{Kind: StepRun, Endpoint: p.next}
-	if !p.router.config.Stay {
-		step.From = Source(pool, p.request, p.next.Name)
-	}
+	step.From = Source(pool, p.request, p.next.Name)
 	p.from = step.From.Name
 	return step
 }
@@ -173,14 +192,26 @@
 		p.granted = true
 	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
 		p.tried[p.next.Name] = true
+	case OutcomeLate:
+		p.late = true
 	case OutcomeLost:
 		p.tried[p.next.Name] = true
 		p.lost = true
 	}
 }
 
+// wait ends a round in which no endpoint took the request. The pauses grow:
+// under overload, asking would otherwise cost more than the requests.
+func (p *Plan) wait(now time.Time) Step {
+	clear(p.tried)
+	p.asks = 0
+	pause := min(fullPause<<min(p.waits, maxDoublings), maxPause)
+	p.waits++
+	return Step{Kind: StepWait, Until: now.Add(pause)}
+}
+
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
-	for _, e := range p.router.rank(now, pool, p.request) {
+	for _, e := range p.router.rank(now, pool, p.request, p.asks+p.waits > 0) {
 		if !p.tried[e.Name] {
 			return e, true
 		}
