--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	// Gate grants the permits of the endpoints whose home the node is.
 	Gate interface {
 		Apply(now time.Time, b gate.Batch) gate.Reply
+		Own(now time.Time, endpoint string) kernel.Load
+		Heard(now time.Time, node, endpoint string, l kernel.Load)
 	}
 
 	// Limiter admits requests within their accounts' shares.
@@ -65,6 +67,8 @@
 		View func() *kernel.View
 		// Router plans the requests; nil is one with the defaults.
 		Router *route.Router
+		// Holder keeps the permits that the node holds; nil is an empty one.
+		Holder *gate.Holder
 		// Recorder keeps what the plans did; nil keeps nothing.
 		Recorder  Recorder
 		Gate      Gate
@@ -75,8 +79,6 @@
 		Limiter Limiter
 		// Meter measures demand; nil does not.
 		Meter Meter
-		// Ledger counts what the node has dispatched; nil counts nothing.
-		Ledger *Ledger
 		// Leases and PeerLeases let suspected requests run.
 		Leases     Leases
 		PeerLeases PeerLeases
@@ -115,7 +117,6 @@
 		req    route.Request
 		call   endpoint.Call
 		permit uint64
-		tokens int
 		lost   bool
 
 		suspicion suspicion
@@ -124,11 +125,14 @@
 
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
+	if c.Holder == nil {
+		c.Holder = gate.NewHolder()
+	}
 	if c.Router == nil {
 		c.Router = route.NewRouter(route.Config{})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Dispatcher{config: c, holder: gate.NewHolder(), base: rand.Uint64(), cancel: cancel}
+	d := &Dispatcher{config: c, holder: c.Holder, base: rand.Uint64(), cancel: cancel}
 	d.running.Go(func() {
 		tick := time.NewTicker(dueInterval)
 		defer tick.Stop()
@@ -204,7 +208,6 @@
 func (j *job) ask(ctx context.Context, step route.Step) route.Outcome {
 	e := step.Endpoint
 	j.permit = j.d.base + j.d.serial.Add(1)
-	j.tokens = step.Tokens
 	a := gate.Ask{
 		ID:       j.permit,
 		Endpoint: e.Name,
@@ -218,17 +221,12 @@
 func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
 	call := j.call
 	call.Attempt = strconv.FormatUint(j.permit, 16)
-	permit, tokens := j.permit, j.tokens
-	j.d.config.Ledger.Add(e.Name, tokens)
+	permit := j.permit
 	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	if err == nil {
-		release := func() {
-			j.d.config.Ledger.Done(e.Name, tokens)
-			j.d.release(permit)
-		}
+		release := func() { j.d.release(permit) }
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
-	j.d.config.Ledger.Done(e.Name, tokens)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		j.d.release(permit)
 	} else {
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -77,29 +77,31 @@
 	if !ok {
 		return false
 	}
-	lease := poison.Lease{
-		Print: j.req.Print, ID: j.d.base + j.d.serial.Add(1),
-		Duration: time.Until(j.req.Deadline) + leaseTimeout,
+	// The same lease is asked for again where the holder did not answer: it may
+	// have granted it, and would keep a second one out until the deadline.
+	s := &j.suspicion
+	if s.lease.ID == 0 || s.holder.Name != holder.Name {
+		s.lease = poison.Lease{Print: j.req.Print, ID: j.d.base + j.d.serial.Add(1)}
 	}
-	granted := false
+	s.holder = holder
+	s.lease.Duration = time.Until(j.req.Deadline) + leaseTimeout
 	if holder.Name == v.Self.Name {
-		granted = j.d.config.Leases.Acquire(time.Now(), lease)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
-		granted, _ = j.d.config.PeerLeases.Acquire(ctx, holder.Peer, lease)
+		s.held = j.d.config.Leases.Acquire(time.Now(), s.lease)
+		return s.held
 	}
-	j.suspicion.lease, j.suspicion.holder, j.suspicion.held = lease, holder, granted
-	return granted
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.held, _ = j.d.config.PeerLeases.Acquire(ctx, holder.Peer, s.lease)
+	return s.held
 }
 
-// giveBack ends the lease, if one is held.
+// giveBack ends the lease, if one is held or may be.
 func (j *job) giveBack(died bool) {
 	s := &j.suspicion
-	if !s.held {
+	if s.lease.ID == 0 {
 		return
 	}
-	s.held = false
+	defer func() { s.lease, s.held = poison.Lease{}, false }()
 	if s.holder.Name == j.d.config.View().Self.Name {
 		j.d.config.Leases.Release(time.Now(), s.lease, died)
 		return
--- a/internal/gate/adopt.go
+++ b/internal/gate/adopt.go
@@ -43,24 +43,10 @@
 // load returns the load that counts for an endpoint whose home the node is.
 func (g *Gate) load(now time.Time, endpoint string) kernel.Load {
 	l := g.loads[endpoint]
+	l.Tokens = max(l.Tokens+g.hidden(now, endpoint), 0)
 	if a := g.homes[endpoint]; now.Sub(a.since) < adoptTime {
 		l.Requests = max(l.Requests, a.load.Requests)
 		l.Tokens = max(l.Tokens, a.load.Tokens)
 	}
 	return l
 }
-
-// current returns a pool with the loads of the node's own endpoints as they are
-// now; the view has those of its last publication.
-func (g *Gate) current(now time.Time, v *kernel.View, p *kernel.Pool) *kernel.Pool {
-	fresh := *p
-	for _, e := range p.Endpoints {
-		if e.Home != v.Self.Name || e.State != kernel.Live {
-			continue
-		}
-		l := g.load(now, e.Name)
-		fresh.Total.Requests += l.Requests - e.Load.Requests
-		fresh.Total.Tokens += l.Tokens - e.Load.Tokens
-	}
-	return &fresh
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +27,9 @@
 	Late
 )
 
+// goneFor is how long after its return an ask may arrive.
+const goneFor = 10 * time.Second
+
 type (
 	// Config is the settings of a Gate.
 	Config struct {
@@ -59,6 +63,9 @@
 		Declares []Ask
 		// Returns is permits that are given back.
 		Returns []Return
+		// Own is the load of the sender's own endpoints of the first ask's
+		// service.
+		Own kernel.Load
 	}
 
 	// Return gives one permit back.
@@ -72,7 +79,9 @@
 	Reply struct {
 		// Verdicts answers each ask, in the order asked.
 		Verdicts []Verdict
-		// Loads is the load of the home's endpoints, where it denied an ask.
+		// Own is the load of the home's endpoints of the first ask's service.
+		Own kernel.Load
+		// Loads is the load of each of them, where the home denied an ask.
 		Loads []kernel.EndpointLoad
 	}
 
@@ -85,8 +94,15 @@
 		loads   map[string]kernel.Load
 		homes   map[string]adoption
 		adopted *kernel.View
+		// history and differences compare the counts with endpoints' reports.
+		history     map[string][]past
+		differences map[string]difference
+		heard       map[heardKey]heardSum
 		// learned is how much each endpoint finishes in time.
 		learned map[string]*concurrency
+		// gone is until when permits are not granted that were given back
+		// before they were asked for.
+		gone map[uint64]time.Time
 	}
 
 	permit struct {
@@ -106,11 +122,15 @@
 		c.Rule = NewBoundRule()
 	}
 	return &Gate{
-		config:  c,
-		permits: map[uint64]permit{},
-		loads:   map[string]kernel.Load{},
-		homes:   map[string]adoption{},
-		learned: map[string]*concurrency{},
+		config:      c,
+		permits:     map[uint64]permit{},
+		loads:       map[string]kernel.Load{},
+		homes:       map[string]adoption{},
+		heard:       map[heardKey]heardSum{},
+		learned:     map[string]*concurrency{},
+		gone:        map[uint64]time.Time{},
+		history:     map[string][]past{},
+		differences: map[string]difference{},
 	}
 }
 
@@ -135,6 +155,9 @@
 	if _, held := g.permits[a.ID]; held {
 		return Granted
 	}
+	if _, gone := g.gone[a.ID]; gone {
+		return Full
+	}
 	g.adopt(v)
 	if a.Suspect > 0 && !g.takesSuspect(a) {
 		return Full
@@ -154,19 +177,23 @@
 }
 
 // Apply takes in a batch and answers it.
-func (g *Gate) Apply(now time.Time, b Batch) Reply {
+func (g *Gate) Apply(now time.Time, b Batch) (r Reply) {
 	for _, r := range b.Returns {
 		g.Release(now, r)
 	}
 	for _, a := range b.Declares {
 		g.Declare(now, a)
 	}
-	var r Reply
+	if len(b.Asks) > 0 {
+		first := b.Asks[0]
+		g.Heard(now, first.Node, first.Endpoint, b.Own)
+		defer func() { r.Own = g.Own(now, first.Endpoint) }()
+	}
 	for _, a := range b.Asks {
 		verdict := g.Admit(now, a)
 		r.Verdicts = append(r.Verdicts, verdict)
 		if verdict == Full {
-			r.Loads = g.Loads()
+			r.Loads = g.loadsBeside(a.Endpoint)
 		}
 	}
 	return r
@@ -182,12 +209,18 @@
 	}
 }
 
-// Release gives a permit back. A permit that is not held is ignored.
+// Release gives a permit back.
+//
+// Where an ask gets no answer in time, the node gives back what it may have
+// been granted, and that message may overtake the ask. The permit would then
+// count, held by nobody, until its lease ends: an idle endpoint would seem
+// loaded. A permit that was given back is therefore not granted later.
 func (g *Gate) Release(now time.Time, r Return) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, held := g.permits[r.ID]
 	if !held {
+		g.gone[r.ID] = now.Add(goneFor)
 		return
 	}
 	g.release(r.ID)
@@ -206,6 +239,7 @@
 	v := g.config.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	maps.DeleteFunc(g.gone, func(_ uint64, until time.Time) bool { return now.After(until) })
 	for id, p := range g.permits {
 		_, alive := v.Node(p.node)
 		if now.After(p.expires) || !alive && p.node != "" {
@@ -221,6 +255,7 @@
 	defer g.mu.Unlock()
 	v := g.config.View()
 	g.adopt(v)
+	g.remember(v.At)
 	loads := make([]kernel.EndpointLoad, 0, len(g.homes))
 	for name := range g.homes {
 		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: g.load(v.At, name)})
@@ -231,6 +266,18 @@
 	return loads
 }
 
+// loadsBeside returns the loads of the node's endpoints of the same service.
+func (g *Gate) loadsBeside(endpoint string) []kernel.EndpointLoad {
+	_, pool, ok := find(g.config.View(), endpoint)
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(g.Loads(), func(l kernel.EndpointLoad) bool {
+		_, beside := pool.Endpoint(l.Endpoint)
+		return !beside
+	})
+}
+
 // largest is the most tokens of a permit held for an endpoint of the pool.
 func (g *Gate) largest(p *kernel.Pool) int {
 	most := 0
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -96,6 +96,22 @@
 	return list
 }
 
+// Loads returns the work that the node has in progress, by endpoint, sorted by
+// name.
+func (h *Holder) Loads() []kernel.EndpointLoad {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	loads := map[string]kernel.Load{}
+	for _, p := range h.permits {
+		loads[p.endpoint] = loads[p.endpoint].Add(kernel.Load{Requests: 1, Tokens: p.tokens})
+	}
+	list := make([]kernel.EndpointLoad, 0, len(loads))
+	for _, name := range slices.Sorted(maps.Keys(loads)) {
+		list = append(list, kernel.EndpointLoad{Endpoint: name, Load: loads[name]})
+	}
+	return list
+}
+
 // Load returns the work that the node has in progress at an endpoint.
 func (h *Holder) Load(endpoint string) kernel.Load {
 	h.mu.Lock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -58,6 +58,7 @@
 		Declares: mapped(b.Declares, encodeAsk),
 		Returns:  mapped(b.Returns, func(r gate.Return) uint64 { return r.ID }),
 		TookMs:   mapped(b.Returns, tookMS),
+		Own:      encodeOwn(b.Own),
 	}
 }
 
@@ -68,6 +69,7 @@
 		Asks:     mapped(r.Asks, decode),
 		Declares: mapped(r.Declares, decode),
 		Returns:  decodeReturns(r),
+		Own:      decodeOwn(r.Own),
 	}
 }
 
@@ -92,6 +94,7 @@
 	return &peerpb.PermitReply{
 		Verdicts: mapped(r.Verdicts, func(v gate.Verdict) uint32 { return uint32(v) }),
 		Loads:    mapped(r.Loads, encodeLoad),
+		Own:      encodeOwn(r.Own),
 	}
 }
 
@@ -100,9 +103,25 @@
 	return gate.Reply{
 		Verdicts: mapped(r.Verdicts, func(v uint32) gate.Verdict { return gate.Verdict(v) }),
 		Loads:    mapped(r.Loads, decodeLoad),
+		Own:      decodeOwn(r.Own),
 	}
 }
 
+// encodeOwn returns nil for no load, which takes no bytes.
+func encodeOwn(l kernel.Load) *peerpb.EndpointLoad {
+	if l == (kernel.Load{}) {
+		return nil
+	}
+	return encodeLoad(kernel.EndpointLoad{Load: l})
+}
+
+func decodeOwn(l *peerpb.EndpointLoad) kernel.Load {
+	if l == nil {
+		return kernel.Load{}
+	}
+	return decodeLoad(l).Load
+}
+
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: l.Endpoint,
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -37,9 +37,9 @@
 // when they know all.
 func (s *simulation) idealEngine(e *trace.Event) (g *engine, from string) {
 	pool := s.pool(e.Model)
-	pool.Service, _ = s.manifest.Service(e.Model)
 	request := route.Request{
 		Chat: e.Chat, Input: e.Prefix + e.Input, Output: e.Output, Cached: map[string]int{},
+		Import: s.imports()[e.Model],
 	}
 	for _, candidate := range pool.Endpoints {
 		if held := min(s.engines[candidate.Name].cache.tokens(e.Chat), e.Prefix); held > 0 {
--- a/internal/replay/meter.go
+++ b/internal/replay/meter.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
@@ -64,6 +65,8 @@
 		crossed   int
 		late      int
 		cut       int
+		verdicts  map[gate.Verdict]int
+		waits     int
 		accepts   map[uint64]time.Duration
 		forced    map[uint64]time.Duration
 		unanswers int
@@ -90,6 +93,7 @@
 		requests: newSkewMeter(),
 		tokens:   newSkewMeter(),
 		reasons:  map[route.Reason]int{},
+		verdicts: map[gate.Verdict]int{},
 		accepts:  map[uint64]time.Duration{},
 		forced:   map[uint64]time.Duration{},
 	}
--- a/pkg/manifest/check.go
+++ b/pkg/manifest/check.go
@@ -89,9 +89,6 @@
 			c.note(path+".deployment", "there is no deployment %q", s.Deployment)
 		}
 		c.kind(path, s)
-		if !(s.Import >= 0 && s.Import <= 1) {
-			c.note(path+".import", "must be from 0 to 1")
-		}
 		for j, model := range s.Models {
 			c.served(served, known.models, fmt.Sprintf("%s.models[%d]", path, j), model, s.Name)
 		}
