--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -13,7 +13,10 @@
 const (
 	attemptsPath  = "/v1/attempts/"
 	cancelTimeout = time.Second
-	resumeTimeout = 5 * time.Second
+
+	// DefaultResume is how long an endpoint may take to answer for a broken
+	// attempt.
+	DefaultResume = 5 * time.Second
 )
 
 // Resume asks for the answer to an attempt again, from the given event on. It
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -69,6 +70,9 @@
 	ClientConfig struct {
 		// Dialer opens connections; nil is a net.Dialer with a short timeout.
 		Dialer Dialer
+		// Resume is how long an endpoint may take to answer for a broken
+		// attempt; 0 is DefaultResume.
+		Resume time.Duration
 	}
 
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
@@ -108,7 +112,7 @@
 			DialContext:           dialer.DialContext,
 			MaxIdleConnsPerHost:   idlePerHost,
 			DisableCompression:    true,
-			ResponseHeaderTimeout: resumeTimeout,
+			ResponseHeaderTimeout: cmp.Or(c.Resume, DefaultResume),
 		}),
 		single: newHTTP(&http.Transport{
 			DialContext:        dialer.DialContext,
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -221,3 +221,25 @@
 		require.NoError(t, a.Close())
 	}
 }
+
+// Symptom: a caller waits until its deadline for an answer that cannot come.
+// Sequence: the connection breaks; the endpoint takes the question for the
+// attempt and does not answer it.
+// Cause: the question waited as long as the call itself.
+func TestQuestionForABrokenAttemptIsBounded(t *testing.T) {
+	release := make(chan struct{})
+	addr := serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil && r.Method == http.MethodGet {
+			<-release
+		}
+	})
+	client := endpoint.NewClient(endpoint.ClientConfig{Resume: time.Millisecond})
+	defer client.Close()
+	ctx, cancel := contextWithTimeout(t, 20*time.Second)
+	defer cancel()
+	_, err := client.Do(ctx, addr, endpoint.Call{Attempt: "1", Path: "/"})
+	close(release)
+	require.ErrorIs(t, err, endpoint.ErrLost)
+	require.NoError(t, ctx.Err())
+}
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -24,8 +24,9 @@
 	// SecretSize is the size of a fleet secret in bytes.
 	SecretSize = 32
 
-	keyPurpose       = "bulrushhinge peer v1"
-	handshakeTimeout = 5 * time.Second
+	keyPurpose = "bulrushhinge peer v1"
+	// DefaultHandshake is how long a peer may take to prove itself.
+	DefaultHandshake = 5 * time.Second
 )
 
 var (
@@ -54,13 +55,15 @@
 	// listener makes connections that finish their handshake in time.
 	listener struct {
 		net.Listener
-		config *tls.Config
+		config  *tls.Config
+		timeout time.Duration
 	}
 
 	conn struct {
 		*tls.Conn
-		once sync.Once
-		err  error
+		timeout time.Duration
+		once    sync.Once
+		err     error
 	}
 )
 
@@ -135,7 +138,7 @@
 
 // dialed returns a connection that has proven itself to a peer and checked it.
 func (k *Key) dialed(ctx context.Context, raw net.Conn) (net.Conn, error) {
-	c := &conn{Conn: tls.Client(raw, k.config())}
+	c := &conn{Conn: tls.Client(raw, k.config()), timeout: DefaultHandshake}
 	if err := c.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
@@ -154,14 +157,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: tls.Server(raw, l.config)}, nil
+	return &conn{Conn: tls.Server(raw, l.config), timeout: l.timeout}, nil
 }
 
 // Read reads from a peer that has proven itself. A stranger that connects and
 // says nothing is cut off, so that it holds no memory.
 func (c *conn) Read(data []byte) (int, error) {
 	c.once.Do(func() {
-		_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+		_ = c.SetDeadline(time.Now().Add(c.timeout))
 		if c.err = c.Handshake(); c.err != nil {
 			strangers.Inc()
 		}
--- a/internal/peer/key_test.go
+++ b/internal/peer/key_test.go
@@ -10,6 +10,7 @@
 	"math/big"
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -178,3 +179,20 @@
 		require.NoError(b, err)
 	}
 }
+
+// Symptom: a node runs out of memory, or of connections, while little happens.
+// Sequence: a stranger opens connections and says nothing.
+// Cause: each waits for a handshake without end.
+func TestSilentStrangerIsCutOff(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s, err := peer.NewServer(peer.ServerConfig{Listener: l, Key: newKey(t, secret(1)), Beats: &beats{}, Handshake: time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.Copy(io.Discard, c)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the node closes the connection first")
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -75,7 +76,7 @@
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
 	server := drpcserver.NewWithOptions(mux, options())
 	go func() {
-		s.done <- server.Serve(ctx, &listener{Listener: c.Listener, config: c.Key.config()})
+		s.done <- server.Serve(ctx, &listener{Listener: c.Listener, config: c.Key.config(), timeout: cmp.Or(c.Handshake, DefaultHandshake)})
 	}()
 	return s, nil
 }
