--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -47,12 +47,15 @@
 	ServerConfig struct {
 		Listener net.Listener
 		// Key proves the node to its peers and checks them.
-		Key     *Key
-		Beats   Beats
-		Permits Permits
-		Values  Values
-		Relays  Relays
-		Leases  Leases
+		Key *Key
+		// Handshake is how long a peer may take to prove itself; 0 is
+		// DefaultHandshake.
+		Handshake time.Duration
+		Beats     Beats
+		Permits   Permits
+		Values    Values
+		Relays    Relays
+		Leases    Leases
 	}
 
 	// Server serves peers until it is closed.
