--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,17 +20,20 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
 const (
@@ -59,6 +62,9 @@
 		Operators net.Listener
 		// Platform is where the platform listens.
 		Platform netip.AddrPort
+		// Join is where some other nodes listen for peers: a node that starts
+		// while the platform is down asks them for the instance list.
+		Join []netip.AddrPort
 		// Keys are the operators' public keys.
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
@@ -97,6 +103,7 @@
 		key        *peer.Key
 		control    *control
 		cache      *platform.Cache
+		lister     lister
 		reader     *platform.Reader
 		source     *platform.Client
 		peers      *peer.Client
@@ -106,6 +113,9 @@
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
+		limiter    *limit.Limiter
+		ledger     *dispatch.Ledger
+		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -125,7 +135,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	n := &Node{config: c, key: key, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	n := &Node{
+		config:    c,
+		key:       key,
+		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
+		ledger:    dispatch.NewLedger(),
+		meter:     capacity.NewMeter(),
+		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+	}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -138,7 +155,10 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
-	}, c.Extensions...)
+		Pool:       pool.Config{Sent: n.ledger.Loads},
+		Limit:      limit.Config{Limiter: n.limiter},
+		Capacity:   capacity.Config{Meter: n.meter},
+	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
@@ -152,7 +172,8 @@
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
-		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics, Reread: reread,
+		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
+		Reread: reread, Join: n.joins(),
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -210,18 +231,17 @@
 // published no view yet knows no other that would read for it.
 func (n *Node) role() platform.Role {
 	v := n.control.View()
-	role := platform.Role{Watcher: v.Watcher || v.At.IsZero()}
-	if v.ListVersion > v.Listed {
-		role.Listed = v.ListVersion
+	return platform.Role{
+		Watcher: v.Watcher || v.At.IsZero(),
+		Heard:   v.ListVersion, Listed: v.Listed,
 	}
-	return role
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger, Meter: n.meter,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
@@ -231,7 +251,8 @@
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
 		Key:      n.key,
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits,
+		Values: values{cache: n.cache, lister: &n.lister},
 		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -24,32 +24,27 @@
 		p.write(w)
 		return
 	}
-	done, p := h.slots.wait(a.Name)
+	s, p := h.seat(w, r, a.Name)
 	if p != nil {
 		p.write(w)
 		return
 	}
-	defer done()
-	data, p := h.body(w, r)
-	if p != nil {
-		p.write(w)
-		return
-	}
-	c, err := parseChat(data)
+	defer s.leave()
+	c, err := parseChat(s.body)
 	if err != nil {
 		badRequest(err).write(w)
 		return
 	}
-	req, p := h.chatRequest(r, v, a, c, len(data))
+	req, p := h.chatRequest(r, v, a, c, len(s.body))
 	if p != nil {
 		p.write(w)
 		return
 	}
 	call := endpoint.Call{
-		Path: entry.PathChat, Type: "application/json", Body: data,
+		Path: entry.PathChat, Type: "application/json", Body: s.body,
 		Chat: req.Chat, Priority: req.Priority, Deadline: req.Deadline, Once: req.Once,
 	}
-	k := work{view: v, account: a, request: req, call: call, seated: done}
+	k := work{view: v, account: a, request: req, call: call, seated: s.seated}
 	k.answer = func(w http.ResponseWriter, run *dispatch.Run) error { return h.answerChat(w, c, req, run) }
 	h.run(w, r, k)
 }
@@ -96,6 +91,9 @@
 	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
 		return h.stream(w, req, run)
 	}
+	held := h.slots.empty()
+	defer held.release()
+	run.Answer.Meter = held.grow
 	data, err := h.read(run, isStream)
 	if err != nil {
 		return err
@@ -122,7 +120,7 @@
 	case run.Answer.Status != http.StatusOK:
 		return whole(run.Answer, h.config.MaxAnswer)
 	case isStream:
-		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer)
+		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer, run.Answer.Meter)
 	default:
 		return wholeChat(run, h.config.MaxAnswer)
 	}
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -124,6 +124,8 @@
 	switch r.Reason {
 	case route.ReasonDeadline:
 		p.status = http.StatusGatewayTimeout
+	case route.ReasonLimited:
+		p.status = http.StatusTooManyRequests
 	case route.ReasonIsolated:
 		p.status = http.StatusUnprocessableEntity
 	}
@@ -145,6 +147,14 @@
 	}
 }
 
+// noRoom is an answer for which the node has no memory.
+func noRoom() *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: "busy",
+		text: "the node holds too many large answers", ran: RanYes, retry: retryDelay(),
+	}
+}
+
 func late() *problem {
 	return &problem{
 		status: http.StatusGatewayTimeout, kind: "deadline",
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -37,7 +37,10 @@
 		Models      []string
 		// Linger is how long a request runs on after its connection broke.
 		Linger time.Duration
-		Faults EndpointFaults
+		// Unfenced makes the endpoint take every order, also one with an old
+		// fencing number.
+		Unfenced bool
+		Faults   EndpointFaults
 		// OnCrash ends the process that the endpoint stands for, when a request
 		// that carries the crash mark runs. Connections break in any case.
 		OnCrash func()
@@ -58,6 +61,7 @@
 		// attempts can be asked for again.
 		attempts *attempts
 		started  int
+		orders   orders
 		// crashed is closed when the endpoint crashes.
 		crashed chan struct{}
 	}
@@ -80,6 +84,7 @@
 	e.mux.HandleFunc("GET /v1/attempts/{id}", e.resume)
 	e.mux.HandleFunc("DELETE /v1/attempts/{id}", e.stop)
 	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("/v1/services/", e.plain)
 	e.mux.HandleFunc("GET /v1/events", e.events)
 	e.mux.HandleFunc("GET /v1/kv/{chat...}", e.exportKV)
