--- /dev/null
+++ b/internal/dispatch/paused_test.go
@@ -0,0 +1,89 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+var errRefused = errors.New("refused")
+
+type (
+	// pausedGate grants the first permit only after a pause of the process, and
+	// later ones not at all, since the endpoint has left.
+	pausedGate struct {
+		pause    time.Duration
+		asked    int
+		returned []uint64
+	}
+
+	// noSink forgets events.
+	noSink struct{}
+
+	// endpoints counts calls.
+	endpoints struct{ calls int }
+)
+
+func (g *pausedGate) Apply(_ time.Time, b gate.Batch) gate.Reply {
+	for _, r := range b.Returns {
+		g.returned = append(g.returned, r.ID)
+	}
+	var reply gate.Reply
+	for range b.Asks {
+		g.asked++
+		verdict := gate.Gone
+		if g.asked == 1 {
+			time.Sleep(g.pause)
+			verdict = gate.Granted
+		}
+		reply.Verdicts = append(reply.Verdicts, verdict)
+	}
+	return reply
+}
+
+func (noSink) Offer(kernel.Event) {}
+
+func (e *endpoints) Do(context.Context, netip.AddrPort, endpoint.Call) (*endpoint.Answer, error) {
+	e.calls++
+	return nil, errors.Join(endpoint.ErrNotRun, errRefused)
+}
+
+// Symptom: a leaving endpoint gets new work long after it left.
+// Sequence: a node asks for a permit and is paused for seconds; the endpoint
+// leaves; the node wakes with the answer in its hands and dispatches.
+// Cause: the permit was taken for one of now.
+func TestPausedNodeAsksAgainBeforeItDispatches(t *testing.T) {
+	for _, pause := range []time.Duration{0, kernel.MaxAge} {
+		synctest.Test(t, func(t *testing.T) {
+			e := kernel.Endpoint{Name: "w1", Service: "s", Home: "n1"}
+			view := &kernel.View{Self: kernel.Node{Name: "n1"}, Pools: map[string]*kernel.Pool{
+				"s": {Service: manifest.Service{Name: "s"}, Bound: 2, Live: 1, Endpoints: []kernel.Endpoint{e}},
+			}}
+			g, calls := &pausedGate{pause: pause}, &endpoints{}
+			d := dispatch.New(dispatch.Config{View: func() *kernel.View { return view }, Gate: g, Endpoints: calls, Sink: noSink{}})
+			defer d.Close()
+			_, err := d.Do(t.Context(), route.Request{Service: "s", Chat: "c", Deadline: time.Now().Add(10 * time.Second)}, endpoint.Call{})
+			var refusal *dispatch.Refusal
+			require.ErrorAs(t, err, &refusal)
+			require.True(t, refusal.NotRun)
+			require.Len(t, g.returned, 1, "the permit is given back")
+			if pause == 0 {
+				require.Equal(t, 1, calls.calls)
+				return
+			}
+			require.Zero(t, calls.calls)
+		})
+	}
+}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -25,6 +25,7 @@
 func (d *Dispatcher) permit(ctx context.Context, e kernel.Endpoint, a gate.Ask) route.Outcome {
 	v := d.config.View()
 	a.Node = v.Self.Name
+	asked := time.Now()
 	reply, err := d.send(ctx, v, e.Home, gate.Batch{Asks: []gate.Ask{a}, Returns: d.holder.Returns(e.Home)})
 	if err != nil {
 		// The home may have granted what nobody will use.
@@ -36,8 +37,15 @@
 	if !ok {
 		return route.OutcomeUnreachable
 	}
-	if outcome == route.OutcomeGranted {
-		d.holder.Take(time.Now(), v, e.Home, a)
+	if outcome != route.OutcomeGranted {
+		return outcome
+	}
+	d.holder.Take(time.Now(), v, e.Home, a)
+	// A process that was paused since it asked holds a permit of seconds ago;
+	// its endpoint may be leaving by now. It asks again.
+	if time.Since(asked) >= kernel.MaxAge {
+		d.void(a.ID)
+		return route.OutcomeUnreachable
 	}
 	return outcome
 }
