Drop an old home's word on an endpoint when the home changes

Cause: a home that tells its peers that an endpoint is dead, and then stops, left that word with them for good: its successor asked the endpoint, got its answers, and still held it for dead. Seen with two nodes as processes and an endpoint that was down for some seconds: no_endpoint without end.

Change: a change of the home clears the word; the new home's own counts.

Test: TestNewHomeOutweighsTheOldHomesWord, which failed before.

Measured by the same two processes: answered again within a second of the stop.

--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -110,6 +110,8 @@
 			e.Home = home
 			m.homeChanged = now
 			m.own = false
+			// The home before may be gone and never take its word back.
+			m.absent = kernel.Live
 		}
 	}
 	away := len(h.zones[e.Zone]) == 0
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -175,3 +175,36 @@
 	nodes[1].State = kernel.Suspect
 	require.Equal(t, "c", pool.Home(kernel.Endpoint{Name: "e1", Zone: "z1"}, nodes))
 }
+
+func TestNewHomeOutweighsTheOldHomesWord(t *testing.T) {
+	// Symptom: an endpoint that answers gets no work ever again.
+	// Sequence: it fails for some seconds; its home tells the others that it is
+	// dead, and stops; it answers its new home.
+	// Cause: the old home's word was kept, with nobody left to take it back.
+	n := newNode(8)
+	n.list = append(n.list, kernel.Instance{
+		Name: "n2", Kind: kernel.KindNode, Zone: "z1",
+		Addr: netip.MustParseAddrPort("10.1.0.2:80"), Peer: netip.MustParseAddrPort("10.1.0.2:81"),
+	})
+	n.Step(n.now, kernel.Instances{Version: 2, List: n.list})
+	beat := &kernel.Beat{Node: "n2", Incarnation: 3, Serial: 1}
+	n.Step(n.now, kernel.BeatReceived{Beat: beat})
+	n.run(kernel.DefaultTick)
+	name := ""
+	for _, e := range n.View().Pools["s"].Endpoints {
+		if e.Home == "n2" {
+			name = e.Name
+		}
+	}
+	require.NotEmpty(t, name)
+	n.Step(n.now, kernel.BeatReceived{Beat: &kernel.Beat{
+		Node: "n2", Incarnation: 3, Serial: 2, Loads: []kernel.EndpointLoad{{Endpoint: name, State: kernel.Dead}},
+	}})
+	n.run(kernel.DefaultTick)
+	require.Equal(t, kernel.Dead, n.state(name))
+	n.Step(n.now, kernel.BeatReceived{Beat: &kernel.Beat{Node: "n2", Incarnation: 3, Serial: 3, Leaving: true}})
+	n.run(kernel.DefaultTick)
+	n.Step(n.now, kernel.LoadReported{Endpoint: name})
+	n.run(kernel.DefaultTick)
+	require.Equal(t, kernel.Live, n.state(name))
+}
