Drop the permits of silent nodes; count reported requests too

Cause: for five seconds after a node died its permits kept the mean up to a quarter too high, and endpoints were filled beyond their bound. Change: permits of suspect nodes are dropped; half of the difference between an endpoint's report and the home's count of that time counts in requests as well, where it is more than one.

--- a/internal/gate/adopt.go
+++ b/internal/gate/adopt.go
@@ -43,7 +43,9 @@
 // load returns the load that counts for an endpoint whose home the node is.
 func (g *Gate) load(now time.Time, endpoint string) kernel.Load {
 	l := g.loads[endpoint]
-	l.Tokens = max(l.Tokens+g.hidden(now, endpoint), 0)
+	hidden := g.hidden(now, endpoint)
+	l.Requests = max(l.Requests+hidden.Requests, 0)
+	l.Tokens = max(l.Tokens+hidden.Tokens, 0)
 	if a := g.homes[endpoint]; now.Sub(a.since) < adoptTime {
 		l.Requests = max(l.Requests, a.load.Requests)
 		l.Tokens = max(l.Tokens, a.load.Tokens)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -206,19 +206,22 @@
 	}
 }
 
-// Expire drops the permits whose lease has ended or whose node is dead.
+// Expire drops the permits whose lease has ended or whose node is silent.
 //
 // A node that dies never gives its permits back; its endpoints would seem
-// loaded forever and get no work. Its streams end with it. Where its death goes
-// unnoticed, the lease ends with the request's deadline, after which the node
-// would have stopped the request.
+// loaded, the mean would be too high, and other endpoints would be filled beyond
+// their bound. Its streams end with it. Where it only cannot be heard, the
+// endpoints' own reports show what it goes on with. Where nobody notices, the
+// lease ends with the request's deadline, after which the node would have
+// stopped the request.
 func (g *Gate) Expire(now time.Time) {
 	v := g.config.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.permits {
-		_, alive := v.Node(p.node)
-		if now.After(p.expires) || !alive && p.node != "" {
+		n, known := v.Node(p.node)
+		silent := p.node != "" && (!known || n.State == kernel.Suspect)
+		if now.After(p.expires) || silent {
 			g.release(id)
 		}
 	}
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -29,8 +29,8 @@
 	// difference is by how much the work at an endpoint was more than the
 	// home's count of it.
 	difference struct {
-		at     time.Time
-		tokens int
+		at   time.Time
+		load kernel.Load
 	}
 )
 
@@ -47,7 +47,11 @@
 	then := now.Add(-reportLag)
 	for i := len(history) - 1; i >= 0; i-- {
 		if !history[i].at.After(then) {
-			g.differences[endpoint] = difference{at: now, tokens: l.Tokens - history[i].load.Tokens}
+			counted := history[i].load
+			g.differences[endpoint] = difference{at: now, load: kernel.Load{
+				Requests: l.Requests - counted.Requests,
+				Tokens:   l.Tokens - counted.Tokens,
+			}}
 			return
 		}
 	}
@@ -73,11 +77,17 @@
 	}
 }
 
-// hidden returns the tokens that an endpoint carries beyond the home's count.
-func (g *Gate) hidden(now time.Time, endpoint string) int {
+// hidden returns what an endpoint carries beyond the home's count; it is below
+// zero where permits outlive their requests. One request more or less is due to
+// messages under way.
+func (g *Gate) hidden(now time.Time, endpoint string) kernel.Load {
 	d, ok := g.differences[endpoint]
 	if !ok || now.Sub(d.at) > reportTime {
-		return 0
+		return kernel.Load{}
+	}
+	l := kernel.Load{Tokens: int(reportShare * float64(d.load.Tokens))}
+	if d.load.Requests < -1 || d.load.Requests > 1 {
+		l.Requests = int(reportShare * float64(d.load.Requests))
 	}
-	return int(reportShare * float64(d.tokens))
+	return l
 }
