--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -32,6 +32,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
 	"bulrushhinge.example/bulrushhinge/internal/pool"
+	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
 const (
@@ -79,6 +80,9 @@
 		Dialer Dialer
 		// Log takes the node's log; nil is logrus' standard logger.
 		Log logrus.FieldLogger
+		// Import is what importing a cached token costs a service's engines,
+		// over computing it anew; services that are missing import nothing.
+		Import map[string]float64
 		// Extensions register further plug-ins with the kernel.
 		Extensions []kernel.Extension
 	}
@@ -213,7 +217,8 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers, Holder: n.holder,
+		Leases: leases, PeerLeases: n.peers, Holder: n.holder, Caches: n.endpoints,
+		Router:   route.NewRouter(route.Config{Import: n.config.Import}),
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -17,29 +17,30 @@
 )
 
 type nodeCommand struct {
-	Instance     string      `help:"Name of this instance on the platform's list (required)." need:"true"`
-	Zone         string      `help:"Availability zone of this instance (required)." need:"true"`
-	Callers      address     `help:"Address and port for callers." default:"127.0.0.1:8080"`
-	Peers        address     `help:"Address and port for other nodes." default:"127.0.0.1:8081"`
-	Operators    address     `help:"Address and port for operators." default:"127.0.0.1:8082"`
-	Platform     address     `help:"Address and port of the platform (required)." need:"true" placeholder:"ADDR:PORT"`
-	Keys         []publicKey `help:"Operators' Ed25519 public keys in hexadecimal, separated by commas (required)." need:"true" placeholder:"KEY,..."`
-	Token        string      `help:"Secret that operators show as a bearer token; without one only health and readiness are served."`
-	Grace        duration    `help:"How long a stopping node still takes requests." default:"2s"`
-	Linger       duration    `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
-	Patience     duration    `help:"How long a stopping node waits for requests in progress." default:"5m"`
-	Timeout      duration    `help:"Deadline of a request that names none." default:"3m"`
-	MaxTimeout   duration    `name:"max-timeout" help:"Longest deadline that a request can name." default:"15m"`
-	ReadTimeout  duration    `name:"read-timeout" help:"How long a caller may take to send a body." default:"30s"`
-	WriteTimeout duration    `name:"write-timeout" help:"How long a caller may take to read a piece of its answer." default:"20s"`
-	MaxBody      count       `name:"max-body" help:"Largest request body, in bytes." default:"4194304"`
-	MaxAnswer    count       `name:"max-answer" help:"Largest answer that is not streamed, in bytes." default:"16777216"`
-	MaxActive    count       `name:"max-active" help:"Requests that the node serves at once." default:"8192"`
-	MaxWaiting   count       `name:"max-waiting" help:"Requests that wait for an endpoint at once." default:"2048"`
-	MaxAccount   count       `name:"max-account" help:"Requests of one client account that wait at once." default:"512"`
-	Traces       count       `help:"Requests whose decisions are kept for operators." default:"1024"`
-	Check        bool        `help:"Check the settings and end."`
-	Level        string      `help:"Least level that is logged: debug, info, warn or error." default:"info"`
+	Instance     string             `help:"Name of this instance on the platform's list (required)." need:"true"`
+	Zone         string             `help:"Availability zone of this instance (required)." need:"true"`
+	Callers      address            `help:"Address and port for callers." default:"127.0.0.1:8080"`
+	Peers        address            `help:"Address and port for other nodes." default:"127.0.0.1:8081"`
+	Operators    address            `help:"Address and port for operators." default:"127.0.0.1:8082"`
+	Platform     address            `help:"Address and port of the platform (required)." need:"true" placeholder:"ADDR:PORT"`
+	Keys         []publicKey        `help:"Operators' Ed25519 public keys in hexadecimal, separated by commas (required)." need:"true" placeholder:"KEY,..."`
+	Token        string             `help:"Secret that operators show as a bearer token; without one only health and readiness are served."`
+	Import       map[string]float64 `help:"What importing a cached token costs a service's engines, over computing it: SERVICE=COST."`
+	Grace        duration           `help:"How long a stopping node still takes requests." default:"2s"`
+	Linger       duration           `help:"How long a stopping node at least refuses requests before its listener closes." default:"1s"`
+	Patience     duration           `help:"How long a stopping node waits for requests in progress." default:"5m"`
+	Timeout      duration           `help:"Deadline of a request that names none." default:"3m"`
+	MaxTimeout   duration           `name:"max-timeout" help:"Longest deadline that a request can name." default:"15m"`
+	ReadTimeout  duration           `name:"read-timeout" help:"How long a caller may take to send a body." default:"30s"`
+	WriteTimeout duration           `name:"write-timeout" help:"How long a caller may take to read a piece of its answer." default:"20s"`
+	MaxBody      count              `name:"max-body" help:"Largest request body, in bytes." default:"4194304"`
+	MaxAnswer    count              `name:"max-answer" help:"Largest answer that is not streamed, in bytes." default:"16777216"`
+	MaxActive    count              `name:"max-active" help:"Requests that the node serves at once." default:"8192"`
+	MaxWaiting   count              `name:"max-waiting" help:"Requests that wait for an endpoint at once." default:"2048"`
+	MaxAccount   count              `name:"max-account" help:"Requests of one client account that wait at once." default:"512"`
+	Traces       count              `help:"Requests whose decisions are kept for operators." default:"1024"`
+	Check        bool               `help:"Check the settings and end."`
+	Level        string             `help:"Least level that is logged: debug, info, warn or error." default:"info"`
 }
 
 // Validate names every wrong setting at once.
@@ -91,7 +92,7 @@
 		Instance: c.Instance, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		Platform: c.Platform.AddrPort, Keys: keys,
-		Grace: c.Grace.Duration, Linger: c.Linger.Duration,
+		Import: c.Import, Grace: c.Grace.Duration, Linger: c.Linger.Duration,
 		Limits: caller.Config{
 			Timeout: c.Timeout.Duration, MaxTimeout: c.MaxTimeout.Duration,
 			ReadTimeout: c.ReadTimeout.Duration, WriteTimeout: c.WriteTimeout.Duration,
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -106,11 +106,18 @@
 	return h.pass(w, run, data)
 }
 
+// cachedUnknown tells that an endpoint did not say what it had cached.
+const cachedUnknown = -1
+
 // stream passes a stream on. Where it was cut after it began, an event says so.
 func (h *Handler) stream(w http.ResponseWriter, req route.Request, run *dispatch.Run) error {
 	w.Header().Set(HeaderRan, string(RanYes))
 	out := newEvents(w, h.config.WriteTimeout)
-	err := out.relay(endpoint.NewStream(run.Answer, run.Attempt))
+	stream := endpoint.NewStream(run.Answer, run.Attempt)
+	err := out.relay(stream)
+	if err == nil {
+		run.Learn(stream.Passed(), cachedUnknown)
+	}
 	if err != nil && out.begun {
 		out.fail(h.broken(err, req.Deadline))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,8 @@
 		View func() *kernel.View
 		// Router plans the requests; nil is one with the defaults.
 		Router *route.Router
+		// Caches moves KV caches for plans that import them; nil moves none.
+		Caches Caches
 		// Holder keeps the permits that the node holds; nil is an empty one.
 		Holder *gate.Holder
 		// Recorder keeps what the plans did; nil keeps nothing.
@@ -170,7 +172,7 @@
 		case route.StepAsk:
 			j.plan.Report(j.ask(ctx, step))
 		case route.StepRun:
-			run, outcome := j.run(ctx, step.Endpoint)
+			run, outcome := j.run(ctx, step)
 			if run != nil {
 				return run, nil
 			}
@@ -200,12 +202,15 @@
 	return j.d.permit(ctx, e, a)
 }
 
-func (j *job) run(ctx context.Context, e kernel.Endpoint) (*Run, route.Outcome) {
+func (j *job) run(ctx context.Context, step route.Step) (*Run, route.Outcome) {
+	e := step.Endpoint
+	j.move(ctx, step.From, e)
 	call := j.call
 	call.Attempt = strconv.FormatUint(j.permit, 16)
 	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	permit := j.permit
 	if err == nil {
+		j.plan.Learn(time.Now(), route.Usage{Endpoint: e.Name})
 		release := func() { j.d.release(permit) }
 		return &Run{Answer: answer, Attempt: call.Attempt, Endpoint: e, release: release, job: j}, 0
 	}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -33,6 +33,7 @@
 	planner interface {
 		Next(now time.Time, v *kernel.View) route.Step
 		Report(o route.Outcome)
+		Learn(now time.Time, u route.Usage)
 	}
 
 	// recorded is a plan whose steps are recorded.
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -49,7 +49,9 @@
 	numbered bool
 	// finished is set once an event said why the answer finished.
 	finished bool
-	resumes  int
+	// passed counts the events that Next returned.
+	passed  int
+	resumes int
 	// gone is set once the endpoint no longer knows the attempt.
 	gone bool
 }
@@ -74,6 +76,7 @@
 		data, err := s.event()
 		switch {
 		case err == nil:
+			s.passed++
 			return data, nil
 		case errors.Is(err, io.EOF):
 			s.answer.whole = true
@@ -90,6 +93,10 @@
 	return ok && bytes.IndexByte(after, '\n') >= 0
 }
 
+// Passed returns how many events Next returned, which is about the tokens of the
+// answer.
+func (s *Stream) Passed() int { return s.passed }
+
 // Dropped returns how many repeated events and events of other attempts were
 // dropped.
 func (s *Stream) Dropped() int { return s.dropped }
--- /dev/null
+++ b/internal/gate/bench_test.go
@@ -0,0 +1,49 @@
+package gate_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+// fleet returns a view of so many endpoints, of which four have the node as
+// their home, as at the target size.
+func fleet(endpoints int) *kernel.View {
+	const perHome = 4
+	v := &kernel.View{At: time.Unix(0, 0), Self: kernel.Node{Name: "n000"}, Pools: map[string]*kernel.Pool{}}
+	p := &kernel.Pool{Service: manifest.Service{Name: "engines"}, Bound: 1.5, Live: endpoints}
+	for i := range endpoints {
+		home := fmt.Sprintf("n%03d", i/perHome)
+		if i%perHome == 0 {
+			v.Nodes = append(v.Nodes, kernel.Node{Name: home})
+		}
+		load := kernel.Load{Requests: 30, Tokens: 12000}
+		p.Endpoints = append(p.Endpoints, kernel.Endpoint{
+			Name: fmt.Sprintf("w%04d", i), Service: "engines", Home: home, Load: load,
+		})
+		p.Total = p.Total.Add(load)
+	}
+	v.Pools["engines"] = p
+	return v
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, endpoints := range []int{12, 240, 1200} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			v := fleet(endpoints)
+			g := gate.New(gate.Config{View: func() *kernel.View { return v }})
+			now := v.At.Add(time.Minute)
+			for i := range b.N {
+				id := uint64(i) + 1
+				g.Admit(now, gate.Ask{ID: id, Endpoint: "w0001", Node: "n000", Tokens: 400, Lease: time.Minute})
+				if i >= 100 {
+					g.Release(now, gate.Return{ID: id - 100})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gate/holder_test.go
@@ -0,0 +1,143 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+var start = time.Unix(1000, 0)
+
+// two returns a view of one service at nodes n1 and n2, whose endpoint w1 has
+// the given home and load.
+func two(self, home string, load int) *kernel.View {
+	e1 := kernel.Endpoint{Name: "w1", Service: "s", Home: home, Load: kernel.Load{Requests: load}}
+	e2 := kernel.Endpoint{Name: "w2", Service: "s", Home: "n2", Load: kernel.Load{Requests: load}}
+	return &kernel.View{
+		At:    start,
+		Self:  kernel.Node{Name: self},
+		Nodes: []kernel.Node{{Name: "n1", Incarnation: 1}, {Name: "n2", Incarnation: 2}},
+		Pools: map[string]*kernel.Pool{"s": {
+			Service: manifest.Service{Name: "s"}, Bound: 1.5, Live: 2,
+			Endpoints: []kernel.Endpoint{e1, e2}, Total: e1.Load.Add(e2.Load),
+		}},
+	}
+}
+
+func ask(id uint64) gate.Ask {
+	return gate.Ask{ID: id, Endpoint: "w1", Node: "n1", Tokens: 10, Lease: time.Minute}
+}
+
+func loadOf(g *gate.Gate, endpoint string) kernel.Load {
+	for _, l := range g.Loads() {
+		if l.Endpoint == endpoint {
+			return l.Load
+		}
+	}
+	return kernel.Load{}
+}
+
+// Symptom: after a node joined or died, engines ran at twice the bound.
+// Sequence: requests run at an endpoint; its home changes; the new home admits
+// as much work again.
+// Cause: a home knows only the permits that it granted itself.
+func TestNewHomeHearsOfPermits(t *testing.T) {
+	h := gate.NewHolder()
+	before := two("n1", "n1", 0)
+	h.Take(start, before, "n1", ask(1))
+	require.Empty(t, h.Due(start, before))
+
+	after := two("n1", "n2", 0)
+	sends := h.Due(start, after)
+	require.Len(t, sends, 1)
+	require.Equal(t, "n2", sends[0].Home)
+	require.Equal(t, uint64(1), sends[0].Batch.Declares[0].ID)
+
+	v := two("n2", "n2", 0)
+	home := gate.New(gate.Config{View: func() *kernel.View { return v }})
+	home.Apply(start, sends[0].Batch)
+	home.Apply(start, sends[0].Batch)
+	require.Equal(t, 1, loadOf(home, "w1").Requests)
+
+	require.Equal(t, "n2", h.Drop(start, 1))
+	home.Apply(start, gate.Batch{Returns: h.Returns("n2")})
+	require.Zero(t, loadOf(home, "w1").Requests)
+}
+
+// Symptom: an endpoint was flooded in the second in which its home changed.
+// Sequence: the home changes; before other nodes have told the new home what
+// they hold, it is asked for more.
+// Cause: the new home took the endpoint for idle.
+func TestNewHomeKeepsTheLoadLastHeardOf(t *testing.T) {
+	v := two("n1", "n2", 7)
+	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
+	require.Empty(t, g.Loads())
+	v = two("n1", "n1", 7)
+	require.Equal(t, 7, loadOf(g, "w1").Requests)
+	v = two("n1", "n1", 7)
+	v.At = start.Add(time.Minute)
+	require.Zero(t, loadOf(g, "w1").Requests)
+}
+
+// Symptom: for seconds after a node died, engines were filled beyond the bound.
+// Sequence: a node dies with many streams; its permits stay at the homes.
+// Cause: the permits of the dead node kept the mean too high.
+func TestSilentNodeHoldsNothing(t *testing.T) {
+	v := two("n2", "n2", 0)
+	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
+	require.Equal(t, gate.Granted, g.Admit(start, ask(1)))
+	g.Expire(start)
+	require.Equal(t, 1, loadOf(g, "w1").Requests)
+	v = two("n2", "n2", 0)
+	v.Nodes[0].State = kernel.Suspect
+	g.Expire(start)
+	require.Zero(t, loadOf(g, "w1").Requests)
+}
+
+// Symptom: endpoints carried far more tokens than the bound allows.
+// Sequence: chats come back to an endpoint that has dropped their prefixes.
+// Cause: the home counts what was expected of a request when it was admitted.
+func TestReportCorrectsTheCount(t *testing.T) {
+	v := two("n1", "n1", 0)
+	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
+	for i := range 3 {
+		require.Equal(t, gate.Granted, g.Admit(start, ask(uint64(i)+1)))
+	}
+	require.Equal(t, 30, loadOf(g, "w1").Tokens)
+	later := start.Add(1100 * time.Millisecond)
+	g.Reported(later, "w1", kernel.Load{Requests: 3, Tokens: 1030})
+	v = two("n1", "n1", 0)
+	v.At = later
+	require.Equal(t, kernel.Load{Requests: 3, Tokens: 530}, loadOf(g, "w1"))
+}
+
+func TestBoundRule(t *testing.T) {
+	pool := func(requests, tokens int) *kernel.Pool {
+		return &kernel.Pool{Bound: 1.25, Live: 10, Total: kernel.Load{Requests: requests, Tokens: tokens}}
+	}
+	cases := map[string]struct {
+		pool    *kernel.Pool
+		load    kernel.Load
+		tokens  int
+		largest int
+		want    bool
+	}{
+		"idle pool":                   {pool(0, 0), kernel.Load{}, 100, 0, true},
+		"small mean, room":            {pool(10, 1000), kernel.Load{Requests: 4, Tokens: 400}, 100, 100, true},
+		"small mean, full":            {pool(10, 1000), kernel.Load{Requests: 5, Tokens: 400}, 100, 100, false},
+		"above the margin":            {pool(200, 0), kernel.Load{Requests: 23}, 0, 0, false},
+		"below the mean":              {pool(200, 0), kernel.Load{Requests: 20}, 0, 0, true},
+		"tokens above the bound":      {pool(200, 20000), kernel.Load{Requests: 10, Tokens: 4000}, 100, 100, false},
+		"tokens in small pieces only": {pool(200, 20000), kernel.Load{Requests: 10, Tokens: 4000}, 100, 1000, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, gate.NewBoundRule().Fits(c.pool, c.load, c.tokens, c.largest))
+		})
+	}
+}
--- a/internal/peer/size.go
+++ b/internal/peer/size.go
@@ -29,15 +29,16 @@
 	}
 )
 
-// RequestBytes returns how many bytes the caller of a call sends, with the
-// frames around the message but without TCP and IP.
+// RequestBytes returns how many bytes the caller of a call sends at most, with
+// the frames around the message but without TCP and IP.
 func RequestBytes[M Message](name CallName, m M) int {
 	return frameBytes(drpcwire.KindInvoke, len(name)) +
 		frameBytes(drpcwire.KindMessage, proto.Size(m)) +
-		frameBytes(drpcwire.KindCloseSend, 0)
+		frameBytes(drpcwire.KindCloseSend, 0) +
+		frameBytes(drpcwire.KindClose, 0)
 }
 
-// ReplyBytes returns how many bytes the answer to a call takes.
+// ReplyBytes returns how many bytes the answer to a call takes at most.
 func ReplyBytes[M Message](m M) int {
 	return frameBytes(drpcwire.KindMessage, proto.Size(m)) +
 		frameBytes(drpcwire.KindCloseSend, 0)
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,215 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+	"bulrushhinge.example/bulrushhinge/pkg/hint"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
+)
+
+var start = time.Unix(1000, 0)
+
+// view returns a view of endpoints w0, w1 ... with the given requests.
+func view(loads ...int) *kernel.View {
+	p := &kernel.Pool{Service: manifest.Service{Name: "engines"}, Bound: 1.5, Live: len(loads)}
+	for i, n := range loads {
+		l := kernel.Load{Requests: n, Tokens: 400 * n}
+		p.Endpoints = append(p.Endpoints, kernel.Endpoint{Name: fmt.Sprintf("w%d", i), Service: "engines", Home: "n1", Load: l})
+		p.Total = p.Total.Add(l)
+	}
+	return &kernel.View{At: start, Pools: map[string]*kernel.Pool{"engines": p}}
+}
+
+func request(input int) route.Request {
+	return route.Request{
+		Account: "a", Chat: "a/c", Service: "engines", Model: "m", Input: input, Output: 256,
+		Deadline: start.Add(time.Minute),
+	}
+}
+
+func TestPlacement(t *testing.T) {
+	held := func(tokens int, age time.Duration) hint.Hint {
+		return hint.Hint{Endpoint: "w2", Tokens: tokens, At: start.Add(-age)}
+	}
+	cases := map[string]struct {
+		view *kernel.View
+		hint hint.Hint
+		want string
+	}{
+		"holder of the prefix":           {view(4, 4, 4, 4), held(2000, time.Second), "w2"},
+		"holder a little more loaded":    {view(4, 4, 5, 4), held(2000, time.Second), "w2"},
+		"little held by a loaded holder": {view(4, 0, 9, 9), held(100, time.Second), "w1"},
+		"nothing held, least loaded":     {view(9, 9, 0, 9), hint.Hint{}, "w2"},
+		"holder is gone":                 {view(0, 9), held(2000, time.Second), "w0"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			req := request(2000)
+			req.Hint = c.hint
+			step := route.NewRouter(route.Config{}).Plan(start, req).Next(start, c.view)
+			require.Equal(t, route.StepAsk, step.Kind)
+			require.Equal(t, c.want, step.Endpoint.Name)
+		})
+	}
+}
+
+func TestSuspectEndpointsComeLast(t *testing.T) {
+	v := view(0, 9)
+	v.Pools["engines"].Endpoints[0].State = kernel.Suspect
+	step := route.NewRouter(route.Config{}).Plan(start, request(10)).Next(start, v)
+	require.Equal(t, "w1", step.Endpoint.Name)
+}
+
+// A node remembers where a chat ran when its caller brings no hint, and a
+// newer hint goes before what it remembers.
+func TestMemoryAndHint(t *testing.T) {
+	r := route.NewRouter(route.Config{})
+	v := view(4, 4, 4, 4)
+	r.Plan(start, request(2000)).Learn(start, route.Usage{Endpoint: "w3"})
+	require.Equal(t, "w3", r.Plan(start, request(2000)).Next(start, v).Endpoint.Name)
+
+	req := request(2000)
+	req.Hint = hint.Hint{Endpoint: "w1", Tokens: 2000, At: start.Add(time.Second)}
+	require.Equal(t, "w1", r.Plan(start.Add(time.Second), req).Next(start, v).Endpoint.Name)
+}
+
+// Symptom: endpoints seemed full of work that never came.
+// Sequence: callers allow long answers and get short ones.
+// Cause: the longest answer that a caller allows was counted as load.
+func TestAnswersAreCountedAsLongAsTheyTurnOut(t *testing.T) {
+	r := route.NewRouter(route.Config{})
+	v := view(1, 1)
+	p := r.Plan(start, request(100))
+	require.Equal(t, 100+256, p.Next(start, v).Tokens)
+	p.Learn(start, route.Usage{Endpoint: "w0", Done: true, Output: 20, Cached: -1})
+	other := request(100)
+	other.Chat = "a/other"
+	require.Equal(t, 100+20, r.Plan(start, other).Next(start, v).Tokens)
+}
+
+// Symptom: endpoints carried far more tokens than the bound allows.
+// Sequence: chats come back after long pauses with hints that are out of date.
+// Cause: every hint was taken for true, whatever its age.
+func TestOldPrefixesAreFoundToBeGone(t *testing.T) {
+	r := route.NewRouter(route.Config{})
+	v := view(1, 1, 1, 1)
+	old := request(2000)
+	old.Hint = hint.Hint{Endpoint: "w2", Tokens: 2000, At: start.Add(-time.Hour)}
+	for range 50 {
+		p := r.Plan(start, old)
+		p.Next(start, v)
+		p.Learn(start.Add(-time.Hour), route.Usage{Endpoint: "w2", Done: true, Output: 10, Cached: 0})
+	}
+	step := r.Plan(start, old).Next(start, v)
+	require.Greater(t, step.Tokens, 1900)
+}
+
+func TestImportFromTheHolder(t *testing.T) {
+	req := request(2000)
+	req.Hint = hint.Hint{Endpoint: "w0", Tokens: 1900, At: start}
+	cases := map[string]struct {
+		cost map[string]float64
+		want string
+	}{
+		"cheaper":    {map[string]float64{"engines": 0.4}, "w0"},
+		"dearer":     {map[string]float64{"engines": 1.2}, ""},
+		"impossible": {nil, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := route.NewRouter(route.Config{Import: c.cost}).Plan(start, req)
+			v := view(3, 3)
+			require.Equal(t, "w0", p.Next(start, v).Endpoint.Name)
+			p.Report(route.OutcomeFull)
+			require.Equal(t, "w1", p.Next(start, v).Endpoint.Name)
+			p.Report(route.OutcomeGranted)
+			step := p.Next(start, v)
+			require.Equal(t, route.StepRun, step.Kind)
+			require.Equal(t, c.want, step.From.Name)
+		})
+	}
+}
+
+// A denial carries the loads of the home's endpoints; the next ask goes where
+// there is room.
+func TestDenialInformsTheNextAsk(t *testing.T) {
+	r := route.NewRouter(route.Config{})
+	v := view(2, 2, 2)
+	p := r.Plan(start, request(100))
+	first := p.Next(start, v).Endpoint.Name
+	p.Report(route.OutcomeFull)
+	var loads []kernel.EndpointLoad
+	for _, e := range v.Pools["engines"].Endpoints {
+		load := kernel.Load{Requests: 9}
+		if e.Name == "w1" && first != "w1" || e.Name == "w2" && first == "w1" {
+			load = kernel.Load{}
+		}
+		loads = append(loads, kernel.EndpointLoad{Endpoint: e.Name, Load: load})
+	}
+	r.Observe(start, loads)
+	want := "w1"
+	if first == "w1" {
+		want = "w2"
+	}
+	require.Equal(t, want, p.Next(start, v).Endpoint.Name)
+}
+
+func TestRepeats(t *testing.T) {
+	cases := map[string]struct {
+		once    bool
+		outcome route.Outcome
+		want    route.Reason
+	}{
+		"not repeatable and lost":    {true, route.OutcomeLost, route.ReasonLost},
+		"not repeatable and not run": {true, route.OutcomeNotRun, route.ReasonAttempts},
+		"repeatable and lost":        {false, route.OutcomeLost, route.ReasonAttempts},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			req := request(10)
+			req.Once = c.once
+			p := route.NewRouter(route.Config{}).Plan(start, req)
+			v := view(0, 0, 0, 0, 0)
+			for range 20 {
+				step := p.Next(start, v)
+				switch step.Kind {
+				case route.StepAsk:
+					p.Report(route.OutcomeGranted)
+				case route.StepRun:
+					p.Report(c.outcome)
+				case route.StepRefuse:
+					require.Equal(t, c.want, step.Reason)
+					return
+				}
+			}
+			t.Fatal("the plan does not end")
+		})
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, endpoints := range []int{12, 240, 1200} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			loads := make([]int, endpoints)
+			for i := range loads {
+				loads[i] = i % 7
+			}
+			v := view(loads...)
+			r := route.NewRouter(route.Config{})
+			req := request(2000)
+			req.Hint = hint.Hint{Endpoint: "w2", Tokens: 2000, At: start}
+			for range b.N {
+				p := r.Plan(start, req)
+				p.Next(start, v)
+				p.Report(route.OutcomeGranted)
+				p.Next(start, v)
+			}
+		})
+	}
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -59,7 +59,7 @@
 		// Done is set once the answer has ended; what follows is known then.
 		Done bool
 		// Output is the tokens of the answer, Cached those of the prompt that
-		// the endpoint had.
+		// the endpoint had; negative where it did not say.
 		Output int
 		Cached int
 	}
@@ -106,13 +106,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := p.request
-	r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	if req.Chat != "" {
+		r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	}
 	if !u.Done {
 		return
 	}
 	r.sizes.learn(req, u.Output)
 	b := p.believed
-	if expected := min(b.tokens, req.Input); expected > 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
+	if expected := min(b.tokens, req.Input); expected > 0 && u.Cached >= 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
 		r.hits.learn(p.planned.Sub(b.at), float64(u.Cached)/float64(expected))
 	}
 }
