--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -28,6 +29,8 @@
 // exchange is one request of a caller and what it got.
 type exchange struct {
 	node, method, path, account, ticket, body string
+	// addr is where the node is, if it is not one of the fleet's own.
+	addr netip.AddrPort
 	// repeatable requests are not marked as once-only.
 	repeatable bool
 	// timeout is the X-Timeout that the caller names.
@@ -42,7 +45,11 @@
 	if method == "" {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%v%s", f.Caller(x.node), x.path), strings.NewReader(x.body))
+	addr := x.addr
+	if !addr.IsValid() {
+		addr = f.Caller(x.node)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%v%s", addr, x.path), strings.NewReader(x.body))
 	if err != nil {
 		return nil, err
 	}
