--- a/control.go
+++ b/control.go
@@ -42,10 +42,14 @@
 	// control owns the kernel: one goroutine steps it, others do the I/O that
 	// it asks for.
 	control struct {
-		config  controlConfig
-		inputs  chan input
-		cancel  context.CancelFunc
-		ctx     context.Context
+		config controlConfig
+		inputs chan input
+		cancel context.CancelFunc
+		ctx    context.Context
+		// seen is the last view whose probes were read, and probed those
+		// probes; both belong to the goroutine that owns the kernel.
+		seen    *kernel.View
+		probed  map[string]bool
 		running sync.WaitGroup
 	}
 
@@ -167,13 +171,39 @@
 }
 
 func (c *control) step(now time.Time, ev kernel.Event) {
-	before := revisionOf(c.View())
+	old := c.View()
+	before := revisionOf(old)
 	for _, a := range c.config.Kernel.Step(now, ev) {
 		c.act(now, a)
 	}
 	if after := revisionOf(c.View()); after != before {
 		c.config.Log.WithFields(logrus.Fields{"revision": after, "before": before}).Info("revision in force")
 	}
+	if peer := c.View().Conflict; peer != "" && old.Conflict == "" {
+		c.config.Log.WithFields(logrus.Fields{"revision": before, "peer": peer}).Error("two accepted manifests of one revision in force")
+	}
+	c.probeNew()
+}
+
+// probeNew reads the reports of endpoints whose home the node has become.
+//
+// A node that just learned of an endpoint may have it from an old list, and
+// would admit work to one that has long been leaving until it reads its report
+// with the others, up to a second later. Asking at once leaves a round trip.
+func (c *control) probeNew() {
+	v := c.View()
+	if v == c.seen {
+		return
+	}
+	c.seen = v
+	probed := make(map[string]bool, len(v.Probes))
+	for _, e := range v.Probes {
+		probed[e.Name] = true
+		if !c.probed[e.Name] {
+			c.running.Go(func() { c.readLoad(e) })
+		}
+	}
+	c.probed = probed
 }
 
 func (c *control) act(now time.Time, a kernel.Action) {
@@ -258,6 +288,7 @@
 		c.Offer(kernel.EndpointFailed{Endpoint: e.Name})
 		return
 	}
+	c.config.Gate.Reported(time.Now(), e.Name, kernel.Load{Requests: report.Requests, Tokens: report.Tokens})
 	c.Offer(kernel.LoadReported{
 		Endpoint:    e.Name,
 		Load:        kernel.Load{Requests: report.Requests, Tokens: report.Tokens},
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -69,12 +70,18 @@
 	ClientConfig struct {
 		// Dialer opens connections; nil is a net.Dialer with a short timeout.
 		Dialer Dialer
+		// Resume is how long an endpoint may take to answer for a broken
+		// attempt; 0 is DefaultResume.
+		Resume time.Duration
 	}
 
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
 	Client struct {
-		shared  *http.Client
-		single  *http.Client
+		shared *http.Client
+		single *http.Client
+		// control asks for attempts again and cancels them. An endpoint that
+		// takes the question and does not answer must not hold the call.
+		control *http.Client
 		running sync.WaitGroup
 		// mu guards closed, after which nothing more is started.
 		mu     sync.Mutex
@@ -101,6 +108,12 @@
 			MaxIdleConnsPerHost: idlePerHost,
 			DisableCompression:  true,
 		}),
+		control: newHTTP(&http.Transport{
+			DialContext:           dialer.DialContext,
+			MaxIdleConnsPerHost:   idlePerHost,
+			DisableCompression:    true,
+			ResponseHeaderTimeout: cmp.Or(c.Resume, DefaultResume),
+		}),
 		single: newHTTP(&http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
@@ -117,6 +130,7 @@
 	c.running.Wait()
 	c.shared.CloseIdleConnections()
 	c.single.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 }
 
 // Do sends a call and returns the head of the answer. It returns ErrNotRun
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -44,6 +42,8 @@
 		Incarnation uint64
 		// Dialer opens connections; nil is a plain net.Dialer.
 		Dialer Dialer
+		// Key proves the node to its peers and checks them.
+		Key *Key
 	}
 
 	// Client calls peers. It is safe for concurrent use.
@@ -93,8 +93,8 @@
 	return reply, nil
 }
 
-// Values reads values of the accepted configuration by their keys. Those that
-// the peer does not have are left out.
+// Values reads values of the accepted configuration by their keys, in as many
+// calls as their size needs. Those that the peer does not have are left out.
 func (c *Client) Values(ctx context.Context, to netip.AddrPort, keys []string) (map[string][]byte, error) {
 	values := make(map[string][]byte, len(keys))
 	for len(keys) > 0 {
@@ -102,14 +102,20 @@
 		if err != nil {
 			return nil, unreachable(to, err)
 		}
-		if len(reply.Values) == 0 {
+		var rest []string
+		for _, key := range keys {
+			if value, ok := reply.Values[key]; ok {
+				values[key] = value
+			} else {
+				rest = append(rest, key)
+			}
+		}
+		// A reply without any of them ends it; a peer could otherwise be asked
+		// without end.
+		if len(rest) == len(keys) {
 			return values, nil
 		}
-		maps.Copy(values, reply.Values)
-		keys = slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
-			_, have := reply.Values[key]
-			return have
-		})
+		keys = rest
 	}
 	return values, nil
 }
@@ -120,7 +126,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return drpcconn.New(raw), nil
+		secure, err := c.config.Key.dialed(ctx, raw)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(secure), nil
 	})
 	return peerpb.NewDRPCPeerClient(drpc.Conn(conn))
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -17,6 +17,7 @@
 		Leaving:     b.Leaving,
 		Active:      uint32(max(b.Active, 0)),
 		Revision:    b.Revision,
+		Print:       b.Print,
 		Loads:       mapped(b.Loads, encodeLoad),
 		Marks:       mapped(b.Marks, encodeMark),
 		Intro:       pointed(b.Intro, encodeIntro),
@@ -38,6 +39,7 @@
 		Leaving:     b.Leaving,
 		Active:      int(b.Active),
 		Revision:    b.Revision,
+		Print:       b.Print,
 		Loads:       mapped(b.Loads, decodeLoad),
 		Marks:       mapped(b.Marks, decodeMark),
 		Intro:       valued(b.Intro, decodeIntro),
@@ -58,6 +60,7 @@
 		Declares: mapped(b.Declares, encodeAsk),
 		Returns:  mapped(b.Returns, func(r gate.Return) uint64 { return r.ID }),
 		TookMs:   mapped(b.Returns, tookMS),
+		Own:      encodeOwn(b.Own),
 	}
 }
 
@@ -68,6 +71,7 @@
 		Asks:     mapped(r.Asks, decode),
 		Declares: mapped(r.Declares, decode),
 		Returns:  decodeReturns(r),
+		Own:      decodeOwn(r.Own),
 	}
 }
 
@@ -92,6 +96,7 @@
 	return &peerpb.PermitReply{
 		Verdicts: mapped(r.Verdicts, func(v gate.Verdict) uint32 { return uint32(v) }),
 		Loads:    mapped(r.Loads, encodeLoad),
+		Own:      encodeOwn(r.Own),
 	}
 }
 
@@ -100,9 +105,25 @@
 	return gate.Reply{
 		Verdicts: mapped(r.Verdicts, func(v uint32) gate.Verdict { return gate.Verdict(v) }),
 		Loads:    mapped(r.Loads, decodeLoad),
+		Own:      decodeOwn(r.Own),
 	}
 }
 
+// encodeOwn returns nil for no load, which takes no bytes.
+func encodeOwn(l kernel.Load) *peerpb.EndpointLoad {
+	if l == (kernel.Load{}) {
+		return nil
+	}
+	return encodeLoad(kernel.EndpointLoad{Load: l})
+}
+
+func decodeOwn(l *peerpb.EndpointLoad) kernel.Load {
+	if l == nil {
+		return kernel.Load{}
+	}
+	return decodeLoad(l).Load
+}
+
 func encodeLoad(l kernel.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: l.Endpoint,
--- /dev/null
+++ b/internal/peer/values_test.go
@@ -0,0 +1,58 @@
+package peer_test
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+)
+
+// held is the values of a node.
+type held map[string][]byte
+
+func (h held) Value(key string) []byte { return h[key] }
+
+func TestValuesComeInAsManyRepliesAsTheyNeed(t *testing.T) {
+	const size = 400 << 10
+	h := held{}
+	keys := []string{"missing"}
+	for _, key := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		h[key] = bytes.Repeat([]byte(key), size)
+		keys = append(keys, key)
+	}
+	h["largest"] = make([]byte, 1<<20)
+	keys = append(keys, "largest", "missing too")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	k := newKey(t, secret(1))
+	s, err := peer.NewServer(peer.ServerConfig{Listener: l, Key: k, Values: h})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, s.Close()) }()
+	c := peer.NewClient(peer.ClientConfig{Self: "n1", Key: k})
+	defer c.Close()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	got, err := c.Values(t.Context(), addr, keys)
+	require.NoError(t, err)
+	require.Equal(t, map[string][]byte(h), got)
+	got, err = c.Values(t.Context(), addr, []string{"missing"})
+	require.NoError(t, err)
+	require.Empty(t, got)
+}
+
+func TestBeatCarriesWhatIsInForce(t *testing.T) {
+	b := &kernel.Beat{Node: "n1", Revision: 7, Print: 0xabc}
+	data, err := proto.Marshal(peer.EncodeBeat(b))
+	require.NoError(t, err)
+	var wire peerpb.Heartbeat
+	require.NoError(t, proto.Unmarshal(data, &wire))
+	got := peer.DecodeBeat(&wire)
+	require.Equal(t, b.Revision, got.Revision)
+	require.Equal(t, b.Print, got.Print)
+}
--- a/internal/poison/lease.go
+++ b/internal/poison/lease.go
@@ -12,6 +12,10 @@
 // before it runs again, so that all nodes have heard of the death by then.
 const DefaultCooldown = 2 * time.Second
 
+// goneFor is how long after its return a message that asks for a lease may
+// arrive.
+const goneFor = 10 * time.Second
+
 type (
 	// Lease is the right to run a suspected request.
 	Lease struct {
@@ -28,6 +32,8 @@
 		mu       sync.Mutex
 		cooldown time.Duration
 		held     map[uint64]held
+		// gone is when leases were given back that were not held.
+		gone map[uint64]time.Time
 	}
 
 	held struct {
@@ -41,7 +47,7 @@
 	if cooldown == 0 {
 		cooldown = DefaultCooldown
 	}
-	return &Leases{cooldown: cooldown, held: map[uint64]held{}}
+	return &Leases{cooldown: cooldown, held: map[uint64]held{}, gone: map[uint64]time.Time{}}
 }
 
 // Acquire grants a lease, or reports false where another holds it or the
@@ -50,6 +56,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
+	if _, gone := l.gone[lease.ID]; gone {
+		return false
+	}
 	if h, ok := l.held[lease.Print]; ok {
 		return h.id == lease.ID
 	}
@@ -58,10 +67,15 @@
 }
 
 // Release gives a lease back. Where the endpoint died, the request cools down.
+//
+// A lease may be given back before the message that asks for it arrives; it
+// would then be held by nobody until its time ends, and the request would wait
+// for it until its deadline. Such a lease is therefore not granted later.
 func (l *Leases) Release(now time.Time, lease Lease, died bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h, ok := l.held[lease.Print]; !ok || h.id != lease.ID {
+		l.gone[lease.ID] = now.Add(goneFor)
 		return
 	}
 	delete(l.held, lease.Print)
@@ -76,6 +90,11 @@
 			delete(l.held, print)
 		}
 	}
+	for id, until := range l.gone {
+		if now.After(until) {
+			delete(l.gone, id)
+		}
+	}
 }
 
 // Holder returns the node that grants the leases of a request: the first live
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
+	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 	"bulrushhinge.example/bulrushhinge/pkg/trace"
 )
@@ -50,6 +52,7 @@
 		permits  int
 		probes   int
 		platform int
+		config   int
 	}
 )
 
@@ -61,10 +64,14 @@
 	}
 	n.kernel, n.gate = builtin.New(self, builtin.Config{
 		Membership: membership.Config{Active: func() int { return len(n.jobs) }},
+		Config:     config.Config{Hold: config.DefaultHold},
+		Pool:       pool.Config{Sent: n.holder.Loads},
 		Gate:       s.config.Policy.Gate,
 	})
 	random := rand.New(rand.NewPCG(s.random.Uint64(), seedStream))
-	n.router = route.NewRouter(s.config.Policy.Route(random))
+	settings := s.config.Policy.Route(random)
+	settings.Import = s.imports()
+	n.router = route.NewRouter(settings)
 	s.all = append(s.all, n)
 	phase := time.Duration(s.random.Int64N(int64(kernel.DefaultTick)))
 	s.queue.after(phase, n.tick)
@@ -81,6 +88,9 @@
 	}
 	n.gate.Expire(n.sim.time())
 	n.step(kernel.Tick{})
+	if v := n.view(); v.ListVersion > v.Listed {
+		n.sim.platform.read(n)
+	}
 	n.sim.queue.after(kernel.DefaultTick, n.tick)
 }
 
@@ -106,11 +116,28 @@
 	switch a := a.(type) {
 	case kernel.SendBeat:
 		n.sendBeat(a.To.Name)
+	case kernel.FetchConfig:
+		n.fetch(a)
 	default:
 		n.sim.fail("unknown action %T", a)
 	}
 }
 
+// fetch takes the accepted revision from a peer.
+func (n *node) fetch(a kernel.FetchConfig) {
+	s := n.sim
+	s.queue.after(2*s.delay, func() {
+		from := s.node(a.Node)
+		if from == nil || from.view().Manifest == nil {
+			n.step(kernel.ConfigFailed{Node: a.Node})
+			return
+		}
+		m := from.view().Manifest
+		from.spent.config += recordBytes + jsonBytes(m)
+		n.step(kernel.Accepted{Manifest: m})
+	})
+}
+
 func (n *node) sendBeat(to string) {
 	s := n.sim
 	wire := peer.EncodeBeat(n.kernel.Beat(s.time(), to))
@@ -135,14 +162,24 @@
 		return
 	}
 	v := n.view()
+	for _, e := range v.Probes {
+		n.readLoad(e.Name)
+	}
+	if n.sim.config.Policy.Poll {
+		n.readOthers(v)
+	}
+	n.sim.queue.after(loadInterval, n.readLoads)
+}
+
+// readOthers reads the loads of endpoints whose home the node is not.
+func (n *node) readOthers(v *kernel.View) {
 	for _, service := range sortedNames(v.Pools) {
 		for _, e := range v.Pools[service].Endpoints {
-			if e.Home == v.Self.Name || n.sim.config.Policy.Poll {
+			if e.Home != v.Self.Name {
 				n.readLoad(e.Name)
 			}
 		}
 	}
-	n.sim.queue.after(loadInterval, n.readLoads)
 }
 
 func (n *node) readLoad(name string) {
@@ -160,6 +197,7 @@
 			Models: []string{g.info.Model}, Leaving: g.leaving,
 		}
 		n.spent.probes += jsonBytes(report)
+		n.gate.Reported(s.time(), name, load)
 		n.step(kernel.LoadReported{Endpoint: name, Load: load, Models: report.Models, Leaving: report.Leaving})
 	})
 }
@@ -195,4 +233,4 @@
 	}
 }
 
-func (b spending) total() int { return b.beats + b.permits + b.probes + b.platform }
+func (b spending) total() int { return b.beats + b.permits + b.probes + b.platform + b.config }
--- a/internal/replay/permit.go
+++ b/internal/replay/permit.go
@@ -16,15 +16,17 @@
 		ID: j.permit, Endpoint: step.Endpoint.Name, Node: n.name, Tokens: step.Tokens,
 		Lease: j.request.Deadline.Sub(s.time()) + leaseSlack,
 	}
-	batch := gate.Batch{Asks: []gate.Ask{a}, Returns: n.holder.Returns(home)}
+	batch := gate.Batch{Asks: []gate.Ask{a}, Returns: n.holder.Returns(home), Own: n.gate.Own(s.time(), a.Endpoint)}
 	n.send(home, batch, func(r gate.Reply, ok bool) {
 		if !ok {
 			n.holder.Return(s.time(), home, gate.Return{ID: a.ID})
 			j.report(route.OutcomeUnreachable)
 			return
 		}
+		n.gate.Heard(s.time(), home, a.Endpoint, r.Own)
 		n.router.Observe(s.time(), r.Loads)
 		o := outcome(r.Verdicts[0])
+		s.meter.verdicts[r.Verdicts[0]]++
 		if o == route.OutcomeGranted {
 			n.holder.Take(s.time(), n.view(), home, a)
 			if j.done {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,8 +67,11 @@
 	// asked in one round.
 	maxDoublings = 4
 	maxAsks      = 8
-	maxAttempts  = 3
-	retryAfter   = time.Second
+	// maxRefused is how many endpoints may refuse a request before it is given
+	// up: they are down, and its caller may come back later.
+	maxRefused  = 8
+	maxAttempts = 3
+	retryAfter  = time.Second
 )
 
 type (
@@ -100,6 +103,10 @@
 		// Cached is how many tokens of the prompt endpoints are believed to
 		// hold, by name. A Router fills it in.
 		Cached map[string]int
+		// Import is the cost of importing one cached token from another
+		// endpoint, over that of computing it anew; 0 where the endpoints
+		// cannot. A Router fills it in.
+		Import float64
 		// Print identifies the request's content over the whole fleet; 0 where
 		// it is not known.
 		Print uint64
@@ -126,7 +133,10 @@
 	Plan struct {
 		router  *Router
 		request Request
-		tried   map[string]bool
+		// tried is the endpoints that were asked in the present round, failed
+		// those that an attempt failed at.
+		tried  map[string]bool
+		failed map[string]bool
 		// believed is where the chat's prefix was taken to be when the request
 		// came, at the time planned; from is where it was imported from.
 		believed place
@@ -137,6 +147,7 @@
 		lost     bool
 		late     bool
 		attempts int
+		refused  int
 		// asks counts those of the present round, waits the rounds that found
 		// no endpoint.
 		asks  int
@@ -153,6 +164,8 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
+	case p.refused >= maxRefused:
+		return refuse(ReasonNoEndpoint)
 	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
@@ -173,11 +186,8 @@
 }
 
 func (p *Plan) run(pool *kernel.Pool) Step {
-	p.attempts++
 	step := Step{Kind: StepRun, Endpoint: p.next}
-	if !p.router.config.Stay {
-		step.From = Source(pool, p.request, p.next.Name)
-	}
+	step.From = Source(pool, p.request, p.next.Name)
 	p.from = step.From.Name
 	return step
 }
@@ -191,13 +201,22 @@
 	switch o {
 	case OutcomeGranted:
 		p.granted = true
-	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
+	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
+		p.tried[p.next.Name] = true
+	case OutcomeNotRun:
+		p.refused++
 		p.tried[p.next.Name] = true
+		p.failed[p.next.Name] = true
 	case OutcomeLate:
 		p.late = true
 	case OutcomeLost:
 		p.tried[p.next.Name] = true
+		p.failed[p.next.Name] = true
 		p.lost = true
+		// Only attempts that may have run count. Were refused connections to
+		// count too, a request would fail because three endpoints died, while
+		// others could answer it.
+		p.attempts++
 	}
 }
 
@@ -211,13 +230,25 @@
 	return Step{Kind: StepWait, Until: now.Add(pause)}
 }
 
+// choose returns the best endpoint not tried yet. One that the request failed
+// at comes after all others: it would fail there again and use up its attempts
+// while a healthy endpoint has room a moment later.
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
-	for _, e := range p.router.rank(now, pool, p.request) {
-		if !p.tried[e.Name] {
+	var again kernel.Endpoint
+	others := false
+	for _, e := range p.router.rank(now, pool, p.request, p.asks+p.waits > 0) {
+		switch {
+		case p.failed[e.Name]:
+			if again.Name == "" && !p.tried[e.Name] {
+				again = e
+			}
+		case !p.tried[e.Name]:
 			return e, true
+		default:
+			others = true
 		}
 	}
-	return kernel.Endpoint{}, false
+	return again, again.Name != "" && !others
 }
 
 func refuse(r Reason) Step {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 )
 
@@ -21,8 +22,12 @@
 		// Open dispatches without asking homes for permits. It serves
 		// comparisons; no bound holds with it.
 		Open bool
-		// Stay never imports a prefix from another endpoint.
-		Stay bool
+		// Rule tells which endpoints would deny a permit; nil is that of the
+		// homes.
+		Rule gate.Rule
+		// Import is what importing a cached token costs, over computing it
+		// anew, by service; services that are missing cannot import.
+		Import map[string]float64
 		// Memory is how many recent chats are remembered.
 		Memory int
 		// Whole counts prompts and allowed answers whole as load, whatever is
@@ -54,7 +59,7 @@
 		// Done is set once the answer has ended; what follows is known then.
 		Done bool
 		// Output is the tokens of the answer, Cached those of the prompt that
-		// the endpoint had.
+		// the endpoint had; negative where it did not say.
 		Output int
 		Cached int
 	}
@@ -65,15 +70,19 @@
 	if c.Ranker == nil {
 		c.Ranker = NewCostRanker(CostConfig{})
 	}
+	if c.Rule == nil {
+		c.Rule = gate.NewBoundRule()
+	}
 	c.Memory = cmp.Or(c.Memory, DefaultMemory)
 	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), heard: map[string]hearing{}}
 }
 
 // Plan returns the Plan of a request.
 func (r *Router) Plan(now time.Time, req Request) *Plan {
-	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}}
+	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}, failed: map[string]bool{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	p.request.Import = r.config.Import[req.Service]
 	p.believed = r.believed(req)
 	if p.believed.endpoint != "" {
 		share := r.hits.share(now.Sub(p.believed.at))
@@ -97,13 +106,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := p.request
-	r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	if req.Chat != "" {
+		r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	}
 	if !u.Done {
 		return
 	}
 	r.sizes.learn(req, u.Output)
 	b := p.believed
-	if expected := min(b.tokens, req.Input); expected > 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
+	if expected := min(b.tokens, req.Input); expected > 0 && u.Cached >= 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
 		r.hits.learn(p.planned.Sub(b.at), float64(u.Cached)/float64(expected))
 	}
 }
@@ -115,6 +126,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.expected(pool, req, endpoint)
+}
+
+func (r *Router) expected(pool *kernel.Pool, req Request, endpoint string) int {
 	held := req.Cached[endpoint]
 	if s := Source(pool, req, endpoint); s.Name != "" {
 		held = req.Cached[s.Name]
@@ -152,8 +167,28 @@
 	return &p
 }
 
-func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request) []kernel.Endpoint {
+// full is 1 for an endpoint whose home would deny a permit, as far as the node
+// can tell, else 0. Asking there costs a message and a round trip.
+func (r *Router) full(pool *kernel.Pool, req Request, e kernel.Endpoint) int {
+	work := r.expected(pool, req, e.Name)
+	if r.config.Rule.Fits(pool, e.Load, work, work) {
+		return 0
+	}
+	return 1
+}
+
+// rank returns the endpoints for a request, best first. Once a home has denied
+// the request, those that probably would too come last.
+func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request, informed bool) []kernel.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.config.Ranker.Rank(now, r.fresh(now, pool), req)
+	pool = r.fresh(now, pool)
+	order := r.config.Ranker.Rank(now, pool, req)
+	if !informed {
+		return order
+	}
+	slices.SortStableFunc(order, func(a, b kernel.Endpoint) int {
+		return cmp.Compare(r.full(pool, req, a), r.full(pool, req, b))
+	})
+	return order
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -35,6 +35,8 @@
 		// CacheTokens is the size of the prefix cache, in tokens.
 		CacheTokens int
 		Models      []string
+		// Linger is how long a request runs on after its connection broke.
+		Linger time.Duration
 		// Unfenced makes the endpoint take every order, also one with an old
 		// fencing number.
 		Unfenced bool
@@ -202,6 +204,9 @@
 	if c.Prefill == 0 {
 		c.Prefill = DefaultPrefill
 	}
+	if c.Linger == 0 {
+		c.Linger = DefaultLinger
+	}
 	if c.MaxBatch == 0 {
 		c.MaxBatch = DefaultMaxBatch
 	}
