--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -167,7 +167,7 @@
 		want    route.Reason
 	}{
 		"not repeatable and lost":    {true, route.OutcomeLost, route.ReasonLost},
-		"not repeatable and not run": {true, route.OutcomeNotRun, route.ReasonAttempts},
+		"not repeatable and not run": {true, route.OutcomeNotRun, route.ReasonNoEndpoint},
 		"repeatable and lost":        {false, route.OutcomeLost, route.ReasonAttempts},
 	}
 	for name, c := range cases {
