Count TLS records in the bytes of calls between nodes

The demo's chats end and others begin, so that an endpoint that joins finds chats that are nowhere yet: under load it had got none.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -13,6 +13,9 @@
 const (
 	chatsPerCaller = 4
 	answerTokens   = 24
+	// turnsPerChat is how many of a caller's turns pass before one of its chats
+	// ends and another begins.
+	turnsPerChat = 9
 	// Of every cycle of requests one is plain and one must not be repeated.
 	cycle     = 6
 	plainTurn = 2
@@ -57,7 +60,7 @@
 		case onceTurn:
 			c.repeat(ctx, kindOnce, m, true, c.call)
 		default:
-			chat := c.chats[i%len(c.chats)]
+			chat := c.chat(i)
 			c.repeat(ctx, kindChat, m, false, func(ctx context.Context, m mark, o entry.Options) error {
 				return c.turn(ctx, chat, m, o)
 			})
@@ -65,6 +68,17 @@
 	}
 }
 
+// chat returns the chat of a turn. Chats end after some turns and others begin,
+// so that an endpoint that joined finds chats that are nowhere yet.
+func (c *caller) chat(turn int) *entry.Chat {
+	place := turn % len(c.chats)
+	if turn%turnsPerChat == 0 {
+		name := fmt.Sprintf("caller-%d-chat-%d-%d", c.number, place, turn)
+		c.chats[place] = c.client.Chat(name, c.demo.model)
+	}
+	return c.chats[place]
+}
+
 // repeat sends a request until it is answered or must not be sent again.
 func (c *caller) repeat(ctx context.Context, k kind, m mark, once bool, send func(context.Context, mark, entry.Options) error) {
 	t := c.demo.tally
--- a/internal/peer/size.go
+++ b/internal/peer/size.go
@@ -18,6 +18,14 @@
 // while; its encoded length is that of most calls.
 const frameStream = 1 << 10
 
+// A call and its answer are each written in two parts, the message and the
+// end, and each part is a TLS 1.3 record: 5 bytes of header, 1 of content type
+// and 16 of authentication tag.
+const (
+	recordBytes = 5 + 1 + 16
+	records     = 2
+)
+
 type (
 	// CallName is the name of a call between nodes.
 	CallName string
@@ -30,18 +38,20 @@
 )
 
 // RequestBytes returns how many bytes the caller of a call sends at most, with
-// the frames around the message but without TCP and IP.
+// the frames and TLS records around the message but without TCP and IP.
 func RequestBytes[M Message](name CallName, m M) int {
 	return frameBytes(drpcwire.KindInvoke, len(name)) +
 		frameBytes(drpcwire.KindMessage, proto.Size(m)) +
 		frameBytes(drpcwire.KindCloseSend, 0) +
-		frameBytes(drpcwire.KindClose, 0)
+		frameBytes(drpcwire.KindClose, 0) +
+		records*recordBytes
 }
 
 // ReplyBytes returns how many bytes the answer to a call takes at most.
 func ReplyBytes[M Message](m M) int {
 	return frameBytes(drpcwire.KindMessage, proto.Size(m)) +
-		frameBytes(drpcwire.KindCloseSend, 0)
+		frameBytes(drpcwire.KindCloseSend, 0) +
+		records*recordBytes
 }
 
 func frameBytes(kind drpcwire.Kind, size int) int {
