Count TLS records in the heartbeats' bytes; beat every 0.75 s in small cells

Cause: connections between nodes carry TLS; at 8 nodes a node sent 1956 B/s by its heartbeats, 4120 B/s both ways at the busiest. Change: the test counts what the peer protocol counts; heartbeats every 0.75 s in small cells and 1.2 s in large ones, cells' sums every 3 s.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -21,7 +21,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				f.now = f.now.Add(time.Millisecond)
-				msg := f.wire(from, to, from.Beat(f.now, to.Self().Name), callFrameBytes)
+				msg := f.wire(from, to, from.Beat(f.now, to.Self().Name), callBytes)
 				to.Step(f.now, kernel.BeatReceived{Beat: msg})
 			}
 		})
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -14,7 +14,7 @@
 	// cellPause or regionPause, and one that has not changed is sent all the
 	// same after digestRefresh.
 	digestInterval = time.Second
-	cellPause      = 2 * time.Second
+	cellPause      = 3 * time.Second
 	regionPause    = 8 * time.Second
 	digestRefresh  = 5 * time.Second
 	// markHold is how long a leave mark outweighs a digest that does not name
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -19,12 +19,7 @@
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
-// frameBytes is what drpc adds to a call and to its answer: the name of the
-// call and four packet headers one way, two headers the other.
 const (
-	callFrameBytes  = 15 + 4*5
-	replyFrameBytes = 2 * 5
-
 	// requestTokens is the mean size of a request, nodesPerAccount how many
 	// nodes an account's callers use at a time.
 	requestTokens   = 1000
@@ -182,25 +177,28 @@
 
 func (f *fakeFleet) beat(from *fakeNode, to string) {
 	n, name := f.nodes[to], from.Self().Name
-	msg := f.wire(from, n, from.Beat(f.now, to), callFrameBytes)
+	msg := f.wire(from, n, from.Beat(f.now, to), callBytes)
 	if n == nil || n.down || n.paused || f.cut(name, to) {
 		f.step(from, kernel.BeatFailed{Node: to})
 		return
 	}
 	f.step(n, kernel.BeatReceived{Beat: msg})
-	reply := f.wire(n, from, n.Beat(f.now, name), replyFrameBytes)
+	reply := f.wire(n, from, n.Beat(f.now, name), peer.ReplyBytes[*peerpb.Heartbeat])
 	f.step(from, kernel.BeatReceived{Beat: reply})
 }
 
-func (f *fakeFleet) wire(from, to *fakeNode, b *kernel.Beat, frame int) *kernel.Beat {
-	data, err := proto.Marshal(peer.EncodeBeat(b))
+func callBytes(m *peerpb.Heartbeat) int { return peer.RequestBytes(peer.CallBeat, m) }
+
+func (f *fakeFleet) wire(from, to *fakeNode, b *kernel.Beat, size func(*peerpb.Heartbeat) int) *kernel.Beat {
+	encoded := peer.EncodeBeat(b)
+	data, err := proto.Marshal(encoded)
 	if err != nil {
 		panic(err)
 	}
 	from.beats++
-	from.sent += len(data) + frame
+	from.sent += size(encoded)
 	if to != nil {
-		to.received += len(data) + frame
+		to.received += size(encoded)
 	}
 	var msg peerpb.Heartbeat
 	if err := proto.Unmarshal(data, &msg); err != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,7 +20,7 @@
 
 // Defaults of a Config.
 const (
-	DefaultInterval = 500 * time.Millisecond
+	DefaultInterval = 750 * time.Millisecond
 	DefaultSuspect  = 2500 * time.Millisecond
 	DefaultDead     = 5 * time.Second
 	DefaultSettle   = 3 * time.Second
@@ -32,7 +32,7 @@
 	// Config is the settings of the plug-in.
 	Config struct {
 		// Interval is the time between two heartbeats to the same peer in a
-		// small cell; in a large one it is up to twice as long.
+		// small cell; in a large one it is up to a second.
 		Interval time.Duration
 		// Suspect is the silence after which a node is suspect.
 		Suspect time.Duration
--- a/internal/membership/schedule.go
+++ b/internal/membership/schedule.go
@@ -13,6 +13,8 @@
 	// fewPeers is the number of peers up to which the time between heartbeats
 	// is the shortest.
 	fewPeers = 8
+	// slowInterval is the time between heartbeats in a large cell.
+	slowInterval = 1200 * time.Millisecond
 	// pauseLast is the longest time between two heartbeats to a dead node.
 	pauseLast = 8 * time.Second
 	// jitterPart is the part by which the time between heartbeats varies.
@@ -69,7 +71,7 @@
 func (p *plugin) interval() time.Duration {
 	peers := len(p.topology().links)
 	grown := p.config.Interval * time.Duration(peers) / fewPeers
-	return min(max(grown, p.config.Interval), 2*p.config.Interval)
+	return max(min(grown, slowInterval), p.config.Interval)
 }
 
 // clock notices that the process was paused.
