--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,17 +20,20 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/pool"
 )
 
 const (
@@ -76,6 +79,10 @@
 		Token string
 		// Traces is how many requests' decisions are kept for operators.
 		Traces int
+		// FleetSecrets are what all nodes of the fleet share and nobody else
+		// has, of peer.SecretSize random bytes each: the first is shown to
+		// peers, all are accepted.
+		FleetSecrets [][]byte
 		// Dialer opens every connection the node makes, to peers, endpoints and
 		// the platform; nil is the default of each.
 		Dialer Dialer
@@ -93,6 +100,7 @@
 	// Node is a running router process.
 	Node struct {
 		config     Config
+		key        *peer.Key
 		control    *control
 		cache      *platform.Cache
 		lister     lister
@@ -105,6 +113,9 @@
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
+		limiter    *limit.Limiter
+		ledger     *dispatch.Ledger
+		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -120,7 +131,18 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	key, err := peer.NewKey(c.FleetSecrets...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	n := &Node{
+		config:    c,
+		key:       key,
+		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
+		ledger:    dispatch.NewLedger(),
+		meter:     capacity.NewMeter(),
+		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+	}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -133,11 +155,15 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
+		Pool:       pool.Config{Sent: n.ledger.Loads},
+		Limit:      limit.Config{Limiter: n.limiter},
+		Capacity:   capacity.Config{Meter: n.meter},
 	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
 		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
+		Key: key,
 	})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
 	reread := make(chan struct{}, 1)
@@ -215,7 +241,7 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger, Meter: n.meter,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
@@ -224,7 +250,9 @@
 	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: values{cache: n.cache, lister: &n.lister},
+		Key:      n.key,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits,
+		Values: values{cache: n.cache, lister: &n.lister},
 		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
--- a/control.go
+++ b/control.go
@@ -42,10 +42,14 @@
 	// control owns the kernel: one goroutine steps it, others do the I/O that
 	// it asks for.
 	control struct {
-		config  controlConfig
-		inputs  chan input
-		cancel  context.CancelFunc
-		ctx     context.Context
+		config controlConfig
+		inputs chan input
+		cancel context.CancelFunc
+		ctx    context.Context
+		// seen is the last view whose probes were read, and probed those
+		// probes; both belong to the goroutine that owns the kernel.
+		seen    *kernel.View
+		probed  map[string]bool
 		running sync.WaitGroup
 	}
 
@@ -178,6 +182,28 @@
 	if peer := c.View().Conflict; peer != "" && old.Conflict == "" {
 		c.config.Log.WithFields(logrus.Fields{"revision": before, "peer": peer}).Error("two accepted manifests of one revision in force")
 	}
+	c.probeNew()
+}
+
+// probeNew reads the reports of endpoints whose home the node has become.
+//
+// A node that just learned of an endpoint may have it from an old list, and
+// would admit work to one that has long been leaving until it reads its report
+// with the others, up to a second later. Asking at once leaves a round trip.
+func (c *control) probeNew() {
+	v := c.View()
+	if v == c.seen {
+		return
+	}
+	c.seen = v
+	probed := make(map[string]bool, len(v.Probes))
+	for _, e := range v.Probes {
+		probed[e.Name] = true
+		if !c.probed[e.Name] {
+			c.running.Go(func() { c.readLoad(e) })
+		}
+	}
+	c.probed = probed
 }
 
 func (c *control) act(now time.Time, a kernel.Action) {
@@ -190,6 +216,8 @@
 		case c.config.Reread <- struct{}{}:
 		default:
 		}
+	case kernel.Order:
+		c.running.Go(func() { c.order(a) })
 	case kernel.FetchConfig:
 		c.running.Go(func() { c.fetchConfig(a) })
 	}
@@ -231,6 +259,22 @@
 	}
 }
 
+// order sends an order to an endpoint.
+func (c *control) order(o kernel.Order) {
+	reply, err := c.config.Endpoints.Order(c.ctx, o.Addr, endpoint.Order{
+		Fence: o.Fence, Revision: o.Revision, Models: o.Models, Adapters: o.Adapters, Role: o.Role,
+	})
+	log := c.config.Log.WithFields(logrus.Fields{
+		"endpoint": o.Endpoint, "fence": o.Fence, "models": o.Models, "revision": o.Revision,
+	})
+	if err != nil {
+		log.WithError(err).Warn("order not accepted")
+	} else {
+		log.Info("order accepted")
+	}
+	c.Offer(kernel.OrderEnded{Endpoint: o.Endpoint, Accepted: err == nil, Fence: reply.Fence})
+}
+
 // readLoads asks the endpoints whose home the node is for their reports.
 func (c *control) readLoads() {
 	for _, e := range c.View().Probes {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -71,7 +71,7 @@
 
 // Plan returns the Plan of a request.
 func (r *Router) Plan(now time.Time, req Request) *Plan {
-	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}}
+	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}, failed: map[string]bool{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.believed = r.believed(req)
