--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,8 +67,11 @@
 	// asked in one round.
 	maxDoublings = 4
 	maxAsks      = 8
-	maxAttempts  = 3
-	retryAfter   = time.Second
+	// maxRefused is how many endpoints may refuse a request before it is given
+	// up: they are down, and its caller may come back later.
+	maxRefused  = 8
+	maxAttempts = 3
+	retryAfter  = time.Second
 )
 
 type (
@@ -100,6 +103,10 @@
 		// Cached is how many tokens of the prompt endpoints are believed to
 		// hold, by name. A Router fills it in.
 		Cached map[string]int
+		// Import is the cost of importing one cached token from another
+		// endpoint, over that of computing it anew; 0 where the endpoints
+		// cannot. A Router fills it in.
+		Import float64
 		// Print identifies the request's content over the whole fleet; 0 where
 		// it is not known.
 		Print uint64
@@ -140,6 +147,7 @@
 		lost     bool
 		late     bool
 		attempts int
+		refused  int
 		// asks counts those of the present round, waits the rounds that found
 		// no endpoint.
 		asks  int
@@ -156,6 +164,8 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
+	case p.refused >= maxRefused:
+		return refuse(ReasonNoEndpoint)
 	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
@@ -177,9 +187,7 @@
 
 func (p *Plan) run(pool *kernel.Pool) Step {
 	step := Step{Kind: StepRun, Endpoint: p.next}
-	if !p.router.config.Stay {
-		step.From = Source(pool, p.request, p.next.Name)
-	}
+	step.From = Source(pool, p.request, p.next.Name)
 	p.from = step.From.Name
 	return step
 }
@@ -196,6 +204,7 @@
 	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
 		p.tried[p.next.Name] = true
 	case OutcomeNotRun:
+		p.refused++
 		p.tried[p.next.Name] = true
 		p.failed[p.next.Name] = true
 	case OutcomeLate:
@@ -227,7 +236,7 @@
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
 	var again kernel.Endpoint
 	others := false
-	for _, e := range p.router.rank(now, pool, p.request) {
+	for _, e := range p.router.rank(now, pool, p.request, p.asks+p.waits > 0) {
 		switch {
 		case p.failed[e.Name]:
 			if again.Name == "" && !p.tried[e.Name] {
--- a/internal/route/source.go
+++ b/internal/route/source.go
@@ -9,7 +9,7 @@
 // one that holds most of it, where the pool's endpoints can import for less
 // than they compute and the gain is worth a transfer.
 func Source(pool *kernel.Pool, req Request, to string) kernel.Endpoint {
-	if pool == nil || !imports(pool) {
+	if pool == nil || req.Import <= 0 || req.Import >= 1 {
 		return kernel.Endpoint{}
 	}
 	var best kernel.Endpoint
@@ -22,18 +22,13 @@
 	return best
 }
 
-// imports reports whether importing a prefix costs less than computing it.
-func imports(pool *kernel.Pool) bool {
-	return pool.Service.Import > 0 && pool.Service.Import < 1
-}
-
 // uncached returns what the prompt of a request costs at an endpoint, in tokens
 // of prefill.
 func uncached(pool *kernel.Pool, req Request, e kernel.Endpoint) float64 {
 	held := req.Cached[e.Name]
 	cost := float64(max(req.Input-held, 0))
 	if s := Source(pool, req, e.Name); s.Name != "" {
-		cost -= (1 - pool.Service.Import) * float64(req.Cached[s.Name]-held)
+		cost -= (1 - req.Import) * float64(req.Cached[s.Name]-held)
 	}
 	return cost
 }
--- a/pkg/manifest/diff.go
+++ b/pkg/manifest/diff.go
@@ -140,7 +140,6 @@
 		{"kind", string(s.Kind)},
 		{"models", listed(s.Models)},
 		{"repeatable calls", yes(!s.Once)},
-		{"cost of importing cached tokens", fmt.Sprint(s.Import)},
 		{"check of fencing numbers", yes(s.Fenced)},
 	}
 }
