Bound the repeats of a node; repeat in another availability zone

Cause: each request could be repeated twice whatever happened to the others. Change: a node repeats at most a tenth of the requests it starts, 20 at once, and refuses the rest as retry_budget; a repeat goes first to a zone where no attempt of the request failed.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -53,6 +53,8 @@
 	ReasonLost Reason = "lost"
 	// ReasonIsolated is a request that crashes the endpoints that run it.
 	ReasonIsolated Reason = "isolated"
+	// ReasonBudget is a request whose repeat is more than the node may make.
+	ReasonBudget Reason = "retry_budget"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
@@ -134,6 +136,10 @@
 		planned  time.Time
 		from     string
 		next     kernel.Endpoint
+		// failed is the availability zones in which attempts failed, repeat is
+		// set where the next attempt is a repeat.
+		failed   map[string]bool
+		repeat   bool
 		granted  bool
 		lost     bool
 		late     bool
@@ -154,9 +160,12 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
+	case p.repeat && !p.router.spend():
+		return refuse(ReasonBudget)
 	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
+	p.repeat = false
 	pool := v.Pools[p.request.Service]
 	if pool == nil || len(pool.Endpoints) == 0 {
 		return refuse(ReasonNoEndpoint)
@@ -190,12 +199,14 @@
 	switch o {
 	case OutcomeGranted:
 		p.granted = true
-	case OutcomeFull, OutcomeGone, OutcomeUnreachable, OutcomeNotRun:
+	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
 		p.tried[p.next.Name] = true
+	case OutcomeNotRun:
+		p.fail()
 	case OutcomeLate:
 		p.late = true
 	case OutcomeLost:
-		p.tried[p.next.Name] = true
+		p.fail()
 		p.lost = true
 	}
 }
@@ -211,12 +222,7 @@
 }
 
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
-	for _, e := range p.router.rank(now, pool, p.request, p.asks+p.waits > 0) {
-		if !p.tried[e.Name] {
-			return e, true
-		}
-	}
-	return kernel.Endpoint{}, false
+	return p.prefer(p.router.rank(now, pool, p.request, p.asks+p.waits > 0))
 }
 
 func refuse(r Reason) Step {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -193,6 +193,46 @@
 	}
 }
 
+// Symptom: when some endpoints died, the others were overloaded and died too.
+// Sequence: every request on them is repeated as often as one may be.
+// Cause: nothing bounded the repeats of all requests together.
+func TestRetryStormIsBounded(t *testing.T) {
+	const requests = 1000
+	r := route.NewRouter(route.Config{})
+	v := view(0, 0, 0, 0, 0)
+	runs, refused := 0, 0
+	for i := range requests {
+		req := request(10)
+		req.Chat = fmt.Sprint(i)
+		p := r.Plan(start, req)
+		for step := p.Next(start, v); step.Kind != route.StepRefuse; step = p.Next(start, v) {
+			p.Report(route.OutcomeGranted)
+			if step.Kind == route.StepRun {
+				runs++
+				p.Report(route.OutcomeLost)
+			}
+		}
+		if p.Next(start, v).Reason == route.ReasonBudget {
+			refused++
+		}
+	}
+	require.Less(t, runs, requests*12/10)
+	require.Positive(t, refused)
+}
+
+func TestRepeatGoesToAnotherZone(t *testing.T) {
+	v := view(0, 1, 1, 9)
+	for i, zone := range []string{"z1", "z1", "z1", "z2"} {
+		v.Pools["engines"].Endpoints[i].Zone = zone
+	}
+	p := route.NewRouter(route.Config{}).Plan(start, request(10))
+	require.Equal(t, "z1", p.Next(start, v).Endpoint.Zone)
+	p.Report(route.OutcomeGranted)
+	p.Next(start, v)
+	p.Report(route.OutcomeNotRun)
+	require.Equal(t, "w3", p.Next(start, v).Endpoint.Name)
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, endpoints := range []int{12, 240, 1200} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -43,7 +43,9 @@
 		chats  *memory
 		sizes  *estimates
 		hits   *hits
-		heard  map[string]hearing
+		// retries bounds the repeats of all requests.
+		retries *budget
+		heard   map[string]hearing
 	}
 
 	// hearing is a load that a home reported out of turn.
@@ -74,14 +76,15 @@
 		c.Rule = gate.NewBoundRule()
 	}
 	c.Memory = cmp.Or(c.Memory, DefaultMemory)
-	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), heard: map[string]hearing{}}
+	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), retries: newBudget(), heard: map[string]hearing{}}
 }
 
 // Plan returns the Plan of a request.
 func (r *Router) Plan(now time.Time, req Request) *Plan {
-	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}}
+	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}, failed: map[string]bool{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.retries.earn()
 	p.request.Import = r.config.Import[req.Service]
 	p.believed = r.believed(req)
 	if p.believed.endpoint != "" {
