Rank places in a pool instead of copies of endpoints

Cause: a plan sorted whole endpoints; at 1,200 it took 2.9 ms. Change: rankers sort small records and return places; the holder of a prefix is looked up once.

--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -193,11 +193,16 @@
 	return v.Nodes[i], true
 }
 
-// Endpoint returns the endpoint with the given name.
-func (p *Pool) Endpoint(name string) (Endpoint, bool) {
-	i, ok := slices.BinarySearchFunc(p.Endpoints, name, func(e Endpoint, name string) int {
+// Place returns where in the pool the endpoint with the given name is.
+func (p *Pool) Place(name string) (int, bool) {
+	return slices.BinarySearchFunc(p.Endpoints, name, func(e Endpoint, name string) int {
 		return strings.Compare(e.Name, name)
 	})
+}
+
+// Endpoint returns the endpoint with the given name.
+func (p *Pool) Endpoint(name string) (Endpoint, bool) {
+	i, ok := p.Place(name)
 	if !ok {
 		return Endpoint{}, false
 	}
--- a/internal/policy/baseline.go
+++ b/internal/policy/baseline.go
@@ -26,7 +26,7 @@
 )
 
 // Rank returns the endpoints from the next turn on.
-func (p *roundRobin) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []kernel.Endpoint {
+func (p *roundRobin) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []int {
 	list := route.Candidates(pool)
 	if len(list) == 0 {
 		return nil
@@ -37,30 +37,31 @@
 }
 
 // Rank returns the less loaded of two endpoints first.
-func (p *twoChoices) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []kernel.Endpoint {
+func (p *twoChoices) Rank(_ time.Time, pool *kernel.Pool, _ route.Request) []int {
 	list := route.Candidates(pool)
 	p.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	if len(list) > 1 && list[1].Load.Requests < list[0].Load.Requests {
+	if len(list) > 1 && pool.Endpoints[list[1]].Load.Requests < pool.Endpoints[list[0]].Load.Requests {
 		list[0], list[1] = list[1], list[0]
 	}
 	return list
 }
 
 // Rank returns the rendezvous order.
-func (chatHash) Rank(_ time.Time, pool *kernel.Pool, r route.Request) []kernel.Endpoint {
+func (chatHash) Rank(_ time.Time, pool *kernel.Pool, r route.Request) []int {
 	list := route.Candidates(pool)
-	slices.SortFunc(list, func(a, b kernel.Endpoint) int {
-		return cmp.Compare(kernel.Score(r.Chat, b.Name), kernel.Score(r.Chat, a.Name))
+	score := func(i int) uint64 { return kernel.Score(r.Chat, pool.Endpoints[i].Name) }
+	slices.SortFunc(list, func(a, b int) int {
+		return cmp.Compare(score(b), score(a))
 	})
 	return list
 }
 
 // Rank returns the rendezvous order, endpoints under the bound first.
-func (boundedHash) Rank(now time.Time, pool *kernel.Pool, r route.Request) []kernel.Endpoint {
+func (boundedHash) Rank(now time.Time, pool *kernel.Pool, r route.Request) []int {
 	list := chatHash{}.Rank(now, pool, r)
 	limit := pool.Bound * float64(pool.Total.Requests+1) / float64(max(pool.Live, 1))
-	slices.SortStableFunc(list, func(a, b kernel.Endpoint) int {
-		return cmp.Compare(over(a, limit), over(b, limit))
+	slices.SortStableFunc(list, func(a, b int) int {
+		return cmp.Compare(over(pool.Endpoints[a], limit), over(pool.Endpoints[b], limit))
 	})
 	return list
 }
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -46,7 +46,8 @@
 			request.Cached[candidate.Name] = held
 		}
 	}
-	for _, candidate := range s.ideal.Rank(s.time(), pool, request) {
+	for _, i := range s.ideal.Rank(s.time(), pool, request) {
+		candidate := pool.Endpoints[i]
 		work := e.Prefix + e.Input + e.Output - request.Cached[candidate.Name]
 		if s.rule.Fits(pool, candidate.Load, work, s.largest(pool)) {
 			return s.engines[candidate.Name], route.Source(pool, request, candidate.Name).Name
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -33,10 +33,10 @@
 
 	// costed is an endpoint and what it would cost to run a request there.
 	costed struct {
-		endpoint kernel.Endpoint
-		group    int
-		cost     float64
-		score    uint64
+		place int
+		group int
+		cost  float64
+		score uint64
 	}
 )
 
@@ -63,10 +63,11 @@
 }
 
 // Rank returns the endpoints by cost.
-func (r costRanker) Rank(_ time.Time, pool *kernel.Pool, req Request) []kernel.Endpoint {
+func (r costRanker) Rank(_ time.Time, pool *kernel.Pool, req Request) []int {
 	list := make([]costed, 0, len(pool.Endpoints))
-	for _, e := range Candidates(pool) {
-		list = append(list, r.cost(pool, e, req))
+	holder := Holder(pool, req)
+	for _, i := range Candidates(pool) {
+		list = append(list, r.cost(pool, i, req, holder))
 	}
 	r.limit(list, req)
 	slices.SortFunc(list, func(a, b costed) int {
@@ -76,19 +77,22 @@
 			cmp.Compare(b.score, a.score),
 		)
 	})
-	order := make([]kernel.Endpoint, len(list))
+	order := make([]int, len(list))
 	for i, c := range list {
-		order[i] = c.endpoint
+		order[i] = c.place
 	}
 	return order
 }
 
-func (r costRanker) cost(pool *kernel.Pool, e kernel.Endpoint, req Request) costed {
-	c := costed{endpoint: e, score: kernel.Score(req.Chat, e.Name)}
-	c.cost = uncached(pool, req, e)
+func (r costRanker) cost(pool *kernel.Pool, place int, req Request, holder *kernel.Endpoint) costed {
+	e := &pool.Endpoints[place]
+	c := costed{place: place, score: kernel.Score(req.Chat, e.Name)}
+	c.cost = uncached(req, e, holder)
 	mean := float64(pool.Total.Requests+1) / float64(max(pool.Live, 1))
 	ratio := float64(e.Load.Requests) / (mean * pool.Bound)
-	c.cost += r.config.Weight * math.Pow(ratio, r.config.Power)
+	if ratio > 0 {
+		c.cost += r.config.Weight * math.Pow(ratio, r.config.Power)
+	}
 	if e.State == kernel.Suspect {
 		c.group = groupSuspect
 	}
--- a/internal/route/ranker.go
+++ b/internal/route/ranker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -9,13 +10,21 @@
 )
 
 type (
-	// Ranker orders the endpoints that may run a request, best first. A Ranker
-	// belongs to one Router, which serializes the calls.
+	// Ranker orders the endpoints that may run a request. A Ranker belongs to
+	// one Router, which serializes the calls.
 	Ranker interface {
-		Rank(now time.Time, pool *kernel.Pool, r Request) []kernel.Endpoint
+		// Rank returns the places of the endpoints in the pool, best first.
+		Rank(now time.Time, pool *kernel.Pool, r Request) []int
 	}
 
 	hashRanker struct{}
+
+	// scored is an endpoint's place and its rank in a hash order.
+	scored struct {
+		place int
+		state kernel.State
+		score uint64
+	}
 )
 
 // NewHashRanker returns the Ranker that takes the holder of the chat's prefix
@@ -24,37 +33,33 @@
 func NewHashRanker() Ranker { return hashRanker{} }
 
 // Rank returns the order.
-func (hashRanker) Rank(_ time.Time, pool *kernel.Pool, r Request) []kernel.Endpoint {
-	order := Candidates(pool)
-	rank := func(e kernel.Endpoint) uint64 {
+func (hashRanker) Rank(_ time.Time, pool *kernel.Pool, r Request) []int {
+	list := make([]scored, 0, len(pool.Endpoints))
+	for _, i := range Candidates(pool) {
+		e := &pool.Endpoints[i]
+		s := scored{place: i, state: e.State, score: kernel.Score(r.Chat, e.Name)}
 		if e.Name == r.Hint.Endpoint {
-			return math.MaxUint64
+			s.score = math.MaxUint64
 		}
-		return kernel.Score(r.Chat, e.Name)
+		list = append(list, s)
 	}
-	slices.SortFunc(order, func(a, b kernel.Endpoint) int {
-		if a.State != b.State {
-			return int(a.State) - int(b.State)
-		}
-		ra, rb := rank(a), rank(b)
-		switch {
-		case ra > rb:
-			return -1
-		case ra < rb:
-			return 1
-		}
-		return 0
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.state, b.state), cmp.Compare(b.score, a.score))
 	})
+	order := make([]int, len(list))
+	for i, s := range list {
+		order[i] = s.place
+	}
 	return order
 }
 
-// Candidates returns the endpoints of a pool that may take new work, sorted by
-// name.
-func Candidates(pool *kernel.Pool) []kernel.Endpoint {
-	list := make([]kernel.Endpoint, 0, len(pool.Endpoints))
-	for _, e := range pool.Endpoints {
-		if e.State == kernel.Live || e.State == kernel.Suspect {
-			list = append(list, e)
+// Candidates returns the places of the endpoints of a pool that may take new
+// work, in the order of their names.
+func Candidates(pool *kernel.Pool) []int {
+	list := make([]int, 0, len(pool.Endpoints))
+	for i := range pool.Endpoints {
+		if s := pool.Endpoints[i].State; s == kernel.Live || s == kernel.Suspect {
+			list = append(list, i)
 		}
 	}
 	return list
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -44,19 +44,22 @@
 // prefer returns the first endpoint that was not tried, one of an availability
 // zone in which no attempt failed where there is one. What fails in a zone often
 // fails in all of it.
-func (p *Plan) prefer(order []kernel.Endpoint) (kernel.Endpoint, bool) {
-	var second kernel.Endpoint
-	found := false
-	for _, e := range order {
+func (p *Plan) prefer(pool *kernel.Pool, order []int) (kernel.Endpoint, bool) {
+	var second *kernel.Endpoint
+	for _, i := range order {
+		e := &pool.Endpoints[i]
 		switch {
 		case p.tried[e.Name]:
 		case !p.failed[e.Zone]:
-			return e, true
-		case !found:
-			second, found = e, true
+			return *e, true
+		case second == nil:
+			second = e
 		}
 	}
-	return second, found
+	if second == nil {
+		return kernel.Endpoint{}, false
+	}
+	return *second, true
 }
 
 // fail notes an attempt that failed, and that the next one is a repeat.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -222,7 +222,8 @@
 }
 
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
-	return p.prefer(p.router.rank(now, pool, p.request, p.asks+p.waits > 0))
+	order, fresh := p.router.rank(now, pool, p.request, p.asks+p.waits > 0)
+	return p.prefer(fresh, order)
 }
 
 func refuse(r Reason) Step {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -170,28 +170,30 @@
 	return &p
 }
 
-// full is 1 for an endpoint whose home would deny a permit, as far as the node
-// can tell, else 0. Asking there costs a message and a round trip.
-func (r *Router) full(pool *kernel.Pool, req Request, e kernel.Endpoint) int {
+// full reports whether an endpoint's home would deny a permit, as far as the
+// node can tell. Asking there costs a message and a round trip.
+func (r *Router) full(pool *kernel.Pool, req Request, e *kernel.Endpoint) bool {
 	work := r.expected(pool, req, e.Name)
-	if r.config.Rule.Fits(pool, e.Load, work, work) {
-		return 0
-	}
-	return 1
+	return !r.config.Rule.Fits(pool, e.Load, work, work)
 }
 
 // rank returns the endpoints for a request, best first. Once a home has denied
 // the request, those that probably would too come last.
-func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request, informed bool) []kernel.Endpoint {
+func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request, informed bool) ([]int, *kernel.Pool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pool = r.fresh(now, pool)
 	order := r.config.Ranker.Rank(now, pool, req)
 	if !informed {
-		return order
+		return order, pool
+	}
+	var room, full []int
+	for _, i := range order {
+		if r.full(pool, req, &pool.Endpoints[i]) {
+			full = append(full, i)
+		} else {
+			room = append(room, i)
+		}
 	}
-	slices.SortStableFunc(order, func(a, b kernel.Endpoint) int {
-		return cmp.Compare(r.full(pool, req, a), r.full(pool, req, b))
-	})
-	return order
+	return append(room, full...), pool
 }
