--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -109,12 +109,12 @@
 		peers      *peer.Client
 		server     *peer.Server
 		dispatcher *dispatch.Dispatcher
+		holder     *gate.Holder
 		endpoints  *endpoint.Client
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
 		limiter    *limit.Limiter
-		ledger     *dispatch.Ledger
 		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
@@ -139,7 +139,7 @@
 		config:    c,
 		key:       key,
 		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
-		ledger:    dispatch.NewLedger(),
+		holder:    gate.NewHolder(),
 		meter:     capacity.NewMeter(),
 		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
 	}
@@ -155,7 +155,7 @@
 	k, permits := builtin.New(self, builtin.Config{
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
-		Pool:       pool.Config{Sent: n.ledger.Loads},
+		Pool:       pool.Config{Sent: n.holder.Loads},
 		Limit:      limit.Config{Limiter: n.limiter},
 		Capacity:   capacity.Config{Meter: n.meter},
 	}, append(c.Extensions, &n.lister)...)
@@ -241,7 +241,7 @@
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Ledger: n.ledger, Meter: n.meter,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Holder: n.holder, Meter: n.meter,
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
 	limits := n.config.Limits
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -182,3 +182,6 @@
 	<-s.ctx.Done()
 	return 0, s.ctx.Err()
 }
+func (openGate) Own(time.Time, string) kernel.Load { return kernel.Load{} }
+
+func (openGate) Heard(time.Time, string, string, kernel.Load) {}
--- a/internal/dispatch/paused_test.go
+++ b/internal/dispatch/paused_test.go
@@ -53,6 +53,10 @@
 	return reply
 }
 
+func (*pausedGate) Own(time.Time, string) kernel.Load { return kernel.Load{} }
+
+func (*pausedGate) Heard(time.Time, string, string, kernel.Load) {}
+
 func (noSink) Offer(kernel.Event) {}
 
 func (e *endpoints) Do(context.Context, netip.AddrPort, endpoint.Call) (*endpoint.Answer, error) {
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -26,12 +26,15 @@
 	v := d.config.View()
 	a.Node = v.Self.Name
 	asked := time.Now()
-	reply, err := d.send(ctx, v, e.Home, gate.Batch{Asks: []gate.Ask{a}, Returns: d.holder.Returns(e.Home)})
+	reply, err := d.send(ctx, v, e.Home, gate.Batch{
+		Asks: []gate.Ask{a}, Returns: d.holder.Returns(e.Home), Own: d.config.Gate.Own(time.Now(), e.Name),
+	})
 	if err != nil {
 		// The home may have granted what nobody will use.
 		d.holder.Return(time.Now(), e.Home, gate.Return{ID: a.ID})
 		return route.OutcomeUnreachable
 	}
+	d.config.Gate.Heard(time.Now(), e.Home, e.Name, reply.Own)
 	d.config.Router.Observe(time.Now(), reply.Loads)
 	outcome, ok := outcomes[reply.Verdicts[0]]
 	if !ok {
--- a/internal/peer/values_test.go
+++ b/internal/peer/values_test.go
@@ -7,8 +7,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
 )
 
 // held is the values of a node.
@@ -28,10 +31,11 @@
 	keys = append(keys, "largest", "missing too")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s, err := peer.NewServer(peer.ServerConfig{Listener: l, Values: h})
+	k := newKey(t, secret(1))
+	s, err := peer.NewServer(peer.ServerConfig{Listener: l, Key: k, Values: h})
 	require.NoError(t, err)
 	defer func() { require.NoError(t, s.Close()) }()
-	c := peer.NewClient(peer.ClientConfig{Self: "n1"})
+	c := peer.NewClient(peer.ClientConfig{Self: "n1", Key: k})
 	defer c.Close()
 	addr := netip.MustParseAddrPort(l.Addr().String())
 	got, err := c.Values(t.Context(), addr, keys)
@@ -41,3 +45,14 @@
 	require.NoError(t, err)
 	require.Empty(t, got)
 }
+
+func TestBeatCarriesWhatIsInForce(t *testing.T) {
+	b := &kernel.Beat{Node: "n1", Revision: 7, Print: 0xabc}
+	data, err := proto.Marshal(peer.EncodeBeat(b))
+	require.NoError(t, err)
+	var wire peerpb.Heartbeat
+	require.NoError(t, proto.Unmarshal(data, &wire))
+	got := peer.DecodeBeat(&wire)
+	require.Equal(t, b.Revision, got.Revision)
+	require.Equal(t, b.Print, got.Print)
+}
