--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/pkg/ticket"
@@ -43,8 +44,9 @@
 //   - the configuration in force at a node never reverts;
 //   - a ticket is dispatched at most one time, and never once it was void;
 //   - a leaving endpoint gets no new work after the grace;
-//   - a gate holds no endpoint above its bound, and where nothing failed for a
-//     while only one gate grants permits for an endpoint.
+//   - a gate holds no endpoint above its bound, as far as it knows the mean, and
+//     where nothing failed for a while only one gate grants permits for an
+//     endpoint.
 func TestPromisesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
@@ -102,6 +104,7 @@
 	if e.leaving && w.now.Sub(e.left) > leaveGrace {
 		t.Fatalf("%s granted a permit for %s, which has been leaving for %v", home.name, e.name, w.now.Sub(e.left))
 	}
+	w.checkBound(t, home, e)
 	if w.now.Sub(w.calm) < calmAfter || w.faulty() {
 		return
 	}
@@ -112,6 +115,31 @@
 	}
 }
 
+// checkBound checks that a gate holds an endpoint under the bound, as far as its
+// node can know the mean: with all that it heard of others and has granted
+// itself. During a partition each side's gate may hold so much.
+func (w *world) checkBound(t *rapid.T, home *process, e *engine) {
+	pool := home.kernel.View().Pools[service]
+	mine, own := 0, 0
+	for _, other := range w.engines {
+		for _, g := range other.running {
+			if g.home == home {
+				mine++
+				if other == e {
+					own++
+				}
+			}
+		}
+	}
+	rule := gate.NewBoundRule()
+	above := pool.Bound - 1
+	mean := float64(pool.Total.Requests+mine+1) / float64(max(pool.Live, 1))
+	limit := max(pool.Bound/above, (1+rule.Margin*above)*mean)
+	if float64(own+1) > limit {
+		t.Fatalf("%s holds %d permits for %s, over the bound of %.1f", home.name, own+1, e.name, limit)
+	}
+}
+
 func (w *world) faulty() bool {
 	for _, p := range w.processes {
 		if p.paused {
