--- a/internal/loopback/operator_test.go
+++ b/internal/loopback/operator_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -55,6 +56,18 @@
 	require.Contains(t, operate(t, f, "n1", "/revision"), `"verdict": "accept"`)
 }
 
+// TestMetricsPage fails where a metric of a running node is missing on the
+// operators' page.
+func TestMetricsPage(t *testing.T) {
+	f := start(t, loopback.Thies())
+	page, err := os.ReadFile("../../docs/operators/metrics.md")
+	require.NoError(t, err)
+	names := regexp.MustCompile(`(?m)^(bulrushhinge_[a-z_]+?)(_bucket|_sum|_count)?(\{| )`)
+	for _, match := range names.FindAllStringSubmatch(operate(t, f, "n1", "/metrics"), -1) {
+		require.Contains(t, string(page), "`"+match[1]+"`")
+	}
+}
+
 // TestStatePage fails where a part of the dump is missing on the operators'
 // page.
 func TestStatePage(t *testing.T) {
