--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -56,6 +56,8 @@
 	// ReasonLimited is a request over its account's share whose turn would
 	// come after its deadline.
 	ReasonLimited Reason = "limited"
+	// ReasonBudget is a request whose repeat is more than the node may make.
+	ReasonBudget Reason = "retry_budget"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
@@ -143,11 +145,15 @@
 		planned  time.Time
 		from     string
 		next     kernel.Endpoint
-		granted  bool
-		lost     bool
-		late     bool
-		attempts int
-		refused  int
+		// failedZones is the availability zones of those, repeat is set where
+		// the next attempt is a repeat of one that may have run.
+		failedZones map[string]bool
+		repeat      bool
+		granted     bool
+		lost        bool
+		late        bool
+		attempts    int
+		refused     int
 		// asks counts those of the present round, waits the rounds that found
 		// no endpoint.
 		asks  int
@@ -166,9 +172,12 @@
 		return refuse(ReasonAttempts)
 	case p.refused >= maxRefused:
 		return refuse(ReasonNoEndpoint)
+	case p.repeat && !p.router.spend():
+		return refuse(ReasonBudget)
 	case p.late || !now.Before(p.request.Deadline):
 		return refuse(ReasonDeadline)
 	}
+	p.repeat = false
 	pool := v.Pools[p.request.Service]
 	if pool == nil || len(pool.Endpoints) == 0 {
 		return refuse(ReasonNoEndpoint)
@@ -205,13 +214,12 @@
 		p.tried[p.next.Name] = true
 	case OutcomeNotRun:
 		p.refused++
-		p.tried[p.next.Name] = true
-		p.failed[p.next.Name] = true
+		p.fail()
 	case OutcomeLate:
 		p.late = true
 	case OutcomeLost:
-		p.tried[p.next.Name] = true
-		p.failed[p.next.Name] = true
+		p.fail()
+		p.repeat = true
 		p.lost = true
 		// Only attempts that may have run count. Were refused connections to
 		// count too, a request would fail because three endpoints died, while
@@ -230,25 +238,9 @@
 	return Step{Kind: StepWait, Until: now.Add(pause)}
 }
 
-// choose returns the best endpoint not tried yet. One that the request failed
-// at comes after all others: it would fail there again and use up its attempts
-// while a healthy endpoint has room a moment later.
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
-	var again kernel.Endpoint
-	others := false
-	for _, e := range p.router.rank(now, pool, p.request, p.asks+p.waits > 0) {
-		switch {
-		case p.failed[e.Name]:
-			if again.Name == "" && !p.tried[e.Name] {
-				again = e
-			}
-		case !p.tried[e.Name]:
-			return e, true
-		default:
-			others = true
-		}
-	}
-	return again, again.Name != "" && !others
+	order, fresh := p.router.rank(now, pool, p.request, p.asks+p.waits > 0)
+	return p.prefer(fresh, order)
 }
 
 func refuse(r Reason) Step {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -43,7 +43,9 @@
 		chats  *memory
 		sizes  *estimates
 		hits   *hits
-		heard  map[string]hearing
+		// retries bounds the repeats of all requests.
+		retries *budget
+		heard   map[string]hearing
 	}
 
 	// hearing is a load that a home reported out of turn.
@@ -59,7 +61,7 @@
 		// Done is set once the answer has ended; what follows is known then.
 		Done bool
 		// Output is the tokens of the answer, Cached those of the prompt that
-		// the endpoint had.
+		// the endpoint had; negative where it did not say.
 		Output int
 		Cached int
 	}
@@ -74,14 +76,15 @@
 		c.Rule = gate.NewBoundRule()
 	}
 	c.Memory = cmp.Or(c.Memory, DefaultMemory)
-	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), heard: map[string]hearing{}}
+	return &Router{config: c, chats: newMemory(c.Memory), sizes: newEstimates(), hits: newHits(), retries: newBudget(), heard: map[string]hearing{}}
 }
 
 // Plan returns the Plan of a request.
 func (r *Router) Plan(now time.Time, req Request) *Plan {
-	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}, failed: map[string]bool{}}
+	p := &Plan{router: r, request: req, planned: now, tried: map[string]bool{}, failed: map[string]bool{}, failedZones: map[string]bool{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.retries.earn()
 	p.request.Import = r.config.Import[req.Service]
 	p.believed = r.believed(req)
 	if p.believed.endpoint != "" {
@@ -106,13 +109,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := p.request
-	r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	if req.Chat != "" {
+		r.chats.put(req.Chat, place{endpoint: u.Endpoint, tokens: req.Input + u.Output, at: now})
+	}
 	if !u.Done {
 		return
 	}
 	r.sizes.learn(req, u.Output)
 	b := p.believed
-	if expected := min(b.tokens, req.Input); expected > 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
+	if expected := min(b.tokens, req.Input); expected > 0 && u.Cached >= 0 && (b.endpoint == u.Endpoint || p.from == b.endpoint) {
 		r.hits.learn(p.planned.Sub(b.at), float64(u.Cached)/float64(expected))
 	}
 }
@@ -165,28 +170,30 @@
 	return &p
 }
 
-// full is 1 for an endpoint whose home would deny a permit, as far as the node
-// can tell, else 0. Asking there costs a message and a round trip.
-func (r *Router) full(pool *kernel.Pool, req Request, e kernel.Endpoint) int {
+// full reports whether an endpoint's home would deny a permit, as far as the
+// node can tell. Asking there costs a message and a round trip.
+func (r *Router) full(pool *kernel.Pool, req Request, e *kernel.Endpoint) bool {
 	work := r.expected(pool, req, e.Name)
-	if r.config.Rule.Fits(pool, e.Load, work, work) {
-		return 0
-	}
-	return 1
+	return !r.config.Rule.Fits(pool, e.Load, work, work)
 }
 
 // rank returns the endpoints for a request, best first. Once a home has denied
 // the request, those that probably would too come last.
-func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request, informed bool) []kernel.Endpoint {
+func (r *Router) rank(now time.Time, pool *kernel.Pool, req Request, informed bool) ([]int, *kernel.Pool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pool = r.fresh(now, pool)
 	order := r.config.Ranker.Rank(now, pool, req)
 	if !informed {
-		return order
+		return order, pool
+	}
+	var room, full []int
+	for _, i := range order {
+		if r.full(pool, req, &pool.Endpoints[i]) {
+			full = append(full, i)
+		} else {
+			room = append(room, i)
+		}
 	}
-	slices.SortStableFunc(order, func(a, b kernel.Endpoint) int {
-		return cmp.Compare(r.full(pool, req, a), r.full(pool, req, b))
-	})
-	return order
+	return append(room, full...), pool
 }
