Wait for the fleet to hear of a poison request between copies

Symptom: TestPoisonIsIsolatedAfterThreeEndpoints lost five endpoints on a machine with three times more work than cores. Cause: heartbeats came seconds late, and a copy reached a node that had not heard; the note on poison requests states that such a copy can cost one endpoint more. The test counts copies that come after the fleet heard, as it says, and now waits for that; the bound it asserts is the same.

--- a/internal/loopback/poison_test.go
+++ b/internal/loopback/poison_test.go
@@ -37,6 +37,23 @@
 	return fmt.Sprintf(`{"model":"notices","max_tokens":100,"messages":[{"role":"user","content":%q}]}`, text)
 }
 
+// heard waits until every node knows of an isolated request. A copy that reaches
+// a node before may cost one endpoint more, which is not what this file's first
+// test counts.
+func heard(t *testing.T, f *loopback.Fleet, c loopback.Config) {
+	t.Helper()
+	for _, n := range c.Nodes {
+		require.Eventually(t, func() bool {
+			for _, s := range f.Node(n.Name).View().Suspects {
+				if s.Isolated() {
+					return true
+				}
+			}
+			return false
+		}, time.Minute, 10*time.Millisecond, n.Name)
+	}
+}
+
 // Symptom: one engine after another dies until none is left.
 // Sequence: a request crashes its engine; the node retries it elsewhere, and its
 // caller sends it again to one node after another.
@@ -59,6 +76,7 @@
 		x := exchange{node: n.Name, path: chatPath, body: longBody(poisonText), repeatable: true}.must(t, f)
 		require.Equal(t, http.StatusUnprocessableEntity, x.status, x.text)
 		require.Contains(t, x.text, `"type":"isolated"`)
+		heard(t, f, c)
 	}
 	wait.Wait()
 	t.Logf("endpoints lost: %d, after %v", lost(f, c), time.Since(began))
