Let nodes give up before their callers

Cause: pkg/entry told a node all the time that its caller had left. Where the fleet could not serve a request in time, the refusal as not run came at the moment at which the caller gave up, and the caller held the request for unknown; seen with processes.

Change: a tenth of the time, at most half a second, is kept for the way back.

Test: TestNodesGiveUpBeforeTheirCallers.

--- a/pkg/entry/client_test.go
+++ b/pkg/entry/client_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -263,3 +265,24 @@
 		})
 	}
 }
+
+// Symptom: a caller holds a request for unknown of which the node says that it
+// was not run. Sequence: the fleet cannot serve it in time. Cause: node and
+// caller give up at the same moment.
+func TestNodesGiveUpBeforeTheirCallers(t *testing.T) {
+	n := newNode(t, answer(whole))
+	n.entry = entry.Answer{KeepMS: 60_000, Nodes: []netip.AddrPort{n.addr()}}
+	c := entry.New(entry.Config{Addrs: []netip.AddrPort{n.addr()}})
+	defer c.Close()
+	for _, left := range []time.Duration{10 * time.Second, time.Minute} {
+		ctx, cancel := context.WithTimeout(t.Context(), left)
+		s, err := c.Chat("c", "m").Ask(ctx, "hello", entry.Options{})
+		require.NoError(t, err)
+		require.NoError(t, s.Close())
+		cancel()
+		told, err := time.ParseDuration(n.headers[len(n.headers)-1].Get(entry.HeaderTimeout))
+		require.NoError(t, err)
+		require.LessOrEqual(t, told, left-500*time.Millisecond)
+		require.Positive(t, told)
+	}
+}
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -14,9 +14,15 @@
 	"time"
 )
 
-// rounds is how often a request asks for nodes: a second answer helps where the
-// nodes of a kept one are gone.
-const rounds = 2
+const (
+	// rounds is how often a request asks for nodes: a second answer helps where
+	// the nodes of a kept one are gone.
+	rounds = 2
+	// slackShare is the part of a caller's time that is kept for the way back,
+	// and maxSlack the most of it.
+	slackShare = 10
+	maxSlack   = 500 * time.Millisecond
+)
 
 // Types of refusals after which another node may take the request.
 var elsewhere = map[string]bool{"stopping": true, "not_ready": true, "busy": true}
@@ -155,10 +161,19 @@
 		h.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		h.Set(HeaderTimeout, time.Until(deadline).String())
+		h.Set(HeaderTimeout, budget(time.Until(deadline)).String())
 	}
 }
 
+// budget returns the time that a node gets of the time that is left.
+//
+// A node that may take all of it refuses at the very moment at which the caller
+// gives up; the caller then holds a request for unknown of which the node says
+// that it was not run.
+func budget(left time.Duration) time.Duration {
+	return left - min(left/slackShare, maxSlack)
+}
+
 // failure turns the error of an exchange. Where no connection was made, the
 // request was not run.
 func failure(err error, ticket string) error {
