--- a/internal/dispatch/paused_test.go
+++ b/internal/dispatch/paused_test.go
@@ -36,10 +36,6 @@
 	endpoints struct{ calls int }
 )
 
-func (g *pausedGate) Own(time.Time, string) kernel.Load { return kernel.Load{} }
-
-func (g *pausedGate) Heard(time.Time, string, string, kernel.Load) {}
-
 func (g *pausedGate) Apply(_ time.Time, b gate.Batch) gate.Reply {
 	for _, r := range b.Returns {
 		g.returned = append(g.returned, r.ID)
@@ -57,6 +53,10 @@
 	return reply
 }
 
+func (*pausedGate) Own(time.Time, string) kernel.Load { return kernel.Load{} }
+
+func (*pausedGate) Heard(time.Time, string, string, kernel.Load) {}
+
 func (noSink) Offer(kernel.Event) {}
 
 func (e *endpoints) Do(context.Context, netip.AddrPort, endpoint.Call) (*endpoint.Answer, error) {
