Let requests that homes have denied use the whole bound

Cause: with demand rising and loads even, every home denied what would bring its engine above the margin, so the mean did not rise and nothing more was admitted. Change: after four asks or a pause a request asks for the whole bound.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -196,6 +196,7 @@
 		ID:       j.permit,
 		Endpoint: e.Name,
 		Tokens:   step.Tokens,
+		Waited:   step.Waited,
 		Lease:    time.Until(j.req.Deadline) + gate.LeaseSlack,
 		Suspect:  len(j.suspect().Endpoints),
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,6 +33,15 @@
 		View func() *kernel.View
 		// Rule bounds the endpoints' loads; nil is NewBoundRule.
 		Rule Rule
+		// Waited is the Rule for requests that homes have denied before; nil is
+		// the whole bound, or Rule where that is given.
+		//
+		// The margin keeps loads even while there is room elsewhere. Where
+		// there is hardly any, it would keep the fleet from growing into its
+		// demand: the mean cannot rise, as nothing is admitted above it, and
+		// nothing is admitted, as the mean does not rise. One would see
+		// requests wait until their deadlines before engines with room.
+		Waited Rule
 	}
 
 	// Verdict is the answer to an ask.
@@ -44,6 +53,8 @@
 		ID       uint64
 		Endpoint string
 		Tokens   int
+		// Waited is set where other homes have denied the request before.
+		Waited bool
 		// Node is the node that asks.
 		Node string
 		// Lease is how long the permit counts unless it is given back.
@@ -111,6 +122,12 @@
 
 // New returns an empty Gate.
 func New(c Config) *Gate {
+	if c.Waited == nil {
+		c.Waited = c.Rule
+	}
+	if c.Waited == nil {
+		c.Waited = BoundRule{Margin: 1}
+	}
 	if c.Rule == nil {
 		c.Rule = NewBoundRule()
 	}
@@ -152,7 +169,11 @@
 	if !learned.takes(load.Requests) {
 		return Full
 	}
-	if !g.config.Rule.Fits(g.current(now, v, pool), load, a.Tokens, g.largest(pool)) {
+	rule := g.config.Rule
+	if a.Waited {
+		rule = g.config.Waited
+	}
+	if !rule.Fits(g.current(now, v, pool), load, a.Tokens, g.largest(pool)) {
 		return Full
 	}
 	g.hold(now, a)
--- a/internal/gate/holder_test.go
+++ b/internal/gate/holder_test.go
@@ -141,3 +141,23 @@
 		})
 	}
 }
+
+// Symptom: requests waited until their deadlines before engines with room.
+// Sequence: demand rises while all engines are evenly loaded; every home denies
+// what would bring its engine above the margin, so that the mean does not rise
+// either, and nothing more is admitted.
+// Cause: the margin also held for requests that every home had denied.
+func TestEvenPoolGrowsIntoItsDemand(t *testing.T) {
+	v := two("n1", "n1", 7)
+	v.Pools["s"].Endpoints[1].Load = kernel.Load{Requests: 6, Tokens: 60}
+	v.Pools["s"].Total = kernel.Load{Requests: 13, Tokens: 60}
+	v.Pools["s"].Bound = 1.25
+	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
+	for i := range 7 {
+		g.Declare(start, ask(uint64(i)+1))
+	}
+	next := ask(100)
+	require.Equal(t, gate.Full, g.Admit(start, next))
+	next.Waited = true
+	require.Equal(t, gate.Granted, g.Admit(start, next))
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -143,6 +143,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   uint32(max(a.Tokens, 0)),
 		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+		Waited:   a.Waited,
 		Suspect:  uint32(a.Suspect),
 	}
 }
@@ -153,6 +154,7 @@
 		Endpoint: a.Endpoint,
 		Node:     node,
 		Tokens:   int(a.Tokens),
+		Waited:   a.Waited,
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
 		Suspect:  int(a.Suspect),
 	}
--- a/internal/replay/ideal.go
+++ b/internal/replay/ideal.go
@@ -9,7 +9,7 @@
 )
 
 // idealPause is how long the ideal router waits where every engine is full.
-const idealPause = time.Millisecond
+const idealPause = 20 * time.Millisecond
 
 // sendIdeal places a request as one router would that knows every engine's
 // load and cache at once.
--- a/internal/replay/permit.go
+++ b/internal/replay/permit.go
@@ -13,7 +13,7 @@
 	j.permit = s.attempts
 	home := step.Endpoint.Home
 	a := gate.Ask{
-		ID: j.permit, Endpoint: step.Endpoint.Name, Node: n.name, Tokens: step.Tokens,
+		ID: j.permit, Endpoint: step.Endpoint.Name, Node: n.name, Tokens: step.Tokens, Waited: step.Waited,
 		Lease: j.request.Deadline.Sub(s.time()) + leaseSlack,
 	}
 	batch := gate.Batch{Asks: []gate.Ask{a}, Returns: n.holder.Returns(home), Own: n.gate.Own(s.time(), a.Endpoint)}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,7 +67,9 @@
 	maxDoublings = 4
 	maxAsks      = 8
 	maxAttempts  = 3
-	retryAfter   = time.Second
+	// patientAsks is how many asks of a request keep to the margin of the bound.
+	patientAsks = 4
+	retryAfter  = time.Second
 )
 
 type (
@@ -115,6 +117,8 @@
 		// From is the endpoint from which a StepRun first imports the chat's
 		// prefix; its name is empty where there is nothing to import.
 		From kernel.Endpoint
+		// Waited is set on a StepAsk where homes have denied the request often.
+		Waited bool
 		// Tokens is the work that a StepAsk asks a permit for.
 		Tokens int
 		// Until is the end of a StepWait.
@@ -179,7 +183,10 @@
 	if p.router.config.Open {
 		return p.run(pool)
 	}
-	return Step{Kind: StepAsk, Endpoint: e, Tokens: p.router.work(pool, p.request, e.Name)}
+	return Step{
+		Kind: StepAsk, Endpoint: e, Tokens: p.router.work(pool, p.request, e.Name),
+		Waited: p.waits > 0 || p.asks > patientAsks,
+	}
 }
 
 func (p *Plan) run(pool *kernel.Pool) Step {
