--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -20,11 +20,13 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/builtin"
 	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/capacity"
 	"bulrushhinge.example/bulrushhinge/internal/config"
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/membership"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
@@ -61,6 +63,9 @@
 		Operators net.Listener
 		// Platform is where the platform listens.
 		Platform netip.AddrPort
+		// Join is where some other nodes listen for peers: a node that starts
+		// while the platform is down asks them for the instance list.
+		Join []netip.AddrPort
 		// Keys are the operators' public keys.
 		Keys []ed25519.PublicKey
 		// Grace is how long a stopping node still takes requests.
@@ -75,6 +80,10 @@
 		Token string
 		// Traces is how many requests' decisions are kept for operators.
 		Traces int
+		// FleetSecrets are what all nodes of the fleet share and nobody else
+		// has, of peer.SecretSize random bytes each: the first is shown to
+		// peers, all are accepted.
+		FleetSecrets [][]byte
 		// Dialer opens every connection the node makes, to peers, endpoints and
 		// the platform; nil is the default of each.
 		Dialer Dialer
@@ -95,8 +104,10 @@
 	// Node is a running router process.
 	Node struct {
 		config     Config
+		key        *peer.Key
 		control    *control
 		cache      *platform.Cache
+		lister     lister
 		reader     *platform.Reader
 		source     *platform.Client
 		peers      *peer.Client
@@ -107,6 +118,8 @@
 		metrics    *operator.Metrics
 		traces     *operator.Traces
 		tickets    *once.Registry
+		limiter    *limit.Limiter
+		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
 		operators  *http.Server
@@ -122,7 +135,18 @@
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	c.Linger = cmp.Or(c.Linger, DefaultLinger)
 	c.Limits.Active = &atomic.Int64{}
-	n := &Node{config: c, holder: gate.NewHolder(), endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer})}
+	key, err := peer.NewKey(c.FleetSecrets...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	n := &Node{
+		config:    c,
+		key:       key,
+		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
+		holder:    gate.NewHolder(),
+		meter:     capacity.NewMeter(),
+		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+	}
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
@@ -136,19 +160,24 @@
 		Config:     config.Config{Hold: config.DefaultHold},
 		Membership: membership.Config{Active: active},
 		Pool:       pool.Config{Sent: n.holder.Loads},
-	}, c.Extensions...)
+		Limit:      limit.Config{Limiter: n.limiter},
+		Capacity:   capacity.Config{Meter: n.meter},
+	}, append(c.Extensions, &n.lister)...)
 	n.metrics = operator.NewMetrics(operator.MetricsConfig{View: k.View, Active: active, Platform: n.platformStatus})
 	n.traces = operator.NewTraces(operator.TracesConfig{Size: c.Traces})
 	n.peers = peer.NewClient(peer.ClientConfig{
 		Self: self.Name, Incarnation: self.Incarnation, Dialer: n.metrics.Dialer(dialerOr(c.Dialer)),
+		Key: key,
 	})
 	n.cache = platform.NewCache(platform.CacheConfig{Operators: c.Keys})
+	reread := make(chan struct{}, 1)
 	n.control = newControl(controlConfig{
-		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics,
+		Kernel: k, Peers: n.peers, Endpoints: n.endpoints, Gate: permits, Cache: n.cache, Log: c.Log, Metrics: n.metrics, Reread: reread,
 	})
 	n.source = platform.NewClient(platform.ClientConfig{Addr: c.Platform, Dialer: c.Dialer})
 	n.reader = platform.NewReader(platform.ReaderConfig{
 		Source: n.source, Sink: n.control, Cache: n.cache, Log: c.Log, Role: n.role, Meter: n.metrics,
+		Reread: reread, Join: n.joins(),
 	})
 	if err := n.serve(k, permits); err != nil {
 		return nil, err
@@ -206,18 +235,17 @@
 // published no view yet knows no other that would read for it.
 func (n *Node) role() platform.Role {
 	v := n.control.View()
-	role := platform.Role{Watcher: v.Watcher || v.At.IsZero()}
-	if v.ListVersion > v.Listed {
-		role.Listed = v.ListVersion
+	return platform.Role{
+		Watcher: v.Watcher || v.At.IsZero(),
+		Heard:   v.ListVersion, Listed: v.Listed,
 	}
-	return role
 }
 
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
 		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
-		Leases: leases, PeerLeases: n.peers, Holder: n.holder, Caches: n.endpoints,
+		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Holder: n.holder, Caches: n.endpoints, Meter: n.meter,
 		Router:   route.NewRouter(route.Config{Import: n.config.Import}),
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
 	})
@@ -227,7 +255,9 @@
 	n.handler = caller.New(limits)
 	var err error
 	n.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits, Values: n.cache,
+		Key:      n.key,
+		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits,
+		Values: values{cache: n.cache, lister: &n.lister},
 		Relays: n.handler, Leases: leases,
 	})
 	if err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/limit"
 	"bulrushhinge.example/bulrushhinge/internal/route"
 )
 
@@ -46,6 +47,16 @@
 		Heard(now time.Time, node, endpoint string, l kernel.Load)
 	}
 
+	// Limiter admits requests within their accounts' shares.
+	Limiter interface {
+		Offer(now time.Time, a limit.Ask) *limit.Entry
+	}
+
+	// Meter measures the demand for models.
+	Meter interface {
+		Add(now time.Time, model string, tokens int)
+	}
+
 	// Sink takes events for the control state.
 	Sink interface {
 		Offer(ev kernel.Event)
@@ -66,6 +77,10 @@
 		Peers     Peers
 		Endpoints Endpoints
 		Sink      Sink
+		// Limiter holds accounts to their rates; nil does not.
+		Limiter Limiter
+		// Meter measures demand; nil does not.
+		Meter Meter
 		// Leases and PeerLeases let suspected requests run.
 		Leases     Leases
 		PeerLeases PeerLeases
@@ -157,6 +172,9 @@
 // Do carries a request to an endpoint and returns the head of its answer, or a
 // *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
+	if refusal := d.admit(ctx, req); refusal != nil {
+		return nil, refusal
+	}
 	j := &job{d: d, plan: d.config.Router.Plan(time.Now(), req), req: req, call: call}
 	return j.record().carry(ctx)
 }
@@ -208,8 +226,8 @@
 	j.move(ctx, step.From, e)
 	call := j.call
 	call.Attempt = strconv.FormatUint(j.permit, 16)
-	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	permit := j.permit
+	answer, err := j.d.config.Endpoints.Do(ctx, e.Addr, call)
 	if err == nil {
 		j.plan.Learn(time.Now(), route.Usage{Endpoint: e.Name})
 		release := func() { j.d.release(permit) }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +27,9 @@
 	Late
 )
 
+// goneFor is how long after its return an ask may arrive.
+const goneFor = 10 * time.Second
+
 type (
 	// Config is the settings of a Gate.
 	Config struct {
@@ -107,6 +111,9 @@
 		heard       map[heardKey]heardSum
 		// learned is how much each endpoint finishes in time.
 		learned map[string]*concurrency
+		// gone is until when permits are not granted that were given back
+		// before they were asked for.
+		gone map[uint64]time.Time
 	}
 
 	permit struct {
@@ -138,6 +145,7 @@
 		homes:       map[string]adoption{},
 		heard:       map[heardKey]heardSum{},
 		learned:     map[string]*concurrency{},
+		gone:        map[uint64]time.Time{},
 		history:     map[string][]past{},
 		differences: map[string]difference{},
 	}
@@ -146,6 +154,12 @@
 // Admit answers an ask.
 func (g *Gate) Admit(now time.Time, a Ask) Verdict {
 	v := g.config.View()
+	// A process that wakes from a pause holds a view from before it, and would
+	// admit work to endpoints that have left or have another home by now. It is
+	// no home until it has heard what it missed.
+	if !v.Fresh(now) {
+		return NotHome
+	}
 	e, pool, ok := find(v, a.Endpoint)
 	if !ok || e.State == kernel.Leaving {
 		return Gone
@@ -158,6 +172,9 @@
 	if _, held := g.permits[a.ID]; held {
 		return Granted
 	}
+	if _, gone := g.gone[a.ID]; gone {
+		return Full
+	}
 	g.adopt(v)
 	if a.Suspect > 0 && !g.takesSuspect(a) {
 		return Full
@@ -213,12 +230,18 @@
 	}
 }
 
-// Release gives a permit back. A permit that is not held is ignored.
+// Release gives a permit back.
+//
+// Where an ask gets no answer in time, the node gives back what it may have
+// been granted, and that message may overtake the ask. The permit would then
+// count, held by nobody, until its lease ends: an idle endpoint would seem
+// loaded. A permit that was given back is therefore not granted later.
 func (g *Gate) Release(now time.Time, r Return) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, held := g.permits[r.ID]
 	if !held {
+		g.gone[r.ID] = now.Add(goneFor)
 		return
 	}
 	g.release(r.ID)
@@ -239,6 +262,7 @@
 	v := g.config.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	maps.DeleteFunc(g.gone, func(_ uint64, until time.Time) bool { return now.After(until) })
 	for id, p := range g.permits {
 		n, known := v.Node(p.node)
 		silent := p.node != "" && (!known || n.State == kernel.Suspect)
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -115,9 +115,15 @@
 		Leaving bool
 		// Manifest is the configuration in force; nil before the first.
 		Manifest *manifest.Manifest
+		// Conflict names a node that has another manifest of the revision in
+		// force; "" where none is known.
+		Conflict string
 		// Nodes is every node not known to be dead, with the node itself,
 		// sorted by name.
 		Nodes []Node
+		// Fleet counts the nodes that should be there: the listed ones and
+		// those that beat, without the leaving ones.
+		Fleet int
 		// Pools is the pool of each service, by name.
 		Pools map[string]*Pool
 		// Cell is the scope of the node's cell, Scopes the scope of the digests
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -76,7 +76,8 @@
 func TestChangeReachesAllThroughOneNode(t *testing.T) {
 	// Symptom: some nodes keep old settings during a partition.
 	// Sequence: all nodes but one are cut from the platform; a change is
-	// accepted; the platform goes down for good; a node joins.
+	// accepted; the platform goes down for good once that node has it; a
+	// further node starts.
 	// Cause: nodes that learn of changes from the platform alone.
 	c := loopback.Thies()
 	f := start(t, c)
@@ -84,8 +85,11 @@
 	f.Network.Cut(all[1:], []string{"platform"})
 	m := next(c.Manifest)
 	require.NoError(t, f.Accept(m))
-	awaitRevision(t, f, all, m.Revision)
+	awaitRevision(t, f, all[:1], m.Revision)
 	f.Platform.SetDown(true)
+	require.NoError(t, f.StartNode(loopback.NodeConfig{Name: "n9", Zone: c.Nodes[0].Zone}))
+	all = append(all, "n9")
+	awaitRevision(t, f, all, m.Revision)
 	askAll(t, f, "down", all)
 }
 
@@ -110,6 +114,21 @@
 	require.Equal(t, m.Revision, f.Node("n3").View().Manifest.Revision)
 }
 
+func TestNodeStartsWhileThePlatformIsDown(t *testing.T) {
+	// Symptom: the fleet shrinks during a long outage of the platform.
+	// Sequence: the platform goes down; a node is replaced.
+	// Cause: a starting node that learns of its peers from the platform alone.
+	c := loopback.Thies()
+	f := start(t, c)
+	f.Platform.SetDown(true)
+	require.NoError(t, f.KillNode("n3"))
+	require.NoError(t, f.StartNode(c.Nodes[2]))
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	require.NoError(t, f.Ready(ctx))
+	askAll(t, f, "joined", []string{"n3"})
+}
+
 func TestFaultyPlatformStopsNothing(t *testing.T) {
 	for name, faults := range map[string]standin.PlatformFaults{
 		"half":      {Half: true},
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -17,6 +17,7 @@
 		Leaving:     b.Leaving,
 		Active:      uint32(max(b.Active, 0)),
 		Revision:    b.Revision,
+		Print:       b.Print,
 		Loads:       mapped(b.Loads, encodeLoad),
 		Marks:       mapped(b.Marks, encodeMark),
 		Intro:       pointed(b.Intro, encodeIntro),
@@ -24,6 +25,7 @@
 		News:        pointed(b.News, encodeNews),
 		Digests:     mapped(b.Digests, encodeDigest),
 		Demands:     mapped(b.Demands, encodeDemand),
+		Models:      mapped(b.Models, encodeModelDemand),
 		Suspects:    mapped(b.Suspects, encodeSuspect),
 	}
 }
@@ -37,6 +39,7 @@
 		Leaving:     b.Leaving,
 		Active:      int(b.Active),
 		Revision:    b.Revision,
+		Print:       b.Print,
 		Loads:       mapped(b.Loads, decodeLoad),
 		Marks:       mapped(b.Marks, decodeMark),
 		Intro:       valued(b.Intro, decodeIntro),
@@ -44,6 +47,7 @@
 		News:        valued(b.News, decodeNews),
 		Digests:     mapped(b.Digests, decodeDigest),
 		Demands:     mapped(b.Demands, decodeDemand),
+		Models:      mapped(b.Models, decodeModelDemand),
 		Suspects:    mapped(b.Suspects, decodeSuspect),
 	}
 }
--- a/internal/platform/topic.go
+++ b/internal/platform/topic.go
@@ -27,6 +27,9 @@
 	heard func() uint64
 	// older reports whether a value is older than what the node has.
 	older func(v Value) bool
+	// join takes the value from a peer and returns its version, 0 for none; nil
+	// where peers are not asked.
+	join func(ctx context.Context) uint64
 	// signed says that the value itself tells new from old.
 	signed bool
 	// version is that of the newest value taken, seen that of the newest value
@@ -37,6 +40,8 @@
 	plain  time.Time
 	read   time.Time
 	failed bool
+	// called is closed when a new reading is asked for.
+	called <-chan struct{}
 }
 
 func (t *topic) follow(ctx context.Context) {
@@ -54,7 +59,11 @@
 			pause = retryFirst
 			continue
 		}
-		sleep(ctx, jitter(pause))
+		if t.join != nil && t.version == 0 {
+			t.version = t.join(ctx)
+			t.seen = max(t.seen, t.version)
+		}
+		sleep(ctx, t.reader.jitter(pause))
 		pause = min(2*pause, retryLast)
 	}
 }
@@ -62,20 +71,30 @@
 // next reads the value once, by the way that the node's role asks for, and
 // takes it where it is new. It reports false where nothing was due.
 func (t *topic) next(ctx context.Context) (bool, error) {
-	source, watcher := t.reader.config.Source, t.reader.config.Role().Watcher
+	source, role := t.reader.config.Source, t.reader.config.Role()
+	called := t.reader.rereads.channel()
+	if t.called != nil && t.called != called {
+		t.plain = time.Now()
+	}
+	t.called = called
 	switch {
-	case t.due(watcher):
+	case t.due(role):
 		v, err := source.Get(ctx, t.key)
 		if err != nil {
 			t.plain = time.Now()
 			return true, err
 		}
 		return true, t.apply(ctx, v)
-	case !watcher:
-		sleep(ctx, jitter(glance))
+	case !role.Watcher:
+		sleep(ctx, t.reader.jitter(glance))
 		return false, nil
 	default:
-		v, changed, err := source.Watch(ctx, t.key, t.seen)
+		waiting, cancel := until(ctx, called)
+		defer cancel()
+		v, changed, err := source.Watch(waiting, t.key, t.seen)
+		if waiting.Err() != nil && ctx.Err() == nil {
+			return false, nil
+		}
 		if err != nil || !changed {
 			return true, err
 		}
@@ -90,28 +109,30 @@
 // that only watched would never hear of the change. Every node therefore reads
 // plainly now and then. One that is no watcher also does when peers tell of a
 // newer version.
-func (t *topic) due(watcher bool) bool {
+func (t *topic) due(role Role) bool {
 	now := time.Now()
 	period := t.reader.config.Poll
-	if !watcher {
+	if !role.Watcher {
 		period = t.reader.config.Check
 	}
 	first := t.plain.IsZero()
-	late := !watcher && t.heard() > t.seen && now.Sub(t.read) >= retryLast
+	late := !role.Watcher && t.heard() > t.seen && now.Sub(t.read) >= retryLast
 	if !first && !late && now.Before(t.plain) {
 		return false
 	}
-	t.plain = now.Add(jitter(period))
+	t.plain = now.Add(t.reader.jitter(period))
 	t.read = now
-	return !first || !watcher
+	return !first || !role.Watcher
 }
 
 // apply takes a value that is newer than the last one. A platform whose
-// replicas disagree shows old and new in turn; only the newest counts. An
-// accepted record tells its own age, so that one counts also where the platform
-// began to number its values anew.
+// replicas disagree shows old and new in turn, and one that is stale shows the
+// old for long; an older list would bring back instances that are gone and drop
+// those that joined. Only the newest counts. An accepted record tells its own
+// age, so that one counts also where the platform began to number its values
+// anew.
 func (t *topic) apply(ctx context.Context, v Value) error {
-	behind := t.older(v)
+	behind := t.older(v) || v.Version < t.version && !t.signed
 	t.reader.statuses.update(func() { t.status.Behind = behind })
 	if v.Version == t.version || v.Version < t.version && !t.signed {
 		return nil
@@ -137,7 +158,7 @@
 // version; the value is read again later, since only half of it may have come.
 func (t *topic) refuse(v Value, err error) {
 	t.seen = max(t.seen, v.Version)
-	t.plain = time.Now().Add(jitter(retryValue))
+	t.plain = time.Now().Add(t.reader.jitter(retryValue))
 	t.reader.statuses.update(func() { t.status.Refused = err.Error() })
 }
 
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// sumsStale is the age from which the sums of another cell do not count.
+	// sumsStale is the age from which the sums of another cell do not count in
+	// the region's mean, meanStale that from which they say nothing of an
+	// endpoint.
 	sumsStale = 10 * time.Second
+	meanStale = 25 * time.Second
 	// fullInterval is how often a peer is told loads that have not changed.
 	fullInterval = 10 * time.Second
 	// handover is how long an endpoint's own report counts beside its new
@@ -56,13 +59,12 @@
 func (p *plugin) Summarize(now time.Time, d *kernel.Digest) {
 	sums := map[string]kernel.Sum{}
 	p.takeOwn(now)
-	for _, name := range p.names {
-		m := p.members[name]
+	for _, m := range p.sorted {
 		if !p.near(m.endpoint.Zone) {
 			continue
 		}
 		if state := m.state(now); state != kernel.Live {
-			d.Absent = append(d.Absent, kernel.Absence{Instance: name, State: state})
+			d.Absent = append(d.Absent, kernel.Absence{Instance: m.endpoint.Name, State: state})
 			continue
 		}
 		s := sums[m.endpoint.Service]
@@ -133,13 +135,9 @@
 // ownLoads returns the loads of the endpoints whose home the node is.
 func (p *plugin) ownLoads(now time.Time) []kernel.EndpointLoad {
 	p.takeOwn(now)
-	var loads []kernel.EndpointLoad
-	for _, name := range p.names {
-		m := p.members[name]
-		if m.endpoint.Home != p.self.Name {
-			continue
-		}
-		loads = append(loads, kernel.EndpointLoad{Endpoint: name, Load: m.told, State: m.state(now)})
+	loads := make([]kernel.EndpointLoad, 0, len(p.mine))
+	for _, m := range p.mine {
+		loads = append(loads, kernel.EndpointLoad{Endpoint: m.endpoint.Name, Load: m.told, State: m.state(now)})
 	}
 	return loads
 }
@@ -166,7 +164,7 @@
 func (p *plugin) mean(now time.Time, e kernel.Endpoint) kernel.Load {
 	s := p.sums[p.scopes[e.Zone]]
 	sum := s.sums[e.Service]
-	if sum.Live == 0 || now.Sub(s.at) >= sumsStale {
+	if sum.Live == 0 || now.Sub(s.at) >= meanStale {
 		return kernel.Load{}
 	}
 	return kernel.Load{Requests: sum.Load.Requests / sum.Live, Tokens: sum.Load.Tokens / sum.Live}
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -42,29 +42,43 @@
 }
 
 // prefer returns the first endpoint that was not tried, one of an availability
-// zone in which no attempt failed where there is one. What fails in a zone often
+// zone in which no attempt failed where there is one: what fails in a zone often
 // fails in all of it.
+//
+// An endpoint that the request failed at comes after all others. It would fail
+// there again and use up its attempts, while a healthy endpoint that was full a
+// moment ago has room the next.
 func (p *Plan) prefer(pool *kernel.Pool, order []int) (kernel.Endpoint, bool) {
-	var second *kernel.Endpoint
+	var second, last *kernel.Endpoint
+	pending := false
 	for _, i := range order {
 		e := &pool.Endpoints[i]
 		switch {
+		case p.failed[e.Name]:
+			if last == nil && !p.tried[e.Name] {
+				last = e
+			}
 		case p.tried[e.Name]:
-		case !p.failed[e.Zone]:
+			pending = true
+		case !p.failedZones[e.Zone]:
 			return *e, true
 		case second == nil:
 			second = e
 		}
 	}
-	if second == nil {
+	switch {
+	case second != nil:
+		return *second, true
+	case last != nil && !pending:
+		return *last, true
+	default:
 		return kernel.Endpoint{}, false
 	}
-	return *second, true
 }
 
-// fail notes an attempt that failed, and that the next one is a repeat.
+// fail notes an attempt that failed.
 func (p *Plan) fail() {
 	p.tried[p.next.Name] = true
-	p.failed[p.next.Zone] = true
-	p.repeat = true
+	p.failed[p.next.Name] = true
+	p.failedZones[p.next.Zone] = true
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -53,6 +53,9 @@
 	ReasonLost Reason = "lost"
 	// ReasonIsolated is a request that crashes the endpoints that run it.
 	ReasonIsolated Reason = "isolated"
+	// ReasonLimited is a request over its account's share whose turn would
+	// come after its deadline.
+	ReasonLimited Reason = "limited"
 	// ReasonBudget is a request whose repeat is more than the node may make.
 	ReasonBudget Reason = "retry_budget"
 	// ReasonAttempts is a request that used up its attempts.
@@ -66,7 +69,10 @@
 	// asked in one round.
 	maxDoublings = 4
 	maxAsks      = 8
-	maxAttempts  = 3
+	// maxRefused is how many endpoints may refuse a request before it is given
+	// up: they are down, and its caller may come back later.
+	maxRefused  = 8
+	maxAttempts = 3
 	// patientAsks is how many asks of a request keep to the margin of the bound.
 	patientAsks = 4
 	retryAfter  = time.Second
@@ -133,21 +139,25 @@
 	Plan struct {
 		router  *Router
 		request Request
-		tried   map[string]bool
+		// tried is the endpoints that were asked in the present round, failed
+		// those that an attempt failed at.
+		tried  map[string]bool
+		failed map[string]bool
 		// believed is where the chat's prefix was taken to be when the request
 		// came, at the time planned; from is where it was imported from.
 		believed place
 		planned  time.Time
 		from     string
 		next     kernel.Endpoint
-		// failed is the availability zones in which attempts failed, repeat is
-		// set where the next attempt is a repeat.
-		failed   map[string]bool
-		repeat   bool
-		granted  bool
-		lost     bool
-		late     bool
-		attempts int
+		// failedZones is the availability zones of those, repeat is set where
+		// the next attempt is a repeat of one that may have run.
+		failedZones map[string]bool
+		repeat      bool
+		granted     bool
+		lost        bool
+		late        bool
+		attempts    int
+		refused     int
 		// asks counts those of the present round, waits the rounds that found
 		// no endpoint.
 		asks  int
@@ -164,6 +174,8 @@
 		return refuse(ReasonLost)
 	case p.attempts >= maxAttempts:
 		return refuse(ReasonAttempts)
+	case p.refused >= maxRefused:
+		return refuse(ReasonNoEndpoint)
 	case p.repeat && !p.router.spend():
 		return refuse(ReasonBudget)
 	case p.late || !now.Before(p.request.Deadline):
@@ -190,7 +202,6 @@
 }
 
 func (p *Plan) run(pool *kernel.Pool) Step {
-	p.attempts++
 	step := Step{Kind: StepRun, Endpoint: p.next}
 	step.From = Source(pool, p.request, p.next.Name)
 	p.from = step.From.Name
@@ -209,12 +220,18 @@
 	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
 		p.tried[p.next.Name] = true
 	case OutcomeNotRun:
+		p.refused++
 		p.fail()
 	case OutcomeLate:
 		p.late = true
 	case OutcomeLost:
 		p.fail()
+		p.repeat = true
 		p.lost = true
+		// Only attempts that may have run count. Were refused connections to
+		// count too, a request would fail because three endpoints died, while
+		// others could answer it.
+		p.attempts++
 	}
 }
 
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -35,7 +35,12 @@
 		// CacheTokens is the size of the prefix cache, in tokens.
 		CacheTokens int
 		Models      []string
-		Faults      EndpointFaults
+		// Linger is how long a request runs on after its connection broke.
+		Linger time.Duration
+		// Unfenced makes the endpoint take every order, also one with an old
+		// fencing number.
+		Unfenced bool
+		Faults   EndpointFaults
 		// OnCrash ends the process that the endpoint stands for, when a request
 		// that carries the crash mark runs. Connections break in any case.
 		OnCrash func()
@@ -56,6 +61,7 @@
 		// attempts can be asked for again.
 		attempts *attempts
 		started  int
+		orders   orders
 		// crashed is closed when the endpoint crashes.
 		crashed chan struct{}
 	}
@@ -78,6 +84,7 @@
 	e.mux.HandleFunc("GET /v1/attempts/{id}", e.resume)
 	e.mux.HandleFunc("DELETE /v1/attempts/{id}", e.stop)
 	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("/v1/services/", e.plain)
 	e.mux.HandleFunc("GET /v1/events", e.events)
 	e.mux.HandleFunc("GET /v1/kv/{chat...}", e.exportKV)
@@ -197,6 +204,9 @@
 	if c.Prefill == 0 {
 		c.Prefill = DefaultPrefill
 	}
+	if c.Linger == 0 {
+		c.Linger = DefaultLinger
+	}
 	if c.MaxBatch == 0 {
 		c.MaxBatch = DefaultMaxBatch
 	}
