--- a/internal/loopback/example.go
+++ b/internal/loopback/example.go
@@ -4,11 +4,16 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/examples"
+	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
 // exampleGrace keeps planned stops of the examples short.
 const exampleGrace = time.Second
 
+// imports is what importing a cached token costs the engines of each example,
+// over computing it, as in the replayed traces.
+var imports = map[string]float64{examples.Thies: 0.53, examples.Karamanlis: 0.27}
+
 // Secret returns the secret key of an example deployment's account.
 func Secret(account string) string { return "secret-" + account }
 
@@ -29,7 +34,12 @@
 	if err != nil {
 		panic(err)
 	}
-	c := Config{Manifest: e.Manifest, Grace: exampleGrace}
+	c := Config{Manifest: e.Manifest, Grace: exampleGrace, Import: map[string]float64{}}
+	for _, s := range e.Manifest.Services {
+		if s.Kind == manifest.KindChat {
+			c.Import[s.Name] = imports[name]
+		}
+	}
 	for _, n := range e.Nodes {
 		c.Nodes = append(c.Nodes, NodeConfig{Name: n.Name, Zone: n.Zone})
 	}
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -56,6 +56,8 @@
 		Linger time.Duration
 		// Limits is the nodes' limits on callers.
 		Limits caller.Config
+		// Import is what importing a cached token costs a service's engines.
+		Import map[string]float64
 	}
 
 	// NodeConfig is a node to start.
@@ -410,7 +412,7 @@
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Join: f.peers(), Keys: []ed25519.PublicKey{f.OperatorKey()},
+		Platform: f.platform.addr, Import: f.config.Import, Join: f.peers(), Keys: []ed25519.PublicKey{f.OperatorKey()},
 		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token, FleetSecrets: [][]byte{f.secret},
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
