Make no node a home that has no instance list

Cause: a node that starts while the platform is down and without peers to ask beats like any other; its peers made it the home of endpoints, and it answered that they are gone. Requests to them waited for their deadlines. Change: a heartbeat says that its sender has no list yet; such a node is suspect. Before: TestNodeWithoutInstanceListIsNoHome fails, n1 is a home; after: passes, three runs with -race.

--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -136,6 +136,9 @@
 		Incarnation uint64
 		Serial      uint64
 		Leaving     bool
+		// Listless is set until the sender has an instance list: it can take no
+		// endpoint into its care yet.
+		Listless bool
 		// Active is the callers' requests in progress at the sender.
 		Active int
 		// Revision is the accepted revision in force at the sender.
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -64,6 +64,9 @@
 	NodeConfig struct {
 		Name string
 		Zone string
+		// Alone makes the node start without the addresses of peers to ask for
+		// the instance list.
+		Alone bool
 	}
 
 	// EndpointConfig is an endpoint to start.
@@ -400,6 +403,13 @@
 	return addrs
 }
 
+func (f *Fleet) join(c NodeConfig) []netip.AddrPort {
+	if c.Alone {
+		return nil
+	}
+	return f.peers()
+}
+
 func (f *Fleet) newNode(c NodeConfig) (*node, error) {
 	var listeners [3]net.Listener
 	for i := range listeners {
@@ -412,7 +422,7 @@
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Import: f.config.Import, Join: f.peers(), Keys: []ed25519.PublicKey{f.OperatorKey()},
+		Platform: f.platform.addr, Import: f.config.Import, Join: f.join(c), Keys: []ed25519.PublicKey{f.OperatorKey()},
 		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token, FleetSecrets: [][]byte{f.secret},
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
--- a/internal/loopback/recovery_test.go
+++ b/internal/loopback/recovery_test.go
@@ -215,3 +215,27 @@
 	t.Logf("%d requests, %d unknown", len(fates), unknown)
 	require.LessOrEqual(t, unknown, loadCallers, "only what was in progress at the dead nodes")
 }
+
+// Symptom: requests to some endpoints wait for their deadlines though the
+// endpoints are idle.
+// Sequence: the platform is down; a node is killed and started again; it hears
+// from its peers, but nobody tells it the instance list.
+// Cause: its peers make it the home of endpoints that it does not know.
+func TestNodeWithoutInstanceListIsNoHome(t *testing.T) {
+	t.Parallel()
+	c := loopback.Thies()
+	f := start(t, c)
+	f.Platform.SetDown(true)
+	require.NoError(t, f.KillNode("n1"))
+	require.NoError(t, f.StartNode(loopback.NodeConfig{Name: "n1", Zone: c.Nodes[0].Zone, Alone: true}))
+	require.Eventually(t, func() bool {
+		n, _ := f.Node("n2").View().Node("n1")
+		return n.Incarnation == f.Node("n1").View().Self.Incarnation
+	}, time.Minute, 10*time.Millisecond, "the others hear from it")
+	for _, p := range f.Node("n2").View().Pools {
+		for _, e := range p.Endpoints {
+			require.NotEqual(t, "n1", e.Home, e.Name)
+		}
+	}
+	askAll(t, f, "listless", []string{"n2", "n3", "n4"})
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -11,6 +11,13 @@
 	node    kernel.Node
 	listed  bool
 	leaving bool
+	// listless is set while the node says that it has no instance list.
+	//
+	// A node that starts while the platform is down beats as any other, but
+	// knows no endpoints. Taken for live, it would become the home of some, and
+	// every ask for them would be answered that they are gone: requests wait
+	// for their deadlines though the endpoints are idle.
+	listless bool
 	// left is when the leave mark was learned; listLeaving is what the list
 	// says.
 	left        time.Time
@@ -152,6 +159,7 @@
 	m.heard = now
 	m.failures = 0
 	m.pause = 0
+	m.listless = b.Listless
 	if m.node.Active != b.Active {
 		m.node.Active = b.Active
 		p.nodes = nil
@@ -298,7 +306,7 @@
 		return kernel.Dead
 	case m.leaving || m.raw == kernel.Leaving:
 		return kernel.Leaving
-	case m.raw == kernel.Live && m.damper.Quiet(now):
+	case m.raw == kernel.Live && (m.listless || m.damper.Quiet(now)):
 		return kernel.Suspect
 	default:
 		return m.raw
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -66,9 +66,11 @@
 		last     time.Time
 		urgent   bool
 		settled  bool
-		doubt    doubt
-		topo     *topology
-		digests  digests
+		// hasList is set once the node had an instance list.
+		hasList bool
+		doubt   doubt
+		topo    *topology
+		digests digests
 		// nodes is what the last view showed; nil where it must be made anew.
 		nodes []kernel.Node
 	}
@@ -117,6 +119,7 @@
 	p.clock(now, out)
 	switch ev := ev.(type) {
 	case kernel.Listed:
+		p.hasList = true
 		p.list(now, ev.List, out)
 	case kernel.Accepted:
 		p.accept(ev, out)
@@ -155,6 +158,7 @@
 	b.Serial = p.serial
 	b.Active = p.config.Active()
 	b.Leaving = b.Leaving || p.leaving
+	b.Listless = !p.hasList
 	m := p.members[to]
 	if m == nil {
 		b.Intro = p.intro(now)
@@ -246,7 +250,7 @@
 	switch {
 	case p.leaving:
 		self.State = kernel.Leaving
-	case p.doubt.active:
+	case p.doubt.active, !p.hasList:
 		self.State = kernel.Suspect
 	}
 	return self
