Keep connections of late heartbeats, so that overload does not part nodes

Cause: a heartbeat that timed out closed its connection, and the next one paid for a handshake; overloaded nodes grew later still and lost each other. Change: soft cancels, handshakes that outlast the call that began them, X25519 alone; the fleet's readiness says what is missing.

--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -329,14 +329,17 @@
 // Ready waits until every node has a configuration in force, knows every other
 // node and sees every endpoint.
 func (f *Fleet) Ready(ctx context.Context) error {
-	for !f.ready() {
+	for {
+		missing := f.missing()
+		if missing == "" {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %v", ErrReady, ctx.Err())
+			return fmt.Errorf("%w: %v: %s", ErrReady, ctx.Err(), missing)
 		case <-time.After(readyPoll):
 		}
 	}
-	return nil
 }
 
 // Close stops everything at once.
@@ -368,23 +371,27 @@
 	return f.Accept(f.config.Manifest)
 }
 
-func (f *Fleet) ready() bool {
+// missing says what a node lacks to be ready; "" is nothing.
+func (f *Fleet) missing() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, n := range f.nodes {
+	for name, n := range f.nodes {
 		v := n.View()
-		if v.Manifest == nil || len(v.Nodes) < len(f.nodes) {
-			return false
+		if v.Manifest == nil {
+			return name + " has no configuration"
+		}
+		if len(v.Nodes) < len(f.nodes) {
+			return fmt.Sprintf("%s knows %d of %d nodes: %+v", name, len(v.Nodes), len(f.nodes), v.Nodes)
 		}
 		seen := 0
 		for _, p := range v.Pools {
 			seen += len(p.Endpoints)
 		}
 		if seen < len(f.endpoints) {
-			return false
+			return fmt.Sprintf("%s sees %d of %d endpoints", name, seen, len(f.endpoints))
 		}
 	}
-	return true
+	return ""
 }
 
 // peers returns where the running nodes listen for peers.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -130,7 +130,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return drpcconn.New(secure), nil
+		return drpcconn.NewWithOptions(secure, drpcconn.Options{Manager: managed()}), nil
 	})
 	return peerpb.NewDRPCPeerClient(drpc.Conn(conn))
 }
--- a/internal/peer/key.go
+++ b/internal/peer/key.go
@@ -122,6 +122,7 @@
 		InsecureSkipVerify:     true,
 		VerifyConnection:       k.verify,
 		SessionTicketsDisabled: true,
+		CurvePreferences:       []tls.CurveID{tls.X25519},
 	}
 }
 
@@ -137,7 +138,13 @@
 }
 
 // dialed returns a connection that has proven itself to a peer and checked it.
+//
+// The handshake does not end with the call that needs it: were it given up when
+// a heartbeat is late, an overloaded node would begin it anew each time and
+// never finish.
 func (k *Key) dialed(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DefaultHandshake)
+	defer cancel()
 	c := &conn{Conn: tls.Client(raw, k.config()), timeout: DefaultHandshake}
 	if err := c.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -160,7 +160,17 @@
 }
 
 func options() drpcserver.Options {
-	return drpcserver.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-	}}
+	return drpcserver.Options{Manager: managed()}
+}
+
+// managed returns the settings of both sides of a connection.
+//
+// By default a call that times out closes its connection. Under overload each
+// late heartbeat would then cost a new handshake, which is more load, and nodes
+// would lose each other for good. A soft cancel ends the call alone.
+func managed() drpcmanager.Options {
+	return drpcmanager.Options{
+		SoftCancel: true,
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+	}
 }
