--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -36,7 +36,7 @@
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
 			v := fleet(endpoints)
 			g := gate.New(gate.Config{View: func() *kernel.View { return v }})
-			now := v.At.Add(time.Minute)
+			now := v.At.Add(time.Second)
 			for i := range b.N {
 				id := uint64(i) + 1
 				g.Admit(now, gate.Ask{ID: id, Endpoint: "w0001", Node: "n000", Tokens: 400, Lease: time.Minute})
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -56,12 +56,17 @@
 		Linger time.Duration
 		// Limits is the nodes' limits on callers.
 		Limits caller.Config
+		// Import is what importing a cached token costs a service's engines.
+		Import map[string]float64
 	}
 
 	// NodeConfig is a node to start.
 	NodeConfig struct {
 		Name string
 		Zone string
+		// Alone makes the node start without the addresses of peers to ask for
+		// the instance list.
+		Alone bool
 	}
 
 	// EndpointConfig is an endpoint to start.
@@ -329,14 +334,17 @@
 // Ready waits until every node has a configuration in force, knows every other
 // node and sees every endpoint.
 func (f *Fleet) Ready(ctx context.Context) error {
-	for !f.ready() {
+	for {
+		missing := f.missing()
+		if missing == "" {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %v", ErrReady, ctx.Err())
+			return fmt.Errorf("%w: %v: %s", ErrReady, ctx.Err(), missing)
 		case <-time.After(readyPoll):
 		}
 	}
-	return nil
 }
 
 // Close stops everything at once.
@@ -368,23 +376,27 @@
 	return f.Accept(f.config.Manifest)
 }
 
-func (f *Fleet) ready() bool {
+// missing says what a node lacks to be ready; "" is nothing.
+func (f *Fleet) missing() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, n := range f.nodes {
+	for name, n := range f.nodes {
 		v := n.View()
-		if v.Manifest == nil || len(v.Nodes) < len(f.nodes) {
-			return false
+		if v.Manifest == nil {
+			return name + " has no configuration"
+		}
+		if len(v.Nodes) < len(f.nodes) {
+			return fmt.Sprintf("%s knows %d of %d nodes: %+v", name, len(v.Nodes), len(f.nodes), v.Nodes)
 		}
 		seen := 0
 		for _, p := range v.Pools {
 			seen += len(p.Endpoints)
 		}
 		if seen < len(f.endpoints) {
-			return false
+			return fmt.Sprintf("%s sees %d of %d endpoints", name, seen, len(f.endpoints))
 		}
 	}
-	return true
+	return ""
 }
 
 // peers returns where the running nodes listen for peers.
@@ -398,6 +410,13 @@
 	return addrs
 }
 
+func (f *Fleet) join(c NodeConfig) []netip.AddrPort {
+	if c.Alone {
+		return nil
+	}
+	return f.peers()
+}
+
 func (f *Fleet) newNode(c NodeConfig) (*node, error) {
 	var listeners [3]net.Listener
 	for i := range listeners {
@@ -410,7 +429,7 @@
 	n, err := bulrushhinge.New(bulrushhinge.Config{
 		Instance: c.Name, Zone: c.Zone,
 		Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
-		Platform: f.platform.addr, Join: f.peers(), Keys: []ed25519.PublicKey{f.OperatorKey()},
+		Platform: f.platform.addr, Import: f.config.Import, Join: f.join(c), Keys: []ed25519.PublicKey{f.OperatorKey()},
 		Dialer: dialer{network: f.Network, from: c.Name}, Token: Token, FleetSecrets: [][]byte{f.secret},
 		Grace: f.config.Grace, Linger: f.config.Linger, Limits: f.config.Limits, Log: f.config.Log.WithField("node", c.Name),
 	})
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -22,6 +22,7 @@
 		Marks:       mapped(b.Marks, encodeMark),
 		Intro:       pointed(b.Intro, encodeIntro),
 		ListVersion: b.ListVersion,
+		Listless:    b.Listless,
 		News:        pointed(b.News, encodeNews),
 		Digests:     mapped(b.Digests, encodeDigest),
 		Demands:     mapped(b.Demands, encodeDemand),
@@ -44,6 +45,7 @@
 		Marks:       mapped(b.Marks, decodeMark),
 		Intro:       valued(b.Intro, decodeIntro),
 		ListVersion: b.ListVersion,
+		Listless:    b.Listless,
 		News:        valued(b.News, decodeNews),
 		Digests:     mapped(b.Digests, decodeDigest),
 		Demands:     mapped(b.Demands, decodeDemand),
@@ -147,6 +149,7 @@
 		Endpoint: a.Endpoint,
 		Tokens:   uint32(max(a.Tokens, 0)),
 		LeaseMs:  uint32(max(a.Lease.Milliseconds(), 0)),
+		Waited:   a.Waited,
 		Suspect:  uint32(a.Suspect),
 	}
 }
@@ -157,6 +160,7 @@
 		Endpoint: a.Endpoint,
 		Node:     node,
 		Tokens:   int(a.Tokens),
+		Waited:   a.Waited,
 		Lease:    time.Duration(a.LeaseMs) * time.Millisecond,
 		Suspect:  int(a.Suspect),
 	}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -110,12 +110,12 @@
 	l.Release(begin, first, true)
 	require.False(t, l.Acquire(begin, second), "it cools down after a death")
 	now := begin.Add(poison.DefaultCooldown + time.Millisecond)
-	require.False(t, l.Acquire(now, second), "one that was given back is not granted to a message under way")
+	require.False(t, l.Acquire(now, second), "given back before it was asked for, it is never held")
 	third := poison.Lease{Print: 7, ID: 4, Duration: time.Minute}
 	require.True(t, l.Acquire(now, third))
+	require.False(t, l.Acquire(now, first))
 	now = now.Add(time.Minute + time.Millisecond)
-	first.ID = 5
-	require.True(t, l.Acquire(now, first), "the lease of a dead holder ends")
+	require.True(t, l.Acquire(now, poison.Lease{Print: 7, ID: 5, Duration: time.Minute}), "the lease of a dead holder ends")
 }
 
 func TestHolderIsLiveAndEqualForAll(t *testing.T) {
