--- a/slopes.sh
+++ b/slopes.sh
@@ -17,7 +17,7 @@
 bench internal/platform 'CacheMemory'
 bench pkg/manifest '.'
 bench internal/loopback 'ChangeInForce|Path'
-echo "## internal/membership: bytes and processor time of whole fleets"
-go test -count 1 -run 'TestControlBytes' -v ./internal/membership -target | grep 'nodes,'
+echo "## internal/membership: bytes, processor time and memory of whole fleets"
+go test -count 1 -run 'TestControlBytes|TestKernelMemory' -v ./internal/membership -target | grep 'nodes,'
 echo "## internal/platform: calls of the readers of 330 nodes"
 go test -count 1 -run 'TestFleet' -v ./internal/platform -nodes 330 | grep 'calls a second'
