Ask for permits over one open stream to each home

Cause: since peers speak TLS, a permit took 340 bytes in two calls, of which its messages are 60: each call carries its name, its end and two records a side. Control traffic was over 3 KB/s at eight nodes. Ruled out: batching asks, which would make each wait for others; dropping TLS. Change: one stream to each peer, a numbered message one record; a stream whose peer answers nothing for 32 messages is opened anew.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -50,6 +50,7 @@
 	Client struct {
 		config ClientConfig
 		pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+		permit *permitStreams
 	}
 )
 
@@ -58,7 +59,7 @@
 	if c.Dialer == nil {
 		c.Dialer = &net.Dialer{Timeout: dialTimeout}
 	}
-	return &Client{
+	client := &Client{
 		config: c,
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration:  poolExpiration,
@@ -66,10 +67,15 @@
 			KeyCapacity: poolKeyCapacity,
 		}),
 	}
+	client.permit = newPermitStreams(client)
+	return client
 }
 
 // Close closes all connections.
-func (c *Client) Close() error { return c.pool.Close() }
+func (c *Client) Close() error {
+	c.permit.close()
+	return c.pool.Close()
+}
 
 // Beat sends a heartbeat and returns the peer's own.
 func (c *Client) Beat(ctx context.Context, to netip.AddrPort, b *kernel.Beat) (*kernel.Beat, error) {
@@ -82,7 +88,7 @@
 
 // Permit sends a batch to a home.
 func (c *Client) Permit(ctx context.Context, to netip.AddrPort, b gate.Batch) (gate.Reply, error) {
-	answer, err := c.peer(ctx, to).Permit(ctx, EncodePermit(c.config.Self, b))
+	answer, err := c.permit.call(ctx, to, EncodePermit(c.config.Self, b))
 	if err != nil {
 		return gate.Reply{}, unreachable(to, err)
 	}
--- /dev/null
+++ b/internal/peer/permits.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+
+	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
+)
+
+const (
+	// maxQueued is how many messages wait to be written to one peer; a peer
+	// that takes no more is unreachable.
+	maxQueued = 256
+	// maxUnanswered is how many messages in a row may stay without an answer
+	// in time before the stream is given up and opened anew.
+	maxUnanswered = 32
+)
+
+var (
+	errStreamEnded = errors.New("the stream ended")
+	errNoAnswer    = errors.New("no message was answered in time")
+)
+
+type (
+	// permitStreams keeps one open stream to each peer that the node asks for
+	// permits. Calls of their own would each carry the name of the call, its
+	// end and two more TLS records, several times the size of the message.
+	permitStreams struct {
+		client *Client
+		ctx    context.Context
+		cancel context.CancelFunc
+		done   sync.WaitGroup
+		mu     sync.Mutex
+		closed bool
+		byAddr map[netip.AddrPort]*permitStream
+	}
+
+	// permitStream is the stream to one peer. One goroutine opens it and
+	// reads, another writes.
+	permitStream struct {
+		queue chan *peerpb.PermitRequest
+		// ended is closed when the stream can no longer be used, after err is
+		// set.
+		ended chan struct{}
+		end   context.CancelCauseFunc
+
+		mu         sync.Mutex
+		number     uint64
+		waiting    map[uint64]chan *peerpb.PermitReply
+		unanswered int
+	}
+)
+
+func newPermitStreams(c *Client) *permitStreams {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &permitStreams{client: c, ctx: ctx, cancel: cancel, byAddr: map[netip.AddrPort]*permitStream{}}
+}
+
+// call sends a message to a peer and waits for its reply.
+func (p *permitStreams) call(ctx context.Context, to netip.AddrPort, m *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
+	s := p.stream(to)
+	if s == nil {
+		return nil, errStreamEnded
+	}
+	return s.call(ctx, m)
+}
+
+func (p *permitStreams) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.cancel()
+	p.done.Wait()
+}
+
+// stream returns the stream to a peer, and starts to open one where there is
+// none. It returns nil once the streams are closed.
+func (p *permitStreams) stream(to netip.AddrPort) *permitStream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	if s := p.byAddr[to]; s != nil {
+		return s
+	}
+	ctx, end := context.WithCancelCause(p.ctx)
+	s := &permitStream{
+		queue:   make(chan *peerpb.PermitRequest, maxQueued),
+		ended:   make(chan struct{}),
+		end:     end,
+		waiting: map[uint64]chan *peerpb.PermitReply{},
+	}
+	p.byAddr[to] = s
+	p.done.Go(func() {
+		s.run(ctx, &p.done, func() (peerpb.DRPCPeer_PermitClient, error) {
+			return p.client.peer(ctx, to).Permit(ctx)
+		})
+		p.forget(to, s)
+	})
+	return s
+}
+
+func (p *permitStreams) forget(to netip.AddrPort, s *permitStream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byAddr[to] == s {
+		delete(p.byAddr, to)
+	}
+	close(s.ended)
+}
+
+// run opens the stream, starts the writer and reads until the stream ends.
+func (s *permitStream) run(ctx context.Context, done *sync.WaitGroup, open func() (peerpb.DRPCPeer_PermitClient, error)) {
+	defer s.end(errStreamEnded)
+	stream, err := open()
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	done.Go(func() { s.write(ctx, stream) })
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		s.answer(reply)
+	}
+}
+
+func (s *permitStream) write(ctx context.Context, stream peerpb.DRPCPeer_PermitClient) {
+	for {
+		select {
+		case m := <-s.queue:
+			if err := stream.Send(m); err != nil {
+				s.end(err)
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *permitStream) call(ctx context.Context, m *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
+	answer := s.expect(m)
+	defer s.forget(m.Number)
+	select {
+	case s.queue <- m:
+	case <-s.ended:
+		return nil, errStreamEnded
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-s.ended:
+		return nil, errStreamEnded
+	case <-ctx.Done():
+		s.missed()
+		return nil, ctx.Err()
+	}
+}
+
+// expect numbers a message and returns where its reply will be.
+func (s *permitStream) expect(m *peerpb.PermitRequest) <-chan *peerpb.PermitReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	m.Number = s.number
+	answer := make(chan *peerpb.PermitReply, 1)
+	s.waiting[m.Number] = answer
+	return answer
+}
+
+func (s *permitStream) forget(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, number)
+}
+
+// answer hands a reply to whom waits for it. A reply that comes too late is
+// dropped.
+func (s *permitStream) answer(reply *peerpb.PermitReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered = 0
+	if answer := s.waiting[reply.Number]; answer != nil {
+		delete(s.waiting, reply.Number)
+		answer <- reply
+	}
+}
+
+// missed notes a message that was not answered in time.
+//
+// A peer whose instance is gone resets nothing: TCP alone would keep the stream
+// for many minutes, and every ask would wait for its timeout although the peer
+// is back at the same address. After a number of asks without any answer the
+// stream is opened anew.
+func (s *permitStream) missed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered++
+	if s.unanswered >= maxUnanswered {
+		s.end(errNoAnswer)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,9 +98,19 @@
 	return EncodeBeat(h.config.Beats.Beat(ctx, DecodeBeat(b))), nil
 }
 
-// Permit serves a batch of asks, declarations and returns.
-func (h *handler) Permit(_ context.Context, r *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
-	return EncodeReply(h.config.Permits.Apply(time.Now(), DecodePermit(r))), nil
+// Permit serves a stream of batches of asks, declarations and returns.
+func (h *handler) Permit(stream peerpb.DRPCPeer_PermitStream) error {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		reply := EncodeReply(h.config.Permits.Apply(time.Now(), DecodePermit(r)))
+		reply.Number = r.Number
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+	}
 }
 
 // Config serves values of the accepted configuration. What does not fit one
--- a/internal/peer/size.go
+++ b/internal/peer/size.go
@@ -10,7 +10,6 @@
 // Names of the calls, as they stand on the wire.
 const (
 	CallBeat   CallName = "/peer.Peer/Beat"
-	CallPermit CallName = "/peer.Peer/Permit"
 	CallConfig CallName = "/peer.Peer/Config"
 )
 
@@ -26,13 +25,17 @@
 	records     = 2
 )
 
+// numberBytes is what the number of a message takes more in a stream that has
+// long been open: in the frame and in the message.
+const numberBytes = 8
+
 type (
 	// CallName is the name of a call between nodes.
 	CallName string
 
 	// Message is a message between nodes.
 	Message interface {
-		*peerpb.Heartbeat | *peerpb.PermitRequest | *peerpb.PermitReply | *peerpb.ConfigRequest | *peerpb.ConfigReply
+		*peerpb.Heartbeat | *peerpb.ConfigRequest | *peerpb.ConfigReply
 		proto.Message
 	}
 )
@@ -54,6 +57,12 @@
 		records*recordBytes
 }
 
+// PermitBytes returns how many bytes a message on an open stream takes at most,
+// either way: one frame in one TLS record.
+func PermitBytes[M *peerpb.PermitRequest | *peerpb.PermitReply](m M) int {
+	return frameBytes(drpcwire.KindMessage, proto.Size(proto.Message(m))) + numberBytes + recordBytes
+}
+
 func frameBytes(kind drpcwire.Kind, size int) int {
 	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{
 		Data: make([]byte, size),
--- a/internal/replay/permit.go
+++ b/internal/replay/permit.go
@@ -53,7 +53,7 @@
 		return
 	}
 	wire := peer.EncodePermit(n.name, b)
-	n.spent.permits += peer.RequestBytes(peer.CallPermit, wire)
+	n.spent.permits += peer.PermitBytes(wire)
 	s.queue.after(s.delay, func() {
 		target := s.node(home)
 		if target == nil {
@@ -61,7 +61,7 @@
 			return
 		}
 		reply := peer.EncodeReply(target.gate.Apply(s.time(), peer.DecodePermit(wire)))
-		target.spent.permits += peer.ReplyBytes(reply)
+		target.spent.permits += peer.PermitBytes(reply)
 		s.queue.after(s.delay, func() { done(peer.DecodeReply(reply), true) })
 	})
 }
