Never let traffic wait for the control goroutine

Cause: a failed attempt was handed over with a wait where the queue was full; a slow step would have held up streams.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -244,7 +244,7 @@
 func (n *Node) serve(k *kernel.Kernel, permits *gate.Gate) error {
 	leases := poison.NewLeases(0)
 	n.dispatcher = dispatch.New(dispatch.Config{
-		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: n.control,
+		View: k.View, Gate: permits, Peers: n.peers, Endpoints: n.endpoints, Sink: traffic{control: n.control},
 		Leases: leases, PeerLeases: n.peers, Limiter: n.limiter, Holder: n.holder, Caches: n.endpoints, Meter: n.meter,
 		Router:   route.NewRouter(route.Config{Import: n.config.Import}),
 		Recorder: dispatch.Recorders{n.traces, n.metrics, operator.Log{To: n.config.Log}},
--- a/control.go
+++ b/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +52,8 @@
 		seen    *kernel.View
 		probed  map[string]bool
 		running sync.WaitGroup
+		// dropped counts events of traffic that found the queue full.
+		dropped atomic.Int64
 	}
 
 	// valuesOf reads the configuration that a peer holds.
@@ -59,6 +62,15 @@
 		addr  netip.AddrPort
 	}
 
+	// queueState is what waits for the control goroutine, for operators.
+	queueState struct {
+		Waiting int   `json:"waiting"`
+		Dropped int64 `json:"dropped"`
+	}
+
+	// traffic is how traffic goroutines tell the control goroutine of failures.
+	traffic struct{ control *control }
+
 	// input is an event, a call on the goroutine that owns the kernel, or both.
 	input struct {
 		event kernel.Event
@@ -100,6 +112,9 @@
 	return c
 }
 
+// Offer hands an event to the control goroutine and never waits.
+func (t traffic) Offer(ev kernel.Event) { t.control.note(ev) }
+
 // Offer hands an event to the control goroutine.
 func (c *control) Offer(ev kernel.Event) {
 	select {
@@ -108,6 +123,20 @@
 	}
 }
 
+// note hands an event of a traffic goroutine to the control goroutine, or drops
+// it where too many wait.
+//
+// Were traffic to wait for the control goroutine, one slow step would hold up
+// every answer that the node streams; one would see gaps between tokens at all
+// callers at once. What traffic tells is seen again at the next failure.
+func (c *control) note(ev kernel.Event) {
+	select {
+	case c.inputs <- input{event: ev}:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
 // View returns the newest published view.
 func (c *control) View() *kernel.View { return c.config.Kernel.View() }
 
@@ -127,6 +156,7 @@
 	var state map[string]any
 	if !c.do(nil, func(now time.Time) {
 		state = c.config.Kernel.Dump(now)
+		state["control"] = queueState{Waiting: len(c.inputs), Dropped: c.dropped.Load()}
 		state["view"] = summary(c.View())
 	}) {
 		return map[string]any{}
