--- a/internal/peer/permits.go
+++ b/internal/peer/permits.go
@@ -41,10 +41,9 @@
 	// reads, another writes.
 	permitStream struct {
 		queue chan *peerpb.PermitRequest
-		// ended is closed when the stream can no longer be used, after err is
-		// set.
-		ended chan struct{}
-		end   context.CancelCauseFunc
+		// ctx ends when the stream can no longer be used.
+		ctx context.Context
+		end context.CancelCauseFunc
 
 		mu         sync.Mutex
 		number     uint64
@@ -83,19 +82,19 @@
 	if p.closed {
 		return nil
 	}
-	if s := p.byAddr[to]; s != nil {
+	if s := p.byAddr[to]; s != nil && s.ctx.Err() == nil {
 		return s
 	}
 	ctx, end := context.WithCancelCause(p.ctx)
 	s := &permitStream{
 		queue:   make(chan *peerpb.PermitRequest, maxQueued),
-		ended:   make(chan struct{}),
+		ctx:     ctx,
 		end:     end,
 		waiting: map[uint64]chan *peerpb.PermitReply{},
 	}
 	p.byAddr[to] = s
 	p.done.Go(func() {
-		s.run(ctx, &p.done, func() (peerpb.DRPCPeer_PermitClient, error) {
+		s.run(&p.done, func() (peerpb.DRPCPeer_PermitClient, error) {
 			return p.client.peer(ctx, to).Permit(ctx)
 		})
 		p.forget(to, s)
@@ -109,18 +108,17 @@
 	if p.byAddr[to] == s {
 		delete(p.byAddr, to)
 	}
-	close(s.ended)
 }
 
 // run opens the stream, starts the writer and reads until the stream ends.
-func (s *permitStream) run(ctx context.Context, done *sync.WaitGroup, open func() (peerpb.DRPCPeer_PermitClient, error)) {
+func (s *permitStream) run(done *sync.WaitGroup, open func() (peerpb.DRPCPeer_PermitClient, error)) {
 	defer s.end(errStreamEnded)
 	stream, err := open()
 	if err != nil {
 		return
 	}
 	defer stream.Close()
-	done.Go(func() { s.write(ctx, stream) })
+	done.Go(func() { s.write(stream) })
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
@@ -130,7 +128,7 @@
 	}
 }
 
-func (s *permitStream) write(ctx context.Context, stream peerpb.DRPCPeer_PermitClient) {
+func (s *permitStream) write(stream peerpb.DRPCPeer_PermitClient) {
 	for {
 		select {
 		case m := <-s.queue:
@@ -138,7 +136,7 @@
 				s.end(err)
 				return
 			}
-		case <-ctx.Done():
+		case <-s.ctx.Done():
 			return
 		}
 	}
@@ -149,16 +147,16 @@
 	defer s.forget(m.Number)
 	select {
 	case s.queue <- m:
-	case <-s.ended:
-		return nil, errStreamEnded
+	case <-s.ctx.Done():
+		return nil, context.Cause(s.ctx)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	select {
 	case reply := <-answer:
 		return reply, nil
-	case <-s.ended:
-		return nil, errStreamEnded
+	case <-s.ctx.Done():
+		return nil, context.Cause(s.ctx)
 	case <-ctx.Done():
 		s.missed()
 		return nil, ctx.Err()
--- /dev/null
+++ b/internal/peer/permits_test.go
@@ -0,0 +1,140 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/gate"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+)
+
+// echo answers each ask with the ask's own tokens as the load, after a wait.
+type echo struct{ wait func(tokens int) }
+
+func (e echo) Apply(_ time.Time, b gate.Batch) gate.Reply {
+	tokens := b.Asks[0].Tokens
+	e.wait(tokens)
+	return gate.Reply{
+		Verdicts: []gate.Verdict{gate.Full},
+		Loads:    []kernel.EndpointLoad{{Endpoint: "w1", Load: kernel.Load{Tokens: tokens}}},
+	}
+}
+
+func servePermits(t *testing.T, addr string, p peer.Permits) (*peer.Server, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	s, err := peer.NewServer(peer.ServerConfig{Listener: l, Key: newKey(t, secret(1)), Permits: p})
+	require.NoError(t, err)
+	return s, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func permitClient(t *testing.T) *peer.Client {
+	t.Helper()
+	c := peer.NewClient(peer.ClientConfig{Self: "n1", Key: newKey(t, secret(1))})
+	t.Cleanup(func() { require.NoError(t, c.Close()) })
+	return c
+}
+
+func ask(tokens int) gate.Batch {
+	return gate.Batch{Asks: []gate.Ask{{ID: uint64(tokens), Endpoint: "w1", Tokens: tokens, Lease: time.Second}}}
+}
+
+// Symptom: a request gets the permit of another.
+// Sequence: many asks are under way to one home at once.
+// Cause: the replies on the shared stream go to whoever waits first.
+func TestPermitsOfOneStreamDoNotCross(t *testing.T) {
+	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(int) {}})
+	defer s.Close()
+	c := permitClient(t)
+	var done sync.WaitGroup
+	for i := 1; i <= 200; i++ {
+		done.Go(func() {
+			reply, err := c.Permit(t.Context(), to, ask(i))
+			if err != nil || reply.Loads[0].Load.Tokens != i {
+				t.Error(i, reply, err)
+			}
+		})
+	}
+	done.Wait()
+}
+
+// Symptom: after an ask that came too late, each ask gets the reply of the one
+// before.
+// Sequence: the home is slow once; the asker gives up; it asks again.
+// Cause: the late reply is taken for that of the next ask.
+func TestLatePermitReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(tokens int) {
+		if tokens == 1 {
+			<-release
+		}
+	}})
+	defer s.Close()
+	c := permitClient(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Permit(ctx, to, ask(1))
+	require.ErrorIs(t, err, peer.ErrUnreachable)
+	close(release)
+	reply, err := c.Permit(t.Context(), to, ask(2))
+	require.NoError(t, err)
+	require.Equal(t, 2, reply.Loads[0].Load.Tokens)
+}
+
+// Symptom: a home that was started again at its address grants nothing to
+// nodes that asked it before.
+// Sequence: the home stops; an ask fails; the home starts at the same address.
+// Cause: the stream that ended is used on.
+func TestPermitsReachAHomeThatStartedAgain(t *testing.T) {
+	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(int) {}})
+	c := permitClient(t)
+	_, err := c.Permit(t.Context(), to, ask(1))
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	_, err = c.Permit(t.Context(), to, ask(2))
+	require.ErrorIs(t, err, peer.ErrUnreachable)
+	s, _ = servePermits(t, to.String(), echo{wait: func(int) {}})
+	defer s.Close()
+	require.Eventually(t, func() bool {
+		_, err := c.Permit(t.Context(), to, ask(3))
+		return err == nil
+	}, time.Minute, time.Millisecond)
+}
+
+// Symptom: every ask to a home times out for many minutes, though the home is
+// well.
+// Sequence: the home's instance vanishes without a word and another takes its
+// address: what is sent on the old stream is lost.
+// Cause: TCP keeps such a stream for many minutes.
+func TestSilentStreamIsOpenedAnew(t *testing.T) {
+	var mu sync.Mutex
+	streams := 0
+	block := make(chan struct{})
+	defer close(block)
+	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(tokens int) {
+		if tokens == 1 {
+			mu.Lock()
+			streams++
+			mu.Unlock()
+			<-block
+		}
+	}})
+	defer func() { go s.Close() }()
+	c := permitClient(t)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, _ = c.Permit(ctx, to, ask(1))
+		mu.Lock()
+		defer mu.Unlock()
+		return streams >= 2
+	}, time.Minute, time.Millisecond, "the second stream's first ask reaches the home")
+}
