--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -149,3 +149,18 @@
 	p.run(engineBatch, 10*time.Second)
 	require.Less(t, p.refused+p.wasted-before, callers+1, "the surge leaves nothing behind")
 }
+
+// Symptom: an idle endpoint seems loaded until a lease ends, and requests wait.
+// Sequence: an ask is not answered in time; the node gives back what it may have
+// been granted; that message overtakes the ask.
+// Cause: the home ignores the return of a permit that it does not know, and
+// grants it afterwards to nobody.
+func TestPermitGivenBackBeforeItIsAskedForIsNotGranted(t *testing.T) {
+	p := newPressed()
+	p.run(0, time.Millisecond)
+	a := gate.Ask{ID: 9, Endpoint: "w1", Tokens: 1, Lease: time.Minute}
+	p.gate.Release(p.now, gate.Return{ID: a.ID})
+	require.Equal(t, gate.Full, p.gate.Admit(p.now, a))
+	a.ID = 10
+	require.Equal(t, gate.Granted, p.gate.Admit(p.now, a))
+}
