Give permits back after 4 ms in place of 20

Cause: the demo's most loaded engine stood at 1.80 times the mean at the median. Its requests take 70 ms, and a permit came back up to 45 ms late, so that homes divided a total that was too high. The delay dates from when each return cost a call; over the open stream it costs a record. Change: 4 ms, looked for each 5 ms; permits are moved to new homes only when the view changed, since looking at each of them two hundred times a second would cost more than the control budget.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -10,7 +10,7 @@
 )
 
 // dueInterval is the time between two looks at what homes have to be told.
-const dueInterval = 25 * time.Millisecond
+const dueInterval = 5 * time.Millisecond
 
 // outcomes turns the verdict of a home into the outcome of a step.
 var outcomes = map[gate.Verdict]route.Outcome{
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -12,7 +12,7 @@
 // returnDelay is how long a permit may wait for a message to its home that
 // goes there anyhow.
 const (
-	returnDelay = 20 * time.Millisecond
+	returnDelay = 4 * time.Millisecond
 	// maxReturns bounds what is kept for a home that cannot be reached. Its
 	// permits end with their leases.
 	maxReturns = 1 << 10
@@ -25,6 +25,8 @@
 		mu      sync.Mutex
 		permits map[uint64]held
 		returns map[string]returns
+		// seen is the view by which permits were last moved to their homes.
+		seen *kernel.View
 	}
 
 	// Send is a batch for a home.
@@ -137,7 +139,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	batches := map[string]*Batch{}
-	h.move(now, v, batches)
+	if v != h.seen {
+		h.seen = v
+		h.move(now, v, batches)
+	}
 	for home, r := range h.returns {
 		if batches[home] == nil && now.Sub(r.since) < returnDelay {
 			continue
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -20,7 +20,7 @@
 	loadInterval = time.Second
 	beatTimeout  = time.Second
 	nodeGrace    = 2 * time.Second
-	dueInterval  = 25 * time.Millisecond
+	dueInterval  = 5 * time.Millisecond
 	// probeBytes is the request for a load report and the headers of the
 	// answer, as net/http writes them.
 	probeBytes = 180
