--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,9 +24,6 @@
 
 const (
 	askTimeout = 250 * time.Millisecond
-	// waitedRetry is when a caller may come back whose request waited for an
-	// endpoint until its deadline.
-	waitedRetry = time.Second
 )
 
 type (
@@ -198,7 +195,7 @@
 		case route.StepWait:
 			if err := wait(ctx, step.Until); err != nil {
 				j.giveBack(false)
-				return nil, &Refusal{Reason: route.ReasonDeadline, RetryAfter: waitedRetry, NotRun: !j.lost}
+				return nil, &Refusal{Reason: route.ReasonDeadline, RetryAfter: route.RetryAfter, NotRun: !j.lost}
 			}
 		case route.StepRefuse:
 			j.giveBack(false)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -63,6 +63,9 @@
 )
 
 const (
+	// RetryAfter is when the caller of a refused request may come back.
+	RetryAfter = time.Second
+
 	fullPause = 20 * time.Millisecond
 	maxPause  = 200 * time.Millisecond
 	// maxDoublings bounds the growth of the pause, maxAsks the homes that are
@@ -75,7 +78,6 @@
 	maxAttempts = 3
 	// patientAsks is how many asks of a request keep to the margin of the bound.
 	patientAsks = 4
-	retryAfter  = time.Second
 )
 
 type (
@@ -251,5 +253,5 @@
 }
 
 func refuse(r Reason) Step {
-	return Step{Kind: StepRefuse, Reason: r, RetryAfter: retryAfter}
+	return Step{Kind: StepRefuse, Reason: r, RetryAfter: RetryAfter}
 }
