Forget what was learned of endpoints that are gone

Cause: a comment said that what a home learned of an endpoint is forgotten when the home moves, and nothing forgot it: the table held one entry for each endpoint that ever had a permit here, and endpoints are replaced all the time. Ruled out: ending it with the home. Change: the entry ends with the endpoint, looked for when the view changes; the comment says so.

--- a/internal/gate/adopt.go
+++ b/internal/gate/adopt.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -38,6 +39,12 @@
 		}
 	}
 	g.homes = home
+	// Endpoints are replaced all the time; what was learned of those that are
+	// gone would be kept for good.
+	maps.DeleteFunc(g.learned, func(name string, _ *concurrency) bool {
+		_, _, listed := find(v, name)
+		return !listed
+	})
 }
 
 // load returns the load that counts for an endpoint whose home the node is.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -270,8 +270,8 @@
 	}
 }
 
-// concurrency returns what is known of an endpoint; it is forgotten when the
-// home moves.
+// concurrency returns what is known of an endpoint. It is kept while the home is
+// elsewhere, in case it comes back, and forgotten when the endpoint is gone.
 func (g *Gate) concurrency(endpoint string) *concurrency {
 	c := g.learned[endpoint]
 	if c == nil {
