--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -16,6 +16,7 @@
 
 type commands struct {
 	Node     nodeCommand     `cmd:"" help:"Run one router process."`
+	Serve    serveCommand    `cmd:"" help:"Run one router process on the users' platform, by its settings file."`
 	Demo     demoCommand     `cmd:"" help:"Run an example deployment in this process over loopback."`
 	Ask      askCommand      `cmd:"" help:"Ask as a caller does, within one chat."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
--- /dev/null
+++ b/cmd/bulrushhinge/serve.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge"
+	"bulrushhinge.example/bulrushhinge/internal/budget"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/platform"
+)
+
+const (
+	// memoryShare is the part of the process's memory limit at which the
+	// runtime collects garbage eagerly.
+	memoryShare = 0.7
+	// storeConnect bounds a new connection to the store.
+	storeConnect = 700 * time.Millisecond
+)
+
+type serveCommand struct {
+	Metrics uint16 `help:"Port at which metrics and state are served." default:"9464"`
+	Check   bool   `help:"Check the platform's settings and end."`
+}
+
+// Run serves the platform's callers until it is told to stop.
+func (c *serveCommand) Run() error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		return nil
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	g, err := bulrushhinge.NewGateway(c.config(s))
+	if err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		if s, err = platform.ReadSettings(); err == nil {
+			g.SetSeeds(s.Seeds)
+		}
+		g.Reloaded(err)
+	}
+	if err := g.Stop(); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+func (c *serveCommand) config(s platform.Settings) bulrushhinge.GatewayConfig {
+	transport := &http.Transport{
+		DialContext:           http1.Dialer(storeConnect).DialContext,
+		MaxIdleConnsPerHost:   1,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: 0,
+	}
+	return bulrushhinge.GatewayConfig{
+		Node: s.Node, Zone: s.Zone, IP: s.IP, Port: s.Ports[0], Seeds: s.Seeds,
+		Callers: s.Callers, Directory: s.Directory, Ready: s.Ready, Metrics: netip.AddrPortFrom(s.IP, c.Metrics),
+		Source: platform.NewStore(s.Store, transport), Decoder: platform.Decoder{}, Headers: platform.Headers(),
+		Answers: func(g *bulrushhinge.Gateway) http.Handler { return platform.NewDirectoryHandler(g) },
+		Retry:   budget.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
+		Grace:   s.Bounds.Grace, AddressTTL: s.Bounds.AddressTTL, Log: os.Stdout,
+	}
+}
--- /dev/null
+++ b/gateway.go
@@ -0,0 +1,289 @@
+package bulrushhinge
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/budget"
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/gateway"
+	"bulrushhinge.example/bulrushhinge/internal/gossip"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/store"
+)
+
+const (
+	// addressTTL is how long callers keep the addresses of nodes: short, so
+	// that they soon leave one that has died.
+	addressTTL = time.Second
+	// maxAddresses is how many addresses callers take.
+	maxAddresses = 64
+	// zoneNodes is how many nodes of a caller's availability zone suffice to
+	// keep it there.
+	zoneNodes = 2
+	// closeShare is the part of the grace after which a stopping node closes
+	// its listener and the connections that callers keep idle; some callers
+	// keep addresses for three lifetimes.
+	closeShare = 0.5
+	// graceMargin is how long before the end of the grace a stopping node ends.
+	graceMargin = 400 * time.Millisecond
+	// defaultIdleTimeout bounds how long callers keep connections idle before
+	// a configuration says so.
+	defaultIdleTimeout = time.Minute
+	// maxHeaderBytes bounds a request's head before the configuration's own
+	// limit is looked at.
+	maxHeaderBytes = 64 << 10
+	// forgetInterval is how often endpoints that are gone are forgotten, and
+	// forgetAfter how long they are remembered.
+	forgetInterval = 10 * time.Second
+	forgetAfter    = time.Minute
+)
+
+type (
+	// GatewayConfig is the settings of a Gateway.
+	GatewayConfig struct {
+		// Node is the node's name, and Zone its availability zone.
+		Node string
+		Zone string
+		IP   netip.Addr
+		// Port is for datagrams and calls between nodes, the same on all.
+		Port uint16
+		// Seeds are the addresses of some nodes.
+		Seeds []netip.Addr
+		// Callers is where callers are served, Directory where they ask for
+		// addresses, Ready where the platform asks whether the node is ready,
+		// and Metrics where metrics are read.
+		Callers   netip.AddrPort
+		Directory netip.AddrPort
+		Ready     netip.AddrPort
+		Metrics   netip.AddrPort
+		// Source reads the platform's store, and Decoder understands it.
+		Source  store.Source
+		Decoder deployment.Decoder
+		Headers gateway.Headers
+		// Answers returns the handler of questions for addresses and readiness.
+		Answers func(g *Gateway) http.Handler
+		// Retry bounds repeats; its Nodes is set by the gateway.
+		Retry budget.Config
+		// AddressTTL bounds how long callers keep an answer.
+		AddressTTL time.Duration
+		// Grace is how long the process may go on after it is told to stop.
+		Grace time.Duration
+		// Log takes JSON lines.
+		Log io.Writer
+	}
+
+	// Gateway is one router process that serves the platform's callers.
+	Gateway struct {
+		config   GatewayConfig
+		log      *decision.Log
+		state    *deployment.State
+		follower *store.Follower
+		gossip   *gossip.Gossip
+		balancer *balance.Balancer
+		pool     *http1.Pool
+		handler  *gateway.Handler
+		metrics  *gateway.Metrics
+		callers  *http.Server
+		servers  []*http.Server
+		seeds    atomic.Pointer[[]netip.Addr]
+		stopping atomic.Bool
+		cancel   context.CancelFunc
+		running  sync.WaitGroup
+	}
+
+	// loads reads the other nodes' loads; the balancer is there before the
+	// gossip is.
+	loads struct{ gateway *Gateway }
+)
+
+// Others returns the requests in progress at an endpoint that other nodes sent.
+func (l loads) Others(key uint32) int { return l.gateway.gossip.Others(key) }
+
+// NewGateway starts a gateway.
+func NewGateway(c GatewayConfig) (*Gateway, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), cancel: cancel}
+	g.SetSeeds(c.Seeds)
+	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Log: g.log})
+	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone})
+	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
+	crashes := gateway.NewCrashes(func(print uint64, endpoint string) {
+		g.gossip.Tell(gossip.Crash{Print: print, Endpoint: balance.Key(endpoint)})
+	})
+	var err error
+	g.gossip, err = gossip.New(gossip.Config{
+		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Incarnation: rand.Uint64()},
+		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Book: g.state,
+		State: g.memberState, Loads: g.balancer.Active, Log: g.log,
+		Crashed: func(k gossip.Crash) { crashes.Note(time.Now(), k.Print, k.Endpoint) },
+	})
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	c.Retry.Nodes = func() int { return g.gossip.View().Known }
+	g.handler = gateway.New(gateway.Config{
+		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
+		Crashes: crashes, Metrics: g.metrics, Log: g.log, Stopping: g.stopping.Load,
+	})
+	g.follower = store.NewFollower(store.FollowerConfig{Source: c.Source, Sink: g.state, Log: g.log})
+	if err := g.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	g.running.Go(func() {
+		tick := time.NewTicker(forgetInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-tick.C:
+				g.balancer.Forget(now, forgetAfter)
+			}
+		}
+	})
+	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds})
+	return g, nil
+}
+
+// SetSeeds replaces the addresses of some nodes.
+func (g *Gateway) SetSeeds(seeds []netip.Addr) { g.seeds.Store(&seeds) }
+
+// Reloaded logs that the settings were read anew.
+func (g *Gateway) Reloaded(err error) {
+	f := decision.Fields{"seeds": *g.seeds.Load()}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	g.log.Event("reload", f)
+}
+
+// Ready reports whether the node takes callers.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.state.Snapshot().Config != nil
+}
+
+// Resolve returns the addresses of nodes for callers of an availability zone,
+// and how long to keep them.
+//
+// Callers stay within their zone, where bytes cost nothing, if at least two
+// nodes of it are alive: a caller whose only node dies has nowhere to go until
+// it asks again.
+func (g *Gateway) Resolve(zone string) ([]netip.AddrPort, time.Duration) {
+	var all, near []netip.AddrPort
+	add := func(z string, addr netip.AddrPort) {
+		all = append(all, addr)
+		if z == zone {
+			near = append(near, addr)
+		}
+	}
+	if g.Ready() {
+		add(g.config.Zone, g.config.Callers)
+	}
+	for _, m := range g.gossip.View().Alive {
+		if m.State == gossip.Ready {
+			add(m.Zone, m.Callers)
+		}
+	}
+	if len(near) >= zoneNodes {
+		all = near
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), maxAddresses)], min(addressTTL, cmp.Or(g.config.AddressTTL, addressTTL))
+}
+
+// Stop stops the gateway as planned, within its grace. It is out of the
+// addresses at once and still serves who comes; then it closes what is idle,
+// and waits for the requests in progress.
+func (g *Gateway) Stop() error {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.log.Event("stop", decision.Fields{"active": g.handler.Active()})
+	time.Sleep(time.Duration(closeShare * float64(g.config.Grace)))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
+	defer cancel()
+	err := g.callers.Shutdown(ctx)
+	g.log.Event("stopped", decision.Fields{"active": g.handler.Active(), "took_ms": time.Since(began).Milliseconds()})
+	return errors.Join(err, g.Close())
+}
+
+// Close stops the gateway at once.
+func (g *Gateway) Close() error {
+	g.cancel()
+	var errs []error
+	for _, s := range g.servers {
+		errs = append(errs, s.Close())
+	}
+	g.follower.Close()
+	g.gossip.Close()
+	g.running.Wait()
+	g.state.Close()
+	g.pool.Close()
+	g.log.Close()
+	return errors.Join(errs...)
+}
+
+// Dump returns the gateway's state, for operators.
+func (g *Gateway) Dump() map[string]any {
+	age, known := g.state.Age()
+	snap := g.state.Snapshot()
+	return map[string]any{
+		"stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "revision": snap.Revision,
+		"endpoints": snap.Endpoints, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
+		"loads": g.balancer.Active(), "dropped": g.log.Dropped(),
+	}
+}
+
+func (g *Gateway) memberState() gossip.State {
+	switch {
+	case g.stopping.Load():
+		return gossip.Stopping
+	case g.Ready():
+		return gossip.Ready
+	}
+	return gossip.Starting
+}
+
+func (g *Gateway) listen() error {
+	answers := g.config.Answers(g)
+	operators := http.NewServeMux()
+	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
+	operators.HandleFunc("GET /state", g.serveState)
+	g.callers = &http.Server{
+		Handler: g.handler, IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	targets := []struct {
+		addr   netip.AddrPort
+		server *http.Server
+	}{
+		{g.config.Callers, g.callers},
+		{g.config.Directory, &http.Server{Handler: answers, ReadHeaderTimeout: readHeaderTimeout}},
+		{g.config.Ready, &http.Server{Handler: answers, ReadHeaderTimeout: readHeaderTimeout}},
+		{g.config.Metrics, &http.Server{Handler: operators, ReadHeaderTimeout: readHeaderTimeout}},
+	}
+	for _, t := range targets {
+		l, err := net.Listen("tcp4", t.addr.String())
+		if err != nil {
+			return fmt.Errorf("%w: %v", ErrStart, err)
+		}
+		t.server.ErrorLog = log.New(io.Discard, "", 0)
+		g.servers = append(g.servers, t.server)
+		g.running.Go(func() { _ = t.server.Serve(l) })
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway_state.go
@@ -0,0 +1,18 @@
+package bulrushhinge
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// serveState writes the gateway's state as JSON.
+func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.MarshalIndent(g.Dump(), "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An operator that has gone needs no answer.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,276 @@
+// Package balance chooses the endpoint that runs a request: one that keeps the
+// most of its prompt in memory, among those that are sound and not overloaded.
+package balance
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// boundRatio and boundSlack bound an endpoint's load over the mean of its
+	// service. The installations allow twice the mean plus three; what peers
+	// have sent in the last tenth of a second is not known yet.
+	boundRatio = 1.4
+	boundSlack = 2.0
+	// plainDepth is how many requests an endpoint of a plain service may have,
+	// as a multiple of its slots: one runs, two wait.
+	plainDepth = 3.0
+	// modelDepth is the same for model engines, where a request that waits is
+	// admitted by its priority.
+	modelDepth = 1.1
+	// fullPause is how long an endpoint that refused a request as full gets
+	// nothing.
+	fullPause = 150 * time.Millisecond
+	// remoteCost is what another availability zone costs a plain request, in
+	// parts of an endpoint's slots: bytes between zones are paid for.
+	remoteCost = 0.2
+)
+
+type (
+	// Loads tells what the other nodes have sent.
+	Loads interface {
+		// Others returns the requests in progress at an endpoint that other
+		// nodes have sent, by the endpoint's Key.
+		Others(key uint32) int
+	}
+
+	// Config is the settings of a Balancer.
+	Config struct {
+		Loads Loads
+		// Zone is the node's own availability zone.
+		Zone string
+	}
+
+	// Balancer chooses endpoints. It is safe for concurrent use.
+	Balancer struct {
+		config Config
+		mu     sync.Mutex
+		own    map[string]*own
+	}
+
+	// Request is what a choice depends on.
+	Request struct {
+		Service deployment.Service
+		// Key names the part of the prompt by which requests share memory;
+		// empty if there is none.
+		Key string
+		// Tried are the IDs of endpoints that have had this request.
+		Tried []string
+	}
+
+	// Choice is the endpoint chosen and what decided it.
+	Choice struct {
+		Endpoint *deployment.Endpoint
+		// First is the endpoint that comes first for the request's key.
+		First *deployment.Endpoint
+		// Load is the chosen endpoint's load before, and Mean its service's.
+		Load int
+		Mean float64
+		// Ready is how many endpoints could be chosen from.
+		Ready int
+	}
+
+	// own is what this node knows of an endpoint.
+	own struct {
+		active int
+		health health
+		seen   time.Time
+	}
+
+	candidate struct {
+		endpoint *deployment.Endpoint
+		load     int
+		slots    int
+		score    uint64
+		suspect  bool
+		blocked  bool
+	}
+)
+
+// New returns a Balancer that knows no endpoint yet.
+func New(c Config) *Balancer { return &Balancer{config: c, own: map[string]*own{}} }
+
+// Key returns the short name of an endpoint between nodes.
+func Key(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// Choose chooses an endpoint and counts the request there until Release. It
+// returns nil where no endpoint has room.
+func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all, mean := b.candidates(now, list, r)
+	var c *candidate
+	if r.Key != "" {
+		c = pickKeyed(all, mean)
+	} else {
+		c = b.pickPlain(all)
+	}
+	if c == nil {
+		return nil
+	}
+	o := b.own[c.endpoint.ID]
+	o.active++
+	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all)}
+	if r.Key != "" && len(all) > 0 {
+		choice.First = slices.MaxFunc(all, func(a, b candidate) int { return cmp.Compare(a.score, b.score) }).endpoint
+	}
+	return choice
+}
+
+// Release ends the count of a request at an endpoint, with its outcome.
+func (b *Balancer) Release(now time.Time, id string, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.get(id, now)
+	e.active--
+	e.health.note(o, now)
+}
+
+// Active returns this node's requests in progress by the endpoints' Keys.
+func (b *Balancer) Active() map[uint32]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := make(map[uint32]int)
+	for id, o := range b.own {
+		if o.active > 0 {
+			counts[Key(id)] = o.active
+		}
+	}
+	return counts
+}
+
+// Forget drops what is known of endpoints that were not used for a time.
+func (b *Balancer) Forget(now time.Time, after time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, o := range b.own {
+		if o.active == 0 && now.Sub(o.seen) > after {
+			delete(b.own, id)
+		}
+	}
+}
+
+func (b *Balancer) get(id string, now time.Time) *own {
+	o := b.own[id]
+	if o == nil {
+		o = &own{}
+		b.own[id] = o
+	}
+	o.seen = now
+	return o
+}
+
+// candidates returns the endpoints that may be chosen, and the mean load of all
+// that are ready.
+func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
+	failures := b.meanFailures(now, list)
+	total, ready := 0, 0
+	var all []candidate
+	for _, e := range list {
+		o := b.get(e.ID, now)
+		load := o.active + b.config.Loads.Others(Key(e.ID))
+		if e.Draining || o.health.gone {
+			continue
+		}
+		ready++
+		total += load
+		if slices.Contains(r.Tried, e.ID) {
+			continue
+		}
+		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
+		c.blocked = now.Before(o.health.until) || now.Before(o.health.full)
+		if r.Key != "" {
+			c.score = xxhash.Sum64String(r.Key + "\x00" + e.ID)
+		}
+		all = append(all, c)
+	}
+	return all, float64(total) / float64(max(ready, 1))
+}
+
+// avoid reports whether a suspect endpoint is to be passed over; after some
+// time one request tries it again.
+func (b *Balancer) avoid(o *own, failures float64, now time.Time) bool {
+	if !o.health.suspect(failures) {
+		return false
+	}
+	if now.After(o.health.until) && o.active == 0 {
+		o.health.until = now.Add(probation)
+		return rand.IntN(2) == 0
+	}
+	return true
+}
+
+func (b *Balancer) meanFailures(now time.Time, list []*deployment.Endpoint) float64 {
+	total := 0.0
+	for _, e := range list {
+		total += b.get(e.ID, now).health.failures
+	}
+	return total / float64(max(len(list), 1))
+}
+
+// pickKeyed takes the first endpoint of the key's rendezvous order that is
+// under the bound, so that all nodes send what shares a prompt to one endpoint.
+// Past the bound it takes the least loaded with room.
+func pickKeyed(all []candidate, mean float64) *candidate {
+	bound := boundRatio*mean + boundSlack
+	var best, least, last *candidate
+	for i := range all {
+		c := &all[i]
+		if c.blocked || float64(c.load) >= modelDepth*float64(c.slots) {
+			continue
+		}
+		if last == nil || c.load < last.load {
+			last = c
+		}
+		if c.suspect {
+			continue
+		}
+		if float64(c.load) < bound && (best == nil || c.score > best.score) {
+			best = c
+		}
+		if least == nil || c.load < least.load {
+			least = c
+		}
+	}
+	return cmp.Or(best, least, last)
+}
+
+// pickPlain takes the endpoint with the least load for its slots.
+func (b *Balancer) pickPlain(all []candidate) *candidate {
+	var best, last *candidate
+	bestCost, lastCost := 0.0, 0.0
+	for i := range all {
+		c := &all[i]
+		if c.blocked || float64(c.load) >= plainDepth*float64(c.slots) {
+			continue
+		}
+		cost := float64(c.load)/float64(c.slots) + rand.Float64()/100
+		if c.endpoint.Zone != b.config.Zone {
+			cost += remoteCost
+		}
+		if last == nil || cost < lastCost {
+			last, lastCost = c, cost
+		}
+		if !c.suspect && (best == nil || cost < bestCost) {
+			best, bestCost = c, cost
+		}
+	}
+	return cmp.Or(best, last)
+}
+
+func slots(e *deployment.Endpoint, s deployment.Service) int {
+	return max(cmp.Or(e.Slots, s.Slots), 1)
+}
--- /dev/null
+++ b/internal/deployment/endpoint.go
@@ -0,0 +1,58 @@
+package deployment
+
+import (
+	"net/netip"
+	"time"
+)
+
+type (
+	// Endpoint is one process that runs requests.
+	Endpoint struct {
+		// ID names one start of the process.
+		ID      string
+		Service string
+		Addr    netip.AddrPort
+		Zone    string
+		// Slots is how many requests it runs at once.
+		Slots int
+		// Draining endpoints take no new requests.
+		Draining bool
+		// Version is the software's version.
+		Version string
+		// Cold is how much longer it stays slow after its start.
+		Cold time.Duration
+	}
+
+	// Item is one value as the platform's store keeps it.
+	Item struct {
+		Key      string
+		Value    []byte
+		Revision uint64
+		Removed  bool
+	}
+
+	// Change is what one item says; one of the fields is set.
+	Change struct {
+		Config   *Config
+		Endpoint *Endpoint
+		// Removed is the ID of an endpoint whose entry is gone.
+		Removed string
+	}
+
+	// Decoder understands the platform's items. It returns an empty change for
+	// items that say nothing here.
+	Decoder interface {
+		Decode(item Item) (Change, error)
+	}
+
+	// Snapshot is what a node knows of the deployment at one moment. It is
+	// immutable.
+	Snapshot struct {
+		// Config is nil until the first configuration is known.
+		Config *Config
+		// Revision is the store's revision up to which all changes are known.
+		Revision uint64
+		// Endpoints are those of each service, sorted by ID, draining ones too.
+		Endpoints map[string][]*Endpoint
+	}
+)
--- /dev/null
+++ b/internal/deployment/state.go
@@ -0,0 +1,245 @@
+package deployment
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+)
+
+const (
+	// holdLapse is how long after an outage of the store an entry that has
+	// lapsed may take to come back: two seconds by the platform's word, and a
+	// quarter for the way.
+	holdLapse = 2250 * time.Millisecond
+	// sweepInterval is how often held removals are looked at.
+	sweepInterval = 100 * time.Millisecond
+	updateQueue   = 64
+)
+
+type (
+	// StateConfig is the settings of a State.
+	StateConfig struct {
+		Decoder Decoder
+		Log     *decision.Log
+	}
+
+	// State keeps what is known of the deployment. One goroutine owns it; all
+	// others read its snapshots.
+	State struct {
+		config   StateConfig
+		updates  chan Update
+		snapshot atomic.Pointer[Snapshot]
+		// contact is when the store itself last answered, as time since start.
+		contact atomic.Int64
+		start   time.Time
+		items   atomic.Pointer[[]Item]
+		cancel  context.CancelFunc
+		running sync.WaitGroup
+	}
+
+	// Update is a set of items, from the store or from a peer.
+	Update struct {
+		Items []Item
+		// Revision is the store's revision at which the items were read.
+		Revision uint64
+		// Whole says that the items are everything there is, so that entries
+		// that are missing are gone.
+		Whole bool
+		// Regained says that the store was away before this update: entries
+		// may have lapsed though their endpoints live.
+		Regained bool
+		// Source names the store or a peer, for logs.
+		Source string
+	}
+
+	// book is the owner goroutine's state.
+	book struct {
+		items     map[string]Item
+		endpoints map[string]*Endpoint
+		config    *Config
+		revision  uint64
+		// trusted is when removals count at once again.
+		trusted time.Time
+		// lapsed holds removals back until the time given.
+		lapsed map[string]time.Time
+	}
+)
+
+// NewState starts a state that knows nothing yet.
+func NewState(c StateConfig) *State {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &State{config: c, updates: make(chan Update, updateQueue), start: time.Now(), cancel: cancel}
+	s.snapshot.Store(&Snapshot{})
+	s.items.Store(&[]Item{})
+	s.contact.Store(-1)
+	s.running.Go(func() {
+		b := &book{items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{}}
+		tick := time.NewTicker(sweepInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case u := <-s.updates:
+				s.apply(b, u, time.Now())
+			case now := <-tick.C:
+				s.sweep(b, now)
+			}
+		}
+	})
+	return s
+}
+
+// Apply hands over an update; it waits while many others are waiting.
+func (s *State) Apply(ctx context.Context, u Update) {
+	select {
+	case s.updates <- u:
+	case <-ctx.Done():
+	}
+}
+
+// Snapshot returns the newest snapshot, never nil.
+func (s *State) Snapshot() *Snapshot { return s.snapshot.Load() }
+
+// Items returns all known items, for peers.
+func (s *State) Items() []Item { return *s.items.Load() }
+
+// Touched notes that the store itself has just answered.
+func (s *State) Touched() { s.contact.Store(int64(time.Since(s.start))) }
+
+// Age returns how long ago the store last answered, and whether it ever did.
+func (s *State) Age() (time.Duration, bool) {
+	at := s.contact.Load()
+	if at < 0 {
+		return time.Since(s.start), false
+	}
+	return time.Since(s.start) - time.Duration(at), true
+}
+
+// Close stops the owner goroutine.
+func (s *State) Close() {
+	s.cancel()
+	s.running.Wait()
+}
+
+func (s *State) apply(b *book, u Update, now time.Time) {
+	if u.Regained {
+		b.trusted = now.Add(holdLapse)
+	}
+	if u.Whole && u.Revision < b.revision {
+		return
+	}
+	changed := false
+	present := make(map[string]bool, len(u.Items))
+	for _, item := range u.Items {
+		present[item.Key] = !item.Removed
+		changed = s.take(b, item, u, now) || changed
+	}
+	if u.Whole {
+		for key, old := range b.items {
+			if !present[key] && !old.Removed {
+				changed = s.take(b, Item{Key: key, Revision: u.Revision, Removed: true}, u, now) || changed
+			}
+		}
+	}
+	if u.Revision > b.revision {
+		b.revision = u.Revision
+		changed = true
+	}
+	if changed {
+		s.publish(b)
+	}
+}
+
+// take applies one item; an older one than is known says nothing.
+func (s *State) take(b *book, item Item, u Update, now time.Time) bool {
+	if old, ok := b.items[item.Key]; ok && old.Revision >= item.Revision {
+		return false
+	}
+	change, err := s.config.Decoder.Decode(item)
+	if err != nil {
+		s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "revision": item.Revision, "source": u.Source, "error": err.Error()})
+		return false
+	}
+	b.items[item.Key] = item
+	switch {
+	case change.Config != nil:
+		return s.takeConfig(b, change.Config, item, u)
+	case change.Endpoint != nil:
+		delete(b.lapsed, change.Endpoint.ID)
+		b.endpoints[change.Endpoint.ID] = change.Endpoint
+		s.config.Log.Event("endpoint", decision.Fields{
+			"endpoint": change.Endpoint.ID, "service": change.Endpoint.Service, "draining": change.Endpoint.Draining,
+			"revision": item.Revision, "source": u.Source,
+		})
+	case change.Removed != "":
+		return s.remove(b, change.Removed, item, u, now)
+	}
+	return true
+}
+
+// takeConfig puts a configuration in force, never an older one.
+func (s *State) takeConfig(b *book, c *Config, item Item, u Update) bool {
+	if b.config != nil && c.Version <= b.config.Version {
+		return false
+	}
+	c.Index()
+	b.config = c
+	s.config.Log.Event("config", decision.Fields{
+		"version": c.Version, "routes": len(c.Routes), "revision": item.Revision, "source": u.Source,
+	})
+	return true
+}
+
+// remove takes an endpoint out, or holds that back after an outage.
+//
+// While the store is away, endpoints cannot renew their entries, and all of
+// them lapse though their processes live. One would see every request refused
+// for lack of endpoints just after the store is back. Those that live are back
+// in the store soon; a removal counts if its entry isn't.
+func (s *State) remove(b *book, id string, item Item, u Update, now time.Time) bool {
+	e, ok := b.endpoints[id]
+	if !ok {
+		return false
+	}
+	held := now.Before(b.trusted) && !e.Draining
+	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
+	if held {
+		b.lapsed[id] = b.trusted
+		return false
+	}
+	delete(b.endpoints, id)
+	return true
+}
+
+func (s *State) sweep(b *book, now time.Time) {
+	changed := false
+	for id, until := range b.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(b.lapsed, id)
+		delete(b.endpoints, id)
+		changed = true
+		s.config.Log.Event("endpoint.lapsed", decision.Fields{"endpoint": id})
+	}
+	if changed {
+		s.publish(b)
+	}
+}
+
+func (s *State) publish(b *book) {
+	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint)}
+	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
+		e := b.endpoints[id]
+		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
+	}
+	items := slices.Collect(maps.Values(b.items))
+	s.items.Store(&items)
+	s.snapshot.Store(snap)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+)
+
+const (
+	// maxWhole is the largest answer that is held until it is complete; a
+	// larger one is passed on as it comes.
+	maxWhole = 1 << 20
+	// plainStall is the part of the latency objective after which a request
+	// that may be repeated is given up at a silent endpoint: the other half
+	// suffices for a second one.
+	plainStall = 0.5
+	// streamStall is the same for a stream's first event, where a long queue
+	// is no fault.
+	streamStall = 1.5
+	// minStall bounds both from below.
+	minStall = 60 * time.Millisecond
+	// pauseStall is how many of the wanted pauses a resumable stream may be
+	// silent between two events.
+	pauseStall = 2.0
+	// minPause bounds it from below.
+	minPause = 500 * time.Millisecond
+)
+
+// attempt is one send of a call to an endpoint.
+type attempt struct {
+	call    *call
+	choice  *balance.Choice
+	at      time.Time
+	outcome balance.Outcome
+	// status is the endpoint's, 0 if there was none.
+	status int
+	fresh  bool
+	// first is how long the answer's first byte, or event, took.
+	first time.Duration
+	cause string
+}
+
+// run sends the request and passes the answer on.
+func (a *attempt) run(ctx context.Context) result {
+	c := a.call
+	pool := c.handler.config.Pool
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var timer *time.Timer
+	if d := a.stall(); d > 0 {
+		timer = time.AfterFunc(d, cancel)
+		defer timer.Stop()
+	}
+	x, err := pool.Do(ctx, http1.Request{
+		Addr: a.choice.Endpoint.Addr, ID: c.id, HTTP: a.request(),
+		// A request that must run once at most gets a new connection: an
+		// endpoint may close a kept one as the request is sent, and nobody
+		// could tell whether it was read.
+		Fresh: !c.route.Kind.Repeats() || c.id == "",
+	})
+	if err != nil {
+		return a.failed(err)
+	}
+	defer x.Abort()
+	a.status, a.fresh = x.Response.StatusCode, x.Fresh
+	h := c.handler.config.Headers
+	switch {
+	case x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest:
+		return a.notRun(x)
+	case !a.sound(x.Response):
+		a.outcome, a.cause = balance.Failed, "unsound-answer"
+		return resultBroken
+	case c.route.Kind.Streams() && a.status/100 == 2:
+		return a.stream(ctx, x, timer)
+	}
+	return a.whole(x)
+}
+
+// stall is after how long of silence the endpoint is given up, 0 for never. A
+// request that must not be repeated waits as long as its caller.
+func (a *attempt) stall() time.Duration {
+	c := a.call
+	if !c.route.Kind.Repeats() || c.progress.runs+1 >= c.route.Attempts {
+		return 0
+	}
+	share := plainStall
+	if c.route.Kind.Streams() {
+		share = streamStall
+	}
+	return max(time.Duration(share*float64(c.route.Objective)), minStall)
+}
+
+// request builds what is sent.
+func (a *attempt) request() *http.Request {
+	c := a.call
+	h := c.handler.config.Headers
+	header := c.header.Clone()
+	left := max(time.Until(c.deadline), time.Millisecond)
+	header.Set(h.Deadline, strconv.FormatInt(left.Milliseconds()+1, 10))
+	header.Set(h.Expect, a.choice.Endpoint.ID)
+	if c.progress.last > 0 {
+		header.Set(h.LastEvent, strconv.FormatUint(c.progress.last, 10))
+	}
+	req := &http.Request{
+		Method: c.in.Method, URL: &url.URL{Scheme: "http", Host: c.in.Host, Opaque: c.in.RequestURI},
+		Host: c.in.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(c.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+		req.ContentLength = int64(len(c.body))
+	}
+	return req
+}
+
+// failed sorts an error by what it says about the request.
+func (a *attempt) failed(err error) result {
+	c := a.call
+	a.cause = err.Error()
+	if c.gone() {
+		return resultGone
+	}
+	if errors.Is(err, http1.ErrConnect) {
+		a.outcome = balance.Unreachable
+		return resultNotSent
+	}
+	a.outcome = balance.Failed
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.handler.config.Crashes.Saw(time.Now(), c.print, a.choice.Endpoint.ID)
+	}
+	return resultBroken
+}
+
+// notRun takes an answer that says the request did not run. On a kept
+// connection an answer without an ID may be another request's; it is not
+// believed.
+func (a *attempt) notRun(x *http1.Exchange) result {
+	h := a.call.handler.config.Headers
+	if !x.Fresh && x.Response.Header.Get(h.RequestID) != a.call.id {
+		a.outcome, a.cause = balance.Failed, "unnamed-refusal"
+		return resultBroken
+	}
+	a.outcome = balance.Refused
+	if a.status == http.StatusMisdirectedRequest {
+		a.outcome = balance.Gone
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxWhole)); err == nil {
+		x.Finish()
+	}
+	return resultNotRun
+}
+
+// sound reports whether an answer may be an endpoint's: a success bears its
+// seal and no encoding, and a status that promises that the request did not run
+// says so.
+func (a *attempt) sound(resp *http.Response) bool {
+	h := a.call.handler.config.Headers
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return false
+	}
+	if resp.StatusCode/100 != 2 {
+		return true
+	}
+	return resp.Header.Get(h.Seal) != "" && resp.Header.Get("Content-Encoding") == ""
+}
+
+// whole passes on an answer that is not a stream, once it is complete.
+func (a *attempt) whole(x *http1.Exchange) result {
+	c := a.call
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxWhole+1))
+	if err != nil {
+		return a.failed(err)
+	}
+	a.first = time.Since(a.at)
+	if x.Response.StatusCode >= http.StatusInternalServerError {
+		a.outcome = balance.Failed
+		if c.route.Kind.Repeats() && c.progress.runs+1 < c.route.Attempts && x.Response.StatusCode != http.StatusGatewayTimeout {
+			x.Finish()
+			return resultBroken
+		}
+	} else {
+		a.outcome = balance.Served
+		c.handler.config.Crashes.Served(c.print)
+	}
+	c.copyHead(x.Response)
+	if len(body) <= maxWhole {
+		x.Finish()
+		c.out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		c.out.WriteHeader(x.Response.StatusCode)
+		// A caller that has gone needs no answer.
+		_, _ = c.out.Write(body)
+		return resultDone
+	}
+	return a.long(x, body)
+}
+
+// long passes on an answer that is too large to be held.
+func (a *attempt) long(x *http1.Exchange, begin []byte) result {
+	c := a.call
+	c.out.WriteHeader(x.Response.StatusCode)
+	c.progress.started = true
+	_, err := io.Copy(c.out, io.MultiReader(bytes.NewReader(begin), x.Response.Body))
+	if err != nil {
+		a.cause = err.Error()
+		a.outcome = balance.Unknown
+		panic(http.ErrAbortHandler)
+	}
+	x.Finish()
+	return resultDone
+}
+
+// copyHead copies an answer's headers.
+func (c *call) copyHead(resp *http.Response) {
+	to := c.out.Header()
+	for name, values := range passed(resp.Header) {
+		to[name] = values
+	}
+}
+
+// fields are what the log says of the attempt.
+func (a *attempt) fields(res result) decision.Fields {
+	f := decision.Fields{
+		"endpoint": a.choice.Endpoint.ID, "load": a.choice.Load, "mean": float64(int(a.choice.Mean*10)) / 10, "ready": a.choice.Ready,
+		"result": res.String(), "status": a.status, "took_ms": time.Since(a.at).Milliseconds(), "first_ms": a.first.Milliseconds(),
+	}
+	if a.choice.First != nil {
+		f["preferred"] = a.choice.First.ID == a.choice.Endpoint.ID
+	}
+	if a.cause != "" {
+		f["cause"] = a.cause
+	}
+	if a.call.progress.events > 0 {
+		f["events"] = a.call.progress.events
+	}
+	return f
+}
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+)
+
+const (
+	// crashLimit is how many endpoints a request may crash before it is refused.
+	crashLimit = 3
+	// crashMemory is how long a crash is remembered.
+	crashMemory = 2 * time.Minute
+	// crashEntries bounds the requests remembered.
+	crashEntries = 4096
+)
+
+type (
+	// Crashes remembers which requests ran on endpoints that broke off.
+	//
+	// What goes wrong without it: one request crashes its endpoint, comes again
+	// and crashes the next, until none is left. One notices endpoints that die
+	// one after another while the same request runs. Nodes tell each other, and
+	// none passes such a request on after the third.
+	Crashes struct {
+		tell func(print uint64, endpoint string)
+		mu   sync.Mutex
+		seen map[uint64]*crashed
+	}
+
+	crashed struct {
+		endpoints map[uint32]bool
+		last      time.Time
+	}
+)
+
+// NewCrashes returns an empty memory; tell is called for each crash seen here.
+func NewCrashes(tell func(print uint64, endpoint string)) *Crashes {
+	return &Crashes{tell: tell, seen: map[uint64]*crashed{}}
+}
+
+// Saw notes a crash that this node has seen, and tells the others.
+func (c *Crashes) Saw(now time.Time, print uint64, endpoint string) {
+	c.Note(now, print, balance.Key(endpoint))
+	c.tell(print, endpoint)
+}
+
+// Note remembers that an endpoint, by its short name, broke off.
+func (c *Crashes) Note(now time.Time, print uint64, endpoint uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.seen) >= crashEntries {
+		c.prune(now)
+	}
+	e := c.seen[print]
+	if e == nil {
+		e = &crashed{endpoints: map[uint32]bool{}}
+		c.seen[print] = e
+	}
+	e.endpoints[endpoint] = true
+	e.last = now
+}
+
+// Served forgets a request that was answered: it crashes nothing.
+func (c *Crashes) Served(print uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.seen, print)
+}
+
+// Refuse reports whether a request has crashed too many endpoints.
+func (c *Crashes) Refuse(now time.Time, print uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.seen[print]
+	return e != nil && len(e.endpoints) >= crashLimit && now.Sub(e.last) < crashMemory
+}
+
+func (c *Crashes) prune(now time.Time) {
+	for print, e := range c.seen {
+		if now.Sub(e.last) > crashMemory || len(c.seen) >= crashEntries {
+			delete(c.seen, print)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// metricPrefix starts the name of every metric.
+const metricPrefix = "bulrushhinge_gateway_"
+
+// Metrics counts what a gateway does.
+type Metrics struct {
+	set       *metrics.Set
+	firstByte *metrics.Histogram
+	took      *metrics.Histogram
+	opened    *metrics.Counter
+}
+
+// NewMetrics returns Metrics whose counters are 0.
+func NewMetrics() *Metrics {
+	s := metrics.NewSet()
+	return &Metrics{
+		set:       s,
+		firstByte: s.NewHistogram(metricPrefix + "first_event_seconds"),
+		took:      s.NewHistogram(metricPrefix + "attempt_seconds"),
+		opened:    s.NewCounter(metricPrefix + "connections_total"),
+	}
+}
+
+// Write writes all metrics as text.
+func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
+
+// Gauge adds a value that is read when the metrics are.
+func (m *Metrics) Gauge(name string, value func() float64) { m.set.NewGauge(metricPrefix+name, value) }
+
+// Opened counts a new connection to an endpoint.
+func (m *Metrics) Opened() { m.opened.Inc() }
+
+func (m *Metrics) refused(r *refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`refused_total{status="%d",reason=%q}`, r.status, r.reason)).Inc()
+}
+
+func (m *Metrics) attempted(a *attempt, res result) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`attempts_total{result=%q}`, res)).Inc()
+	m.took.UpdateDuration(a.at)
+}
+
+func (m *Metrics) first(c *call) { m.firstByte.Update(time.Since(c.started).Seconds()) }
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/sse"
+)
+
+// errOrder is returned for an event that does not follow the last one.
+var errOrder = errors.New("gateway: an event is missing")
+
+// stream passes events on as they arrive. The caller's answer begins with the
+// first event, so that an endpoint which breaks off before it costs nothing.
+//
+// Where the stream breaks and may be resumed, the call goes on at another
+// endpoint after the last event that was passed on whole; the caller sees one
+// answer, with the head of the first.
+func (a *attempt) stream(ctx context.Context, x *http1.Exchange, timer *time.Timer) result {
+	c := a.call
+	events := sse.NewReader(x.Response.Body)
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return a.ended(x)
+		}
+		if err == nil {
+			err = c.follows(ev)
+		}
+		if err != nil {
+			return a.brokeOff(ctx, err)
+		}
+		if timer != nil {
+			timer.Reset(a.pause())
+		}
+		if a.first == 0 {
+			a.first = time.Since(a.at)
+		}
+		if ev.Numbered && ev.ID <= c.progress.last && c.progress.events > 0 {
+			continue
+		}
+		if err := c.pass(x.Response, ev); err != nil {
+			a.cause = err.Error()
+			return resultGone
+		}
+	}
+}
+
+// pause is how long a resumable stream may be silent.
+func (a *attempt) pause() time.Duration {
+	return max(time.Duration(pauseStall*float64(a.call.route.Pause)), minPause)
+}
+
+// follows checks that no event is missing before this one.
+func (c *call) follows(ev sse.Event) error {
+	if ev.Numbered && c.progress.last > 0 && ev.ID > c.progress.last+1 {
+		return errOrder
+	}
+	return nil
+}
+
+// pass writes one event to the caller.
+func (c *call) pass(head *http.Response, ev sse.Event) error {
+	if !c.progress.started {
+		c.copyHead(head)
+		c.out.WriteHeader(head.StatusCode)
+		c.progress.started = true
+		c.handler.config.Metrics.first(c)
+	}
+	if _, err := c.out.Write(ev.Raw); err != nil {
+		return err
+	}
+	if ev.Numbered {
+		c.progress.last = ev.ID
+	}
+	c.progress.events++
+	return http.NewResponseController(c.out).Flush()
+}
+
+// ended ends the caller's answer after the endpoint's.
+func (a *attempt) ended(x *http1.Exchange) result {
+	c := a.call
+	if !c.progress.started {
+		c.copyHead(x.Response)
+		c.out.WriteHeader(x.Response.StatusCode)
+		c.progress.started = true
+	}
+	a.outcome = balance.Served
+	c.handler.config.Crashes.Served(c.print)
+	x.Finish()
+	return resultDone
+}
+
+// brokeOff sorts the end of a stream that is not complete.
+func (a *attempt) brokeOff(ctx context.Context, err error) result {
+	a.cause = err.Error()
+	if a.call.gone() {
+		return resultGone
+	}
+	if ctx.Err() != nil && a.cause != "" {
+		a.cause = "silent: " + a.cause
+	}
+	a.outcome = balance.Failed
+	return resultBroken
+}
--- /dev/null
+++ b/internal/gossip/message.go
@@ -0,0 +1,127 @@
+// Package gossip is how the fleet's nodes know each other: they find one
+// another through seeds, tell each other their state and load in datagrams, and
+// hand on what they have read of the platform's store.
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// Starting nodes have no configuration yet and take no callers.
+	Starting State = iota
+	// Ready nodes take callers.
+	Ready
+	// Stopping nodes take no new callers.
+	Stopping
+)
+
+// maxDatagram is under what an Ethernet frame carries.
+const maxDatagram = 1400
+
+// ErrMessage is returned for a message that cannot be encoded or decoded.
+var ErrMessage = errors.New("gossip: bad message")
+
+type (
+	// State is whether a node takes callers.
+	State uint8
+
+	// Member is one node as others know it.
+	Member struct {
+		Name string     `cbor:"1,keyasint"`
+		Zone string     `cbor:"2,keyasint"`
+		IP   netip.Addr `cbor:"3,keyasint"`
+		// Callers is where the node takes callers.
+		Callers netip.AddrPort `cbor:"4,keyasint"`
+		// Incarnation differs between two starts of a node.
+		Incarnation uint64 `cbor:"5,keyasint"`
+		State       State  `cbor:"6,keyasint"`
+	}
+
+	// Contact is where a node can be reached.
+	Contact struct {
+		Name string     `cbor:"1,keyasint"`
+		IP   netip.Addr `cbor:"2,keyasint"`
+	}
+
+	// Crash is an endpoint that broke off while it ran a request, and the
+	// request's fingerprint.
+	Crash struct {
+		Print    uint64 `cbor:"1,keyasint"`
+		Endpoint uint32 `cbor:"2,keyasint"`
+	}
+
+	// heartbeat is what a node sends to each other node.
+	heartbeat struct {
+		From     Member `cbor:"1,keyasint"`
+		Sequence uint64 `cbor:"2,keyasint"`
+		// Revision is the store's revision up to which the node knows all.
+		Revision uint64 `cbor:"3,keyasint"`
+		// Loads are the node's requests in progress by endpoint.
+		Loads    map[uint32]int `cbor:"4,keyasint,omitempty"`
+		Contacts []Contact      `cbor:"5,keyasint,omitempty"`
+		Crashes  []Crash        `cbor:"6,keyasint,omitempty"`
+	}
+
+	// itemsRequest asks for the items that changed after a revision.
+	itemsRequest struct {
+		After uint64 `cbor:"1,keyasint"`
+	}
+
+	itemsReply struct {
+		Items    []item `cbor:"1,keyasint"`
+		Revision uint64 `cbor:"2,keyasint"`
+	}
+
+	item struct {
+		Key      string `cbor:"1,keyasint"`
+		Value    []byte `cbor:"2,keyasint"`
+		Revision uint64 `cbor:"3,keyasint"`
+		Removed  bool   `cbor:"4,keyasint,omitempty"`
+	}
+
+	// codec is the encoding of calls between nodes.
+	codec struct{}
+)
+
+// Marshal encodes a message.
+func (codec) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMessage, err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes a message.
+func (codec) Unmarshal(data []byte, msg drpc.Message) error {
+	if err := cbor.Unmarshal(data, msg); err != nil {
+		return fmt.Errorf("%w: %v", ErrMessage, err)
+	}
+	return nil
+}
+
+func encodeItems(list []deployment.Item, after uint64) []item {
+	var items []item
+	for _, i := range list {
+		if i.Revision > after {
+			items = append(items, item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+		}
+	}
+	return items
+}
+
+func decodeItems(list []item) []deployment.Item {
+	items := make([]deployment.Item, len(list))
+	for i, it := range list {
+		items[i] = deployment.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/gossip/pull.go
@@ -0,0 +1,135 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcserver"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	itemsCall = "/bulrushhinge.Gossip/Items"
+	// pullDelay is how long a node waits for the store to tell it what a peer
+	// already knows; the store's watch tells all nodes at about the same time.
+	pullDelay = 250 * time.Millisecond
+	// pullTimeout bounds a call to a peer, whose connection may be silent.
+	pullTimeout = 800 * time.Millisecond
+)
+
+// errCall is returned for a call that a node does not know.
+var errCall = errors.New("gossip: unknown call")
+
+type (
+	// caller calls other nodes.
+	caller struct{ port uint16 }
+
+	// server answers other nodes' calls.
+	server struct {
+		cancel  context.CancelFunc
+		running sync.WaitGroup
+	}
+
+	// handler answers calls.
+	handler struct{ book Book }
+)
+
+func newCaller(port uint16) *caller { return &caller{port: port} }
+
+func newServer(ctx context.Context, l net.Listener, book Book) *server {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &server{cancel: cancel}
+	s.running.Go(func() {
+		// The server ends with its context.
+		_ = drpcserver.New(handler{book: book}).Serve(ctx, l)
+	})
+	return s
+}
+
+func (s *server) close() {
+	s.cancel()
+	s.running.Wait()
+}
+
+// HandleRPC answers one call.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != itemsCall {
+		return errCall
+	}
+	var req itemsRequest
+	if err := stream.MsgRecv(&req, codec{}); err != nil {
+		return err
+	}
+	snap := h.book.Snapshot()
+	reply := itemsReply{Items: encodeItems(h.book.Items(), req.After), Revision: snap.Revision}
+	if err := stream.MsgSend(&reply, codec{}); err != nil {
+		return err
+	}
+	return stream.CloseSend()
+}
+
+// items asks a node for the items that changed after a revision.
+func (c *caller) items(ctx context.Context, ip netip.Addr, after uint64) (*itemsReply, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp4", netip.AddrPortFrom(ip, c.port).String())
+	if err != nil {
+		return nil, fmt.Errorf("gossip: items: %w", err)
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	var reply itemsReply
+	if err := conn.Invoke(ctx, itemsCall, codec{}, &itemsRequest{After: after}, &reply); err != nil {
+		return nil, fmt.Errorf("gossip: items: %w", err)
+	}
+	return &reply, nil
+}
+
+// pull takes from a peer what it has read of the store and this node has not.
+//
+// A node may be cut off from the store while others are not. One would see it
+// serve an old configuration, and send requests to endpoints that have left.
+// Any node that knows more is asked, one at a time.
+func (g *Gossip) pull(ctx context.Context, o *owner, from Member) {
+	select {
+	case o.pulling <- struct{}{}:
+	default:
+		return
+	}
+	g.running.Go(func() {
+		defer func() { <-o.pulling }()
+		select {
+		case <-time.After(pullDelay):
+		case <-ctx.Done():
+			return
+		}
+		after := g.config.Book.Snapshot().Revision
+		if after >= g.View().revision(from.Name) {
+			return
+		}
+		g.fetch(ctx, from, after)
+	})
+}
+
+func (g *Gossip) fetch(ctx context.Context, from Member, after uint64) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	age, _ := g.config.Book.Age()
+	reply, err := g.caller.items(ctx, from.IP, after)
+	if err != nil {
+		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "after": after, "error": err.Error()})
+		return
+	}
+	g.config.Log.Event("pull", decision.Fields{
+		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(reply.Items), "store_age_ms": age.Milliseconds(),
+	})
+	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(reply.Items), Revision: reply.Revision, Source: from.Name})
+}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,118 @@
+// Package http1 sends requests to endpoints over HTTP/1.1 connections of its
+// own, one exchange at a time, and never sends anything twice by itself.
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBuffer holds an answer's header and the first events.
+	readBuffer = 4 << 10
+	// ConnectTimeout bounds a new connection: an endpoint takes one within a
+	// millisecond or two, and drops the opening packet while its queue is full.
+	ConnectTimeout = 400 * time.Millisecond
+	// unackedTimeout is after how long without acknowledgement a connection
+	// counts as dead.
+	unackedTimeout = 1500 * time.Millisecond
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+	tcpUserTimeout = 18
+)
+
+var (
+	// ErrConnect is returned where no connection was made: nothing was sent.
+	ErrConnect = errors.New("http1: no connection")
+	// ErrBroken is returned where a connection broke, or gave bytes that are
+	// no answer, after a request was sent on it.
+	ErrBroken = errors.New("http1: connection broke")
+)
+
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	// used says that an exchange has ended on it.
+	used bool
+	// since is when the last exchange ended.
+	since time.Time
+	// idle is how long the endpoint keeps the connection.
+	idle time.Duration
+}
+
+// Dialer returns a dialer whose connections show a silent peer within seconds.
+//
+// Connections may fall silent for good without a reset. One would see requests
+// hang until they time out, and a node that no longer hears of changes. Probes
+// show it within three seconds, unacknowledged data earlier.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			if e := raw.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+			}); e != nil {
+				return e
+			}
+			return err
+		},
+	}
+}
+
+func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	c, err := Dialer(ConnectTimeout).DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrConnect, err)
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil, fmt.Errorf("%w: not TCP", ErrConnect)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrConnect, err)
+	}
+	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+}
+
+// quiet reports whether the connection is open and has nothing to read. Bytes
+// that wait on an idle connection belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// usable reports whether the connection may carry a further exchange.
+func (c *conn) usable(now time.Time) bool {
+	return now.Sub(c.since) < c.idle && c.quiet()
+}
+
+// answer reads the next answer's head.
+func (c *conn) answer(req *http.Request) (*http.Response, error) {
+	resp, err := http.ReadResponse(c.reader, req)
+	for err == nil && resp.StatusCode/100 == 1 {
+		resp, err = http.ReadResponse(c.reader, req)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/http1/exchange.go
@@ -0,0 +1,163 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// maxStray is how many answers to other requests are passed over while the own
+// one is awaited: an endpoint may answer an earlier request twice.
+const maxStray = 2
+
+// maxStrayBody bounds the body of such an answer.
+const maxStrayBody = 64 << 10
+
+type (
+	// Request is one request to an endpoint.
+	Request struct {
+		Addr netip.AddrPort
+		// ID is the request's ID, which the answer must name.
+		ID string
+		// HTTP is what is sent; its body must be of known length.
+		HTTP *http.Request
+		// Fresh asks for a connection that no other exchange has used.
+		Fresh bool
+	}
+
+	// Exchange is a request that was sent, and its answer.
+	Exchange struct {
+		Response *http.Response
+		// Fresh says that no other exchange had used the connection.
+		Fresh bool
+
+		pool   *Pool
+		addr   netip.AddrPort
+		conn   *conn
+		stop   func() bool
+		sent   atomic.Bool
+		wrote  chan error
+		ended  atomic.Bool
+		framed bool
+	}
+)
+
+// Do sends a request and waits for the answer's head. ErrConnect says that
+// nothing was sent; after every other error the request may have run. The end
+// of ctx closes the connection, which tells the endpoint to stop.
+func (p *Pool) Do(ctx context.Context, r Request) (*Exchange, error) {
+	var c *conn
+	if !r.Fresh {
+		c = p.take(r.Addr)
+	}
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx, r.Addr); err != nil {
+			return nil, err
+		}
+	}
+	x := &Exchange{pool: p, addr: r.Addr, conn: c, Fresh: !c.used, wrote: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	go func() {
+		err := r.HTTP.Write(c)
+		x.sent.Store(err == nil)
+		x.wrote <- err
+	}()
+	resp, err := x.await(r)
+	if err != nil {
+		x.Abort()
+		return nil, err
+	}
+	x.Response = resp
+	x.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return x, nil
+}
+
+// await reads answers until one names the request.
+//
+// An endpoint may send an answer twice, or late: it then stands where the next
+// answer on that connection is expected. One would see a caller get another's
+// answer. The request's ID tells them apart.
+func (x *Exchange) await(r Request) (*http.Response, error) {
+	for range maxStray + 1 {
+		resp, err := x.conn.answer(r.HTTP)
+		if err != nil {
+			return nil, err
+		}
+		id := resp.Header.Get(x.pool.config.RequestID)
+		if id == r.ID || (id == "" && x.Fresh) {
+			return resp, nil
+		}
+		if x.Fresh {
+			return nil, fmt.Errorf("%w: answer of another request", ErrBroken)
+		}
+		if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBody); !errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("%w: answer of another request", ErrBroken)
+		}
+	}
+	return nil, fmt.Errorf("%w: answers of other requests", ErrBroken)
+}
+
+// SetReadDeadline bounds the next reads of the answer.
+func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
+
+// Framed reports whether the answer's end is marked by its length or a last
+// chunk, rather than by the connection's end.
+func (x *Exchange) Framed() bool { return x.framed }
+
+// Finish ends an exchange whose answer has been read to its end. The connection
+// is kept if it may be used again.
+func (x *Exchange) Finish() {
+	if !x.ended.CompareAndSwap(false, true) {
+		return
+	}
+	alive := x.stop()
+	// An endpoint may answer before it has read the request. What it reads
+	// later on this connection must be the rest of that request, so the
+	// connection is used again only if all of it was written.
+	if !alive || !x.sent.Load() || x.Response.Close || !x.framed {
+		_ = x.conn.Close()
+		return
+	}
+	_ = x.conn.SetDeadline(time.Time{})
+	x.conn.idle = keepAlive(x.Response.Header.Get("Keep-Alive"))
+	x.pool.keep(x.addr, x.conn)
+}
+
+// Abort ends an exchange and closes its connection.
+func (x *Exchange) Abort() {
+	if !x.ended.CompareAndSwap(false, true) {
+		return
+	}
+	x.stop()
+	_ = x.conn.Close()
+}
+
+// keepAlive returns how long a connection may stay idle; it is given up some
+// time before the endpoint does, so that no request crosses the close.
+func keepAlive(header string) time.Duration {
+	for _, part := range strings.Split(header, ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if s, err := strconv.ParseFloat(value, 64); err == nil && s > 0 {
+			return min(time.Duration(s*float64(time.Second))*3/4, maxIdle)
+		}
+	}
+	return defaultIdle
+}
+
+// IsTimeout reports whether an error is a read deadline's.
+func IsTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
--- /dev/null
+++ b/internal/http1/pool.go
@@ -0,0 +1,138 @@
+package http1
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// defaultIdle is how long a connection is kept where the endpoint does not
+	// say: a little under the five seconds that many servers keep one.
+	defaultIdle = 4 * time.Second
+	// maxIdle bounds what an endpoint says.
+	maxIdle = 30 * time.Second
+	// maxKept is how many idle connections are kept to one endpoint.
+	maxKept = 16
+	// pruneInterval is how often old idle connections are closed.
+	pruneInterval = 2 * time.Second
+)
+
+type (
+	// PoolConfig is the settings of a Pool.
+	PoolConfig struct {
+		// RequestID is the header by which an answer names its request.
+		RequestID string
+		// Opened is called for each new connection; it may be nil.
+		Opened func()
+	}
+
+	// Pool keeps connections to endpoints.
+	Pool struct {
+		config  PoolConfig
+		mu      sync.Mutex
+		kept    map[netip.AddrPort][]*conn
+		cancel  context.CancelFunc
+		running sync.WaitGroup
+	}
+)
+
+// NewPool returns a pool without connections.
+func NewPool(c PoolConfig) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Pool{config: c, kept: map[netip.AddrPort][]*conn{}, cancel: cancel}
+	p.running.Go(func() {
+		tick := time.NewTicker(pruneInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-tick.C:
+				p.prune(now)
+			}
+		}
+	})
+	return p
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.cancel()
+	p.running.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.kept {
+		closeAll(list)
+		delete(p.kept, addr)
+	}
+}
+
+// take returns a kept connection, or nil.
+func (p *Pool) take(addr netip.AddrPort) *conn {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.kept[addr]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.kept[addr] = list
+		if c.usable(now) {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	if p.config.Opened != nil {
+		p.config.Opened()
+	}
+	return dial(ctx, addr)
+}
+
+// keep takes a connection back after a clean exchange.
+func (p *Pool) keep(addr netip.AddrPort, c *conn) {
+	c.since = time.Now()
+	c.used = true
+	if !c.quiet() {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.kept[addr]) >= maxKept {
+		_ = c.Close()
+		return
+	}
+	p.kept[addr] = append(p.kept[addr], c)
+}
+
+func (p *Pool) prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.kept {
+		var rest []*conn
+		for _, c := range list {
+			if c.usable(now) {
+				rest = append(rest, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(rest) == 0 {
+			delete(p.kept, addr)
+			continue
+		}
+		p.kept[addr] = rest
+	}
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
