Let watches of the store end within seconds

Cause: a watch that waits may never be told of changes made while the store drops its history; nothing resets its connection, and only its end, after 20 s, showed the loss. Ruled out: a lost reset (the connection stayed open), a slow reading (it took 13 ms once begun). Change: some node's watch ends every 0.8 s; that node reads anew and the others take it from there.

--- a/gateway.go
+++ b/gateway.go
@@ -140,7 +140,10 @@
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
 		Crashes: crashes, Metrics: g.metrics, Log: g.log, Stopping: g.stopping.Load,
 	})
-	g.follower = store.NewFollower(store.FollowerConfig{Source: c.Source, Sink: g.state, Log: g.log})
+	g.follower = store.NewFollower(store.FollowerConfig{
+		Source: c.Source, Sink: g.state, Log: g.log,
+		Nodes: func() int { return len(g.gossip.View().Alive) + 1 },
+	})
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -14,10 +14,18 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch open. The store takes
-	// up to 30 s; each watch that ends is a call that is paid for.
-	watchWait = 20 * time.Second
-	// watchSlack is how long after watchWait an answer may still come.
+	// watchSpacing is how often a watch of some node of the fleet should end.
+	// A watch may miss changes, and nothing shows it but its end; then that
+	// node tells the others. Each watch that ends is a call that is paid for.
+	watchSpacing = 800 * time.Millisecond
+	// watchMin and watchMax bound how long the store may hold a watch open; it
+	// takes up to 30 s.
+	watchMin = 2 * time.Second
+	watchMax = 20 * time.Second
+	// watchJitter is the part of the wait that is drawn, so that the nodes'
+	// watches do not end together.
+	watchJitter = 0.4
+	// watchSlack is how long after its wait a watch may still be answered.
 	watchSlack = 2 * time.Second
 	// readTimeout bounds a read. The store answers within 4 ms, and 60 times
 	// slower on a bad day.
@@ -63,7 +71,9 @@
 	FollowerConfig struct {
 		Source Source
 		Sink   Sink
-		Log    *decision.Log
+		// Nodes returns how many nodes follow the store.
+		Nodes func() int
+		Log   *decision.Log
 	}
 
 	// Follower keeps a Sink up to date with the store.
@@ -108,9 +118,10 @@
 	if !cur.fresh {
 		return f.read(ctx, cur)
 	}
-	wait, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := f.wait()
+	limited, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	page, err := f.config.Source.Watch(wait, cur.revision, watchWait)
+	page, err := f.config.Source.Watch(limited, cur.revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.config.Log.Event("store.compacted", decision.Fields{"revision": cur.revision})
 		cur.fresh = false
@@ -125,6 +136,12 @@
 	return nil
 }
 
+// wait is how long the next watch is held open.
+func (f *Follower) wait() time.Duration {
+	wait := min(max(time.Duration(f.config.Nodes())*watchSpacing, watchMin), watchMax)
+	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
+}
+
 // read takes everything, page by page. The pages are no snapshot; the watch
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
--- /dev/null
+++ b/internal/store/follower_test.go
@@ -0,0 +1,164 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/store"
+)
+
+type (
+	// fakeStore is a store in virtual time.
+	fakeStore struct {
+		mu sync.Mutex
+		// deaf watches are never told of changes.
+		deaf     bool
+		err      error
+		revision uint64
+		// oldest is the oldest revision that can be watched from.
+		oldest uint64
+		items  []deployment.Item
+		calls  int
+	}
+
+	sink struct {
+		mu      sync.Mutex
+		updates []deployment.Update
+		touched int
+	}
+)
+
+var errDown = errors.New("down")
+
+func (f *fakeStore) Range(context.Context, string) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return store.Page{Items: f.items, Revision: f.revision}, f.err
+}
+
+func (f *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (store.Page, error) {
+	end := time.Now().Add(wait)
+	f.mu.Lock()
+	f.calls++
+	deaf := f.deaf
+	f.mu.Unlock()
+	for first := true; ; first = false {
+		page, err := f.changes(after, deaf && !first)
+		if err != nil || len(page.Items) > 0 || !time.Now().Before(end) {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return store.Page{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (f *fakeStore) changes(after uint64, deaf bool) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return store.Page{}, f.err
+	}
+	if after < f.oldest && !deaf {
+		return store.Page{}, store.ErrCompacted
+	}
+	page := store.Page{Revision: f.revision}
+	for _, i := range f.items {
+		if i.Revision > after && !deaf {
+			page.Items = append(page.Items, i)
+		}
+	}
+	return page, nil
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (s *sink) Apply(_ context.Context, u deployment.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updates = append(s.updates, u)
+}
+
+func (s *sink) Touched() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.touched++
+}
+
+func (s *sink) last() deployment.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.updates) == 0 {
+		return deployment.Update{}
+	}
+	return s.updates[len(s.updates)-1]
+}
+
+// Symptom: a node answers 404 for a route that was added five seconds ago.
+// Sequence: the store drops its history while a watch waits; the watch is never
+// told of the changes made meanwhile, and nothing resets its connection.
+// Cause: the watch was held open for 20 s, and only its end showed the loss.
+func TestWatchThatHearsNothingIsAskedAnewWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{revision: 10, deaf: true}
+		s := &sink{}
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 1 }})
+		defer follower.Close()
+		time.Sleep(time.Second)
+		f.set(func() {
+			f.revision, f.oldest = 11, 11
+			f.items = []deployment.Item{{Key: "a", Revision: 11}}
+		})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, uint64(11), s.last().Revision)
+	})
+}
+
+// In a larger fleet each node asks less often: some node's watch ends within
+// the same time, and nodes tell each other what they have read.
+func TestWatchesOfALargeFleetAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{revision: 10}
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Nodes: func() int { return 300 }})
+		defer follower.Close()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, f.calls, 6)
+	})
+}
+
+// Symptom: no endpoint is known for seconds after an outage of the store.
+// Sequence: the store is away, entries lapse, the store is back.
+// Cause: the update after an outage did not say that entries may have lapsed.
+func TestReadingAfterAnOutageSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{revision: 10}
+		s := &sink{}
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 1 }})
+		defer follower.Close()
+		time.Sleep(time.Second)
+		require.False(t, s.last().Regained)
+		f.set(func() { f.err = errDown })
+		time.Sleep(5 * time.Second)
+		f.set(func() { f.err = nil })
+		time.Sleep(2 * time.Second)
+		found := false
+		for _, u := range s.updates {
+			found = found || (u.Regained && u.Whole)
+		}
+		require.True(t, found)
+	})
+}
