Read anew after a failed watch; hold lapsed entries under the drain bound

Cause: after a silent outage the next watch hung until its own timeout, so one node followed the store 2.9 s later than its peers, took the outage's end for later than it was and held back the removal of an endpoint that had left: a request reached it 65 ms past the bound. Ruled out: a late notice (the removal was known 4 ms after it). Change: the call after a failure is a reading, with a short timeout; a removal is held for at most the drain bound less 250 ms; removals told by peers are held too.

--- a/gateway.go
+++ b/gateway.go
@@ -80,6 +80,8 @@
 		Retry budget.Config
 		// AddressTTL bounds how long callers keep an answer.
 		AddressTTL time.Duration
+		// Drain is within what time a leaving endpoint must get no more requests.
+		Drain time.Duration
 		// Grace is how long the process may go on after it is told to stop.
 		Grace time.Duration
 		// Log takes JSON lines.
@@ -118,7 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
-	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Log: g.log})
+	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Log: g.log})
 	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	crashes := gateway.NewCrashes(func(print uint64, endpoint string) {
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -12,20 +12,28 @@
 )
 
 const (
-	// holdLapse is how long after an outage of the store an entry that has
-	// lapsed may take to come back: two seconds by the platform's word, and a
-	// quarter for the way.
-	holdLapse = 2250 * time.Millisecond
+	// lapseWindow is how long after an outage of the store entries may have
+	// lapsed: two seconds by the platform's word, and a quarter for the way.
+	lapseWindow = 2250 * time.Millisecond
+	// holdMargin is how long before the bound on leaving endpoints a removal
+	// that was held back counts.
+	holdMargin = 250 * time.Millisecond
 	// sweepInterval is how often held removals are looked at.
 	sweepInterval = 100 * time.Millisecond
 	updateQueue   = 64
 )
 
+// SourceStore is the source of an update that the store itself has given.
+const SourceStore = "store"
+
 type (
 	// StateConfig is the settings of a State.
 	StateConfig struct {
 		Decoder Decoder
-		Log     *decision.Log
+		// Drain is within what time a leaving endpoint must get no more
+		// requests.
+		Drain time.Duration
+		Log   *decision.Log
 	}
 
 	// State keeps what is known of the deployment. One goroutine owns it; all
@@ -53,7 +61,7 @@
 		// Regained says that the store was away before this update: entries
 		// may have lapsed though their endpoints live.
 		Regained bool
-		// Source names the store or a peer, for logs.
+		// Source is SourceStore or a peer's name.
 		Source string
 	}
 
@@ -129,7 +137,7 @@
 
 func (s *State) apply(b *book, u Update, now time.Time) {
 	if u.Regained {
-		b.trusted = now.Add(holdLapse)
+		b.trusted = now.Add(lapseWindow)
 	}
 	if u.Whole && u.Revision < b.revision {
 		return
@@ -201,16 +209,18 @@
 // While the store is away, endpoints cannot renew their entries, and all of
 // them lapse though their processes live. One would see every request refused
 // for lack of endpoints just after the store is back. Those that live are back
-// in the store soon; a removal counts if its entry isn't.
+// in the store soon; a removal counts if its entry isn't. What a peer tells may
+// stem from such an outage too. The hold stays under the bound on endpoints
+// that leave, since some of them leave by their entry's removal alone.
 func (s *State) remove(b *book, id string, item Item, u Update, now time.Time) bool {
 	e, ok := b.endpoints[id]
 	if !ok {
 		return false
 	}
-	held := now.Before(b.trusted) && !e.Draining
+	held := (now.Before(b.trusted) || u.Source != SourceStore) && !e.Draining
 	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
 	if held {
-		b.lapsed[id] = b.trusted
+		b.lapsed[id] = now.Add(min(lapseWindow, s.config.Drain-holdMargin))
 		return false
 	}
 	delete(b.endpoints, id)
--- /dev/null
+++ b/internal/deployment/state_test.go
@@ -0,0 +1,123 @@
+package deployment_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+// decoder takes "e/ID" for endpoints, whose value is their state, and
+// "config/N" for configurations of version N.
+type decoder struct{}
+
+func (decoder) Decode(i deployment.Item) (deployment.Change, error) {
+	if id, ok := strings.CutPrefix(i.Key, "e/"); ok {
+		if i.Removed {
+			return deployment.Change{Removed: id}, nil
+		}
+		return deployment.Change{Endpoint: &deployment.Endpoint{ID: id, Service: "s", Draining: string(i.Value) == "draining"}}, nil
+	}
+	return deployment.Change{Config: &deployment.Config{Version: uint64(len(i.Value))}}, nil
+}
+
+func entry(id string, revision uint64, value string) deployment.Item {
+	return deployment.Item{Key: "e/" + id, Value: []byte(value), Revision: revision}
+}
+
+func removal(id string, revision uint64) deployment.Item {
+	return deployment.Item{Key: "e/" + id, Revision: revision, Removed: true}
+}
+
+func ids(s *deployment.State) []string {
+	var list []string
+	for _, e := range s.Snapshot().Endpoints["s"] {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+func TestStateOfUpdates(t *testing.T) {
+	const drain = 2 * time.Second
+	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Whole: true, Source: deployment.SourceStore}
+	cases := []struct {
+		name   string
+		update deployment.Update
+		// wait is how long after the update the endpoints are looked at.
+		wait time.Duration
+		want []string
+	}{
+		{
+			name:   "a removal told by the store counts at once",
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: deployment.SourceStore},
+			want:   []string{"b"},
+		},
+		{
+			// Symptom: every request refused just after an outage of the store.
+			// Sequence: the store is away, entries lapse, a reading finds none.
+			// Cause: lapsed entries were taken for endpoints that had left.
+			name:   "entries that are missing after an outage are kept for a while",
+			update: deployment.Update{Revision: 3, Whole: true, Regained: true, Source: deployment.SourceStore},
+			want:   []string{"a", "b"},
+		},
+		{
+			// Symptom: a request reaches an endpoint 2065 ms after it has left.
+			// Sequence: the store is back after an outage, an endpoint leaves by
+			// its entry's removal. Cause: removals were held for longer than
+			// endpoints may get requests.
+			name:   "but not for longer than endpoints that leave may get requests",
+			update: deployment.Update{Revision: 3, Whole: true, Regained: true, Source: deployment.SourceStore},
+			wait:   drain - 100*time.Millisecond,
+		},
+		{
+			name:   "a removal told by a peer may stem from an outage",
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: "n1"},
+			want:   []string{"a", "b"},
+		},
+		{
+			name:   "an older reading says nothing",
+			update: deployment.Update{Revision: 1, Whole: true, Source: deployment.SourceStore},
+			want:   []string{"a", "b"},
+		},
+		{
+			name:   "an older item says nothing",
+			update: deployment.Update{Items: []deployment.Item{removal("b", 2)}, Revision: 4, Source: deployment.SourceStore},
+			want:   []string{"a", "b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: drain})
+				defer s.Close()
+				s.Apply(context.Background(), start)
+				s.Apply(context.Background(), c.update)
+				synctest.Wait()
+				time.Sleep(c.wait)
+				synctest.Wait()
+				require.Equal(t, c.want, ids(s))
+			})
+		})
+	}
+}
+
+// A configuration is never replaced by an older one, whoever tells it.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}})
+		defer s.Close()
+		for _, u := range []deployment.Update{
+			{Items: []deployment.Item{{Key: "config", Value: []byte("xxx"), Revision: 5}}, Revision: 5, Source: deployment.SourceStore},
+			{Items: []deployment.Item{{Key: "config", Value: []byte("x"), Revision: 6}}, Revision: 6, Source: "n1"},
+		} {
+			s.Apply(context.Background(), u)
+		}
+		synctest.Wait()
+		require.Equal(t, uint64(3), s.Snapshot().Config.Version)
+	})
+}
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Revision: page.Revision, Source: "store"})
+	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Revision: page.Revision, Source: deployment.SourceStore})
 	cur.revision = max(cur.revision, page.Revision)
 	return nil
 }
@@ -162,9 +162,9 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	lost := cur.lost
+	failed := cur.failures > 0
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Revision: revision, Whole: true, Regained: lost, Source: "store"})
+	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Revision: revision, Whole: true, Regained: failed, Source: deployment.SourceStore})
 	cur.revision, cur.fresh = revision, true
 	return nil
 }
@@ -183,12 +183,14 @@
 	cur.failures, cur.lost = 0, false
 }
 
-// failed waits before the next try. After an outage everything is read anew:
-// entries may have lapsed meanwhile.
+// failed waits before the next try, which reads everything anew: entries may
+// have lapsed meanwhile, and a reading fails within its short timeout where a
+// watch of a silent store would hang for seconds after the store's return.
 func (f *Follower) failed(ctx context.Context, cur *cursor, err error) {
 	cur.failures++
+	cur.fresh = false
 	if cur.failures >= refusals && !cur.lost {
-		cur.lost, cur.fresh = true, false
+		cur.lost = true
 		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
 	}
 	pause := min(retryMin<<min(cur.failures-1, 3), retryMax)
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,3 +163,44 @@
 		require.True(t, found)
 	})
 }
+
+// Symptom: a node follows the store again only three seconds after the store's
+// return from a silent outage, while its peers do at once.
+// Sequence: the store falls silent, the watch times out, the next watch is sent
+// and hangs until its own timeout though the store is back.
+// Cause: a watch was asked for again instead of a reading, which fails soon.
+func TestSilentStoreIsFoundBackSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &silentStore{}
+		s := &sink{}
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 25 }})
+		defer follower.Close()
+		time.Sleep(time.Second)
+		f.silent.Store(true)
+		time.Sleep(60 * time.Second)
+		f.silent.Store(false)
+		before := s.touched
+		time.Sleep(3 * time.Second)
+		require.Greater(t, s.touched, before)
+	})
+}
+
+// silentStore answers nothing while it is silent: calls made then hang for good.
+type silentStore struct{ silent atomic.Bool }
+
+func (f *silentStore) Range(ctx context.Context, _ string) (store.Page, error) {
+	return f.answer(ctx, 0)
+}
+
+func (f *silentStore) Watch(ctx context.Context, _ uint64, wait time.Duration) (store.Page, error) {
+	return f.answer(ctx, wait)
+}
+
+func (f *silentStore) answer(ctx context.Context, wait time.Duration) (store.Page, error) {
+	time.Sleep(wait)
+	if f.silent.Load() {
+		<-ctx.Done()
+		return store.Page{}, ctx.Err()
+	}
+	return store.Page{Revision: 1}, nil
+}
