Let three eager nodes renew their watches every two seconds

Cause: spreading the ends of watches by drawing their waits fails after an event, which makes all nodes watch anew at the same moment: no watch ended for 4 s, and a configuration that the deaf watches had missed was 4.3 s late. Ruled out: a late pull (peers had it 0.3 s after the first node). Change: the first three nodes by name that hear from the store hold watches open for 2 s; the others for 20 s, and are told by those.

--- a/gateway.go
+++ b/gateway.go
@@ -144,7 +144,7 @@
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
-		Nodes: func() int { return len(g.gossip.View().Alive) + 1 },
+		Eager: g.gossip.Eager,
 	})
 	if err := g.listen(); err != nil {
 		cancel()
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -44,10 +44,12 @@
 		snapshot atomic.Pointer[Snapshot]
 		// contact is when the store itself last answered, as time since start.
 		contact atomic.Int64
-		start   time.Time
-		items   atomic.Pointer[[]Item]
-		cancel  context.CancelFunc
-		running sync.WaitGroup
+		// following says that the store answered the last call.
+		following atomic.Bool
+		start     time.Time
+		items     atomic.Pointer[[]Item]
+		cancel    context.CancelFunc
+		running   sync.WaitGroup
 	}
 
 	// Update is a set of items, from the store or from a peer.
@@ -118,7 +120,16 @@
 func (s *State) Items() []Item { return *s.items.Load() }
 
 // Touched notes that the store itself has just answered.
-func (s *State) Touched() { s.contact.Store(int64(time.Since(s.start))) }
+func (s *State) Touched() {
+	s.contact.Store(int64(time.Since(s.start)))
+	s.following.Store(true)
+}
+
+// Missed notes that the store has not answered a call.
+func (s *State) Missed() { s.following.Store(false) }
+
+// Following reports whether the store answered the last call.
+func (s *State) Following() bool { return s.following.Load() }
 
 // Age returns how long ago the store last answered, and whether it ever did.
 func (s *State) Age() (time.Duration, bool) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,6 +31,9 @@
 	// crashesPerBeat bounds a heartbeat.
 	crashesPerBeat = 16
 	inboxLength    = 256
+	// eagerNodes is how many nodes notice missed changes of the store soon;
+	// one or two of them may be cut off without anyone's knowing yet.
+	eagerNodes = 3
 )
 
 // ErrStart is returned where the sockets cannot be opened.
@@ -43,6 +46,8 @@
 		Items() []deployment.Item
 		Apply(ctx context.Context, u deployment.Update)
 		Age() (time.Duration, bool)
+		// Following reports whether the store answered the last call.
+		Following() bool
 	}
 
 	// Config is the settings of a Gossip.
@@ -171,6 +176,21 @@
 	return max(beatInterval, time.Duration(nodes)*beatPerNode)
 }
 
+// Eager reports whether this node is among the first few, by name, that hear
+// from the store.
+func (g *Gossip) Eager() bool {
+	if !g.config.Book.Following() {
+		return true
+	}
+	before := 0
+	for _, m := range g.View().Alive {
+		if m.Follows && m.Name < g.config.Self.Name {
+			before++
+		}
+	}
+	return before < eagerNodes
+}
+
 // receive decodes a datagram; one that cannot be decoded says nothing.
 func (g *Gossip) receive(data []byte) {
 	b := &heartbeat{}
@@ -242,6 +262,7 @@
 	o.sequence++
 	self := g.config.Self
 	self.State = g.config.State()
+	self.Follows = g.config.Book.Following()
 	b := heartbeat{
 		From: self, Sequence: o.sequence, Revision: g.config.Book.Snapshot().Revision,
 		Loads: g.config.Loads(), Contacts: o.contacts(), Crashes: o.told(now),
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -43,6 +43,8 @@
 		// Incarnation differs between two starts of a node.
 		Incarnation uint64 `cbor:"5,keyasint"`
 		State       State  `cbor:"6,keyasint"`
+		// Follows says that the store answered the node's last call.
+		Follows bool `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Contact is where a node can be reached.
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -14,19 +14,18 @@
 )
 
 const (
-	// watchSpacing is how often a watch of some node of the fleet should end.
-	// A watch may miss changes, and nothing shows it but its end; then that
-	// node tells the others. Each watch that ends is a call that is paid for.
-	watchSpacing = 800 * time.Millisecond
-	// watchMin and watchMax bound how long the store may hold a watch open; it
-	// takes up to 30 s.
-	watchMin = 2 * time.Second
-	watchMax = 20 * time.Second
+	// watchSoon is how long the store may hold the watch of a node open that
+	// must notice missed changes: a watch may never be told of them, and
+	// nothing shows it but its end. The installations allow three seconds.
+	// Each watch that ends is a call that is paid for.
+	watchSoon = 2 * time.Second
+	// watchLong is the same for the other nodes, which are told by their peers.
+	watchLong = 20 * time.Second
 	// watchJitter is the part of the wait that is drawn, so that the nodes'
 	// watches do not end together.
-	watchJitter = 0.4
+	watchJitter = 0.2
 	// watchSlack is how long after its wait a watch may still be answered.
-	watchSlack = 2 * time.Second
+	watchSlack = time.Second
 	// readTimeout bounds a read. The store answers within 4 ms, and 60 times
 	// slower on a bad day.
 	readTimeout = 1500 * time.Millisecond
@@ -64,15 +63,18 @@
 	// Sink takes what was read.
 	Sink interface {
 		Apply(ctx context.Context, u deployment.Update)
+		// Touched notes that the store has answered, and Missed that it has not.
 		Touched()
+		Missed()
 	}
 
 	// FollowerConfig is the settings of a Follower.
 	FollowerConfig struct {
 		Source Source
 		Sink   Sink
-		// Nodes returns how many nodes follow the store.
-		Nodes func() int
+		// Eager reports whether this node is one of the few that notice
+		// missed changes soon, and tell the others.
+		Eager func() bool
 		Log   *decision.Log
 	}
 
@@ -138,7 +140,10 @@
 
 // wait is how long the next watch is held open.
 func (f *Follower) wait() time.Duration {
-	wait := min(max(time.Duration(f.config.Nodes())*watchSpacing, watchMin), watchMax)
+	wait := watchLong
+	if f.config.Eager() {
+		wait = watchSoon
+	}
 	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
 }
 
@@ -189,6 +194,7 @@
 func (f *Follower) failed(ctx context.Context, cur *cursor, err error) {
 	cur.failures++
 	cur.fresh = false
+	f.config.Sink.Missed()
 	if cur.failures >= refusals && !cur.lost {
 		cur.lost = true
 		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -36,6 +36,10 @@
 	}
 )
 
+func always() bool { return true }
+
+func never() bool { return false }
+
 var errDown = errors.New("down")
 
 func (f *fakeStore) Range(context.Context, string) (store.Page, error) {
@@ -100,6 +104,8 @@
 	s.touched++
 }
 
+func (*sink) Missed() {}
+
 func (s *sink) last() deployment.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10, deaf: true}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 1 }})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: always})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		f.set(func() {
@@ -129,12 +135,11 @@
 	})
 }
 
-// In a larger fleet each node asks less often: some node's watch ends within
-// the same time, and nodes tell each other what they have read.
-func TestWatchesOfALargeFleetAreSpread(t *testing.T) {
+// Most nodes ask rarely: the few eager ones tell them what they have missed.
+func TestOtherWatchesAreHeldOpenLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Nodes: func() int { return 300 }})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Eager: never})
 		defer follower.Close()
 		time.Sleep(time.Minute)
 		require.LessOrEqual(t, f.calls, 6)
@@ -148,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 1 }})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: always})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		require.False(t, s.last().Regained)
@@ -173,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &silentStore{}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Nodes: func() int { return 25 }})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: never})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		f.silent.Store(true)
