--- a/gateway.go
+++ b/gateway.go
@@ -130,7 +130,7 @@
 	g.gossip, err = gossip.New(gossip.Config{
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Book: g.state,
-		State: g.memberState, Loads: g.balancer.Active, Log: g.log,
+		State: g.memberState, Work: g.balancer, Log: g.log,
 		Crashed: func(k gossip.Crash) { crashes.Note(time.Now(), k.Print, k.Endpoint) },
 	})
 	if err != nil {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -129,22 +129,26 @@
 	o.active++
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all)}
 	if r.Key != "" {
-		order := ordered(all)
+		order := ordered(r.Key, list)
 		choice.First = order[0]
-		choice.Source = b.held.source(r.Key, c.endpoint, order, list, now)
-		b.held.note(r.Key, c.endpoint.ID, now)
+		part := xxhash.Sum64String(r.Key)
+		choice.Source = b.held.source(part, c.endpoint, order, now)
+		b.held.note(Placement{Part: part, Endpoint: Key(c.endpoint.ID)}, now)
 	}
 	return choice
 }
 
-// ordered returns the candidates in the key's rendezvous order.
-func ordered(all []candidate) []*deployment.Endpoint {
-	sorted := slices.SortedFunc(slices.Values(all), func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	order := make([]*deployment.Endpoint, len(sorted))
-	for i, c := range sorted {
-		order[i] = c.endpoint
-	}
-	return order
+// ordered returns the endpoints in the key's rendezvous order. Draining ones are
+// among them: they still keep what was sent to them.
+func ordered(key string, list []*deployment.Endpoint) []*deployment.Endpoint {
+	return slices.SortedFunc(slices.Values(list), func(a, b *deployment.Endpoint) int {
+		return cmp.Compare(score(key, b), score(key, a))
+	})
+}
+
+// score is an endpoint's place in a key's rendezvous order; the highest is first.
+func score(key string, e *deployment.Endpoint) uint64 {
+	return xxhash.Sum64String(key + "\x00" + e.ID)
 }
 
 // Release ends the count of a request at an endpoint, with its outcome.
@@ -169,6 +173,22 @@
 	return counts
 }
 
+// Placements returns this node's new placements, for the other nodes.
+func (b *Balancer) Placements(now time.Time) []Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held.recent(now)
+}
+
+// Placed takes placements of another node.
+func (b *Balancer) Placed(now time.Time, list []Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range list {
+		b.held.put(p, holder{endpoint: p.Endpoint, at: now, told: now})
+	}
+}
+
 // Forget drops what is known of endpoints that were not used for a time.
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mu.Lock()
@@ -210,7 +230,7 @@
 		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
 		c.blocked = now.Before(o.health.until) || now.Before(o.health.full)
 		if r.Key != "" {
-			c.score = xxhash.Sum64String(r.Key + "\x00" + e.ID)
+			c.score = score(r.Key, e)
 		}
 		all = append(all, c)
 	}
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -10,62 +10,111 @@
 const (
 	// holdersKept is how many endpoints are remembered for one part of a prompt.
 	holdersKept = 3
-	// maxKeys bounds the parts remembered, in two generations.
+	// maxKeys bounds the parts remembered, in each of two generations.
 	maxKeys = 8192
 	// heldFor is how long after its last use a part counts as kept in an
 	// endpoint's memory.
 	heldFor = 30 * time.Second
+	// tellFor is how long a placement stands in this node's heartbeats: three
+	// of them in a small fleet, as datagrams get lost.
+	tellFor = 300 * time.Millisecond
+	// tellAgain is how often a placement is told that goes on.
+	tellAgain = 10 * time.Second
+	// maxTold bounds the placements in one heartbeat.
+	maxTold = 40
 )
 
 type (
-	// holders remembers where this node has sent the parts of prompts, newest
+	// Placement says that an endpoint has got a part of a prompt, both by their
+	// short names.
+	Placement struct {
+		Part     uint64 `cbor:"1,keyasint"`
+		Endpoint uint32 `cbor:"2,keyasint"`
+	}
+
+	// holders remembers which endpoints have got the parts of prompts, newest
 	// first.
 	holders struct {
-		now, old map[string][]holder
+		now, old map[uint64][]holder
+		news     []placed
 	}
 
 	holder struct {
-		id string
-		at time.Time
+		endpoint uint32
+		at       time.Time
+		told     time.Time
+	}
+
+	placed struct {
+		placement Placement
+		at        time.Time
 	}
 )
 
-func newHolders() *holders { return &holders{now: map[string][]holder{}, old: map[string][]holder{}} }
+func newHolders() *holders {
+	return &holders{now: map[uint64][]holder{}, old: map[uint64][]holder{}}
+}
 
-func (h *holders) get(key string) []holder {
-	if list, ok := h.now[key]; ok {
+func (h *holders) get(part uint64) []holder {
+	if list, ok := h.now[part]; ok {
 		return list
 	}
-	return h.old[key]
+	return h.old[part]
 }
 
-func (h *holders) note(key, id string, now time.Time) {
-	list := []holder{{id: id, at: now}}
-	for _, o := range h.get(key) {
-		if o.id != id && len(list) < holdersKept {
+// note remembers a placement of this node, and tells the others if they may not
+// know of it.
+func (h *holders) note(p Placement, now time.Time) {
+	told := time.Time{}
+	for _, o := range h.get(p.Part) {
+		if o.endpoint == p.Endpoint {
+			told = o.told
+		}
+	}
+	if now.Sub(told) > tellAgain {
+		told = now
+		h.news = append(h.news, placed{placement: p, at: now})
+	}
+	h.put(p, holder{endpoint: p.Endpoint, at: now, told: told})
+}
+
+func (h *holders) put(p Placement, newest holder) {
+	list := []holder{newest}
+	for _, o := range h.get(p.Part) {
+		if o.endpoint != p.Endpoint && len(list) < holdersKept {
 			list = append(list, o)
 		}
 	}
 	if len(h.now) >= maxKeys {
-		h.old, h.now = h.now, map[string][]holder{}
+		h.old, h.now = h.now, map[uint64][]holder{}
+	}
+	h.now[p.Part] = list
+}
+
+// recent returns the placements that the other nodes are to be told of.
+func (h *holders) recent(now time.Time) []Placement {
+	h.news = slices.DeleteFunc(h.news, func(p placed) bool { return now.Sub(p.at) > tellFor })
+	var list []Placement
+	for i := len(h.news) - 1; i >= 0 && len(list) < maxTold; i-- {
+		list = append(list, h.news[i].placement)
 	}
-	h.now[key] = list
+	return list
 }
 
 // source returns the endpoint from which the chosen one should fetch a part, or
 // nil if it is believed to keep the part itself: the one that got the part
-// last, or else the one to which other nodes send it.
-func (h *holders) source(key string, chosen *deployment.Endpoint, order []*deployment.Endpoint, list []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
-	known := h.get(key)
+// last, or else the first in the part's rendezvous order.
+func (h *holders) source(part uint64, chosen *deployment.Endpoint, order []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
+	known := h.get(part)
 	for _, o := range known {
-		if o.id == chosen.ID && now.Sub(o.at) < heldFor {
+		if o.endpoint == Key(chosen.ID) && now.Sub(o.at) < heldFor {
 			return nil
 		}
 	}
 	for _, o := range known {
-		i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return e.ID == o.id })
-		if i >= 0 && o.id != chosen.ID && now.Sub(o.at) < heldFor {
-			return list[i]
+		i := slices.IndexFunc(order, func(e *deployment.Endpoint) bool { return Key(e.ID) == o.endpoint })
+		if i >= 0 && order[i] != chosen && now.Sub(o.at) < heldFor {
+			return order[i]
 		}
 	}
 	for _, e := range order {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -237,6 +237,7 @@
 		"result": res.String(), "status": a.status, "took_ms": time.Since(a.at).Milliseconds(), "first_ms": a.first.Milliseconds(),
 	}
 	if a.choice.First != nil {
+		f["prompt"] = a.call.key
 		f["preferred"] = a.choice.First.ID == a.choice.Endpoint.ID
 	}
 	if a.choice.Source != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
@@ -50,6 +51,16 @@
 		Following() bool
 	}
 
+	// Work is what the node's requests are doing.
+	Work interface {
+		// Active returns this node's requests in progress by endpoint.
+		Active() map[uint32]int
+		// Placements returns where this node has lately sent parts of prompts,
+		// and Placed takes the same from another node.
+		Placements(now time.Time) []balance.Placement
+		Placed(now time.Time, list []balance.Placement)
+	}
+
 	// Config is the settings of a Gossip.
 	Config struct {
 		// Self is this node; its State is given by State.
@@ -61,8 +72,7 @@
 		Book  Book
 		// State returns whether this node takes callers.
 		State func() State
-		// Loads returns this node's requests in progress by endpoint.
-		Loads func() map[uint32]int
+		Work  Work
 		// Crashed takes what other nodes tell of crashes.
 		Crashed func(c Crash)
 		Log     *decision.Log
@@ -220,6 +230,9 @@
 	for _, c := range b.Crashes {
 		g.config.Crashed(c)
 	}
+	if len(b.Placements) > 0 {
+		g.config.Work.Placed(now, b.Placements)
+	}
 	if regained {
 		g.config.Log.Event("node.heard", decision.Fields{"peer": b.From.Name, "incarnation": b.From.Incarnation, "revision": b.Revision})
 		g.answer(o, b.From.IP, now)
@@ -265,7 +278,8 @@
 	self.Follows = g.config.Book.Following()
 	b := heartbeat{
 		From: self, Sequence: o.sequence, Revision: g.config.Book.Snapshot().Revision,
-		Loads: g.config.Loads(), Contacts: o.contacts(), Crashes: o.told(now),
+		Loads: g.config.Work.Active(), Contacts: o.contacts(), Crashes: o.told(now),
+		Placements: g.config.Work.Placements(now),
 	}
 	data, err := cbor.Marshal(b)
 	if err != nil {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -70,6 +71,8 @@
 		Loads    map[uint32]int `cbor:"4,keyasint,omitempty"`
 		Contacts []Contact      `cbor:"5,keyasint,omitempty"`
 		Crashes  []Crash        `cbor:"6,keyasint,omitempty"`
+		// Placements are where the node has lately sent parts of prompts.
+		Placements []balance.Placement `cbor:"7,keyasint,omitempty"`
 	}
 
 	// itemsRequest asks for the items that changed after a revision.
