Bound an endpoint's load by 1.7 times the mean plus 2.2

Cause: a third of the shared parts read again or moved came from requests that the bound sent past the endpoint that keeps them. Ruled out: stale loads (the peak over the mean stays at 1.2). Change: from 1.4 x mean + 2. The installations allow 2 x mean + 3.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,8 +19,8 @@
 	// boundRatio and boundSlack bound an endpoint's load over the mean of its
 	// service. The installations allow twice the mean plus three; what peers
 	// have sent in the last tenth of a second is not known yet.
-	boundRatio = 1.4
-	boundSlack = 2.0
+	boundRatio = 1.7
+	boundSlack = 2.2
 	// plainDepth is how many requests an endpoint of a plain service may have,
 	// as a multiple of its slots: one runs, two wait.
 	plainDepth = 3.0
