Keep connections for requests that run once, if idle under a second

Cause: every request that must run once opened a connection, for fear that an endpoint closes a kept one as it is used; over half of all new connections.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,6 +20,10 @@
 	// maxWhole is the largest answer that is held until it is complete; a
 	// larger one is passed on as it comes.
 	maxWhole = 1 << 20
+	// onceIdle is how long a connection may have been idle for a request that
+	// must run once at most. A new connection for each costs two round trips,
+	// a place at the endpoint and 0.4 % of what the answers are worth.
+	onceIdle = time.Second
 	// plainStall is the part of the latency objective after which a request
 	// that may be repeated is given up at a silent endpoint: the other half
 	// suffices for a second one.
@@ -63,10 +67,7 @@
 	}
 	x, err := pool.Do(ctx, http1.Request{
 		Addr: a.choice.Endpoint.Addr, ID: c.id, HTTP: a.request(),
-		// A request that must run once at most gets a new connection: an
-		// endpoint may close a kept one as the request is sent, and nobody
-		// could tell whether it was read.
-		Fresh: !c.route.Kind.Repeats() || c.id == "",
+		Idle: c.idle(),
 	})
 	if err != nil {
 		return a.failed(err)
@@ -86,6 +87,22 @@
 	return a.whole(x)
 }
 
+// idle is for how long the connection may have been idle.
+//
+// An endpoint may close a kept connection as a request is sent on it, and nobody
+// could tell whether it was read: a request that must run once at most would be
+// lost. Shortly after an answer that does not happen. Answers of an endpoint
+// without an ID can only be told apart on a new connection.
+func (c *call) idle() time.Duration {
+	switch {
+	case c.id == "":
+		return 0
+	case c.route.Kind.Repeats():
+		return http1.MaxIdle
+	}
+	return onceIdle
+}
+
 // stall is after how long of silence the endpoint is given up, 0 for never. A
 // request that must not be repeated waits as long as its caller.
 func (a *attempt) stall() time.Duration {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -29,8 +29,9 @@
 		ID string
 		// HTTP is what is sent; its body must be of known length.
 		HTTP *http.Request
-		// Fresh asks for a connection that no other exchange has used.
-		Fresh bool
+		// Idle is for how long a kept connection may have been idle; longer
+		// idle ones are passed over, and with 0 all.
+		Idle time.Duration
 	}
 
 	// Exchange is a request that was sent, and its answer.
@@ -54,10 +55,7 @@
 // nothing was sent; after every other error the request may have run. The end
 // of ctx closes the connection, which tells the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, r Request) (*Exchange, error) {
-	var c *conn
-	if !r.Fresh {
-		c = p.take(r.Addr)
-	}
+	c := p.take(r.Addr, r.Idle)
 	if c == nil {
 		var err error
 		if c, err = p.open(ctx, r.Addr); err != nil {
@@ -150,7 +148,7 @@
 			continue
 		}
 		if s, err := strconv.ParseFloat(value, 64); err == nil && s > 0 {
-			return min(time.Duration(s*float64(time.Second))*3/4, maxIdle)
+			return min(time.Duration(s*float64(time.Second))*3/4, MaxIdle)
 		}
 	}
 	return defaultIdle
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -11,8 +11,8 @@
 	// defaultIdle is how long a connection is kept where the endpoint does not
 	// say: a little under the five seconds that many servers keep one.
 	defaultIdle = 4 * time.Second
-	// maxIdle bounds what an endpoint says.
-	maxIdle = 30 * time.Second
+	// MaxIdle bounds what an endpoint says.
+	MaxIdle = 30 * time.Second
 	// maxKept is how many idle connections are kept to one endpoint.
 	maxKept = 16
 	// pruneInterval is how often old idle connections are closed.
@@ -69,14 +69,18 @@
 	}
 }
 
-// take returns a kept connection, or nil.
-func (p *Pool) take(addr netip.AddrPort) *conn {
+// take returns the connection that was used last, if it has been idle for less
+// than a time, or nil.
+func (p *Pool) take(addr netip.AddrPort, idle time.Duration) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.kept[addr]
 	for len(list) > 0 {
 		c := list[len(list)-1]
+		if now.Sub(c.since) >= idle {
+			return nil
+		}
 		list = list[:len(list)-1]
 		p.kept[addr] = list
 		if c.usable(now) {
