Never let a failure follow the first part of a resumed stream

Cause: where the endpoint that should go on with a stream answered with a failure, its body was written behind the events and the answer ended as complete. Ruled out: a torn event (the first endpoint's last event was whole). Change: such an answer counts as one more break; with no attempt left the caller's connection is closed. The test with a scripted endpoint failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,10 @@
 	case !a.sound(x.Response):
 		a.outcome, a.cause = balance.Failed, "unsound-answer"
 		return resultBroken
+	case c.progress.started && a.status/100 != 2:
+		// The caller already has a part of a stream, which this cannot follow.
+		a.outcome, a.cause = balance.Failed, "not-resumed"
+		return resultBroken
 	case c.route.Kind.Streams() && a.status/100 == 2:
 		return a.stream(ctx, x, timer)
 	}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,446 @@
+package gateway_test
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/budget"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/gateway"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+)
+
+const (
+	seal = "Seal"
+	id   = "Request-Id"
+)
+
+type (
+	// reply is what an endpoint does with one request. It returns whether the
+	// connection stays open.
+	reply func(c net.Conn, r *http.Request) bool
+
+	// endpoint is an endpoint that plays one reply after the other; the last
+	// one is repeated.
+	endpoint struct {
+		listener net.Listener
+		mu       sync.Mutex
+		replies  []reply
+		requests []*http.Request
+	}
+
+	// fixed is a deployment that never changes.
+	fixed struct {
+		snapshot *deployment.Snapshot
+		age      time.Duration
+	}
+
+	noLoads struct{}
+
+	// fixture is a gateway before some endpoints.
+	fixture struct {
+		server    *httptest.Server
+		endpoints []*endpoint
+		crashes   int
+	}
+
+	// answer is what a caller got.
+	answer struct {
+		status   int
+		body     string
+		header   http.Header
+		complete bool
+	}
+)
+
+func (f fixed) Snapshot() *deployment.Snapshot { return f.snapshot }
+
+func (f fixed) Age() (time.Duration, bool) { return f.age, true }
+
+func (noLoads) Others(uint32) int { return 0 }
+
+func headers() gateway.Headers {
+	return gateway.Headers{
+		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", Expect: "Expect-Endpoint",
+		Endpoint: "Endpoint", Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
+		Model: "Model", Priority: "Priority", LastEvent: "Last-Event-Id", Fetch: "Fetch", Trusted: []string{"Fetch", "Account"},
+	}
+}
+
+func newEndpoint(t *testing.T, replies ...reply) *endpoint {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &endpoint{listener: l, replies: replies}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if !e.next(r)(c, r) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) next(r *http.Request) reply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r)
+	return e.replies[min(len(e.requests), len(e.replies))-1]
+}
+
+func (e *endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+func write(c net.Conn, format string, args ...any) bool {
+	_, err := fmt.Fprintf(c, format, args...)
+	return err == nil
+}
+
+func whole(status int, body string, extra ...string) reply {
+	return func(c net.Conn, r *http.Request) bool {
+		return write(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, id, r.Header.Get(id), seal, strings.Join(extra, ""), len(body), body)
+	}
+}
+
+func shed(c net.Conn, r *http.Request) bool {
+	return write(c, "HTTP/1.1 503 X\r\n%s: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id, r.Header.Get(id))
+}
+
+func hangUp(net.Conn, *http.Request) bool { return false }
+
+func silent(c net.Conn, _ *http.Request) bool {
+	_, _ = io.Copy(io.Discard, c)
+	return false
+}
+
+func raw(text string) reply {
+	return func(c net.Conn, r *http.Request) bool {
+		write(c, "%s", strings.ReplaceAll(text, "{id}", r.Header.Get(id)))
+		return false
+	}
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
+
+func events(from, to int) string {
+	text := ""
+	for n := from; n <= to; n++ {
+		text += event(n)
+	}
+	return text
+}
+
+// stream answers with events after the one that the request names, up to a last
+// one, then with the tail; ended streams have their last chunk.
+func stream(last int, tail string, ended bool) reply {
+	return func(c net.Conn, r *http.Request) bool {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		write(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.Header.Get(id), seal)
+		for n := after + 1; n <= last; n++ {
+			write(c, "%x\r\n%s\r\n", len(event(n)), event(n))
+		}
+		if tail != "" {
+			write(c, "%x\r\n%s\r\n", len(tail), tail)
+		}
+		return ended && write(c, "0\r\n\r\n")
+	}
+}
+
+func newFixture(t *testing.T, route deployment.Route, list ...*endpoint) *fixture {
+	f := &fixture{endpoints: list}
+	route.Name, route.Host, route.Prefix, route.Public = "r", "h", "/p/", true
+	route.Split = []deployment.Share{{Service: "s", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	config := &deployment.Config{
+		Version: 1, Routes: []deployment.Route{route}, Limits: deployment.Limits{HeaderBytes: 8192, BodyBytes: 1 << 20},
+		Services: map[string]deployment.Service{"s": {Name: "s"}},
+		Accounts: []deployment.Account{{Name: "acct", Keys: []string{"key"}}},
+	}
+	private := route
+	private.Name, private.Prefix, private.Public = "private", "/k/", false
+	config.Routes = append(config.Routes, private)
+	config.Index()
+	snapshot := &deployment.Snapshot{Config: config, Endpoints: map[string][]*deployment.Endpoint{}}
+	for i, e := range list {
+		snapshot.Endpoints["s"] = append(snapshot.Endpoints["s"], &deployment.Endpoint{
+			ID: fmt.Sprintf("e%d", i), Service: "s", Slots: 4, Addr: netip.MustParseAddrPort(e.listener.Addr().String()),
+		})
+	}
+	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
+	h := gateway.New(gateway.Config{
+		Headers: headers(), Deployment: fixed{snapshot: snapshot}, Pool: pool,
+		Balancer: balance.New(balance.Config{Loads: noLoads{}}),
+		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
+		Crashes:  gateway.NewCrashes(func(uint64, string) { f.crashes++ }), Metrics: gateway.NewMetrics(),
+		Stopping: func() bool { return false },
+	})
+	f.server = httptest.NewServer(h)
+	t.Cleanup(pool.Close)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) ask(t *testing.T, path string, header map[string]string) answer {
+	return f.askFor(t, context.Background(), path, header)
+}
+
+func (f *fixture) askFor(t *testing.T, ctx context.Context, path string, header map[string]string) answer { //nolint:revive // tests take t first.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(id, "q1")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), header: resp.Header, complete: err == nil}
+}
+
+func (f *fixture) arrivals() int {
+	n := 0
+	for _, e := range f.endpoints {
+		n += e.count()
+	}
+	return n
+}
+
+func TestAnswers(t *testing.T) {
+	other := "HTTP/1.1 200 OK\r\n" + id + ": q0\r\n" + seal + ": s\r\nContent-Length: 5\r\n\r\nother"
+	cases := []struct {
+		name     string
+		kind     deployment.Kind
+		attempts int
+		first    reply
+		second   reply
+		status   int
+		body     string
+		// cut says that the answer must not look complete.
+		cut      bool
+		arrivals int
+	}{
+		{name: "an answer is passed on", first: whole(200, "hi"), status: 200, body: "hi", arrivals: 1},
+		{name: "so is an endpoint's own failure", kind: deployment.AtMostOnce, first: whole(500, "no"), status: 500, body: "no", arrivals: 1},
+		{name: "an idempotent request is tried again after a failure", first: whole(500, "no"), second: whole(200, "hi"), status: 200, body: "hi", arrivals: 2},
+		{name: "but not on more endpoints than its route allows", attempts: 1, first: whole(500, "no"), second: whole(200, "hi"), status: 500, body: "no", arrivals: 1},
+		{name: "a refused request is tried elsewhere, also one that runs once", kind: deployment.AtMostOnce, first: shed, second: whole(200, "hi"), status: 200, body: "hi", arrivals: 2},
+		{name: "a request that no endpoint ran is refused as not run", kind: deployment.AtMostOnce, first: shed, second: shed, status: 503, arrivals: 2},
+		{name: "one that runs once may have run where the connection broke", kind: deployment.AtMostOnce, first: hangUp, second: whole(200, "hi"), status: 502, arrivals: 1},
+		{name: "an idempotent request is tried again there", first: hangUp, second: whole(200, "hi"), status: 200, body: "hi", arrivals: 2},
+		{name: "a refusal after a possible run is no promise", first: hangUp, second: shed, status: 502, arrivals: 2},
+		{name: "a 503 that does not say so is no promise", kind: deployment.AtMostOnce, first: whole(503, ""), status: 502, arrivals: 1},
+		{name: "an answer to another request reaches nobody", kind: deployment.AtMostOnce, first: raw(other), status: 502, arrivals: 1},
+		{name: "a success without its seal is none", kind: deployment.AtMostOnce, first: raw("HTTP/1.1 200 OK\r\n" + id + ": {id}\r\nContent-Length: 2\r\n\r\nhi"), status: 502, arrivals: 1},
+		{name: "an answer of another encoding is none", kind: deployment.AtMostOnce, first: whole(200, "hi", "Content-Encoding: gzip\r\n"), status: 502, arrivals: 1},
+		{name: "a body that ends early is no answer", kind: deployment.AtMostOnce, first: raw("HTTP/1.1 200 OK\r\n" + id + ": {id}\r\n" + seal + ": s\r\nContent-Length: 9\r\n\r\nhi"), status: 502, arrivals: 1},
+		{name: "bytes that are no answer reach nobody", kind: deployment.AtMostOnce, first: raw("garbage\r\n\r\n"), status: 502, arrivals: 1},
+		{name: "a body may end with its connection", first: raw("HTTP/1.1 200 OK\r\n" + id + ": {id}\r\n" + seal + ": s\r\n\r\nhi"), status: 200, body: "hi", arrivals: 1},
+		{name: "events are passed on", kind: deployment.Streaming, first: stream(3, "", true), status: 200, body: events(1, 3), arrivals: 1},
+		{name: "a stream that breaks off is cut", kind: deployment.Streaming, first: stream(2, "", false), status: 200, body: events(1, 2), cut: true, arrivals: 1},
+		{name: "a resumable one goes on elsewhere", kind: deployment.Resumable, first: stream(2, "", false), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
+		{name: "also where it breaks within an event", kind: deployment.Resumable, first: stream(2, "id: 3\nda", false), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
+		{name: "also where an event is missing", kind: deployment.Resumable, first: stream(2, event(4), true), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
+		{
+			// Symptom: a stream that is framed as complete and isn't, with a
+			// failure's body behind the events. Sequence: the first endpoint
+			// crashes within the stream, the second answers 500. Cause: the
+			// second's answer was passed on as if nothing had been sent yet.
+			name: "a failure of the second ends the answer visibly", kind: deployment.Resumable,
+			first: stream(2, "", false), second: whole(500, "no"), status: 200, body: events(1, 2), cut: true, arrivals: 2,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			second := c.second
+			if second == nil {
+				second = c.first
+			}
+			// Both endpoints play the same list, so that it doesn't matter
+			// which of them is asked first.
+			turns := &turns{replies: []reply{c.first, second}}
+			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: cmp.Or(c.attempts, 2)}, newEndpoint(t, turns.play), newEndpoint(t, turns.play))
+			a := f.ask(t, "/p/x", nil)
+			require.Equal(t, c.status, a.status)
+			require.Equal(t, !c.cut, a.complete)
+			if c.status/100 == 2 || c.status == 500 {
+				require.Equal(t, c.body, a.body)
+			}
+			if c.status == 503 {
+				require.NotEmpty(t, a.header.Get("Retry-After"))
+			}
+			if c.status == 502 || c.status == 503 {
+				require.Empty(t, a.header.Get(seal))
+			}
+			require.Equal(t, c.arrivals, f.arrivals())
+		})
+	}
+}
+
+// turns is a list of replies that several endpoints play together.
+type turns struct {
+	mu      sync.Mutex
+	replies []reply
+	next    int
+}
+
+func (s *turns) play(c net.Conn, r *http.Request) bool {
+	s.mu.Lock()
+	play := s.replies[min(s.next, len(s.replies)-1)]
+	s.next++
+	s.mu.Unlock()
+	return play(c, r)
+}
+
+func TestRefusalsBeforeAnyEndpoint(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		header map[string]string
+		status int
+	}{
+		{name: "no route", path: "/other/x", status: 404},
+		{name: "no key", path: "/k/x", status: 401},
+		{name: "unknown key", path: "/k/x", header: map[string]string{"Api-Key": "none"}, status: 401},
+		{name: "head too large", path: "/p/x", header: map[string]string{"Large": strings.Repeat("x", 9000)}, status: 431},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, deployment.Route{Attempts: 1}, newEndpoint(t, whole(200, "hi")))
+			require.Equal(t, c.status, f.ask(t, c.path, c.header).status)
+			require.Zero(t, f.arrivals())
+		})
+	}
+}
+
+// Symptom: a request runs for another account, or with the memory of another
+// request. Sequence: a caller sends the headers that the fleet sets itself.
+// Cause: they were passed on as they came.
+func TestTrustedHeadersAreNeverACallers(t *testing.T) {
+	e := newEndpoint(t, whole(200, "hi"))
+	f := newFixture(t, deployment.Route{Attempts: 1}, e)
+	a := f.ask(t, "/k/x?a=%2F", map[string]string{
+		"Api-Key": "key", "Account": "mine", "Fetch": "127.0.0.1:1", "Connection": id + ", Drop", "Drop": "1", "Keep": "2",
+		"Deadline-Ms": "1000",
+	})
+	require.Equal(t, 200, a.status)
+	got := e.requests[0]
+	require.Equal(t, "/k/x?a=%2F", got.RequestURI)
+	require.Equal(t, []string{"acct"}, got.Header["Account"])
+	require.Equal(t, "q1", got.Header.Get(id))
+	require.Equal(t, "2", got.Header.Get("Keep"))
+	for _, name := range []string{"Api-Key", "Fetch", "Drop"} {
+		require.Empty(t, got.Header.Values(name), name)
+	}
+	left, err := strconv.Atoi(got.Header.Get("Deadline-Ms"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 1000)
+	require.Equal(t, "e0", got.Header.Get("Expect-Endpoint"))
+}
+
+// Symptom: an endpoint works on for a caller who has gone.
+// Sequence: the caller closes its connection while the endpoint is at work.
+// Cause: the endpoint's connection was kept open.
+func TestCallerThatLeavesFreesTheEndpoint(t *testing.T) {
+	freed := make(chan struct{})
+	e := newEndpoint(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.Copy(io.Discard, c)
+		close(freed)
+		return false
+	})
+	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1}, e)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for e.count() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	f.askFor(t, ctx, "/p/x", nil)
+	<-freed
+}
+
+// A silent endpoint is given up for another one where the request may run
+// again; where it may not, its caller gets an answer at the route's timeout.
+func TestSilentEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		kind   deployment.Kind
+		status int
+	}{{deployment.Idempotent, 200}, {deployment.AtMostOnce, 504}} {
+		shared := &turns{replies: []reply{silent, whole(200, "hi")}}
+		f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: 200 * time.Millisecond, Timeout: 600 * time.Millisecond},
+			newEndpoint(t, shared.play), newEndpoint(t, shared.play))
+		require.Equal(t, c.status, f.ask(t, "/p/x", nil).status)
+	}
+}
+
+// Symptom: one request takes down one endpoint after the other.
+// Sequence: a request crashes its endpoint, and its caller sends it again.
+// Cause: nobody remembered what ran on endpoints that crashed.
+func TestRequestThatCrashesEndpointsIsRefused(t *testing.T) {
+	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1},
+		newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp))
+	last := 0
+	for range 12 {
+		last = f.ask(t, "/p/x", nil).status
+	}
+	require.Equal(t, 503, last)
+	require.LessOrEqual(t, f.arrivals(), 6)
+}
+
+// Without a configuration nobody knows what is allowed.
+func TestNoConfigurationRefusesAsNotRun(t *testing.T) {
+	h := gateway.New(gateway.Config{
+		Headers: headers(), Deployment: fixed{snapshot: &deployment.Snapshot{}}, Metrics: gateway.NewMetrics(), Stopping: func() bool { return false },
+	})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/p/x", nil))
+	require.Equal(t, 503, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
