Let three nodes read the store for all

Ruled out: fewer, longer watches alone (an event ends them all at once). Change: the first three nodes, in an order that all know, of those that can read the store do; they announce news at once, the others take it from them, and read for themselves only where nobody can tell them.

--- a/gateway.go
+++ b/gateway.go
@@ -127,11 +127,18 @@
 		g.gossip.Tell(gossip.Crash{Print: print, Endpoint: balance.Key(endpoint)})
 	})
 	var err error
+	// The gossip may call for a reading before the follower is there.
+	follower := &atomic.Pointer[store.Follower]{}
 	g.gossip, err = gossip.New(gossip.Config{
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Book: g.state,
 		State: g.memberState, Work: g.balancer, Log: g.log,
 		Crashed: func(k gossip.Crash) { crashes.Note(time.Now(), k.Print, k.Endpoint) },
+		Untold: func() {
+			if f := follower.Load(); f != nil {
+				f.Read()
+			}
+		},
 	})
 	if err != nil {
 		cancel()
@@ -144,8 +151,9 @@
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
-		Eager: g.gossip.Eager,
+		Reads: g.gossip.Reads,
 	})
+	follower.Store(g.follower)
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -23,10 +23,23 @@
 	updateQueue   = 64
 )
 
+// Whether a node reads the platform's store itself.
+const (
+	// Resting nodes read nothing; their peers tell them.
+	Resting Access = iota
+	// Reading nodes have had an answer to their last call.
+	Reading
+	// Failing nodes have had none.
+	Failing
+)
+
 // SourceStore is the source of an update that the store itself has given.
 const SourceStore = "store"
 
 type (
+	// Access is whether a node reads the store, and can.
+	Access int32
+
 	// StateConfig is the settings of a State.
 	StateConfig struct {
 		Decoder Decoder
@@ -44,12 +57,15 @@
 		snapshot atomic.Pointer[Snapshot]
 		// contact is when the store itself last answered, as time since start.
 		contact atomic.Int64
-		// following says that the store answered the last call.
-		following atomic.Bool
-		start     time.Time
-		items     atomic.Pointer[[]Item]
-		cancel    context.CancelFunc
-		running   sync.WaitGroup
+		access  atomic.Int32
+		// lapsing is until when removals may stem from an outage, as time
+		// since start.
+		lapsing atomic.Int64
+		news    chan struct{}
+		start   time.Time
+		items   atomic.Pointer[[]Item]
+		cancel  context.CancelFunc
+		running sync.WaitGroup
 	}
 
 	// Update is a set of items, from the store or from a peer.
@@ -60,8 +76,8 @@
 		// Whole says that the items are everything there is, so that entries
 		// that are missing are gone.
 		Whole bool
-		// Regained says that the store was away before this update: entries
-		// may have lapsed though their endpoints live.
+		// Regained says that the store was away before this update, or a peer
+		// says so: entries may have lapsed though their endpoints live.
 		Regained bool
 		// Source is SourceStore or a peer's name.
 		Source string
@@ -83,7 +99,7 @@
 // NewState starts a state that knows nothing yet.
 func NewState(c StateConfig) *State {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &State{config: c, updates: make(chan Update, updateQueue), start: time.Now(), cancel: cancel}
+	s := &State{config: c, updates: make(chan Update, updateQueue), news: make(chan struct{}, 1), start: time.Now(), cancel: cancel}
 	s.snapshot.Store(&Snapshot{})
 	s.items.Store(&[]Item{})
 	s.contact.Store(-1)
@@ -119,19 +135,28 @@
 // Items returns all known items, for peers.
 func (s *State) Items() []Item { return *s.items.Load() }
 
-// Touched notes that the store itself has just answered.
-func (s *State) Touched() {
-	s.contact.Store(int64(time.Since(s.start)))
-	s.following.Store(true)
+// Noted takes how the last call to the store ended, or that none is made.
+func (s *State) Noted(a Access) {
+	if a == Reading {
+		s.Confirm()
+	}
+	s.access.Store(int32(a))
 }
 
-// Missed notes that the store has not answered a call.
-func (s *State) Missed() { s.following.Store(false) }
+// Access returns whether this node reads the store.
+func (s *State) Access() Access { return Access(s.access.Load()) }
 
-// Following reports whether the store answered the last call.
-func (s *State) Following() bool { return s.following.Load() }
+// Confirm notes that nothing newer was known to the store just now.
+func (s *State) Confirm() { s.contact.Store(int64(time.Since(s.start))) }
 
-// Age returns how long ago the store last answered, and whether it ever did.
+// Lapsing reports whether removals may stem from an outage of the store.
+func (s *State) Lapsing() bool { return time.Since(s.start) < time.Duration(s.lapsing.Load()) }
+
+// News tells when the store itself has told something new.
+func (s *State) News() <-chan struct{} { return s.news }
+
+// Age returns how long ago the store, or a node that reads it, last confirmed
+// what is known, and whether that ever was.
 func (s *State) Age() (time.Duration, bool) {
 	at := s.contact.Load()
 	if at < 0 {
@@ -149,6 +174,7 @@
 func (s *State) apply(b *book, u Update, now time.Time) {
 	if u.Regained {
 		b.trusted = now.Add(lapseWindow)
+		s.lapsing.Store(int64(time.Since(s.start) + lapseWindow))
 	}
 	if u.Whole && u.Revision < b.revision {
 		return
@@ -173,6 +199,12 @@
 	if changed {
 		s.publish(b)
 	}
+	if changed && u.Source == SourceStore {
+		select {
+		case s.news <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // take applies one item; an older one than is known says nothing.
@@ -220,15 +252,15 @@
 // While the store is away, endpoints cannot renew their entries, and all of
 // them lapse though their processes live. One would see every request refused
 // for lack of endpoints just after the store is back. Those that live are back
-// in the store soon; a removal counts if its entry isn't. What a peer tells may
-// stem from such an outage too. The hold stays under the bound on endpoints
-// that leave, since some of them leave by their entry's removal alone.
+// in the store soon; a removal counts if its entry isn't. The hold stays under
+// the bound on endpoints that leave, since some of them leave by their entry's
+// removal alone.
 func (s *State) remove(b *book, id string, item Item, u Update, now time.Time) bool {
 	e, ok := b.endpoints[id]
 	if !ok {
 		return false
 	}
-	held := (now.Before(b.trusted) || u.Source != SourceStore) && !e.Draining
+	held := now.Before(b.trusted) && !e.Draining
 	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
 	if held {
 		b.lapsed[id] = now.Add(min(lapseWindow, s.config.Drain-holdMargin))
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -75,8 +75,8 @@
 			wait:   drain - 100*time.Millisecond,
 		},
 		{
-			name:   "a removal told by a peer may stem from an outage",
-			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: "n1"},
+			name:   "so is what a peer tells that has seen the outage",
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Regained: true, Source: "n1"},
 			want:   []string{"a", "b"},
 		},
 		{
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -32,9 +33,9 @@
 	// crashesPerBeat bounds a heartbeat.
 	crashesPerBeat = 16
 	inboxLength    = 256
-	// eagerNodes is how many nodes notice missed changes of the store soon;
-	// one or two of them may be cut off without anyone's knowing yet.
-	eagerNodes = 3
+	// readers is how many nodes read the store for all: one or two of them
+	// may be cut off without anyone's knowing yet.
+	readers = 3
 )
 
 // ErrStart is returned where the sockets cannot be opened.
@@ -46,9 +47,14 @@
 		Snapshot() *deployment.Snapshot
 		Items() []deployment.Item
 		Apply(ctx context.Context, u deployment.Update)
-		Age() (time.Duration, bool)
-		// Following reports whether the store answered the last call.
-		Following() bool
+		// Access returns whether this node reads the store, and Confirm notes
+		// that a node which does knows nothing newer.
+		Access() deployment.Access
+		Confirm()
+		// Lapsing reports whether removals may stem from an outage.
+		Lapsing() bool
+		// News tells when the store itself has told something new.
+		News() <-chan struct{}
 	}
 
 	// Work is what the node's requests are doing.
@@ -75,7 +81,9 @@
 		Work  Work
 		// Crashed takes what other nodes tell of crashes.
 		Crashed func(c Crash)
-		Log     *decision.Log
+		// Untold is called when a peer that knows more could not be asked.
+		Untold func()
+		Log    *decision.Log
 	}
 
 	// Gossip is this node's part of the fleet's membership. One goroutine owns
@@ -150,6 +158,8 @@
 				g.take(ctx, o, b, time.Now())
 			case crash := <-g.crashes:
 				o.recent = append(o.recent, recentCrash{crash: crash, at: time.Now()})
+			case <-c.Book.News():
+				g.broadcast(o, time.Now())
 			case now := <-timer.C:
 				g.tick(o, now)
 				timer.Reset(interval(g.View().Known))
@@ -186,21 +196,28 @@
 	return max(beatInterval, time.Duration(nodes)*beatPerNode)
 }
 
-// Eager reports whether this node is among the first few, by name, that hear
-// from the store.
-func (g *Gossip) Eager() bool {
-	if !g.config.Book.Following() {
-		return true
-	}
-	before := 0
+// Reads reports whether this node is one of the few that read the store for
+// all: the first ones, in an order that all nodes know, of those that can. One
+// that cannot goes on trying only if it is among the first of all.
+func (g *Gossip) Reads() bool {
+	failing := g.config.Book.Access() == deployment.Failing
+	self := order(g.config.Self.Name)
+	ahead := 0
 	for _, m := range g.View().Alive {
-		if m.Follows && m.Name < g.config.Self.Name {
-			before++
+		if m.State == Stopping || order(m.Name) >= self {
+			continue
+		}
+		if failing || m.Access != deployment.Failing {
+			ahead++
 		}
 	}
-	return before < eagerNodes
+	return ahead < readers
 }
 
+// order spreads the readers over the availability zones, whose nodes often have
+// similar names.
+func order(name string) uint64 { return xxhash.Sum64String(name) }
+
 // receive decodes a datagram; one that cannot be decoded says nothing.
 func (g *Gossip) receive(data []byte) {
 	b := &heartbeat{}
@@ -238,8 +255,12 @@
 		g.answer(o, b.From.IP, now)
 	}
 	g.view.Store(o.table.view())
-	if b.Revision > g.config.Book.Snapshot().Revision {
+	known := g.config.Book.Snapshot().Revision
+	switch {
+	case b.Revision > known:
 		g.pull(ctx, o, b.From)
+	case b.From.Access == deployment.Reading:
+		g.config.Book.Confirm()
 	}
 }
 
@@ -254,6 +275,12 @@
 		g.config.Log.Event("node.lost", decision.Fields{"peer": name, "silent_ms": now.Sub(o.table.nodes[name].heard).Milliseconds()})
 	}
 	g.view.Store(o.table.view())
+	g.broadcast(o, now)
+}
+
+// broadcast sends a heartbeat to all nodes. What the store has just told is not
+// kept until the next one is due.
+func (g *Gossip) broadcast(o *owner, now time.Time) {
 	data := g.heartbeat(o, now)
 	sent := map[netip.Addr]bool{g.config.Self.IP: true}
 	for _, n := range o.table.nodes {
@@ -275,7 +302,7 @@
 	o.sequence++
 	self := g.config.Self
 	self.State = g.config.State()
-	self.Follows = g.config.Book.Following()
+	self.Access = g.config.Book.Access()
 	b := heartbeat{
 		From: self, Sequence: o.sequence, Revision: g.config.Book.Snapshot().Revision,
 		Loads: g.config.Work.Active(), Contacts: o.contacts(), Crashes: o.told(now),
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -44,8 +44,8 @@
 		// Incarnation differs between two starts of a node.
 		Incarnation uint64 `cbor:"5,keyasint"`
 		State       State  `cbor:"6,keyasint"`
-		// Follows says that the store answered the node's last call.
-		Follows bool `cbor:"7,keyasint,omitempty"`
+		// Access says whether the node reads the store, and can.
+		Access deployment.Access `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Contact is where a node can be reached.
@@ -83,6 +83,8 @@
 	itemsReply struct {
 		Items    []item `cbor:"1,keyasint"`
 		Revision uint64 `cbor:"2,keyasint"`
+		// Lapsing says that removals may stem from an outage of the store.
+		Lapsing bool `cbor:"3,keyasint,omitempty"`
 	}
 
 	item struct {
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -19,8 +19,8 @@
 
 const (
 	itemsCall = "/bulrushhinge.Gossip/Items"
-	// pullDelay is how long a node waits for the store to tell it what a peer
-	// already knows; the store's watch tells all nodes at about the same time.
+	// pullDelay is how long a node that reads the store waits for it to tell
+	// what a peer already knows; watches are told at about the same time.
 	pullDelay = 250 * time.Millisecond
 	// pullTimeout bounds a call to a peer, whose connection may be silent.
 	pullTimeout = 800 * time.Millisecond
@@ -70,7 +70,7 @@
 		return err
 	}
 	snap := h.book.Snapshot()
-	reply := itemsReply{Items: encodeItems(h.book.Items(), req.After), Revision: snap.Revision}
+	reply := itemsReply{Items: encodeItems(h.book.Items(), req.After), Revision: snap.Revision, Lapsing: h.book.Lapsing()}
 	if err := stream.MsgSend(&reply, codec{}); err != nil {
 		return err
 	}
@@ -106,10 +106,12 @@
 	}
 	g.running.Go(func() {
 		defer func() { <-o.pulling }()
-		select {
-		case <-time.After(pullDelay):
-		case <-ctx.Done():
-			return
+		if g.config.Book.Access() == deployment.Reading {
+			select {
+			case <-time.After(pullDelay):
+			case <-ctx.Done():
+				return
+			}
 		}
 		after := g.config.Book.Snapshot().Revision
 		if after >= g.View().revision(from.Name) {
@@ -122,14 +124,14 @@
 func (g *Gossip) fetch(ctx context.Context, from Member, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	age, _ := g.config.Book.Age()
 	reply, err := g.caller.items(ctx, from.IP, after)
 	if err != nil {
 		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "after": after, "error": err.Error()})
+		g.config.Untold()
 		return
 	}
 	g.config.Log.Event("pull", decision.Fields{
-		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(reply.Items), "store_age_ms": age.Milliseconds(),
+		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(reply.Items),
 	})
-	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(reply.Items), Revision: reply.Revision, Source: from.Name})
+	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(reply.Items), Revision: reply.Revision, Regained: reply.Lapsing, Source: from.Name})
 }
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -14,13 +14,10 @@
 )
 
 const (
-	// watchSoon is how long the store may hold the watch of a node open that
-	// must notice missed changes: a watch may never be told of them, and
-	// nothing shows it but its end. The installations allow three seconds.
-	// Each watch that ends is a call that is paid for.
-	watchSoon = 2 * time.Second
-	// watchLong is the same for the other nodes, which are told by their peers.
-	watchLong = 20 * time.Second
+	// watchWait is how long the store may hold a watch open. A watch may never
+	// be told of changes, and nothing shows it but its end; the installations
+	// allow three seconds.
+	watchWait = 2 * time.Second
 	// watchJitter is the part of the wait that is drawn, so that the nodes'
 	// watches do not end together.
 	watchJitter = 0.2
@@ -35,6 +32,11 @@
 	retryMax = 1200 * time.Millisecond
 	// refusals is after how many failures in a row the store counts as lost.
 	refusals = 2
+	// restPoll is how often a node that does not read looks whether it should.
+	restPoll = 100 * time.Millisecond
+	// failMemory is how long a node that has stopped reading after a failure
+	// says so, and leaves the reading to others.
+	failMemory = 5 * time.Second
 )
 
 // ErrCompacted is returned by a Source that no longer has the history asked for.
@@ -63,24 +65,27 @@
 	// Sink takes what was read.
 	Sink interface {
 		Apply(ctx context.Context, u deployment.Update)
-		// Touched notes that the store has answered, and Missed that it has not.
-		Touched()
-		Missed()
+		// Noted takes how the last call ended, or that none is made.
+		Noted(a deployment.Access)
+		// Snapshot returns what is known.
+		Snapshot() *deployment.Snapshot
 	}
 
 	// FollowerConfig is the settings of a Follower.
 	FollowerConfig struct {
 		Source Source
 		Sink   Sink
-		// Eager reports whether this node is one of the few that notice
-		// missed changes soon, and tell the others.
-		Eager func() bool
+		// Reads reports whether this node is one of the few that read the
+		// store and tell the others.
+		Reads func() bool
 		Log   *decision.Log
 	}
 
-	// Follower keeps a Sink up to date with the store.
+	// Follower keeps a Sink up to date with the store, as long as this node is
+	// one of those that read it.
 	Follower struct {
 		config  FollowerConfig
+		wake    chan struct{}
 		cancel  context.CancelFunc
 		running sync.WaitGroup
 	}
@@ -91,16 +96,20 @@
 		fresh    bool
 		failures int
 		lost     bool
+		failed   time.Time
 	}
 )
 
 // NewFollower starts to follow.
 func NewFollower(c FollowerConfig) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: c, cancel: cancel}
+	f := &Follower{config: c, wake: make(chan struct{}, 1), cancel: cancel}
 	f.running.Go(func() {
 		cur := &cursor{}
 		for ctx.Err() == nil {
+			if f.rests(ctx, cur) {
+				continue
+			}
 			err := f.step(ctx, cur)
 			if err != nil && ctx.Err() == nil {
 				f.failed(ctx, cur, err)
@@ -110,17 +119,46 @@
 	return f
 }
 
+// Read makes the node read the store once, though others should tell it.
+func (f *Follower) Read() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Close stops the follower.
 func (f *Follower) Close() {
 	f.cancel()
 	f.running.Wait()
 }
 
+// rests waits a little where others read the store for this node, and reports
+// whether it has. A node that knows nothing yet reads for itself.
+func (f *Follower) rests(ctx context.Context, cur *cursor) bool {
+	if f.config.Reads() || f.config.Sink.Snapshot().Revision == 0 {
+		return false
+	}
+	if time.Since(cur.failed) > failMemory {
+		f.config.Sink.Noted(deployment.Resting)
+		cur.failures = 0
+	}
+	select {
+	case <-f.wake:
+		cur.fresh = false
+		return false
+	case <-time.After(restPoll):
+	case <-ctx.Done():
+	}
+	return true
+}
+
 func (f *Follower) step(ctx context.Context, cur *cursor) error {
 	if !cur.fresh {
 		return f.read(ctx, cur)
 	}
-	wait := f.wait()
+	cur.revision = max(cur.revision, f.config.Sink.Snapshot().Revision)
+	wait := watchWait - time.Duration(rand.Float64()*watchJitter*float64(watchWait))
 	limited, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	page, err := f.config.Source.Watch(limited, cur.revision, wait)
@@ -138,15 +176,6 @@
 	return nil
 }
 
-// wait is how long the next watch is held open.
-func (f *Follower) wait() time.Duration {
-	wait := watchLong
-	if f.config.Eager() {
-		wait = watchSoon
-	}
-	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
-}
-
 // read takes everything, page by page. The pages are no snapshot; the watch
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
@@ -181,7 +210,7 @@
 }
 
 func (f *Follower) regained(cur *cursor) {
-	f.config.Sink.Touched()
+	f.config.Sink.Noted(deployment.Reading)
 	if cur.lost {
 		f.config.Log.Event("store.regained", decision.Fields{"failures": cur.failures, "revision": cur.revision})
 	}
@@ -194,7 +223,8 @@
 func (f *Follower) failed(ctx context.Context, cur *cursor, err error) {
 	cur.failures++
 	cur.fresh = false
-	f.config.Sink.Missed()
+	cur.failed = time.Now()
+	f.config.Sink.Noted(deployment.Failing)
 	if cur.failures >= refusals && !cur.lost {
 		cur.lost = true
 		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -98,13 +98,17 @@
 	s.updates = append(s.updates, u)
 }
 
-func (s *sink) Touched() {
+func (s *sink) Noted(a deployment.Access) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.touched++
+	if a == deployment.Reading {
+		s.touched++
+	}
 }
 
-func (*sink) Missed() {}
+func (s *sink) Snapshot() *deployment.Snapshot {
+	return &deployment.Snapshot{Revision: s.last().Revision}
+}
 
 func (s *sink) last() deployment.Update {
 	s.mu.Lock()
@@ -123,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10, deaf: true}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: always})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Reads: always})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		f.set(func() {
@@ -135,14 +139,18 @@
 	})
 }
 
-// Most nodes ask rarely: the few eager ones tell them what they have missed.
-func TestOtherWatchesAreHeldOpenLong(t *testing.T) {
+// Most nodes read once, and are then told by the few that go on; a node that
+// cannot be told reads for itself.
+func TestOtherNodesRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Eager: never})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Reads: never})
 		defer follower.Close()
 		time.Sleep(time.Minute)
-		require.LessOrEqual(t, f.calls, 6)
+		require.Equal(t, 1, f.calls)
+		follower.Read()
+		time.Sleep(time.Second)
+		require.Equal(t, 2, f.calls)
 	})
 }
 
@@ -153,7 +161,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: always})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Reads: always})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		require.False(t, s.last().Regained)
@@ -178,7 +186,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &silentStore{}
 		s := &sink{}
-		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Eager: never})
+		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: s, Reads: always})
 		defer follower.Close()
 		time.Sleep(time.Second)
 		f.silent.Store(true)
