--- a/internal/decision/log.go
+++ b/internal/decision/log.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,9 @@
 		lines   chan line
 		limit   *rate.Limiter
 		dropped atomic.Uint64
-		done    chan struct{}
+		stop    sync.Once
+		stopped chan struct{}
+		running sync.WaitGroup
 	}
 
 	line struct {
@@ -61,14 +64,19 @@
 	})
 	l := &Log{
 		logger: logger, node: c.Node, lines: make(chan line, queueLines),
-		limit: rate.NewLimiter(linesPerSecond, burstLines), done: make(chan struct{}),
+		limit: rate.NewLimiter(linesPerSecond, burstLines), stopped: make(chan struct{}),
 	}
-	go func() {
-		defer close(l.done)
-		for ln := range l.lines {
-			l.write(ln)
+	l.running.Go(func() {
+		for {
+			select {
+			case ln := <-l.lines:
+				l.write(ln)
+			case <-l.stopped:
+				l.drain()
+				return
+			}
 		}
-	}()
+	})
 	return l
 }
 
@@ -92,10 +100,21 @@
 // Dropped returns how many lines were dropped.
 func (l *Log) Dropped() uint64 { return l.dropped.Load() }
 
-// Close writes what waits and stops; no Event may follow.
+// Close writes what waits and stops; later lines are dropped.
 func (l *Log) Close() {
-	close(l.lines)
-	<-l.done
+	l.stop.Do(func() { close(l.stopped) })
+	l.running.Wait()
+}
+
+func (l *Log) drain() {
+	for {
+		select {
+		case ln := <-l.lines:
+			l.write(ln)
+		default:
+			return
+		}
+	}
 }
 
 func (l *Log) write(ln line) {
--- /dev/null
+++ b/internal/decision/log_test.go
@@ -0,0 +1,48 @@
+package decision_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+)
+
+// stuck is a writer that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+// Symptom: all requests hang. Sequence: nobody reads the process's output.
+// Cause: a request waited for its line to be written.
+func TestFullOutputHoldsUpNobody(t *testing.T) {
+	w := &stuck{release: make(chan struct{})}
+	l := decision.New(decision.LogConfig{To: w, Node: "n1"})
+	for range 5000 {
+		l.Event("attempt", decision.Fields{"request": "q"})
+	}
+	require.Positive(t, l.Dropped())
+	close(w.release)
+	l.Close()
+	l.Event("late", nil)
+	lines := strings.Split(strings.TrimSpace(w.got.String()), "\n")
+	require.Less(t, len(lines), 1000)
+	var first map[string]any
+	require.NoError(t, json.Unmarshal([]byte(lines[0]), &first))
+	require.Equal(t, "attempt", first["event"])
+	require.Equal(t, "n1", first["node"])
+	require.Equal(t, "q", first["request"])
+}
