--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -21,6 +21,9 @@
 	// watchJitter is the part of the wait that is drawn, so that the nodes'
 	// watches do not end together.
 	watchJitter = 0.2
+	// watchPause is how long a node waits after news before it watches again:
+	// changes often come in series, and one watch then tells several.
+	watchPause = 250 * time.Millisecond
 	// watchSlack is how long after its wait a watch may still be answered.
 	watchSlack = time.Second
 	// readTimeout bounds a read. The store answers within 4 ms, and 60 times
@@ -173,6 +176,9 @@
 	f.regained(cur)
 	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Revision: page.Revision, Source: deployment.SourceStore})
 	cur.revision = max(cur.revision, page.Revision)
+	if len(page.Items) > 0 {
+		pause(ctx, watchPause)
+	}
 	return nil
 }
 
@@ -229,10 +235,13 @@
 		cur.lost = true
 		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
 	}
-	pause := min(retryMin<<min(cur.failures-1, 3), retryMax)
-	pause = pause/2 + rand.N(pause/2)
+	backoff := min(retryMin<<min(cur.failures-1, 3), retryMax)
+	pause(ctx, backoff/2+rand.N(backoff/2))
+}
+
+func pause(ctx context.Context, d time.Duration) {
 	select {
-	case <-time.After(pause):
+	case <-time.After(d):
 	case <-ctx.Done():
 	}
 }
