--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -97,6 +97,8 @@
 		score    uint64
 		suspect  bool
 		blocked  bool
+		// holds says that the endpoint is believed to keep the prompt's part.
+		holds bool
 	}
 )
 
@@ -230,7 +232,7 @@
 		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
 		c.blocked = now.Before(o.health.until) || now.Before(o.health.full)
 		if r.Key != "" {
-			c.score = score(r.Key, e)
+			c.score, c.holds = score(r.Key, e), b.held.has(xxhash.Sum64String(r.Key), e, now)
 		}
 		all = append(all, c)
 	}
@@ -260,7 +262,9 @@
 
 // pickKeyed takes the first endpoint of the key's rendezvous order that is
 // under the bound, so that all nodes send what shares a prompt to one endpoint.
-// Past the bound it takes the least loaded with room.
+// Endpoints that keep the prompt's part go before all others: one that has just
+// joined would have to fetch it. Past the bound it takes the least loaded with
+// room.
 func pickKeyed(all []candidate, mean float64) *candidate {
 	bound := boundRatio*mean + boundSlack
 	var best, least, last *candidate
@@ -275,7 +279,7 @@
 		if c.suspect {
 			continue
 		}
-		if float64(c.load) < bound && (best == nil || c.score > best.score) {
+		if float64(c.load) < bound && c.before(best) {
 			best = c
 		}
 		if least == nil || c.load < least.load {
@@ -285,6 +289,14 @@
 	return cmp.Or(best, least, last)
 }
 
+// before reports whether the candidate is preferred to another for a key.
+func (c *candidate) before(o *candidate) bool {
+	if o == nil || c.holds != o.holds {
+		return o == nil || c.holds
+	}
+	return c.score > o.score
+}
+
 // pickPlain takes the endpoint with the least load for its slots.
 func (b *Balancer) pickPlain(all []candidate) *candidate {
 	var best, last *candidate
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -62,6 +62,16 @@
 	return h.old[part]
 }
 
+// has reports whether an endpoint is believed to keep a part.
+func (h *holders) has(part uint64, e *deployment.Endpoint, now time.Time) bool {
+	for _, o := range h.get(part) {
+		if o.endpoint == Key(e.ID) && now.Sub(o.at) < heldFor {
+			return true
+		}
+	}
+	return false
+}
+
 // note remembers a placement of this node, and tells the others if they may not
 // know of it.
 func (h *holders) note(p Placement, now time.Time) {
@@ -105,13 +115,10 @@
 // nil if it is believed to keep the part itself: the one that got the part
 // last, or else the first in the part's rendezvous order.
 func (h *holders) source(part uint64, chosen *deployment.Endpoint, order []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
-	known := h.get(part)
-	for _, o := range known {
-		if o.endpoint == Key(chosen.ID) && now.Sub(o.at) < heldFor {
-			return nil
-		}
+	if h.has(part, chosen, now) {
+		return nil
 	}
-	for _, o := range known {
+	for _, o := range h.get(part) {
 		i := slices.IndexFunc(order, func(e *deployment.Endpoint) bool { return Key(e.ID) == o.endpoint })
 		if i >= 0 && order[i] != chosen && now.Sub(o.at) < heldFor {
 			return order[i]
