--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -21,6 +21,10 @@
 	// have sent in the last tenth of a second is not known yet.
 	boundRatio = 1.7
 	boundSlack = 2.2
+	// stayRatio and staySlack bound the load up to which an endpoint that keeps
+	// a prompt's part goes before the first of the part's order.
+	stayRatio = 1.0
+	staySlack = 1.0
 	// plainDepth is how many requests an endpoint of a plain service may have,
 	// as a multiple of its slots: one runs, two wait.
 	plainDepth = 3.0
@@ -279,6 +283,7 @@
 		if c.suspect {
 			continue
 		}
+		c.holds = c.holds && float64(c.load) < stayRatio*mean+staySlack
 		if float64(c.load) < bound && c.before(best) {
 			best = c
 		}
