--- a/gateway.go
+++ b/gateway.go
@@ -123,8 +123,8 @@
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Log: g.log})
 	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
-	crashes := gateway.NewCrashes(func(print uint64, endpoint string) {
-		g.gossip.Tell(gossip.Crash{Print: print, Endpoint: balance.Key(endpoint)})
+	crashes := gateway.NewCrashes(func(fingerprint uint64, endpoint string) {
+		g.gossip.Tell(gossip.Crash{Print: fingerprint, Endpoint: balance.Key(endpoint)})
 	})
 	var err error
 	// The gossip may call for a reading before the follower is there.
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -5,10 +5,10 @@
 )
 
 const (
-	// downMin and downMax bound how long an endpoint that could not be reached
+	// firstDown and longestDown bound how long an endpoint that could not be reached
 	// gets nothing; the time doubles with each failure in a row.
-	downMin = 250 * time.Millisecond
-	downMax = 4 * time.Second
+	firstDown   = 250 * time.Millisecond
+	longestDown = 4 * time.Second
 	// learning is the weight of the newest outcome in the share of failures:
 	// four failures in a row make a sound endpoint suspect.
 	learning = 0.12
@@ -62,7 +62,7 @@
 	case Failed:
 		h.failures += learning * (1 - h.failures)
 	case Unreachable:
-		h.until = now.Add(min(downMin<<min(h.row, 5), downMax))
+		h.until = now.Add(min(firstDown<<min(h.row, 5), longestDown))
 		h.row++
 	case Gone:
 		h.gone = true
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -24,7 +24,7 @@
 	// one after another while the same request runs. Nodes tell each other, and
 	// none passes such a request on after the third.
 	Crashes struct {
-		tell func(print uint64, endpoint string)
+		tell func(hash uint64, endpoint string)
 		mu   sync.Mutex
 		seen map[uint64]*crashed
 	}
@@ -36,51 +36,51 @@
 )
 
 // NewCrashes returns an empty memory; tell is called for each crash seen here.
-func NewCrashes(tell func(print uint64, endpoint string)) *Crashes {
+func NewCrashes(tell func(hash uint64, endpoint string)) *Crashes {
 	return &Crashes{tell: tell, seen: map[uint64]*crashed{}}
 }
 
 // Saw notes a crash that this node has seen, and tells the others.
-func (c *Crashes) Saw(now time.Time, print uint64, endpoint string) {
-	c.Note(now, print, balance.Key(endpoint))
-	c.tell(print, endpoint)
+func (c *Crashes) Saw(now time.Time, hash uint64, endpoint string) {
+	c.Note(now, hash, balance.Key(endpoint))
+	c.tell(hash, endpoint)
 }
 
 // Note remembers that an endpoint, by its short name, broke off.
-func (c *Crashes) Note(now time.Time, print uint64, endpoint uint32) {
+func (c *Crashes) Note(now time.Time, hash uint64, endpoint uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.seen) >= crashEntries {
 		c.prune(now)
 	}
-	e := c.seen[print]
+	e := c.seen[hash]
 	if e == nil {
 		e = &crashed{endpoints: map[uint32]bool{}}
-		c.seen[print] = e
+		c.seen[hash] = e
 	}
 	e.endpoints[endpoint] = true
 	e.last = now
 }
 
 // Served forgets a request that was answered: it crashes nothing.
-func (c *Crashes) Served(print uint64) {
+func (c *Crashes) Served(hash uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.seen, print)
+	delete(c.seen, hash)
 }
 
 // Refuse reports whether a request has crashed too many endpoints.
-func (c *Crashes) Refuse(now time.Time, print uint64) bool {
+func (c *Crashes) Refuse(now time.Time, hash uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := c.seen[print]
+	e := c.seen[hash]
 	return e != nil && len(e.endpoints) >= crashLimit && now.Sub(e.last) < crashMemory
 }
 
 func (c *Crashes) prune(now time.Time) {
-	for print, e := range c.seen {
+	for hash, e := range c.seen {
 		if now.Sub(e.last) > crashMemory || len(c.seen) >= crashEntries {
-			delete(c.seen, print)
+			delete(c.seen, hash)
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -224,10 +224,10 @@
 }
 
 func (f *fixture) ask(t *testing.T, path string, header map[string]string) answer {
-	return f.askFor(t, context.Background(), path, header)
+	return f.askFor(context.Background(), t, path, header)
 }
 
-func (f *fixture) askFor(t *testing.T, ctx context.Context, path string, header map[string]string) answer { //nolint:revive // tests take t first.
+func (f *fixture) askFor(ctx context.Context, t *testing.T, path string, header map[string]string) answer {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader("body"))
 	require.NoError(t, err)
 	req.Host = "h"
@@ -402,7 +402,7 @@
 		}
 		cancel()
 	}()
-	f.askFor(t, ctx, "/p/x", nil)
+	f.askFor(ctx, t, "/p/x", nil)
 	<-freed
 }
 
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -29,10 +29,10 @@
 	// readTimeout bounds a read. The store answers within 4 ms, and 60 times
 	// slower on a bad day.
 	readTimeout = 1500 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failure; all nodes ask
+	// firstRetry and longestRetry bound the pause after a failure; all nodes ask
 	// again within two seconds of the store's return, without a stampede.
-	retryMin = 150 * time.Millisecond
-	retryMax = 1200 * time.Millisecond
+	firstRetry   = 150 * time.Millisecond
+	longestRetry = 1200 * time.Millisecond
 	// refusals is after how many failures in a row the store counts as lost.
 	refusals = 2
 	// restPoll is how often a node that does not read looks whether it should.
@@ -235,7 +235,7 @@
 		cur.lost = true
 		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
 	}
-	backoff := min(retryMin<<min(cur.failures-1, 3), retryMax)
+	backoff := min(firstRetry<<min(cur.failures-1, 3), longestRetry)
 	pause(ctx, backoff/2+rand.N(backoff/2))
 }
 
