Test gossip, balance, budget and events; tell placements oldest first

Cause: placements were told newest first and taken in that order, so that the oldest of a heartbeat counted as the newest holder. The test of a prompt that moves failed before.

--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,166 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+// peers are what the other nodes have sent, by endpoint.
+type peers map[string]int
+
+func (p peers) Others(key uint32) int {
+	for id, n := range p {
+		if balance.Key(id) == key {
+			return n
+		}
+	}
+	return 0
+}
+
+func endpoints(n int) []*deployment.Endpoint {
+	var list []*deployment.Endpoint
+	for i := range n {
+		list = append(list, &deployment.Endpoint{ID: fmt.Sprint("e", i), Zone: "z", Slots: 8})
+	}
+	return list
+}
+
+func TestRequestsThatShareAPromptShareAnEndpoint(t *testing.T) {
+	list := endpoints(6)
+	now := time.Now()
+	first := ""
+	for range 4 {
+		// Each node decides alone and decides the same.
+		b := balance.New(balance.Config{Loads: peers{}})
+		c := b.Choose(now, list, balance.Request{Key: "doc"})
+		if first == "" {
+			first = c.Endpoint.ID
+		}
+		require.Equal(t, first, c.Endpoint.ID)
+	}
+}
+
+// Symptom: one engine holds far more than the others. Sequence: one prompt gets
+// much of the traffic. Cause: all its requests went to the engine that keeps it.
+func TestHotPromptStaysUnderTheBound(t *testing.T) {
+	list := endpoints(4)
+	b := balance.New(balance.Config{Loads: peers{}})
+	counts := map[string]int{}
+	for range 24 {
+		c := b.Choose(time.Now(), list, balance.Request{Key: "hot"})
+		require.NotNil(t, c)
+		counts[c.Endpoint.ID]++
+	}
+	for id, n := range counts {
+		require.LessOrEqual(t, float64(n), 2*6+3.0, id)
+	}
+	require.GreaterOrEqual(t, len(counts), 3)
+}
+
+// Symptom: shared parts of prompts are read again. Sequence: the engine that
+// keeps a part is over the bound or leaves. Cause: nobody told the next one
+// where to fetch it.
+func TestSourceOfAPromptThatMoves(t *testing.T) {
+	list := endpoints(3)
+	now := time.Now()
+	b := balance.New(balance.Config{Loads: peers{}})
+	first := b.Choose(now, list, balance.Request{Key: "doc"})
+	again := b.Choose(now, list, balance.Request{Key: "doc"})
+	require.Equal(t, first.Endpoint, again.Endpoint)
+	require.Nil(t, again.Source)
+
+	first.Endpoint.Draining = true
+	moved := b.Choose(now, list, balance.Request{Key: "doc"})
+	require.NotEqual(t, first.Endpoint, moved.Endpoint)
+	require.Equal(t, first.Endpoint, moved.Source)
+
+	told := balance.New(balance.Config{Loads: peers{}})
+	told.Placed(now, b.Placements(now))
+	elsewhere := told.Choose(now, list, balance.Request{Key: "doc", Tried: []string{moved.Endpoint.ID}})
+	require.Equal(t, moved.Endpoint, elsewhere.Source)
+}
+
+func TestPlainRequestsGoWhereLoadIsLeast(t *testing.T) {
+	list := endpoints(3)
+	b := balance.New(balance.Config{Loads: peers{"e0": 3, "e1": 5}, Zone: "z"})
+	require.Equal(t, "e2", b.Choose(time.Now(), list, balance.Request{}).Endpoint.ID)
+}
+
+func TestEndpointsThatGetNothing(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name    string
+		outcome balance.Outcome
+		times   int
+		after   time.Duration
+		chosen  bool
+	}{
+		{name: "one that could not be reached, for a while", outcome: balance.Unreachable, times: 1},
+		{name: "which then is tried again", outcome: balance.Unreachable, times: 1, after: time.Second, chosen: true},
+		{name: "one whose address another has", outcome: balance.Gone, times: 1, after: time.Hour},
+		{name: "one that was full just now", outcome: balance.Refused, times: 1},
+		{name: "but not for long", outcome: balance.Refused, times: 1, after: time.Second, chosen: true},
+		{name: "a single failure says little", outcome: balance.Failed, times: 1, chosen: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list := endpoints(1)
+			b := balance.New(balance.Config{Loads: peers{}})
+			for range c.times {
+				require.NotNil(t, b.Choose(now, list, balance.Request{}))
+				b.Release(now, "e0", c.outcome)
+			}
+			require.Equal(t, c.chosen, b.Choose(now.Add(c.after), list, balance.Request{}) != nil)
+		})
+	}
+}
+
+// Symptom: a third of all requests fail though two sound endpoints are there.
+// Sequence: one endpoint fails its requests while its health check is good.
+// Cause: it had the least load, as failures end soon.
+func TestEndpointThatFailsMoreThanOthersIsAvoided(t *testing.T) {
+	list := endpoints(3)
+	b := balance.New(balance.Config{Loads: peers{}})
+	now := time.Now()
+	counts := map[string]int{}
+	for i := range 600 {
+		now = now.Add(10 * time.Millisecond)
+		c := b.Choose(now, list, balance.Request{})
+		outcome := balance.Served
+		if c.Endpoint.ID == "e1" {
+			outcome = balance.Failed
+		}
+		if i > 100 {
+			counts[c.Endpoint.ID]++
+		}
+		b.Release(now, c.Endpoint.ID, outcome)
+	}
+	require.Less(t, counts["e1"], 30)
+	require.Greater(t, counts["e0"], 100)
+}
+
+// Where every endpoint fails a part of its requests, none is avoided for it.
+func TestFailuresThatAllShareAvoidNobody(t *testing.T) {
+	list := endpoints(2)
+	b := balance.New(balance.Config{Loads: peers{}})
+	now := time.Now()
+	counts := map[string]int{}
+	for i := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		c := b.Choose(now, list, balance.Request{})
+		counts[c.Endpoint.ID]++
+		outcome := balance.Served
+		if i%3 == 0 {
+			outcome = balance.Failed
+		}
+		b.Release(now, c.Endpoint.ID, outcome)
+	}
+	require.Greater(t, counts["e0"], 100)
+	require.Greater(t, counts["e1"], 100)
+}
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -101,12 +101,13 @@
 	h.now[p.Part] = list
 }
 
-// recent returns the placements that the other nodes are to be told of.
+// recent returns the placements that the other nodes are to be told of, the
+// newest last.
 func (h *holders) recent(now time.Time) []Placement {
 	h.news = slices.DeleteFunc(h.news, func(p placed) bool { return now.Sub(p.at) > tellFor })
 	var list []Placement
-	for i := len(h.news) - 1; i >= 0 && len(list) < maxTold; i-- {
-		list = append(list, h.news[i].placement)
+	for _, n := range h.news[max(len(h.news)-maxTold, 0):] {
+		list = append(list, n.placement)
 	}
 	return list
 }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,254 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/gossip"
+)
+
+const patience = 30 * time.Second
+
+type (
+	// book is what a node has read of the store, as a test sets it.
+	book struct {
+		mu       sync.Mutex
+		revision uint64
+		items    []deployment.Item
+		access   deployment.Access
+		regained bool
+		news     chan struct{}
+	}
+
+	// work is a node's requests, as a test sets them.
+	work struct {
+		mu     sync.Mutex
+		active map[uint32]int
+		placed []balance.Placement
+		told   []balance.Placement
+	}
+
+	node struct {
+		gossip  *gossip.Gossip
+		book    *book
+		work    *work
+		mu      sync.Mutex
+		state   gossip.State
+		crashes []gossip.Crash
+		untold  int
+	}
+
+	fleet struct {
+		t       *testing.T
+		network string
+		port    uint16
+	}
+)
+
+func (b *book) Snapshot() *deployment.Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &deployment.Snapshot{Revision: b.revision}
+}
+
+func (b *book) Items() []deployment.Item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.items
+}
+
+func (b *book) Apply(_ context.Context, u deployment.Update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.items = append(b.items, u.Items...)
+	b.revision = max(b.revision, u.Revision)
+	b.regained = b.regained || u.Regained
+}
+
+func (b *book) Access() deployment.Access {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.access
+}
+
+func (b *book) set(a deployment.Access) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.access = a
+}
+
+func (*book) Confirm() {}
+
+func (*book) Lapsing() bool { return true }
+
+func (b *book) News() <-chan struct{} { return b.news }
+
+func (w *work) Active() map[uint32]int { return w.active }
+
+func (w *work) Placements(time.Time) []balance.Placement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.told
+}
+
+func (w *work) Placed(_ time.Time, list []balance.Placement) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.placed = list
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, network: fmt.Sprintf("127.%d.%d.", 128+rand.IntN(64), 1+rand.IntN(250))}
+	l, err := net.Listen("tcp4", f.network+"1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	f.port = netip.MustParseAddrPort(l.Addr().String()).Port()
+	return f
+}
+
+func (f *fleet) ip(n int) netip.Addr { return netip.MustParseAddr(fmt.Sprint(f.network, n)) }
+
+// start starts the node with a number; its seeds are the first node and one that
+// never was.
+func (f *fleet) start(n int, b *book) *node {
+	nd := &node{book: b, work: &work{active: map[uint32]int{uint32(n): n}}, state: gossip.Ready}
+	b.news = make(chan struct{}, 1)
+	g, err := gossip.New(gossip.Config{
+		Self: gossip.Member{Name: fmt.Sprint("n", n), Zone: "z", IP: f.ip(n), Incarnation: rand.Uint64()},
+		Port: f.port, Seeds: func() []netip.Addr { return []netip.Addr{f.ip(1), f.ip(200)} }, Book: b, Work: nd.work,
+		State: func() gossip.State {
+			nd.mu.Lock()
+			defer nd.mu.Unlock()
+			return nd.state
+		},
+		Crashed: func(c gossip.Crash) {
+			nd.mu.Lock()
+			defer nd.mu.Unlock()
+			nd.crashes = append(nd.crashes, c)
+		},
+		Untold: func() {
+			nd.mu.Lock()
+			defer nd.mu.Unlock()
+			nd.untold++
+		},
+	})
+	require.NoError(f.t, err)
+	f.t.Cleanup(g.Close)
+	nd.gossip = g
+	return nd
+}
+
+func (f *fleet) eventually(ok func() bool, what string) {
+	f.t.Helper()
+	require.Eventually(f.t, ok, patience, 10*time.Millisecond, what)
+}
+
+func TestNodesFindEachOtherThroughASeed(t *testing.T) {
+	f := newFleet(t)
+	var list []*node
+	for n := 1; n <= 4; n++ {
+		list = append(list, f.start(n, &book{}))
+	}
+	for _, n := range list {
+		f.eventually(func() bool { return len(n.gossip.View().Alive) == 3 }, "all are heard of")
+		require.Equal(t, 4, n.gossip.View().Known)
+	}
+	f.eventually(func() bool { return list[0].gossip.Others(4) == 4 }, "loads are told")
+	list[3].gossip.Close()
+	f.eventually(func() bool { return len(list[0].gossip.View().Alive) == 2 }, "a silent node is missed")
+	require.Zero(t, list[0].gossip.Others(4))
+	f.start(4, &book{})
+	f.eventually(func() bool { return len(list[0].gossip.View().Alive) == 3 }, "and found again")
+}
+
+// Symptom: a node that is cut off from the store serves an old configuration.
+// Sequence: others hear of a change, this one cannot. Cause: nobody told it.
+func TestNewsIsTakenFromAPeer(t *testing.T) {
+	f := newFleet(t)
+	knows := &book{revision: 7, access: deployment.Reading, items: []deployment.Item{{Key: "a", Revision: 7}, {Key: "old", Revision: 2}}}
+	f.start(1, knows)
+	other := f.start(2, &book{revision: 3})
+	f.eventually(func() bool { return other.book.Snapshot().Revision == 7 }, "the news is taken")
+	require.Equal(t, []deployment.Item{{Key: "a", Revision: 7}}, other.book.Items())
+	other.book.mu.Lock()
+	defer other.book.mu.Unlock()
+	require.True(t, other.book.regained)
+}
+
+// Only a few nodes read the store, also after one of them has failed to.
+func TestFewNodesReadTheStore(t *testing.T) {
+	f := newFleet(t)
+	var list []*node
+	for n := 1; n <= 6; n++ {
+		list = append(list, f.start(n, &book{access: deployment.Reading}))
+	}
+	readers := func() []*node {
+		var r []*node
+		for _, n := range list {
+			if n.gossip.Reads() {
+				r = append(r, n)
+			}
+		}
+		return r
+	}
+	f.eventually(func() bool { return len(readers()) == 3 }, "three read")
+	failed := readers()[2]
+	failed.book.set(deployment.Failing)
+	f.eventually(func() bool {
+		able := 0
+		for _, n := range readers() {
+			if n != failed {
+				able++
+			}
+		}
+		return able == 3
+	}, "another takes its place")
+}
+
+func TestCrashesAndPlacementsAreTold(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(1, &book{}), f.start(2, &book{})
+	one.work.mu.Lock()
+	one.work.told = []balance.Placement{{Part: 5, Endpoint: 6}}
+	one.work.mu.Unlock()
+	f.eventually(func() bool { return len(one.gossip.View().Alive) == 1 }, "they know each other")
+	one.gossip.Tell(gossip.Crash{Print: 9, Endpoint: 3})
+	f.eventually(func() bool {
+		two.mu.Lock()
+		defer two.mu.Unlock()
+		return len(two.crashes) > 0
+	}, "the crash is told")
+	two.mu.Lock()
+	require.Equal(t, gossip.Crash{Print: 9, Endpoint: 3}, two.crashes[0])
+	two.mu.Unlock()
+	f.eventually(func() bool {
+		two.work.mu.Lock()
+		defer two.work.mu.Unlock()
+		return len(two.work.placed) == 1
+	}, "the placement is told")
+}
+
+// Bytes that are no heartbeat change nothing.
+func TestStrayDatagramsAreDropped(t *testing.T) {
+	f := newFleet(t)
+	n := f.start(1, &book{})
+	c, err := net.Dial("udp4", netip.AddrPortFrom(f.ip(1), f.port).String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	for _, data := range []string{"", "garbage", "\xa1\x01\xa0", "\xbf"} {
+		_, err := c.Write([]byte(data))
+		require.NoError(t, err)
+	}
+	f.start(2, &book{})
+	f.eventually(func() bool { return len(n.gossip.View().Alive) == 1 }, "heartbeats are still read")
+}
