--- /dev/null
+++ b/internal/http1/exchange_test.go
@@ -0,0 +1,219 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+)
+
+const header = "Request-Id"
+
+// server accepts connections and plays a script on each; it counts them.
+type server struct {
+	addr     netip.AddrPort
+	accepted atomic.Int64
+}
+
+func newServer(t *testing.T, script func(c net.Conn, in *bufio.Reader)) *server {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{addr: netip.MustParseAddrPort(l.Addr().String())}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// each answers every request with what a function returns for its ID and number.
+func each(answer func(id string, n int) string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, in *bufio.Reader) {
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, answer(r.Header.Get(header), n)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func ok(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", header, id, len(id), id)
+}
+
+func do(ctx context.Context, p *http1.Pool, addr netip.AddrPort, id string, idle time.Duration) (string, error) {
+	req := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{header: {id}},
+		Body: io.NopCloser(strings.NewReader("b")), ContentLength: 1,
+	}
+	x, err := p.Do(ctx, http1.Request{Addr: addr, ID: id, HTTP: req, Idle: idle})
+	if err != nil {
+		return "", err
+	}
+	defer x.Abort()
+	body, err := io.ReadAll(x.Response.Body)
+	if err != nil {
+		return "", err
+	}
+	x.Finish()
+	return string(body), nil
+}
+
+func TestConnections(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(id string, n int) string
+		idle   time.Duration
+		// opened is how many connections three requests take.
+		opened int64
+	}{
+		{name: "are kept", answer: func(id string, _ int) string { return ok(id) }, idle: time.Minute, opened: 1},
+		{name: "are not used where none may be", answer: func(id string, _ int) string { return ok(id) }, opened: 3},
+		{
+			name:   "are closed where the endpoint says so",
+			answer: func(id string, _ int) string { return strings.Replace(ok(id), "\r\n", "\r\nConnection: close\r\n", 1) },
+			idle:   time.Minute, opened: 3,
+		},
+		{
+			// Symptom: a caller gets bytes of another's answer. Sequence: an
+			// endpoint sends more after a complete answer. Cause: the
+			// connection was used again.
+			name:   "with bytes that nobody asked for are closed",
+			answer: func(id string, _ int) string { return ok(id) + "more" },
+			idle:   time.Minute, opened: 3,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t, each(c.answer))
+			p := http1.NewPool(http1.PoolConfig{RequestID: header})
+			defer p.Close()
+			for _, id := range []string{"a", "b", "c"} {
+				body, err := do(context.Background(), p, s.addr, id, c.idle)
+				require.NoError(t, err)
+				require.Equal(t, id, body)
+			}
+			require.Equal(t, c.opened, s.accepted.Load())
+		})
+	}
+}
+
+// Symptom: a caller gets the answer to another request. Sequence: an endpoint
+// answers a request a second time, when the next one is under way on the same
+// connection. Cause: answers were not told apart by their IDs.
+func TestLateSecondAnswerIsPassedOver(t *testing.T) {
+	last := ""
+	s := newServer(t, each(func(id string, n int) string {
+		defer func() { last = id }()
+		if n == 1 {
+			return ok(last) + ok(id)
+		}
+		return ok(id)
+	}))
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	for _, id := range []string{"a", "b"} {
+		body, err := do(context.Background(), p, s.addr, id, time.Minute)
+		require.NoError(t, err)
+		require.Equal(t, id, body)
+	}
+}
+
+func TestErrorsSayWhetherARequestMayHaveRun(t *testing.T) {
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := netip.MustParseAddrPort(closed.Addr().String())
+	require.NoError(t, closed.Close())
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	_, err = do(context.Background(), p, addr, "a", 0)
+	require.ErrorIs(t, err, http1.ErrConnect)
+
+	for _, answer := range []string{"", "garbage\r\n\r\n", ok("other")} {
+		s := newServer(t, func(c net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		_, err = do(context.Background(), p, s.addr, "a", 0)
+		require.ErrorIs(t, err, http1.ErrBroken)
+	}
+}
+
+// Symptom: an endpoint works on for nobody. Sequence: a caller leaves.
+// Cause: the endpoint's connection was not closed.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	gone := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newServer(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		cancel()
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	})
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	_, err := do(ctx, p, s.addr, "a", 0)
+	require.ErrorIs(t, err, http1.ErrBroken)
+	<-gone
+}
+
+// Symptom: a request gets bytes of another's body. Sequence: an endpoint answers
+// before it has read a long body, and reads on later on the same connection.
+// Cause: the connection was used again before all of the body was written.
+func TestConnectionOfAnEarlyAnswerIsNotUsedAgain(t *testing.T) {
+	s := newServer(t, func(c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, ok(r.Header.Get(header)))
+		time.Sleep(time.Hour)
+	})
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	for _, id := range []string{"a", "b"} {
+		body := strings.Repeat("x", 16<<20)
+		req := &http.Request{
+			Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{header: {id}},
+			Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
+		}
+		x, err := p.Do(context.Background(), http1.Request{Addr: s.addr, ID: id, HTTP: req, Idle: time.Minute})
+		require.NoError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		require.NoError(t, err)
+		x.Finish()
+	}
+	require.Equal(t, int64(2), s.accepted.Load())
+}
