Add a fault soak of real processes

Nodes run as processes of their own on loopback, behind proxies that delay, reset, silence or cut one way; signals stop, pause, kill and restart them; the store and the endpoints fail and change. Promises are checked by what callers and endpoints see.

--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,224 @@
+// Package soak runs the real program as many processes on loopback, injects
+// faults from outside, as a seed draws them, and checks the promises of the
+// platform's pages by what callers and endpoints see.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sizes and times of what the fleet runs in.
+const (
+	servicePlain    = "plain"
+	serviceEngine   = "engine"
+	plainEndpoints  = 4
+	engineEndpoints = 6
+	slots           = 32
+	streamEvents    = 20
+	workTime        = 25 * time.Millisecond
+	thinkTime       = 120 * time.Millisecond
+	routeTimeout    = 6 * time.Second
+	callerTimeout   = 7 * time.Second
+	probeInterval   = 150 * time.Millisecond
+	// lapseTime is how long an endpoint's entry outlives it.
+	lapseTime = 3600 * time.Millisecond
+)
+
+// Bounds of the promises, as the users' installations have them.
+const (
+	grace        = 8 * time.Second
+	contact      = 3 * time.Second
+	drainBound   = 2 * time.Second
+	applyBound   = 2 * time.Second
+	budgetWindow = 10 * time.Second
+	retrySlack   = 56
+	// drainSlack is for the way between the store's answer and the note of it.
+	drainSlack = 100 * time.Millisecond
+)
+
+// ErrBroken is returned where a promise was broken.
+var ErrBroken = errors.New("soak: a promise was broken")
+
+type (
+	// Config is the settings of a run.
+	Config struct {
+		// Program is the path of the program.
+		Program string
+		// Folder takes settings and logs.
+		Folder  string
+		Seed    uint64
+		Length  time.Duration
+		Nodes   int
+		Callers int
+		// Timed checks the promises with a time bound too; on a machine that is
+		// busy with other things they say little.
+		Timed bool
+		// Out takes the report.
+		Out io.Writer
+	}
+
+	soak struct {
+		config Config
+		world  *world
+		ledger *ledger
+		nodes  []*node
+		began  time.Time
+
+		mu     sync.Mutex
+		errs   []error
+		events []string
+	}
+)
+
+// Run runs one seed. It returns ErrBroken where a promise was broken, and
+// another error where the run itself failed.
+func Run(ctx context.Context, c Config) error {
+	s := &soak{config: c, ledger: newLedger(c.Timed), began: time.Now()}
+	defer s.end()
+	if err := s.start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Length)
+	defer cancel()
+	k := &callers{soak: s, ledger: s.ledger}
+	var group sync.WaitGroup
+	group.Go(func() { k.run(ctx, c.Callers, c.Seed) })
+	group.Go(func() { k.probe(ctx) })
+	group.Go(func() { s.strike(ctx, rand.New(rand.NewPCG(c.Seed, 1))) })
+	group.Wait()
+	return s.report()
+}
+
+func (s *soak) start() error {
+	var err error
+	if s.world, err = newWorld(s.ledger); err != nil {
+		return err
+	}
+	network := fmt.Sprintf("127.%d.%d.", 192+rand.IntN(62), 1+rand.IntN(250))
+	port, err := freePort(network + "1")
+	if err != nil {
+		return err
+	}
+	for i := range s.config.Nodes {
+		n := &node{
+			name: fmt.Sprint("n", i+1), ip: netip.MustParseAddr(fmt.Sprint(network, i+1)), port: port,
+			program: s.config.Program, folder: s.config.Folder,
+		}
+		if n.store, err = newProxy("127.0.0.1", func() netip.AddrPort { return s.world.storeAddr }); err != nil {
+			return err
+		}
+		if n.front, err = newProxy("127.0.0.1", func() netip.AddrPort { return n.at(1) }); err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	for _, n := range s.nodes {
+		if err := n.start(s.seeds()); err != nil {
+			return err
+		}
+	}
+	return s.await()
+}
+
+// await waits until all nodes know each other.
+func (s *soak) await() error {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, n := range s.nodes {
+			if list, _, err := resolve(n.at(2)); err == nil && len(list) == len(s.nodes) {
+				ready++
+			}
+		}
+		if ready == len(s.nodes) {
+			return nil
+		}
+	}
+	return errors.New("soak: the nodes have not found each other")
+}
+
+func (s *soak) seeds() []string {
+	var list []string
+	for _, n := range s.nodes[:min(len(s.nodes), 3)] {
+		list = append(list, n.at(0).String())
+	}
+	return list
+}
+
+// end ends what the run started, and nothing else.
+func (s *soak) end() {
+	for _, n := range s.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		n.store.close()
+		n.front.close()
+	}
+}
+
+func (s *soak) note(err error) {
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errs = append(s.errs, err)
+}
+
+func (s *soak) log(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, fmt.Sprintf(format, args...))
+}
+
+// report prints what happened, the schedule too where a promise was broken.
+func (s *soak) report() error {
+	broken := s.ledger.finish()
+	outcomes := make([]string, 0, len(s.ledger.outcomes))
+	for outcome, n := range s.ledger.outcomes {
+		outcomes = append(outcomes, fmt.Sprintf("%s: %d", outcome, n))
+	}
+	slices.Sort(outcomes)
+	fmt.Fprintf(s.config.Out, "seed %d: %d faults, %v\n", s.config.Seed, len(s.events), outcomes)
+	if err := errors.Join(s.errs...); err != nil {
+		return err
+	}
+	if len(broken) == 0 {
+		return nil
+	}
+	for _, line := range s.events {
+		fmt.Fprintln(s.config.Out, line)
+	}
+	for _, line := range broken {
+		fmt.Fprintln(s.config.Out, "BROKEN:", line)
+	}
+	fmt.Fprintln(s.config.Out, "logs:", s.config.Folder)
+	return fmt.Errorf("%w: seed %d", ErrBroken, s.config.Seed)
+}
+
+func freePort(ip string) (uint16, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return 0, fmt.Errorf("soak: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port(), nil
+}
+
+// Folder returns a new folder for a seed's settings and logs.
+func Folder(base string, seed uint64) (string, error) {
+	path, err := os.MkdirTemp(base, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	return path, nil
+}
