Keep an endpoint's failure for where nothing better comes

Requests that came within 20 ms of a node's start were refused too. Change: the answer is kept, the endpoint may be tried once more, and requests wait up to 50 ms for the first configuration.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -70,6 +70,9 @@
 		Key string
 		// Tried are the IDs of endpoints that have had this request.
 		Tried []string
+		// Again says that one of them may have it once more if no other has
+		// room: it has answered, and may do better the second time.
+		Again bool
 	}
 
 	// Choice is the endpoint chosen and what decided it.
@@ -122,11 +125,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all, mean := b.candidates(now, list, r)
-	var c *candidate
-	if r.Key != "" {
-		c = pickKeyed(all, mean)
-	} else {
-		c = b.pickPlain(all)
+	c := b.pick(all, mean, r)
+	if c == nil && r.Again {
+		r.Tried = nil
+		all, mean = b.candidates(now, list, r)
+		c = b.pick(all, mean, r)
 	}
 	if c == nil {
 		return nil
@@ -264,6 +267,13 @@
 	return total / float64(max(len(list), 1))
 }
 
+func (b *Balancer) pick(all []candidate, mean float64, r Request) *candidate {
+	if r.Key != "" {
+		return pickKeyed(all, mean)
+	}
+	return b.pickPlain(all)
+}
+
 // pickKeyed takes the first endpoint of the key's rendezvous order that is
 // under the bound, so that all nodes send what shares a prompt to one endpoint.
 // Endpoints that keep the prompt's part go before all others: one that has just
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,12 @@
 	minPause = 500 * time.Millisecond
 )
 
+// wholeAnswer is an endpoint's answer that is complete.
+type wholeAnswer struct {
+	head *http.Response
+	body []byte
+}
+
 // attempt is one send of a call to an endpoint.
 type attempt struct {
 	call    *call
@@ -111,7 +117,7 @@
 // request that must not be repeated waits as long as its caller.
 func (a *attempt) stall() time.Duration {
 	c := a.call
-	if !c.route.Kind.Repeats() || c.progress.runs+1 >= c.route.Attempts {
+	if !c.mayRepeat() {
 		return 0
 	}
 	share := plainStall
@@ -198,7 +204,9 @@
 	return resp.Header.Get(h.Seal) != "" && resp.Header.Get("Content-Encoding") == ""
 }
 
-// whole passes on an answer that is not a stream, once it is complete.
+// whole passes on an answer that is not a stream, once it is complete. A failure
+// that may be tried again is kept: it is still the endpoint's answer where
+// nothing better comes.
 func (a *attempt) whole(x *http1.Exchange) result {
 	c := a.call
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxWhole+1))
@@ -206,26 +214,38 @@
 		return a.failed(err)
 	}
 	a.first = time.Since(a.at)
+	if len(body) > maxWhole {
+		return a.long(x, body)
+	}
+	x.Finish()
+	whole := &wholeAnswer{head: x.Response, body: body}
 	if x.Response.StatusCode >= http.StatusInternalServerError {
 		a.outcome = balance.Failed
-		if c.route.Kind.Repeats() && c.progress.runs+1 < c.route.Attempts && x.Response.StatusCode != http.StatusGatewayTimeout {
-			x.Finish()
+		if c.mayRepeat() && x.Response.StatusCode != http.StatusGatewayTimeout {
+			c.kept = whole
 			return resultBroken
 		}
 	} else {
 		a.outcome = balance.Served
 		c.handler.config.Crashes.Served(c.print)
 	}
-	c.copyHead(x.Response)
-	if len(body) <= maxWhole {
-		x.Finish()
-		c.out.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		c.out.WriteHeader(x.Response.StatusCode)
-		// A caller that has gone needs no answer.
-		_, _ = c.out.Write(body)
-		return resultDone
-	}
-	return a.long(x, body)
+	c.pass(whole)
+	return resultDone
+}
+
+// mayRepeat reports whether the attempt under way may be followed by another
+// one though it has run.
+func (c *call) mayRepeat() bool {
+	return c.route.Kind.Repeats() && c.progress.runs+1 < c.route.Attempts
+}
+
+// pass writes a complete answer to the caller.
+func (c *call) pass(w *wholeAnswer) {
+	c.copyHead(w.head)
+	c.out.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
+	c.out.WriteHeader(w.head.StatusCode)
+	// A caller that has gone needs no answer.
+	_, _ = c.out.Write(w.body)
 }
 
 // long passes on an answer that is too large to be held.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -338,6 +338,20 @@
 	return play(c, r)
 }
 
+// Symptom: a caller gets 502 though an endpoint has answered. Sequence: the only
+// endpoint fails an idempotent request, and nothing is left to try it at.
+// Cause: the endpoint's own failure was dropped, and a tried endpoint passed over.
+func TestOnlyEndpointIsTriedAgainAndItsFailureKept(t *testing.T) {
+	route := deployment.Route{Kind: deployment.Idempotent, Attempts: 2}
+	f := newFixture(t, route, newEndpoint(t, whole(500, "no"), whole(200, "hi")))
+	require.Equal(t, 200, f.ask(t, "/p/x", nil).status)
+	f = newFixture(t, route, newEndpoint(t, whole(500, "no"), hangUp))
+	a := f.ask(t, "/p/x", nil)
+	require.Equal(t, 500, a.status)
+	require.Equal(t, "no", a.body)
+	require.Equal(t, "s", a.header.Get(seal))
+}
+
 func TestRefusalsBeforeAnyEndpoint(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -27,6 +27,8 @@
 	maxHeld = 64 << 20
 	// answerMargin is how long before the caller's deadline its answer is sent.
 	answerMargin = 30 * time.Millisecond
+	// configWait is how long a request waits for the first configuration.
+	configWait = 50 * time.Millisecond
 	// staleAfter is how old the configuration may be for the node to say that
 	// a route or key does not exist; the platform answers within milliseconds.
 	staleAfter = 25 * time.Second
@@ -80,6 +82,8 @@
 		// deadline is when the caller must have its answer.
 		deadline time.Time
 		progress progress
+		// kept is an endpoint's failure, for where nothing better comes.
+		kept *wholeAnswer
 	}
 
 	// progress is what has become of a call so far.
@@ -137,8 +141,7 @@
 // admit finds the request's route and account.
 func (c *call) admit() *refusal {
 	h := c.handler
-	c.config = h.config.Deployment.Snapshot().Config
-	if c.config == nil {
+	if c.config = h.awaitConfig(c.in.Context()); c.config == nil {
 		return notRun(reasonNoConfig, retryLater)
 	}
 	if c.config.Limits.HeaderBytes > 0 && size(c.in) > c.config.Limits.HeaderBytes {
@@ -164,6 +167,21 @@
 	return nil
 }
 
+// awaitConfig returns the configuration. A node that has just started reads it
+// within milliseconds; callers who come in between need not come again.
+func (h *Handler) awaitConfig(ctx context.Context) *deployment.Config {
+	for end := time.Now().Add(configWait); ; {
+		if c := h.config.Deployment.Snapshot().Config; c != nil || time.Now().After(end) {
+			return c
+		}
+		select {
+		case <-time.After(placePoll):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // denied refuses what the configuration does not allow. A configuration that
 // may long be replaced is no ground to say so for good.
 func (c *call) denied(status int, reason string) *refusal {
@@ -241,8 +259,25 @@
 
 // refuse answers a request that goes no further.
 func (c *call) refuse(r *refusal) {
-	c.handler.config.Metrics.refused(r)
-	c.log("refused", decision.Fields{"status": r.status, "reason": r.reason, "retry_after_ms": r.after.Milliseconds()})
+	h := c.handler.config
+	h.Metrics.refused(r)
+	f := decision.Fields{"status": r.status, "reason": r.reason, "sends": c.progress.sends, "runs": c.progress.runs}
+	if r.after > 0 {
+		f["retry_after_ms"] = r.after.Milliseconds()
+	}
+	if c.progress.started {
+		f["cut"] = true
+	}
+	if age, known := h.Deployment.Age(); known {
+		f["confirmed_ms"] = age.Milliseconds()
+	}
+	if c.kept != nil && !c.progress.started {
+		f["status"], f["kept"] = c.kept.head.StatusCode, true
+		c.log("refused", f)
+		c.pass(c.kept)
+		return
+	}
+	c.log("refused", f)
 	if c.progress.started {
 		// The caller has a part of the answer; only a broken connection tells
 		// it that the rest will not come.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -110,7 +110,7 @@
 	for {
 		now := time.Now()
 		list := h.Deployment.Snapshot().Endpoints[c.service.Name]
-		choice := h.Balancer.Choose(now, list, balance.Request{Service: c.service, Key: c.key, Tried: c.progress.tried})
+		choice := h.Balancer.Choose(now, list, balance.Request{Service: c.service, Key: c.key, Tried: c.progress.tried, Again: c.kept != nil})
 		if choice != nil {
 			return choice, nil
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 		if ev.Numbered && ev.ID <= c.progress.last && c.progress.events > 0 {
 			continue
 		}
-		if err := c.pass(x.Response, ev); err != nil {
+		if err := c.passEvent(x.Response, ev); err != nil {
 			a.cause = err.Error()
 			return resultGone
 		}
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// pass writes one event to the caller.
-func (c *call) pass(head *http.Response, ev sse.Event) error {
+// passEvent writes one event to the caller.
+func (c *call) passEvent(head *http.Response, ev sse.Event) error {
 	if !c.progress.started {
 		c.copyHead(head)
 		c.out.WriteHeader(head.StatusCode)
