Start a restarted node where its peers know it; keep soak runs apart

Cause of the test that failed beside load (TestNodeWithoutInstanceListIsNoHome): the node restarted at a new port while the platform was down, and the others only learned of it from a watch that had been waiting when the outage began. Under load no watch was waiting, and nobody could ever tell them. Traced by printing both nodes' views: the node ran and knew nobody, the others had dropped it. Ruled out: a fault of membership (with an address that they know, they find it). Change: the node restarts at its old peer address, and a waiting watch tells nothing during an outage either. Soak runs use addresses of their own: requests without an ID, from another test run on the same address, had reached an endpoint's freed port (no node has logged them).

--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -62,6 +62,8 @@
 		// Alone makes the node start without the addresses of peers to ask for
 		// the instance list.
 		Alone bool
+		// Peer is where it listens for peers; the zero address is any free one.
+		Peer netip.AddrPort
 	}
 
 	// EndpointConfig is an endpoint to start.
--- a/internal/loopback/node.go
+++ b/internal/loopback/node.go
@@ -99,7 +99,11 @@
 func (f *Fleet) newNode(c NodeConfig) (*node, error) {
 	var listeners [3]net.Listener
 	for i := range listeners {
-		l, err := net.Listen("tcp", anyPort)
+		at := anyPort
+		if i == 1 && c.Peer.IsValid() {
+			at = c.Peer.String()
+		}
+		l, err := net.Listen("tcp", at)
 		if err != nil {
 			return nil, fmt.Errorf("loopback: %w", err)
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -101,11 +101,14 @@
 }
 
 func (s *soak) start() error {
+	// All addresses are the run's own, so that a port which is free again is not
+	// taken by another run, whose requests would come here.
+	network := fmt.Sprintf("127.%d.%d.", 192+rand.IntN(62), 1+rand.IntN(250))
+	world := network + "250"
 	var err error
-	if s.world, err = newWorld(s.ledger); err != nil {
+	if s.world, err = newWorld(world, s.ledger); err != nil {
 		return err
 	}
-	network := fmt.Sprintf("127.%d.%d.", 192+rand.IntN(62), 1+rand.IntN(250))
 	port, err := freePort(network + "1")
 	if err != nil {
 		return err
@@ -115,10 +118,10 @@
 			name: fmt.Sprint("n", i+1), ip: netip.MustParseAddr(fmt.Sprint(network, i+1)), port: port,
 			program: s.config.Program, folder: s.config.Folder,
 		}
-		if n.store, err = newProxy("127.0.0.1", func() netip.AddrPort { return s.world.storeAddr }); err != nil {
+		if n.store, err = newProxy(world, func() netip.AddrPort { return s.world.storeAddr }); err != nil {
 			return err
 		}
-		if n.front, err = newProxy("127.0.0.1", func() netip.AddrPort { return n.at(1) }); err != nil {
+		if n.front, err = newProxy(world, func() netip.AddrPort { return n.at(1) }); err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -129,6 +129,11 @@
 		return
 	}
 	v, found := p.await(r, key, after, min(wait, maxWatchWait))
+	if p.Faults().Down {
+		// A watch that was waiting must not tell what comes during an outage.
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
 	if !found {
 		w.WriteHeader(http.StatusNotModified)
 		return
