--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,38 @@
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/soak"
+)
+
+// seeds are run in short, without the promises that have a time bound.
+var seeds = []struct {
+	seed uint64
+	// why says what the seed once showed.
+	why string
+}{
+	{seed: 1, why: "the short run of every test"},
+	{seed: 106, why: "requests without an ID reached an endpoint: another test run had connected to a port that was free again; runs have had addresses of their own since"},
+}
+
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "bulrushhinge")
+	out, err := exec.Command("go", "build", "-o", program, "bulrushhinge.example/bulrushhinge/cmd/bulrushhinge").CombinedOutput()
+	require.NoError(t, err, string(out))
+	for _, s := range seeds {
+		var report bytes.Buffer
+		err := soak.Run(context.Background(), soak.Config{
+			Program: program, Folder: t.TempDir(), Seed: s.seed, Length: 8 * time.Second, Nodes: 4, Callers: 12, Out: &report,
+		})
+		require.NoError(t, err, report.String())
+		require.Contains(t, report.String(), "200: ")
+	}
+}
