Send changes between nodes as differences, from any node that knows them

Cause: a configuration of 1,650 routes has half a megabyte; seventy nodes asked the first that announced it, on a link of 10 Mbit/s, and timed out. They were 1.3 s late, and a request reached an endpoint 38 ms past the drain bound. Ruled out: a late announcement (nodes had it 10 ms after the store).

--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -21,6 +21,11 @@
 	// sweepInterval is how often held removals are looked at.
 	sweepInterval = 100 * time.Millisecond
 	updateQueue   = 64
+	// largeValue is from which size replaced values are kept, and pastValues
+	// how many: a storm brings some ten in a second, a peer is told within half
+	// a second, and a value may be a megabyte.
+	largeValue = 8 << 10
+	pastValues = 6
 )
 
 // Whether a node reads the platform's store itself.
@@ -64,6 +69,8 @@
 		news    chan struct{}
 		start   time.Time
 		items   atomic.Pointer[[]Item]
+		// past are large values that were replaced, newest last.
+		past    atomic.Pointer[[]Item]
 		cancel  context.CancelFunc
 		running sync.WaitGroup
 	}
@@ -102,6 +109,7 @@
 	s := &State{config: c, updates: make(chan Update, updateQueue), news: make(chan struct{}, 1), start: time.Now(), cancel: cancel}
 	s.snapshot.Store(&Snapshot{})
 	s.items.Store(&[]Item{})
+	s.past.Store(&[]Item{})
 	s.contact.Store(-1)
 	s.running.Go(func() {
 		b := &book{items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{}}
@@ -135,6 +143,10 @@
 // Items returns all known items, for peers.
 func (s *State) Items() []Item { return *s.items.Load() }
 
+// Past returns large values that were replaced lately: what a peer may still
+// have, and can be told a change of in few bytes.
+func (s *State) Past() []Item { return *s.past.Load() }
+
 // Noted takes how the last call to the store ended, or that none is made.
 func (s *State) Noted(a Access) {
 	if a == Reading {
@@ -217,6 +229,11 @@
 		s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "revision": item.Revision, "source": u.Source, "error": err.Error()})
 		return false
 	}
+	if old := b.items[item.Key]; len(old.Value) >= largeValue {
+		past := append(slices.Clone(s.Past()), old)
+		past = past[max(len(past)-pastValues, 0):]
+		s.past.Store(&past)
+	}
 	b.items[item.Key] = item
 	switch {
 	case change.Config != nil:
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,6 +46,8 @@
 	Book interface {
 		Snapshot() *deployment.Snapshot
 		Items() []deployment.Item
+		// Past returns large values that were replaced lately.
+		Past() []deployment.Item
 		Apply(ctx context.Context, u deployment.Update)
 		// Access returns whether this node reads the store, and Confirm notes
 		// that a node which does knows nothing newer.
@@ -258,7 +260,7 @@
 	known := g.config.Book.Snapshot().Revision
 	switch {
 	case b.Revision > known:
-		g.pull(ctx, o, b.From)
+		g.pull(ctx, o)
 	case b.From.Access == deployment.Reading:
 		g.config.Book.Confirm()
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 )
@@ -25,6 +28,7 @@
 		mu       sync.Mutex
 		revision uint64
 		items    []deployment.Item
+		past     []deployment.Item
 		access   deployment.Access
 		regained bool
 		news     chan struct{}
@@ -67,6 +71,12 @@
 	return b.items
 }
 
+func (b *book) Past() []deployment.Item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.past
+}
+
 func (b *book) Apply(_ context.Context, u deployment.Update) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,12 +130,13 @@
 
 // start starts the node with a number; its seeds are the first node and one that
 // never was.
-func (f *fleet) start(n int, b *book) *node {
+func (f *fleet) start(n int, b *book, log ...*decision.Log) *node {
 	nd := &node{book: b, work: &work{active: map[uint32]int{uint32(n): n}}, state: gossip.Ready}
 	b.news = make(chan struct{}, 1)
 	g, err := gossip.New(gossip.Config{
 		Self: gossip.Member{Name: fmt.Sprint("n", n), Zone: "z", IP: f.ip(n), Incarnation: rand.Uint64()},
 		Port: f.port, Seeds: func() []netip.Addr { return []netip.Addr{f.ip(1), f.ip(200)} }, Book: b, Work: nd.work,
+		Log: append(log, nil)[0],
 		State: func() gossip.State {
 			nd.mu.Lock()
 			defer nd.mu.Unlock()
@@ -185,6 +196,51 @@
 	require.True(t, other.book.regained)
 }
 
+// Symptom: calls between nodes time out after each change of a large
+// configuration. Sequence: a configuration of half a megabyte changes a little,
+// and seventy nodes ask the same one for it. Cause: it was sent whole.
+func TestChangeOfALargeValueIsSentAsADifference(t *testing.T) {
+	old := make([]byte, 500_000)
+	for i := range old {
+		old[i] = byte(rand.Uint32())
+	}
+	changed := append(slices.Clone(old[:1000]), old[1010:]...)
+	f := newFleet(t)
+	out := &counted{}
+	knows := &book{revision: 7, items: []deployment.Item{{Key: "a", Value: changed, Revision: 7}}, past: []deployment.Item{{Key: "a", Value: old, Revision: 3}}}
+	f.start(1, knows)
+	other := f.start(2, &book{revision: 3, items: []deployment.Item{{Key: "a", Value: old, Revision: 3}}}, decision.New(decision.LogConfig{To: out}))
+	f.eventually(func() bool { return other.book.Snapshot().Revision == 7 }, "the news is taken")
+	require.Equal(t, changed, other.book.Items()[1].Value)
+	f.eventually(func() bool { return out.pulled() > 0 }, "the pull is logged")
+	require.Less(t, out.pulled(), 2000)
+}
+
+// counted is a log of which only the bytes of the last pull count.
+type counted struct {
+	mu    sync.Mutex
+	bytes int
+}
+
+func (c *counted) Write(line []byte) (int, error) {
+	var w struct {
+		Event string
+		Bytes int
+	}
+	if json.Unmarshal(line, &w) == nil && w.Event == "pull" {
+		c.mu.Lock()
+		c.bytes = w.Bytes
+		c.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+func (c *counted) pulled() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
 // Only a few nodes read the store, also after one of them has failed to.
 func TestFewNodesReadTheStore(t *testing.T) {
 	f := newFleet(t)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -78,10 +78,22 @@
 	// itemsRequest asks for the items that changed after a revision.
 	itemsRequest struct {
 		After uint64 `cbor:"1,keyasint"`
+		// Base is the largest item that the caller has; its new value is sent
+		// as the difference to it where the other node still knows it.
+		Base itemName `cbor:"2,keyasint"`
+	}
+
+	// itemName names an item's value.
+	itemName struct {
+		Key      string `cbor:"1,keyasint"`
+		Revision uint64 `cbor:"2,keyasint"`
 	}
 
 	itemsReply struct {
-		Items    []item `cbor:"1,keyasint"`
+		// Packed are the items, encoded and compressed.
+		Packed []byte `cbor:"1,keyasint"`
+		// Based says that the base serves as the dictionary.
+		Based    bool   `cbor:"4,keyasint,omitempty"`
 		Revision uint64 `cbor:"2,keyasint"`
 		// Lapsing says that removals may stem from an outage of the store.
 		Lapsing bool `cbor:"3,keyasint,omitempty"`
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -40,7 +40,10 @@
 	}
 
 	// handler answers calls.
-	handler struct{ book Book }
+	handler struct {
+		book   Book
+		packer *packer
+	}
 )
 
 func newCaller(port uint16) *caller { return &caller{port: port} }
@@ -50,7 +53,7 @@
 	s := &server{cancel: cancel}
 	s.running.Go(func() {
 		// The server ends with its context.
-		_ = drpcserver.New(handler{book: book}).Serve(ctx, l)
+		_ = drpcserver.New(handler{book: book, packer: newPacker(book)}).Serve(ctx, l)
 	})
 	return s
 }
@@ -69,8 +72,12 @@
 	if err := stream.MsgRecv(&req, codec{}); err != nil {
 		return err
 	}
-	snap := h.book.Snapshot()
-	reply := itemsReply{Items: encodeItems(h.book.Items(), req.After), Revision: snap.Revision, Lapsing: h.book.Lapsing()}
+	packed, err := h.packer.reply(req)
+	if err != nil {
+		return err
+	}
+	reply := *packed
+	reply.Lapsing = h.book.Lapsing()
 	if err := stream.MsgSend(&reply, codec{}); err != nil {
 		return err
 	}
@@ -78,7 +85,7 @@
 }
 
 // items asks a node for the items that changed after a revision.
-func (c *caller) items(ctx context.Context, ip netip.Addr, after uint64) (*itemsReply, error) {
+func (c *caller) items(ctx context.Context, ip netip.Addr, req itemsRequest) (*itemsReply, error) {
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp4", netip.AddrPortFrom(ip, c.port).String())
 	if err != nil {
@@ -87,7 +94,7 @@
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }()
 	var reply itemsReply
-	if err := conn.Invoke(ctx, itemsCall, codec{}, &itemsRequest{After: after}, &reply); err != nil {
+	if err := conn.Invoke(ctx, itemsCall, codec{}, &req, &reply); err != nil {
 		return nil, fmt.Errorf("gossip: items: %w", err)
 	}
 	return &reply, nil
@@ -98,7 +105,7 @@
 // A node may be cut off from the store while others are not. One would see it
 // serve an old configuration, and send requests to endpoints that have left.
 // Any node that knows more is asked, one at a time.
-func (g *Gossip) pull(ctx context.Context, o *owner, from Member) {
+func (g *Gossip) pull(ctx context.Context, o *owner) {
 	select {
 	case o.pulling <- struct{}{}:
 	default:
@@ -114,24 +121,33 @@
 			}
 		}
 		after := g.config.Book.Snapshot().Revision
-		if after >= g.View().revision(from.Name) {
-			return
+		if from, ok := g.View().informed(after); ok {
+			g.fetch(ctx, from, after)
 		}
-		g.fetch(ctx, from, after)
 	})
 }
 
 func (g *Gossip) fetch(ctx context.Context, from Member, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	reply, err := g.caller.items(ctx, from.IP, after)
+	items := g.config.Book.Items()
+	req := itemsRequest{After: after, Base: largest(items)}
+	reply, err := g.caller.items(ctx, from.IP, req)
+	var news []item
+	if err == nil {
+		var base []byte
+		if reply.Based {
+			base = valueOf(items, req.Base)
+		}
+		news, err = unpack(reply.Packed, base)
+	}
 	if err != nil {
 		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "after": after, "error": err.Error()})
 		g.config.Untold()
 		return
 	}
 	g.config.Log.Event("pull", decision.Fields{
-		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(reply.Items),
+		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(news), "bytes": len(reply.Packed),
 	})
-	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(reply.Items), Revision: reply.Revision, Regained: reply.Lapsing, Source: from.Name})
+	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(news), Revision: reply.Revision, Regained: reply.Lapsing, Source: from.Name})
 }
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -46,8 +47,20 @@
 // sent.
 func (v *View) Others(key uint32) int { return v.loads[key] }
 
-// revision returns the store's revision that a living node knows all up to.
-func (v *View) revision(name string) uint64 { return v.revisions[name] }
+// informed draws a living node that knows more of the store than a revision, so
+// that not all ask the same one.
+func (v *View) informed(after uint64) (Member, bool) {
+	var list []Member
+	for _, m := range v.Alive {
+		if v.revisions[m.Name] > after {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return Member{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
 
 func newTable() *table { return &table{nodes: map[string]*node{}} }
 
