--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -24,9 +24,6 @@
 	Stopping
 )
 
-// maxDatagram is under what an Ethernet frame carries.
-const maxDatagram = 1400
-
 // ErrMessage is returned for a message that cannot be encoded or decoded.
 var ErrMessage = errors.New("gossip: bad message")
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 type (
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	for _, n := range c.soak.nodes {
-		if n.at(1) == addr {
+		if n.Callers() == addr {
 			addr = n.front.addr()
 		}
 	}
@@ -119,16 +120,10 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	a := answer{sent: time.Now()}
-	// The body's reader hides its type, so that the client cannot send it twice
-	// by itself.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/x", addr, route), io.NopCloser(strings.NewReader("body of "+id)))
+	req, err := standin.NewRequest(ctx, addr, "/"+route+"/x", id, "", patience)
 	if err != nil {
 		return answer{err: err}
 	}
-	req.ContentLength = int64(len("body of " + id))
-	req.Host = "h"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
 	resp, err := c.client.Do(req)
 	if err != nil {
 		a.err, a.left = err, ctx.Err() != nil
@@ -145,7 +140,7 @@
 func (c *caller) address() (netip.AddrPort, bool) {
 	if time.Now().After(c.until) {
 		n := c.soak.nodes[c.random.IntN(len(c.soak.nodes))]
-		if list, ttl, err := resolve(n.at(2)); err == nil {
+		if list, ttl, err := standin.Resolve(n.Directory()); err == nil {
 			c.addresses, c.until = list, time.Now().Add(ttl)
 		}
 	}
@@ -155,23 +150,6 @@
 	return c.addresses[c.random.IntN(len(c.addresses))], true
 }
 
-func resolve(at netip.AddrPort) ([]netip.AddrPort, time.Duration, error) {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get(fmt.Sprintf("http://%s/bulrushhinge/resolve?name=h&region=r1&zone=z1", at))
-	if err != nil {
-		return nil, 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var w struct {
-		Addresses []netip.AddrPort `json:"addresses"`
-		TTL       float64          `json:"ttl_s"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&w); err != nil {
-		return nil, 0, err
-	}
-	return w.Addresses, time.Duration(w.TTL * float64(time.Second)), nil
-}
-
 // probe asks each node, past its proxy, whether it knows the newest version.
 func (c *callers) probe(ctx context.Context) {
 	client := &http.Client{Timeout: 2 * time.Second}
@@ -180,7 +158,7 @@
 			life, version, asked := n.life(), c.ledger.newest(), time.Now()
 			status := c.know(ctx, client, n, version)
 			if n.life() == life && (status == http.StatusOK || status == http.StatusNotFound) {
-				c.ledger.shows(fmt.Sprintf("%s (start %d)", n.name, life), version, status == http.StatusOK, asked)
+				c.ledger.shows(fmt.Sprintf("%s (start %d)", n.Node, life), version, status == http.StatusOK, asked)
 			}
 		}
 		time.Sleep(probeInterval)
@@ -190,12 +168,10 @@
 func (c *callers) know(ctx context.Context, client *http.Client, n *node, version int) int {
 	id := fmt.Sprintf("probe-%d", c.next.Add(1))
 	c.ledger.ask(id, safe)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v%d/x", n.at(1), version), nil)
+	req, err := standin.NewRequest(ctx, n.Callers(), fmt.Sprintf("/v%d/x", version), id, "", client.Timeout)
 	if err != nil {
 		return 0
 	}
-	req.Host = "h"
-	req.Header.Set("X-Request-Id", id)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,14 +38,14 @@
 	{name: "hang up", planned: true, strike: func(_ context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
 		n.signal(syscall.SIGHUP)
-		return n.name
+		return n.Node
 	}},
 	{name: "pause", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
 		n.signal(syscall.SIGSTOP)
 		wait(ctx, r, 4*time.Second)
 		n.signal(syscall.SIGCONT)
-		return n.name
+		return n.Node
 	}},
 	{name: "store down", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		s.world.store.Down(true)
@@ -59,11 +59,11 @@
 	}},
 	{name: "store cut", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
-		return n.name + " " + through(ctx, r, n.store)
+		return n.Node + " " + through(ctx, r, n.store)
 	}},
 	{name: "callers cut", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
-		return n.name + " " + through(ctx, r, n.front)
+		return n.Node + " " + through(ctx, r, n.front)
 	}},
 	{name: "endpoint cut", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		e := s.world.pick(r)
@@ -167,6 +167,6 @@
 	}
 	n.gone(grace)
 	time.Sleep(pause)
-	s.note(n.start(s.seeds()))
-	return n.name
+	s.note(n.start())
+	return n.Node
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -2,21 +2,20 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/platform"
+	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 // node is one real process of the fleet.
 type node struct {
-	name    string
-	ip      netip.Addr
-	port    uint16
+	standin.Settings
 	program string
 	folder  string
 	// store stands between the node and the store.
@@ -31,39 +30,24 @@
 	exited      chan struct{}
 }
 
-func (n *node) at(offset uint16) netip.AddrPort { return netip.AddrPortFrom(n.ip, n.port+offset) }
-
-// settings is the platform's settings file of the node.
-func (n *node) settings(seeds []string) string {
-	lines := []string{
-		"node_name=" + n.name, "zone=z1", "region=r1", "ip=" + n.ip.String(),
-		"listen.front=" + n.at(1).String(), "listen.directory=" + n.at(2).String(), "listen.ready=" + n.at(3).String(),
-		fmt.Sprintf("internal_ports=%d,%d", n.port, n.port+15), "seeds=" + strings.Join(seeds, ","),
-		"platform.address=" + n.store.addr().String(), "limits.memory_mb=284",
-		fmt.Sprintf("bounds.drain_ms=%d", drainBound.Milliseconds()), fmt.Sprintf("bounds.grace_s=%v", grace.Seconds()),
-		"bounds.ttl_max_s=5", "bounds.retry_budget_ratio=0.2", "bounds.budget_window_s=10", fmt.Sprintf("bounds.retry_slack=%d", retrySlack),
-	}
-	return strings.Join(lines, "\n") + "\n"
-}
-
 // start starts the process; its log goes to a file of its own.
-func (n *node) start(seeds []string) error {
+func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	file := filepath.Join(n.folder, n.name+".conf")
-	if err := os.WriteFile(file, []byte(n.settings(seeds)), 0o600); err != nil {
-		return fmt.Errorf("soak: %s: %w", n.name, err)
+	file := filepath.Join(n.folder, n.Node+".conf")
+	if err := os.WriteFile(file, []byte(n.File()), 0o600); err != nil {
+		return fmt.Errorf("soak: %s: %w", n.Node, err)
 	}
 	n.incarnation++
-	log, err := os.Create(filepath.Join(n.folder, fmt.Sprintf("%s-%d.log", n.name, n.incarnation)))
+	log, err := os.Create(filepath.Join(n.folder, fmt.Sprintf("%s-%d.log", n.Node, n.incarnation)))
 	if err != nil {
-		return fmt.Errorf("soak: %s: %w", n.name, err)
+		return fmt.Errorf("soak: %s: %w", n.Node, err)
 	}
 	n.cmd = exec.Command(n.program, "serve")
-	n.cmd.Env = append(os.Environ(), "BULRUSHHINGE_NODE_FILE="+file)
+	n.cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+file)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
-		return fmt.Errorf("soak: %s: %w", n.name, err)
+		return fmt.Errorf("soak: %s: %w", n.Node, err)
 	}
 	exited := make(chan struct{})
 	n.exited = exited
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 // Sizes and times of what the fleet runs in.
@@ -114,20 +116,21 @@
 		return err
 	}
 	for i := range s.config.Nodes {
-		n := &node{
-			name: fmt.Sprint("n", i+1), ip: netip.MustParseAddr(fmt.Sprint(network, i+1)), port: port,
-			program: s.config.Program, folder: s.config.Folder,
-		}
+		n := &node{program: s.config.Program, folder: s.config.Folder}
 		if n.store, err = newProxy(world, func() netip.AddrPort { return s.world.storeAddr }); err != nil {
 			return err
 		}
-		if n.front, err = newProxy(world, func() netip.AddrPort { return n.at(1) }); err != nil {
+		n.Settings = standin.Settings{
+			Node: fmt.Sprint("n", i+1), IP: netip.MustParseAddr(fmt.Sprint(network, i+1)), Port: port,
+			Seeds: seeds(network, s.config.Nodes), Store: n.store.addr(), Drain: drainBound, Grace: grace, RetrySlack: retrySlack,
+		}
+		if n.front, err = newProxy(world, func() netip.AddrPort { return n.Callers() }); err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
-		if err := n.start(s.seeds()); err != nil {
+		if err := n.start(); err != nil {
 			return err
 		}
 	}
@@ -139,7 +142,7 @@
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, n := range s.nodes {
-			if list, _, err := resolve(n.at(2)); err == nil && len(list) == len(s.nodes) {
+			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == len(s.nodes) {
 				ready++
 			}
 		}
@@ -150,10 +153,12 @@
 	return errors.New("soak: the nodes have not found each other")
 }
 
-func (s *soak) seeds() []string {
-	var list []string
-	for _, n := range s.nodes[:min(len(s.nodes), 3)] {
-		list = append(list, n.at(0).String())
+// seeds are the addresses of the first nodes.
+func seeds(network string, nodes int) []netip.Addr {
+	const most = 3
+	var list []netip.Addr
+	for i := range min(nodes, most) {
+		list = append(list, netip.MustParseAddr(fmt.Sprint(network, i+1)))
 	}
 	return list
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,12 +9,11 @@
 	"sync"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 type (
-	m = map[string]any
-
 	// world is what the fleet runs in: the store and the endpoints.
 	world struct {
 		ip        string
@@ -26,7 +25,7 @@
 		endpoints []*endpoint
 		started   int
 		version   int
-		routes    []m
+		routes    []deployment.Route
 	}
 
 	// endpoint is an endpoint behind a proxy of its own.
@@ -71,21 +70,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	route := func(name, kind, service string, resume bool, attempts int) m {
-		return m{
-			"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": kind, "service": service, "public": true,
-			"timeout_ms": routeTimeout.Milliseconds(), "target_latency_ms": 1000, "gap_aim_ms": 400, "max_attempts": attempts, "stream_resume": resume,
-		}
-	}
-	w.routes = append(w.routes, route(fmt.Sprint("v", w.version), "safe", servicePlain, false, 2))
-	_, err := w.store.Put("op/config", m{
-		"version": w.version,
-		"routes": append([]m{
-			route("safe", "safe", servicePlain, false, 2), route("once", "unsafe", servicePlain, false, 1),
-			route("stream/resume", "streaming", serviceEngine, true, 2), route("stream/once", "streaming", serviceEngine, false, 1),
+	w.routes = append(w.routes, route(fmt.Sprint("v", w.version), deployment.Idempotent, servicePlain, 2))
+	err := w.store.Configure(&deployment.Config{
+		Version: uint64(w.version),
+		Routes: append([]deployment.Route{
+			route("safe", deployment.Idempotent, servicePlain, 2), route("once", deployment.AtMostOnce, servicePlain, 1),
+			route("stream/resume", deployment.Resumable, serviceEngine, 2), route("stream/once", deployment.Streaming, serviceEngine, 1),
 		}, w.routes...),
-		"services": []m{{"name": servicePlain, "max_connections": 200}, {"name": serviceEngine, "max_connections": 200, "engine": m{"slots": slots}}},
-		"limits":   m{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Services: map[string]deployment.Service{
+			servicePlain: {Name: servicePlain, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots},
+		},
+		Limits: deployment.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
 	if err != nil {
 		return fmt.Errorf("soak: configure: %w", err)
@@ -94,6 +89,13 @@
 	return nil
 }
 
+func route(name string, kind deployment.Kind, service string, attempts int) deployment.Route {
+	return deployment.Route{
+		Name: name, Host: standin.Host(), Prefix: "/" + name + "/", Kind: kind, Split: []deployment.Share{{Service: service, Weight: 1}},
+		Timeout: routeTimeout, Objective: time.Second, Pause: 400 * time.Millisecond, Attempts: attempts, Public: true,
+	}
+}
+
 func (w *world) addEndpoint(service string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -115,11 +117,13 @@
 		return fmt.Errorf("soak: endpoint: %w", err)
 	}
 	w.endpoints = append(w.endpoints, e)
-	return w.register(e, "ready")
+	return w.register(e, false)
 }
 
-func (w *world) register(e *endpoint, state string) error {
-	_, err := w.store.Put("servers/"+e.id, m{"service": e.service, "address": e.proxy.addr().String(), "zone": "z1", "slots": slots, "state": state})
+func (w *world) register(e *endpoint, draining bool) error {
+	err := w.store.Register(deployment.Endpoint{
+		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: "z1", Slots: slots, Draining: draining,
+	})
 	if err != nil {
 		return fmt.Errorf("soak: register: %w", err)
 	}
@@ -148,14 +152,14 @@
 	if err := w.addEndpoint(e.service); err != nil {
 		return err
 	}
-	if err := w.register(e, "draining"); err != nil {
+	if err := w.register(e, true); err != nil {
 		return err
 	}
 	w.ledger.left(e, time.Now())
 	w.drop(e)
 	go func() {
 		time.Sleep(drainBound + 2*time.Second)
-		w.store.Remove("servers/" + e.id)
+		w.store.Unregister(e.id)
 		time.Sleep(routeTimeout)
 		e.stop()
 	}()
@@ -169,7 +173,7 @@
 	e.stop()
 	go func() {
 		time.Sleep(lapseTime)
-		w.store.Remove("servers/" + e.id)
+		w.store.Unregister(e.id)
 	}()
 	return w.addEndpoint(e.service)
 }
