Let one fault at a time restart a node of the soak

Cause: two faults restarted the same node together; the second process could not listen and ended, and the first was no longer known, so that it outlived the run.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -161,6 +161,8 @@
 // restart ends a node's process and starts it again after a pause. One that was
 // asked to stop gets its grace before it is killed.
 func (s *soak) restart(n *node, sig syscall.Signal, pause time.Duration) string {
+	n.turn.Lock()
+	defer n.turn.Unlock()
 	n.signal(sig)
 	if sig == syscall.SIGTERM && !n.gone(grace) {
 		n.signal(syscall.SIGKILL)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -23,8 +23,11 @@
 	// front stands between callers and the node.
 	front *proxy
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	// turn is held from a planned or unplanned end to the next start: two faults
+	// that restart one node would leave a process that nobody ends.
+	turn sync.Mutex
+	mu   sync.Mutex
+	cmd  *exec.Cmd
 	// incarnation counts starts.
 	incarnation int
 	exited      chan struct{}
