Say in the log why an attempt was given up

Cause: an incident's logs showed only that connections had been closed, where the gateway had given up silent endpoints, had reached deadlines, or callers had gone. Change: the cause names which of them it was.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	// first is how long the answer's first byte, or event, took.
 	first time.Duration
 	cause string
+	// silent says that the endpoint was given up for its silence.
+	silent atomic.Bool
 }
 
 // run sends the request and passes the answer on.
@@ -68,7 +71,10 @@
 	defer cancel()
 	var timer *time.Timer
 	if d := a.stall(); d > 0 {
-		timer = time.AfterFunc(d, cancel)
+		timer = time.AfterFunc(d, func() {
+			a.silent.Store(true)
+			cancel()
+		})
 		defer timer.Stop()
 	}
 	x, err := pool.Do(ctx, http1.Request{
@@ -92,7 +98,7 @@
 		a.outcome, a.cause = balance.Failed, "not-resumed"
 		return resultBroken
 	case c.route.Kind.Streams() && a.status/100 == 2:
-		return a.stream(ctx, x, timer)
+		return a.stream(x, timer)
 	}
 	return a.whole(x)
 }
@@ -155,7 +161,7 @@
 // failed sorts an error by what it says about the request.
 func (a *attempt) failed(err error) result {
 	c := a.call
-	a.cause = err.Error()
+	a.cause = a.explain(err)
 	if c.gone() {
 		return resultGone
 	}
@@ -170,6 +176,20 @@
 	return resultBroken
 }
 
+// explain tells why an attempt ended. An attempt that the gateway ends shows only
+// that its connection was closed.
+func (a *attempt) explain(err error) string {
+	switch {
+	case a.silent.Load():
+		return "endpoint silent, given up"
+	case a.call.gone():
+		return "caller gone"
+	case !time.Now().Before(a.call.deadline):
+		return "deadline"
+	}
+	return err.Error()
+}
+
 // notRun takes an answer that says the request did not run. On a kept
 // connection an answer without an ID may be another request's; it is not
 // believed.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -21,7 +20,7 @@
 // Where the stream breaks and may be resumed, the call goes on at another
 // endpoint after the last event that was passed on whole; the caller sees one
 // answer, with the head of the first.
-func (a *attempt) stream(ctx context.Context, x *http1.Exchange, timer *time.Timer) result {
+func (a *attempt) stream(x *http1.Exchange, timer *time.Timer) result {
 	c := a.call
 	events := sse.NewReader(x.Response.Body)
 	for {
@@ -33,7 +32,7 @@
 			err = c.follows(ev)
 		}
 		if err != nil {
-			return a.brokeOff(ctx, err)
+			return a.brokeOff(err)
 		}
 		if timer != nil {
 			timer.Reset(a.pause())
@@ -97,14 +96,11 @@
 }
 
 // brokeOff sorts the end of a stream that is not complete.
-func (a *attempt) brokeOff(ctx context.Context, err error) result {
-	a.cause = err.Error()
+func (a *attempt) brokeOff(err error) result {
+	a.cause = a.explain(err)
 	if a.call.gone() {
 		return resultGone
 	}
-	if ctx.Err() != nil && a.cause != "" {
-		a.cause = "silent: " + a.cause
-	}
 	a.outcome = balance.Failed
 	return resultBroken
 }
