--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -36,6 +36,12 @@
 	}
 )
 
+func (f *fakeStore) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 func always() bool { return true }
 
 func never() bool { return false }
@@ -110,6 +116,12 @@
 	return &deployment.Snapshot{Revision: s.last().Revision}
 }
 
+func (s *sink) answered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.touched
+}
+
 func (s *sink) last() deployment.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,10 +159,10 @@
 		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Reads: never})
 		defer follower.Close()
 		time.Sleep(time.Minute)
-		require.Equal(t, 1, f.calls)
+		require.Equal(t, 1, f.count())
 		follower.Read()
 		time.Sleep(time.Second)
-		require.Equal(t, 2, f.calls)
+		require.Equal(t, 2, f.count())
 	})
 }
 
@@ -170,6 +182,7 @@
 		f.set(func() { f.err = nil })
 		time.Sleep(2 * time.Second)
 		found := false
+		follower.Close()
 		for _, u := range s.updates {
 			found = found || (u.Regained && u.Whole)
 		}
@@ -192,9 +205,9 @@
 		f.silent.Store(true)
 		time.Sleep(60 * time.Second)
 		f.silent.Store(false)
-		before := s.touched
+		before := s.answered()
 		time.Sleep(3 * time.Second)
-		require.Greater(t, s.touched, before)
+		require.Greater(t, s.answered(), before)
 	})
 }
 
