--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -103,7 +104,11 @@
 
 func (b *book) News() <-chan struct{} { return b.news }
 
-func (w *work) Active() map[uint32]int { return w.active }
+func (w *work) Active() map[uint32]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.active)
+}
 
 func (w *work) Placements(time.Time) []balance.Placement {
 	w.mu.Lock()
@@ -308,3 +313,42 @@
 	f.start(2, &book{})
 	f.eventually(func() bool { return len(n.gossip.View().Alive) == 1 }, "heartbeats are still read")
 }
+
+// A heartbeat is small: it goes to every other node several times a second.
+func TestSizeOfHeartbeats(t *testing.T) {
+	cases := []struct {
+		name       string
+		loads      int
+		placements int
+		most       int
+	}{
+		{name: "little to tell", loads: 6, placements: 2, most: 420},
+		{name: "much to tell", loads: 90, placements: 40, most: 1800},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			// The seed that never was is where the heartbeats are read.
+			seed, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.ip(200), f.port)))
+			require.NoError(t, err)
+			defer func() { _ = seed.Close() }()
+			n := f.start(1, &book{revision: 500})
+			n.work.mu.Lock()
+			for range c.loads {
+				n.work.active[rand.Uint32()] = 5
+			}
+			for range c.placements {
+				n.work.told = append(n.work.told, balance.Placement{Part: rand.Uint64(), Endpoint: rand.Uint32()})
+			}
+			n.work.mu.Unlock()
+			buffer := make([]byte, 64<<10)
+			size := 0
+			for range 3 {
+				size, _, err = seed.ReadFromUDPAddrPort(buffer)
+				require.NoError(t, err)
+			}
+			t.Log(size, "bytes")
+			require.LessOrEqual(t, size, c.most)
+		})
+	}
+}
