Let large fleets lose two heartbeats before a node counts as dead

Cause: heartbeats come every 0.7 s among 89 nodes, and a node counted as dead after 1.2 s: one lost datagram took it out of the addresses and its loads out of the sums.

--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// aliveFor is how long after its last heartbeat a node counts as alive:
-	// callers are sent to it, and its load counts.
+	// aliveFor is how long after its last heartbeat a node counts as alive at
+	// least: callers are sent to it, and its load counts.
 	aliveFor = 1200 * time.Millisecond
+	// aliveBeats is the same in heartbeats, for larger fleets: two may be lost.
+	aliveBeats = 2.5
 	// reachFor is how long a silent node is still sent heartbeats, so that
 	// nodes find each other again after a partition.
 	reachFor = 5 * time.Minute
@@ -92,9 +94,10 @@
 
 // expire marks silent nodes and returns the names of those it marked.
 func (t *table) expire(now time.Time) []string {
+	patience := max(aliveFor, time.Duration(aliveBeats*float64(interval(len(t.nodes)+1))))
 	var lost []string
 	for name, n := range t.nodes {
-		if n.alive && now.Sub(n.heard) > aliveFor {
+		if n.alive && now.Sub(n.heard) > patience {
 			n.alive = false
 			lost = append(lost, name)
 		}
