--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -179,7 +179,7 @@
 // TestSettingsPage fails where the operators' page and the command line differ;
 // the table to put there is the output of the command.
 func TestSettingsPage(t *testing.T) {
-	code, stdout, stderr := run(t, nil, "settings", "node", "state", "manifest")
+	code, stdout, stderr := run(t, nil, "settings", "node", "serve", "state", "manifest")
 	require.Zero(t, code, stderr)
 	page, err := os.ReadFile("../../docs/operators/settings.md")
 	require.NoError(t, err)
