--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -150,8 +148,3 @@
 func (r result) String() string {
 	return [...]string{"answered", "not-sent", "not-run", "broken", "caller-gone"}[r]
 }
-
-// abandon reports whether an error is the caller's leaving.
-func abandon(err error) bool {
-	return errors.Is(err, context.Canceled) || errors.Is(err, http.ErrAbortHandler)
-}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -40,13 +40,15 @@
 		// Fresh says that no other exchange had used the connection.
 		Fresh bool
 
-		pool   *Pool
-		addr   netip.AddrPort
-		conn   *conn
-		stop   func() bool
-		sent   atomic.Bool
-		wrote  chan error
-		ended  atomic.Bool
+		pool  *Pool
+		addr  netip.AddrPort
+		conn  *conn
+		stop  func() bool
+		sent  atomic.Bool
+		wrote chan error
+		ended atomic.Bool
+		// framed says that the answer's end is marked by its length or a last
+		// chunk, rather than by the connection's end.
 		framed bool
 	}
 )
@@ -104,13 +106,6 @@
 	return nil, fmt.Errorf("%w: answers of other requests", ErrBroken)
 }
 
-// SetReadDeadline bounds the next reads of the answer.
-func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
-
-// Framed reports whether the answer's end is marked by its length or a last
-// chunk, rather than by the connection's end.
-func (x *Exchange) Framed() bool { return x.framed }
-
 // Finish ends an exchange whose answer has been read to its end. The connection
 // is kept if it may be used again.
 func (x *Exchange) Finish() {
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -63,9 +63,6 @@
 	}
 }
 
-// Buffered reports whether more bytes have already arrived.
-func (r *Reader) Buffered() bool { return r.from.Buffered() > 0 }
-
 func (e *Event) field(line []byte) {
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
