Try a suspect endpoint again once a second

Cause: the time until a suspect endpoint may be tried again and the time until an unreachable one may were the same field. Setting it anew closed the endpoint for the very choice that was to try it, so that an endpoint which had failed most of its requests for some seconds never got one again from that node, however sound it was.

Ruled out: a share of the requests in place of a time, which takes a node that sends few requests a minute to find out.

Change: a field of its own; the endpoint is open to one request a second, and an answer of a suspect endpoint counts for more, so that three make it sound.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -103,7 +103,8 @@
 		slots    int
 		score    uint64
 		suspect  bool
-		blocked  bool
+		// closed says that it gets nothing now: it is full or was not reached.
+		closed bool
 		// holds says that the endpoint is believed to keep the prompt's part.
 		holds bool
 	}
@@ -147,6 +148,31 @@
 	return choice
 }
 
+// Room reports whether Choose would find an endpoint.
+func (b *Balancer) Room(now time.Time, list []*deployment.Endpoint, r Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
+		return !e.Draining && !slices.Contains(r.Tried, e.ID) && !b.closed(now, e, r)
+	})
+}
+
+// load is an endpoint's requests in progress, of all nodes.
+func (b *Balancer) load(o *own, e *deployment.Endpoint) int {
+	return o.active + b.config.Loads.Others(Key(e.ID))
+}
+
+// closed reports whether an endpoint gets nothing now.
+func (b *Balancer) closed(now time.Time, e *deployment.Endpoint, r Request) bool {
+	o := b.get(e.ID, now)
+	depth := plainDepth
+	if r.Key != "" {
+		depth = modelDepth
+	}
+	return o.health.gone || now.Before(o.health.until) || now.Before(o.health.full) ||
+		float64(b.load(o, e)) >= depth*float64(slots(e, r.Service))
+}
+
 // ordered returns the endpoints in the key's rendezvous order. Draining ones are
 // among them: they still keep what was sent to them.
 func ordered(key string, list []*deployment.Endpoint) []*deployment.Endpoint {
@@ -227,7 +253,7 @@
 	var all []candidate
 	for _, e := range list {
 		o := b.get(e.ID, now)
-		load := o.active + b.config.Loads.Others(Key(e.ID))
+		load := b.load(o, e)
 		if e.Draining || o.health.gone {
 			continue
 		}
@@ -237,7 +263,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
-		c.blocked = now.Before(o.health.until) || now.Before(o.health.full)
+		c.closed = b.closed(now, e, r)
 		if r.Key != "" {
 			c.score, c.holds = score(r.Key, e), b.held.has(xxhash.Sum64String(r.Key), e, now)
 		}
@@ -247,14 +273,14 @@
 }
 
 // avoid reports whether a suspect endpoint is to be passed over; after some
-// time one request tries it again.
+// time it is open to one request again, so that one that has recovered returns.
 func (b *Balancer) avoid(o *own, failures float64, now time.Time) bool {
 	if !o.health.suspect(failures) {
 		return false
 	}
-	if now.After(o.health.until) && o.active == 0 {
-		o.health.until = now.Add(probation)
-		return rand.IntN(2) == 0
+	if now.After(o.health.retry) && o.active == 0 {
+		o.health.retry = now.Add(probation)
+		return false
 	}
 	return true
 }
@@ -284,7 +310,7 @@
 	var best, least, last *candidate
 	for i := range all {
 		c := &all[i]
-		if c.blocked || float64(c.load) >= modelDepth*float64(c.slots) {
+		if c.closed {
 			continue
 		}
 		if last == nil || c.load < last.load {
@@ -321,7 +347,7 @@
 	for i := range all {
 		c := &all[i]
 		switch {
-		case c.blocked || float64(c.load) >= plainDepth*float64(c.slots):
+		case c.closed:
 		case c.suspect:
 			rest = append(rest, c)
 		default:
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -176,3 +176,27 @@
 	require.Greater(t, counts["e0"], 100)
 	require.Greater(t, counts["e1"], 100)
 }
+
+// Symptom: a service has fewer endpoints than it seems, and the others carry
+// more. Sequence: an endpoint fails most of its requests for some seconds and is
+// sound again. Cause: the time until it may be tried again began anew whenever it
+// had passed.
+func TestEndpointThatFailedIsTriedAgain(t *testing.T) {
+	list := endpoints(3)
+	b := balance.New(balance.Config{Loads: peers{}})
+	now := time.Now()
+	counts := map[string]int{}
+	for i := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		c := b.Choose(now, list, balance.Request{})
+		outcome := balance.Served
+		if c.Endpoint.ID == "e1" && i < 600 {
+			outcome = balance.Failed
+		}
+		if i > 2000 {
+			counts[c.Endpoint.ID]++
+		}
+		b.Release(now, c.Endpoint.ID, outcome)
+	}
+	require.Greater(t, counts["e1"], 300)
+}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -12,6 +12,9 @@
 	// learning is the weight of the newest outcome in the share of failures:
 	// four failures in a row make a sound endpoint suspect.
 	learning = 0.12
+	// regaining is the same for an answer of a suspect endpoint, which gets few
+	// requests: three answers make it sound again.
+	regaining = 0.4
 	// suspectShare is the share of failures from which an endpoint is suspect,
 	// if it is also suspectTimes the service's mean: some services fail part
 	// of their requests at every endpoint.
@@ -19,7 +22,7 @@
 	suspectTimes = 2.0
 	// probation is how long a suspect endpoint gets nothing before one request
 	// tries it again.
-	probation = 1500 * time.Millisecond
+	probation = time.Second
 )
 
 // Outcomes of an attempt.
@@ -46,8 +49,10 @@
 	health struct {
 		failures float64
 		row      int
-		// until is when it may be tried again.
+		// until is when an endpoint that was not reached may be tried again,
+		// and retry the same for a suspect one.
 		until time.Time
+		retry time.Time
 		gone  bool
 		full  time.Time
 	}
@@ -56,7 +61,11 @@
 func (h *health) note(o Outcome, now time.Time) {
 	switch o {
 	case Served:
-		h.failures *= 1 - learning
+		if h.failures > suspectShare {
+			h.failures *= 1 - regaining
+		} else {
+			h.failures *= 1 - learning
+		}
 		h.row = 0
 		h.until = time.Time{}
 	case Failed:
