Give a late endpoint up only where another one has room

Cause: an endpoint that had not answered a request that may run again within half the latency objective was given up, also where every other endpoint was full, so that the request ended with 502 while the first endpoint was about to answer.

Ruled out: a longer patience for all, which keeps requests at dark endpoints.

Change: when the time has passed, the balancer is asked whether another endpoint has room; if not, the attempt goes on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,12 +69,8 @@
 	pool := c.handler.config.Pool
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var timer *time.Timer
-	if d := a.stall(); d > 0 {
-		timer = time.AfterFunc(d, func() {
-			a.silent.Store(true)
-			cancel()
-		})
+	timer := a.watch(cancel)
+	if timer != nil {
 		defer timer.Stop()
 	}
 	x, err := pool.Do(ctx, http1.Request{
@@ -133,6 +129,27 @@
 	return max(time.Duration(share*float64(c.route.Objective)), minStall)
 }
 
+// watch gives a silent endpoint up, unless no other one has room: in an overload
+// all of them answer late, and one would see requests end with 502 that an
+// endpoint was about to answer. It returns nil for a request that must wait.
+func (a *attempt) watch(giveUp func()) *time.Timer {
+	c, stall := a.call, a.stall()
+	if stall == 0 {
+		return nil
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(c.route.Timeout, func() {
+		if !c.roomBeside(a.choice.Endpoint.ID) {
+			timer.Reset(stall)
+			return
+		}
+		a.silent.Store(true)
+		giveUp()
+	})
+	timer.Reset(stall)
+	return timer
+}
+
 // request builds what is sent.
 func (a *attempt) request() *http.Request {
 	c := a.call
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -434,6 +434,21 @@
 	}
 }
 
+// Symptom: callers get 502 while a service is overloaded. Sequence: an endpoint
+// that has much to do answers late, and no other one has room. Cause: it was
+// given up as silent, though there was nowhere else to go.
+func TestLateEndpointIsNotGivenUpWhereNoOtherHasRoom(t *testing.T) {
+	const stalls = 3
+	objective := 200 * time.Millisecond
+	late := func(c net.Conn, r *http.Request) bool {
+		time.Sleep(stalls * objective / 2)
+		return whole(200, "hi")(c, r)
+	}
+	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: objective}, newEndpoint(t, late))
+	require.Equal(t, 200, f.ask(t, "/p/x", nil).status)
+	require.Equal(t, 1, f.arrivals())
+}
+
 // Symptom: one request takes down one endpoint after the other.
 // Sequence: a request crashes its endpoint, and its caller sends it again.
 // Cause: nobody remembered what ran on endpoints that crashed.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -128,6 +129,13 @@
 	}
 }
 
+// roomBeside reports whether an endpoint other than one has room for the call.
+func (c *call) roomBeside(id string) bool {
+	h := c.handler.config
+	list := h.Deployment.Snapshot().Endpoints[c.service.Name]
+	return h.Balancer.Room(time.Now(), list, balance.Request{Service: c.service, Key: c.key, Tried: append(slices.Clone(c.progress.tried), id)})
+}
+
 // gone reports whether the caller has left.
 func (c *call) gone() bool { return c.in.Context().Err() != nil }
 
