Let connections rest for less after an endpoint forgot one

Cause: endpoints may forget idle connections sooner than they say and without notice; what is sent next is reset. Nothing was learned from the first loss, and the second attempt of a request that may run again was made on a kept connection too, and lost in the same way.

Change: a kept connection that breaks before any answer halves how long connections of this node may rest, for 30 s; an attempt after one that got no answer uses a new connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,10 +104,11 @@
 // An endpoint may close a kept connection as a request is sent on it, and nobody
 // could tell whether it was read: a request that must run once at most would be
 // lost. Shortly after an answer that does not happen. Answers of an endpoint
-// without an ID can only be told apart on a new connection.
+// without an ID can only be told apart on a new connection. Nor is one risked
+// after an attempt that got no answer: the next might be lost in the same way.
 func (c *call) idle() time.Duration {
 	switch {
-	case c.id == "":
+	case c.id == "" || c.progress.lost:
 		return 0
 	case c.route.Kind.Repeats():
 		return http1.MaxIdle
@@ -187,6 +188,7 @@
 		return resultNotSent
 	}
 	a.outcome = balance.Failed
+	c.progress.lost = c.progress.lost || a.status == 0
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.handler.config.Crashes.Saw(time.Now(), c.print, a.choice.Endpoint.ID)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -97,7 +97,9 @@
 		last    uint64
 		events  int
 		started bool
-		reason  string
+		// lost says that an attempt got no answer at all.
+		lost   bool
+		reason string
 	}
 )
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,6 +44,8 @@
 	used bool
 	// since is when the last exchange ended.
 	since time.Time
+	// rested is how long it had been idle when it was last taken.
+	rested time.Duration
 	// idle is how long the endpoint keeps the connection.
 	idle time.Duration
 }
@@ -100,6 +103,12 @@
 	return err == nil && quiet
 }
 
+// cut reports whether an error says that the other side ended a connection.
+func cut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // usable reports whether the connection may carry a further exchange.
 func (c *conn) usable(now time.Time) bool {
 	return now.Sub(c.since) < c.idle && c.quiet()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -73,6 +73,9 @@
 	}()
 	resp, err := x.await(r)
 	if err != nil {
+		if !x.Fresh && ctx.Err() == nil && cut(err) {
+			p.forgotten(c.rested)
+		}
 		x.Abort()
 		return nil, err
 	}
--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -217,3 +217,38 @@
 	}
 	require.Equal(t, int64(2), s.accepted.Load())
 }
+
+// Symptom: requests on connections that have rested for a while fail one after
+// another. Sequence: an endpoint forgets idle connections sooner than it says,
+// without notice; whatever is sent next on one is reset. Cause: nobody learned
+// from the first loss how long a connection may rest.
+func TestIdleConnectionsThatEndpointsForget(t *testing.T) {
+	const forget, rest = 40 * time.Millisecond, 100 * time.Millisecond
+	s := newServer(t, func(c net.Conn, in *bufio.Reader) {
+		answered := time.Now().Add(time.Hour)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil || time.Since(answered) > forget {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, ok(r.Header.Get(header))); err != nil {
+				return
+			}
+			answered = time.Now()
+		}
+	})
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	lost := 0
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		if _, err := do(context.Background(), p, s.addr, id, time.Minute); err != nil {
+			require.ErrorIs(t, err, http1.ErrBroken)
+			lost++
+		}
+		time.Sleep(rest)
+	}
+	require.Equal(t, 1, lost)
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -15,6 +15,13 @@
 	MaxIdle = 30 * time.Second
 	// maxKept is how many idle connections are kept to one endpoint.
 	maxKept = 16
+	// restShare is the part of a rest that was too long for which connections
+	// may rest afterwards, and restMemory how long that holds: as long as an
+	// endpoint's own word does. A break after less than leastRest is put down
+	// to other causes.
+	restShare  = 0.5
+	leastRest  = 50 * time.Millisecond
+	restMemory = MaxIdle
 	// pruneInterval is how often old idle connections are closed.
 	pruneInterval = 2 * time.Second
 )
@@ -30,11 +37,14 @@
 
 	// Pool keeps connections to endpoints.
 	Pool struct {
-		config  PoolConfig
-		mu      sync.Mutex
-		kept    map[netip.AddrPort][]*conn
-		cancel  context.CancelFunc
-		running sync.WaitGroup
+		config PoolConfig
+		mu     sync.Mutex
+		kept   map[netip.AddrPort][]*conn
+		// rest is how long connections may rest, until the time given.
+		rest      time.Duration
+		restUntil time.Time
+		cancel    context.CancelFunc
+		running   sync.WaitGroup
 	}
 )
 
@@ -75,10 +85,14 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Before(p.restUntil) {
+		idle = min(idle, p.rest)
+	}
 	list := p.kept[addr]
 	for len(list) > 0 {
 		c := list[len(list)-1]
-		if now.Sub(c.since) >= idle {
+		c.rested = now.Sub(c.since)
+		if c.rested >= idle {
 			return nil
 		}
 		list = list[:len(list)-1]
@@ -91,6 +105,26 @@
 	return nil
 }
 
+// forgotten learns from a kept connection that broke before any answer.
+//
+// Endpoints may forget idle connections sooner than they say, and without
+// notice; whatever is sent next is reset, and a request that must run once is
+// lost. One would see attempts end with a reset within a round trip, on
+// connections that had rested. After the first loss connections rest for less.
+func (p *Pool) forgotten(rested time.Duration) {
+	if rested < leastRest {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	limit := max(time.Duration(restShare*float64(rested)), leastRest)
+	if now.Before(p.restUntil) {
+		limit = min(limit, p.rest)
+	}
+	p.rest, p.restUntil = limit, now.Add(restMemory)
+}
+
 func (p *Pool) open(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	if p.config.Opened != nil {
 		p.config.Opened()
