Bound heads and idle connections by the configuration

Cause: the time that callers may take for a request's head and leave a connection idle was fixed when the server started, 10 s and 60 s; the configuration's own limits (3 s and 15 s today) were read and not used.

Ruled out: a new server for each configuration, which would close connections in use; the server's own timeouts, which it reads once.

Change: a listener whose connections know their phase and set their own read deadlines; the limits are asked for when a phase begins. A late head is answered 408: it has not run.

--- a/gateway.go
+++ b/gateway.go
@@ -40,9 +40,6 @@
 	closeShare = 0.5
 	// graceMargin is how long before the end of the grace a stopping node ends.
 	graceMargin = 400 * time.Millisecond
-	// defaultIdleTimeout bounds how long callers keep connections idle before
-	// a configuration says so.
-	defaultIdleTimeout = time.Minute
 	// maxHeaderBytes bounds a request's head before the configuration's own
 	// limit is looked at.
 	maxHeaderBytes = 64 << 10
@@ -272,14 +269,26 @@
 	return gossip.Starting
 }
 
+// bounded returns the callers' listener with the limits of the configuration.
+func (g *Gateway) bounded(l net.Listener) net.Listener {
+	b := http1.NewListener(l, func() http1.Limits {
+		c := g.state.Snapshot().Config
+		if c == nil {
+			return http1.Limits{}
+		}
+		return http1.Limits{Head: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
+	})
+	g.callers.ConnState = b.ConnState
+	return b
+}
+
 func (g *Gateway) listen() error {
 	answers := g.config.Answers(g)
 	operators := http.NewServeMux()
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
 	operators.HandleFunc("GET /state", g.serveState)
-	g.callers = &http.Server{
-		Handler: g.handler, IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	// Its timeouts are the listener's, which follow the configuration.
+	g.callers = &http.Server{Handler: g.handler, MaxHeaderBytes: maxHeaderBytes}
 	targets := []struct {
 		addr   netip.AddrPort
 		server *http.Server
@@ -294,6 +303,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: %v", ErrStart, err)
 		}
+		if t.server == g.callers {
+			l = g.bounded(l)
+		}
 		t.server.ErrorLog = log.New(io.Discard, "", 0)
 		g.servers = append(g.servers, t.server)
 		g.running.Go(func() { _ = t.server.Serve(l) })
--- /dev/null
+++ b/internal/http1/listener_test.go
@@ -0,0 +1,98 @@
+package http1_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+)
+
+// callers is a server whose limits a test sets.
+type callers struct {
+	addr   string
+	limits atomic.Pointer[http1.Limits]
+}
+
+func newCallers(t *testing.T, limits http1.Limits) *callers {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &callers{addr: l.Addr().String()}
+	s.limits.Store(&limits)
+	bounded := http1.NewListener(l, func() http1.Limits { return *s.limits.Load() })
+	server := &http.Server{
+		ConnState: bounded.ConnState,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, _ = fmt.Fprintf(w, "%d", len(body))
+		}),
+	}
+	go func() { _ = server.Serve(bounded) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// ended returns what the server sends until it ends a connection.
+func ended(c net.Conn) string {
+	data, _ := io.ReadAll(c)
+	return string(data)
+}
+
+// Symptom: descriptors run out while few requests are in progress. Sequence:
+// callers send heads byte by byte, or nothing at all. Cause: nothing bounded it.
+func TestSlowCallers(t *testing.T) {
+	short := http1.Limits{Head: 60 * time.Millisecond, Idle: 60 * time.Millisecond}
+	cases := []struct {
+		name string
+		// sent is what the caller sends before it falls silent.
+		sent   string
+		answer string
+	}{
+		{name: "that send nothing are closed"},
+		{name: "that send half a head are told so", sent: "POST / HTTP/1.1\r\nHost: h\r\n", answer: "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCallers(t, short)
+			conn, err := net.Dial("tcp4", s.addr)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, c.sent)
+			require.NoError(t, err)
+			require.Equal(t, c.answer, ended(conn))
+		})
+	}
+}
+
+// A request that lasts longer than both limits, and whose body does, is served;
+// afterwards the connection is closed when it has been idle for long enough, by
+// the limit in force when the request ended.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	s := newCallers(t, http1.Limits{Head: 200 * time.Millisecond, Idle: time.Hour})
+	conn, err := net.Dial("tcp4", s.addr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for _, idle := range []time.Duration{time.Hour, time.Millisecond} {
+		s.limits.Store(&http1.Limits{Head: 200 * time.Millisecond, Idle: idle})
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+		require.NoError(t, err)
+		time.Sleep(300 * time.Millisecond)
+		_, err = io.WriteString(conn, "cd")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "4", string(body))
+	}
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
