Bound idle connections by what endpoints take

Cause: an endpoint takes a number of connections from all callers and resets those past it; the service's configuration says how many. Each of 72 nodes kept up to 16 idle ones, 1,152 where 490 are taken, so that after a burst new connections were reset, and requests that must run once were lost with 502. Found in the logs: 818 attempts ended with a reset within four seconds, at sound endpoints.

Ruled out: a faulty endpoint or way; the resets came at all endpoints of the service, and stopped when the idle connections had timed out.

Change: all nodes together keep half of what an endpoint takes; the test of the pool fails without it.

--- a/gateway.go
+++ b/gateway.go
@@ -141,10 +141,11 @@
 		cancel()
 		return nil, fmt.Errorf("%w: %v", ErrStart, err)
 	}
-	c.Retry.Nodes = func() int { return g.gossip.View().Known }
+	nodes := func() int { return g.gossip.View().Known }
+	c.Retry.Nodes = nodes
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: crashes, Metrics: g.metrics, Log: g.log, Stopping: g.stopping.Load,
+		Crashes: crashes, Metrics: g.metrics, Log: g.log, Nodes: nodes, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,6 +25,9 @@
 	// must run once at most. A new connection for each costs two round trips,
 	// a place at the endpoint and 0.4 % of what the answers are worth.
 	onceIdle = time.Second
+	// keepShare is the part of an endpoint's connections that all nodes together
+	// keep idle at most: endpoints take fewer while their queue is long.
+	keepShare = 0.5
 	// plainStall is the part of the latency objective after which a request
 	// that may be repeated is given up at a silent endpoint: the other half
 	// suffices for a second one.
@@ -75,7 +78,7 @@
 	}
 	x, err := pool.Do(ctx, http1.Request{
 		Addr: a.choice.Endpoint.Addr, ID: c.id, HTTP: a.request(),
-		Idle: c.idle(),
+		Idle: c.idle(), Keep: c.keep(),
 	})
 	if err != nil {
 		return a.failed(err)
@@ -116,6 +119,18 @@
 	return onceIdle
 }
 
+// keep is how many idle connections this node may keep to an endpoint.
+//
+// An endpoint resets connections past a number, which counts those of all nodes,
+// idle ones too; a request that must run once is lost with a reset. One would
+// see resets on new connections after a burst that left many idle ones.
+func (c *call) keep() int {
+	if c.service.Connections == 0 {
+		return 0
+	}
+	return max(int(keepShare*float64(c.service.Connections))/max(c.handler.config.Nodes(), 1), 1)
+}
+
 // stall is after how long of silence the endpoint is given up, 0 for never. A
 // request that must not be repeated waits as long as its caller.
 func (a *attempt) stall() time.Duration {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -215,7 +215,7 @@
 		Balancer: balance.New(balance.Config{Loads: noLoads{}}),
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
 		Crashes:  gateway.NewCrashes(func(uint64, string) { f.crashes++ }), Metrics: gateway.NewMetrics(),
-		Stopping: func() bool { return false },
+		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
 	})
 	f.server = httptest.NewServer(h)
 	t.Cleanup(pool.Close)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -53,6 +53,8 @@
 		Crashes    *Crashes
 		Metrics    *Metrics
 		Log        *decision.Log
+		// Nodes returns how many nodes there are.
+		Nodes func() int
 		// Stopping reports whether the node is being stopped.
 		Stopping func() bool
 	}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,6 +33,9 @@
 		// Idle is for how long a kept connection may have been idle; longer
 		// idle ones are passed over, and with 0 all.
 		Idle time.Duration
+		// Keep is how many idle connections may be kept to the endpoint, with 0
+		// some.
+		Keep int
 	}
 
 	// Exchange is a request that was sent, and its answer.
@@ -42,6 +46,7 @@
 
 		pool  *Pool
 		addr  netip.AddrPort
+		most  int
 		conn  *conn
 		stop  func() bool
 		sent  atomic.Bool
@@ -64,7 +69,7 @@
 			return nil, err
 		}
 	}
-	x := &Exchange{pool: p, addr: r.Addr, conn: c, Fresh: !c.used, wrote: make(chan error, 1)}
+	x := &Exchange{pool: p, addr: r.Addr, most: cmp.Or(r.Keep, maxKept), conn: c, Fresh: !c.used, wrote: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go func() {
 		err := r.HTTP.Write(c)
@@ -125,7 +130,7 @@
 	}
 	_ = x.conn.SetDeadline(time.Time{})
 	x.conn.idle = keepAlive(x.Response.Header.Get("Keep-Alive"))
-	x.pool.keep(x.addr, x.conn)
+	x.pool.keep(x.addr, x.conn, x.most)
 }
 
 // Abort ends an exchange and closes its connection.
--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -252,3 +253,40 @@
 	}
 	require.Equal(t, 1, lost)
 }
+
+// Symptom: endpoints reset new connections. Sequence: a burst leaves many idle
+// ones, which count against what an endpoint takes. Cause: all were kept.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	const most, burst = 2, 6
+	arrived := make(chan struct{}, burst)
+	answer := make(chan struct{})
+	s := newServer(t, each(func(id string, _ int) string {
+		arrived <- struct{}{}
+		<-answer
+		return ok(id)
+	}))
+	p := http1.NewPool(http1.PoolConfig{RequestID: header})
+	defer p.Close()
+	var group sync.WaitGroup
+	send := func(id string) {
+		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{header: {id}}}
+		x, err := p.Do(context.Background(), http1.Request{Addr: s.addr, ID: id, HTTP: req, Idle: time.Minute, Keep: most})
+		require.NoError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		require.NoError(t, err)
+		x.Finish()
+	}
+	for range 2 {
+		for i := range burst {
+			group.Go(func() { send(fmt.Sprint(i)) })
+		}
+		for range burst {
+			<-arrived
+		}
+		for range burst {
+			answer <- struct{}{}
+		}
+		group.Wait()
+	}
+	require.EqualValues(t, burst+burst-most, s.accepted.Load())
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -13,7 +13,8 @@
 	defaultIdle = 4 * time.Second
 	// MaxIdle bounds what an endpoint says.
 	MaxIdle = 30 * time.Second
-	// maxKept is how many idle connections are kept to one endpoint.
+	// maxKept is how many idle connections are kept to one endpoint where the
+	// request does not say.
 	maxKept = 16
 	// restShare is the part of a rest that was too long for which connections
 	// may rest afterwards, and restMemory how long that holds: as long as an
@@ -132,8 +133,9 @@
 	return dial(ctx, addr)
 }
 
-// keep takes a connection back after a clean exchange.
-func (p *Pool) keep(addr netip.AddrPort, c *conn) {
+// keep takes a connection back after a clean exchange, if fewer than a number
+// are kept.
+func (p *Pool) keep(addr netip.AddrPort, c *conn, most int) {
 	c.since = time.Now()
 	c.used = true
 	if !c.quiet() {
@@ -142,7 +144,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.kept[addr]) >= maxKept {
+	if len(p.kept[addr]) >= most {
 		_ = c.Close()
 		return
 	}
