Believe what endpoints say of their load, and tell the other nodes

Cause: load was what nodes tell each other of their requests. Where some are cut off from the others and not from the endpoints, a third of the requests was not seen; and a request that waited in a long queue counted as a sign of a silent endpoint, was given up after half the latency objective and waited once more elsewhere, until the budget of repeats was used up.

Ruled out: probes, which take a place and are paid for; more patience for all, which keeps requests at dark endpoints.

An endpoint that says it is busy may be silent in proportion to its queue. A test of the request that crashes endpoints drew endpoints at random and failed in one run of ten: it now asks until three have crashed, and then demands that no further endpoint gets it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -60,6 +60,8 @@
 		mu     sync.Mutex
 		own    map[string]*own
 		held   *holders
+		// reports are the endpoints' own words on their load.
+		reports *reports
 	}
 
 	// Request is what a choice depends on.
@@ -111,7 +113,9 @@
 )
 
 // New returns a Balancer that knows no endpoint yet.
-func New(c Config) *Balancer { return &Balancer{config: c, own: map[string]*own{}, held: newHolders()} }
+func New(c Config) *Balancer {
+	return &Balancer{config: c, own: map[string]*own{}, held: newHolders(), reports: newReports()}
+}
 
 // Key returns the short name of an endpoint between nodes.
 func Key(id string) uint32 {
@@ -157,9 +161,11 @@
 	})
 }
 
-// load is an endpoint's requests in progress, of all nodes.
-func (b *Balancer) load(o *own, e *deployment.Endpoint) int {
-	return o.active + b.config.Loads.Others(Key(e.ID))
+// load is an endpoint's requests in progress: those that the nodes know of, or
+// more if the endpoint says so.
+func (b *Balancer) load(now time.Time, o *own, e *deployment.Endpoint) int {
+	key := Key(e.ID)
+	return max(o.active+b.config.Loads.Others(key), b.reports.load(key, now))
 }
 
 // closed reports whether an endpoint gets nothing now.
@@ -170,7 +176,7 @@
 		depth = modelDepth
 	}
 	return o.health.gone || now.Before(o.health.until) || now.Before(o.health.full) ||
-		float64(b.load(o, e)) >= depth*float64(slots(e, r.Service))
+		float64(b.load(now, o, e)) >= depth*float64(slots(e, r.Service))
 }
 
 // ordered returns the endpoints in the key's rendezvous order. Draining ones are
@@ -228,6 +234,7 @@
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.reports.forget(now)
 	for id, o := range b.own {
 		if o.active == 0 && now.Sub(o.seen) > after {
 			delete(b.own, id)
@@ -253,7 +260,7 @@
 	var all []candidate
 	for _, e := range list {
 		o := b.get(e.ID, now)
-		load := b.load(o, e)
+		load := b.load(now, o, e)
 		if e.Draining || o.health.gone {
 			continue
 		}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -200,3 +200,32 @@
 	}
 	require.Greater(t, counts["e1"], 300)
 }
+
+// Symptom: endpoints refuse requests as full that are believed to have little to
+// do. Sequence: some nodes are cut off from the others, and go on to send to the
+// same endpoints. Cause: only what nodes tell each other counted.
+func TestEndpointsOwnWordCountsForAWhile(t *testing.T) {
+	list := endpoints(2)
+	now := time.Now()
+	one, two := balance.New(balance.Config{Loads: peers{}}), balance.New(balance.Config{Loads: peers{}})
+	one.Reported(now, "e0", 30)
+	two.ReportsHeard(now, one.Reports(now.Add(-time.Second)))
+	for _, b := range []*balance.Balancer{one, two} {
+		for range 20 {
+			c := b.Choose(now, list, balance.Request{})
+			require.Equal(t, "e1", c.Endpoint.ID)
+			b.Release(now, "e1", balance.Served)
+		}
+		require.InDelta(t, 30.0/8, b.Busy(now, list[0], deployment.Service{}), 0.01)
+		later := now.Add(time.Second)
+		require.Zero(t, b.Busy(later, list[0], deployment.Service{}))
+		counts := map[string]int{}
+		for range 100 {
+			c := b.Choose(later, list, balance.Request{})
+			counts[c.Endpoint.ID]++
+			b.Release(later, c.Endpoint.ID, balance.Served)
+		}
+		require.Greater(t, counts["e0"], 20)
+	}
+	require.Empty(t, one.Reports(now))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -59,6 +60,8 @@
 	// status is the endpoint's, 0 if there was none.
 	status int
 	fresh  bool
+	// load is what the endpoint says of its own in its answer.
+	load int
 	// first is how long the answer's first byte, or event, took.
 	first time.Duration
 	cause string
@@ -85,6 +88,7 @@
 	}
 	defer x.Abort()
 	a.status, a.fresh = x.Response.StatusCode, x.Fresh
+	a.reported(x.Response.Header)
 	h := c.handler.config.Headers
 	switch {
 	case x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest:
@@ -155,7 +159,7 @@
 	}
 	var timer *time.Timer
 	timer = time.AfterFunc(c.route.Timeout, func() {
-		if !c.roomBeside(a.choice.Endpoint.ID) {
+		if !c.roomBeside(a.choice.Endpoint.ID) || time.Since(a.at) < a.queued(stall) {
 			timer.Reset(stall)
 			return
 		}
@@ -166,6 +170,32 @@
 	return timer
 }
 
+// queued is how long an endpoint that says how much it has to do may be silent:
+// a request that waits behind others in its queue is no sign of a fault. One
+// would see requests given up in an overload, which then wait once more
+// elsewhere.
+func (a *attempt) queued(stall time.Duration) time.Duration {
+	busy := a.call.handler.config.Balancer.Busy(time.Now(), a.choice.Endpoint, a.call.service)
+	return time.Duration(float64(stall) * max(busy, 1))
+}
+
+// reported passes on what an endpoint says of its load: its running and its
+// waiting requests.
+func (a *attempt) reported(header http.Header) {
+	h := a.call.handler.config
+	text := header.Get(h.Headers.Load)
+	if text == "" {
+		return
+	}
+	var running, waiting int
+	if n, err := fmt.Sscanf(text, "%d,%d", &running, &waiting); n < 2 || running < 0 || waiting < 0 {
+		a.call.log("load.bad", decision.Fields{"endpoint": a.choice.Endpoint.ID, "load": text, "error": fmt.Sprint(err)})
+		return
+	}
+	a.load = running + waiting
+	h.Balancer.Reported(time.Now(), a.choice.Endpoint.ID, a.load)
+}
+
 // request builds what is sent.
 func (a *attempt) request() *http.Request {
 	c := a.call
@@ -335,6 +365,9 @@
 		f["prompt"] = a.call.key
 		f["preferred"] = a.choice.First.ID == a.choice.Endpoint.ID
 	}
+	if a.load > 0 {
+		f["reported"] = a.load
+	}
 	if a.choice.Source != nil {
 		f["source"] = a.choice.Source.ID
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -449,18 +449,47 @@
 	require.Equal(t, 1, f.arrivals())
 }
 
+// Symptom: in an overload callers wait twice. Sequence: an endpoint has a long
+// queue and says so in its answers; a request waits in it. Cause: the endpoint
+// was given up as silent for another one.
+func TestBusyEndpointIsNotGivenUpAsSilent(t *testing.T) {
+	objective := 200 * time.Millisecond
+	late := func(c net.Conn, r *http.Request) bool {
+		time.Sleep(objective * 3 / 4)
+		return whole(200, "late", "Load: 4,6,4\r\n")(c, r)
+	}
+	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: objective},
+		newEndpoint(t, whole(200, "hi", "Load: 4,6,4\r\n"), late), newEndpoint(t, whole(200, "hi", "Load: 4,6,4\r\n"), late))
+	for f.endpoints[0].count() == 0 || f.endpoints[1].count() == 0 {
+		f.ask(t, "/p/x", nil)
+	}
+	before := f.arrivals()
+	require.Equal(t, "late", f.ask(t, "/p/x", nil).body)
+	require.Equal(t, before+1, f.arrivals())
+}
+
 // Symptom: one request takes down one endpoint after the other.
 // Sequence: a request crashes its endpoint, and its caller sends it again.
 // Cause: nobody remembered what ran on endpoints that crashed.
 func TestRequestThatCrashesEndpointsIsRefused(t *testing.T) {
 	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1},
 		newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp))
-	last := 0
-	for range 12 {
-		last = f.ask(t, "/p/x", nil).status
+	ran := func() int {
+		n := 0
+		for _, e := range f.endpoints {
+			n += min(e.count(), 1)
+		}
+		return n
+	}
+	for f.ask(t, "/p/x", nil).status != 503 {
+		require.LessOrEqual(t, ran(), 3)
+	}
+	require.Equal(t, 3, ran())
+	before := f.arrivals()
+	for range 6 {
+		require.Equal(t, 503, f.ask(t, "/p/x", nil).status)
 	}
-	require.Equal(t, 503, last)
-	require.LessOrEqual(t, f.arrivals(), 6)
+	require.Equal(t, before, f.arrivals())
 }
 
 // Without a configuration nobody knows what is allowed.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -59,6 +59,10 @@
 		// and Placed takes the same from another node.
 		Placements(now time.Time) []balance.Placement
 		Placed(now time.Time, list []balance.Placement)
+		// Reports returns what endpoints have said of their load to this node
+		// since a time, and ReportsHeard takes the same from another node.
+		Reports(since time.Time) map[uint32]int
+		ReportsHeard(now time.Time, list map[uint32]int)
 	}
 
 	// Config is the settings of a Gossip.
@@ -106,8 +110,10 @@
 		sequence uint64
 		recent   []recentCrash
 		pulling  chan struct{}
-		// viewed is when the view was last made.
+		// viewed is when the view was last made, and told when the last
+		// heartbeat went to all.
 		viewed time.Time
+		told   time.Time
 	}
 
 	recentCrash struct {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -42,6 +42,9 @@
 		active map[uint32]int
 		placed []balance.Placement
 		told   []balance.Placement
+		// reports are what endpoints said here, heard what other nodes told.
+		reports map[uint32]int
+		heard   map[uint32]int
 	}
 
 	node struct {
@@ -123,6 +126,18 @@
 	w.placed = list
 }
 
+func (w *work) Reports(time.Time) map[uint32]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.reports)
+}
+
+func (w *work) ReportsHeard(_ time.Time, list map[uint32]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = list
+}
+
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, network: fmt.Sprintf("127.%d.%d.", 128+rand.IntN(64), 1+rand.IntN(250))}
 	l, err := net.Listen("tcp4", f.network+"1:0")
@@ -277,11 +292,12 @@
 	}, "another takes its place")
 }
 
-func TestCrashesAndPlacementsAreTold(t *testing.T) {
+func TestCrashesPlacementsAndReportsAreTold(t *testing.T) {
 	f := newFleet(t)
 	one, two := f.start(1, &book{}), f.start(2, &book{})
 	one.work.mu.Lock()
 	one.work.told = []balance.Placement{{Part: 5, Endpoint: 6}}
+	one.work.reports = map[uint32]int{6: 11}
 	one.work.mu.Unlock()
 	f.eventually(func() bool { return len(one.gossip.View().Alive) == 1 }, "they know each other")
 	one.gossip.Tell(gossip.Crash{Print: 9, Endpoint: 3})
@@ -296,8 +312,8 @@
 	f.eventually(func() bool {
 		two.work.mu.Lock()
 		defer two.work.mu.Unlock()
-		return len(two.work.placed) == 1
-	}, "the placement is told")
+		return len(two.work.placed) == 1 && two.work.heard[6] == 11
+	}, "the placement and the report are told")
 }
 
 // Bytes that are no heartbeat change nothing.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -73,6 +73,8 @@
 		Crashes  []Crash      `cbor:"8,keyasint,omitempty"`
 		// Placements are where the node has lately sent parts of prompts.
 		Placements []balance.Placement `cbor:"9,keyasint,omitempty"`
+		// Reports are what endpoints have lately said of their own load.
+		Reports map[uint32]int `cbor:"12,keyasint,omitempty"`
 		// From is who the sender is.
 		From *Member `cbor:"10,keyasint,omitempty"`
 		// Ask asks the receiver who it is.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -69,6 +69,9 @@
 	for _, c := range b.Crashes {
 		g.config.Crashed(c)
 	}
+	if len(b.Reports) > 0 {
+		g.config.Work.ReportsHeard(now, b.Reports)
+	}
 	if len(b.Placements) > 0 {
 		g.config.Work.Placed(now, b.Placements)
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -52,6 +52,7 @@
 		}
 		sent[n.addr] = true
 	}
+	o.told = now
 	alone := len(g.View().Alive) == 0
 	for _, seed := range g.config.Seeds() {
 		if !sent[seed] && (alone || rand.Float64() < greetShare) {
@@ -65,8 +66,8 @@
 	return &heartbeat{
 		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: g.config.Book.Snapshot().Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
-		Loads: g.config.Work.Active(), Contacts: o.contacts(contactsPerBeat), Crashes: o.told(now),
-		Placements: g.config.Work.Placements(now),
+		Loads: g.config.Work.Active(), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
+		Placements: g.config.Work.Placements(now), Reports: g.config.Work.Reports(o.told),
 	}
 }
 
@@ -98,7 +99,8 @@
 	return list[:min(len(list), most)]
 }
 
-func (o *owner) told(now time.Time) []Crash {
+// crashes returns those that are still to be told.
+func (o *owner) crashes(now time.Time) []Crash {
 	var list []Crash
 	var rest []recentCrash
 	for _, r := range o.recent {
