Write small requests before their answers are awaited

Cause: a request was written by a goroutine of its own, and its connection counted as used up if that had not noted the end of the writing when the answer was complete. On a busy machine the goroutine has its turn later: connections were closed that could be kept. Seen as a test that failed once beside other work: three connections opened for three requests in a row, where one suffices.

Ruled out: a longer wait before the answer is passed on, which delays the answers of endpoints that answer before they read.

Change: requests with bodies up to 4 KiB, which fit a socket's buffer, are written at once; for larger ones the connection is settled when the writing has ended, within 0.1 s.

The test passes six times in a row with the race detector beside six busy processes.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -15,12 +15,20 @@
 	"time"
 )
 
-// maxStray is how many answers to other requests are passed over while the own
-// one is awaited: an endpoint may answer an earlier request twice.
-const maxStray = 2
-
-// maxStrayBody bounds the body of such an answer.
-const maxStrayBody = 64 << 10
+const (
+	// maxStray is how many answers to other requests are passed over while the
+	// own one is awaited: an endpoint may answer an earlier request twice.
+	maxStray = 2
+	// maxStrayBody bounds the body of such an answer.
+	maxStrayBody = 64 << 10
+	// inlineBody is the largest body that is written before the answer is
+	// awaited: with its head it fits a socket's buffer of 16 KiB, so that the
+	// writing does not wait for an endpoint that answers before it reads.
+	inlineBody = 4 << 10
+	// writeGrace is how long an answered request may still be on its way out.
+	// A goroutine waits for its turn for less than that, also on a busy machine.
+	writeGrace = 100 * time.Millisecond
+)
 
 type (
 	// Request is one request to an endpoint.
@@ -49,7 +57,7 @@
 		most  int
 		conn  *conn
 		stop  func() bool
-		sent  atomic.Bool
+		// wrote tells how the writing of the request ended.
 		wrote chan error
 		ended atomic.Bool
 		// framed says that the answer's end is marked by its length or a last
@@ -71,11 +79,11 @@
 	}
 	x := &Exchange{pool: p, addr: r.Addr, most: cmp.Or(r.Keep, maxKept), conn: c, Fresh: !c.used, wrote: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	go func() {
-		err := r.HTTP.Write(c)
-		x.sent.Store(err == nil)
-		x.wrote <- err
-	}()
+	if r.HTTP.ContentLength <= inlineBody {
+		x.wrote <- r.HTTP.Write(c)
+	} else {
+		go func() { x.wrote <- r.HTTP.Write(c) }()
+	}
 	resp, err := x.await(r)
 	if err != nil {
 		if !x.Fresh && ctx.Err() == nil && cut(err) {
@@ -120,11 +128,37 @@
 	if !x.ended.CompareAndSwap(false, true) {
 		return
 	}
-	alive := x.stop()
-	// An endpoint may answer before it has read the request. What it reads
-	// later on this connection must be the rest of that request, so the
-	// connection is used again only if all of it was written.
-	if !alive || !x.sent.Load() || x.Response.Close || !x.framed {
+	if alive := x.stop(); !alive || x.Response.Close || !x.framed {
+		_ = x.conn.Close()
+		return
+	}
+	select {
+	case err := <-x.wrote:
+		x.settle(err)
+	default:
+		go x.awaitWrite()
+	}
+}
+
+// awaitWrite settles an exchange that was answered before its request counts as
+// written: the goroutine that writes it may not have had its turn yet, or the
+// endpoint has not read it all.
+func (x *Exchange) awaitWrite() {
+	select {
+	case err := <-x.wrote:
+		x.settle(err)
+	case <-time.After(writeGrace):
+		_ = x.conn.Close()
+	}
+}
+
+// settle keeps the connection, if the request was written.
+//
+// An endpoint may answer before it has read the request. What it reads later on
+// this connection must be the rest of that request, so the connection is used
+// again only if all of it was written.
+func (x *Exchange) settle(err error) {
+	if err != nil {
 		_ = x.conn.Close()
 		return
 	}
