Take the bound on load and the watch's wait from the settings

Cause: the multiple of the mean load that an endpoint may have (1.7) and the wait of a watch (2 s) were constants that suit installations with a cap of 2 and a contact bound of 3 s; the settings name both. A request hashed its prompt's part and each endpoint's ID several times, in a sort of all endpoints.

Change: the bound is 0.85 of the cap that the settings name; a watch waits for two thirds of the contact bound, two seconds at most; the first endpoint of a part is found in one pass; internal/periodic holds the loop.

--- a/control.go
+++ b/control.go
@@ -14,6 +14,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/operator"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/platform"
 )
 
@@ -98,16 +99,7 @@
 		}
 	})
 	c.running.Go(func() {
-		tick := time.NewTicker(loadInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				c.readLoads()
-			}
-		}
+		periodic.Run(ctx, loadInterval, func(time.Time) { c.readLoads() })
 	})
 	return c
 }
--- a/gateway.go
+++ b/gateway.go
@@ -22,6 +22,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/store"
 )
 
@@ -79,6 +80,12 @@
 		AddressTTL time.Duration
 		// Drain is within what time a leaving endpoint must get no more requests.
 		Drain time.Duration
+		// Contact is after how long without news of the store a node must know
+		// whether it still hears of changes.
+		Contact time.Duration
+		// LoadCap is the greatest multiple of the mean load that an endpoint
+		// may have.
+		LoadCap float64
 		// Grace is how long the process may go on after it is told to stop.
 		Grace time.Duration
 		// Log takes JSON lines.
@@ -118,7 +125,7 @@
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Log: g.log})
-	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone})
+	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone, Cap: c.LoadCap})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	crashes := gateway.NewCrashes(func(fingerprint uint64, endpoint string) {
 		g.gossip.Tell(gossip.Crash{Print: fingerprint, Endpoint: balance.Key(endpoint)})
@@ -149,7 +156,7 @@
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
-		Reads: g.gossip.Reads,
+		Reads: g.gossip.Reads, Contact: c.Contact,
 	})
 	follower.Store(g.follower)
 	if err := g.listen(); err != nil {
@@ -157,16 +164,7 @@
 		return nil, err
 	}
 	g.running.Go(func() {
-		tick := time.NewTicker(forgetInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-tick.C:
-				g.balancer.Forget(now, forgetAfter)
-			}
-		}
+		periodic.Run(ctx, forgetInterval, func(now time.Time) { g.balancer.Forget(now, forgetAfter) })
 	})
 	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds})
 	return g, nil
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -16,10 +17,13 @@
 )
 
 const (
-	// boundRatio and boundSlack bound an endpoint's load over the mean of its
-	// service. The installations allow twice the mean plus three; what peers
-	// have sent in the last tenth of a second is not known yet.
-	boundRatio = 1.7
+	// defaultCap is the greatest multiple of the mean load that an endpoint may
+	// have, plus three, where nothing says so.
+	defaultCap = 2.0
+	// capShare is the part of that multiple up to which endpoints are chosen,
+	// and boundSlack the same of the three requests: what peers have sent in the
+	// last tenth of a second is not known yet.
+	capShare   = 0.85
 	boundSlack = 2.2
 	// stayRatio and staySlack bound the load up to which an endpoint that keeps
 	// a prompt's part goes before the first of the part's order.
@@ -55,6 +59,9 @@
 		Loads Loads
 		// Zone is the node's own availability zone.
 		Zone string
+		// Cap is the greatest multiple of its service's mean load that an
+		// endpoint may have; 0 for twice.
+		Cap float64
 	}
 
 	// Balancer chooses endpoints. It is safe for concurrent use.
@@ -146,10 +153,9 @@
 	o.active++
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all)}
 	if r.Key != "" {
-		order := ordered(r.Key, list)
-		choice.First = order[0]
 		part := xxhash.Sum64String(r.Key)
-		choice.Source = b.held.source(part, c.endpoint, order, now)
+		choice.First = first(part, list, nil)
+		choice.Source = b.held.source(part, c.endpoint, list, now)
 		b.held.note(Placement{Part: part, Endpoint: Key(c.endpoint.ID)}, now)
 	}
 	return choice
@@ -182,17 +188,27 @@
 		float64(b.load(now, o, e)) >= depth*float64(slots(e, r.Service))
 }
 
-// ordered returns the endpoints in the key's rendezvous order. Draining ones are
-// among them: they still keep what was sent to them.
-func ordered(key string, list []*deployment.Endpoint) []*deployment.Endpoint {
-	return slices.SortedFunc(slices.Values(list), func(a, b *deployment.Endpoint) int {
-		return cmp.Compare(score(key, b), score(key, a))
-	})
+// first returns the endpoint that comes first in a part's rendezvous order, but
+// for one that is left out. Draining ones are among them: they still keep what
+// was sent to them.
+func first(part uint64, list []*deployment.Endpoint, but *deployment.Endpoint) *deployment.Endpoint {
+	var best *deployment.Endpoint
+	var highest uint64
+	for _, e := range list {
+		if s := score(part, e); e != but && (best == nil || s > highest) {
+			best, highest = e, s
+		}
+	}
+	return best
 }
 
-// score is an endpoint's place in a key's rendezvous order; the highest is first.
-func score(key string, e *deployment.Endpoint) uint64 {
-	return xxhash.Sum64String(key + "\x00" + e.ID)
+// score is an endpoint's place in a part's rendezvous order; the highest is
+// first.
+func score(part uint64, e *deployment.Endpoint) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], part)
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(e.ID))
+	return xxhash.Sum64(b[:])
 }
 
 // Release ends the count of a request at an endpoint, with its outcome.
@@ -260,6 +276,7 @@
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
 	failures := b.meanFailures(now, list)
 	total, ready := 0, 0
+	part := xxhash.Sum64String(r.Key)
 	var all []candidate
 	for _, e := range list {
 		o := b.get(e.ID, now)
@@ -275,7 +292,7 @@
 		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
 		c.closed = b.closed(now, e, r)
 		if r.Key != "" {
-			c.score, c.holds = score(r.Key, e), b.held.has(xxhash.Sum64String(r.Key), e, now)
+			c.score, c.holds = score(part, e), b.held.has(part, e, now)
 		}
 		all = append(all, c)
 	}
@@ -305,7 +322,7 @@
 
 func (b *Balancer) pick(all []candidate, mean float64, r Request) *candidate {
 	if r.Key != "" {
-		return pickKeyed(all, mean)
+		return b.pickKeyed(all, mean)
 	}
 	return b.pickPlain(all)
 }
@@ -315,8 +332,8 @@
 // Endpoints that keep the prompt's part go before all others: one that has just
 // joined would have to fetch it. Past the bound it takes the least loaded with
 // room.
-func pickKeyed(all []candidate, mean float64) *candidate {
-	bound := boundRatio*mean + boundSlack
+func (b *Balancer) pickKeyed(all []candidate, mean float64) *candidate {
+	bound := capShare*cmp.Or(b.config.Cap, defaultCap)*mean + boundSlack
 	var best, least, last *candidate
 	for i := range all {
 		c := &all[i]
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -115,20 +115,15 @@
 // source returns the endpoint from which the chosen one should fetch a part, or
 // nil if it is believed to keep the part itself: the one that got the part
 // last, or else the first in the part's rendezvous order.
-func (h *holders) source(part uint64, chosen *deployment.Endpoint, order []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
+func (h *holders) source(part uint64, chosen *deployment.Endpoint, list []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
 	if h.has(part, chosen, now) {
 		return nil
 	}
 	for _, o := range h.get(part) {
-		i := slices.IndexFunc(order, func(e *deployment.Endpoint) bool { return Key(e.ID) == o.endpoint })
-		if i >= 0 && order[i] != chosen && now.Sub(o.at) < heldFor {
-			return order[i]
+		i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return Key(e.ID) == o.endpoint })
+		if i >= 0 && list[i] != chosen && now.Sub(o.at) < heldFor {
+			return list[i]
 		}
 	}
-	for _, e := range order {
-		if e != chosen {
-			return e
-		}
-	}
-	return nil
+	return first(part, list, chosen)
 }
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/periodic"
 )
 
 const (
@@ -53,18 +55,7 @@
 func NewPool(c PoolConfig) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{config: c, kept: map[netip.AddrPort][]*conn{}, cancel: cancel}
-	p.running.Go(func() {
-		tick := time.NewTicker(pruneInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-tick.C:
-				p.prune(now)
-			}
-		}
-	})
+	p.running.Go(func() { periodic.Run(ctx, pruneInterval, p.prune) })
 	return p
 }
 
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch open. A watch may never
-	// be told of changes, and nothing shows it but its end; the installations
-	// allow three seconds.
-	watchWait = 2 * time.Second
+	// watchWait is how long the store may hold a watch open at most, and
+	// watchShare the part of the contact bound that it is if that is shorter. A
+	// watch may never be told of changes, and nothing shows it but its end;
+	// installations allow three seconds and more.
+	watchWait  = 2 * time.Second
+	watchShare = 2.0 / 3
 	// watchJitter is the part of the wait that is drawn, so that the nodes'
 	// watches do not end together.
 	watchJitter = 0.2
@@ -81,7 +83,10 @@
 		// Reads reports whether this node is one of the few that read the
 		// store and tell the others.
 		Reads func() bool
-		Log   *decision.Log
+		// Contact is within what time the node must notice that it does not
+		// hear of changes; 0 if nothing says so.
+		Contact time.Duration
+		Log     *decision.Log
 	}
 
 	// Follower keeps a Sink up to date with the store, as long as this node is
@@ -161,7 +166,7 @@
 		return f.read(ctx, cur)
 	}
 	cur.revision = max(cur.revision, f.config.Sink.Snapshot().Revision)
-	wait := watchWait - time.Duration(rand.Float64()*watchJitter*float64(watchWait))
+	wait := f.wait()
 	limited, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	page, err := f.config.Source.Watch(limited, cur.revision, wait)
@@ -182,6 +187,15 @@
 	return nil
 }
 
+// wait draws how long the store may hold the next watch open.
+func (f *Follower) wait() time.Duration {
+	wait := watchWait
+	if f.config.Contact > 0 {
+		wait = min(wait, time.Duration(watchShare*float64(f.config.Contact)))
+	}
+	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
+}
+
 // read takes everything, page by page. The pages are no snapshot; the watch
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
