Read the settings anew when they change without a signal

Cause: the settings file may change without a signal; seeds were read anew on SIGHUP alone. A node that was cut off for long would go on to look for seeds that are gone.

Change: the file is read every five seconds, and what is new is taken and logged as at a signal.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 	memoryShare = 0.7
 	// storeConnect bounds a new connection to the store.
 	storeConnect = 700 * time.Millisecond
+	// lookInterval is how often the settings file is read anew; reading it
+	// takes some 50 microseconds.
+	lookInterval = 5 * time.Second
 )
 
 type serveCommand struct {
@@ -45,19 +49,39 @@
 	if err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	c.follow(g, s, signals)
+	if err := g.Stop(); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+// follow takes new settings until a signal ends the process. The file may change
+// without a signal; one would see a node that was cut off for long go on to look
+// for seeds that are gone.
+func (*serveCommand) follow(g *bulrushhinge.Gateway, s platform.Settings, signals <-chan os.Signal) {
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	for {
+		told := false
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return
+			}
+			told = true
+		case <-look.C:
 		}
-		if s, err = platform.ReadSettings(); err == nil {
+		next, err := platform.ReadSettings()
+		if !told && err == nil && slices.Equal(next.Seeds, s.Seeds) {
+			continue
+		}
+		if err == nil {
+			s = next
 			g.SetSeeds(s.Seeds)
 		}
 		g.Reloaded(err)
 	}
-	if err := g.Stop(); err != nil {
-		return fmt.Errorf("stop: %w", err)
-	}
-	return nil
 }
 
 func (c *serveCommand) config(s platform.Settings) bulrushhinge.GatewayConfig {
