--- /dev/null
+++ b/internal/balance/pick.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+)
+
+func (b *Balancer) pick(all []candidate, mean float64, r Request) *candidate {
+	if r.Key != "" {
+		return b.pickKeyed(all, mean)
+	}
+	return b.pickPlain(all)
+}
+
+// pickKeyed takes the first endpoint of the key's rendezvous order that is
+// under the bound, so that all nodes send what shares a prompt to one endpoint.
+// Endpoints that keep the prompt's part go before all others: one that has just
+// joined would have to fetch it. Past the bound it takes the least loaded with
+// room.
+func (b *Balancer) pickKeyed(all []candidate, mean float64) *candidate {
+	bound := capShare*cmp.Or(b.config.Cap, defaultCap)*mean + boundSlack
+	var best, least, last *candidate
+	for i := range all {
+		c := &all[i]
+		if c.closed {
+			continue
+		}
+		if last == nil || c.load < last.load {
+			last = c
+		}
+		if c.suspect {
+			continue
+		}
+		c.holds = c.holds && float64(c.load) < stayRatio*mean+staySlack
+		if float64(c.load) < bound && c.before(best) {
+			best = c
+		}
+		if least == nil || c.load < least.load {
+			least = c
+		}
+	}
+	return cmp.Or(best, least, last)
+}
+
+// before reports whether the candidate is preferred to another for a key.
+func (c *candidate) before(o *candidate) bool {
+	if o == nil || c.holds != o.holds {
+		return o == nil || c.holds
+	}
+	return c.score > o.score
+}
+
+// pickPlain takes the better of two endpoints that it draws, by their load for
+// their slots. Were the least loaded of all taken, all nodes would take the same
+// one until they hear of each other again; one would see endpoints refuse
+// requests by turns while others are free.
+func (b *Balancer) pickPlain(all []candidate) *candidate {
+	var sound, rest []*candidate
+	for i := range all {
+		c := &all[i]
+		switch {
+		case c.closed:
+		case c.suspect:
+			rest = append(rest, c)
+		default:
+			sound = append(sound, c)
+		}
+	}
+	return cmp.Or(b.better(sound), b.better(rest))
+}
+
+// better returns the less loaded of two that it draws.
+func (b *Balancer) better(list []*candidate) *candidate {
+	if len(list) < 2 {
+		return slices.Concat(list, []*candidate{nil})[0]
+	}
+	i := rand.IntN(len(list))
+	j := rand.IntN(len(list) - 1)
+	if j >= i {
+		j++
+	}
+	if b.plainCost(list[j]) < b.plainCost(list[i]) {
+		return list[j]
+	}
+	return list[i]
+}
+
+func (b *Balancer) plainCost(c *candidate) float64 {
+	cost := float64(c.load) / float64(c.slots)
+	if c.endpoint.Zone != b.config.Zone {
+		cost += remoteCost
+	}
+	return cost
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -29,20 +28,6 @@
 	// keepShare is the part of an endpoint's connections that all nodes together
 	// keep idle at most: endpoints take fewer while their queue is long.
 	keepShare = 0.5
-	// plainStall is the part of the latency objective after which a request
-	// that may be repeated is given up at a silent endpoint: the other half
-	// suffices for a second one.
-	plainStall = 0.5
-	// streamStall is the same for a stream's first event, where a long queue
-	// is no fault.
-	streamStall = 1.5
-	// minStall bounds both from below.
-	minStall = 60 * time.Millisecond
-	// pauseStall is how many of the wanted pauses a resumable stream may be
-	// silent between two events.
-	pauseStall = 2.0
-	// minPause bounds it from below.
-	minPause = 500 * time.Millisecond
 )
 
 // wholeAnswer is an endpoint's answer that is complete.
@@ -135,67 +120,6 @@
 	return max(int(keepShare*float64(c.service.Connections))/max(c.handler.config.Nodes(), 1), 1)
 }
 
-// stall is after how long of silence the endpoint is given up, 0 for never. A
-// request that must not be repeated waits as long as its caller.
-func (a *attempt) stall() time.Duration {
-	c := a.call
-	if !c.mayRepeat() {
-		return 0
-	}
-	share := plainStall
-	if c.route.Kind.Streams() {
-		share = streamStall
-	}
-	return max(time.Duration(share*float64(c.route.Objective)), minStall)
-}
-
-// watch gives a silent endpoint up, unless no other one has room: in an overload
-// all of them answer late, and one would see requests end with 502 that an
-// endpoint was about to answer. It returns nil for a request that must wait.
-func (a *attempt) watch(giveUp func()) *time.Timer {
-	c, stall := a.call, a.stall()
-	if stall == 0 {
-		return nil
-	}
-	var timer *time.Timer
-	timer = time.AfterFunc(c.route.Timeout, func() {
-		if !c.roomBeside(a.choice.Endpoint.ID) || time.Since(a.at) < a.queued(stall) {
-			timer.Reset(stall)
-			return
-		}
-		a.silent.Store(true)
-		giveUp()
-	})
-	timer.Reset(stall)
-	return timer
-}
-
-// queued is how long an endpoint that says how much it has to do may be silent:
-// a request that waits behind others in its queue is no sign of a fault. One
-// would see requests given up in an overload, which then wait once more
-// elsewhere.
-func (a *attempt) queued(stall time.Duration) time.Duration {
-	busy := a.call.handler.config.Balancer.Busy(time.Now(), a.choice.Endpoint, a.call.service)
-	return time.Duration(float64(stall) * max(busy, 1))
-}
-
-// reported passes on what an endpoint says of its load: its running and its
-// waiting requests.
-func (a *attempt) reported(header http.Header) {
-	h := a.call.handler.config
-	text := header.Get(h.Headers.Load)
-	if text == "" {
-		return
-	}
-	var running, waiting int
-	if n, err := fmt.Sscanf(text, "%d,%d", &running, &waiting); n < 2 || running < 0 || waiting < 0 {
-		a.call.log("load.bad", decision.Fields{"endpoint": a.choice.Endpoint.ID, "load": text, "error": fmt.Sprint(err)})
-		return
-	}
-	a.load = running + waiting
-	h.Balancer.Reported(time.Now(), a.choice.Endpoint.ID, a.load)
-}
-
 // request builds what is sent.
 func (a *attempt) request() *http.Request {
 	c := a.call
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,10 +19,13 @@
 
 const (
 	// beatInterval is the time between two heartbeats in a small fleet, and
-	// beatPerNode what each further node adds, so that a node's traffic stays
-	// under the 14 KB/s that control may cost.
+	// beatPerNode what each further node adds: loads that are older than some
+	// tenths of a second say little about a plain service. From denseNodes on
+	// each node adds beatPerMore, so that 330 nodes send 14 KB/s each.
 	beatInterval = 100 * time.Millisecond
 	beatPerNode  = 3 * time.Millisecond
+	denseNodes   = 100
+	beatPerMore  = 10 * time.Millisecond
 	// inboxLength bounds the heartbeats that wait; those that come then are lost.
 	inboxLength = 256
 	// readers is how many nodes read the store for all: one or two of them
@@ -201,7 +204,8 @@
 }
 
 func interval(nodes int) time.Duration {
-	return max(beatInterval, time.Duration(nodes)*beatPerNode)
+	dense := min(nodes, denseNodes)
+	return max(beatInterval, time.Duration(dense)*beatPerNode+time.Duration(nodes-dense)*beatPerMore)
 }
 
 // Reads reports whether this node is one of the few that read the store for
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -52,11 +52,11 @@
 		// Fresh says that no other exchange had used the connection.
 		Fresh bool
 
-		pool  *Pool
-		addr  netip.AddrPort
-		most  int
-		conn  *conn
-		stop  func() bool
+		pool *Pool
+		addr netip.AddrPort
+		most int
+		conn *conn
+		stop func() bool
 		// wrote tells how the writing of the request ended.
 		wrote chan error
 		ended atomic.Bool
