Add a tool for load and experiments

internal/experiment and cmd/experiment drive builds of the real program, as processes before stand-ins of the store and endpoints, with rate, mix, account skew and faults from a TOML plan; they print a table, and write JSON and charts of latency and load. One command compares builds.

The stand-in endpoints queue requests and tell their load when they answer. The start of node processes is shared with the fault soak.

--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,140 @@
+package experiment_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/experiment"
+)
+
+const short = `
+nodes = 2
+length = "3s"
+rate = 60.0
+accounts = 3
+skew = 1.0
+seed = 7
+[[service]]
+name = "plain"
+endpoints = 2
+slots = 6
+queue = 24
+work = "5ms"
+[[service]]
+name = "engine"
+endpoints = 2
+slots = 16
+work = "5ms"
+events = 4
+[[request]]
+name = "lookup"
+service = "plain"
+kind = "idempotent"
+share = 1.0
+objective = "300ms"
+timeout = "5s"
+[[request]]
+name = "chat"
+service = "engine"
+kind = "resumable"
+share = 1.0
+objective = "300ms"
+timeout = "5s"
+[[fault]]
+kind = "kill"
+at = "1s"
+for = "300ms"
+count = 1
+`
+
+func TestPlansThatCannotBePlayed(t *testing.T) {
+	cases := []struct {
+		name string
+		old  string
+		new  string
+		says string
+	}{
+		{name: "no TOML", old: "nodes = 2", new: "nodes = ", says: "expected value"},
+		{name: "an unknown field", old: "nodes = 2", new: "nodes = 2\nnoodles = 3", says: "unknown field noodles"},
+		{name: "no nodes", old: "nodes = 2", new: "nodes = 0", says: "must be positive"},
+		{name: "a length without unit", old: `"3s"`, new: `"3"`, says: "invalid duration"},
+		{name: "a service without slots", old: "slots = 6", new: "slots = 0", says: `service "plain"`},
+		{name: "a service that there is not", old: `service = "plain"`, new: `service = "none"`, says: "which there is not"},
+		{name: "an unknown kind of request", old: `"idempotent"`, new: `"twice"`, says: `of kind "twice"`},
+		{name: "a stream without events", old: "events = 4", new: "", says: "do not agree on events"},
+		{name: "an unknown fault", old: `"kill"`, new: `"flood"`, says: `fault of kind "flood"`},
+		{name: "a fault that strikes nothing", old: "count = 1", new: "", says: "needs a count"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Contains(t, short, c.old)
+			_, err := experiment.Parse(strings.Replace(short, c.old, c.new, 1))
+			require.ErrorIs(t, err, experiment.ErrPlan)
+			require.ErrorContains(t, err, c.says)
+		})
+	}
+}
+
+func TestPlansOfTheRepository(t *testing.T) {
+	paths, err := filepath.Glob("../../deploy/experiments/*.toml")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		_, err = experiment.Parse(string(text))
+		require.NoError(t, err, path)
+	}
+}
+
+// Real processes, one of them killed: all that is asked is counted once, and most
+// of it served.
+func TestRun(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "bulrushhinge")
+	out, err := exec.Command("go", "build", "-o", program, "bulrushhinge.example/bulrushhinge/cmd/bulrushhinge").CombinedOutput()
+	require.NoError(t, err, string(out))
+	plan, err := experiment.Parse(short)
+	require.NoError(t, err)
+	r, err := experiment.Run(context.Background(), experiment.Config{Plan: plan, Program: program, Folder: t.TempDir()})
+	require.NoError(t, err)
+	require.Len(t, r.Requests, 2)
+	asked, served := 0, 0
+	for _, c := range r.Requests {
+		require.Equal(t, c.Asked, c.Timely+c.Late+c.Refused+c.Failed, c.Name)
+		asked += c.Asked
+		served += c.Timely + c.Late
+	}
+	require.Greater(t, asked, 60)
+	require.Greater(t, served, asked/2)
+	require.Len(t, r.Seconds, 3)
+	require.NotEmpty(t, r.Loads)
+
+	var table bytes.Buffer
+	require.NoError(t, experiment.Table(&table, []string{"before", "after"}, []*experiment.Result{r, r}))
+	require.Equal(t, 2, strings.Count(table.String(), "chat"))
+	folder := t.TempDir()
+	require.NoError(t, experiment.Charts(folder, []string{"before"}, []*experiment.Result{r}))
+	for _, name := range []string{"latency.svg", "load.svg"} {
+		data, err := os.ReadFile(filepath.Join(folder, name))
+		require.NoError(t, err)
+		require.Contains(t, string(data), "<svg")
+	}
+}
+
+func TestSkew(t *testing.T) {
+	r := &experiment.Result{Loads: []experiment.Load{
+		{Service: "s", At: 1 * time.Second, Most: 3, Mean: 2},
+		{Service: "s", At: 2 * time.Second, Most: 1, Mean: 0.1},
+		{Service: "other", At: 2 * time.Second, Most: 9, Mean: 1},
+	}}
+	require.InDelta(t, 1.5, r.Skew("s"), 0.001)
+	require.Zero(t, r.Skew("none"))
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,282 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/periodic"
+	"bulrushhinge.example/bulrushhinge/platform/standin"
+)
+
+const (
+	// sampleInterval is how often the endpoints' loads are read.
+	sampleInterval = 100 * time.Millisecond
+	// meetTimeout bounds the time until all nodes know each other.
+	meetTimeout = time.Minute
+	// grace is how long a node that is stopped as planned may go on, and drain
+	// within what time a leaving endpoint must get nothing more: what the users'
+	// installations have.
+	grace = 8 * time.Second
+	drain = 2 * time.Second
+	slack = 56
+	// streamPrefix begins the paths that the stand-ins answer with events.
+	streamPrefix = "/stream/"
+)
+
+var host = standin.Host()
+
+type (
+	// Config is the settings of a run.
+	Config struct {
+		Plan *Plan
+		// Program is the path of the program.
+		Program string
+		// Folder takes settings and logs.
+		Folder string
+	}
+
+	run struct {
+		config    Config
+		network   string
+		store     *standin.Store
+		nodes     []*standin.Process
+		endpoints map[string][]*standin.Endpoint
+		servers   []*http.Server
+		result    *recorder
+		began     time.Time
+	}
+)
+
+// Run plays a plan and returns what callers saw.
+func Run(ctx context.Context, c Config) (*Result, error) {
+	r := &run{
+		config: c, network: fmt.Sprintf("127.%d.%d.", 192+rand.IntN(62), 1+rand.IntN(250)),
+		store: standin.NewStore(), endpoints: map[string][]*standin.Endpoint{}, result: newRecorder(c.Plan),
+	}
+	defer r.end()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Plan.Length)
+	defer cancel()
+	r.began = time.Now()
+	var group sync.WaitGroup
+	group.Go(func() { newCallers(r).ask(ctx) })
+	group.Go(func() { periodic.Run(ctx, sampleInterval, r.sample) })
+	errs := make([]error, len(c.Plan.Faults))
+	for i, f := range c.Plan.Faults {
+		group.Go(func() { errs[i] = r.strike(ctx, f) })
+	}
+	group.Wait()
+	return r.result.result(), errors.Join(errs...)
+}
+
+// start starts the stand-ins, then the nodes, and waits until these know each
+// other.
+func (r *run) start() error {
+	store, err := r.serve(r.store)
+	if err != nil {
+		return err
+	}
+	if err := r.store.Configure(r.config.Plan.config()); err != nil {
+		return fmt.Errorf("experiment: configure: %w", err)
+	}
+	for _, s := range r.config.Plan.Services {
+		for n := range s.Endpoints {
+			if err := r.addEndpoint(s, n); err != nil {
+				return err
+			}
+		}
+	}
+	port, err := freePort(r.network + "1")
+	if err != nil {
+		return err
+	}
+	for n := range r.config.Plan.Nodes {
+		p := &standin.Process{
+			Program: r.config.Program, Folder: r.config.Folder,
+			Settings: standin.Settings{
+				Node: fmt.Sprint("n", n+1), IP: r.ip(n + 1), Port: port, Seeds: []netip.Addr{r.ip(1)}, Store: store,
+				Drain: drain, Grace: grace, RetrySlack: slack,
+			},
+		}
+		r.nodes = append(r.nodes, p)
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return r.meet()
+}
+
+func (r *run) ip(n int) netip.Addr { return netip.MustParseAddr(fmt.Sprint(r.network, n)) }
+
+// serve serves a handler on an address of the run's own.
+func (r *run) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp4", r.network+"250:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("experiment: %w", err)
+	}
+	server := &http.Server{Handler: h}
+	r.servers = append(r.servers, server)
+	// It returns when the run closes it.
+	go func() { _ = server.Serve(l) }()
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+func (r *run) addEndpoint(s Service, n int) error {
+	id := fmt.Sprintf("%s-%d", s.Name, n)
+	e := standin.NewEndpoint(standin.EndpointConfig{ID: id, Slots: s.Slots, Queue: s.Queue, Events: s.Events, Pause: s.Work})
+	addr, err := r.serve(e)
+	if err != nil {
+		return err
+	}
+	r.endpoints[s.Name] = append(r.endpoints[s.Name], e)
+	err = r.store.Register(deployment.Endpoint{ID: id, Service: s.Name, Addr: addr, Zone: "z1", Slots: s.Slots})
+	if err != nil {
+		return fmt.Errorf("experiment: register: %w", err)
+	}
+	return nil
+}
+
+// meet waits until every node names all others to callers.
+func (r *run) meet() error {
+	const named = 64
+	for end := time.Now().Add(meetTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		met := 0
+		for _, n := range r.nodes {
+			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == min(len(r.nodes), named) {
+				met++
+			}
+		}
+		if met == len(r.nodes) {
+			return nil
+		}
+	}
+	return errors.New("experiment: the nodes have not found each other")
+}
+
+// sample notes the endpoints' loads.
+func (r *run) sample(now time.Time) {
+	for _, s := range r.config.Plan.Services {
+		most, total := 0, 0
+		for _, e := range r.endpoints[s.Name] {
+			load := e.Present()
+			most, total = max(most, load), total+load
+		}
+		r.result.load(s.Name, now.Sub(r.began), most, float64(total)/float64(s.Endpoints))
+	}
+}
+
+// strike causes a fault at its time, and ends it.
+func (r *run) strike(ctx context.Context, f Fault) error {
+	if !wait(ctx, f.At) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(r.config.Plan.Seed, uint64(f.At)))
+	switch f.Kind {
+	case FaultOutage:
+		r.store.Down(true)
+		defer r.store.Down(false)
+		wait(ctx, f.For)
+	case FaultCrash:
+		r.crash(ctx, f, random)
+	case FaultKill, FaultStop, FaultPause:
+		return r.strikeNodes(ctx, f, random)
+	}
+	return nil
+}
+
+func (r *run) crash(ctx context.Context, f Fault, random *rand.Rand) {
+	var all []*standin.Endpoint
+	for _, s := range r.config.Plan.Services {
+		all = append(all, r.endpoints[s.Name]...)
+	}
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, e := range all[:min(f.Count, len(all))] {
+		e.Break(true)
+		defer e.Break(false)
+	}
+	wait(ctx, f.For)
+}
+
+func (r *run) strikeNodes(ctx context.Context, f Fault, random *rand.Rand) error {
+	signals := map[string][2]syscall.Signal{
+		FaultKill: {syscall.SIGKILL, 0}, FaultStop: {syscall.SIGTERM, 0}, FaultPause: {syscall.SIGSTOP, syscall.SIGCONT},
+	}[f.Kind]
+	var errs []error
+	order := random.Perm(len(r.nodes))
+	for _, i := range order[:min(f.Count, len(order))] {
+		r.nodes[i].Signal(signals[0])
+	}
+	wait(ctx, f.For)
+	for _, i := range order[:min(f.Count, len(order))] {
+		if signals[1] != 0 {
+			r.nodes[i].Signal(signals[1])
+			continue
+		}
+		if !r.nodes[i].Gone(grace) {
+			r.nodes[i].Signal(syscall.SIGKILL)
+			r.nodes[i].Gone(grace)
+		}
+		errs = append(errs, r.nodes[i].Start())
+	}
+	return errors.Join(errs...)
+}
+
+// end ends what the run started, and nothing else.
+func (r *run) end() {
+	for _, n := range r.nodes {
+		n.Signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGKILL)
+	}
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+}
+
+// prefix is the path of a kind of request.
+func (r Request) prefix() string {
+	if kinds[r.Kind].Streams() {
+		return streamPrefix + r.Name + "/"
+	}
+	return "/" + r.Name + "/"
+}
+
+// wait waits, and reports whether the run still goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func freePort(ip string) (uint16, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return 0, fmt.Errorf("experiment: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port(), nil
+}
+
+// Folder returns a new folder for a run's settings and logs.
+func Folder(base, name string) (string, error) {
+	path, err := os.MkdirTemp(base, "experiment-"+strings.ReplaceAll(name, string(os.PathSeparator), "-")+"-")
+	if err != nil {
+		return "", fmt.Errorf("experiment: %w", err)
+	}
+	return path, nil
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -155,9 +155,9 @@
 	client := &http.Client{Timeout: 2 * time.Second}
 	for ctx.Err() == nil {
 		for _, n := range c.soak.nodes {
-			life, version, asked := n.life(), c.ledger.newest(), time.Now()
+			life, version, asked := n.Starts(), c.ledger.newest(), time.Now()
 			status := c.know(ctx, client, n, version)
-			if n.life() == life && (status == http.StatusOK || status == http.StatusNotFound) {
+			if n.Starts() == life && (status == http.StatusOK || status == http.StatusNotFound) {
 				c.ledger.shows(fmt.Sprintf("%s (start %d)", n.Node, life), version, status == http.StatusOK, asked)
 			}
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,14 +37,14 @@
 	}},
 	{name: "hang up", planned: true, strike: func(_ context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
-		n.signal(syscall.SIGHUP)
+		n.Signal(syscall.SIGHUP)
 		return n.Node
 	}},
 	{name: "pause", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
-		n.signal(syscall.SIGSTOP)
+		n.Signal(syscall.SIGSTOP)
 		wait(ctx, r, 4*time.Second)
-		n.signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGCONT)
 		return n.Node
 	}},
 	{name: "store down", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
@@ -163,12 +163,12 @@
 func (s *soak) restart(n *node, sig syscall.Signal, pause time.Duration) string {
 	n.turn.Lock()
 	defer n.turn.Unlock()
-	n.signal(sig)
-	if sig == syscall.SIGTERM && !n.gone(grace) {
-		n.signal(syscall.SIGKILL)
+	n.Signal(sig)
+	if sig == syscall.SIGTERM && !n.Gone(grace) {
+		n.Signal(syscall.SIGKILL)
 	}
-	n.gone(grace)
+	n.Gone(grace)
 	time.Sleep(pause)
-	s.note(n.start())
+	s.note(n.Start())
 	return n.Node
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	for i := range s.config.Nodes {
-		n := &node{program: s.config.Program, folder: s.config.Folder}
+		n := &node{Process: &standin.Process{Program: s.config.Program, Folder: s.config.Folder}}
 		if n.store, err = newProxy(world, func() netip.AddrPort { return s.world.storeAddr }); err != nil {
 			return err
 		}
@@ -130,7 +130,7 @@
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
-		if err := n.start(); err != nil {
+		if err := n.Start(); err != nil {
 			return err
 		}
 	}
@@ -139,10 +139,12 @@
 
 // await waits until all nodes know each other.
 func (s *soak) await() error {
+	// A directory answers with this many addresses at most.
+	const named = 64
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, n := range s.nodes {
-			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == len(s.nodes) {
+			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == min(len(s.nodes), named) {
 				ready++
 			}
 		}
@@ -166,8 +168,8 @@
 // end ends what the run started, and nothing else.
 func (s *soak) end() {
 	for _, n := range s.nodes {
-		n.signal(syscall.SIGCONT)
-		n.signal(syscall.SIGKILL)
+		n.Signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGKILL)
 		n.store.close()
 		n.front.close()
 	}
