End the watch of a silent endpoint with its attempt

Cause: the timer that gives a silent endpoint up sets itself anew where no other endpoint has room. Stopped while its function ran, it went on for as long as that was so, after the attempt had ended; for a service of one endpoint for good.

Change: it looks whether the attempt has ended.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,7 +60,7 @@
 	pool := c.handler.config.Pool
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := a.watch(cancel)
+	timer := a.watch(ctx, cancel)
 	if timer != nil {
 		defer timer.Stop()
 	}
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -42,13 +43,17 @@
 // watch gives a silent endpoint up, unless no other one has room: in an overload
 // all of them answer late, and one would see requests end with 502 that an
 // endpoint was about to answer. It returns nil for a request that must wait.
-func (a *attempt) watch(giveUp func()) *time.Timer {
+func (a *attempt) watch(ctx context.Context, giveUp func()) *time.Timer {
 	c, stall := a.call, a.stall()
 	if stall == 0 {
 		return nil
 	}
 	var timer *time.Timer
 	timer = time.AfterFunc(c.route.Timeout, func() {
+		if ctx.Err() != nil {
+			// The attempt has ended meanwhile; the timer must not run on.
+			return
+		}
 		if !c.roomBeside(a.choice.Endpoint.ID) || time.Since(a.at) < a.queued(stall) {
 			timer.Reset(stall)
 			return
