--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -99,7 +99,7 @@
 			}
 		}
 	}
-	port, err := freePort(r.network + "1")
+	port, err := standin.FreePort(r.ip(1))
 	if err != nil {
 		return err
 	}
@@ -116,7 +116,16 @@
 			return err
 		}
 	}
-	return r.meet()
+	return standin.Meet(r.settings(), meetTimeout)
+}
+
+// settings are those of the nodes.
+func (r *run) settings() []standin.Settings {
+	var list []standin.Settings
+	for _, n := range r.nodes {
+		list = append(list, n.Settings)
+	}
+	return list
 }
 
 func (r *run) ip(n int) netip.Addr { return netip.MustParseAddr(fmt.Sprint(r.network, n)) }
@@ -149,23 +158,6 @@
 	return nil
 }
 
-// meet waits until every node names all others to callers.
-func (r *run) meet() error {
-	const named = 64
-	for end := time.Now().Add(meetTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		met := 0
-		for _, n := range r.nodes {
-			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == min(len(r.nodes), named) {
-				met++
-			}
-		}
-		if met == len(r.nodes) {
-			return nil
-		}
-	}
-	return errors.New("experiment: the nodes have not found each other")
-}
-
 // sample notes the endpoints' loads.
 func (r *run) sample(now time.Time) {
 	for _, s := range r.config.Plan.Services {
@@ -263,15 +255,6 @@
 	}
 }
 
-func freePort(ip string) (uint16, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, fmt.Errorf("experiment: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String()).Port(), nil
-}
-
 // Folder returns a new folder for a run's settings and logs.
 func Folder(base, name string) (string, error) {
 	path, err := os.MkdirTemp(base, "experiment-"+strings.ReplaceAll(name, string(os.PathSeparator), "-")+"-")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"slices"
@@ -33,6 +32,8 @@
 	routeTimeout    = 6 * time.Second
 	callerTimeout   = 7 * time.Second
 	probeInterval   = 150 * time.Millisecond
+	// meetTimeout bounds the time until all nodes know each other.
+	meetTimeout = time.Minute
 	// lapseTime is how long an endpoint's entry outlives it.
 	lapseTime = 3600 * time.Millisecond
 )
@@ -111,7 +112,7 @@
 	if s.world, err = newWorld(world, s.ledger); err != nil {
 		return err
 	}
-	port, err := freePort(network + "1")
+	port, err := standin.FreePort(netip.MustParseAddr(network + "1"))
 	if err != nil {
 		return err
 	}
@@ -129,30 +130,14 @@
 		}
 		s.nodes = append(s.nodes, n)
 	}
+	var all []standin.Settings
 	for _, n := range s.nodes {
 		if err := n.Start(); err != nil {
 			return err
 		}
+		all = append(all, n.Settings)
 	}
-	return s.await()
-}
-
-// await waits until all nodes know each other.
-func (s *soak) await() error {
-	// A directory answers with this many addresses at most.
-	const named = 64
-	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		ready := 0
-		for _, n := range s.nodes {
-			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == min(len(s.nodes), named) {
-				ready++
-			}
-		}
-		if ready == len(s.nodes) {
-			return nil
-		}
-	}
-	return errors.New("soak: the nodes have not found each other")
+	return standin.Meet(all, meetTimeout)
 }
 
 // seeds are the addresses of the first nodes.
@@ -215,15 +200,6 @@
 	return fmt.Errorf("%w: seed %d", ErrBroken, s.config.Seed)
 }
 
-func freePort(ip string) (uint16, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, fmt.Errorf("soak: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String()).Port(), nil
-}
-
 // Folder returns a new folder for a seed's settings and logs.
 func Folder(base string, seed uint64) (string, error) {
 	path, err := os.MkdirTemp(base, fmt.Sprintf("soak-%d-", seed))
