--- /dev/null
+++ b/internal/balance/property_test.go
@@ -0,0 +1,91 @@
+package balance_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+// Whatever was chosen, released and heard before, a choice is no endpoint that
+// drains, that had the request, or that was found to be gone; and the counts are
+// those of the requests that are still out.
+func TestChoicesAreSound(t *testing.T) {
+	outcomes := []balance.Outcome{
+		balance.Served, balance.Failed, balance.Unreachable, balance.Refused, balance.Unknown, balance.Gone,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		list := endpoints(rapid.IntRange(1, 6).Draw(t, "endpoints"))
+		for _, e := range list {
+			e.Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+		}
+		b := balance.New(balance.Config{Loads: peers{"e0": rapid.IntRange(0, 30).Draw(t, "load")}})
+		now := time.Now()
+		var out []string
+		gone := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if len(out) > 0 && rapid.Bool().Draw(t, "release") {
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
+				b.Release(now, out[i], o)
+				gone[out[i]] = gone[out[i]] || o == balance.Gone
+				out = slices.Delete(out, i, i+1)
+				continue
+			}
+			r := balance.Request{Key: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "key")}
+			for _, e := range list {
+				if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
+					r.Tried = append(r.Tried, e.ID)
+				}
+			}
+			b.Reported(now, list[0].ID, rapid.IntRange(0, 60).Draw(t, "reported"))
+			room := b.Room(now, list, r)
+			c := b.Choose(now, list, r)
+			if c == nil {
+				continue
+			}
+			require.True(t, room)
+			require.False(t, c.Endpoint.Draining)
+			require.False(t, gone[c.Endpoint.ID])
+			require.NotContains(t, r.Tried, c.Endpoint.ID)
+			if r.Key != "" {
+				require.NotNil(t, c.First)
+				require.NotEqual(t, c.Endpoint, c.Source)
+			}
+			out = append(out, c.Endpoint.ID)
+		}
+		require.Equal(t, counted(out), b.Active())
+	})
+}
+
+// Where all nodes know the same, they choose the same endpoint for a part, and a
+// new endpoint changes the choice of no part but to itself.
+func TestPartsStayWhereEndpointsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "endpoints")
+		key := fmt.Sprint("part", rapid.IntRange(0, 1000).Draw(t, "part"))
+		choose := func(n int) *deployment.Endpoint {
+			b := balance.New(balance.Config{Loads: peers{}})
+			return b.Choose(time.Now(), endpoints(n), balance.Request{Key: key}).Endpoint
+		}
+		before, after := choose(n).ID, choose(n+1).ID
+		if after != before {
+			require.Equal(t, fmt.Sprint("e", n), after)
+		}
+	})
+}
+
+func counted(ids []string) map[uint32]int {
+	counts := map[uint32]int{}
+	for _, id := range ids {
+		counts[balance.Key(id)]++
+	}
+	return counts
+}
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"flag"
 	"net/http"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"bulrushhinge.example/bulrushhinge/internal/fixed"
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/once"
@@ -30,17 +29,7 @@
 	void     bool
 }
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20300101", "rapid.steps": "150", "rapid.checks": "45", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixed.Run(m, "rapid.steps", "150", "rapid.checks", "45") }
 
 // TestPromisesHold runs random schedules and checks after each step that
 //
--- /dev/null
+++ b/internal/deployment/main_test.go
@@ -0,0 +1,9 @@
+package deployment_test
+
+import (
+	"testing"
+
+	"bulrushhinge.example/bulrushhinge/internal/fixed"
+)
+
+func TestMain(m *testing.M) { fixed.Run(m) }
