Notice a silent store soon enough for another node to read it

Cause: three nodes read the store for all. Where it falls silent to just these three, their watches hung until their end, two seconds and one of slack; only then another node read.

Ruled out: more readers, each of which is paid for; the store being asked by resting nodes by turns.

Change: a watch waits for half of the bound on changes (the shorter of those on leaving endpoints and on configurations, from the settings) and may be answered a quarter of it later. The test fails without it.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -97,7 +97,7 @@
 		Source: platform.NewStore(s.Store, transport), Decoder: platform.Decoder{}, Headers: platform.Headers(),
 		Answers: func(g *bulrushhinge.Gateway) http.Handler { return platform.NewDirectoryHandler(g) },
 		Retry:   budget.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
-		Contact: s.Bounds.Contact, LoadCap: s.Bounds.LoadCap,
+		Apply:   s.Bounds.Apply, LoadCap: s.Bounds.LoadCap,
 		Drain: s.Bounds.Drain, Grace: s.Bounds.Grace, AddressTTL: s.Bounds.AddressTTL, Log: os.Stdout,
 	}
 }
--- a/gateway.go
+++ b/gateway.go
@@ -80,9 +80,9 @@
 		AddressTTL time.Duration
 		// Drain is within what time a leaving endpoint must get no more requests.
 		Drain time.Duration
-		// Contact is after how long without news of the store a node must know
-		// whether it still hears of changes.
-		Contact time.Duration
+		// Apply is within what time a change of the configuration must be in
+		// force.
+		Apply time.Duration
 		// LoadCap is the greatest multiple of the mean load that an endpoint
 		// may have.
 		LoadCap float64
@@ -156,7 +156,7 @@
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
-		Reads: g.gossip.Reads, Contact: c.Contact,
+		Reads: g.gossip.Reads, Bound: soonest(c.Drain, c.Apply),
 	})
 	follower.Store(g.follower)
 	if err := g.listen(); err != nil {
@@ -170,6 +170,14 @@
 	return g, nil
 }
 
+// soonest returns the shorter of two bounds, of which 0 says nothing.
+func soonest(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // SetSeeds replaces the addresses of some nodes.
 func (g *Gateway) SetSeeds(seeds []netip.Addr) { g.seeds.Store(&seeds) }
 
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -14,20 +15,20 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch open at most, and
-	// watchShare the part of the contact bound that it is if that is shorter. A
-	// watch may never be told of changes, and nothing shows it but its end;
-	// installations allow three seconds and more.
-	watchWait  = 2 * time.Second
-	watchShare = 2.0 / 3
+	// defaultBound is within what time a change must be in force where nothing
+	// says so.
+	defaultBound = 2 * time.Second
+	// watchShare is the part of the bound for which the store may hold a watch
+	// open, and slackShare the part that its answer may come later: a store that
+	// is ninety times slower than usual takes 0.4 s.
+	watchShare = 0.5
+	slackShare = 0.25
 	// watchJitter is the part of the wait that is drawn, so that the nodes'
 	// watches do not end together.
 	watchJitter = 0.2
 	// watchPause is how long a node waits after news before it watches again:
 	// changes often come in series, and one watch then tells several.
 	watchPause = 250 * time.Millisecond
-	// watchSlack is how long after its wait a watch may still be answered.
-	watchSlack = time.Second
 	// readTimeout bounds a read. The store answers within 4 ms, and 60 times
 	// slower on a bad day.
 	readTimeout = 1500 * time.Millisecond
@@ -83,10 +84,10 @@
 		// Reads reports whether this node is one of the few that read the
 		// store and tell the others.
 		Reads func() bool
-		// Contact is within what time the node must notice that it does not
-		// hear of changes; 0 if nothing says so.
-		Contact time.Duration
-		Log     *decision.Log
+		// Bound is within what time a change must be in force, 0 for two
+		// seconds.
+		Bound time.Duration
+		Log   *decision.Log
 	}
 
 	// Follower keeps a Sink up to date with the store, as long as this node is
@@ -167,7 +168,7 @@
 	}
 	cur.revision = max(cur.revision, f.config.Sink.Snapshot().Revision)
 	wait := f.wait()
-	limited, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	limited, cancel := context.WithTimeout(ctx, wait+f.part(slackShare))
 	defer cancel()
 	page, err := f.config.Source.Watch(limited, cur.revision, wait)
 	if errors.Is(err, ErrCompacted) {
@@ -188,14 +189,21 @@
 }
 
 // wait draws how long the store may hold the next watch open.
+//
+// A watch may never be told of changes, and nothing shows it but its end. Where
+// the store falls silent to the few nodes that read it, and to none of the
+// others, one would see requests reach an endpoint past the bound on its leaving.
+// These nodes must notice soon enough for another one to read and tell the rest.
 func (f *Follower) wait() time.Duration {
-	wait := watchWait
-	if f.config.Contact > 0 {
-		wait = min(wait, time.Duration(watchShare*float64(f.config.Contact)))
-	}
+	wait := f.part(watchShare)
 	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
 }
 
+// part is a part of the bound.
+func (f *Follower) part(share float64) time.Duration {
+	return time.Duration(share * float64(cmp.Or(f.config.Bound, defaultBound)))
+}
+
 // read takes everything, page by page. The pages are no snapshot; the watch
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -20,7 +20,9 @@
 	fakeStore struct {
 		mu sync.Mutex
 		// deaf watches are never told of changes.
-		deaf     bool
+		deaf bool
+		// mute calls are not answered at all.
+		mute     bool
 		err      error
 		revision uint64
 		// oldest is the oldest revision that can be watched from.
@@ -33,6 +35,7 @@
 		mu      sync.Mutex
 		updates []deployment.Update
 		touched int
+		access  deployment.Access
 	}
 )
 
@@ -48,7 +51,11 @@
 
 var errDown = errors.New("down")
 
-func (f *fakeStore) Range(context.Context, string) (store.Page, error) {
+func (f *fakeStore) Range(ctx context.Context, _ string) (store.Page, error) {
+	if f.silent() {
+		<-ctx.Done()
+		return store.Page{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -62,6 +69,10 @@
 	deaf := f.deaf
 	f.mu.Unlock()
 	for first := true; ; first = false {
+		if f.silent() {
+			<-ctx.Done()
+			return store.Page{}, ctx.Err()
+		}
 		page, err := f.changes(after, deaf && !first)
 		if err != nil || len(page.Items) > 0 || !time.Now().Before(end) {
 			return page, err
@@ -74,6 +85,12 @@
 	}
 }
 
+func (f *fakeStore) silent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mute
+}
+
 func (f *fakeStore) changes(after uint64, deaf bool) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,6 +124,7 @@
 func (s *sink) Noted(a deployment.Access) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.access = a
 	if a == deployment.Reading {
 		s.touched++
 	}
@@ -230,3 +248,25 @@
 	}
 	return store.Page{Revision: 1}, nil
 }
+
+// Symptom: a request reaches an endpoint 2.15 s after its leave was accepted,
+// where 2 s are allowed. Sequence: the store falls silent to the three nodes that
+// read it, and to no other; an endpoint leaves at the same moment. Cause: the
+// readers waited for their watches to end for up to three seconds, and nobody
+// else read.
+func TestSilentWatchIsNoticedWithinTheBound(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			source, s := &fakeStore{revision: 1, items: []deployment.Item{{Key: "a", Revision: 1}}}, &sink{}
+			f := store.NewFollower(store.FollowerConfig{Source: source, Sink: s, Reads: always, Bound: bound})
+			defer f.Close()
+			time.Sleep(time.Second)
+			source.set(func() { source.mute = true })
+			// A fifth of the bound is left for another node to read and tell.
+			time.Sleep(bound * 4 / 5)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			require.Equal(t, deployment.Failing, s.access, bound)
+		})
+	}
+}
