Run processes of the fleet in internal/fleet

platform/standin held the starting of processes and the waiting for them to meet, which are no names, formats or calls of the platform. They move with no change but their package.

--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/fleet"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
@@ -50,7 +51,7 @@
 		config    Config
 		network   string
 		store     *standin.Store
-		nodes     []*standin.Process
+		nodes     []*fleet.Process
 		endpoints map[string][]*standin.Endpoint
 		servers   []*http.Server
 		result    *recorder
@@ -99,12 +100,12 @@
 			}
 		}
 	}
-	port, err := standin.FreePort(r.ip(1))
+	port, err := fleet.FreePort(r.ip(1))
 	if err != nil {
 		return err
 	}
 	for n := range r.config.Plan.Nodes {
-		p := &standin.Process{
+		p := &fleet.Process{
 			Program: r.config.Program, Folder: r.config.Folder,
 			Settings: standin.Settings{
 				Node: fmt.Sprint("n", n+1), IP: r.ip(n + 1), Port: port, Seeds: []netip.Addr{r.ip(1)}, Store: store,
@@ -116,7 +117,7 @@
 			return err
 		}
 	}
-	return standin.Meet(r.settings(), meetTimeout)
+	return fleet.Meet(r.settings(), meetTimeout)
 }
 
 // settings are those of the nodes.
--- a/platform/standin/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,4 +1,4 @@
-package standin
+package fleet
 
 import (
 	"errors"
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 const (
@@ -16,15 +18,15 @@
 )
 
 // ErrApart is returned where nodes have not found each other.
-var ErrApart = errors.New("standin: the nodes have not found each other")
+var ErrApart = errors.New("fleet: the nodes have not found each other")
 
 // Meet waits until the directory of each node names all of them, or as many as
 // it may.
-func Meet(nodes []Settings, within time.Duration) error {
+func Meet(nodes []standin.Settings, within time.Duration) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(meetPoll) {
 		met := 0
 		for _, n := range nodes {
-			if list, _, err := Resolve(n.Directory()); err == nil && len(list) == min(len(nodes), maxNamed) {
+			if list, _, err := standin.Resolve(n.Directory()); err == nil && len(list) == min(len(nodes), maxNamed) {
 				met++
 			}
 		}
@@ -39,7 +41,7 @@
 func FreePort(ip netip.Addr) (uint16, error) {
 	l, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
-		return 0, fmt.Errorf("standin: free port: %w", err)
+		return 0, fmt.Errorf("fleet: free port: %w", err)
 	}
 	defer func() { _ = l.Close() }()
 	return netip.MustParseAddrPort(l.Addr().String()).Port(), nil
--- a/platform/standin/process.go
+++ b/internal/fleet/process.go
@@ -1,4 +1,6 @@
-package standin
+// Package fleet runs the real program as processes on loopback, for the soak,
+// experiments and tests.
+package fleet
 
 import (
 	"fmt"
@@ -10,11 +12,12 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/platform"
+	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
 // Process runs the real program as one node of an installation on loopback.
 type Process struct {
-	Settings
+	standin.Settings
 	// Program is the program's path, and Folder takes settings and logs.
 	Program string
 	Folder  string
@@ -31,18 +34,18 @@
 	defer p.mu.Unlock()
 	file := filepath.Join(p.Folder, p.Node+".conf")
 	if err := os.WriteFile(file, []byte(p.File()), 0o600); err != nil {
-		return fmt.Errorf("standin: %s: %w", p.Node, err)
+		return fmt.Errorf("fleet: %s: %w", p.Node, err)
 	}
 	p.starts++
 	log, err := os.Create(filepath.Join(p.Folder, fmt.Sprintf("%s-%d.log", p.Node, p.starts)))
 	if err != nil {
-		return fmt.Errorf("standin: %s: %w", p.Node, err)
+		return fmt.Errorf("fleet: %s: %w", p.Node, err)
 	}
 	cmd := exec.Command(p.Program, "serve")
 	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("standin: %s: %w", p.Node, err)
+		return fmt.Errorf("fleet: %s: %w", p.Node, err)
 	}
 	exited := make(chan struct{})
 	p.cmd, p.exited = cmd, exited
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -3,12 +3,12 @@
 import (
 	"sync"
 
-	"bulrushhinge.example/bulrushhinge/platform/standin"
+	"bulrushhinge.example/bulrushhinge/internal/fleet"
 )
 
 // node is one real process of the fleet.
 type node struct {
-	*standin.Process
+	*fleet.Process
 	// store stands between the node and the store.
 	store *proxy
 	// front stands between callers and the node.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/fleet"
 	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
@@ -112,12 +113,12 @@
 	if s.world, err = newWorld(world, s.ledger); err != nil {
 		return err
 	}
-	port, err := standin.FreePort(netip.MustParseAddr(network + "1"))
+	port, err := fleet.FreePort(netip.MustParseAddr(network + "1"))
 	if err != nil {
 		return err
 	}
 	for i := range s.config.Nodes {
-		n := &node{Process: &standin.Process{Program: s.config.Program, Folder: s.config.Folder}}
+		n := &node{Process: &fleet.Process{Program: s.config.Program, Folder: s.config.Folder}}
 		if n.store, err = newProxy(world, func() netip.AddrPort { return s.world.storeAddr }); err != nil {
 			return err
 		}
@@ -137,7 +138,7 @@
 		}
 		all = append(all, n.Settings)
 	}
-	return standin.Meet(all, meetTimeout)
+	return fleet.Meet(all, meetTimeout)
 }
 
 // seeds are the addresses of the first nodes.
