Look endpoints up once a choice, and share what says that a connection was cut

A choice computed each endpoint's short name and the nodes' count twice, and the name again for each holder of the prompt's part. The check of errors of a cut connection stood in internal/http1 and internal/gateway; the one with EPIPE saw errors of reading alone, which never are that. Metrics.Gauge, Headers.Endpoint and the attempt's note of a fresh connection were read by nothing.

Behaviour stays.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -110,6 +110,7 @@
 
 	candidate struct {
 		endpoint *deployment.Endpoint
+		key      uint32
 		load     int
 		slots    int
 		score    uint64
@@ -154,8 +155,8 @@
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
-		choice.Source = b.held.source(part, c.endpoint, list, now)
-		b.held.note(Placement{Part: part, Endpoint: Key(c.endpoint.ID)}, now)
+		choice.Source = b.held.source(part, c, list, now)
+		b.held.note(Placement{Part: part, Endpoint: c.key}, now)
 	}
 	return choice
 }
@@ -165,29 +166,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
-		return !e.Draining && !slices.Contains(r.Tried, e.ID) && !b.closed(now, e, r)
+		if e.Draining || slices.Contains(r.Tried, e.ID) {
+			return false
+		}
+		o := b.get(e.ID, now)
+		return !r.closed(now, e, o, b.sent(o, Key(e.ID)))
 	})
 }
 
-// load is an endpoint's requests in progress: those that the nodes know of, or
-// more if the endpoint says so.
-func (b *Balancer) load(now time.Time, o *own, e *deployment.Endpoint) int {
-	key := Key(e.ID)
-	return max(o.active+b.config.Loads.Others(key), b.reports.load(key, now))
-}
+// sent returns an endpoint's requests in progress that the nodes know of.
+func (b *Balancer) sent(o *own, key uint32) int { return o.active + b.config.Loads.Others(key) }
 
 // closed reports whether an endpoint gets nothing now: it was not reached, has
 // refused a request just now, or the nodes know of as many requests as it may
 // have. Its own word closes it for nobody: it may be older than it seems, and the
 // endpoint refuses by itself what is too much.
-func (b *Balancer) closed(now time.Time, e *deployment.Endpoint, r Request) bool {
-	o := b.get(e.ID, now)
+func (r Request) closed(now time.Time, e *deployment.Endpoint, o *own, sent int) bool {
 	depth := plainDepth
 	if r.Key != "" {
 		depth = modelDepth
 	}
 	return o.health.gone || now.Before(o.health.until) || now.Before(o.health.full) ||
-		float64(o.active+b.config.Loads.Others(Key(e.ID))) >= depth*float64(slots(e, r.Service))
+		float64(sent) >= depth*float64(slots(e, r.Service))
 }
 
 // first returns the endpoint that comes first in a part's rendezvous order, but
@@ -282,19 +282,22 @@
 	all := make([]candidate, 0, len(list))
 	for _, e := range list {
 		o := b.get(e.ID, now)
-		load := b.load(now, o, e)
 		if e.Draining || o.health.gone {
 			continue
 		}
+		key := Key(e.ID)
+		sent := b.sent(o, key)
+		// An endpoint may say that it has more.
+		load := max(sent, b.reports.load(key, now))
 		ready++
 		total += load
 		if slices.Contains(r.Tried, e.ID) {
 			continue
 		}
-		c := candidate{endpoint: e, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
-		c.closed = b.closed(now, e, r)
+		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
+		c.closed = r.closed(now, e, o, sent)
 		if r.Key != "" {
-			c.score, c.holds = score(part, e), b.held.has(part, e, now)
+			c.score, c.holds = score(part, e), b.held.has(part, key, now)
 		}
 		all = append(all, c)
 	}
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -62,10 +62,10 @@
 	return h.old[part]
 }
 
-// has reports whether an endpoint is believed to keep a part.
-func (h *holders) has(part uint64, e *deployment.Endpoint, now time.Time) bool {
+// has reports whether an endpoint, by its Key, is believed to keep a part.
+func (h *holders) has(part uint64, key uint32, now time.Time) bool {
 	for _, o := range h.get(part) {
-		if o.endpoint == Key(e.ID) && now.Sub(o.at) < heldFor {
+		if o.endpoint == key && now.Sub(o.at) < heldFor {
 			return true
 		}
 	}
@@ -115,15 +115,18 @@
 // source returns the endpoint from which the chosen one should fetch a part, or
 // nil if it is believed to keep the part itself: the one that got the part
 // last, or else the first in the part's rendezvous order.
-func (h *holders) source(part uint64, chosen *deployment.Endpoint, list []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
-	if h.has(part, chosen, now) {
+func (h *holders) source(part uint64, chosen *candidate, list []*deployment.Endpoint, now time.Time) *deployment.Endpoint {
+	if h.has(part, chosen.key, now) {
 		return nil
 	}
 	for _, o := range h.get(part) {
+		if o.endpoint == chosen.key || now.Sub(o.at) >= heldFor {
+			continue
+		}
 		i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return Key(e.ID) == o.endpoint })
-		if i >= 0 && list[i] != chosen && now.Sub(o.at) < heldFor {
+		if i >= 0 {
 			return list[i]
 		}
 	}
-	return first(part, list, chosen)
+	return first(part, list, chosen.endpoint)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -44,7 +43,6 @@
 	outcome balance.Outcome
 	// status is the endpoint's, 0 if there was none.
 	status int
-	fresh  bool
 	// load is what the endpoint says of its own in its answer.
 	load int
 	// first is how long the answer's first byte, or event, took.
@@ -72,7 +70,7 @@
 		return a.failed(err)
 	}
 	defer x.Abort()
-	a.status, a.fresh = x.Response.StatusCode, x.Fresh
+	a.status = x.Response.StatusCode
 	a.reported(x.Response.Header)
 	h := c.handler.config.Headers
 	switch {
@@ -158,7 +156,7 @@
 	}
 	a.outcome = balance.Failed
 	c.progress.lost = c.progress.lost || a.status == 0
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+	if http1.IsCut(err) {
 		c.handler.config.Crashes.Saw(time.Now(), c.print, a.choice.Endpoint.ID)
 	}
 	return resultBroken
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 func headers() gateway.Headers {
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", Expect: "Expect-Endpoint",
-		Endpoint: "Endpoint", Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
+		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
 		Model: "Model", Priority: "Priority", LastEvent: "Last-Event-Id", Fetch: "Fetch", Trusted: []string{"Fetch", "Account"},
 	}
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -19,8 +19,6 @@
 		Account string
 		// Expect tells the address which endpoint is meant.
 		Expect string
-		// Endpoint is the ID of the endpoint that answers.
-		Endpoint string
 		// Load is an endpoint's running and waiting requests and its slots.
 		Load string
 		// NotRun says in an answer that the request did not run.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,9 +33,6 @@
 // Write writes all metrics as text.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
-// Gauge adds a value that is read when the metrics are.
-func (m *Metrics) Gauge(name string, value func() float64) { m.set.NewGauge(metricPrefix+name, value) }
-
 // Opened counts a new connection to an endpoint.
 func (m *Metrics) Opened() { m.opened.Inc() }
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -103,12 +102,6 @@
 	return err == nil && quiet
 }
 
-// cut reports whether an error says that the other side ended a connection.
-func cut(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // usable reports whether the connection may carry a further exchange.
 func (c *conn) usable(now time.Time) bool {
 	return now.Sub(c.since) < c.idle && c.quiet()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -86,7 +87,7 @@
 	}
 	resp, err := x.await(r)
 	if err != nil {
-		if !x.Fresh && ctx.Err() == nil && cut(err) {
+		if !x.Fresh && ctx.Err() == nil && IsCut(err) {
 			p.forgotten(c.rested)
 		}
 		x.Abort()
@@ -191,6 +192,12 @@
 	return defaultIdle
 }
 
+// IsCut reports whether an error says that the other side ended the connection
+// before an answer was complete.
+func IsCut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // IsTimeout reports whether an error is a read deadline's.
 func IsTimeout(err error) bool {
 	var n net.Error
