Read once after a watch has hung, before leaving that to others

Cause: where watches hang while the store answers readings, each node that reads failed once, said so and rested; the next ones failed in the same way, until all that could reach the store rested for five seconds.

Change: a node that has failed once reads before it rests. The test fails without it.

--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -144,8 +144,12 @@
 
 // rests waits a little where others read the store for this node, and reports
 // whether it has. A node that knows nothing yet reads for itself.
+//
+// So does one that has failed once: watches may hang while the store answers
+// readings. Were it to rest, the next nodes would fail in the same way, and one
+// would see all of them serve an old configuration while nobody reads.
 func (f *Follower) rests(ctx context.Context, cur *cursor) bool {
-	if f.config.Reads() || f.config.Sink.Snapshot().Revision == 0 {
+	if f.config.Reads() || f.config.Sink.Snapshot().Revision == 0 || cur.failures == 1 {
 		return false
 	}
 	if time.Since(cur.failed) > failMemory {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -21,8 +21,9 @@
 		mu sync.Mutex
 		// deaf watches are never told of changes.
 		deaf bool
-		// mute calls are not answered at all.
+		// mute calls are not answered at all, and hung watches neither.
 		mute     bool
+		hung     bool
 		err      error
 		revision uint64
 		// oldest is the oldest revision that can be watched from.
@@ -69,7 +70,7 @@
 	deaf := f.deaf
 	f.mu.Unlock()
 	for first := true; ; first = false {
-		if f.silent() {
+		if f.silent() || f.hangs() {
 			<-ctx.Done()
 			return store.Page{}, ctx.Err()
 		}
@@ -91,6 +92,12 @@
 	return f.mute
 }
 
+func (f *fakeStore) hangs() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hung
+}
+
 func (f *fakeStore) changes(after uint64, deaf bool) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -270,3 +277,29 @@
 		})
 	}
 }
+
+// Symptom: all nodes serve an old configuration for five seconds, and the store
+// answers. Sequence: watches hang while a change is made and the history is
+// dropped; each node that reads fails once, leaves the reading to the next, and
+// rests; the next ones fail in the same way. Cause: a watch that hangs was taken
+// for a store that cannot be reached.
+func TestNodeWhoseWatchHangsReadsBeforeItRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 2 * time.Second
+		source, s := &fakeStore{revision: 1, items: []deployment.Item{{Key: "a", Revision: 1}}}, &sink{}
+		able := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.access != deployment.Failing
+		}
+		f := store.NewFollower(store.FollowerConfig{Source: source, Sink: s, Reads: able, Bound: bound})
+		defer f.Close()
+		time.Sleep(time.Second)
+		source.set(func() {
+			source.hung, source.revision = true, 2
+			source.items = []deployment.Item{{Key: "a", Revision: 2}}
+		})
+		time.Sleep(bound)
+		require.Equal(t, uint64(2), s.last().Revision)
+	})
+}
