Log each reading of everything, with the revision known before

Which of the hypotheses holds cannot be told from the logs as they are: a pull names its peer and revisions, but nothing says from which revision on that peer knows what was removed. A peer's line of its whole reading says so: one whose revision is past the pull's "after" has no trace of removals between the two. No change of logic. Tests of internal/deployment pass.

--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -198,17 +198,23 @@
 		return
 	}
 	changed := false
+	known := b.revision
 	present := make(map[string]bool, len(u.Items))
 	for _, item := range u.Items {
 		present[item.Key] = !item.Removed
 		changed = s.take(b, item, u, now) || changed
 	}
 	if u.Whole {
+		missing := 0
 		for key, old := range b.items {
 			if !present[key] && !old.Removed {
+				missing++
 				changed = s.take(b, Item{Key: key, Revision: u.Revision, Removed: true}, u, now) || changed
 			}
 		}
+		s.config.Log.Event("reading", decision.Fields{
+			"revision": u.Revision, "known": known, "items": len(u.Items), "missing": missing, "source": u.Source,
+		})
 	}
 	if u.Revision > b.revision {
 		b.revision = u.Revision
