Show that a removal is not learnt from a node that started after it, by two failing tests

The second is another way to the same end: an old answer that arrives after a node's first reading brings back an entry that the reading did not have.

--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -184,3 +184,19 @@
 		require.Equal(t, []string{"a", "b"}, ids(peer))
 	})
 }
+
+// Symptom: a node that has just started sends requests to an endpoint that left
+// before its start. Sequence: the node asks a peer for all that it knows, and
+// reads the store meanwhile; an endpoint's entry is removed in between, and the
+// peer's answer comes last. Cause: nothing of the removal is left in what was
+// read, so that the older entry was taken for a new one.
+func TestOlderNewsBringsBackNothingThatAReadingLacked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
+		defer s.Close()
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("b", 2, "")}, Revision: 4, Whole: true, Source: deployment.SourceStore})
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Source: "peer"})
+		synctest.Wait()
+		require.Equal(t, []string{"b"}, ids(s))
+	})
+}
--- /dev/null
+++ b/internal/gossip/removal_test.go
@@ -0,0 +1,75 @@
+package gossip_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const drain = 2 * time.Second
+
+// entries takes each item for an endpoint of the service "s", named by its key.
+type entries struct{}
+
+func (entries) Decode(i deployment.Item) (deployment.Change, error) {
+	if i.Removed {
+		return deployment.Change{Removed: i.Key}, nil
+	}
+	e := &deployment.Endpoint{ID: i.Key}
+	if err := json.Unmarshal(i.Value, e); err != nil {
+		return deployment.Change{Removed: i.Key}, err
+	}
+	return deployment.Change{Endpoint: e}, nil
+}
+
+func newState(t *testing.T, u deployment.Update) *deployment.State {
+	s := deployment.NewState(deployment.StateConfig{Decoder: entries{}, Drain: drain})
+	t.Cleanup(s.Close)
+	s.Apply(t.Context(), u)
+	require.Eventually(t, func() bool { return s.Snapshot().Revision == u.Revision }, patience, time.Millisecond)
+	return s
+}
+
+func known(s *deployment.State) string {
+	var list []string
+	for _, e := range s.Snapshot().Endpoints["s"] {
+		list = append(list, e.ID)
+	}
+	return strings.Join(list, " ")
+}
+
+func entry(id string, revision uint64) deployment.Item {
+	return deployment.Item{Key: id, Value: []byte(`{"Service":"s"}`), Revision: revision}
+}
+
+// whole is a reading of everything that the store has at a revision.
+func whole(revision uint64, items ...deployment.Item) deployment.Update {
+	return deployment.Update{Items: items, Revision: revision, Whole: true, Source: deployment.SourceStore}
+}
+
+// Symptom: a request reaches an endpoint 3.18 s after the store took the news
+// that it leaves, sent by a node that is told all other news within 0.1 s; the
+// endpoint stays in that node's list for good.
+//
+// Sequence: an endpoint leaves by its entry's removal. A node starts, reads the
+// store just after that, and is the first that another one hears of. The other
+// node takes from it what changed after the revision that it knows.
+//
+// Cause: a node that has read the entries that there are has no trace of one that
+// was removed before. What it gave as the difference lacked the removal, and who
+// took it believed to know all. The endpoint's entry never said that it drains,
+// and some fifty nodes started within the second of its removal.
+func TestRemovalIsLearntFromANodeThatStartedAfterIt(t *testing.T) {
+	f := newFleet(t)
+	running := newState(t, whole(2, entry("gone", 1), entry("stays", 2)))
+	started := newState(t, whole(4, entry("stays", 2)))
+	f.serve(1, running)
+	f.serve(2, started)
+	f.eventually(func() bool { return running.Snapshot().Revision == 4 }, "the news is taken")
+	require.Equal(t, "stays", known(running))
+}
