Tell a peer everything where the difference cannot be told

Cause: a node that has read everything that there is knows nothing of an entry that was removed before. It answered peers that asked for what changed since an earlier revision all the same; they took its revision for theirs and kept the endpoint. Two ways: the answer of a node that started after the removal, and an answer from before a node's own reading that arrives after it.

The first interface's list of instances names its removals and applies to one version only, so that it cannot err in this way.

Change: a node keeps the revision from which on it knows removals, answers from before it with everything, and takes no item that is older than its own reading and not in it. A peer's whole reading is held back while readers of the store fail, as after an outage.

--- /dev/null
+++ b/internal/deployment/record_test.go
@@ -0,0 +1,240 @@
+package deployment_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// fleetNodes is how many nodes the model has, modelDays how many days it
+	// plays, and modelSteps how many events a day has.
+	fleetNodes = 3
+	modelDays  = 300
+	modelSteps = 200
+)
+
+// modelEvents are the model's, the frequent ones more than once.
+var modelEvents = strings.Fields("start read watch watch pull pull ask ask ask answer answer answer change change change change")
+
+type (
+	// history is all changes that a store has taken, in their order.
+	history []deployment.Item
+
+	// modelNode is a node of the model, and answers on their way to it.
+	modelNode struct {
+		state  *deployment.State
+		coming []deployment.Update
+	}
+
+	// step is one event of the model.
+	step struct {
+		what       string
+		node, peer int
+		endpoint   string
+		// present says that the changed endpoint is there afterwards.
+		present bool
+	}
+)
+
+func TestRecordAfter(t *testing.T) {
+	r := &deployment.Record{Items: []deployment.Item{entry("a", 3, ""), removal("b", 7), entry("c", 8, "")}, Revision: 8, Since: 5}
+	cases := []struct {
+		name  string
+		after uint64
+		want  []deployment.Item
+		whole bool
+	}{
+		{name: "the difference from where removals are known", after: 5, want: []deployment.Item{removal("b", 7), entry("c", 8, "")}},
+		{name: "nothing from the newest", after: 8},
+		{name: "everything from before", after: 4, want: []deployment.Item{entry("a", 3, ""), entry("c", 8, "")}, whole: true},
+		{name: "everything for who knows nothing", after: 0, want: []deployment.Item{entry("a", 3, ""), entry("c", 8, "")}, whole: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			items, whole := r.After(c.after)
+			require.Equal(t, c.want, items)
+			require.Equal(t, c.whole, whole)
+		})
+	}
+}
+
+// after returns the changes after a revision.
+func (h history) after(revision uint64) []deployment.Item { return h[revision:] }
+
+// at returns what there is at a revision.
+func (h history) at(revision uint64) (items []deployment.Item) {
+	newest := map[string]deployment.Item{}
+	for _, i := range h[:revision] {
+		newest[i.Key] = i
+	}
+	for _, i := range newest {
+		if !i.Removed {
+			items = append(items, i)
+		}
+	}
+	return items
+}
+
+func (h history) endpoints(revision uint64) (list []string) {
+	for _, i := range h.at(revision) {
+		list = append(list, i.Key[len("e/"):])
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (n *modelNode) apply(t *testing.T, u deployment.Update) {
+	n.state.Apply(t.Context(), u)
+	synctest.Wait()
+}
+
+func (n *modelNode) revision() uint64 { return n.state.Snapshot().Revision }
+
+// ask returns what a peer answers now.
+func (n *modelNode) ask(peer *modelNode) deployment.Update {
+	record := peer.state.Record()
+	items, whole := record.After(n.revision())
+	return deployment.Update{Items: items, Revision: record.Revision, Whole: whole, Source: "peer"}
+}
+
+func newModelNode() *modelNode {
+	return &modelNode{state: deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})}
+}
+
+// Symptom: a node sends requests to an endpoint that has left, and is told all
+// other news. Sequence: nodes start, read the store, follow it, ask each other and
+// get late answers, in any order, while entries come and go. Cause: a node
+// believed to know all up to a revision, and did not.
+func TestNodesKnowAllUpToTheirRevision(t *testing.T) {
+	for seed := range uint64(modelDays) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		steps := make([]step, modelSteps)
+		for i := range steps {
+			steps[i] = step{
+				what: modelEvents[random.IntN(len(modelEvents))], node: random.IntN(fleetNodes), peer: random.IntN(fleetNodes),
+				endpoint: string(rune('a' + random.IntN(3))), present: random.IntN(2) == 0,
+			}
+		}
+		synctest.Test(t, func(t *testing.T) { require.Empty(t, playModel(t, steps), "seed %d", seed) })
+	}
+}
+
+// playModel plays the steps and tells the first one after which a node knows
+// anything else than the store had at the node's revision.
+func playModel(t *testing.T, steps []step) string {
+	var h history
+	nodes := []*modelNode{newModelNode(), newModelNode(), newModelNode()}
+	defer func() {
+		for _, n := range nodes {
+			n.state.Close()
+		}
+	}()
+	for at, s := range steps {
+		if s.what == "start" {
+			nodes[s.node].state.Close()
+			nodes[s.node] = newModelNode()
+		}
+		h = nodes[s.node].play(t, s, nodes[s.peer], h)
+		for i, n := range nodes {
+			if want, got := h.endpoints(n.revision()), ids(n.state); !slices.Equal(want, got) {
+				return fmt.Sprintf("node %d knows %v in place of %v after %v", i, got, want, steps[:at+1])
+			}
+		}
+	}
+	return ""
+}
+
+// play plays a step at the node and returns the history after it.
+func (n *modelNode) play(t *testing.T, s step, peer *modelNode, h history) history {
+	newest := uint64(len(h))
+	switch s.what {
+	case "change":
+		i := removal(s.endpoint, newest+1)
+		if s.present {
+			i = entry(s.endpoint, newest+1, "")
+		}
+		return append(h, i)
+	case "read":
+		n.apply(t, deployment.Update{Items: h.at(newest), Revision: newest, Whole: true, Source: deployment.SourceStore})
+	case "watch":
+		if n.revision() > 0 {
+			n.apply(t, deployment.Update{Items: h.after(n.revision()), Revision: newest, Source: deployment.SourceStore})
+		}
+	case "pull":
+		n.apply(t, n.ask(peer))
+	case "ask":
+		n.coming = append(n.coming, n.ask(peer))
+	case "answer":
+		if len(n.coming) > 0 {
+			n.apply(t, n.coming[0])
+			n.coming = n.coming[1:]
+		}
+	}
+	return h
+}
+
+// Symptom: every request is refused on a node for two seconds just after an
+// outage of the store. Sequence: the store is away and entries lapse; a node
+// starts as the store is back, and is the first to tell what it has read. Cause:
+// the node that started knows of no outage, so that what its reading lacks counted
+// as gone at once.
+func TestReadingOfAPeerIsHeldBackWhileReadersFail(t *testing.T) {
+	cases := []struct {
+		name string
+		// doubt is how long before the news a reader had failed, 0 for never.
+		doubt time.Duration
+		want  []string
+	}{
+		{name: "what a peer's reading lacks is gone", want: []string{"b"}},
+		{name: "but not while readers of the store fail", doubt: time.Second, want: []string{"a", "b"}},
+		{name: "nor later than entries may lapse", doubt: 3 * time.Second, want: []string{"b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newModelNode()
+				defer n.state.Close()
+				n.apply(t, deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Whole: true, Source: deployment.SourceStore})
+				if c.doubt > 0 {
+					n.state.Doubt()
+					time.Sleep(c.doubt)
+				}
+				n.apply(t, deployment.Update{Items: []deployment.Item{entry("b", 2, "")}, Revision: 4, Whole: true, Source: "peer"})
+				require.Equal(t, c.want, ids(n.state))
+			})
+		})
+	}
+}
+
+// Symptom: a node's memory and its answers to peers grow for as long as it runs.
+// Sequence: endpoints come and go, each under a name of its own. Cause: each
+// removal was remembered for good. Peers that know less are then told everything.
+func TestOldRemovalsAreForgotten(t *testing.T) {
+	const starts = 3000
+	synctest.Test(t, func(t *testing.T) {
+		n := newModelNode()
+		defer n.state.Close()
+		n.apply(t, deployment.Update{Items: []deployment.Item{entry("stays", 1, "")}, Revision: 1, Whole: true, Source: deployment.SourceStore})
+		for i := range uint64(starts) {
+			id := fmt.Sprint("e", i)
+			n.apply(t, deployment.Update{Items: []deployment.Item{entry(id, 2*i+2, ""), removal(id, 2*i+3)}, Revision: 2*i + 3, Source: deployment.SourceStore})
+		}
+		record := n.state.Record()
+		require.Less(t, len(record.Items), starts/2)
+		items, whole := record.After(2)
+		require.True(t, whole)
+		require.Equal(t, []deployment.Item{entry("stays", 1, "")}, items)
+		_, whole = record.After(record.Revision - 2)
+		require.False(t, whole)
+		require.Equal(t, []string{"stays"}, ids(n.state))
+	})
+}
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -72,9 +72,12 @@
 		// lapsing is until when removals may stem from an outage, as time
 		// since start.
 		lapsing atomic.Int64
+		// doubted is until when a peer's reading may have been made during an
+		// outage, as time since start.
+		doubted atomic.Int64
 		news    chan struct{}
 		start   time.Time
-		items   atomic.Pointer[[]Item]
+		record  atomic.Pointer[Record]
 		// past are large values that were replaced, newest last.
 		past    atomic.Pointer[[]Item]
 		cancel  context.CancelFunc
@@ -102,6 +105,8 @@
 		endpoints map[string]*Endpoint
 		config    *Config
 		revision  uint64
+		// since is the revision up to which a removal may be unknown.
+		since uint64
 		// trusted is when removals count at once again.
 		trusted time.Time
 		// lapsed holds removals back until the time given.
@@ -114,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &State{config: c, updates: make(chan Update, updateQueue), news: make(chan struct{}, 1), start: time.Now(), cancel: cancel}
 	s.snapshot.Store(&Snapshot{})
-	s.items.Store(&[]Item{})
+	s.record.Store(&Record{})
 	s.past.Store(&[]Item{})
 	s.contact.Store(-1)
 	s.running.Go(func() {
@@ -146,8 +151,12 @@
 // Snapshot returns the newest snapshot, never nil.
 func (s *State) Snapshot() *Snapshot { return s.snapshot.Load() }
 
-// Items returns all known items, for peers.
-func (s *State) Items() []Item { return *s.items.Load() }
+// Record returns what was read of the store, for peers; it is never nil, and at
+// least as new as the snapshot.
+func (s *State) Record() *Record { return s.record.Load() }
+
+// Items returns all known items, removed ones too.
+func (s *State) Items() []Item { return s.Record().Items }
 
 // Past returns large values that were replaced lately: what a peer may still
 // have, and can be told a change of in few bytes.
@@ -170,6 +179,14 @@
 // Lapsing reports whether removals may stem from an outage of the store.
 func (s *State) Lapsing() bool { return time.Since(s.start) < time.Duration(s.lapsing.Load()) }
 
+// Doubt notes that a node which should read the store cannot.
+//
+// A node that starts just after an outage finds the entries that have not lapsed,
+// and cannot know of the outage. Were a reading of its taken as it is, one would
+// see all requests refused for lack of endpoints for a second or two. For some
+// time after this, what is missing of a peer's reading is held back.
+func (s *State) Doubt() { s.doubted.Store(int64(time.Since(s.start) + lapseWindow)) }
+
 // News tells when the store itself has told something new.
 func (s *State) News() <-chan struct{} { return s.news }
 
@@ -190,7 +207,8 @@
 }
 
 func (s *State) apply(b *book, u Update, now time.Time) {
-	if u.Regained {
+	doubted := time.Since(s.start) < time.Duration(s.doubted.Load())
+	if u.Regained || u.Whole && u.Source != SourceStore && doubted {
 		b.trusted = now.Add(lapseWindow)
 		s.lapsing.Store(int64(time.Since(s.start) + lapseWindow))
 	}
@@ -199,6 +217,9 @@
 	}
 	changed := false
 	known := b.revision
+	if u.Whole && u.Revision > known {
+		b.since = u.Revision
+	}
 	present := make(map[string]bool, len(u.Items))
 	for _, item := range u.Items {
 		present[item.Key] = !item.Removed
@@ -220,6 +241,7 @@
 		b.revision = u.Revision
 		changed = true
 	}
+	b.since = max(b.since, forget(b.items))
 	if changed {
 		s.publish(b)
 	}
@@ -232,7 +254,14 @@
 }
 
 // take applies one item; an older one than is known says nothing.
+//
+// Nor does one that a reading of everything lacked. A peer's answer may be older
+// than the reading and arrive after it; one would see an endpoint come back that
+// had left before, for good, as nothing is known of its removal.
 func (s *State) take(b *book, item Item, u Update, now time.Time) bool {
+	if !u.Whole && item.Revision <= b.since {
+		return false
+	}
 	if old, ok := b.items[item.Key]; ok && old.Revision >= item.Revision {
 		return false
 	}
@@ -351,7 +380,6 @@
 		e := b.endpoints[id]
 		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
 	}
-	items := slices.Collect(maps.Values(b.items))
-	s.items.Store(&items)
+	s.record.Store(&Record{Items: slices.Collect(maps.Values(b.items)), Revision: b.revision, Since: b.since})
 	s.snapshot.Store(snap)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -40,7 +40,7 @@
 	// Book is what the node has read of the platform's store.
 	Book interface {
 		Snapshot() *deployment.Snapshot
-		Items() []deployment.Item
+		Record() *deployment.Record
 		// Past returns large values that were replaced lately.
 		Past() []deployment.Item
 		Apply(ctx context.Context, u deployment.Update)
@@ -48,6 +48,8 @@
 		// that a node which does knows nothing newer.
 		Access() deployment.Access
 		Confirm()
+		// Doubt notes that a node which should read the store cannot.
+		Doubt()
 		// Lapsing reports whether removals may stem from an outage.
 		Lapsing() bool
 		// News tells when the store itself has told something new.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -78,6 +78,12 @@
 	return b.items
 }
 
+func (b *book) Record() *deployment.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &deployment.Record{Items: b.items, Revision: b.revision}
+}
+
 func (b *book) Past() []deployment.Item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -106,6 +112,8 @@
 
 func (*book) Confirm() {}
 
+func (*book) Doubt() {}
+
 func (*book) Lapsing() bool { return true }
 
 func (b *book) News() <-chan struct{} { return b.news }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -101,6 +101,9 @@
 	itemsReply struct {
 		// Packed are the items, encoded and compressed.
 		Packed []byte `cbor:"1,keyasint"`
+		// Whole says that the items are everything there is, since the node does
+		// not know all that was removed after the revision asked for.
+		Whole bool `cbor:"5,keyasint,omitempty"`
 		// Based says that the base serves as the dictionary.
 		Based    bool   `cbor:"4,keyasint,omitempty"`
 		Revision uint64 `cbor:"2,keyasint"`
@@ -136,20 +139,18 @@
 	return nil
 }
 
-func encodeItems(list []deployment.Item, after uint64) []item {
-	var items []item
-	for _, i := range list {
-		if i.Revision > after {
-			items = append(items, item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
-		}
-	}
-	return items
+func encodeItem(i deployment.Item) item {
+	return item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed}
+}
+
+func decodeItem(i item) deployment.Item {
+	return deployment.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed}
 }
 
-func decodeItems(list []item) []deployment.Item {
-	items := make([]deployment.Item, len(list))
-	for i, it := range list {
-		items[i] = deployment.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed}
+func mapped[A, B any](list []A, to func(A) B) []B {
+	out := make([]B, len(list))
+	for i, a := range list {
+		out[i] = to(a)
 	}
-	return items
+	return out
 }
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -47,8 +47,12 @@
 // see calls between nodes time out after each change. As the difference to what
 // the caller has, a change of one route takes some hundred bytes.
 func (p *packer) reply(req itemsRequest) (*itemsReply, error) {
-	revision := p.book.Snapshot().Revision
-	key := packKey{request: req, revision: revision}
+	record := p.book.Record()
+	items, whole := record.After(req.After)
+	if whole {
+		req.After = 0
+	}
+	key := packKey{request: req, revision: record.Revision}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.kept[key]; ok {
@@ -56,16 +60,16 @@
 	}
 	base := valueOf(p.book.Past(), req.Base)
 	if base == nil {
-		base = valueOf(p.book.Items(), req.Base)
+		base = valueOf(record.Items, req.Base)
 	}
-	packed, err := pack(encodeItems(p.book.Items(), req.After), base)
+	packed, err := pack(mapped(items, encodeItem), base)
 	if err != nil {
 		return nil, err
 	}
 	if len(p.kept) >= packsKept {
 		clear(p.kept)
 	}
-	r := &itemsReply{Packed: packed, Based: base != nil, Revision: revision}
+	r := &itemsReply{Packed: packed, Whole: whole, Based: base != nil, Revision: record.Revision}
 	p.kept[key] = r
 	return r, nil
 }
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -130,7 +130,7 @@
 func (g *Gossip) fetch(ctx context.Context, from Member, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	items := g.config.Book.Items()
+	items := g.config.Book.Record().Items
 	req := itemsRequest{After: after, Base: largest(items)}
 	reply, err := g.caller.items(ctx, from.IP, req)
 	var news []item
@@ -147,7 +147,9 @@
 		return
 	}
 	g.config.Log.Event("pull", decision.Fields{
-		"peer": from.Name, "after": after, "revision": reply.Revision, "items": len(news), "bytes": len(reply.Packed),
+		"peer": from.Name, "after": after, "revision": reply.Revision, "whole": reply.Whole, "items": len(news), "bytes": len(reply.Packed),
+	})
+	g.config.Book.Apply(ctx, deployment.Update{
+		Items: mapped(news, decodeItem), Revision: reply.Revision, Whole: reply.Whole, Regained: reply.Lapsing, Source: from.Name,
 	})
-	g.config.Book.Apply(ctx, deployment.Update{Items: decodeItems(news), Revision: reply.Revision, Regained: reply.Lapsing, Source: from.Name})
 }
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -50,6 +50,9 @@
 	if brought != usual || now.Sub(o.viewed) > time.Duration(viewShare*float64(interval(g.View().Known))) {
 		g.publish(o, now)
 	}
+	if b.Access == deployment.Failing {
+		g.config.Book.Doubt()
+	}
 	known := g.config.Book.Snapshot().Revision
 	switch {
 	case b.Revision > known:
