--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -92,9 +92,11 @@
 		// Whole says that the items are everything there is, so that entries
 		// that are missing are gone.
 		Whole bool
-		// Regained says that the store was away before this update, or a peer
-		// says so: entries may have lapsed though their endpoints live.
+		// Regained says that the store was away before this update: entries may
+		// have lapsed though their endpoints live.
 		Regained bool
+		// Lapsing is for how much longer that may be so, as a peer says.
+		Lapsing time.Duration
 		// Source is SourceStore or a peer's name.
 		Source string
 	}
@@ -176,8 +178,15 @@
 // Confirm notes that nothing newer was known to the store just now.
 func (s *State) Confirm() { s.contact.Store(int64(time.Since(s.start))) }
 
-// Lapsing reports whether removals may stem from an outage of the store.
-func (s *State) Lapsing() bool { return time.Since(s.start) < time.Duration(s.lapsing.Load()) }
+// Lapsing returns for how much longer removals may stem from an outage of the
+// store, 0 if they do not.
+//
+// It is told to peers as a rest of time. Were they told only that there was an
+// outage, each would count anew; one would see removals held back for as long as
+// there is news, minutes after the outage.
+func (s *State) Lapsing() time.Duration {
+	return max(time.Duration(s.lapsing.Load())-time.Since(s.start), 0)
+}
 
 // Doubt notes that a node which should read the store cannot.
 //
@@ -207,10 +216,9 @@
 }
 
 func (s *State) apply(b *book, u Update, now time.Time) {
-	doubted := time.Since(s.start) < time.Duration(s.doubted.Load())
-	if u.Regained || u.Whole && u.Source != SourceStore && doubted {
-		b.trusted = now.Add(lapseWindow)
-		s.lapsing.Store(int64(time.Since(s.start) + lapseWindow))
+	if lapsing := s.lapsingAfter(u); now.Add(lapsing).After(b.trusted) {
+		b.trusted = now.Add(lapsing)
+		s.lapsing.Store(int64(time.Since(s.start) + lapsing))
 	}
 	if u.Whole && u.Revision < b.revision {
 		return
@@ -253,6 +261,16 @@
 	}
 }
 
+// lapsingAfter returns for how long after an update removals may stem from an
+// outage.
+func (s *State) lapsingAfter(u Update) time.Duration {
+	doubted := time.Since(s.start) < time.Duration(s.doubted.Load())
+	if u.Regained || u.Whole && u.Source != SourceStore && doubted {
+		return lapseWindow
+	}
+	return u.Lapsing
+}
+
 // take applies one item; an older one than is known says nothing.
 //
 // Nor does one that a reading of everything lacked. A peer's answer may be older
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -82,7 +82,7 @@
 		},
 		{
 			name:   "so is what a peer tells that has seen the outage",
-			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Regained: true, Source: "n1"},
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Lapsing: time.Second, Source: "n1"},
 			want:   []string{"a", "b"},
 		},
 		{
@@ -95,7 +95,7 @@
 		},
 		{
 			name:   "nor is it held back after an outage",
-			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad")}, Revision: 3, Regained: true, Source: "n1"},
+			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad")}, Revision: 3, Lapsing: time.Second, Source: "n1"},
 			want:   []string{"b"},
 		},
 		{
@@ -200,3 +200,28 @@
 		require.Equal(t, []string{"b"}, ids(s))
 	})
 }
+
+// Symptom: requests reach endpoints whose entries are gone, two seconds after the
+// removal, minutes after an outage of the store. Sequence: nodes take news from
+// one another, each shortly before the time is over for which the other one holds
+// removals back. Cause: each held them back for the full time from then on.
+func TestTimeAfterAnOutageIsNotCountedAnewByEachNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries := []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}
+		from := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
+		defer from.Close()
+		from.Apply(t.Context(), deployment.Update{Items: entries, Revision: 2, Whole: true, Regained: true, Source: deployment.SourceStore})
+		synctest.Wait()
+		for range 3 {
+			time.Sleep(time.Second)
+			to := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
+			defer to.Close()
+			to.Apply(t.Context(), deployment.Update{Items: entries, Revision: 2, Lapsing: from.Lapsing(), Source: "peer"})
+			synctest.Wait()
+			from = to
+		}
+		from.Apply(t.Context(), deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: "peer"})
+		synctest.Wait()
+		require.Equal(t, []string{"b"}, ids(from))
+	})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,8 +50,8 @@
 		Confirm()
 		// Doubt notes that a node which should read the store cannot.
 		Doubt()
-		// Lapsing reports whether removals may stem from an outage.
-		Lapsing() bool
+		// Lapsing returns for how much longer removals may stem from an outage.
+		Lapsing() time.Duration
 		// News tells when the store itself has told something new.
 		News() <-chan struct{}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -22,7 +22,11 @@
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 )
 
-const patience = 30 * time.Second
+const (
+	patience = 30 * time.Second
+	// lapsing is for how much longer the books of tests say that entries lapse.
+	lapsing = 1700 * time.Millisecond
+)
 
 type (
 	// book is what a node has read of the store, as a test sets it.
@@ -32,7 +36,7 @@
 		items    []deployment.Item
 		past     []deployment.Item
 		access   deployment.Access
-		regained bool
+		lapsing  time.Duration
 		news     chan struct{}
 	}
 
@@ -95,7 +99,7 @@
 	defer b.mu.Unlock()
 	b.items = append(b.items, u.Items...)
 	b.revision = max(b.revision, u.Revision)
-	b.regained = b.regained || u.Regained
+	b.lapsing = max(b.lapsing, u.Lapsing)
 }
 
 func (b *book) Access() deployment.Access {
@@ -114,7 +118,7 @@
 
 func (*book) Doubt() {}
 
-func (*book) Lapsing() bool { return true }
+func (*book) Lapsing() time.Duration { return lapsing }
 
 func (b *book) News() <-chan struct{} { return b.news }
 
@@ -238,7 +242,7 @@
 	require.Equal(t, []deployment.Item{{Key: "a", Revision: 7}}, other.book.Items())
 	other.book.mu.Lock()
 	defer other.book.mu.Unlock()
-	require.True(t, other.book.regained)
+	require.Equal(t, lapsing, other.book.lapsing)
 }
 
 // Symptom: calls between nodes time out after each change of a large
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
@@ -107,8 +108,9 @@
 		// Based says that the base serves as the dictionary.
 		Based    bool   `cbor:"4,keyasint,omitempty"`
 		Revision uint64 `cbor:"2,keyasint"`
-		// Lapsing says that removals may stem from an outage of the store.
-		Lapsing bool `cbor:"3,keyasint,omitempty"`
+		// Lapsing is for how much longer removals may stem from an outage of the
+		// store.
+		Lapsing time.Duration `cbor:"6,keyasint,omitempty"`
 	}
 
 	item struct {
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -150,6 +150,6 @@
 		"peer": from.Name, "after": after, "revision": reply.Revision, "whole": reply.Whole, "items": len(news), "bytes": len(reply.Packed),
 	})
 	g.config.Book.Apply(ctx, deployment.Update{
-		Items: mapped(news, decodeItem), Revision: reply.Revision, Whole: reply.Whole, Regained: reply.Lapsing, Source: from.Name,
+		Items: mapped(news, decodeItem), Revision: reply.Revision, Whole: reply.Whole, Lapsing: reply.Lapsing, Source: from.Name,
 	})
 }
