--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,10 +3,8 @@
 package balance
 
 import (
-	"cmp"
 	"encoding/binary"
 	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -141,23 +139,6 @@
 		health  health
 		seen    time.Time
 	}
-
-	candidate struct {
-		endpoint *deployment.Endpoint
-		key      uint32
-		load     int
-		slots    int
-		score    uint64
-		suspect  bool
-		// closed says that it gets nothing now: it is full or was not reached.
-		closed bool
-		// holds says that the endpoint is believed to keep the prompt's part, and
-		// ahead that it goes before those that do not.
-		holds bool
-		ahead bool
-		// reading are the tokens that it is still to read for all.
-		reading int
-	}
 )
 
 // New returns a Balancer that knows no endpoint yet.
@@ -217,58 +198,6 @@
 	b.get(c.Endpoint.Start(), now).reading += c.tokens
 }
 
-// Room reports whether Choose would find an endpoint.
-func (b *Balancer) Room(now time.Time, list []*deployment.Endpoint, r Request) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
-		if e.Draining || slices.Contains(r.Tried, e.Start()) {
-			return false
-		}
-		o := b.get(e.Start(), now)
-		return !r.closed(now, e, o, b.sent(o, Key(e.Start())))
-	})
-}
-
-// sent returns an endpoint's requests in progress that the nodes know of.
-func (b *Balancer) sent(o *own, key uint32) int { return o.active + b.config.Loads.Others(key) }
-
-// closed reports whether an endpoint gets nothing now: it was not reached, has
-// refused a request just now, or the nodes know of as many requests as it may
-// have. Its own word closes it for nobody: it may be older than it seems, and the
-// endpoint refuses by itself what is too much.
-func (r Request) closed(now time.Time, e *deployment.Endpoint, o *own, sent int) bool {
-	depth := plainDepth
-	if r.Key != "" {
-		depth = modelDepth
-	}
-	return o.health.gone || now.Before(o.health.until) || now.Before(o.health.full) || now.Before(o.health.busy) ||
-		float64(sent) >= depth*float64(slots(e, r.Service))
-}
-
-// first returns the endpoint that comes first in a part's rendezvous order, but
-// for one that is left out. Draining ones are among them: they still keep what
-// was sent to them.
-func first(part uint64, list []*deployment.Endpoint, but *deployment.Endpoint) *deployment.Endpoint {
-	var best *deployment.Endpoint
-	var highest uint64
-	for _, e := range list {
-		if s := score(part, e); e != but && (best == nil || s > highest) {
-			best, highest = e, s
-		}
-	}
-	return best
-}
-
-// score is an endpoint's place in a part's rendezvous order; the highest is
-// first.
-func score(part uint64, e *deployment.Endpoint) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], part)
-	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(e.ID))
-	return xxhash.Sum64(b[:])
-}
-
 // Release ends the count of a request at an endpoint, with its outcome.
 func (b *Balancer) Release(now time.Time, s deployment.Start, o Outcome) {
 	b.mu.Lock()
@@ -338,64 +267,3 @@
 	o.seen = now
 	return o
 }
-
-// candidates returns the endpoints that may be chosen, and the mean load of all
-// that are ready.
-func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
-	known, failures := b.known(now, list)
-	total, ready := 0, 0
-	part := xxhash.Sum64String(r.Key)
-	all := make([]candidate, 0, len(list))
-	for i, e := range list {
-		o := known[i]
-		if e.Draining || o.health.gone {
-			continue
-		}
-		key := Key(e.Start())
-		sent := b.sent(o, key)
-		// An endpoint may say that it has more.
-		load := max(sent, b.reports.load(key, now))
-		ready++
-		total += load
-		if slices.Contains(r.Tried, e.Start()) {
-			continue
-		}
-		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
-		c.closed = r.closed(now, e, o, sent)
-		if r.Key != "" {
-			c.reading = o.reading + b.config.Loads.OthersReading(key)
-			c.score, c.holds = score(part, e), b.held.has(part, key, now)
-		}
-		all = append(all, c)
-	}
-	return all, float64(total) / float64(max(ready, 1))
-}
-
-// avoid reports whether a suspect endpoint is to be passed over; after some
-// time it is open to one request again, so that one that has recovered returns.
-func (b *Balancer) avoid(o *own, failures float64, now time.Time) bool {
-	if !o.health.suspect(failures) {
-		return false
-	}
-	if now.After(o.health.retry) && o.active == 0 {
-		o.health.retry = now.Add(probation)
-		return false
-	}
-	return true
-}
-
-// known returns what this node knows of each endpoint, and their mean share of
-// failures.
-func (b *Balancer) known(now time.Time, list []*deployment.Endpoint) ([]*own, float64) {
-	total := 0.0
-	known := make([]*own, len(list))
-	for i, e := range list {
-		known[i] = b.get(e.Start(), now)
-		total += known[i].health.failures
-	}
-	return known, total / float64(max(len(list), 1))
-}
-
-func slots(e *deployment.Endpoint, s deployment.Service) int {
-	return max(cmp.Or(e.Slots, s.Slots), 1)
-}
