Let an account's surge pay with its own requests first

Hypothesis: where places are short they go to who asks, so that one account that sends many times its usual takes the others' places.

Ruled out: even shares for accounts (large ones would lose what they always have); letting the excess wait behind the others (nodes do not see each other's queues: no effect in the model with nine nodes).

Change: a node learns what each account usually asks for. What is beyond twice that, and beyond what the others' requests have grown by, is refused at once while others are refused for want of places, unless the account is served less than half as often as all. The reason account-excess stands in logs and metrics.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -36,6 +36,9 @@
 	// accountStep is the same for the rank of a client account: it outweighs the
 	// ranks that kinds have.
 	accountStep = 3 * rankStep
+	// excessStep is the same for what is an account's excess: it outweighs all
+	// ranks and shares.
+	excessStep = 1000
 	// evenness is how far a kind's served share may be ahead of another's before
 	// it lets others look for places first.
 	evenness = 0.1
@@ -68,6 +71,11 @@
 		// Account is the rank of the request's client account, which goes before
 		// the kind's.
 		Account int
+		// Client names the account, and is empty where there is none.
+		Client string
+		// Excess says that the account asks for more than its measure, as Asked
+		// has found.
+		Excess bool
 		// Objective is when the answer should begin, from the request's arrival.
 		Objective time.Duration
 	}
@@ -77,6 +85,8 @@
 	Queue struct {
 		mu    sync.Mutex
 		kinds map[string]*kind
+		// accounts are the client accounts.
+		accounts *accounts
 		// waiting are all, by arrival.
 		waiting []*Waiter
 		// round are those that have yet to look for a place in this round.
@@ -90,6 +100,7 @@
 	Waiter struct {
 		kind    *kind
 		account int
+		excess  bool
 		// from is when the request may have its first turn.
 		from  time.Time
 		until time.Time
@@ -100,6 +111,8 @@
 	kind struct {
 		priority int
 		waiting  int
+		// excess are those of waiting that are their accounts' excess.
+		excess int
 		// asked and served are over shareMemory, got and refused over rateMemory.
 		asked   decayed
 		served  decayed
@@ -118,16 +131,21 @@
 )
 
 // NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{kinds: map[string]*kind{}} }
+func NewQueue() *Queue { return &Queue{kinds: map[string]*kind{}, accounts: newAccounts()} }
 
-// Asked counts a request that arrives.
-func (q *Queue) Asked(now time.Time, r Request) {
+// Asked counts a request that arrives, and reports whether it is its account's
+// excess.
+func (q *Queue) Asked(now time.Time, r Request) (excess bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.kinds) >= maxKinds {
 		q.forget(now)
 	}
-	q.kind(r).asked.add(now)
+	k := q.kind(r)
+	if excess = q.accounts.asked(now, r.Client); !excess {
+		k.asked.add(now)
+	}
+	return excess
 }
 
 // Served counts a request that got a place.
@@ -135,8 +153,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	k := q.kind(r)
-	k.served.add(now)
 	k.got.add(now)
+	q.accounts.served(now, r.Client)
+	if !r.Excess {
+		k.served.add(now)
+	}
 }
 
 // Began learns how long an answer took to begin once its request had a place.
@@ -152,18 +173,21 @@
 }
 
 // Free reports whether a request may look for a place as it arrives: nobody
-// waits, and its kind is not ahead of others.
+// waits, its kind is not ahead of others, and it is no excess while places are
+// short.
 func (q *Queue) Free(now time.Time, r Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) == 0 && !q.ahead(q.kind(r), now)
+	return len(q.waiting) == 0 && !q.ahead(q.kind(r), now) && !(r.Excess && q.yields(now))
 }
 
 // Refused counts a request that got no place.
 func (q *Queue) Refused(now time.Time, r Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.kind(r).refused.add(now)
+	if !r.Excess {
+		q.kind(r).refused.add(now)
+	}
 }
 
 // Join lets a request wait, or returns nil if no place will come in time: then
@@ -175,17 +199,21 @@
 	// What can still begin as wanted may wait, but only in part.
 	left := r.Objective - k.first
 	least := max(time.Duration(leastWait*float64(r.Objective)), minWait)
-	if q.expected(k, now) > time.Duration(patienceShare*float64(left)) {
-		if k.waiting > 0 && now.Sub(q.none) < noneFor {
+	if r.Excess && q.yields(now) {
+		return nil
+	}
+	before := k.before(r)
+	if q.expected(k, before, now) > time.Duration(patienceShare*float64(left)) {
+		if before > 0 && q.short(now) {
 			return nil
 		}
 		left = least
 	}
-	w := &Waiter{kind: k, account: r.Account, from: now, until: now.Add(max(left, least)), turn: make(chan struct{}, 1)}
+	w := &Waiter{kind: k, account: r.Account, excess: r.Excess, from: now, until: now.Add(max(left, least)), turn: make(chan struct{}, 1)}
 	if q.ahead(k, now) {
 		w.from = now.Add(least / 2)
 	}
-	k.waiting++
+	k.count(w, 1)
 	q.waiting = append(q.waiting, w)
 	return w
 }
@@ -194,11 +222,29 @@
 func (q *Queue) Leave(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w.kind.waiting--
+	w.kind.count(w, -1)
 	q.waiting = slices.DeleteFunc(q.waiting, func(o *Waiter) bool { return o == w })
 	q.round = slices.DeleteFunc(q.round, func(o *Waiter) bool { return o == w })
 }
 
+// short reports whether a place was looked for in vain just now.
+func (q *Queue) short(now time.Time) bool { return now.Sub(q.none) < noneFor }
+
+// yields reports whether an account's excess gets no place now: others have
+// lately been refused for want of one, and there is none. Where it only comes a
+// little late to others, their places are worth more to whoever takes them.
+func (q *Queue) yields(now time.Time) bool {
+	if !q.short(now) {
+		return false
+	}
+	for _, k := range q.kinds {
+		if k.refused.get(now) >= shortage {
+			return true
+		}
+	}
+	return false
+}
+
 // Offer starts a round: a place may have come free. The first in the order looks
 // for one, then the next.
 func (q *Queue) Offer(now time.Time) {
@@ -258,13 +304,28 @@
 	}
 }
 
-// expected is how long one more request of a kind would wait.
-func (q *Queue) expected(k *kind, now time.Time) time.Duration {
+// before is how many of the kind that wait go before a request.
+func (k *kind) before(r Request) int {
+	if r.Excess {
+		return k.waiting
+	}
+	return k.waiting - k.excess
+}
+
+func (k *kind) count(w *Waiter, n int) {
+	k.waiting += n
+	if w.excess {
+		k.excess += n
+	}
+}
+
+// expected is how long a request of a kind would wait behind some others.
+func (q *Queue) expected(k *kind, before int, now time.Time) time.Duration {
 	places := k.got.get(now)
 	if places <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(float64(k.waiting+1) / places * float64(rateMemory))
+	return time.Duration(float64(before+1) / places * float64(rateMemory))
 }
 
 // ahead reports whether a larger share of a kind was served than of another that
@@ -291,7 +352,7 @@
 
 // ordered returns those that wait in the order in which they get places: first
 // the kinds of which the smallest share was served, a rank being worth some
-// parts in a hundred; within a kind by arrival.
+// parts in a hundred; within a kind by arrival; what is an account's excess last.
 //
 // Were the most urgent always first, the others would starve in an overload
 // that the urgent alone fill; by arrival alone, kinds with short objectives give
@@ -303,11 +364,20 @@
 		share[k] = k.share(now)
 	}
 	slices.SortStableFunc(list, func(a, b *Waiter) int {
-		return cmp.Compare(share[a.kind]+accountStep*float64(a.account), share[b.kind]+accountStep*float64(b.account))
+		return cmp.Compare(share[a.kind]+a.behind(), share[b.kind]+b.behind())
 	})
 	return list[:min(len(list), roundLength)]
 }
 
+// behind is how far behind others of its kind a request is, in parts of a served
+// share.
+func (w *Waiter) behind() float64 {
+	if w.excess {
+		return excessStep
+	}
+	return accountStep * float64(w.account)
+}
+
 func (q *Queue) kind(r Request) *kind {
 	k := q.kinds[r.Kind]
 	if k == nil {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -45,10 +45,11 @@
 
 	// waiting is a request in a node's queue.
 	waiting struct {
-		node   int
-		kind   int
-		came   time.Duration
-		waiter *admission.Waiter
+		node    int
+		kind    int
+		request admission.Request
+		came    time.Duration
+		waiter  *admission.Waiter
 	}
 
 	// model plays a pattern in virtual time: places know at once who has them,
@@ -89,8 +90,10 @@
 	return load{request: admission.Request{Kind: "short", Priority: 2, Objective: 300 * time.Millisecond}, rate: rate, hold: 150 * time.Millisecond}
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
 func play(p pattern, seed uint64) *model {
-	m := &model{pattern: p, random: rand.New(rand.NewPCG(seed, 1)), tallies: make([]tally, len(p.kinds)), refusals: map[int]int{}}
+	m := &model{pattern: p, random: newRandom(seed), tallies: make([]tally, len(p.kinds)), refusals: map[int]int{}}
 	for range p.nodes {
 		m.queues = append(m.queues, admission.NewQueue())
 	}
@@ -123,20 +126,20 @@
 	if came == m.now && again == m.stubborn {
 		m.tallies[kind].asked++
 	}
-	q.Asked(at, r)
+	r.Excess = q.Asked(at, r)
 	if q.Free(at, r) {
 		if len(m.ends) < m.places(m.now) {
-			m.take(node, kind, came)
+			m.take(node, kind, r, came)
 			return
 		}
 		q.None(at)
 	}
 	w := q.Join(at, r)
 	if w != nil {
-		m.waiting = append(m.waiting, &waiting{node: node, kind: kind, came: came, waiter: w})
+		m.waiting = append(m.waiting, &waiting{node: node, kind: kind, request: r, came: came, waiter: w})
 		return
 	}
-	m.refuse(node, kind)
+	m.refuse(node, r)
 	if again > 0 {
 		m.arrive(m.random.IntN(m.nodes), kind, came, again-1)
 		return
@@ -144,9 +147,9 @@
 	m.tallies[kind].refused++
 }
 
-func (m *model) take(node, kind int, came time.Duration) {
+func (m *model) take(node, kind int, r admission.Request, came time.Duration) {
 	k := m.kinds[kind]
-	m.queues[node].Served(start.Add(m.now), k.request)
+	m.queues[node].Served(start.Add(m.now), r)
 	m.ends = append(m.ends, m.now+time.Duration(m.random.ExpFloat64()*float64(k.hold)))
 	m.tallies[kind].served++
 	if m.now-came <= k.request.Objective {
@@ -166,7 +169,7 @@
 			}
 			again = true
 			if len(m.ends) < m.places(m.now) {
-				m.take(w.node, w.kind, w.came)
+				m.take(w.node, w.kind, w.request, w.came)
 				m.leave(w)
 			} else {
 				m.queues[w.node].None(start.Add(m.now))
@@ -187,14 +190,14 @@
 			continue
 		}
 		m.leave(w)
-		m.refuse(w.node, w.kind)
+		m.refuse(w.node, w.request)
 		m.tallies[w.kind].refused++
 		m.tallies[w.kind].waited += m.now - w.came
 	}
 }
 
-func (m *model) refuse(node, kind int) {
-	m.queues[node].Refused(start.Add(m.now), m.kinds[kind].request)
+func (m *model) refuse(node int, r admission.Request) {
+	m.queues[node].Refused(start.Add(m.now), r)
 	m.refusals[int(m.now/time.Second)]++
 	if places := m.places(m.now); places-len(m.ends) > places/20 {
 		m.needless++
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -110,6 +110,8 @@
 		last    uint64
 		events  int
 		started bool
+		// excess says that its account asks for more than its measure.
+		excess bool
 		// placed says that it has had a place.
 		placed bool
 		// full counts the reservations that engines refused.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,7 +35,7 @@
 func (c *call) wanted() admission.Request {
 	r := admission.Request{Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective}
 	if c.account != nil {
-		r.Account = c.account.Priority
+		r.Account, r.Client, r.Excess = c.account.Priority, c.account.Name, c.progress.excess
 	}
 	return r
 }
@@ -107,8 +107,11 @@
 	c.queue().Refused(time.Now(), c.wanted())
 	list := c.handler.config.Deployment.Snapshot().Endpoints[c.service.Name]
 	reason := reasonFull
-	if len(list) == 0 {
+	switch {
+	case len(list) == 0:
 		reason = reasonNoEndpoint
+	case c.progress.excess:
+		reason = reasonExcess
 	}
 	c.log("no-place", decision.Fields{
 		"service": c.service.Name, "endpoints": len(list), "tried": names(c.progress.tried), "full": c.progress.full,
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,7 @@
 	reasonBodyLate    = "body-late"
 	reasonMalformed   = "malformed"
 	reasonFull        = "endpoints-full"
+	reasonExcess      = "account-excess"
 	reasonNoEndpoint  = "no-endpoint"
 	reasonNotRun      = "endpoints-refused"
 	reasonBudget      = "retry-budget"
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,7 +40,7 @@
 		return
 	}
 	h.Budget.Request(c.started, c.service.Name)
-	c.queue().Asked(c.started, c.wanted())
+	c.progress.excess = c.queue().Asked(c.started, c.wanted())
 	for try := 0; ; try++ {
 		choice, ref := c.place(ctx)
 		if ref != nil {
