--- a/internal/deployment/record.go
+++ b/internal/deployment/record.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // removalsKept is how many removed items a node remembers: some 340 starts of
@@ -19,6 +22,23 @@
 	// Since is the revision up to which a removal may be unknown: that of the
 	// newest reading of everything that closed a gap, or 0.
 	Since uint64
+	// Digest is the same for all nodes that know the same at one revision.
+	Digest uint32
+}
+
+// newRecord returns the record of some items.
+func newRecord(items []Item, revision, since uint64) *Record {
+	r := &Record{Items: items, Revision: revision, Since: since}
+	for _, i := range items {
+		if !i.Removed {
+			r.Digest ^= i.digest()
+		}
+	}
+	return r
+}
+
+func (i *Item) digest() uint32 {
+	return uint32(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(i.Key), i.Revision)))
 }
 
 // After returns what changed after a revision, or everything there is, which
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -398,6 +398,6 @@
 		e := b.endpoints[id]
 		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
 	}
-	s.record.Store(&Record{Items: slices.Collect(maps.Values(b.items)), Revision: b.revision, Since: b.since})
+	s.record.Store(newRecord(slices.Collect(maps.Values(b.items)), b.revision, b.since))
 	s.snapshot.Store(snap)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -87,7 +87,8 @@
 		Work  Work
 		// Crashed takes what other nodes tell of crashes.
 		Crashed func(c Crash)
-		// Untold is called when a peer that knows more could not be asked.
+		// Untold is called when a peer that knows more could not be asked, or too
+		// many know something else.
 		Untold func()
 		Log    *decision.Log
 	}
@@ -122,6 +123,9 @@
 		// heartbeat went to all.
 		viewed time.Time
 		told   time.Time
+		// differed is when the node last read the store anew since others know
+		// another state.
+		differed time.Time
 	}
 
 	recentCrash struct {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -81,6 +81,8 @@
 		Reports map[uint32]int `cbor:"12,keyasint,omitempty"`
 		// From is who the sender is.
 		From *Member `cbor:"10,keyasint,omitempty"`
+		// Digest is that of the node's record, which stands in some heartbeats.
+		Digest uint32 `cbor:"14,keyasint,omitempty"`
 		// Ask asks the receiver who it is.
 		Ask bool `cbor:"11,keyasint,omitempty"`
 	}
--- a/internal/gossip/removal_test.go
+++ b/internal/gossip/removal_test.go
@@ -73,3 +73,29 @@
 	f.eventually(func() bool { return running.Snapshot().Revision == 4 }, "the news is taken")
 	require.Equal(t, "stays", known(running))
 }
+
+// Symptom: a node knows an endpoint that left long ago, and takes all later news.
+// Sequence: it has missed a change once, by whatever fault. Cause: nodes that say
+// that they know all up to the same revision were never compared.
+func TestNodeThatKnowsSomethingElseReadsTheStore(t *testing.T) {
+	f := newFleet(t)
+	var list []*node
+	for n := 1; n <= 4; n++ {
+		state := newState(t, whole(4, entry("stays", 2)))
+		if n == 4 {
+			state = newState(t, whole(4, entry("gone", 1), entry("stays", 2)))
+		}
+		list = append(list, f.serve(n, state))
+	}
+	f.eventually(func() bool { return list[3].reads() > 0 }, "the one that errs reads")
+	for _, n := range list[:3] {
+		require.Zero(t, n.reads())
+	}
+}
+
+// reads returns how often the node was to read the store for itself.
+func (n *node) reads() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.untold
+}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -32,6 +32,7 @@
 	for _, n := range o.table.expire(now) {
 		g.config.Log.Event("node.lost", decision.Fields{"peer": n.member.Name, "silent_ms": now.Sub(n.heard).Milliseconds()})
 	}
+	g.compare(o, now)
 	g.publish(o, now)
 	g.broadcast(o, now)
 }
@@ -63,12 +64,17 @@
 
 func (g *Gossip) heartbeat(o *owner, now time.Time) *heartbeat {
 	o.sequence++
-	return &heartbeat{
-		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: g.config.Book.Snapshot().Revision,
+	record := g.config.Book.Record()
+	b := &heartbeat{
+		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: record.Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
 		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
 		Placements: g.config.Work.Placements(now), Reports: g.config.Work.Reports(o.told),
 	}
+	if o.sequence%digestEvery == 0 {
+		b.Digest = record.Digest
+	}
+	return b
 }
 
 // introduction is a heartbeat that tells who this node is, and many others.
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -55,6 +55,9 @@
 		loads    map[uint32]int
 		reading  map[uint32]int
 		alive    bool
+		// digest is that of the node's record at the revision digested.
+		digest   uint32
+		digested uint64
 	}
 
 	// hearing is what a heartbeat brought.
@@ -151,6 +154,9 @@
 	n.member.State, n.member.Access = b.State, b.Access
 	n.sequence, n.revision, n.loads, n.reading = b.Sequence, b.Revision, b.Loads, b.Reading
 	n.heard, n.alive = now, true
+	if b.Digest != 0 {
+		n.digest, n.digested = b.Digest, b.Revision
+	}
 	return n, brought
 }
 
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -167,6 +167,11 @@
 }
 
 func (f *Follower) step(ctx context.Context, cur *cursor) error {
+	select {
+	case <-f.wake:
+		cur.fresh = false
+	default:
+	}
 	if !cur.fresh {
 		return f.read(ctx, cur)
 	}
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -303,3 +304,21 @@
 		require.Equal(t, uint64(2), s.last().Revision)
 	})
 }
+
+// Symptom: a node that reads the store goes on with what it knows, though others
+// know something else. Sequence: it is to read everything anew, while it follows
+// changes. Cause: only nodes that rest did.
+func TestNodeThatFollowsReadsAnewWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, s := &fakeStore{revision: 1}, &sink{}
+		f := store.NewFollower(store.FollowerConfig{Source: source, Sink: s, Reads: always})
+		defer f.Close()
+		time.Sleep(3 * time.Second)
+		require.False(t, s.last().Whole)
+		f.Read()
+		before := len(s.updates)
+		time.Sleep(3 * time.Second)
+		f.Close()
+		require.True(t, slices.ContainsFunc(s.updates[before:], func(u deployment.Update) bool { return u.Whole }))
+	})
+}
