--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -114,10 +114,11 @@
 func (a *account) share(now time.Time) float64 { return a.served.get(now) / max(a.asked.get(now), 1) }
 
 // expected is how many requests of the account would come in rateMemory as a
-// rule.
+// rule. Of usualMemory, only what has passed since its first one counts.
 func (a *account) expected(now time.Time) float64 {
-	known := now.Sub(a.since).Seconds() / usualMemory.Seconds()
-	return a.usual.get(now) * rateMemory.Seconds() / usualMemory.Seconds() / max(1-math.Exp(-known), rateMemory.Seconds()/usualMemory.Seconds())
+	const part = float64(rateMemory) / float64(usualMemory)
+	known := 1 - math.Exp(-float64(now.Sub(a.since))/float64(usualMemory))
+	return a.usual.get(now) * part / max(known, part)
 }
 
 // growth is how many times their usual the other accounts ask for, 1 at least,
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -121,13 +121,6 @@
 		// first is how long answers take to begin once they have a place.
 		first time.Duration
 	}
-
-	// decayed is a count that forgets.
-	decayed struct {
-		memory time.Duration
-		value  float64
-		at     time.Time
-	}
 )
 
 // NewQueue returns an empty queue.
@@ -396,12 +389,3 @@
 		return k.waiting == 0 && k.asked.get(now) < asksForgotten
 	})
 }
-
-func (d *decayed) get(now time.Time) float64 {
-	if d.value == 0 {
-		return 0
-	}
-	return d.value * math.Exp(-now.Sub(d.at).Seconds()/d.memory.Seconds())
-}
-
-func (d *decayed) add(now time.Time) { d.value, d.at = d.get(now)+1, now }
--- /dev/null
+++ b/internal/deployment/apply.go
@@ -0,0 +1,219 @@
+package deployment
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+)
+
+// book is the owner goroutine's state.
+type book struct {
+	items     map[string]Item
+	endpoints map[string]*Endpoint
+	config    *Config
+	revision  uint64
+	// since is the revision up to which a removal may be unknown.
+	since uint64
+	// trusted is when removals count at once again.
+	trusted time.Time
+	// lapsed holds removals back until the time given.
+	lapsed map[string]time.Time
+}
+
+// apply takes an update: its items, what it lacks if it is everything, and up to
+// which revision all is known after it.
+func (s *State) apply(b *book, u Update, now time.Time) {
+	if lapsing := s.lapsingAfter(u); now.Add(lapsing).After(b.trusted) {
+		b.trusted = now.Add(lapsing)
+		s.lapsing.Store(int64(time.Since(s.start) + lapsing))
+	}
+	if u.Whole && u.Revision < b.revision {
+		return
+	}
+	changed := false
+	if u.Whole && u.Revision > b.revision {
+		b.since = u.Revision
+	}
+	for _, item := range u.Items {
+		changed = s.take(b, item, u, now) || changed
+	}
+	if u.Whole {
+		changed = s.takeMissing(b, u, now) || changed
+	}
+	if u.Revision > b.revision {
+		b.revision = u.Revision
+		changed = true
+	}
+	b.since = max(b.since, forget(b.items))
+	if changed {
+		s.publish(b)
+	}
+	if changed && u.Source == SourceStore {
+		select {
+		case s.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// takeMissing removes what a reading of everything lacks.
+func (s *State) takeMissing(b *book, u Update, now time.Time) bool {
+	present := make(map[string]bool, len(u.Items))
+	for _, item := range u.Items {
+		present[item.Key] = !item.Removed
+	}
+	changed, missing := false, 0
+	for key, old := range b.items {
+		if !present[key] && !old.Removed {
+			missing++
+			changed = s.take(b, Item{Key: key, Revision: u.Revision, Removed: true}, u, now) || changed
+		}
+	}
+	s.config.Log.Event("reading", decision.Fields{
+		"revision": u.Revision, "known": b.revision, "items": len(u.Items), "missing": missing, "source": u.Source,
+	})
+	return changed
+}
+
+// lapsingAfter returns for how long after an update removals may stem from an
+// outage.
+func (s *State) lapsingAfter(u Update) time.Duration {
+	doubted := time.Since(s.start) < time.Duration(s.doubted.Load())
+	if u.Regained || u.Whole && u.Source != SourceStore && doubted {
+		return lapseWindow
+	}
+	return u.Lapsing
+}
+
+// take applies one item; an older one than is known says nothing.
+//
+// Nor does one that a reading of everything lacked. A peer's answer may be older
+// than the reading and arrive after it; one would see an endpoint come back that
+// had left before, for good, as nothing is known of its removal.
+func (s *State) take(b *book, item Item, u Update, now time.Time) bool {
+	if !u.Whole && item.Revision <= b.since {
+		return false
+	}
+	if old, ok := b.items[item.Key]; ok && old.Revision >= item.Revision {
+		return false
+	}
+	change, err := s.config.Decoder.Decode(item)
+	if err != nil {
+		return s.takeBad(b, item, change, u, err)
+	}
+	if old := b.items[item.Key]; len(old.Value) >= largeValue {
+		past := append(slices.Clone(s.Past()), old)
+		past = past[max(len(past)-pastValues, 0):]
+		s.past.Store(&past)
+	}
+	b.items[item.Key] = item
+	switch {
+	case change.Config != nil:
+		return s.takeConfig(b, change.Config, item, u)
+	case change.Endpoint != nil:
+		s.takeEndpoint(b, change.Endpoint, item, u)
+	case change.Removed != "":
+		return s.remove(b, change.Removed, item, u, now)
+	}
+	return true
+}
+
+// takeEndpoint takes an endpoint's entry.
+func (s *State) takeEndpoint(b *book, e *Endpoint, item Item, u Update) {
+	f := decision.Fields{"endpoint": e.ID, "service": e.Service, "draining": e.Draining, "revision": item.Revision, "source": u.Source}
+	if !e.Born.IsZero() {
+		f["born"] = e.Born.UnixMilli()
+	}
+	if old := b.endpoints[e.ID]; old != nil && old.Start() != e.Start() {
+		f["restarted"] = true
+	}
+	delete(b.lapsed, e.ID)
+	b.endpoints[e.ID] = e
+	s.config.Log.Event("endpoint", f)
+}
+
+// takeBad takes an item that cannot be read.
+//
+// Anyone may write an entry. One that cannot be read names no endpoint, and what
+// it said before no longer holds: the endpoint may have left, and nobody could
+// tell. One would see requests reach it past the bound on leaving endpoints. It
+// is therefore out at once, also just after an outage, and is back with its next
+// good entry. The item is kept, in short, so that nodes that are told by peers
+// learn the same.
+func (s *State) takeBad(b *book, item Item, change Change, u Update, err error) bool {
+	s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "revision": item.Revision, "source": u.Source, "error": err.Error()})
+	if change.Removed == "" {
+		return false
+	}
+	if len(item.Value) > maxBadValue {
+		item.Value = nil
+	}
+	b.items[item.Key] = item
+	delete(b.lapsed, change.Removed)
+	delete(b.endpoints, change.Removed)
+	return true
+}
+
+// takeConfig puts a configuration in force, never an older one.
+func (s *State) takeConfig(b *book, c *Config, item Item, u Update) bool {
+	if b.config != nil && c.Version <= b.config.Version {
+		return false
+	}
+	c.Index()
+	b.config = c
+	s.config.Log.Event("config", decision.Fields{
+		"version": c.Version, "routes": len(c.Routes), "revision": item.Revision, "source": u.Source,
+	})
+	return true
+}
+
+// remove takes an endpoint out, or holds that back after an outage.
+//
+// While the store is away, endpoints cannot renew their entries, and all of
+// them lapse though their processes live. One would see every request refused
+// for lack of endpoints just after the store is back. Those that live are back
+// in the store soon; a removal counts if its entry isn't. The hold stays under
+// the bound on endpoints that leave, since some of them leave by their entry's
+// removal alone.
+func (s *State) remove(b *book, id string, item Item, u Update, now time.Time) bool {
+	e, ok := b.endpoints[id]
+	if !ok {
+		return false
+	}
+	held := now.Before(b.trusted) && !e.Draining
+	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
+	if held {
+		b.lapsed[id] = now.Add(min(lapseWindow, s.config.Drain-holdMargin))
+		return false
+	}
+	delete(b.endpoints, id)
+	return true
+}
+
+func (s *State) sweep(b *book, now time.Time) {
+	changed := false
+	for id, until := range b.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(b.lapsed, id)
+		delete(b.endpoints, id)
+		changed = true
+		s.config.Log.Event("endpoint.lapsed", decision.Fields{"endpoint": id})
+	}
+	if changed {
+		s.publish(b)
+	}
+}
+
+func (s *State) publish(b *book) {
+	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint)}
+	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
+		e := b.endpoints[id]
+		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
+	}
+	s.record.Store(newRecord(slices.Collect(maps.Values(b.items)), b.revision, b.since))
+	s.snapshot.Store(snap)
+}
