--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -8,11 +8,11 @@
 
 const (
 	// usualMemory is the time over which it is learnt what accounts usually ask
-	// for: a surge of ten seconds adds a sixth of itself to it.
+	// for: long against a surge, short against the hours over which it changes.
 	usualMemory = time.Minute
 	// surgeFactor is how many times its usual an account may ask for before what
 	// is more counts as excess, and surgeSlack how many requests beside that: of
-	// those that come by chance in rateMemory, one in some thousands is more.
+	// steady loads of 0.2 to 50 requests a second, less than one in 500 is more.
 	surgeFactor = 2.0
 	surgeSlack  = 2.0
 	// usualFactor is how many times its usual an account may ask for and have it
--- a/internal/gossip/removal_test.go
+++ b/internal/gossip/removal_test.go
@@ -62,8 +62,12 @@
 //
 // Cause: a node that has read the entries that there are has no trace of one that
 // was removed before. What it gave as the difference lacked the removal, and who
-// took it believed to know all. The endpoint's entry never said that it drains,
-// and some fifty nodes started within the second of its removal.
+// took it believed to know all.
+//
+// What showed it: the endpoint's entry never said that it drains, and some fifty
+// nodes started within the second of its removal. On a day made alike, a node took
+// five items of six revisions from one that had just started; the one left out was
+// the removal.
 func TestRemovalIsLearntFromANodeThatStartedAfterIt(t *testing.T) {
 	f := newFleet(t)
 	running := newState(t, whole(2, entry("gone", 1), entry("stays", 2)))
