Measure how old a node's knowledge of the others is

Cause: at 195 nodes nobody could say how old the loads, revisions and deaths are that a choice rests on; the interval between heartbeats was all there was. Change: histograms of the age of news, of the silence after which a node is taken as lost and of the time behind a newer revision, counters of datagrams and bytes; the attempt line says in loads_ms how old the others' loads were.

--- a/gateway.go
+++ b/gateway.go
@@ -106,6 +106,7 @@
 		pool     *http1.Pool
 		handler  *gateway.Handler
 		metrics  *gateway.Metrics
+		news     *gossip.Metrics
 		callers  *http.Server
 		servers  []*http.Server
 		seeds    atomic.Pointer[[]netip.Addr]
@@ -126,10 +127,13 @@
 // other nodes' requests.
 func (l loads) OthersReading(key uint32) int { return l.gateway.gossip.OthersReading(key) }
 
+// Age returns how old the other nodes' loads are.
+func (l loads) Age(now time.Time) time.Duration { return l.gateway.gossip.Age(now) }
+
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), cancel: cancel}
+	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), news: gossip.NewMetrics(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Log: g.log})
 	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone, Cap: c.LoadCap})
@@ -143,7 +147,7 @@
 	g.gossip, err = gossip.New(gossip.Config{
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Book: g.state,
-		State: g.memberState, Work: g.balancer, Log: g.log,
+		State: g.memberState, Work: g.balancer, Metrics: g.news, Log: g.log,
 		Crashed: func(k gossip.Crash) { crashes.Note(time.Now(), k.Print, k.Endpoint) },
 		Untold: func() {
 			if f := follower.Load(); f != nil {
@@ -303,7 +307,10 @@
 func (g *Gateway) listen() error {
 	answers := g.config.Answers(g)
 	operators := http.NewServeMux()
-	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
+	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.Write(w)
+		g.news.Write(w)
+	})
 	operators.HandleFunc("GET /state", g.serveState)
 	// Its timeouts are the listener's, which follow the configuration.
 	g.callers = &http.Server{Handler: g.handler, MaxHeaderBytes: maxHeaderBytes}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -59,6 +59,8 @@
 		// OthersReading returns the prompt tokens that it is still to read for
 		// them.
 		OthersReading(key uint32) int
+		// Age returns how old these counts are, on the mean over the nodes.
+		Age(now time.Time) time.Duration
 	}
 
 	// Config is the settings of a Balancer.
@@ -115,6 +117,8 @@
 		// Load is the chosen endpoint's load before, and Mean its service's.
 		Load int
 		Mean float64
+		// Age is how old the other nodes' part of the loads was.
+		Age time.Duration
 		// Ready is how many endpoints could be chosen from.
 		Ready int
 		// Scarce says that the endpoint may be full by now, though that is not
@@ -174,7 +178,7 @@
 	}
 	o := b.own[c.endpoint.Start()]
 	o.active++
-	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all)}
+	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all), Age: b.config.Loads.Age(now)}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -29,6 +29,9 @@
 // OthersReading implements balance.Loads: nothing is to be read.
 func (peers) OthersReading(uint32) int { return 0 }
 
+// Age implements balance.Loads: all is new.
+func (peers) Age(time.Time) time.Duration { return 0 }
+
 func endpoints(n int) []*deployment.Endpoint {
 	var list []*deployment.Endpoint
 	for i := range n {
@@ -273,6 +276,9 @@
 
 func (noPeers) OthersReading(uint32) int { return 0 }
 
+// Age implements balance.Loads: all is new.
+func (noPeers) Age(time.Time) time.Duration { return 0 }
+
 // Symptom: prompts are moved with nearly each request, and links fill with
 // copies. Sequence: places are short and come free at any engine. Cause: a
 // request took the first one, though it could have waited for a place where its
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -15,6 +15,9 @@
 
 func (unread) Others(uint32) int { return 0 }
 
+// Age implements balance.Loads: all is new.
+func (unread) Age(time.Time) time.Duration { return 0 }
+
 func (u unread) OthersReading(key uint32) int {
 	for id, n := range u {
 		if balance.Key(named(id)) == key {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -294,6 +294,9 @@
 		f["prompt"] = a.call.key
 		f["preferred"] = a.choice.First.ID == a.choice.Endpoint.ID
 	}
+	if age := a.choice.Age; age > 0 {
+		f["loads_ms"] = age.Milliseconds()
+	}
 	if born := a.choice.Endpoint.Born; !born.IsZero() {
 		f["born"] = born.UnixMilli()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -76,6 +76,9 @@
 
 func (noLoads) OthersReading(uint32) int { return 0 }
 
+// Age implements balance.Loads: all is new.
+func (noLoads) Age(time.Time) time.Duration { return 0 }
+
 func headers() gateway.Headers {
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", Expect: "Expect-Endpoint",
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -34,6 +34,9 @@
 
 func (others) OthersReading(uint32) int { return 0 }
 
+// Age implements balance.Loads: all is new.
+func (others) Age(time.Time) time.Duration { return 0 }
+
 // Reserve implements gateway.Reserver.
 func (e *engines) Reserve(_ context.Context, to *deployment.Endpoint, _ gateway.Reservation) (string, error) {
 	e.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -90,7 +90,9 @@
 		// Untold is called when a peer that knows more could not be asked, or too
 		// many know something else.
 		Untold func()
-		Log    *decision.Log
+		// Metrics counts what the node tells and hears; nil for nowhere.
+		Metrics *Metrics
+		Log     *decision.Log
 	}
 
 	// Gossip is this node's part of the fleet's membership. One goroutine owns
@@ -123,6 +125,9 @@
 		// heartbeat went to all.
 		viewed time.Time
 		told   time.Time
+		// behind is since when a newer revision than the node's own is known of;
+		// zero if none is.
+		behind time.Time
 		// differed is when the node last read the store anew since others know
 		// another state.
 		differed time.Time
@@ -136,6 +141,9 @@
 
 // New opens the sockets and starts to send heartbeats.
 func New(c Config) (*Gossip, error) {
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics()
+	}
 	own := netip.AddrPortFrom(c.Self.IP, c.Port)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
 	if err != nil {
@@ -199,6 +207,9 @@
 // other nodes' requests.
 func (g *Gossip) OthersReading(key uint32) int { return g.View().OthersReading(key) }
 
+// Age returns how old the other nodes' loads are, on the mean.
+func (g *Gossip) Age(now time.Time) time.Duration { return g.View().Age(now) }
+
 // Tell tells the other nodes of a crash, or drops that if too many wait.
 func (g *Gossip) Tell(c Crash) {
 	select {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -17,6 +17,7 @@
 
 // receive decodes a datagram; one that cannot be decoded says nothing.
 func (g *Gossip) receive(data []byte, from netip.Addr) {
+	g.config.Metrics.in(len(data))
 	b := &heartbeat{}
 	if err := cbor.Unmarshal(data, b); err != nil || b.ID == 0 || (b.From != nil && (b.From.Name == "" || !b.From.IP.IsValid())) {
 		g.config.Log.Event("heartbeat.bad", decision.Fields{"bytes": len(data), "from": from})
@@ -28,6 +29,7 @@
 	select {
 	case g.inbox <- arrival{beat: b, addr: from}:
 	default:
+		g.config.Metrics.dropped.Inc()
 	}
 }
 
@@ -56,6 +58,9 @@
 	known := g.config.Book.Snapshot().Revision
 	switch {
 	case b.Revision > known:
+		if o.behind.IsZero() {
+			o.behind = now
+		}
 		g.pull(ctx, o)
 	case b.Access == deployment.Reading:
 		g.config.Book.Confirm()
@@ -84,3 +89,13 @@
 	o.viewed = now
 	g.view.Store(o.table.view())
 }
+
+// caughtUp notes how long the node knew of a newer revision, once it has it. It
+// is looked at with each heartbeat, so that the time is that much too long.
+func (g *Gossip) caughtUp(o *owner, now time.Time) {
+	if o.behind.IsZero() || g.View().newest() > g.config.Book.Snapshot().Revision {
+		return
+	}
+	g.config.Metrics.behind.Update(now.Sub(o.behind).Seconds())
+	o.behind = time.Time{}
+}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -30,8 +30,12 @@
 
 func (g *Gossip) tick(o *owner, now time.Time) {
 	for _, n := range o.table.expire(now) {
-		g.config.Log.Event("node.lost", decision.Fields{"peer": n.member.Name, "silent_ms": now.Sub(n.heard).Milliseconds()})
+		silent := now.Sub(n.heard)
+		g.config.Metrics.silence.Update(silent.Seconds())
+		g.config.Log.Event("node.lost", decision.Fields{"peer": n.member.Name, "silent_ms": silent.Milliseconds()})
 	}
+	g.config.Metrics.aged(o.table, now)
+	g.caughtUp(o, now)
 	g.compare(o, now)
 	g.publish(o, now)
 	g.broadcast(o, now)
@@ -127,5 +131,6 @@
 	if len(data) == 0 {
 		return
 	}
+	g.config.Metrics.out(len(data))
 	_, _ = g.socket.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, g.config.Port))
 }
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -29,6 +29,8 @@
 		loads map[uint32]int
 		// reading are the tokens that endpoints are to read for other nodes.
 		reading map[uint32]int
+		// heard is the mean of the moments at which the living nodes were heard.
+		heard time.Time
 		// revisions are those of the store that the living nodes know all up
 		// to, in their order.
 		revisions []uint64
@@ -101,6 +103,23 @@
 	return list[rand.IntN(len(list))], true
 }
 
+// newest returns the newest revision that a living node knows.
+func (v *View) newest() uint64 {
+	newest := uint64(0)
+	for _, r := range v.revisions {
+		newest = max(newest, r)
+	}
+	return newest
+}
+
+// Age returns how old the loads are on the mean over the living nodes.
+func (v *View) Age(now time.Time) time.Duration {
+	if v.heard.IsZero() {
+		return 0
+	}
+	return max(now.Sub(v.heard), 0)
+}
+
 func newTable() *table { return &table{nodes: map[netip.Addr]*node{}, ids: map[uint64]*node{}} }
 
 // learn notes that a node is at an address, and returns it.
@@ -186,7 +205,9 @@
 	}
 	slices.SortFunc(living, func(a, b *node) int { return cmp.Compare(a.member.Name, b.member.Name) })
 	v := &View{Known: len(t.nodes) + 1, loads: map[uint32]int{}, reading: map[uint32]int{}}
+	var since time.Duration
 	for _, n := range living {
+		since += n.heard.Sub(living[0].heard)
 		v.Alive = append(v.Alive, n.member)
 		v.revisions = append(v.revisions, n.revision)
 		for key, load := range n.loads {
@@ -196,6 +217,9 @@
 			v.reading[key] += tokens
 		}
 	}
+	if len(living) > 0 {
+		v.heard = living[0].heard.Add(since / time.Duration(len(living)))
+	}
 	return v
 }
 
