--- /dev/null
+++ b/internal/balance/tell_test.go
@@ -0,0 +1,62 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+// Symptom: in a fleet of two hundred nodes engines read the same parts of
+// prompts again, and nodes fetch parts from engines that never had them.
+// Sequence: a node places five prompts a second, and tells the others each 1.25 s.
+// Cause: a placement was told for 0.3 s, whatever the time between heartbeats, so
+// that three in four were in none.
+func TestEachPlacementIsInSomeHeartbeat(t *testing.T) {
+	for _, interval := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 1250 * time.Millisecond, 2600 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			b := balance.New(balance.Config{Loads: noPeers{}})
+			list := endpoints(4)
+			start := time.Now()
+			told := map[balance.Placement]int{}
+			last := start
+			const prompts = 40
+			due := start.Add(interval)
+			for i := range prompts {
+				now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+				for !due.After(now) {
+					for _, p := range b.Placements(due) {
+						told[p]++
+					}
+					last, due = due, due.Add(interval)
+				}
+				c := b.Choose(now, list, balance.Request{Key: fmt.Sprint("part-", i)})
+				require.NotNil(t, c)
+				b.Sent(now, c)
+				b.Release(now, c.Endpoint.Start(), balance.Served)
+			}
+			for _, p := range b.Placements(last.Add(interval)) {
+				told[p]++
+			}
+			require.Len(t, told, prompts)
+		})
+	}
+}
+
+// Symptom: nodes pass over an endpoint that has long been idle.
+// Sequence: an endpoint says that it has twenty requests; they end; the node
+// that was told has its next heartbeat 1.2 s later.
+// Cause: a word that no longer counted at the node which got it was told as new.
+func TestWordThatIsTooOldIsNotTold(t *testing.T) {
+	list := endpoints(1)
+	now := time.Now()
+	one, two := balance.New(balance.Config{Loads: noPeers{}}), balance.New(balance.Config{Loads: noPeers{}})
+	one.Reported(now, list[0].Start(), 20)
+	late := now.Add(1200 * time.Millisecond)
+	two.ReportsHeard(late, one.Reports(now.Add(-time.Second)))
+	require.Zero(t, two.Busy(late, list[0], deployment.Service{}))
+}
