Tell each placement however rare heartbeats are

Cause: a placement stood in heartbeats for 0.3 s, three of them in a small fleet; at 195 nodes they come each 1.25 s, so that three placements in four were told to nobody. What an endpoint had said of its load was told as new when it was up to 1.25 s old. Change: a placement is told since the heartbeat before the last, and for 0.3 s anyhow; a word on load only while it counts here. Small fleets tell what they told.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -234,11 +234,12 @@
 	return counts
 }
 
-// Placements returns this node's new placements, for the other nodes.
-func (b *Balancer) Placements(now time.Time) []Placement {
+// Placements returns this node's new placements since a time, for the other
+// nodes, and those of the last moments anyhow. Older ones are forgotten.
+func (b *Balancer) Placements(now, since time.Time) []Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held.recent(now)
+	return b.held.recent(now, since)
 }
 
 // Placed takes placements of another node.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -99,7 +99,7 @@
 	require.Equal(t, first.Endpoint, moved.Source)
 
 	told := balance.New(balance.Config{Loads: peers{}})
-	told.Placed(now, b.Placements(now))
+	told.Placed(now, b.Placements(now, now))
 	elsewhere := told.Choose(now, list, balance.Request{Key: "doc", Tried: []deployment.Start{moved.Endpoint.Start()}})
 	require.Equal(t, moved.Endpoint, elsewhere.Source)
 }
@@ -227,7 +227,7 @@
 	now := time.Now()
 	one, two := balance.New(balance.Config{Loads: peers{}}), balance.New(balance.Config{Loads: peers{}})
 	one.Reported(now, named("e0"), 30)
-	two.ReportsHeard(now, one.Reports(now.Add(-time.Second)))
+	two.ReportsHeard(now, one.Reports(now, now.Add(-time.Second)))
 	for _, b := range []*balance.Balancer{one, two} {
 		for range 20 {
 			c := b.Choose(now, list, balance.Request{})
@@ -251,7 +251,7 @@
 		}
 		require.Greater(t, counts["e0"], 20)
 	}
-	require.Empty(t, one.Reports(now))
+	require.Empty(t, one.Reports(now, now))
 }
 
 // A choice costs each request a pass over its service's endpoints.
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -15,8 +15,8 @@
 	// heldFor is how long after its last use a part counts as kept in an
 	// endpoint's memory.
 	heldFor = 30 * time.Second
-	// tellFor is how long a placement stands in this node's heartbeats: three
-	// of them in a small fleet, as datagrams get lost.
+	// tellFor is how long a placement stands in this node's heartbeats at least:
+	// three of them in a small fleet, as datagrams get lost.
 	tellFor = 300 * time.Millisecond
 	// tellAgain is how often a placement is told that goes on.
 	tellAgain = 10 * time.Second
@@ -102,9 +102,9 @@
 }
 
 // recent returns the placements that the other nodes are to be told of, the
-// newest last.
-func (h *holders) recent(now time.Time) []Placement {
-	h.news = slices.DeleteFunc(h.news, func(p placed) bool { return now.Sub(p.at) > tellFor })
+// newest last: those since a time, and of the last moments anyhow.
+func (h *holders) recent(now, since time.Time) []Placement {
+	h.news = slices.DeleteFunc(h.news, func(p placed) bool { return now.Sub(p.at) > tellFor && p.at.Before(since) })
 	var list []Placement
 	for _, n := range h.news[max(len(h.news)-maxTold, 0):] {
 		list = append(list, n.placement)
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -45,7 +45,7 @@
 		if e.ID == keeper {
 			teller := balance.New(balance.Config{Loads: unread{}})
 			send(teller, time.Now(), []*deployment.Endpoint{e}, balance.Request{Key: "doc"})
-			return teller.Placements(time.Now())[0]
+			return teller.Placements(time.Now(), time.Now())[0]
 		}
 	}
 	require.Fail(t, "no such engine")
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -40,13 +40,14 @@
 }
 
 // Reports returns what endpoints have said to this node since a time, by their
-// Keys, for the other nodes.
-func (b *Balancer) Reports(since time.Time) map[uint32]int {
+// Keys, for the other nodes. What no longer counts here is not told: to the
+// others it would be new.
+func (b *Balancer) Reports(now, since time.Time) map[uint32]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	news := make(map[uint32]int)
 	for key, r := range b.reports.own {
-		if r.at.After(since) {
+		if r.at.After(since) && now.Sub(r.at) < reportFor {
 			news[key] = r.load
 		}
 	}
--- a/internal/balance/restart_test.go
+++ b/internal/balance/restart_test.go
@@ -63,7 +63,7 @@
 				for _, key := range []string{"a", "b", "doc"} {
 					peer := balance.New(balance.Config{Loads: peers{}})
 					send(peer, now, []*deployment.Endpoint{old}, balance.Request{Key: key})
-					b.Placed(now, peer.Placements(now))
+					b.Placed(now, peer.Placements(now, now))
 				}
 			},
 		},
--- a/internal/balance/tell_test.go
+++ b/internal/balance/tell_test.go
@@ -29,7 +29,7 @@
 			for i := range prompts {
 				now := start.Add(time.Duration(i) * 200 * time.Millisecond)
 				for !due.After(now) {
-					for _, p := range b.Placements(due) {
+					for _, p := range b.Placements(due, last) {
 						told[p]++
 					}
 					last, due = due, due.Add(interval)
@@ -39,7 +39,7 @@
 				b.Sent(now, c)
 				b.Release(now, c.Endpoint.Start(), balance.Served)
 			}
-			for _, p := range b.Placements(last.Add(interval)) {
+			for _, p := range b.Placements(due, last) {
 				told[p]++
 			}
 			require.Len(t, told, prompts)
@@ -57,6 +57,6 @@
 	one, two := balance.New(balance.Config{Loads: noPeers{}}), balance.New(balance.Config{Loads: noPeers{}})
 	one.Reported(now, list[0].Start(), 20)
 	late := now.Add(1200 * time.Millisecond)
-	two.ReportsHeard(late, one.Reports(now.Add(-time.Second)))
+	two.ReportsHeard(late, one.Reports(late, now.Add(-time.Second)))
 	require.Zero(t, two.Busy(late, list[0], deployment.Service{}))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -63,13 +63,14 @@
 		// Reading returns the prompt tokens that endpoints are still to read for
 		// them.
 		Reading() map[uint32]int
-		// Placements returns where this node has lately sent parts of prompts,
-		// and Placed takes the same from another node.
-		Placements(now time.Time) []balance.Placement
+		// Placements returns where this node has sent parts of prompts since a
+		// time, and in the last moments anyhow; Placed takes the same from another
+		// node.
+		Placements(now, since time.Time) []balance.Placement
 		Placed(now time.Time, list []balance.Placement)
 		// Reports returns what endpoints have said of their load to this node
 		// since a time, and ReportsHeard takes the same from another node.
-		Reports(since time.Time) map[uint32]int
+		Reports(now, since time.Time) map[uint32]int
 		ReportsHeard(now time.Time, list map[uint32]int)
 	}
 
@@ -122,9 +123,10 @@
 		recent   []recentCrash
 		pulling  chan struct{}
 		// viewed is when the view was last made, and told when the last
-		// heartbeat went to all.
-		viewed time.Time
-		told   time.Time
+		// heartbeat went to all, earlier the one before that.
+		viewed  time.Time
+		told    time.Time
+		earlier time.Time
 		// behind is since when a newer revision than the node's own is known of;
 		// zero if none is.
 		behind time.Time
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -134,7 +134,7 @@
 	return maps.Clone(w.reading)
 }
 
-func (w *work) Placements(time.Time) []balance.Placement {
+func (w *work) Placements(_, _ time.Time) []balance.Placement {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.told
@@ -146,7 +146,7 @@
 	w.placed = list
 }
 
-func (w *work) Reports(time.Time) map[uint32]int {
+func (w *work) Reports(_, _ time.Time) map[uint32]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return maps.Clone(w.reports)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -57,7 +57,7 @@
 		}
 		sent[n.addr] = true
 	}
-	o.told = now
+	o.earlier, o.told = o.told, now
 	alone := len(g.View().Alive) == 0
 	for _, seed := range g.config.Seeds() {
 		if !sent[seed] && (alone || rand.Float64() < greetShare) {
@@ -73,7 +73,8 @@
 		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: record.Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
 		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
-		Placements: g.config.Work.Placements(now), Reports: g.config.Work.Reports(o.told),
+		// Each placement is told twice, as datagrams get lost.
+		Placements: g.config.Work.Placements(now, o.earlier), Reports: g.config.Work.Reports(now, o.told),
 	}
 	if o.sequence%digestEvery == 0 {
 		b.Digest = record.Digest
