Send what is urgent in large fleets through relays

Change: from a hundred nodes on, nodes report to relays and believe their summaries: loads, who lives, states, revisions, placements, endpoints' words and crashes. What no relay covers still comes from heartbeats to all, which are half as frequent (2.2 s at 195 nodes). What the store has just told goes to the relays, no more to all. Nodes of builds without relays are heard as before and are no relays.

--- a/gateway.go
+++ b/gateway.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -56,7 +57,9 @@
 		// Node is the node's name, and Zone its availability zone.
 		Node string
 		Zone string
-		IP   netip.Addr
+		// Power is the processor time that the node has, in thousandths of a core.
+		Power int
+		IP    netip.Addr
 		// Port is for datagrams and calls between nodes, the same on all.
 		Port uint16
 		// Seeds are the addresses of some nodes.
@@ -145,7 +148,7 @@
 	// The gossip may call for a reading before the follower is there.
 	follower := &atomic.Pointer[store.Follower]{}
 	g.gossip, err = gossip.New(gossip.Config{
-		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Incarnation: rand.Uint64()},
+		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Power: power(c.Power), Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Book: g.state,
 		State: g.memberState, Work: g.balancer, Metrics: g.news, Log: g.log,
 		Crashed: func(k gossip.Crash) { crashes.Note(time.Now(), k.Print, k.Endpoint) },
@@ -185,6 +188,10 @@
 	return g, nil
 }
 
+// power returns what other nodes are told of a node's processor time: at least
+// something, so that it may be a relay.
+func power(thousandths int) uint16 { return uint16(min(max(thousandths, 1), math.MaxUint16)) }
+
 // soonest returns the shorter of two bounds, of which 0 says nothing.
 func soonest(a, b time.Duration) time.Duration {
 	if a == 0 || b == 0 {
@@ -277,7 +284,7 @@
 	return map[string]any{
 		"stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
-		"loads": g.balancer.Active(), "dropped": g.log.Dropped(),
+		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,17 +16,19 @@
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
 const (
 	// beatInterval is the time between two heartbeats in a small fleet, and
 	// beatPerNode what each further node adds: loads that are older than some
 	// tenths of a second say little about a plain service. From denseNodes on
-	// each node adds beatPerMore, so that 330 nodes send 14 KB/s each.
+	// each node adds beatPerMore: what is urgent goes through relays then, and
+	// 330 nodes send 7 KB/s each for the rest.
 	beatInterval = 100 * time.Millisecond
 	beatPerNode  = 3 * time.Millisecond
 	denseNodes   = 100
-	beatPerMore  = 10 * time.Millisecond
+	beatPerMore  = 20 * time.Millisecond
 	// inboxLength bounds the heartbeats that wait; those that come then are lost.
 	inboxLength = 256
 	// readers is how many nodes read the store for all: one or two of them
@@ -91,6 +94,9 @@
 		// Untold is called when a peer that knows more could not be asked, or too
 		// many know something else.
 		Untold func()
+		// Relays is how many nodes may tell each other everything themselves;
+		// larger fleets have relays. 0 is relay.Least.
+		Relays int
 		// Metrics counts what the node tells and hears; nil for nowhere.
 		Metrics *Metrics
 		Log     *decision.Log
@@ -110,23 +116,34 @@
 		running sync.WaitGroup
 	}
 
-	// arrival is a heartbeat and the address that it came from.
+	// arrival is a heartbeat, or a summary, and the address that it came from.
 	arrival struct {
-		beat *heartbeat
-		addr netip.Addr
+		beat    *heartbeat
+		summary *relay.Summary
+		told    uint64
+		addr    netip.Addr
 	}
 
 	// owner is the control goroutine's state.
 	owner struct {
-		table    *table
-		sequence uint64
-		recent   []recentCrash
-		pulling  chan struct{}
-		// viewed is when the view was last made, and told when the last
-		// heartbeat went to all, earlier the one before that.
-		viewed  time.Time
-		told    time.Time
-		earlier time.Time
+		table *table
+		// relay is the node's part in relaying, and believed the newest summary
+		// that was taken.
+		relay    *relay.Node
+		believed *relay.Summary
+		// following and relaying are what was last logged of that.
+		following relay.ID
+		relaying  bool
+		sequence  uint64
+		// rounds counts the heartbeats to all.
+		rounds  uint64
+		recent  []recentCrash
+		pulling chan struct{}
+		// viewed is when the view was last made.
+		viewed time.Time
+		// toAll is when heartbeats last went to all, and toRelays to relays.
+		toAll    tellings
+		toRelays tellings
 		// behind is since when a newer revision than the node's own is known of;
 		// zero if none is.
 		behind time.Time
@@ -135,6 +152,9 @@
 		differed time.Time
 	}
 
+	// tellings is when something was told last, and before that.
+	tellings struct{ last, before time.Time }
+
 	recentCrash struct {
 		crash Crash
 		at    time.Time
@@ -146,6 +166,7 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
+	c.Relays = cmp.Or(c.Relays, relay.Least)
 	own := netip.AddrPortFrom(c.Self.IP, c.Port)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
 	if err != nil {
@@ -177,9 +198,12 @@
 		}
 	})
 	g.running.Go(func() {
-		o := &owner{table: newTable(), pulling: make(chan struct{}, 1)}
-		timer := time.NewTimer(0)
+		o := &owner{table: newTable(), pulling: make(chan struct{}, 1), relay: relay.New(relay.Config{
+			ID: short(c.Self.Incarnation), Zone: c.Self.Zone, Power: int(c.Self.Power),
+		})}
+		timer, steps := time.NewTimer(0), time.NewTimer(idle)
 		defer timer.Stop()
+		defer steps.Stop()
 		for {
 			select {
 			case <-ctx.Done():
@@ -189,7 +213,10 @@
 			case crash := <-g.crashes:
 				o.recent = append(o.recent, recentCrash{crash: crash, at: time.Now()})
 			case <-c.Book.News():
-				g.broadcast(o, time.Now())
+				g.tellNews(ctx, o, time.Now())
+			case now := <-steps.C:
+				g.step(ctx, o, now)
+				steps.Reset(g.pause())
 			case now := <-timer.C:
 				g.tick(o, now)
 				timer.Reset(interval(g.View().Known))
@@ -199,6 +226,9 @@
 	return g, nil
 }
 
+// again notes one more telling.
+func (t *tellings) again(now time.Time) { t.before, t.last = t.last, now }
+
 // View returns the newest view, never nil.
 func (g *Gossip) View() *View { return g.view.Load() }
 
@@ -212,6 +242,9 @@
 // Age returns how old the other nodes' loads are, on the mean.
 func (g *Gossip) Age(now time.Time) time.Duration { return g.View().Age(now) }
 
+// Relayed reports whether the node knows what the others do through a relay.
+func (g *Gossip) Relayed() bool { return g.View().Relayed }
+
 // Tell tells the other nodes of a crash, or drops that if too many wait.
 func (g *Gossip) Tell(c Crash) {
 	select {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -67,6 +67,8 @@
 		t       *testing.T
 		network string
 		port    uint16
+		// relays is from how many nodes on they need relays.
+		relays int
 	}
 )
 
@@ -182,8 +184,8 @@
 func (f *fleet) serve(n int, b gossip.Book, log ...*decision.Log) *node {
 	nd := &node{work: &work{active: map[uint32]int{uint32(n): n}, reading: map[uint32]int{uint32(n): 100 * n}}, state: gossip.Ready}
 	g, err := gossip.New(gossip.Config{
-		Self: gossip.Member{Name: fmt.Sprint("n", n), Zone: "z", IP: f.ip(n), Incarnation: rand.Uint64()},
-		Port: f.port, Seeds: func() []netip.Addr { return []netip.Addr{f.ip(1), f.ip(200)} }, Book: b, Work: nd.work,
+		Self: gossip.Member{Name: fmt.Sprint("n", n), Zone: fmt.Sprint("z", n%2), IP: f.ip(n), Power: 100, Incarnation: rand.Uint64()},
+		Port: f.port, Relays: f.relays, Seeds: func() []netip.Addr { return []netip.Addr{f.ip(1), f.ip(200)} }, Book: b, Work: nd.work,
 		Log: append(log, nil)[0],
 		State: func() gossip.State {
 			nd.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -39,6 +39,9 @@
 		IP   netip.Addr `cbor:"3,keyasint"`
 		// Callers is where the node takes callers.
 		Callers netip.AddrPort `cbor:"4,keyasint"`
+		// Power is the node's processor time in thousandths of a core; only nodes
+		// that tell it are relays.
+		Power uint16 `cbor:"5,keyasint,omitempty"`
 		// Incarnation differs between two starts of a node. It, State and
 		// Access are told in each heartbeat by themselves.
 		Incarnation uint64 `cbor:"-"`
@@ -83,6 +86,8 @@
 		From *Member `cbor:"10,keyasint,omitempty"`
 		// Digest is that of the node's record, which stands in some heartbeats.
 		Digest uint32 `cbor:"14,keyasint,omitempty"`
+		// Reporting says that the receiver is to be the sender's relay.
+		Reporting reporting `cbor:"15,keyasint,omitempty"`
 		// Ask asks the receiver who it is.
 		Ask bool `cbor:"11,keyasint,omitempty"`
 	}
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
 // metricPrefix starts the name of every metric.
@@ -13,7 +15,7 @@
 // Metrics says how old a node's knowledge of the others is, and what it costs.
 type Metrics struct {
 	set *metrics.Set
-	// age is how long ago each living node was heard, looked at with each
+	// age is how old the loads of each living node are, looked at with each
 	// heartbeat; silence how long a node was silent when it was taken as lost;
 	// behind how long this node knew of a newer revision than its own.
 	age     *metrics.Histogram
@@ -46,9 +48,13 @@
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
 // aged notes how old the news of the living nodes is.
-func (m *Metrics) aged(t *table, now time.Time) {
+func (m *Metrics) aged(t *table, sums *relay.Sums, now time.Time) {
 	for _, n := range t.nodes {
-		if n.alive {
+		switch {
+		case !n.alive:
+		case sums.Covers(short(n.member.Incarnation)):
+			m.age.Update(sums.Age.Seconds())
+		default:
 			m.age.Update(now.Sub(n.heard).Seconds())
 		}
 	}
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -18,6 +18,10 @@
 // receive decodes a datagram; one that cannot be decoded says nothing.
 func (g *Gossip) receive(data []byte, from netip.Addr) {
 	g.config.Metrics.in(len(data))
+	if len(data) > 0 && data[0]&cborMajor == cborArray {
+		g.receiveSummary(data, from)
+		return
+	}
 	b := &heartbeat{}
 	if err := cbor.Unmarshal(data, b); err != nil || b.ID == 0 || (b.From != nil && (b.From.Name == "" || !b.From.IP.IsValid())) {
 		g.config.Log.Event("heartbeat.bad", decision.Fields{"bytes": len(data), "from": from})
@@ -26,14 +30,23 @@
 	if b.ID == g.config.Self.Incarnation || (b.From != nil && b.From.Name == g.config.Self.Name) {
 		return
 	}
+	g.put(arrival{beat: b, addr: from})
+}
+
+// put hands an arrival to the control goroutine, or drops it.
+func (g *Gossip) put(a arrival) {
 	select {
-	case g.inbox <- arrival{beat: b, addr: from}:
+	case g.inbox <- a:
 	default:
 		g.config.Metrics.dropped.Inc()
 	}
 }
 
 func (g *Gossip) take(ctx context.Context, o *owner, a arrival, now time.Time) {
+	if a.summary != nil {
+		g.takeSummary(ctx, o, a, now)
+		return
+	}
 	b := a.beat
 	n, brought := o.table.heard(b, now)
 	if brought == stranger || b.Ask {
@@ -43,6 +56,9 @@
 	if brought == stale || brought == stranger {
 		return
 	}
+	if b.Reporting != toAll {
+		o.relay.Heard(now, report(b, a.addr))
+	}
 	g.learn(o, b, now)
 	if brought == regained {
 		g.config.Log.Event("node.heard", decision.Fields{"peer": n.member.Name, "incarnation": b.ID, "revision": b.Revision})
@@ -55,18 +71,24 @@
 	if b.Access == deployment.Failing {
 		g.config.Book.Doubt()
 	}
-	known := g.config.Book.Snapshot().Revision
-	switch {
-	case b.Revision > known:
-		if o.behind.IsZero() {
-			o.behind = now
-		}
-		g.pull(ctx, o)
-	case b.Access == deployment.Reading:
+	if !g.newer(ctx, o, b.Revision, now) && b.Access == deployment.Reading {
 		g.config.Book.Confirm()
 	}
 }
 
+// newer takes news that others know a revision, and reports whether this node
+// does not.
+func (g *Gossip) newer(ctx context.Context, o *owner, revision uint64, now time.Time) bool {
+	if revision <= g.config.Book.Snapshot().Revision {
+		return false
+	}
+	if o.behind.IsZero() {
+		o.behind = now
+	}
+	g.pull(ctx, o)
+	return true
+}
+
 // learn takes what a heartbeat tells of others.
 func (g *Gossip) learn(o *owner, b *heartbeat, now time.Time) {
 	for _, addr := range b.Contacts {
@@ -87,7 +109,7 @@
 
 func (g *Gossip) publish(o *owner, now time.Time) {
 	o.viewed = now
-	g.view.Store(o.table.view())
+	g.view.Store(o.table.view(now, o.relay.Sums(now)))
 }
 
 // caughtUp notes how long the node knew of a newer revision, once it has it. It
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -22,7 +23,8 @@
 	// of the heartbeats that it is sent.
 	greetFor   = 2 * time.Second
 	greetShare = 0.125
-	// crashFor is how long a crash is repeated in heartbeats.
+	// crashFor is how long a crash is repeated in heartbeats, if it has been in
+	// two to all by then.
 	crashFor = 2 * time.Second
 	// crashesPerBeat bounds a heartbeat.
 	crashesPerBeat = 16
@@ -34,17 +36,30 @@
 		g.config.Metrics.silence.Update(silent.Seconds())
 		g.config.Log.Event("node.lost", decision.Fields{"peer": n.member.Name, "silent_ms": silent.Milliseconds()})
 	}
-	g.config.Metrics.aged(o.table, now)
+	g.config.Metrics.aged(o.table, o.relay.Sums(now), now)
 	g.caughtUp(o, now)
 	g.compare(o, now)
 	g.publish(o, now)
 	g.broadcast(o, now)
 }
 
-// broadcast sends a heartbeat to all nodes. What the store has just told is not
-// kept until the next one is due.
+// tellNews tells what the store has just told: it is not kept until the next
+// heartbeat is due. Where relays answer, they tell it to all.
+func (g *Gossip) tellNews(ctx context.Context, o *owner, now time.Time) {
+	if g.relayed() && o.relay.Whole(now) != nil {
+		g.step(ctx, o, now)
+		return
+	}
+	g.broadcast(o, now)
+}
+
+// broadcast sends a heartbeat to all nodes.
 func (g *Gossip) broadcast(o *owner, now time.Time) {
-	b := g.heartbeat(o, now)
+	b := g.heartbeat(o, o.toAll, now)
+	if o.rounds%digestEvery == 0 || g.relayed() {
+		b.Digest = g.config.Book.Record().Digest
+	}
+	o.rounds++
 	data := g.encode(b)
 	hello := sync.OnceValue(func() []byte { return g.introduction(o, false, now) })
 	sent := map[netip.Addr]bool{g.config.Self.IP: true}
@@ -57,7 +72,7 @@
 		}
 		sent[n.addr] = true
 	}
-	o.earlier, o.told = o.told, now
+	o.toAll.again(now)
 	alone := len(g.View().Alive) == 0
 	for _, seed := range g.config.Seeds() {
 		if !sent[seed] && (alone || rand.Float64() < greetShare) {
@@ -66,25 +81,21 @@
 	}
 }
 
-func (g *Gossip) heartbeat(o *owner, now time.Time) *heartbeat {
+// heartbeat returns a heartbeat with what is new since the last ones of its kind.
+func (g *Gossip) heartbeat(o *owner, t tellings, now time.Time) *heartbeat {
 	o.sequence++
-	record := g.config.Book.Record()
-	b := &heartbeat{
-		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: record.Revision,
+	return &heartbeat{
+		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: g.config.Book.Record().Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
 		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
 		// Each placement is told twice, as datagrams get lost.
-		Placements: g.config.Work.Placements(now, o.earlier), Reports: g.config.Work.Reports(now, o.told),
-	}
-	if o.sequence%digestEvery == 0 {
-		b.Digest = record.Digest
+		Placements: g.config.Work.Placements(now, t.before), Reports: g.config.Work.Reports(now, t.last),
 	}
-	return b
 }
 
 // introduction is a heartbeat that tells who this node is, and many others.
 func (g *Gossip) introduction(o *owner, ask bool, now time.Time) []byte {
-	b := g.heartbeat(o, now)
+	b := g.heartbeat(o, o.toAll, now)
 	b.From, b.Ask, b.Contacts = &g.config.Self, ask, o.contacts(contactsToNew)
 	return g.encode(b)
 }
@@ -115,7 +126,7 @@
 	var list []Crash
 	var rest []recentCrash
 	for _, r := range o.recent {
-		if now.Sub(r.at) > crashFor {
+		if now.Sub(r.at) > crashFor && r.at.Before(o.toAll.before) {
 			continue
 		}
 		rest = append(rest, r)
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
 const (
@@ -26,7 +28,9 @@
 		Alive []Member
 		// Known is how many nodes there are, this one and silent ones too.
 		Known int
-		loads map[uint32]int
+		// Relayed says that the loads of most came through a relay.
+		Relayed bool
+		loads   map[uint32]int
 		// reading are the tokens that endpoints are to read for other nodes.
 		reading map[uint32]int
 		// heard is the mean of the moments at which the living nodes were heard.
@@ -48,15 +52,19 @@
 		addr netip.Addr
 		// member is who the node is, with its newest State and Access; former
 		// is the incarnation before.
-		member   Member
-		former   uint64
-		heard    time.Time
-		first    time.Time
-		sequence uint64
-		revision uint64
-		loads    map[uint32]int
-		reading  map[uint32]int
-		alive    bool
+		member Member
+		former uint64
+		heard  time.Time
+		first  time.Time
+		// covered is when a relay last told that it hears the node, and introduced
+		// when this incarnation of it became known.
+		covered    time.Time
+		introduced time.Time
+		sequence   uint64
+		revision   uint64
+		loads      map[uint32]int
+		reading    map[uint32]int
+		alive      bool
 		// digest is that of the node's record at the revision digested.
 		digest   uint32
 		digested uint64
@@ -142,6 +150,7 @@
 	delete(t.ids, n.member.Incarnation)
 	n.former = n.member.Incarnation
 	n.member = *b.From
+	n.introduced, n.covered = now, time.Time{}
 	n.member.Incarnation = b.ID
 	n.sequence = 0
 	t.ids[b.ID] = n
@@ -184,7 +193,7 @@
 	patience := max(aliveFor, time.Duration(aliveBeats*float64(interval(len(t.nodes)+1))))
 	var lost []*node
 	for addr, n := range t.nodes {
-		if n.alive && now.Sub(n.heard) > patience {
+		if n.alive && now.Sub(later(n.heard, n.covered)) > patience {
 			n.alive = false
 			lost = append(lost, n)
 		}
@@ -196,7 +205,9 @@
 	return lost
 }
 
-func (t *table) view() *View {
+// view returns what the node knows. Of the nodes that relays cover it takes the
+// sums, of the others their own last word.
+func (t *table) view(now time.Time, sums *relay.Sums) *View {
 	living := make([]*node, 0, len(t.nodes))
 	for _, n := range t.nodes {
 		if n.alive {
@@ -205,11 +216,18 @@
 	}
 	slices.SortFunc(living, func(a, b *node) int { return cmp.Compare(a.member.Name, b.member.Name) })
 	v := &View{Known: len(t.nodes) + 1, loads: map[uint32]int{}, reading: map[uint32]int{}}
-	var since time.Duration
+	if sums != nil {
+		v.loads, v.reading, v.Relayed = sums.Loads, sums.Reading, true
+	}
+	var ages time.Duration
 	for _, n := range living {
-		since += n.heard.Sub(living[0].heard)
 		v.Alive = append(v.Alive, n.member)
 		v.revisions = append(v.revisions, n.revision)
+		if sums.Covers(short(n.member.Incarnation)) {
+			ages += sums.Age
+			continue
+		}
+		ages += now.Sub(n.heard)
 		for key, load := range n.loads {
 			v.loads[key] += load
 		}
@@ -218,7 +236,7 @@
 		}
 	}
 	if len(living) > 0 {
-		v.heard = living[0].heard.Add(since / time.Duration(len(living)))
+		v.heard = now.Add(-ages / time.Duration(len(living)))
 	}
 	return v
 }
