Let sums without entries be added to

Cause: a summary leaves out maps without entries; the view then added what a node that no relay covers has to read to a map that is not there. Inferred from the stack, which ends in the taking of a summary; the new test fails in the same way without the change. Change: sums are always maps.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -227,3 +227,24 @@
 		})
 	}
 }
+
+// Symptom: a node ends with "assignment to entry in nil map" soon after its start.
+// Sequence: it gets a summary from which maps without entries are left out, while
+// it has requests itself, or hears of some from a node that no relay covers.
+// Cause: sums without entries were no maps that something can be added to.
+func TestSumsWithoutEntriesCanBeAddedTo(t *testing.T) {
+	now := time.Now()
+	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
+	peer := relay.Peer{ID: 9, Zone: "z", Power: 100, First: now, Heard: now}
+	other := relay.Peer{ID: 8, Zone: "z", Power: 100, First: now, Heard: now}
+	n.Step(now, []relay.Peer{peer, other}, relay.Report{ID: 1, Sequence: 1, Loads: map[uint32]int{5: 1}, Reading: map[uint32]int{5: 100}})
+	for _, from := range []relay.Peer{peer, other} {
+		s := &relay.Summary{ID: from.ID, Zone: "z", Sequence: 1, Whole: true, Covered: relay.IDs(nil).Add(1), Marks: []byte{1}}
+		n.Take(now, from, s, 1)
+	}
+	s := n.Sums(now)
+	require.NotNil(t, s)
+	s.Loads[5]++
+	s.Reading[5]++
+	require.Equal(t, 1, s.Loads[5])
+}
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	since := now.Sub(n.wholeAt)
-	s := &Sums{Loads: maps.Clone(w.Loads), Reading: maps.Clone(w.Reading), Covered: map[ID]bool{}, Age: w.Age + since, Oldest: w.Oldest + since}
+	s := &Sums{Loads: copied(w.Loads), Reading: copied(w.Reading), Covered: map[ID]bool{}, Age: w.Age + since, Oldest: w.Oldest + since}
 	w.Covered.Each(func(_ int, id ID) { s.Covered[id] = true })
 	if !s.Covered[n.config.ID] {
 		return s
@@ -140,7 +140,7 @@
 	}
 	w := *own
 	w.Whole, w.Lost, w.News = true, nil, n.toFollowers.take()
-	w.Loads, w.Reading = maps.Clone(own.Loads), maps.Clone(own.Reading)
+	w.Loads, w.Reading = copied(own.Loads), copied(own.Reading)
 	w.Covered, w.Marks = slices.Clone(own.Covered), slices.Clone(own.Marks)
 	ages := own.Age * time.Duration(own.Covered.Len())
 	for _, zone := range slices.Sorted(maps.Keys(best)) {
@@ -184,6 +184,14 @@
 	}
 }
 
+// copied returns a copy that something can be added to, also where there is
+// nothing: maps without entries are left out of messages.
+func copied(from map[uint32]int) map[uint32]int {
+	to := make(map[uint32]int, len(from))
+	maps.Copy(to, from)
+	return to
+}
+
 func add(to, from map[uint32]int) {
 	for key, n := range from {
 		to[key] += n
