Bound the news that waits at a relay, and tell each placement once in 15 s

Cause, found in reading: nodes place more parts of prompts a second than a summary takes, each node tells of each again every 10 s, and what waited was kept for ever, the oldest first: a relay's memory would grow without end and placements come later and later. Change: what waits is bounded, the oldest is dropped; a placement is passed on once in 15 s in place of 5 s; what is remembered is bounded too. The new test fails before and passes after.

--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -10,13 +10,18 @@
 	// tellings is how often each piece of news is told to one receiver, as
 	// datagrams get lost: 2.5 % of two in a row are 0.06 %.
 	tellings = 2
-	// newsPerSummary bounds the placements in a summary: some 1.2 KB. What is
-	// over waits.
+	// newsPerSummary bounds the placements in a summary: some 1.2 KB, 300 new ones
+	// a second. What is over waits, newsWaiting at most; the oldest is dropped,
+	// as a placement that is told seconds later says little.
 	newsPerSummary = 80
+	newsWaiting    = 4 * newsPerSummary
 	// forgetNews is how long a relay remembers that it has told a placement: the
-	// two relays of a zone tell the same, and nodes that send a part of a prompt
-	// on tell so again.
-	forgetNews = 5 * time.Second
+	// two relays of a zone tell the same, and each node that sends a part of a
+	// prompt on tells so again. It is half the time for which a part counts as
+	// kept.
+	forgetNews = 15 * time.Second
+	// seenMost bounds what is remembered: some 600 KB.
+	seenMost = 16_384
 )
 
 type (
@@ -50,6 +55,9 @@
 }
 
 func unseen[T comparable](known map[T]time.Time, now time.Time, list []T) []T {
+	if len(known) > seenMost {
+		clear(known)
+	}
 	var fresh []T
 	for _, item := range list {
 		if at, ok := known[item]; ok && now.Sub(at) < forgetNews {
@@ -77,8 +85,8 @@
 
 // add puts news into the outbox.
 func (o *outbox) add(n News) {
-	o.placements = append(o.placements, wait(n.Placements)...)
-	o.crashes = append(o.crashes, wait(n.Crashes)...)
+	o.placements = wait(o.placements, n.Placements)
+	o.crashes = wait(o.crashes, n.Crashes)
 	if o.words == nil {
 		o.words = map[uint32]int{}
 	}
@@ -96,12 +104,12 @@
 	return n
 }
 
-func wait[T any](list []T) []waiting[T] {
-	out := make([]waiting[T], len(list))
-	for i, item := range list {
-		out[i] = waiting[T]{news: item, left: tellings}
+// wait adds news to what waits.
+func wait[T any](out []waiting[T], list []T) []waiting[T] {
+	for _, item := range list {
+		out = append(out, waiting[T]{news: item, left: tellings})
 	}
-	return out
+	return out[max(len(out)-newsWaiting, 0):]
 }
 
 // told returns the news to tell, and what waits after that.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -112,11 +112,9 @@
 }
 
 // Step makes what is due: the node's own report and, where it is a relay, the
-// summaries for others. It returns what to send, and the news that came from
-// followers and other relays if the node is its own relay.
+// summaries for others. It returns what to send.
 func (n *Node) Step(now time.Time, peers []Peer, own Report) []Message {
 	n.keep(own)
-	n.seen.forget(now)
 	zones := order(Peer{ID: n.config.ID, Zone: n.config.Zone, Power: n.config.Power}, peers)
 	relays, self := n.choose(now, zones[n.config.Zone])
 	var messages []Message
@@ -307,8 +305,9 @@
 	return list
 }
 
-// drop forgets followers, parts and losses that are long past.
+// drop forgets followers, parts, losses and news that are long past.
 func (n *Node) drop(now time.Time) {
+	n.seen.forget(now)
 	for id, f := range n.followers {
 		if now.Sub(f.heard) > lostAfter {
 			n.lost[id] = now
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
@@ -256,3 +258,28 @@
 	s.Reading[5]++
 	require.Equal(t, 1, s.Loads[5])
 }
+
+// Symptom: the memory of relays grows without end, and placements are told later
+// and later.
+// Sequence: nodes place more parts of prompts a second than summaries take.
+// Cause: what waited to be told was kept for ever, the oldest first.
+func TestNewsIsToldSoonAfterAFlood(t *testing.T) {
+	now := time.Now()
+	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
+	const flood = 5000
+	for i := range uint64(flood) {
+		n.Heard(now, relay.Report{ID: 2, Sequence: i + 1, Follows: true, News: relay.News{Placements: []balance.Placement{{Part: i, Endpoint: 1}}}})
+	}
+	last := balance.Placement{Part: flood + 1, Endpoint: 1}
+	n.Heard(now, relay.Report{ID: 2, Sequence: flood + 1, Follows: true, News: relay.News{Placements: []balance.Placement{last}}})
+	const steps = 10
+	told := false
+	for i := range uint64(steps) {
+		now = now.Add(relay.Step(200))
+		n.Heard(now, relay.Report{ID: 2, Sequence: flood + 2 + i, Follows: true})
+		for _, m := range n.Step(now, nil, relay.Report{ID: 1, Sequence: i + 1}) {
+			told = told || m.Summary != nil && slices.Contains(m.Summary.News.Placements, last)
+		}
+	}
+	require.True(t, told)
+}
