--- a/cmd/account/main.go
+++ b/cmd/account/main.go
@@ -13,9 +13,10 @@
 )
 
 type command struct {
-	Logs  []string `arg:"" optional:"" help:"Paths of logs; standard input if there are none." type:"existingfile"`
-	Late  float64  `help:"Part of its worth that a late answer loses, 0 to 1." default:"0.7"`
-	Chart string   `help:"Path of a chart, .svg or .png; empty for none."`
+	Logs    []string `arg:"" optional:"" help:"Paths of logs; standard input if there are none." type:"existingfile"`
+	Late    float64  `help:"Part of its worth that a late answer loses, 0 to 1." default:"0.7"`
+	Request string   `help:"Says what nodes believed of the endpoint to which the request with this id was sent last."`
+	Chart   string   `help:"Path of a chart, .svg or .png; empty for none."`
 }
 
 func main() {
@@ -33,6 +34,13 @@
 		return err
 	}
 	defer done()
+	if c.Request != "" {
+		b, err := account.ReadBelief(in, c.Request)
+		if err != nil {
+			return err
+		}
+		return b.Table(os.Stdout)
+	}
 	a, err := account.Read(in)
 	if err != nil {
 		return err
