--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -56,7 +56,7 @@
 	if brought == stale || brought == stranger {
 		return
 	}
-	if b.Reporting != toAll {
+	if b.Reporting != plain {
 		o.relay.Heard(now, report(b, a.addr))
 	}
 	g.learn(o, b, now)
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -29,8 +29,8 @@
 
 // How a heartbeat goes to a relay.
 const (
-	// toAll is one that goes to all nodes.
-	toAll reporting = iota
+	// plain is one that goes to all nodes.
+	plain reporting = iota
 	// reported is one to a relay, and followed one to the relay that is to tell
 	// the sums.
 	reported
@@ -153,7 +153,7 @@
 	r := relay.Report{
 		ID: short(b.ID), Addr: addr, Sequence: b.Sequence, Mark: markOf(b.State, b.Access), Revision: b.Revision,
 		Loads: b.Loads, Reading: b.Reading, Follows: b.Reporting == followed,
-		News: relay.News{Placements: b.Placements, Words: b.Reports},
+		News: relay.News{Placements: b.Placements, EndpointLoads: b.Reports},
 	}
 	for _, c := range b.Crashes {
 		r.Crashes = append(r.Crashes, relay.Crash(c))
@@ -210,7 +210,7 @@
 			n.revision = max(n.revision, w.Revision)
 		}
 	})
-	b := &heartbeat{Placements: w.News.Placements, Reports: w.News.Words}
+	b := &heartbeat{Placements: w.News.Placements, Reports: w.News.EndpointLoads}
 	for _, c := range w.News.Crashes {
 		b.Crashes = append(b.Crashes, Crash(c))
 	}
--- a/internal/peer/late_test.go
+++ b/internal/peer/late_test.go
@@ -55,17 +55,12 @@
 	return &kernel.Beat{Node: "n1"}
 }
 
-// Symptom: a call that nobody cancelled fails with a closed or reset connection.
-// Sequence: a call is cancelled while its answer is being sent; the cancellation
-// arrives at the server between its answer and the end of it, and the caller's
-// next call is on its way on the same connection.
-// Cause: the server took the cancelled call for a broken connection, and closed
-// it.
-func TestCancellationThatCrossesTheAnswerKeepsTheConnection(t *testing.T) {
+// pair returns a client of a server that answers heartbeats, its address, and the
+// connections that it accepts.
+func pair(t *testing.T, b peer.Beats) (*peer.Client, netip.AddrPort, *counted) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	listening := &counted{Listener: l}
-	b := &promptBeats{arrived: make(chan struct{}, 1)}
 	s, err := peer.NewServer(peer.ServerConfig{Listener: listening, Key: newKey(t, secret(1)), Beats: b})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, s.Close()) })
@@ -73,6 +68,18 @@
 	require.NoError(t, err)
 	c := peer.NewClient(peer.ClientConfig{Self: "n2", Key: newKey(t, secret(1))})
 	t.Cleanup(func() { require.NoError(t, c.Close()) })
+	return c, addr, listening
+}
+
+// Symptom: a call that nobody cancelled fails with a closed or reset connection.
+// Sequence: a call is cancelled while its answer is being sent; the cancellation
+// arrives at the server between its answer and the end of it, and the caller's
+// next call is on its way on the same connection.
+// Cause: the server took the cancelled call for a broken connection, and closed
+// it.
+func TestCancellationThatCrossesTheAnswerKeepsTheConnection(t *testing.T) {
+	b := &promptBeats{arrived: make(chan struct{}, 1)}
+	c, addr, listening := pair(t, b)
 	const rounds = 2000
 	for range rounds {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -83,7 +90,7 @@
 		// Whether the answer or the cancellation is first differs.
 		_, _ = c.Beat(ctx, addr, &kernel.Beat{Node: "n2"})
 		<-ctx.Done()
-		_, err = c.Beat(t.Context(), addr, &kernel.Beat{Node: "n2"})
+		_, err := c.Beat(t.Context(), addr, &kernel.Beat{Node: "n2"})
 		require.NoError(t, err)
 		select {
 		case <-b.arrived:
@@ -99,20 +106,11 @@
 // connection, and the next needs a handshake, which makes the nodes later still.
 // Cause: a call that times out takes its connection with it.
 func TestLateHeartbeatKeepsItsConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	listening := &counted{Listener: l}
 	b := &lateBeats{arrived: make(chan struct{}), release: make(chan struct{})}
-	s, err := peer.NewServer(peer.ServerConfig{Listener: listening, Key: newKey(t, secret(1)), Beats: b})
-	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, s.Close()) })
-	addr, err := netip.ParseAddrPort(l.Addr().String())
-	require.NoError(t, err)
-	c := peer.NewClient(peer.ClientConfig{Self: "n2", Key: newKey(t, secret(1))})
-	t.Cleanup(func() { require.NoError(t, c.Close()) })
+	c, addr, listening := pair(t, b)
 	const rounds = 8
 	for range rounds {
-		_, err = c.Beat(t.Context(), addr, &kernel.Beat{Node: "n2"})
+		_, err := c.Beat(t.Context(), addr, &kernel.Beat{Node: "n2"})
 		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -57,9 +57,9 @@
 	News struct {
 		// Placements are where nodes have sent parts of prompts.
 		Placements []balance.Placement `cbor:"1,keyasint,omitempty"`
-		// Words are what endpoints have said of their own load.
-		Words   map[uint32]int `cbor:"2,keyasint,omitempty"`
-		Crashes []Crash        `cbor:"3,keyasint,omitempty"`
+		// EndpointLoads are what endpoints have said of their own load.
+		EndpointLoads map[uint32]int `cbor:"2,keyasint,omitempty"`
+		Crashes       []Crash        `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Report is what one node tells its relays of itself.
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -29,7 +29,7 @@
 	outbox struct {
 		placements []waiting[balance.Placement]
 		crashes    []waiting[Crash]
-		words      map[uint32]int
+		loads      map[uint32]int
 	}
 
 	// waiting is a piece of news and how often it is still to be told.
@@ -51,7 +51,7 @@
 
 // fresh returns what of some news was not seen before, and remembers it.
 func (s *seen) fresh(now time.Time, n News) News {
-	return News{Placements: unseen(s.placements, now, n.Placements), Crashes: unseen(s.crashes, now, n.Crashes), Words: n.Words}
+	return News{Placements: unseen(s.placements, now, n.Placements), Crashes: unseen(s.crashes, now, n.Crashes), EndpointLoads: n.EndpointLoads}
 }
 
 func unseen[T comparable](known map[T]time.Time, now time.Time, list []T) []T {
@@ -87,11 +87,11 @@
 func (o *outbox) add(n News) {
 	o.placements = wait(o.placements, n.Placements)
 	o.crashes = wait(o.crashes, n.Crashes)
-	if o.words == nil {
-		o.words = map[uint32]int{}
+	if o.loads == nil {
+		o.loads = map[uint32]int{}
 	}
-	for key, load := range n.Words {
-		o.words[key] = load
+	for key, load := range n.EndpointLoads {
+		o.loads[key] = load
 	}
 }
 
@@ -100,7 +100,7 @@
 	var n News
 	n.Placements, o.placements = told(o.placements)
 	n.Crashes, o.crashes = told(o.crashes)
-	n.Words, o.words = o.words, nil
+	n.EndpointLoads, o.loads = o.loads, nil
 	return n
 }
 
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -116,26 +116,26 @@
 func (n *Node) Step(now time.Time, peers []Peer, own Report) []Message {
 	n.keep(own)
 	zones := order(Peer{ID: n.config.ID, Zone: n.config.Zone, Power: n.config.Power}, peers)
-	relays, self := n.choose(now, zones[n.config.Zone])
+	relays, first := n.choose(now, zones[n.config.Zone])
 	var messages []Message
 	for _, r := range relays {
 		report := own
-		report.Follows = !self && (n.serving == 0 || r.ID == n.serving)
+		report.Follows = !first && (n.serving == 0 || r.ID == n.serving)
 		messages = append(messages, Message{To: r.Addr, Report: &report})
 	}
 	n.drop(now)
-	if !self && len(n.followers) == 0 {
+	if !first && len(n.followers) == 0 {
 		return messages
 	}
 	n.learn(now, own.News)
-	return append(messages, n.relay(now, peers, n.others(now, zones, relays), own, self)...)
+	return append(messages, n.relay(now, peers, n.others(now, zones, relays), own, first)...)
 }
 
-// relay returns the summaries for others, and takes that of the fleet itself if
-// the node follows no other.
-func (n *Node) relay(now time.Time, peers, others []Peer, own Report, self bool) []Message {
+// relay returns the summaries for others. One of the first relays of its zone
+// follows no other, and takes its own summary of the fleet.
+func (n *Node) relay(now time.Time, peers, others []Peer, own Report, first bool) []Message {
 	n.sequence++
-	zone := n.sum(now, peers, own, self)
+	zone := n.sum(now, peers, own, first)
 	whole := n.compose(now, peers, zone)
 	var messages []Message
 	for _, p := range others {
@@ -149,7 +149,7 @@
 		}
 		messages = append(messages, m)
 	}
-	if self {
+	if first {
 		n.take(now, whole, own.Sequence)
 	}
 	return messages
@@ -239,8 +239,9 @@
 	return c
 }
 
-// choose returns the relays to report to, and whether this node is one itself;
-// it then follows none. Of two that answer half of the nodes follow each.
+// choose returns the relays to report to, and whether this node is itself one of
+// the first of its zone; it then follows none. Of two that answer half of the
+// nodes follow each.
 func (n *Node) choose(now time.Time, zone []Peer) ([]Peer, bool) {
 	c := n.contacts(n.config.Zone)
 	c.sound(now, n.config.ID)
