--- a/internal/account/belief.go
+++ b/internal/account/belief.go
@@ -1,10 +1,7 @@
 package account
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -54,8 +51,8 @@
 		// Others are the nearest attempts of other nodes at the endpoint, the
 		// one that believed something most different first.
 		Others []Attempt
-		// Known are the nodes' first words on the endpoint's state around it, by
-		// time: that it is known, drains or is gone.
+		// Known is what nodes logged of the endpoint's state around it, by time:
+		// that it is known, drains or is gone.
 		Known []Attempt
 		// Events are what the node logged of its peers, its relay and the store
 		// before the attempt.
@@ -66,7 +63,12 @@
 // ReadBelief reads logs of any number of nodes, and returns what they believed
 // of the endpoint to which a request was sent last.
 func ReadBelief(r io.Reader, request string) (*Belief, error) {
-	lines, err := readEvents(r)
+	var lines []Attempt
+	err := scan(r, func(l Attempt) {
+		if l.Event != "" {
+			lines = append(lines, l)
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -90,26 +92,6 @@
 	return b, nil
 }
 
-// readEvents returns the lines that bear an event.
-func readEvents(r io.Reader) ([]Attempt, error) {
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, maxLine)
-	var lines []Attempt
-	for in.Scan() {
-		var l Attempt
-		text := in.Bytes()
-		begin := bytes.IndexByte(text, '{')
-		if begin < 0 || json.Unmarshal(text[begin:], &l) != nil || l.Event == "" {
-			continue
-		}
-		lines = append(lines, l)
-	}
-	if err := in.Err(); err != nil {
-		return nil, fmt.Errorf("account: %w", err)
-	}
-	return lines, nil
-}
-
 // take sorts a line in by what it says of the attempt.
 func (b *Belief) take(l Attempt, nearest map[string]Attempt) {
 	apart := b.distance(l)
--- a/internal/account/read.go
+++ b/internal/account/read.go
@@ -71,25 +71,17 @@
 // JSON, such as the node's name; those that are none are passed over.
 func Read(r io.Reader) (*Account, error) {
 	tries := map[string]*try{}
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, maxLine)
-	for in.Scan() {
-		var l line
-		text := in.Bytes()
-		begin := bytes.IndexByte(text, '{')
-		if begin < 0 || json.Unmarshal(text[begin:], &l) != nil || l.Request == "" {
-			continue
-		}
-		if l.Event != eventAttempt && l.Event != eventRefused {
-			continue
+	err := scan(r, func(l line) {
+		if l.Request == "" || (l.Event != eventAttempt && l.Event != eventRefused) {
+			return
 		}
 		if tries[l.Request] == nil {
 			tries[l.Request] = &try{}
 		}
 		tries[l.Request].take(l)
-	}
-	if err := in.Err(); err != nil {
-		return nil, fmt.Errorf("account: %w", err)
+	})
+	if err != nil {
+		return nil, err
 	}
 	if len(tries) == 0 {
 		return nil, ErrLog
@@ -97,6 +89,25 @@
 	return newAccount(join(tries)), nil
 }
 
+// scan calls a function with each line that holds JSON, decoded.
+func scan[T any](r io.Reader, do func(l T)) error {
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, maxLine)
+	for in.Scan() {
+		var l T
+		text := in.Bytes()
+		begin := bytes.IndexByte(text, '{')
+		if begin < 0 || json.Unmarshal(text[begin:], &l) != nil {
+			continue
+		}
+		do(l)
+	}
+	if err := in.Err(); err != nil {
+		return fmt.Errorf("account: %w", err)
+	}
+	return nil
+}
+
 func (t *try) take(l line) {
 	arrived := l.At.Add(-ms(l.Age))
 	if t.arrived.IsZero() || arrived.Before(t.arrived) {
--- a/internal/relay/measure_test.go
+++ b/internal/relay/measure_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
@@ -102,3 +104,23 @@
 		next.meet(a)
 	}
 }
+
+// requireExact checks that each living node believes of all others exactly what
+// they have in progress, and of nobody else.
+func (m *model) requireExact(t *testing.T) {
+	t.Helper()
+	total := map[uint32]int{}
+	for _, a := range m.living() {
+		for key, n := range a.loads {
+			total[key] += n
+		}
+	}
+	for _, a := range m.living() {
+		s := a.relay.Sums(m.now)
+		require.NotNil(t, s)
+		for key, n := range total {
+			require.Equal(t, n-a.loads[key], s.Loads[key], "node %d, endpoint %d", a.index, key)
+		}
+		require.Len(t, s.Loads, len(total)-m.alone(total, a))
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -136,20 +136,7 @@
 			m.plan.loss = 0
 			m.freeze()
 			m.run(5 * time.Second)
-			total := map[uint32]int{}
-			for _, a := range m.living() {
-				for key, n := range a.loads {
-					total[key] += n
-				}
-			}
-			for _, a := range m.living() {
-				s := a.relay.Sums(m.now)
-				require.NotNil(t, s)
-				for key, n := range total {
-					require.Equal(t, n-a.loads[key], s.Loads[key], "node %d, endpoint %d", a.index, key)
-				}
-				require.Len(t, s.Loads, len(total)-m.alone(total, a))
-			}
+			m.requireExact(t)
 		})
 	}
 }
@@ -303,18 +290,8 @@
 	m.plan.loss = 0
 	m.freeze()
 	m.run(5 * time.Second)
-	total := map[uint32]int{}
+	m.requireExact(t)
 	for _, a := range m.living() {
-		for key, n := range a.loads {
-			total[key] += n
-		}
-	}
-	for _, a := range m.living() {
-		s := a.relay.Sums(m.now)
-		require.NotNil(t, s)
-		for key, n := range total {
-			require.Equal(t, n-a.loads[key], s.Loads[key], "node %d, endpoint %d", a.index, key)
-		}
 		for _, o := range m.living() {
 			require.NotContains(t, a.missed, o.peer.ID)
 		}
