Know evacuated zones, cold endpoints and homes from the store

Cause: no line knew of evacuations; what an entry says of cold endpoints was decoded and used for nothing; the regions of routes and accounts were not read. Change: an evacuation is an item like all others, so that it goes to other nodes, comes back after lost history and ends by its removal as endpoints do. Endpoints of a zone that is taken back count as cold until an entry written later says what holds.

--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -20,6 +20,23 @@
 	trusted time.Time
 	// lapsed holds removals back until the time given.
 	lapsed map[string]time.Time
+	// evacuated are the zones that are evacuated, and restored those that were
+	// taken back.
+	evacuated map[string]Evacuated
+	restored  map[string]restored
+}
+
+// restored is a zone that was taken back after an evacuation.
+type restored struct {
+	revision uint64
+	at       time.Time
+}
+
+func newBook() *book {
+	return &book{
+		items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{},
+		evacuated: map[string]Evacuated{}, restored: map[string]restored{},
+	}
 }
 
 // apply takes an update: its items, what it lacks if it is everything, and up to
@@ -113,7 +130,9 @@
 	case change.Config != nil:
 		return s.takeConfig(b, change.Config, item, u)
 	case change.Endpoint != nil:
-		s.takeEndpoint(b, change.Endpoint, item, u)
+		s.takeEndpoint(b, change.Endpoint, item, u, now)
+	case change.Evacuation != nil:
+		return s.takeEvacuation(b, *change.Evacuation, item, u, now)
 	case change.Removed != "":
 		return s.remove(b, change.Removed, item, u, now)
 	}
@@ -121,7 +140,11 @@
 }
 
 // takeEndpoint takes an endpoint's entry.
-func (s *State) takeEndpoint(b *book, e *Endpoint, item Item, u Update) {
+func (s *State) takeEndpoint(b *book, e *Endpoint, item Item, u Update, now time.Time) {
+	e.Revision, e.ColdUntil = item.Revision, now.Add(e.Cold)
+	if r := b.restored[e.Zone]; item.Revision < r.revision {
+		e.ColdUntil = later(e.ColdUntil, r.at.Add(b.cold(e)))
+	}
 	f := decision.Fields{"endpoint": e.ID, "service": e.Service, "draining": e.Draining, "revision": item.Revision, "source": u.Source}
 	if !e.Born.IsZero() {
 		f["born"] = e.Born.UnixMilli()
@@ -129,6 +152,9 @@
 	if old := b.endpoints[e.ID]; old != nil && old.Start() != e.Start() {
 		f["restarted"] = true
 	}
+	if e.Cold > 0 {
+		f["cold_ms"] = e.Cold.Milliseconds()
+	}
 	delete(b.lapsed, e.ID)
 	b.endpoints[e.ID] = e
 	s.config.Log.Event("endpoint", f)
@@ -162,6 +188,7 @@
 		return false
 	}
 	c.Index()
+	s.checkHomes(c, item)
 	b.config = c
 	s.config.Log.Event("config", decision.Fields{
 		"version": c.Version, "routes": len(c.Routes), "revision": item.Revision, "source": u.Source,
@@ -169,6 +196,24 @@
 	return true
 }
 
+// checkHomes says which routes and client accounts may only run in regions that
+// do not exist: their requests are refused.
+func (s *State) checkHomes(c *Config, item Item) {
+	check := func(what, name string, homes []string) {
+		for _, h := range homes {
+			if len(s.config.Regions) > 0 && !slices.Contains(s.config.Regions, h) {
+				s.config.Log.Event("config.unknown-region", decision.Fields{"version": c.Version, what: name, "region": h, "revision": item.Revision})
+			}
+		}
+	}
+	for _, r := range c.Routes {
+		check("route", r.Name, r.Homes)
+	}
+	for _, a := range c.Accounts {
+		check("account", a.Name, a.Homes)
+	}
+}
+
 // remove takes an endpoint out, or holds that back after an outage.
 //
 // While the store is away, endpoints cannot renew their entries, and all of
@@ -209,9 +254,14 @@
 }
 
 func (s *State) publish(b *book) {
-	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint)}
+	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated)}
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		e := b.endpoints[id]
+		if _, ok := b.evacuated[e.Zone]; ok {
+			left := *e
+			left.Evacuated = true
+			e = &left
+		}
 		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
 	}
 	s.record.Store(newRecord(slices.Collect(maps.Values(b.items)), b.revision, b.since))
--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -58,6 +58,8 @@
 		Public bool
 		// Cached routes carry prompts, parts of which endpoints keep in memory.
 		Cached bool
+		// Homes are the regions in which the requests may run, all if empty.
+		Homes []string
 	}
 
 	// Share is a service's part of a route's traffic.
@@ -73,6 +75,11 @@
 		Connections int
 		// Model says whether the endpoints are model engines.
 		Model bool
+		// Cold is for how long an endpoint is cold after its start, and ColdRate
+		// how many requests a second it bears meanwhile, from all nodes; 0 where
+		// it bears all.
+		Cold     time.Duration
+		ColdRate float64
 		// Slots is how many requests one engine runs at once.
 		Slots int
 		// Tokens is how many tokens one engine keeps in memory.
@@ -85,6 +92,8 @@
 		Keys []string
 		// Priority goes before the routes' priority; 0 is the most urgent.
 		Priority int
+		// Homes are the regions in which its requests may run, all if empty.
+		Homes []string
 	}
 
 	// Limits bound what a caller may send.
@@ -136,6 +145,22 @@
 // Account returns the account that holds an API key, nil where none does.
 func (c *Config) Account(key string) *Account { return c.keys[key] }
 
+// Homes returns the regions in which all requests to a host may run that may not
+// run everywhere; it is empty where there are none.
+func (c *Config) Homes(host string) []string {
+	var homes []string
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		switch {
+		case len(r.Homes) == 0:
+		case homes == nil:
+			homes = slices.Clone(r.Homes)
+		default:
+			homes = slices.DeleteFunc(homes, func(h string) bool { return !slices.Contains(r.Homes, h) })
+		}
+	}
+	return homes
+}
+
 // Service picks the service for a number drawn evenly from 0 up to 1.
 func (r *Route) Service(draw float64) string {
 	total := 0
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -1,7 +1,9 @@
 package deployment
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -20,10 +22,18 @@
 		Slots int
 		// Draining endpoints take no new requests.
 		Draining bool
+		// Revision is the store's revision of its entry.
+		Revision uint64
 		// Version is the software's version.
 		Version string
-		// Cold is how much longer it stays slow after its start.
+		// Cold is for how much longer it was cold when it wrote its entry: slow,
+		// and bearing few requests.
 		Cold time.Duration
+		// ColdUntil is until when it is believed to be cold, by this node's clock.
+		ColdUntil time.Time
+		// Evacuated says that its availability zone is evacuated: nothing more may
+		// be sent to it, and what it runs ends there.
+		Evacuated bool
 	}
 
 	// Start names one start of an endpoint's process.
@@ -45,10 +55,28 @@
 		Removed  bool
 	}
 
+	// Evacuation is an operator's word on an availability zone: that nothing more
+	// may be sent to its endpoints, or that it is taken back.
+	Evacuation struct {
+		Zone string
+		// Ended says that the zone is taken back.
+		Ended bool
+	}
+
+	// Evacuated is what is known of an availability zone that is evacuated.
+	Evacuated struct {
+		// Revision is the store's revision of the evacuation.
+		Revision uint64 `json:"revision"`
+		// Since is when this node learnt of it, and Source from whom.
+		Since  time.Time `json:"since"`
+		Source string    `json:"source"`
+	}
+
 	// Change is what one item says; one of the fields is set, or none.
 	Change struct {
-		Config   *Config
-		Endpoint *Endpoint
+		Config     *Config
+		Endpoint   *Endpoint
+		Evacuation *Evacuation
 		// Removed is the ID of an endpoint whose entry is gone.
 		Removed string
 	}
@@ -69,8 +97,26 @@
 		Revision uint64
 		// Endpoints are those of each service, sorted by ID, draining ones too.
 		Endpoints map[string][]*Endpoint
+		// Evacuated are the availability zones that are evacuated, by name.
+		Evacuated map[string]Evacuated
 	}
 )
 
 // Start returns the name of this start of the endpoint's process.
 func (e *Endpoint) Start() Start { return Start{ID: e.ID, Born: e.Born} }
+
+// Find returns a start of an endpoint of a service, nil where it is not known.
+func (s *Snapshot) Find(service string, start Start) *Endpoint {
+	list := s.Endpoints[service]
+	i, ok := slices.BinarySearchFunc(list, start.ID, func(e *Endpoint, id string) int { return cmp.Compare(e.ID, id) })
+	if !ok || list[i].Start() != start {
+		return nil
+	}
+	return list[i]
+}
+
+// Takes reports whether the endpoint may be sent new requests.
+func (e *Endpoint) Takes() bool { return !e.Draining && !e.Evacuated }
+
+// IsCold reports whether the endpoint bears only few requests.
+func (e *Endpoint) IsCold(now time.Time) bool { return now.Before(e.ColdUntil) }
--- a/internal/deployment/property_test.go
+++ b/internal/deployment/property_test.go
@@ -44,6 +44,20 @@
 	})
 }
 
+// A host's homes are those that all its routes with homes allow.
+func TestHomesOfAHost(t *testing.T) {
+	c := &deployment.Config{Routes: []deployment.Route{
+		{Host: "h", Prefix: "/a/"},
+		{Host: "h", Prefix: "/b/", Homes: []string{"x", "y"}},
+		{Host: "h", Prefix: "/c/", Homes: []string{"y", "z"}},
+		{Host: "free", Prefix: "/"},
+	}}
+	c.Index()
+	require.Equal(t, []string{"y"}, c.Homes("H"))
+	require.Empty(t, c.Homes("free"))
+	require.Empty(t, c.Homes("unknown"))
+}
+
 // Whatever the draws, a split's parts come in their weights' order, and a service
 // without weight is never picked where another has some.
 func TestSplitPicksByWeight(t *testing.T) {
--- a/internal/deployment/record_test.go
+++ b/internal/deployment/record_test.go
@@ -23,7 +23,7 @@
 )
 
 // modelEvents are the model's, the frequent ones more than once.
-var modelEvents = strings.Fields("start read watch watch pull pull ask ask ask answer answer answer change change change change")
+var modelEvents = strings.Fields("start read watch watch pull pull ask ask ask answer answer answer change change change change evacuate evacuate")
 
 type (
 	// history is all changes that a store has taken, in their order.
@@ -40,7 +40,8 @@
 		what       string
 		node, peer int
 		endpoint   string
-		// present says that the changed endpoint is there afterwards.
+		// present says that the changed endpoint, or the evacuation of its zone,
+		// is there afterwards.
 		present bool
 	}
 )
@@ -85,8 +86,15 @@
 }
 
 func (h history) endpoints(revision uint64) (list []string) {
+	return h.named("e/", revision)
+}
+
+// named returns what there is at a revision under a prefix, without it.
+func (h history) named(prefix string, revision uint64) (list []string) {
 	for _, i := range h.at(revision) {
-		list = append(list, i.Key[len("e/"):])
+		if name, ok := strings.CutPrefix(i.Key, prefix); ok {
+			list = append(list, name)
+		}
 	}
 	slices.Sort(list)
 	return list
@@ -148,6 +156,9 @@
 			if want, got := h.endpoints(n.revision()), ids(n.state); !slices.Equal(want, got) {
 				return fmt.Sprintf("node %d knows %v in place of %v after %v", i, got, want, steps[:at+1])
 			}
+			if want, got := h.named("z/", n.revision()), evacuated(n.state); !slices.Equal(want, got) {
+				return fmt.Sprintf("node %d takes %v for evacuated in place of %v after %v", i, got, want, steps[:at+1])
+			}
 		}
 	}
 	return ""
@@ -163,6 +174,8 @@
 			i = entry(s.endpoint, newest+1, "")
 		}
 		return append(h, i)
+	case "evacuate":
+		return append(h, deployment.Item{Key: "z/" + s.endpoint, Revision: newest + 1, Removed: !s.present})
 	case "read":
 		n.apply(t, deployment.Update{Items: h.at(newest), Revision: newest, Whole: true, Source: deployment.SourceStore})
 	case "watch":
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -55,7 +55,9 @@
 		// Drain is within what time a leaving endpoint must get no more
 		// requests.
 		Drain time.Duration
-		Log   *decision.Log
+		// Regions are the known ones; none if nobody knows them.
+		Regions []string
+		Log     *decision.Log
 	}
 
 	// State keeps what is known of the deployment. One goroutine owns it; all
@@ -109,7 +111,7 @@
 	s.past.Store(&[]Item{})
 	s.contact.Store(-1)
 	s.running.Go(func() {
-		b := &book{items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{}}
+		b := newBook()
 		tick := time.NewTicker(sweepInterval)
 		defer tick.Stop()
 		for {
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -15,8 +15,12 @@
 
 var errBad = errors.New("bad")
 
-// decoder takes "e/ID" for endpoints, whose value is their state, and
-// "config/N" for configurations of version N.
+// coldFor is for how long an endpoint of the tests is cold.
+const coldFor = 3 * time.Second
+
+// decoder takes "e/ID" for endpoints, each in a zone of the same name, whose
+// value is their state, "z/ZONE" for evacuations, and "config/N" for
+// configurations of version N.
 type decoder struct{}
 
 func (decoder) Decode(i deployment.Item) (deployment.Change, error) {
@@ -27,9 +31,17 @@
 		if string(i.Value) == "bad" {
 			return deployment.Change{Removed: id}, errBad
 		}
-		return deployment.Change{Endpoint: &deployment.Endpoint{ID: id, Service: "s", Draining: string(i.Value) == "draining"}}, nil
+		e := &deployment.Endpoint{ID: id, Service: "s", Zone: id, Draining: string(i.Value) == "draining"}
+		if string(i.Value) == "cold" {
+			e.Cold = coldFor
+		}
+		return deployment.Change{Endpoint: e}, nil
+	}
+	if zone, ok := strings.CutPrefix(i.Key, "z/"); ok {
+		return deployment.Change{Evacuation: &deployment.Evacuation{Zone: zone, Ended: i.Removed}}, nil
 	}
-	return deployment.Change{Config: &deployment.Config{Version: uint64(len(i.Value))}}, nil
+	services := map[string]deployment.Service{"s": {Name: "s", Cold: coldFor}}
+	return deployment.Change{Config: &deployment.Config{Version: uint64(len(i.Value)), Services: services}}, nil
 }
 
 func entry(id string, revision uint64, value string) deployment.Item {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -33,6 +33,9 @@
 	// ErrBroken is returned where a connection broke, or gave bytes that are
 	// no answer, after a request was sent on it.
 	ErrBroken = errors.New("http1: connection broke")
+	// ErrWithdrawn is returned where the request was no longer to be sent once a
+	// connection was open.
+	ErrWithdrawn = errors.New("http1: request withdrawn")
 )
 
 type conn struct {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -48,6 +48,9 @@
 		// Keep is how many idle connections may be kept to the endpoint, with 0
 		// some.
 		Keep int
+		// Go is asked once a connection is open, and reports whether the request
+		// may still be sent; nil for yes.
+		Go func() bool
 	}
 
 	// Exchange is a request that was sent, and its answer.
@@ -70,8 +73,8 @@
 	}
 )
 
-// Do sends a request and waits for the answer's head. ErrConnect says that
-// nothing was sent; after every other error the request may have run. The end
+// Do sends a request and waits for the answer's head. ErrConnect and ErrWithdrawn
+// say that nothing was sent; after every other error the request may have run. The end
 // of ctx closes the connection, which tells the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, r Request) (*Exchange, error) {
 	to := peer{addr: r.Addr, process: r.Process}
@@ -82,6 +85,10 @@
 			return nil, err
 		}
 	}
+	if r.Go != nil && !r.Go() {
+		_ = c.Close()
+		return nil, ErrWithdrawn
+	}
 	x := &Exchange{pool: p, peer: to, most: cmp.Or(r.Keep, maxKept), conn: c, Fresh: !c.used, wrote: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.HTTP.ContentLength <= inlineBody {
