Keep cold endpoints to few requests from all nodes together

Cause: nodes see an empty engine come back at the same moment and hear of each other's requests too late; each may send, and the sum is what crashes it. Reservations are ruled out: an engine keeps places by its slots, not by its rate. Change: turns by chance, and only where no warm engine has room. Elected nodes hold as well, but only a twentieth of the callers would find one of them. What a cold engine takes to read is not learnt.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -71,6 +72,11 @@
 		// Cap is the greatest multiple of its service's mean load that an
 		// endpoint may have; 0 for twice.
 		Cap float64
+		// Nodes returns how many nodes there are, those too that were not heard
+		// lately; nil if this is the only one.
+		Nodes func() int
+		// Draw draws evenly from 0 up to 1; nil for at random.
+		Draw func() float64
 	}
 
 	// Balancer chooses endpoints. It is safe for concurrent use.
@@ -84,6 +90,8 @@
 		// perToken is how long engines take to read a token, 0 until one has read
 		// a prompt.
 		perToken time.Duration
+		// began is when the node started.
+		began time.Time
 	}
 
 	// Request is what a choice depends on.
@@ -124,6 +132,8 @@
 		// Scarce says that the endpoint may be full by now, though that is not
 		// known: other nodes have sent it something since they last told.
 		Scarce bool
+		// Cold says that the endpoint bears only few requests now, and may be slow.
+		Cold bool
 
 		// Reading is how long the engine is likely to read before the answer
 		// begins, with what it has to read for others first.
@@ -142,12 +152,17 @@
 		reading int
 		health  health
 		seen    time.Time
+		// turned is when a turn at the endpoint was last looked for.
+		turned time.Time
 	}
 )
 
 // New returns a Balancer that knows no endpoint yet.
 func New(c Config) *Balancer {
-	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports()}
+	if c.Draw == nil {
+		c.Draw = rand.Float64
+	}
+	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports(), began: time.Now()}
 }
 
 // Key returns the short name of an endpoint between nodes, another one for each
@@ -167,18 +182,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all, mean := b.candidates(now, list, r)
-	c := b.pick(all, mean, r)
+	c := b.pickWarm(all, mean, r, now)
 	if c == nil && r.Again {
 		r.Tried = nil
 		all, mean = b.candidates(now, list, r)
-		c = b.pick(all, mean, r)
+		c = b.pickWarm(all, mean, r, now)
 	}
 	if c == nil {
 		return nil
 	}
 	o := b.own[c.endpoint.Start()]
 	o.active++
-	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all), Age: b.config.Loads.Age(now)}
+	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -20,6 +20,8 @@
 	suspect  bool
 	// closed says that it gets nothing now: it is full or was not reached.
 	closed bool
+	// cold says that it bears only few requests now.
+	cold bool
 	// holds says that the endpoint is believed to keep the prompt's part, and
 	// ahead that it goes before those that do not.
 	holds bool
@@ -33,7 +35,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
-		if e.Draining || slices.Contains(r.Tried, e.Start()) {
+		if !e.Takes() || r.cold(e, now) || slices.Contains(r.Tried, e.Start()) {
 			return false
 		}
 		o := b.get(e.Start(), now)
@@ -57,6 +59,11 @@
 		float64(sent) >= depth*float64(slots(e, r.Service))
 }
 
+// cold reports whether an endpoint bears only few requests now.
+func (r Request) cold(e *deployment.Endpoint, now time.Time) bool {
+	return r.Service.ColdRate > 0 && e.IsCold(now)
+}
+
 // candidates returns the endpoints that may be chosen, and the mean load of all
 // that are ready.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
@@ -66,7 +73,7 @@
 	all := make([]candidate, 0, len(list))
 	for i, e := range list {
 		o := known[i]
-		if e.Draining || o.health.gone {
+		if !e.Takes() || o.health.gone {
 			continue
 		}
 		key := Key(e.Start())
@@ -79,7 +86,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
-		c.closed = r.closed(now, e, o, sent)
+		c.closed, c.cold = r.closed(now, e, o, sent), r.cold(e, now)
 		if r.Key != "" {
 			c.reading = o.reading + b.config.Loads.OthersReading(key)
 			c.score, c.holds = score(part, e), b.held.has(part, key, now)
--- /dev/null
+++ b/internal/balance/cold.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// coldShare is the part of what a cold endpoint bears that all nodes together
+	// send it on the mean: the number in any one second varies by chance, and
+	// nodes that do not know yet that it is cold send as well.
+	coldShare = 0.5
+	// turnFor is for how long a turn at a cold endpoint may be taken. Turns that
+	// are kept for longer could all be taken in the same second.
+	turnFor = 200 * time.Millisecond
+	// settling is how long after its start a node may not know of all others, and
+	// largestFleet for how many nodes the fleet is taken meanwhile.
+	settling     = 2 * time.Second
+	largestFleet = 330
+)
+
+// pickWarm picks an endpoint, a cold one only where no warm one has room.
+//
+// A cold endpoint bears few requests a second and crashes well above that; all
+// nodes see it come back empty at the same moment, and hear of each other's
+// requests too late. One would see engines that have just started crash, and
+// crash again, under requests that others had room for.
+func (b *Balancer) pickWarm(all []candidate, mean float64, r Request, now time.Time) *candidate {
+	if !slices.ContainsFunc(all, func(c candidate) bool { return c.cold }) {
+		return b.pick(all, mean, r)
+	}
+	if c := b.pick(warm(all), mean, r); c != nil {
+		return c
+	}
+	for {
+		c := b.pick(all, mean, r)
+		if c == nil || !c.cold || b.turn(c, r, now) {
+			return c
+		}
+		c.closed = true
+	}
+}
+
+// warm returns the candidates that are not cold.
+func warm(all []candidate) []candidate {
+	list := make([]candidate, 0, len(all))
+	for _, c := range all {
+		if !c.cold {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// turn reports whether this node has a turn at a cold endpoint, and takes it.
+//
+// Turns come to each node by chance, as often as keeps the sum over the fleet at
+// a part of what the endpoint bears, however many requests there are: so the
+// nodes need not hear of each other, and those that are cut off from the rest
+// count in the sum all the same.
+func (b *Balancer) turn(c *candidate, r Request, now time.Time) bool {
+	o := b.own[c.endpoint.Start()]
+	since := min(now.Sub(o.turned), turnFor)
+	o.turned = now
+	rate := coldShare * r.Service.ColdRate / float64(b.fleet(now))
+	return b.config.Draw() >= math.Exp(-rate*since.Seconds())
+}
+
+// fleet is how many nodes may send to an endpoint.
+func (b *Balancer) fleet(now time.Time) int {
+	nodes := 1
+	if b.config.Nodes != nil {
+		nodes = b.config.Nodes()
+	}
+	if now.Sub(b.began) < settling {
+		nodes = max(nodes, largestFleet)
+	}
+	return cmp.Or(nodes, 1)
+}
--- /dev/null
+++ b/internal/balance/cold_test.go
@@ -0,0 +1,185 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// coldRate is what a cold engine bears a second, and coldBound the most that
+	// it is to get in any one: one and a half times that, and five.
+	coldRate  = 18.0
+	coldBound = 32
+)
+
+// engines is the service of the tests of cold engines.
+func engines() deployment.Service {
+	return deployment.Service{Name: "s", Model: true, Slots: 8, Cold: 3 * time.Second, ColdRate: coldRate}
+}
+
+// coldFleet is the nodes of a fleet, which see the same endpoints.
+type coldFleet struct {
+	nodes []*balance.Balancer
+	list  []*deployment.Endpoint
+	now   time.Time
+	// known is how many nodes each of them knows.
+	known int
+	sent  map[string][]time.Time
+}
+
+func newColdFleet(nodes, known, warm, cold int, seed uint64) *coldFleet {
+	random := rand.New(rand.NewPCG(seed, 0))
+	f := &coldFleet{list: endpoints(warm + cold), now: time.Now().Add(time.Minute), known: known, sent: map[string][]time.Time{}}
+	for _, e := range f.list[warm:] {
+		e.ColdUntil = f.now.Add(time.Hour)
+	}
+	for range nodes {
+		f.nodes = append(f.nodes, balance.New(balance.Config{
+			Loads: peers{}, Nodes: func() int { return f.known }, Draw: random.Float64,
+		}))
+	}
+	return f
+}
+
+// ask lets one request come to a node, and reports whether it is sent.
+func (f *coldFleet) ask(node int, key string) bool {
+	b := f.nodes[node]
+	c := b.Choose(f.now, f.list, balance.Request{Service: engines(), Key: key})
+	if c == nil {
+		return false
+	}
+	if c.Cold {
+		f.sent[c.Endpoint.ID] = append(f.sent[c.Endpoint.ID], f.now)
+	}
+	b.Release(f.now, c.Endpoint.Start(), balance.Served)
+	return true
+}
+
+// busiest returns the most that an endpoint got within one second.
+func (f *coldFleet) busiest() int {
+	most := 0
+	for _, times := range f.sent {
+		from := 0
+		for to := range times {
+			for times[to].Sub(times[from]) >= time.Second {
+				from++
+			}
+			most = max(most, to-from+1)
+		}
+	}
+	return most
+}
+
+// Symptom: engines that have just started crash, and crash again. Sequence: engines
+// start cold, and all nodes send to them, each a request or two. Cause: each node
+// kept to a bound of its own, and nobody to the sum; or thought the fleet smaller
+// than it is.
+func TestColdEnginesGetFewRequestsFromAllNodes(t *testing.T) {
+	cases := []struct {
+		name string
+		// known is how many nodes each of them knows; the others are cut off, and
+		// know as few.
+		nodes, known int
+		seeds        uint64
+	}{
+		{name: "small", nodes: 8, known: 8, seeds: 40},
+		{name: "middle", nodes: 85, known: 85, seeds: 10},
+		{name: "a third is cut off and forgotten", nodes: 85, known: 57, seeds: 10},
+		{name: "large", nodes: 195, known: 195, seeds: 4},
+		{name: "the largest", nodes: 330, known: 330, seeds: 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range c.seeds {
+				f := newColdFleet(c.nodes, c.known, 0, 3, seed)
+				served := 0
+				// Each node asks a hundred times a second for as long as an engine
+				// is cold.
+				for range 300 {
+					f.now = f.now.Add(10 * time.Millisecond)
+					for n := range f.nodes {
+						if f.ask(n, "hot") {
+							served++
+						}
+					}
+				}
+				require.LessOrEqual(t, f.busiest(), coldBound, "seed %d", seed)
+				require.Greater(t, served, 3*3*int(coldRate)/4, "places of cold engines stay unused, seed %d", seed)
+			}
+		})
+	}
+}
+
+// Where warm engines have room, a cold one gets nothing; and where they have none,
+// few requests go to it rather than none at all.
+func TestWarmEnginesGoFirst(t *testing.T) {
+	f := newColdFleet(8, 8, 3, 3, 1)
+	for n := range 400 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		require.True(t, f.ask(n%8, fmt.Sprint("part", n%50)))
+	}
+	require.Zero(t, f.busiest())
+	for _, e := range f.list[:3] {
+		e.Draining = true
+	}
+	served := 0
+	for n := range 400 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if f.ask(n%8, fmt.Sprint("part", n%50)) {
+			served++
+		}
+	}
+	require.Positive(t, served)
+	require.LessOrEqual(t, f.busiest(), coldBound)
+}
+
+// A node that has just started does not know how many others there are.
+func TestNodeThatHasJustStartedTakesTheFleetForLarge(t *testing.T) {
+	served := func(settled time.Duration) int {
+		f := newColdFleet(1, 1, 0, 1, 1)
+		f.now = time.Now().Add(settled)
+		n := 0
+		for range 100 {
+			f.now = f.now.Add(10 * time.Millisecond)
+			if f.ask(0, "part") {
+				n++
+			}
+		}
+		return n
+	}
+	require.LessOrEqual(t, served(0), 2)
+	require.GreaterOrEqual(t, served(time.Minute), 4)
+}
+
+// What is learnt of an engine while it is cold does not outlast that.
+func TestColdEnginesTeachNothingOfReading(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cold bool
+	}{{name: "warm"}, {name: "cold", cold: true}} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			list := endpoints(1)
+			if c.cold {
+				list[0].ColdUntil = now.Add(time.Second)
+			}
+			b := balance.New(balance.Config{Loads: peers{}, Draw: func() float64 { return 0.999999 }})
+			r := balance.Request{Service: engines(), Key: "doc", Prompt: balance.Prompt{Shared: 10_000}}
+			choice := send(b, now, list, r)
+			require.Equal(t, c.cold, choice.Cold)
+			b.Read(now, choice, 10*time.Second)
+			b.Release(now, choice.Endpoint.Start(), balance.Served)
+			list[0].ColdUntil = time.Time{}
+			next := send(b, now, list, balance.Request{Service: engines(), Key: "other", Prompt: balance.Prompt{Shared: 10_000}})
+			require.Equal(t, c.cold, next.Reading == 0)
+		})
+	}
+}
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -35,12 +35,15 @@
 }
 
 // Read notes that an engine has read a request's prompt, and how long that took;
-// with 0, that it will not.
+// with 0, that it will not. How long a cold one took says nothing of any engine
+// once it is warm.
 func (b *Balancer) Read(now time.Time, c *Choice, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.get(c.Endpoint.Start(), now).reading -= c.tokens
-	b.learn(c.tokens+c.backlog, took)
+	if !c.Cold {
+		b.learn(c.tokens+c.backlog, took)
+	}
 	c.tokens = 0
 }
 
