Send nothing to evacuated zones, and run requests in their homes

Change: endpoints of evacuated zones take nothing, also between the choice and the sending; a service all of whose zones are evacuated, and a request without an endpoint in its homes, are refused at once. Callers stay in their region, else in the homes of the host. 'bulrushhinge zones' shows what nodes know.

--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -22,6 +22,7 @@
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform or of an endpoint."`
 	Manifest manifestCommand `cmd:"" help:"Check, compare, accept and reject manifests."`
 	State    stateCommand    `cmd:"" help:"Show the state of a running node."`
+	Zones    zonesCommand    `cmd:"" help:"Show which availability zones nodes of the gateway take for evacuated."`
 	Settings settingsCommand `cmd:"" help:"Print every setting of every command as a table."`
 	Replay   replayCommand   `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
 }
--- a/gateway.go
+++ b/gateway.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +35,6 @@
 	addressTTL = time.Second
 	// maxAddresses is how many addresses callers take.
 	maxAddresses = 64
-	// zoneNodes is how many nodes of a caller's availability zone suffice to
-	// keep it there.
-	zoneNodes = 2
 	// closeShare is the part of the grace after which a stopping node closes
 	// its listener and the connections that callers keep idle; some callers
 	// keep addresses for three lifetimes.
@@ -57,6 +56,8 @@
 		// Node is the node's name, and Zone its availability zone.
 		Node string
 		Zone string
+		// Regions are those of the availability zones, by the zones' names.
+		Regions map[string]string
 		// Power is the processor time that the node has, in thousandths of a core.
 		Power int
 		IP    netip.Addr
@@ -138,8 +139,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), news: gossip.NewMetrics(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
-	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Log: g.log})
-	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone, Cap: c.LoadCap})
+	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
+	nodes := func() int { return g.gossip.View().Known }
+	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone, Cap: c.LoadCap, Nodes: nodes})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	crashes := gateway.NewCrashes(func(fingerprint uint64, endpoint deployment.Start) {
 		g.gossip.Tell(gossip.Crash{Print: fingerprint, Endpoint: balance.Key(endpoint)})
@@ -166,11 +168,10 @@
 	if c.Places != nil {
 		places = c.Places(g.pool)
 	}
-	nodes := func() int { return g.gossip.View().Known }
 	c.Retry.Nodes = nodes
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: crashes, Metrics: g.metrics, Log: g.log, Places: places, Nodes: nodes, Stopping: g.stopping.Load,
+		Crashes: crashes, Metrics: g.metrics, Log: g.log, Places: places, Regions: c.Regions, Nodes: nodes, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Log: g.log,
@@ -217,31 +218,22 @@
 	return !g.stopping.Load() && g.state.Snapshot().Config != nil
 }
 
-// Resolve returns the addresses of nodes for callers of an availability zone,
-// and how long to keep them.
-//
-// Callers stay within their zone, where bytes cost nothing, if at least two
-// nodes of it are alive: a caller whose only node dies has nowhere to go until
-// it asks again.
-func (g *Gateway) Resolve(zone string) ([]netip.AddrPort, time.Duration) {
-	var all, near []netip.AddrPort
-	add := func(z string, addr netip.AddrPort) {
-		all = append(all, addr)
-		if z == zone {
-			near = append(near, addr)
-		}
+// Resolve returns the addresses of nodes for a caller, and how long to keep them.
+func (g *Gateway) Resolve(c gateway.Caller) ([]netip.AddrPort, time.Duration) {
+	var homes []string
+	if config := g.state.Snapshot().Config; config != nil {
+		homes = config.Homes(c.Host)
 	}
+	var ready []gateway.Node
 	if g.Ready() {
-		add(g.config.Zone, g.config.Callers)
+		ready = append(ready, gateway.Node{Zone: g.config.Zone, Callers: g.config.Callers})
 	}
 	for _, m := range g.gossip.View().Alive {
 		if m.State == gossip.Ready {
-			add(m.Zone, m.Callers)
+			ready = append(ready, gateway.Node{Zone: m.Zone, Callers: m.Callers})
 		}
 	}
-	if len(near) >= zoneNodes {
-		all = near
-	}
+	all := gateway.Nearest(c, ready, g.config.Regions, homes)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxAddresses)], min(addressTTL, cmp.Or(g.config.AddressTTL, addressTTL))
 }
@@ -282,8 +274,8 @@
 	age, known := g.state.Age()
 	snap := g.state.Snapshot()
 	return map[string]any{
-		"stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "revision": snap.Revision,
-		"endpoints": snap.Endpoints, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
+		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "revision": snap.Revision,
+		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 	}
 	x, err := pool.Do(ctx, http1.Request{
 		Addr: a.choice.Endpoint.Addr, Process: balance.Key(a.choice.Endpoint.Start()), ID: c.id, HTTP: a.request(),
-		Idle: c.idle(), Keep: c.keep(),
+		Idle: c.idle(), Keep: c.keep(), Go: func() bool { return c.open(a.choice.Endpoint) },
 	})
 	if err != nil {
 		return a.failed(err)
@@ -160,6 +160,9 @@
 		a.outcome = balance.Unreachable
 		return resultNotSent
 	}
+	if errors.Is(err, http1.ErrWithdrawn) {
+		return resultWithdrawn
+	}
 	a.outcome = balance.Failed
 	c.progress.lost = c.progress.lost || a.status == 0
 	if http1.IsCut(err) {
@@ -309,6 +312,9 @@
 	if a.reserved {
 		f["reserved"] = true
 	}
+	if a.choice.Cold {
+		f["cold"] = true
+	}
 	if n := a.call.progress.full; n > 0 {
 		f["full"] = n
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,7 @@
 	fixture struct {
 		server    *httptest.Server
 		endpoints []*endpoint
+		snapshot  *deployment.Snapshot
 		crashes   int
 	}
 
@@ -214,15 +215,16 @@
 // serve starts the gateway before the fixture's endpoints, of four slots each.
 func (f *fixture) serve(t *testing.T, config *deployment.Config, loads balance.Loads, places gateway.Reserver) {
 	config.Index()
-	snapshot := &deployment.Snapshot{Config: config, Endpoints: map[string][]*deployment.Endpoint{}}
+	f.snapshot = &deployment.Snapshot{Config: config, Endpoints: map[string][]*deployment.Endpoint{}}
 	for i, e := range f.endpoints {
-		snapshot.Endpoints["s"] = append(snapshot.Endpoints["s"], &deployment.Endpoint{
+		f.snapshot.Endpoints["s"] = append(f.snapshot.Endpoints["s"], &deployment.Endpoint{
 			ID: fmt.Sprintf("e%d", i), Service: "s", Slots: 4, Addr: netip.MustParseAddrPort(e.listener.Addr().String()),
 		})
 	}
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
 	h := gateway.New(gateway.Config{
-		Headers: headers(), Deployment: fixed{snapshot: snapshot}, Pool: pool, Places: places,
+		Headers: headers(), Deployment: fixed{snapshot: f.snapshot}, Pool: pool, Places: places,
+		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: balance.New(balance.Config{Loads: loads}),
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
 		Crashes:  gateway.NewCrashes(func(uint64, deployment.Start) { f.crashes++ }), Metrics: gateway.NewMetrics(),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -57,6 +57,8 @@
 		Log        *decision.Log
 		// Places reserves places at engines; nil if they know no reservations.
 		Places Reserver
+		// Regions are those of the availability zones, by the zones' names.
+		Regions map[string]string
 		// Nodes returns how many nodes there are.
 		Nodes func() int
 		// Stopping reports whether the node is being stopped.
@@ -82,6 +84,7 @@
 		config  *deployment.Config
 		route   *deployment.Route
 		account *deployment.Account
+		homes   residence
 		service deployment.Service
 		header  http.Header
 		body    []byte
@@ -186,6 +189,7 @@
 	if c.config.Limits.BodyBytes > 0 && c.in.ContentLength > c.config.Limits.BodyBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	}
+	c.homes = reside(c.route, c.account)
 	c.deadline = c.started.Add(c.wait() - answerMargin)
 	return nil
 }
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -26,6 +26,9 @@
 	pauseStall = 2.0
 	// minPause bounds it from below.
 	minPause = 500 * time.Millisecond
+	// coldStall is how many times longer a cold endpoint may be silent: it is slow,
+	// which is no sign of a fault.
+	coldStall = 2
 )
 
 // stall is after how long of silence the endpoint is given up, 0 for never. A
@@ -39,7 +42,11 @@
 	if c.route.Kind.Streams() {
 		share = streamStall
 	}
-	return max(time.Duration(share*float64(c.route.Objective)), minStall)
+	stall := max(time.Duration(share*float64(c.route.Objective)), minStall)
+	if a.choice.Cold {
+		return coldStall * stall
+	}
+	return stall
 }
 
 // watch gives a silent endpoint up, unless no other one has room: in an overload
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,6 +42,9 @@
 
 // place chooses an endpoint, and waits where none has room.
 func (c *call) place(ctx context.Context) (*balance.Choice, *refusal) {
+	if reason := c.barred(); reason != "" {
+		return nil, c.given(reason)
+	}
 	q, began := c.queue(), time.Now()
 	if q.Free(began, c.wanted()) {
 		if choice := c.choose(ctx, began); choice != nil {
@@ -76,8 +79,7 @@
 	stay := began.Add(time.Duration(stayShare * float64(c.route.Objective)))
 	for ctx.Err() == nil {
 		now := time.Now()
-		list := h.Deployment.Snapshot().Endpoints[c.service.Name]
-		choice := h.Balancer.Choose(now, list, balance.Request{
+		choice := h.Balancer.Choose(now, c.endpoints(), balance.Request{
 			Service: c.service, Key: c.key, Tried: c.progress.tried, Again: c.kept != nil, Stay: now.Before(stay),
 			Objective: c.route.Objective, Prompt: c.prompt,
 		})
@@ -105,7 +107,7 @@
 // noPlace refuses a request for which no endpoint has a place in time.
 func (c *call) noPlace(began time.Time) *refusal {
 	c.queue().Refused(time.Now(), c.wanted())
-	list := c.handler.config.Deployment.Snapshot().Endpoints[c.service.Name]
+	list := c.endpoints()
 	reason := reasonFull
 	switch {
 	case len(list) == 0:
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,6 +26,9 @@
 	reasonTimeout     = "timeout"
 	reasonUnreachable = "endpoints-unreachable"
 	reasonHeld        = "bodies-held"
+	reasonEvacuated   = "zones-evacuated"
+	reasonHomes       = "no-endpoint-in-homes"
+	reasonWithdrawn   = "endpoint-left"
 )
 
 const (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,6 +21,8 @@
 	resultDone result = iota
 	// resultNotSent says that the endpoint was not reached.
 	resultNotSent
+	// resultWithdrawn says that the endpoint got no request any more.
+	resultWithdrawn
 	// resultNotRun says that the endpoint did not run the request.
 	resultNotRun
 	// resultBroken says that the request may have run, without an answer.
@@ -65,6 +67,8 @@
 	switch res {
 	case resultNotSent:
 		c.progress.reason = reasonUnreachable
+	case resultWithdrawn:
+		c.progress.reason = reasonWithdrawn
 	case resultNotRun:
 		c.progress.sends++
 		c.progress.reason = reasonNotRun
@@ -82,7 +86,7 @@
 	if try+1 >= maxTries {
 		return c.given(c.progress.reason)
 	}
-	if res != resultNotSent && !c.handler.config.Budget.Repeat(time.Now(), c.service.Name) {
+	if res != resultNotSent && res != resultWithdrawn && !c.handler.config.Budget.Repeat(time.Now(), c.service.Name) {
 		return c.given(reasonBudget)
 	}
 	return nil
@@ -99,9 +103,9 @@
 
 // roomBeside reports whether an endpoint other than one has room for the call.
 func (c *call) roomBeside(s deployment.Start) bool {
-	h := c.handler.config
-	list := h.Deployment.Snapshot().Endpoints[c.service.Name]
-	return h.Balancer.Room(time.Now(), list, balance.Request{Service: c.service, Key: c.key, Tried: append(slices.Clone(c.progress.tried), s)})
+	return c.handler.config.Balancer.Room(time.Now(), c.endpoints(), balance.Request{
+		Service: c.service, Key: c.key, Tried: append(slices.Clone(c.progress.tried), s),
+	})
 }
 
 // gone reports whether the caller has left.
@@ -124,7 +128,7 @@
 
 // status is a result's name in logs.
 func (r result) String() string {
-	return [...]string{"answered", "not-sent", "not-run", "broken", "caller-gone"}[r]
+	return [...]string{"answered", "not-sent", "withdrawn", "not-run", "broken", "caller-gone"}[r]
 }
 
 // names returns the IDs of endpoints, for logs.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -98,6 +98,15 @@
 		s.note(s.world.leave(e))
 		return e.id
 	}},
+	{name: "zone evacuated", planned: true, strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		zone := zones[r.IntN(len(zones))]
+		if !s.evacuating.TryLock() {
+			return ""
+		}
+		defer s.evacuating.Unlock()
+		s.note(s.world.evacuate(zone, func() { wait(ctx, r, 8*time.Second) }))
+		return zone
+	}},
 	{name: "configuration", planned: true, strike: func(_ context.Context, s *soak, r *rand.Rand) string {
 		for range 1 + r.IntN(4) {
 			s.note(s.world.configure())
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -21,14 +21,16 @@
 		notRun   map[string]time.Time
 		versions []time.Time
 		// seen is the newest version that each start of a node has shown.
-		seen     map[string]int
-		leaves   map[*endpoint]time.Time
-		trouble  []span
-		planned  []span
-		requests []time.Time
-		repeats  []time.Time
-		outcomes map[string]int
-		broken   []string
+		seen   map[string]int
+		leaves map[*endpoint]time.Time
+		// evacuated is since when zones are evacuated.
+		evacuated map[string]time.Time
+		trouble   []span
+		planned   []span
+		requests  []time.Time
+		repeats   []time.Time
+		outcomes  map[string]int
+		broken    []string
 	}
 
 	// run is one arrival at an endpoint that began to run.
@@ -56,7 +58,7 @@
 func newLedger(timed bool) *ledger {
 	return &ledger{
 		timed: timed, runs: map[string][]run{}, asked: map[string]kind{}, notRun: map[string]time.Time{},
-		seen: map[string]int{}, leaves: map[*endpoint]time.Time{}, outcomes: map[string]int{},
+		seen: map[string]int{}, leaves: map[*endpoint]time.Time{}, evacuated: map[string]time.Time{}, outcomes: map[string]int{},
 	}
 }
 
@@ -94,6 +96,19 @@
 	if left, ok := l.leaves[e]; ok && l.timed && at.Sub(left) > drainBound+drainSlack && l.calm(left, at) {
 		l.breaks("%s reached %s %v after its leave", id, e.id, at.Sub(left))
 	}
+	if since, ok := l.evacuated[e.zone]; ok && l.timed && at.Sub(since) > evacuateBound && l.calm(since, at) {
+		l.breaks("%s reached %s %v after the evacuation of %s", id, e.id, at.Sub(since), e.zone)
+	}
+}
+
+// evacuate notes that a zone is evacuated from now on, or was taken back.
+func (l *ledger) evacuate(zone string, on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.evacuated, zone)
+	if on {
+		l.evacuated[zone] = time.Now()
+	}
 }
 
 // answered takes what a caller got.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,20 +37,31 @@
 	meetTimeout = time.Minute
 	// lapseTime is how long an endpoint's entry outlives it.
 	lapseTime = 3600 * time.Millisecond
+	// coldTime is for how long engines are cold, and coldRate how many requests a
+	// second they then bear.
+	coldTime = 2 * time.Second
+	coldRate = 18
 )
 
 // Bounds of the promises, as the users' installations have them.
 const (
-	grace        = 8 * time.Second
-	contact      = 3 * time.Second
-	drainBound   = 2 * time.Second
-	applyBound   = 2 * time.Second
-	budgetWindow = 10 * time.Second
-	retrySlack   = 56
+	grace      = 8 * time.Second
+	contact    = 3 * time.Second
+	drainBound = 2 * time.Second
+	applyBound = 2 * time.Second
+	// evacuateBound is within what time a zone's endpoints get nothing more, and
+	// coldBound the most that a cold engine gets in one second.
+	evacuateBound = 5 * time.Second
+	coldBound     = coldRate*3/2 + 5
+	budgetWindow  = 10 * time.Second
+	retrySlack    = 56
 	// drainSlack is for the way between the store's answer and the note of it.
 	drainSlack = 100 * time.Millisecond
 )
 
+// zones are the availability zones of the endpoints.
+var zones = []string{"z1", "z2"}
+
 // ErrBroken is returned where a promise was broken.
 var ErrBroken = errors.New("soak: a promise was broken")
 
@@ -78,6 +89,8 @@
 		ledger *ledger
 		nodes  []*node
 		began  time.Time
+		// evacuating is held by the only evacuation at a time.
+		evacuating sync.Mutex
 
 		mu     sync.Mutex
 		errs   []error
@@ -179,6 +192,9 @@
 // report prints what happened, the schedule too where a promise was broken.
 func (s *soak) report() error {
 	broken := s.ledger.finish()
+	if most := s.world.chilled(); most > coldBound {
+		broken = append(broken, fmt.Sprintf("a cold engine got %d requests in a second", most))
+	}
 	outcomes := make([]string, 0, len(s.ledger.outcomes))
 	for outcome, n := range s.ledger.outcomes {
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", outcome, n))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -38,6 +38,7 @@
 		proxy    *proxy
 		// quiet endpoints leave by their entry's removal alone.
 		quiet bool
+		zone  string
 	}
 )
 
@@ -78,7 +79,7 @@
 			route("stream/resume", deployment.Resumable, serviceEngine, 2), route("stream/once", deployment.Streaming, serviceEngine, 1),
 		}, w.routes...),
 		Services: map[string]deployment.Service{
-			servicePlain: {Name: servicePlain, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots},
+			servicePlain: {Name: servicePlain, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
 		},
 		Limits: deployment.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
@@ -100,7 +101,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
-	e := &endpoint{id: fmt.Sprintf("%s-%d", service, w.started), service: service, quiet: w.started%2 == 1}
+	e := &endpoint{id: fmt.Sprintf("%s-%d", service, w.started), service: service, quiet: w.started%2 == 1, zone: zones[w.started/2%len(zones)]}
 	e.stand = standin.NewEndpoint(standin.EndpointConfig{
 		ID: e.id, Slots: slots, Events: streamEvents, Pause: workTime,
 		Ran: func(id, _ string, after uint64) { w.ledger.ran(id, e, after, time.Now()) },
@@ -122,7 +123,7 @@
 
 func (w *world) register(e *endpoint, draining bool) error {
 	err := w.store.Register(deployment.Endpoint{
-		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: "z1", Slots: slots, Draining: draining,
+		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: e.zone, Slots: slots, Draining: draining,
 	})
 	if err != nil {
 		return fmt.Errorf("soak: register: %w", err)
@@ -182,6 +183,38 @@
 	return w.addEndpoint(e.service)
 }
 
+// evacuate evacuates a zone for a while; its engines are cold when it is taken
+// back, which their entries do not say yet.
+func (w *world) evacuate(zone string, pause func()) error {
+	if err := w.store.Evacuate(zone); err != nil {
+		return fmt.Errorf("soak: evacuate: %w", err)
+	}
+	w.ledger.evacuate(zone, true)
+	pause()
+	w.ledger.evacuate(zone, false)
+	w.mu.Lock()
+	for _, e := range w.endpoints {
+		if e.zone == zone && e.service == serviceEngine {
+			e.stand.Cool(coldTime)
+		}
+	}
+	w.mu.Unlock()
+	w.store.TakeBack(zone)
+	return nil
+}
+
+// chilled returns the most requests that an engine got in a second while it was
+// cold.
+func (w *world) chilled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 0
+	for _, e := range w.endpoints {
+		most = max(most, e.stand.Chilled())
+	}
+	return most
+}
+
 func (w *world) drop(e *endpoint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
