Tell endpoints whose address another one has taken

Change: the newest entry of an address marks the others as replaced. Result: nothing is decided by it yet.

--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -253,14 +254,32 @@
 	}
 }
 
+// newest returns the endpoint whose entry is the newest at each address.
+//
+// A process that crashes and starts again comes under a new name, at the address
+// that it had, while its former entry lapses only after some heartbeats. One would
+// see requests for the former one reach the new one, which refuses them, and the
+// budget of repeats spent on them.
+func (b *book) newest() map[netip.AddrPort]*Endpoint {
+	at := make(map[netip.AddrPort]*Endpoint, len(b.endpoints))
+	for _, e := range b.endpoints {
+		if o := at[e.Addr]; o == nil || o.Revision < e.Revision {
+			at[e.Addr] = e
+		}
+	}
+	return at
+}
+
 func (s *State) publish(b *book) {
 	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated)}
+	newest := b.newest()
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		e := b.endpoints[id]
-		if _, ok := b.evacuated[e.Zone]; ok {
-			left := *e
-			left.Evacuated = true
-			e = &left
+		_, evacuated := b.evacuated[e.Zone]
+		if replaced := e.Addr.IsValid() && newest[e.Addr] != e; evacuated || replaced {
+			marked := *e
+			marked.Evacuated, marked.Replaced = evacuated, replaced
+			e = &marked
 		}
 		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
 	}
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -31,6 +31,9 @@
 		Cold time.Duration
 		// ColdUntil is until when it is believed to be cold, by this node's clock.
 		ColdUntil time.Time
+		// Replaced says that another endpoint has come to its address since: it is
+		// likely to be gone, though its entry has not lapsed yet.
+		Replaced bool
 		// Evacuated says that its availability zone is evacuated: nothing more may
 		// be sent to it, and what it runs ends there.
 		Evacuated bool
--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// Symptom: requests are refused by endpoints that are not the ones meant, until the
+// budget of repeats is used up. Sequence: a zone's endpoints crash and come back at
+// their addresses under new names. Cause: their former entries, which lapse later,
+// still named endpoints that seemed idle.
+func TestNewestEndpointOfAnAddressReplacesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
+		defer s.Close()
+		replaced := func() (list []string) {
+			for _, e := range s.Snapshot().Endpoints["s"] {
+				if e.Replaced {
+					list = append(list, e.ID)
+				}
+			}
+			return list
+		}
+		apply := func(revision uint64, items ...deployment.Item) {
+			s.Apply(t.Context(), deployment.Update{Items: items, Revision: revision, Source: "n1"})
+			synctest.Wait()
+		}
+		apply(3, entry("a", 1, "at 10.0.0.1:80"), entry("b", 2, "at 10.0.0.2:80"), entry("nowhere", 3, ""))
+		require.Empty(t, replaced())
+		apply(4, entry("a2", 4, "at 10.0.0.1:80"))
+		require.Equal(t, []string{"a"}, replaced())
+		apply(5, removal("a2", 5))
+		require.Empty(t, replaced())
+	})
+}
+
 // Symptom: engines of a zone that was taken back crash under the requests that
 // come back to them. Sequence: they become cold while nothing is sent to them, the
 // zone is taken back, and all nodes send at once. Cause: their entries said so only
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,7 +20,7 @@
 const coldFor = 3 * time.Second
 
 // decoder takes "e/ID" for endpoints, each in a zone of the same name, whose
-// value is their state, "z/ZONE" for evacuations, and "config/N" for
+// value is their state or "at" and their address, "z/ZONE" for evacuations, and "config/N" for
 // configurations of version N.
 type decoder struct{}
 
@@ -32,6 +33,9 @@
 			return deployment.Change{Removed: id}, errBad
 		}
 		e := &deployment.Endpoint{ID: id, Service: "s", Zone: id, Draining: string(i.Value) == "draining"}
+		if at, ok := strings.CutPrefix(string(i.Value), "at "); ok {
+			e.Addr = netip.MustParseAddrPort(at)
+		}
 		if string(i.Value) == "cold" {
 			e.Cold = coldFor
 		}
