Let nodes tell each other which endpoints fail, and leave replaced ones for last

Answers are not told, as they would double what heartbeats cost: how many there should be follows from the node's own rate. Change: failures of the last two seconds stand in heartbeats and relays' sums. What may not be repeated avoids an endpoint at half the failures, so that others find out whether it is well again.

--- a/gateway.go
+++ b/gateway.go
@@ -134,6 +134,10 @@
 // other nodes' requests.
 func (l loads) OthersReading(key uint32) int { return l.gateway.gossip.OthersReading(key) }
 
+// OthersFailures returns the attempts of other nodes that an endpoint has failed
+// lately.
+func (l loads) OthersFailures(key uint32) int { return l.gateway.gossip.OthersFailures(key) }
+
 // Age returns how old the other nodes' loads are.
 func (l loads) Age(now time.Time) time.Duration { return l.gateway.gossip.Age(now) }
 
--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/rates"
 )
 
 const (
@@ -41,11 +43,11 @@
 	// are over shareMemory.
 	account struct {
 		since   time.Time
-		usual   decayed
-		lately  decayed
-		regular decayed
-		asked   decayed
-		served  decayed
+		usual   rates.Decayed
+		lately  rates.Decayed
+		regular rates.Decayed
+		asked   rates.Decayed
+		served  rates.Decayed
 	}
 )
 
@@ -55,9 +57,9 @@
 
 func newAccount(now time.Time) account {
 	return account{
-		since: now, usual: decayed{memory: usualMemory},
-		lately: decayed{memory: rateMemory}, regular: decayed{memory: rateMemory},
-		asked: decayed{memory: shareMemory}, served: decayed{memory: shareMemory},
+		since: now, usual: rates.Decayed{Memory: usualMemory},
+		lately: rates.Decayed{Memory: rateMemory}, regular: rates.Decayed{Memory: rateMemory},
+		asked: rates.Decayed{Memory: shareMemory}, served: rates.Decayed{Memory: shareMemory},
 	}
 }
 
@@ -83,8 +85,8 @@
 		a.all.since = now
 	}
 	measure := one.expected(now) * a.growth(one, now)
-	usual := one.lately.get(now) < usualFactor*measure+surgeSlack
-	excess := one.regular.get(now) >= surgeFactor*measure+surgeSlack && one.share(now) >= floorShare*a.all.share(now)
+	usual := one.lately.Get(now) < usualFactor*measure+surgeSlack
+	excess := one.regular.Get(now) >= surgeFactor*measure+surgeSlack && one.share(now) >= floorShare*a.all.share(now)
 	for _, c := range []*account{one, &a.all} {
 		c.add(now, usual, excess)
 	}
@@ -94,31 +96,31 @@
 // served counts a request of an account that got a place.
 func (a *accounts) served(now time.Time, name string) {
 	if one := a.byName[name]; one != nil {
-		one.served.add(now)
-		a.all.served.add(now)
+		one.served.Add(now)
+		a.all.served.Add(now)
 	}
 }
 
 func (a *account) add(now time.Time, usual, excess bool) {
-	a.asked.add(now)
-	a.lately.add(now)
+	a.asked.Add(now)
+	a.lately.Add(now)
 	if usual {
-		a.usual.add(now)
+		a.usual.Add(now)
 	}
 	if !excess {
-		a.regular.add(now)
+		a.regular.Add(now)
 	}
 }
 
 // share is the part of the account's requests that were served lately.
-func (a *account) share(now time.Time) float64 { return a.served.get(now) / max(a.asked.get(now), 1) }
+func (a *account) share(now time.Time) float64 { return a.served.Get(now) / max(a.asked.Get(now), 1) }
 
 // expected is how many requests of the account would come in rateMemory as a
 // rule. Of usualMemory, only what has passed since its first one counts.
 func (a *account) expected(now time.Time) float64 {
 	const part = float64(rateMemory) / float64(usualMemory)
 	known := 1 - math.Exp(-float64(now.Sub(a.since))/float64(usualMemory))
-	return a.usual.get(now) * part / max(known, part)
+	return a.usual.Get(now) * part / max(known, part)
 }
 
 // growth is how many times their usual the other accounts ask for, 1 at least,
@@ -128,12 +130,12 @@
 	if usual <= 0 {
 		return alone
 	}
-	return max((a.all.lately.get(now)-but.lately.get(now))/usual, 1)
+	return max((a.all.lately.Get(now)-but.lately.Get(now))/usual, 1)
 }
 
 func (a *accounts) forget(now time.Time) {
 	if len(a.byName) < maxAccounts {
 		return
 	}
-	maps.DeleteFunc(a.byName, func(_ string, c *account) bool { return c.usual.get(now) < asksForgotten })
+	maps.DeleteFunc(a.byName, func(_ string, c *account) bool { return c.usual.Get(now) < asksForgotten })
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/rates"
 )
 
 const (
@@ -114,10 +116,10 @@
 		// excess are those of waiting that are their accounts' excess.
 		excess int
 		// asked and served are over shareMemory, got and refused over rateMemory.
-		asked   decayed
-		served  decayed
-		got     decayed
-		refused decayed
+		asked   rates.Decayed
+		served  rates.Decayed
+		got     rates.Decayed
+		refused rates.Decayed
 		// first is how long answers take to begin once they have a place.
 		first time.Duration
 	}
@@ -136,7 +138,7 @@
 	}
 	k := q.kind(r)
 	if excess = q.accounts.asked(now, r.Client); !excess {
-		k.asked.add(now)
+		k.asked.Add(now)
 	}
 	return excess
 }
@@ -146,10 +148,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	k := q.kind(r)
-	k.got.add(now)
+	k.got.Add(now)
 	q.accounts.served(now, r.Client)
 	if !r.Excess {
-		k.served.add(now)
+		k.served.Add(now)
 	}
 }
 
@@ -179,7 +181,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !r.Excess {
-		q.kind(r).refused.add(now)
+		q.kind(r).refused.Add(now)
 	}
 }
 
@@ -231,7 +233,7 @@
 		return false
 	}
 	for _, k := range q.kinds {
-		if k.refused.get(now) >= shortage {
+		if k.refused.Get(now) >= shortage {
 			return true
 		}
 	}
@@ -314,7 +316,7 @@
 
 // expected is how long a request of a kind would wait behind some others.
 func (q *Queue) expected(k *kind, before int, now time.Time) time.Duration {
-	places := k.got.get(now)
+	places := k.got.Get(now)
 	if places <= 0 {
 		return math.MaxInt64
 	}
@@ -330,7 +332,7 @@
 func (q *Queue) ahead(k *kind, now time.Time) bool {
 	own := k.share(now)
 	for _, o := range q.kinds {
-		if o != k && o.refused.get(now) >= shortage && o.share(now) < own-evenness {
+		if o != k && o.refused.Get(now) >= shortage && o.share(now) < own-evenness {
 			return true
 		}
 	}
@@ -340,7 +342,7 @@
 // share is the part of a kind's requests that were served lately, a rank being
 // worth some parts in a hundred.
 func (k *kind) share(now time.Time) float64 {
-	return k.served.get(now)/max(k.asked.get(now), 1) + rankStep*float64(k.priority)
+	return k.served.Get(now)/max(k.asked.Get(now), 1) + rankStep*float64(k.priority)
 }
 
 // ordered returns those that wait in the order in which they get places: first
@@ -375,8 +377,8 @@
 	k := q.kinds[r.Kind]
 	if k == nil {
 		k = &kind{
-			asked: decayed{memory: shareMemory}, served: decayed{memory: shareMemory},
-			got: decayed{memory: rateMemory}, refused: decayed{memory: rateMemory},
+			asked: rates.Decayed{Memory: shareMemory}, served: rates.Decayed{Memory: shareMemory},
+			got: rates.Decayed{Memory: rateMemory}, refused: rates.Decayed{Memory: rateMemory},
 		}
 		q.kinds[r.Kind] = k
 	}
@@ -386,6 +388,6 @@
 
 func (q *Queue) forget(now time.Time) {
 	maps.DeleteFunc(q.kinds, func(_ string, k *kind) bool {
-		return k.waiting == 0 && k.asked.get(now) < asksForgotten
+		return k.waiting == 0 && k.asked.Get(now) < asksForgotten
 	})
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/rates"
 )
 
 const (
@@ -49,6 +51,9 @@
 	// remoteCost is what another availability zone costs a plain request, in
 	// parts of an endpoint's slots: bytes between zones are paid for.
 	remoteCost = 0.2
+	// askedForgotten is how few requests for a service, over failureMemory, count
+	// as none.
+	askedForgotten = 0.01
 )
 
 type (
@@ -60,6 +65,9 @@
 		// OthersReading returns the prompt tokens that it is still to read for
 		// them.
 		OthersReading(key uint32) int
+		// OthersFailures returns the attempts of other nodes that it has failed
+		// lately.
+		OthersFailures(key uint32) int
 		// Age returns how old these counts are, on the mean over the nodes.
 		Age(now time.Time) time.Duration
 	}
@@ -90,6 +98,8 @@
 		// perToken is how long engines take to read a token, 0 until one has read
 		// a prompt.
 		perToken time.Duration
+		// asked are the requests for each service, over failureMemory.
+		asked map[string]*rates.Decayed
 		// began is when the node started.
 		began time.Time
 	}
@@ -105,6 +115,8 @@
 		// Again says that one of them may have it once more if no other has
 		// room: it has answered, and may do better the second time.
 		Again bool
+		// Repeats says that it may run more than once.
+		Repeats bool
 		// Stay says that the request waits for an engine that keeps its prompt
 		// rather than go to one of the last places elsewhere.
 		Stay bool
@@ -152,6 +164,8 @@
 		reading int
 		health  health
 		seen    time.Time
+		// failed are the attempts that it has failed, over failureMemory.
+		failed rates.Decayed
 		// turned is when a turn at the endpoint was last looked for.
 		turned time.Time
 	}
@@ -162,7 +176,7 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
-	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports(), began: time.Now()}
+	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports(), asked: map[string]*rates.Decayed{}, began: time.Now()}
 }
 
 // Key returns the short name of an endpoint between nodes, another one for each
@@ -205,14 +219,23 @@
 	return choice
 }
 
+// ask counts a request that goes to a service.
+func (b *Balancer) ask(now time.Time, service string) {
+	if b.asked[service] == nil {
+		b.asked[service] = &rates.Decayed{Memory: failureMemory}
+	}
+	b.asked[service].Add(now)
+}
+
 // Sent notes that the request goes to the chosen endpoint, which then keeps its
 // prompt.
 func (b *Balancer) Sent(now time.Time, c *Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ask(now, c.Endpoint.Service)
 	if c.placement == (Placement{}) {
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.held.note(c.placement, now)
 	b.get(c.Endpoint.Start(), now).reading += c.tokens
 }
@@ -228,6 +251,7 @@
 		e.health.busy = time.Time{}
 	}
 	e.health.note(o, now)
+	e.noteFailure(now, o)
 }
 
 // Active returns this node's requests in progress by the endpoints' Keys.
@@ -271,6 +295,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reports.forget(now)
+	maps.DeleteFunc(b.asked, func(_ string, asked *rates.Decayed) bool { return asked.Get(now) < askedForgotten })
 	for s, o := range b.own {
 		if o.active == 0 && now.Sub(o.seen) > after {
 			delete(b.own, s)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -29,6 +29,9 @@
 // OthersReading implements balance.Loads: nothing is to be read.
 func (peers) OthersReading(uint32) int { return 0 }
 
+// OthersFailures implements balance.Loads: nothing has failed.
+func (peers) OthersFailures(uint32) int { return 0 }
+
 // Age implements balance.Loads: all is new.
 func (peers) Age(time.Time) time.Duration { return 0 }
 
@@ -276,6 +279,9 @@
 
 func (noPeers) OthersReading(uint32) int { return 0 }
 
+// OthersFailures implements balance.Loads: nothing has failed.
+func (noPeers) OthersFailures(uint32) int { return 0 }
+
 // Age implements balance.Loads: all is new.
 func (noPeers) Age(time.Time) time.Duration { return 0 }
 
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -68,6 +68,7 @@
 // that are ready.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
 	known, failures := b.known(now, list)
+	failing := b.failing(now, list, known, r.Service.Name)
 	total, ready := 0, 0
 	part := xxhash.Sum64String(r.Key)
 	all := make([]candidate, 0, len(list))
@@ -85,7 +86,7 @@
 		if slices.Contains(r.Tried, e.Start()) {
 			continue
 		}
-		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: b.avoid(o, failures, now)}
+		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeats) || b.avoid(o, failures, now)}
 		c.closed, c.cold = r.closed(now, e, o, sent), r.cold(e, now)
 		if r.Key != "" {
 			c.reading = o.reading + b.config.Loads.OthersReading(key)
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -15,6 +15,9 @@
 
 func (unread) Others(uint32) int { return 0 }
 
+// OthersFailures implements balance.Loads: nothing has failed.
+func (unread) OthersFailures(uint32) int { return 0 }
+
 // Age implements balance.Loads: all is new.
 func (unread) Age(time.Time) time.Duration { return 0 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,6 +80,9 @@
 
 func (noLoads) OthersReading(uint32) int { return 0 }
 
+// OthersFailures implements balance.Loads: nothing has failed.
+func (noLoads) OthersFailures(uint32) int { return 0 }
+
 // Age implements balance.Loads: all is new.
 func (noLoads) Age(time.Time) time.Duration { return 0 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		choice := h.Balancer.Choose(now, c.endpoints(), balance.Request{
-			Service: c.service, Key: c.key, Tried: c.progress.tried, Again: c.kept != nil, Stay: now.Before(stay),
+			Service: c.service, Key: c.key, Tried: c.progress.tried, Again: c.kept != nil, Repeats: c.mayRepeat(), Stay: now.Before(stay),
 			Objective: c.route.Objective, Prompt: c.prompt,
 		})
 		if choice == nil {
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -34,6 +34,9 @@
 
 func (others) OthersReading(uint32) int { return 0 }
 
+// OthersFailures implements balance.Loads: nothing has failed.
+func (others) OthersFailures(uint32) int { return 0 }
+
 // Age implements balance.Loads: all is new.
 func (others) Age(time.Time) time.Duration { return 0 }
 
--- a/internal/gateway/unconfigured.go
+++ b/internal/gateway/unconfigured.go
@@ -27,8 +27,6 @@
 	// startShare is the part of its caller's time for which it waits where no node
 	// of the fleet knows one.
 	startShare = 0.25
-	// peersPoll is how often a request that waits looks what the others do.
-	peersPoll = 50 * time.Millisecond
 	// maxEarly bounds a body that is read before the configuration is known.
 	maxEarly = 1 << 20
 )
@@ -53,21 +51,18 @@
 	if !ok {
 		return nil
 	}
-	look := time.NewTicker(peersPoll)
-	defer look.Stop()
-	for time.Since(c.started) < c.configPatience() {
-		select {
-		case <-d.Configured():
-			return d.Snapshot().Config
-		case <-look.C:
-		case <-c.in.Context().Done():
-			return nil
-		}
+	patience := time.NewTimer(c.configPatience())
+	defer patience.Stop()
+	select {
+	case <-d.Configured():
+	case <-patience.C:
+	case <-c.in.Context().Done():
 	}
 	return d.Snapshot().Config
 }
 
-// configPatience is how long a request waits for the first configuration.
+// configPatience is how long a request waits for the first configuration. Once it
+// waits, it is no matter that others have found one: this node will be told.
 func (c *call) configPatience() time.Duration {
 	if c.peers() == PeersStart {
 		return max(time.Duration(startShare*float64(c.asked())), configWait)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -66,6 +66,8 @@
 		// Reading returns the prompt tokens that endpoints are still to read for
 		// them.
 		Reading() map[uint32]int
+		// Failures returns this node's attempts that endpoints have failed lately.
+		Failures(now time.Time) map[uint32]int
 		// Placements returns where this node has sent parts of prompts since a
 		// time, and in the last moments anyhow; Placed takes the same from another
 		// node.
@@ -239,6 +241,10 @@
 // other nodes' requests.
 func (g *Gossip) OthersReading(key uint32) int { return g.View().OthersReading(key) }
 
+// OthersFailures returns the attempts of other nodes that an endpoint has failed
+// lately.
+func (g *Gossip) OthersFailures(key uint32) int { return g.View().OthersFailures(key) }
+
 // Age returns how old the other nodes' loads are, on the mean.
 func (g *Gossip) Age(now time.Time) time.Duration { return g.View().Age(now) }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -46,8 +46,10 @@
 		active map[uint32]int
 		// reading are tokens that endpoints are to read.
 		reading map[uint32]int
-		placed  []balance.Placement
-		told    []balance.Placement
+		// failures are attempts that endpoints have failed.
+		failures map[uint32]int
+		placed   []balance.Placement
+		told     []balance.Placement
 		// reports are what endpoints said here, heard what other nodes told.
 		reports map[uint32]int
 		heard   map[uint32]int
@@ -130,6 +132,20 @@
 	return maps.Clone(w.active)
 }
 
+// fails makes endpoints have failed attempts.
+func (w *work) fails(failures map[uint32]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failures = failures
+}
+
+// Failures implements gossip.Work.
+func (w *work) Failures(time.Time) map[uint32]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.failures)
+}
+
 func (w *work) Reading() map[uint32]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -226,6 +242,8 @@
 	}
 	f.eventually(func() bool { return list[0].gossip.Others(4) == 4 }, "loads are told")
 	f.eventually(func() bool { return list[0].gossip.OthersReading(4) == 400 }, "so is what is to be read")
+	list[3].work.fails(map[uint32]int{4: 7})
+	f.eventually(func() bool { return list[0].gossip.OthersFailures(4) == 7 }, "and what endpoints have failed")
 	list[3].gossip.Close()
 	f.eventually(func() bool { return len(list[0].gossip.View().Alive) == 2 }, "a silent node is missed")
 	require.Zero(t, list[0].gossip.Others(4))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -75,6 +75,8 @@
 		// Reading are the prompt tokens that endpoints are still to read for the
 		// node's requests.
 		Reading map[uint32]int `cbor:"13,keyasint,omitempty"`
+		// Failures are the node's attempts that endpoints have failed lately.
+		Failures map[uint32]int `cbor:"16,keyasint,omitempty"`
 		// Contacts are the addresses of some other nodes.
 		Contacts []netip.Addr `cbor:"7,keyasint,omitempty"`
 		Crashes  []Crash      `cbor:"8,keyasint,omitempty"`
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -152,7 +152,7 @@
 func report(b *heartbeat, addr netip.Addr) relay.Report {
 	r := relay.Report{
 		ID: short(b.ID), Addr: addr, Sequence: b.Sequence, Mark: markOf(b.State, b.Access), Revision: b.Revision,
-		Loads: b.Loads, Reading: b.Reading, Follows: b.Reporting == followed,
+		Loads: b.Loads, Reading: b.Reading, Failures: b.Failures, Follows: b.Reporting == followed,
 		News: relay.News{Placements: b.Placements, EndpointLoads: b.Reports},
 	}
 	for _, c := range b.Crashes {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -87,7 +87,7 @@
 	return &heartbeat{
 		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: g.config.Book.Record().Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
-		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
+		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Failures: g.config.Work.Failures(now), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
 		// Each placement is told twice, as datagrams get lost.
 		Placements: g.config.Work.Placements(now, t.before), Reports: g.config.Work.Reports(now, t.last),
 	}
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -33,6 +33,8 @@
 		loads   map[uint32]int
 		// reading are the tokens that endpoints are to read for other nodes.
 		reading map[uint32]int
+		// failures are other nodes' attempts that endpoints have failed lately.
+		failures map[uint32]int
 		// heard is the mean of the moments at which the living nodes were heard.
 		heard time.Time
 		// revisions are those of the store that the living nodes know all up
@@ -64,6 +66,7 @@
 		revision   uint64
 		loads      map[uint32]int
 		reading    map[uint32]int
+		failures   map[uint32]int
 		alive      bool
 		// digest is that of the node's record at the revision digested.
 		digest   uint32
@@ -96,6 +99,10 @@
 // other nodes' requests.
 func (v *View) OthersReading(key uint32) int { return v.reading[key] }
 
+// OthersFailures returns the attempts of other nodes that an endpoint has failed
+// lately.
+func (v *View) OthersFailures(key uint32) int { return v.failures[key] }
+
 // informed draws a living node that knows more of the store than a revision, so
 // that not all ask the same one.
 func (v *View) informed(after uint64) (Member, bool) {
@@ -180,7 +187,7 @@
 		brought = changed
 	}
 	n.member.State, n.member.Access = b.State, b.Access
-	n.sequence, n.revision, n.loads, n.reading = b.Sequence, b.Revision, b.Loads, b.Reading
+	n.sequence, n.revision, n.loads, n.reading, n.failures = b.Sequence, b.Revision, b.Loads, b.Reading, b.Failures
 	n.heard, n.alive = now, true
 	if b.Digest != 0 {
 		n.digest, n.digested = b.Digest, b.Revision
@@ -215,9 +222,9 @@
 		}
 	}
 	slices.SortFunc(living, func(a, b *node) int { return cmp.Compare(a.member.Name, b.member.Name) })
-	v := &View{Known: len(t.nodes) + 1, loads: map[uint32]int{}, reading: map[uint32]int{}}
+	v := &View{Known: len(t.nodes) + 1, loads: map[uint32]int{}, reading: map[uint32]int{}, failures: map[uint32]int{}}
 	if sums != nil {
-		v.loads, v.reading, v.Relayed = sums.Loads, sums.Reading, true
+		v.loads, v.reading, v.failures, v.Relayed = sums.Loads, sums.Reading, sums.Failures, true
 	}
 	var ages time.Duration
 	for _, n := range living {
@@ -234,6 +241,9 @@
 		for key, tokens := range n.reading {
 			v.reading[key] += tokens
 		}
+		for key, failures := range n.failures {
+			v.failures[key] += failures
+		}
 	}
 	if len(living) > 0 {
 		v.heard = now.Add(-ages / time.Duration(len(living)))
--- a/internal/rates/decayed.go
+++ b/internal/rates/decayed.go
@@ -1,22 +1,26 @@
-package admission
+package rates
 
 import (
 	"math"
 	"time"
 )
 
-// decayed is a count that forgets.
-type decayed struct {
-	memory time.Duration
-	value  float64
-	at     time.Time
+// Decayed is a count that forgets.
+type Decayed struct {
+	// Memory is the time over which it forgets all but a third.
+	Memory time.Duration
+
+	value float64
+	at    time.Time
 }
 
-func (d *decayed) get(now time.Time) float64 {
+// Get returns the count now.
+func (d *Decayed) Get(now time.Time) float64 {
 	if d.value == 0 {
 		return 0
 	}
-	return d.value * math.Exp(-now.Sub(d.at).Seconds()/d.memory.Seconds())
+	return d.value * math.Exp(-now.Sub(d.at).Seconds()/d.Memory.Seconds())
 }
 
-func (d *decayed) add(now time.Time) { d.value, d.at = d.get(now)+1, now }
+// Add counts one more.
+func (d *Decayed) Add(now time.Time) { d.value, d.at = d.Get(now)+1, now }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -74,6 +74,8 @@
 		// tokens that endpoints are still to read for them.
 		Loads   map[uint32]int
 		Reading map[uint32]int
+		// Failures are its attempts that endpoints have failed lately.
+		Failures map[uint32]int
 		// Follows says that the relay is to tell the sums to the node.
 		Follows bool
 		News
@@ -94,7 +96,7 @@
 		Marks   []byte `cbor:"6,keyasint,omitempty"`
 		// Lost are nodes that have fallen silent.
 		Lost IDs `cbor:"7,keyasint,omitempty"`
-		// Loads and Reading are the sums over the nodes covered.
+		// Loads, Reading and Failures are the sums over the nodes covered.
 		Loads   map[uint32]int `cbor:"8,keyasint,omitempty"`
 		Reading map[uint32]int `cbor:"9,keyasint,omitempty"`
 		// Age is how old the loads are on the mean, and Oldest at most.
@@ -102,9 +104,10 @@
 		Oldest time.Duration `cbor:"11,keyasint"`
 		// Revision is the newest that a node covered knows, and Informed some of
 		// those that do.
-		Revision uint64 `cbor:"12,keyasint"`
-		Informed IDs    `cbor:"13,keyasint,omitempty"`
-		News     News   `cbor:"14,keyasint"`
+		Revision uint64         `cbor:"12,keyasint"`
+		Informed IDs            `cbor:"13,keyasint,omitempty"`
+		News     News           `cbor:"14,keyasint"`
+		Failures map[uint32]int `cbor:"15,keyasint,omitempty"`
 	}
 
 	// Message is what a node has to send.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -234,7 +234,7 @@
 	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
 	peer := relay.Peer{ID: 9, Zone: "z", Power: 100, First: now, Heard: now}
 	other := relay.Peer{ID: 8, Zone: "z", Power: 100, First: now, Heard: now}
-	n.Step(now, []relay.Peer{peer, other}, relay.Report{ID: 1, Sequence: 1, Loads: map[uint32]int{5: 1}, Reading: map[uint32]int{5: 100}})
+	n.Step(now, []relay.Peer{peer, other}, relay.Report{ID: 1, Sequence: 1, Loads: map[uint32]int{5: 1}, Reading: map[uint32]int{5: 100}, Failures: map[uint32]int{5: 3}})
 	for _, from := range []relay.Peer{peer, other} {
 		s := &relay.Summary{ID: from.ID, Zone: "z", Sequence: 1, Whole: true, Covered: relay.IDs(nil).Add(1), Marks: []byte{1}}
 		n.Take(now, from, s, 1)
@@ -243,6 +243,7 @@
 	require.NotNil(t, s)
 	s.Loads[5]++
 	s.Reading[5]++
+	s.Failures[5]++
 	require.Equal(t, 1, s.Loads[5])
 }
 
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -9,9 +9,10 @@
 
 // Sums are what a node believes of all others.
 type Sums struct {
-	// Loads and Reading are the sums over the other nodes covered.
-	Loads   map[uint32]int
-	Reading map[uint32]int
+	// Loads, Reading and Failures are the sums over the other nodes covered.
+	Loads    map[uint32]int
+	Reading  map[uint32]int
+	Failures map[uint32]int
 	// Covered are the nodes that are in the sums.
 	Covered map[ID]bool
 	// Age is how old the loads are on the mean, and Oldest at most.
@@ -40,7 +41,10 @@
 		return nil
 	}
 	since := now.Sub(n.wholeAt)
-	s := &Sums{Loads: copied(w.Loads), Reading: copied(w.Reading), Covered: map[ID]bool{}, Age: w.Age + since, Oldest: w.Oldest + since}
+	s := &Sums{
+		Loads: copied(w.Loads), Reading: copied(w.Reading), Failures: copied(w.Failures),
+		Covered: map[ID]bool{}, Age: w.Age + since, Oldest: w.Oldest + since,
+	}
 	w.Covered.Each(func(_ int, id ID) { s.Covered[id] = true })
 	if !s.Covered[n.config.ID] {
 		return s
@@ -51,6 +55,7 @@
 	}
 	subtract(s.Loads, n.reports[i].Loads)
 	subtract(s.Reading, n.reports[i].Reading)
+	subtract(s.Failures, n.reports[i].Failures)
 	return s
 }
 
@@ -59,13 +64,14 @@
 func (n *Node) sum(now time.Time, peers []Peer, own Report, first bool) *Summary {
 	s := &Summary{
 		ID: n.config.ID, Zone: n.config.Zone, Sequence: n.sequence,
-		Loads: map[uint32]int{}, Reading: map[uint32]int{}, News: n.toRelays.take(),
+		Loads: map[uint32]int{}, Reading: map[uint32]int{}, Failures: map[uint32]int{}, News: n.toRelays.take(),
 	}
 	var ages time.Duration
 	add := func(r *Report, age time.Duration) {
 		s.Covered, s.Marks = s.Covered.Add(r.ID), append(s.Marks, byte(r.Mark))
 		add(s.Loads, r.Loads)
 		add(s.Reading, r.Reading)
+		add(s.Failures, r.Failures)
 		ages += age
 		s.Oldest = max(s.Oldest, age)
 		s.informed(r.Revision, IDs(nil).Add(r.ID))
@@ -140,7 +146,7 @@
 	}
 	w := *own
 	w.Whole, w.Lost, w.News = true, nil, n.toFollowers.take()
-	w.Loads, w.Reading = copied(own.Loads), copied(own.Reading)
+	w.Loads, w.Reading, w.Failures = copied(own.Loads), copied(own.Reading), copied(own.Failures)
 	w.Covered, w.Marks = slices.Clone(own.Covered), slices.Clone(own.Marks)
 	ages := own.Age * time.Duration(own.Covered.Len())
 	for _, zone := range slices.Sorted(maps.Keys(best)) {
@@ -169,6 +175,7 @@
 	w.Covered, w.Marks = append(w.Covered, p.summary.Covered...), append(w.Marks, p.summary.Marks...)
 	add(w.Loads, p.summary.Loads)
 	add(w.Reading, p.summary.Reading)
+	add(w.Failures, p.summary.Failures)
 	w.Oldest = max(w.Oldest, p.summary.Oldest+since)
 	w.informed(p.summary.Revision, p.summary.Informed)
 	return (p.summary.Age + since) * time.Duration(p.summary.Covered.Len())
