--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -159,6 +159,8 @@
 
 	// own is what this node knows of an endpoint.
 	own struct {
+		// key is the endpoint's Key.
+		key    uint32
 		active int
 		// reading are the tokens that it is to read for this node's requests.
 		reading int
@@ -265,9 +267,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := make(map[uint32]int)
-	for s, o := range b.own {
+	for _, o := range b.own {
 		if n := of(o); n > 0 {
-			counts[Key(s)] = n
+			counts[o.key] = n
 		}
 	}
 	return counts
@@ -306,7 +308,7 @@
 func (b *Balancer) get(s deployment.Start, now time.Time) *own {
 	o := b.own[s]
 	if o == nil {
-		o = &own{}
+		o = &own{key: Key(s)}
 		b.own[s] = o
 	}
 	o.seen = now
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -39,12 +39,12 @@
 			return false
 		}
 		o := b.get(e.Start(), now)
-		return !r.closed(now, e, o, b.sent(o, Key(e.Start())))
+		return !r.closed(now, e, o, b.sent(o))
 	})
 }
 
 // sent returns an endpoint's requests in progress that the nodes know of.
-func (b *Balancer) sent(o *own, key uint32) int { return o.active + b.config.Loads.Others(key) }
+func (b *Balancer) sent(o *own) int { return o.active + b.config.Loads.Others(o.key) }
 
 // closed reports whether an endpoint gets nothing now: it was not reached, has
 // refused a request just now, or the nodes know of as many requests as it may
@@ -68,7 +68,7 @@
 // that are ready.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
 	known, failures := b.known(now, list)
-	failing := b.failing(now, list, known, r.Service.Name)
+	failing := b.failing(now, known, r.Service.Name)
 	total, ready := 0, 0
 	part := xxhash.Sum64String(r.Key)
 	all := make([]candidate, 0, len(list))
@@ -77,8 +77,8 @@
 		if !e.Takes() || o.health.gone {
 			continue
 		}
-		key := Key(e.Start())
-		sent := b.sent(o, key)
+		key := o.key
+		sent := b.sent(o)
 		// An endpoint may say that it has more.
 		load := max(sent, b.reports.load(key, now))
 		ready++
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
 const (
@@ -49,18 +47,18 @@
 // Each node sends an endpoint one request in ten seconds where there are many of
 // both. Were each to find out for itself, one would see hundreds of requests fail at
 // an endpoint that says it is well, most of them lost as they may not be repeated.
-func (b *Balancer) failing(now time.Time, list []*deployment.Endpoint, known []*own, service string) failing {
-	f := failing{failed: make([]float64, len(list))}
-	for i, e := range list {
-		f.failed[i] = known[i].failed.Get(now) + float64(b.config.Loads.OthersFailures(Key(e.Start())))
-		f.mean += f.failed[i] / float64(len(list))
+func (b *Balancer) failing(now time.Time, known []*own, service string) failing {
+	f := failing{failed: make([]float64, len(known))}
+	for i, o := range known {
+		f.failed[i] = o.failed.Get(now) + float64(b.config.Loads.OthersFailures(o.key))
+		f.mean += f.failed[i] / float64(len(known))
 	}
 	nodes := 1
 	if b.config.Nodes != nil {
 		nodes = b.config.Nodes()
 	}
 	if asked := b.asked[service]; asked != nil {
-		f.expected = asked.Get(now) * float64(nodes) / float64(max(len(list), 1))
+		f.expected = asked.Get(now) * float64(nodes) / float64(max(len(known), 1))
 	}
 	return f
 }
