--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -17,8 +17,7 @@
 const (
 	// patienceShare is the part of the time in which an answer can still begin
 	// as wanted that a request may be expected to wait. Waits vary by as much as
-	// they last: over nine days of high load 3,149 answers began late with half of
-	// it and 2,250 with this, of some 60,000 in time.
+	// they last.
 	patienceShare = 0.25
 	// leastWait is the part of the latency objective that the first of its kind
 	// may wait though nobody can say for how long, so that no place stays free,
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -32,12 +32,10 @@
 	// plainDepth is how many requests an endpoint of a plain service may have,
 	// as a multiple of its slots: one runs, three wait. With fewer, nodes that
 	// see the same endpoint below the bound at the same time refuse more than
-	// they spare: at 72 nodes two, three and four gave 6,161, 6,571 and 6,632
-	// answers.
+	// they spare.
 	plainDepth = 4.0
 	// modelDepth is the same for model engines: requests wait at the node, where
-	// they take the first place that comes free anywhere. With 1.1 an engine of
-	// seven slots always had one that waited there.
+	// they take the first place that comes free anywhere.
 	modelDepth = 1.0
 	// fullPause is how long an endpoint that refused a request as full gets
 	// nothing.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -56,8 +56,7 @@
 // Where places are short, a place comes free somewhere every few milliseconds,
 // and rarely where the prompt is kept. One would see most prompts moved with
 // each request, and links and memory full of copies. A short wait brings a place
-// at the right engine, and the other goes to somebody else: a tenth to a quarter
-// less memory was moved on days of high load, and as many were served.
+// at the right engine, and the other goes to somebody else.
 func (c *candidate) leaves(all []candidate) bool {
 	return !c.holds && c.scarce() && slices.ContainsFunc(all, func(o candidate) bool { return o.holds })
 }
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -79,9 +79,7 @@
 // Engines read prompts one after another. Counted in requests, an engine that
 // has begun to read ten thousand tokens looks idle. One would see short requests
 // wait behind long prompts, above all in the first seconds after a start, while
-// the engines beside have nothing to read. On engines that read at less than half
-// the usual rate this brought 0.005 of what answers are worth, on the mean of
-// twelve days with and without it.
+// the engines beside have nothing to read.
 func (b *Balancer) quicker(all []candidate, best *candidate, bound float64, r Request) *candidate {
 	if time.Duration(best.reading)*b.perToken <= time.Duration(busyReading*float64(r.Objective)) {
 		return best
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,8 +21,8 @@
 	// larger one is passed on as it comes.
 	maxWhole = 1 << 20
 	// onceIdle is how long a connection may have been idle for a request that
-	// must run once at most. A new connection for each costs two round trips,
-	// a place at the endpoint and 0.4 % of what the answers are worth.
+	// must run once at most. A new connection for each costs two round trips and
+	// a place at the endpoint.
 	onceIdle = time.Second
 	// keepShare is the part of an endpoint's connections that all nodes together
 	// keep idle at most: endpoints take fewer while their queue is long.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,10 +34,8 @@
 const (
 	// returnShare is the part of the latency objective after which a caller is
 	// asked to come back where places are short: early enough for its answer to
-	// begin in time. After 0.2 s, whatever the objective, most of those that came
-	// back and were served were late, and took the places of others that would
-	// not have been. Over nine days of high load it brought 0.02 of what answers
-	// are worth in place of 0.2 s, and 0.07 in place of 1.5 s.
+	// begin in time. Those that come back later are late, and take the places of
+	// others that would not be.
 	returnShare = 0.25
 	// retrySoon is when to come back where the node holds too much by itself, and
 	// retryLeast bounds any such time from below: a new connection takes some
