--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -68,7 +68,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := 0; ; n++ {
-		pause := c.random.ExpFloat64() / c.run.config.Plan.rate(time.Since(c.run.began))
+		pause := c.random.ExpFloat64() / c.run.config.Plan.RateAt(time.Since(c.run.began))
 		if !wait(ctx, time.Duration(pause*float64(time.Second))) {
 			return
 		}
@@ -79,18 +79,18 @@
 
 // draw draws a kind of request.
 func (c *callers) draw() Request {
-	list := c.run.config.Plan.Requests
+	plan, at := c.run.config.Plan, time.Since(c.run.began)
 	total := 0.0
-	for _, r := range list {
-		total += r.Share
+	for _, r := range plan.Requests {
+		total += plan.ShareAt(r, at)
 	}
 	left := c.random.Float64() * total
-	for _, r := range list {
-		if left -= r.Share; left < 0 {
+	for _, r := range plan.Requests {
+		if left -= plan.ShareAt(r, at); left < 0 {
 			return r
 		}
 	}
-	return list[len(list)-1]
+	return plan.Requests[len(plan.Requests)-1]
 }
 
 // account draws an account.
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -72,6 +72,8 @@
 		{name: "a stream without events", old: "events = 4", new: "", says: "do not agree on events"},
 		{name: "an unknown fault", old: `"kill"`, new: `"flood"`, says: `fault of kind "flood"`},
 		{name: "a fault that strikes nothing", old: "count = 1", new: "", says: "needs a count"},
+		{name: "a shift of nothing", old: "[[fault]]", new: "[[shift]]\nat = \"1s\"\n[shift.share]\nnone = 1.0\n[[fault]]", says: `request "none"`},
+		{name: "shifts out of order", old: "[[fault]]", new: "[[shift]]\nat = \"2s\"\n[[shift]]\nat = \"1s\"\n[[fault]]", says: "in their order"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -138,3 +140,31 @@
 	require.InDelta(t, 1.5, r.Skew("s"), 0.001)
 	require.Zero(t, r.Skew("none"))
 }
+
+// The work of a plan changes at its shifts: what one does not name goes on as before.
+func TestShiftsOfTheWork(t *testing.T) {
+	p, err := experiment.Parse(short + `
+[[shift]]
+at = "1s"
+rate = 90.0
+[[shift]]
+at = "2s"
+[shift.share]
+chat = 3.0
+`)
+	require.NoError(t, err)
+	cases := []struct {
+		at           time.Duration
+		rate         float64
+		lookup, chat float64
+	}{
+		{at: 0, rate: 60, lookup: 1, chat: 1},
+		{at: time.Second, rate: 90, lookup: 1, chat: 1},
+		{at: 2 * time.Second, rate: 90, lookup: 1, chat: 3},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.rate, p.RateAt(c.at))
+		require.Equal(t, c.lookup, p.ShareAt(p.Requests[0], c.at))
+		require.Equal(t, c.chat, p.ShareAt(p.Requests[1], c.at))
+	}
+}
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -49,6 +49,17 @@
 		Services []Service `toml:"service"`
 		Requests []Request `toml:"request"`
 		Faults   []Fault   `toml:"fault"`
+		// Shifts change the work in the midst of the run, in their order.
+		Shifts []Shift `toml:"shift"`
+	}
+
+	// Shift changes the work for the rest of the run, or until the next one.
+	Shift struct {
+		At time.Duration `toml:"at"`
+		// Rate is the requests a second from then on; 0 for as before.
+		Rate float64 `toml:"rate"`
+		// Shares are the parts of some requests from then on, by their names.
+		Shares map[string]float64 `toml:"share"`
 	}
 
 	// Service is a set of stand-in endpoints.
@@ -132,6 +143,23 @@
 			return err
 		}
 	}
+	return p.checkShifts()
+}
+
+func (p *Plan) checkShifts() error {
+	at := time.Duration(0)
+	for _, s := range p.Shifts {
+		if s.At < at || s.Rate < 0 {
+			return fmt.Errorf("%w: shifts need times in their order, and rates over 0", ErrPlan)
+		}
+		at = s.At
+		for name, share := range s.Shares {
+			known := slices.ContainsFunc(p.Requests, func(r Request) bool { return r.Name == name })
+			if !known || share < 0 {
+				return fmt.Errorf("%w: a shift gives request %q the share %v", ErrPlan, name, share)
+			}
+		}
+	}
 	return nil
 }
 
@@ -175,9 +203,14 @@
 	return Service{}, false
 }
 
-// rate is the requests a second at a time since the start.
-func (p *Plan) rate(at time.Duration) float64 {
+// RateAt is the requests a second at a time since the start.
+func (p *Plan) RateAt(at time.Duration) float64 {
 	rate := p.Rate
+	for _, s := range p.Shifts {
+		if at >= s.At && s.Rate > 0 {
+			rate = s.Rate
+		}
+	}
 	for _, f := range p.Faults {
 		if f.Kind == FaultBurst && at >= f.At && at < f.At+f.For {
 			rate *= f.Times
@@ -186,6 +219,18 @@
 	return rate
 }
 
+// ShareAt is a request's part of all at a time since the start, against those of
+// the others.
+func (p *Plan) ShareAt(r Request, at time.Duration) float64 {
+	share := r.Share
+	for _, s := range p.Shifts {
+		if shifted, ok := s.Shares[r.Name]; ok && at >= s.At {
+			share = shifted
+		}
+	}
+	return share
+}
+
 // config is the deployment's configuration.
 func (p *Plan) config() *deployment.Config {
 	const connections = 400
