Let nodes come back to an engine that was cold one by one, and not before its time

Cause: all nodes know to the millisecond when an engine is warm again. Change: each node adds 0.25 to 0.75 s of its own draw.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -166,6 +166,8 @@
 		seen    time.Time
 		// failed are the attempts that it has failed, over failureMemory.
 		failed rates.Decayed
+		// margin is for how much longer than it says it is left alone while cold.
+		margin time.Duration
 		// turned is when a turn at the endpoint was last looked for.
 		turned time.Time
 	}
@@ -306,7 +308,7 @@
 func (b *Balancer) get(s deployment.Start, now time.Time) *own {
 	o := b.own[s]
 	if o == nil {
-		o = &own{key: Key(s)}
+		o = &own{key: Key(s), margin: b.drawMargin()}
 		b.own[s] = o
 	}
 	o.seen = now
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -35,10 +35,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
-		if !e.Takes() || r.cold(e, now) || slices.Contains(r.Tried, e.Start()) {
+		o := b.get(e.Start(), now)
+		if !e.Takes() || b.cold(e, o, r.Service, now) || slices.Contains(r.Tried, e.Start()) {
 			return false
 		}
-		o := b.get(e.Start(), now)
 		return !r.closed(now, e, o, b.sent(o))
 	})
 }
@@ -59,11 +59,6 @@
 		float64(sent) >= depth*float64(slots(e, r.Service))
 }
 
-// cold reports whether an endpoint bears only few requests now.
-func (r Request) cold(e *deployment.Endpoint, now time.Time) bool {
-	return r.Service.ColdRate > 0 && e.IsCold(now)
-}
-
 // candidates returns the endpoints that may be chosen, and the mean load of all
 // that are ready.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
@@ -87,7 +82,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeats) || b.avoid(o, failures, now)}
-		c.closed, c.cold = r.closed(now, e, o, sent), r.cold(e, now)
+		c.closed, c.cold = r.closed(now, e, o, sent), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
 			c.reading = o.reading + b.config.Loads.OthersReading(key)
 			c.score, c.holds = score(part, e), b.held.has(part, key, now)
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
 const (
@@ -19,6 +21,10 @@
 	// largestFleet for how many nodes the fleet is taken meanwhile.
 	settling     = 2 * time.Second
 	largestFleet = 330
+	// coldMargin is for how much longer than it says an endpoint is left alone at
+	// least, and coldSpread over which time beyond that the nodes come back to it.
+	coldMargin = 250 * time.Millisecond
+	coldSpread = 500 * time.Millisecond
 )
 
 // pickWarm picks an endpoint, a cold one only where no warm one has room.
@@ -43,6 +49,20 @@
 	}
 }
 
+// cold reports whether an endpoint bears only few requests now.
+//
+// All nodes know to the millisecond when it is warm again. Were all of them to come
+// back then, one would see fifty requests reach it in the same tenth of a second, and
+// as many while it is cold if its clock is a little behind.
+func (b *Balancer) cold(e *deployment.Endpoint, o *own, s deployment.Service, now time.Time) bool {
+	return s.ColdRate > 0 && e.IsCold(now.Add(-o.margin))
+}
+
+// drawMargin draws for how much longer than it says a cold endpoint is left alone.
+func (b *Balancer) drawMargin() time.Duration {
+	return coldMargin + time.Duration(b.config.Draw()*float64(coldSpread))
+}
+
 // warm returns the candidates that are not cold.
 func warm(all []candidate) []candidate {
 	list := make([]candidate, 0, len(all))
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -141,6 +141,46 @@
 	require.LessOrEqual(t, f.busiest(), coldBound)
 }
 
+// Symptom: fifty requests reach an engine in the tenth of a second in which it says
+// that it is warm, some of them while it is not. Sequence: an engine starts, and all
+// nodes know when its time is over. Cause: all of them came back at that moment.
+func TestNodesDoNotComeBackAtOnce(t *testing.T) {
+	f := newColdFleet(85, 85, 1, 1, 1)
+	f.list[0].Draining = true
+	engine, end := f.list[1], f.now.Add(3*time.Second)
+	engine.ColdUntil = end
+	before, busiest, tenth := 0, 0, 0
+	for step := range 500 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if step%10 == 0 {
+			busiest, tenth = max(busiest, tenth), 0
+		}
+		// Each node has one request that waits for the engine.
+		for n, b := range f.nodes {
+			if b == nil {
+				continue
+			}
+			c := b.Choose(f.now, f.list, balance.Request{Service: engines(), Key: "doc"})
+			switch {
+			case c == nil:
+			case c.Cold:
+				b.Release(f.now, c.Endpoint.Start(), balance.Served)
+			default:
+				if f.now.Before(end.Add(200 * time.Millisecond)) {
+					before++
+				}
+				tenth++
+				f.nodes[n] = nil
+			}
+		}
+	}
+	require.Zero(t, before)
+	require.LessOrEqual(t, busiest, 85*2/5)
+	for _, b := range f.nodes {
+		require.Nil(t, b, "all come back")
+	}
+}
+
 // A node that has just started does not know how many others there are.
 func TestNodeThatHasJustStartedTakesTheFleetForLarge(t *testing.T) {
 	served := func(settled time.Duration) int {
