Let cold engines take what is over the bound, and count evacuated ones in its mean

Sequence: one zone is taken back, cold, while another is evacuated; the third zone's engines take all as long as they have room, and hold three times a mean that counts all 60. Cause: the bound's mean left evacuated engines out, and cold ones were used only where warm ones were full. Change: the bound counts them; over it, a request looks for a turn at all cold engines.

--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -59,23 +59,34 @@
 		float64(sent) >= depth*float64(slots(e, r.Service))
 }
 
-// candidates returns the endpoints that may be chosen, and the mean load of all
-// that are ready.
-func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, float64) {
+// means are the mean loads of a service's endpoints.
+type means struct {
+	// usable is that of the endpoints that may be sent something, and all that of
+	// those too whose zones are evacuated.
+	usable, all float64
+}
+
+// candidates returns the endpoints that may be chosen, and the mean loads.
+func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, means) {
 	known, failures := b.known(now, list)
 	failing := b.failing(now, known, r.Service.Name)
-	total, ready := 0, 0
+	var total, ready, evacuated, left int
 	part := xxhash.Sum64String(r.Key)
 	all := make([]candidate, 0, len(list))
 	for i, e := range list {
 		o := known[i]
-		if !e.Takes() || o.health.gone {
+		if e.Draining || o.health.gone {
 			continue
 		}
 		key := o.key
 		sent := b.sent(o)
 		// An endpoint may say that it has more.
 		load := max(sent, b.reports.load(key, now))
+		if e.Evacuated {
+			evacuated++
+			left += load
+			continue
+		}
 		ready++
 		total += load
 		if slices.Contains(r.Tried, e.Start()) {
@@ -89,7 +100,10 @@
 		}
 		all = append(all, c)
 	}
-	return all, float64(total) / float64(max(ready, 1))
+	return all, means{
+		usable: float64(total) / float64(max(ready, 1)),
+		all:    float64(total+left) / float64(max(ready+evacuated, 1)),
+	}
 }
 
 // avoid reports whether a suspect endpoint is to be passed over; after some
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -27,26 +27,44 @@
 	coldSpread = 500 * time.Millisecond
 )
 
-// pickWarm picks an endpoint, a cold one only where no warm one has room.
+// pickWarm picks an endpoint, a cold one only where no warm one has room below the
+// bound.
 //
 // A cold endpoint bears few requests a second and crashes well above that; all
 // nodes see it come back empty at the same moment, and hear of each other's
 // requests too late. One would see engines that have just started crash, and
 // crash again, under requests that others had room for.
-func (b *Balancer) pickWarm(all []candidate, mean float64, r Request, now time.Time) *candidate {
+func (b *Balancer) pickWarm(all []candidate, m means, r Request, now time.Time) *candidate {
 	if !slices.ContainsFunc(all, func(c candidate) bool { return c.cold }) {
-		return b.pick(all, mean, r)
+		return b.pick(all, m, r)
 	}
-	if c := b.pick(warm(all), mean, r); c != nil {
+	c := b.pick(warm(all), m, r)
+	if c != nil && (r.Key == "" || float64(c.load) < b.bound(m)) {
 		return c
 	}
-	for {
-		c := b.pick(all, mean, r)
-		if c == nil || !c.cold || b.turn(c, r, now) {
+	if cold := b.pickCold(all, r, now); cold != nil {
+		return cold
+	}
+	return c
+}
+
+// pickCold takes a cold endpoint at which this node has a turn, one that keeps the
+// prompt's part if there is one. The others are looked at from anywhere on, so that
+// not all nodes begin with the same one.
+func (b *Balancer) pickCold(all []candidate, r Request, now time.Time) *candidate {
+	from := int(b.config.Draw() * float64(len(all)))
+	var found *candidate
+	for i := range all {
+		c := &all[(from+i)%len(all)]
+		if !c.cold || c.closed || c.suspect || found != nil && !c.holds || !b.turn(c, r, now) {
+			continue
+		}
+		if c.holds {
 			return c
 		}
-		c.closed = true
+		found = c
 	}
+	return found
 }
 
 // cold reports whether an endpoint bears only few requests now.
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -181,6 +181,68 @@
 	}
 }
 
+// sharedLoads are the requests that a node's peers have in progress, of all.
+type sharedLoads struct {
+	noPeers
+	all, own map[uint32]int
+}
+
+func (c sharedLoads) Others(key uint32) int { return c.all[key] - c.own[key] }
+
+// Symptom: half of all requests reach engines that hold more than twice the mean.
+// Sequence: two of three zones are evacuated; one is taken back, and its engines are
+// cold. Cause: the third zone's engines took everything as long as they had room,
+// and those that were evacuated were left out of the mean.
+func TestColdEnginesTakeWhatIsOverTheBound(t *testing.T) {
+	const nodes, zone = 40, 20
+	f := newColdFleet(nodes, nodes, 2*zone, zone, 1)
+	for i, e := range f.list {
+		e.Slots, e.Evacuated = 64, i >= zone && i < 2*zone
+	}
+	all, owns := map[uint32]int{}, make([]map[uint32]int, nodes)
+	random := rand.New(rand.NewPCG(2, 0))
+	for n := range f.nodes {
+		owns[n] = map[uint32]int{}
+		f.nodes[n] = balance.New(balance.Config{Loads: sharedLoads{all: all, own: owns[n]}, Nodes: func() int { return nodes }, Draw: random.Float64})
+	}
+	type running struct {
+		node int
+		at   *deployment.Endpoint
+	}
+	var run []running
+	service := deployment.Service{Name: "s", Model: true, Slots: 64, ColdRate: coldRate}
+	over, counts := 0, 0
+	// 470 requests a second, each of which lasts for a second.
+	for n := range 470 * 4 {
+		f.now = f.now.Add(time.Second / 470)
+		if len(run) >= 470 {
+			key := balance.Key(run[0].at.Start())
+			all[key]--
+			owns[run[0].node][key]--
+			f.nodes[run[0].node].Release(f.now, run[0].at.Start(), balance.Served)
+			run = run[1:]
+		}
+		c := f.nodes[n%nodes].Choose(f.now, f.list, balance.Request{Service: service, Key: fmt.Sprint("part", random.IntN(600))})
+		require.NotNil(t, c)
+		require.False(t, c.Endpoint.Evacuated)
+		if c.Cold {
+			f.sent[c.Endpoint.ID] = append(f.sent[c.Endpoint.ID], f.now)
+		}
+		key := balance.Key(c.Endpoint.Start())
+		all[key]++
+		owns[n%nodes][key]++
+		run = append(run, running{node: n % nodes, at: c.Endpoint})
+		if n > 470*2 {
+			counts++
+			if float64(all[key]) > 2*470.0/(3*zone)+3 {
+				over++
+			}
+		}
+	}
+	require.LessOrEqual(t, f.busiest(), coldBound)
+	require.LessOrEqual(t, over, counts*3/100)
+}
+
 // A node that has just started does not know how many others there are.
 func TestNodeThatHasJustStartedTakesTheFleetForLarge(t *testing.T) {
 	served := func(settled time.Duration) int {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -6,9 +6,9 @@
 	"slices"
 )
 
-func (b *Balancer) pick(all []candidate, mean float64, r Request) *candidate {
+func (b *Balancer) pick(all []candidate, m means, r Request) *candidate {
 	if r.Key != "" {
-		c := b.pickKeyed(all, mean, r)
+		c := b.pickKeyed(all, m, r)
 		if r.Stay && c != nil && c.leaves(all) {
 			return nil
 		}
@@ -22,8 +22,8 @@
 // Endpoints that keep the prompt's part go before all others: one that has just
 // joined would have to fetch it. One that is busy reading gives way to another.
 // Past the bound it takes the least loaded with room.
-func (b *Balancer) pickKeyed(all []candidate, mean float64, r Request) *candidate {
-	bound := capShare*cmp.Or(b.config.Cap, defaultCap)*mean + boundSlack
+func (b *Balancer) pickKeyed(all []candidate, m means, r Request) *candidate {
+	bound := b.bound(m)
 	var best, least, last *candidate
 	for i := range all {
 		c := &all[i]
@@ -36,7 +36,7 @@
 		if c.suspect {
 			continue
 		}
-		c.ahead = c.holds && float64(c.load) < stayRatio*mean+staySlack
+		c.ahead = c.holds && float64(c.load) < stayRatio*m.usable+staySlack
 		if float64(c.load) < bound && c.before(best) {
 			best = c
 		}
@@ -50,6 +50,12 @@
 	return cmp.Or(least, last)
 }
 
+// bound is the load from which an endpoint is passed over. The endpoints of an
+// evacuated zone count in the mean that it is a multiple of.
+func (b *Balancer) bound(m means) float64 {
+	return capShare*cmp.Or(b.config.Cap, defaultCap)*m.all + boundSlack
+}
+
 // leaves reports whether a prompt would leave the engines that keep it for one
 // of the last places of another.
 //
