Set what a balancer falls back on where it is made

Found in reading: the number of nodes where nobody tells it was decided in two places, and the memory of failures set anew with each of them. Both are set once now.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -178,6 +178,9 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.Nodes == nil {
+		c.Nodes = func() int { return 1 }
+	}
 	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports(), asked: map[string]*rates.Decayed{}, began: time.Now()}
 }
 
@@ -308,7 +311,7 @@
 func (b *Balancer) get(s deployment.Start, now time.Time) *own {
 	o := b.own[s]
 	if o == nil {
-		o = &own{key: Key(s), margin: b.drawMargin()}
+		o = &own{key: Key(s), margin: b.drawMargin(), failed: rates.Decayed{Memory: failureMemory}}
 		b.own[s] = o
 	}
 	o.seen = now
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -108,12 +107,8 @@
 
 // fleet is how many nodes may send to an endpoint.
 func (b *Balancer) fleet(now time.Time) int {
-	nodes := 1
-	if b.config.Nodes != nil {
-		nodes = b.config.Nodes()
-	}
 	if now.Sub(b.began) < settling {
-		nodes = max(nodes, largestFleet)
+		return max(b.config.Nodes(), largestFleet)
 	}
-	return cmp.Or(nodes, 1)
+	return max(b.config.Nodes(), 1)
 }
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -26,7 +26,6 @@
 func (o *own) noteFailure(now time.Time, outcome Outcome) {
 	switch outcome {
 	case Failed, Unreachable, Gone:
-		o.failed.Memory = failureMemory
 		o.failed.Add(now)
 	case Served, Refused, Unknown, Full:
 	}
@@ -53,12 +52,8 @@
 		f.failed[i] = o.failed.Get(now) + float64(b.config.Loads.OthersFailures(o.key))
 		f.mean += f.failed[i] / float64(len(known))
 	}
-	nodes := 1
-	if b.config.Nodes != nil {
-		nodes = b.config.Nodes()
-	}
 	if asked := b.asked[service]; asked != nil {
-		f.expected = asked.Get(now) * float64(nodes) / float64(max(len(known), 1))
+		f.expected = asked.Get(now) * float64(b.config.Nodes()) / float64(max(len(known), 1))
 	}
 	return f
 }
