Log the store's epoch and readings that are not taken

A reading below the revision that a node knows left no line, and no line said whether two answers of the store were from the same history. Readers now log when the epoch changes that the store names in its answers, and which readings are not taken; calls are counted by result. Nothing is decided by it yet.

--- a/gateway.go
+++ b/gateway.go
@@ -113,6 +113,7 @@
 		handler  *gateway.Handler
 		metrics  *gateway.Metrics
 		news     *gossip.Metrics
+		stored   *store.Metrics
 		callers  *http.Server
 		servers  []*http.Server
 		seeds    atomic.Pointer[[]netip.Addr]
@@ -144,7 +145,7 @@
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), news: gossip.NewMetrics(), began: time.Now(), cancel: cancel}
+	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), news: gossip.NewMetrics(), stored: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
 	nodes := func() int { return g.gossip.View().Known }
@@ -181,7 +182,7 @@
 		Crashes: crashes, Metrics: g.metrics, Log: g.log, Places: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
-		Source: c.Source, Sink: g.state, Log: g.log,
+		Source: c.Source, Sink: g.state, Metrics: g.stored, Log: g.log,
 		Reads: g.gossip.Reads, Bound: soonest(c.Drain, c.Apply),
 	})
 	follower.Store(g.follower)
@@ -329,6 +330,7 @@
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.Write(w)
 		g.news.Write(w)
+		g.stored.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
 	// Its timeouts are the listener's, which follow the configuration.
--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -48,6 +48,9 @@
 		s.lapsing.Store(int64(time.Since(s.start) + lapsing))
 	}
 	if u.Whole && u.Revision < b.revision {
+		s.config.Log.Event("reading.ignored", decision.Fields{
+			"epoch": u.Epoch, "revision": u.Revision, "known": b.revision, "items": len(u.Items), "source": u.Source,
+		})
 		return
 	}
 	changed := false
@@ -90,7 +93,7 @@
 		}
 	}
 	s.config.Log.Event("reading", decision.Fields{
-		"revision": u.Revision, "known": b.revision, "items": len(u.Items), "missing": missing, "source": u.Source,
+		"epoch": u.Epoch, "revision": u.Revision, "known": b.revision, "items": len(u.Items), "missing": missing, "source": u.Source,
 	})
 	return changed
 }
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -89,6 +89,8 @@
 	// Update is a set of items, from the store or from a peer.
 	Update struct {
 		Items []Item
+		// Epoch is the store's at that time, 0 where it names none.
+		Epoch uint64
 		// Revision is the store's revision at which the items were read.
 		Revision uint64
 		// Whole says that the items are everything there is, so that entries
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -64,6 +64,9 @@
 		Items []deployment.Item
 		// More says that another page follows after the last item.
 		More bool
+		// Epoch counts how often the store has been restored from a copy, 0 where
+		// it does not say. It is set beside ErrCompacted too.
+		Epoch uint64
 		// Revision is the store's revision of the answer.
 		Revision uint64
 	}
@@ -87,7 +90,9 @@
 		// Bound is within what time a change must be in force, 0 for two
 		// seconds.
 		Bound time.Duration
-		Log   *decision.Log
+		// Metrics counts calls; nil for nowhere.
+		Metrics *Metrics
+		Log     *decision.Log
 	}
 
 	// Follower keeps a Sink up to date with the store, as long as this node is
@@ -101,6 +106,8 @@
 
 	// cursor is what the follower's goroutine knows.
 	cursor struct {
+		// epoch is that of the last answer.
+		epoch    uint64
 		revision uint64
 		fresh    bool
 		failures int
@@ -111,6 +118,9 @@
 
 // NewFollower starts to follow.
 func NewFollower(c FollowerConfig) *Follower {
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: c, wake: make(chan struct{}, 1), cancel: cancel}
 	f.running.Go(func() {
@@ -180,8 +190,10 @@
 	limited, cancel := context.WithTimeout(ctx, wait+f.part(slackShare))
 	defer cancel()
 	page, err := f.config.Source.Watch(limited, cur.revision, wait)
+	f.config.Metrics.watches.note(err)
+	f.noteEpoch(cur, page, err)
 	if errors.Is(err, ErrCompacted) {
-		f.config.Log.Event("store.compacted", decision.Fields{"revision": cur.revision})
+		f.config.Log.Event("store.compacted", decision.Fields{"revision": cur.revision, "epoch": page.Epoch})
 		cur.fresh = false
 		return nil
 	}
@@ -189,7 +201,7 @@
 		return err
 	}
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Revision: page.Revision, Source: deployment.SourceStore})
+	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Epoch: page.Epoch, Revision: page.Revision, Source: deployment.SourceStore})
 	cur.revision = max(cur.revision, page.Revision)
 	if len(page.Items) > 0 {
 		pause(ctx, watchPause)
@@ -217,15 +229,17 @@
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
 	var all []deployment.Item
-	var revision uint64
+	var epoch, revision uint64
 	after := ""
 	for {
 		page, err := f.page(ctx, after)
+		f.config.Metrics.readings.note(err)
 		if err != nil {
 			return err
 		}
+		f.noteEpoch(cur, page, nil)
 		if revision == 0 {
-			revision = page.Revision
+			epoch, revision = page.Epoch, page.Revision
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -235,7 +249,7 @@
 	}
 	failed := cur.failures > 0
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Revision: revision, Whole: true, Regained: failed, Source: deployment.SourceStore})
+	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Epoch: epoch, Revision: revision, Whole: true, Regained: failed, Source: deployment.SourceStore})
 	cur.revision, cur.fresh = revision, true
 	return nil
 }
@@ -246,6 +260,16 @@
 	return f.config.Source.Range(ctx, after)
 }
 
+// noteEpoch logs that the store was restored from a copy since its last answer.
+func (f *Follower) noteEpoch(cur *cursor, page Page, err error) {
+	if err != nil && !errors.Is(err, ErrCompacted) || page.Epoch == cur.epoch {
+		return
+	}
+	f.config.Metrics.epoch.Set(float64(page.Epoch))
+	f.config.Log.Event("store.epoch", decision.Fields{"epoch": page.Epoch, "before": cur.epoch, "revision": page.Revision, "known": cur.revision})
+	cur.epoch = page.Epoch
+}
+
 func (f *Follower) regained(cur *cursor) {
 	f.config.Sink.Noted(deployment.Reading)
 	if cur.lost {
