--- a/gateway.go
+++ b/gateway.go
@@ -282,7 +282,7 @@
 	age, known := g.state.Age()
 	snap := g.state.Snapshot()
 	return map[string]any{
-		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "revision": snap.Revision,
+		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "epoch": snap.Epoch, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 	}
--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -14,9 +14,14 @@
 	items     map[string]Item
 	endpoints map[string]*Endpoint
 	config    *Config
-	revision  uint64
-	// since is the revision up to which a removal may be unknown.
-	since uint64
+	// inForce is the item of the configuration.
+	inForce Item
+	// position is the one up to which all changes are known, opened the revision
+	// of the reading with which its epoch began, and since the revision up to
+	// which a removal may be unknown.
+	position Position
+	opened   uint64
+	since    uint64
 	// trusted is when removals count at once again.
 	trusted time.Time
 	// lapsed holds removals back until the time given.
@@ -25,36 +30,46 @@
 	// taken back.
 	evacuated map[string]Evacuated
 	restored  map[string]restored
+	// leaving are endpoints that drained or were gone in an earlier epoch, and kept
+	// zones that were evacuated in one; settled is when the store has everything
+	// again.
+	leaving map[string]former
+	kept    map[string]former
+	settled time.Time
 }
 
 // restored is a zone that was taken back after an evacuation.
 type restored struct {
-	revision uint64
-	at       time.Time
+	Position
+	at time.Time
 }
 
 func newBook() *book {
 	return &book{
 		items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{},
 		evacuated: map[string]Evacuated{}, restored: map[string]restored{},
+		leaving: map[string]former{}, kept: map[string]former{},
 	}
 }
 
 // apply takes an update: its items, what it lacks if it is everything, and up to
 // which revision all is known after it.
 func (s *State) apply(b *book, u Update, now time.Time) {
-	if lapsing := s.lapsingAfter(u); now.Add(lapsing).After(b.trusted) {
+	entering := u.Whole && u.Epoch > b.position.Epoch
+	if lapsing := s.lapsingAfter(u, entering && !b.position.IsZero()); now.Add(lapsing).After(b.trusted) {
 		b.trusted = now.Add(lapsing)
 		s.lapsing.Store(int64(time.Since(s.start) + lapsing))
 	}
-	if u.Whole && u.Revision < b.revision {
-		s.config.Log.Event("reading.ignored", decision.Fields{
-			"epoch": u.Epoch, "revision": u.Revision, "known": b.revision, "items": len(u.Items), "source": u.Source,
-		})
+	changed := false
+	switch {
+	case entering:
+		s.enter(b, u, now)
+		changed = true
+	case u.Epoch != b.position.Epoch, u.Whole && u.Revision < b.position.Revision:
+		s.ignore(b, u, now)
 		return
 	}
-	changed := false
-	if u.Whole && u.Revision > b.revision {
+	if u.Whole && u.Revision > b.position.Revision {
 		b.since = u.Revision
 	}
 	for _, item := range u.Items {
@@ -63,11 +78,12 @@
 	if u.Whole {
 		changed = s.takeMissing(b, u, now) || changed
 	}
-	if u.Revision > b.revision {
-		b.revision = u.Revision
+	if u.Revision > b.position.Revision {
+		b.position.Revision = u.Revision
 		changed = true
 	}
 	b.since = max(b.since, forget(b.items))
+	changed = s.recall(b, u, now) || changed
 	if changed {
 		s.publish(b)
 	}
@@ -79,6 +95,17 @@
 	}
 }
 
+// ignore takes of an update that is older than what is known only what holds in
+// all epochs.
+func (s *State) ignore(b *book, u Update, now time.Time) {
+	s.config.Log.Event("reading.ignored", decision.Fields{
+		"epoch": u.Epoch, "revision": u.Revision, "known": b.position.Revision, "in": b.position.Epoch, "items": len(u.Items), "whole": u.Whole, "source": u.Source,
+	})
+	if s.recall(b, u, now) {
+		s.publish(b)
+	}
+}
+
 // takeMissing removes what a reading of everything lacks.
 func (s *State) takeMissing(b *book, u Update, now time.Time) bool {
 	present := make(map[string]bool, len(u.Items))
@@ -93,16 +120,16 @@
 		}
 	}
 	s.config.Log.Event("reading", decision.Fields{
-		"epoch": u.Epoch, "revision": u.Revision, "known": b.revision, "items": len(u.Items), "missing": missing, "source": u.Source,
+		"epoch": u.Epoch, "revision": u.Revision, "known": b.position.Revision, "items": len(u.Items), "missing": missing, "source": u.Source,
 	})
 	return changed
 }
 
 // lapsingAfter returns for how long after an update removals may stem from an
-// outage.
-func (s *State) lapsingAfter(u Update) time.Duration {
+// outage, or from the copy that the store was restored from.
+func (s *State) lapsingAfter(u Update, restored bool) time.Duration {
 	doubted := time.Since(s.start) < time.Duration(s.doubted.Load())
-	if u.Regained || u.Whole && u.Source != SourceStore && doubted {
+	if u.Regained || restored && u.Source == SourceStore || u.Whole && u.Source != SourceStore && doubted {
 		return lapseWindow
 	}
 	return u.Lapsing
@@ -145,8 +172,8 @@
 
 // takeEndpoint takes an endpoint's entry.
 func (s *State) takeEndpoint(b *book, e *Endpoint, item Item, u Update, now time.Time) {
-	e.Revision, e.ColdUntil = item.Revision, now.Add(e.Cold)
-	if r := b.restored[e.Zone]; item.Revision < r.revision {
+	e.Position, e.ColdUntil = Position{u.Epoch, item.Revision}, now.Add(e.Cold)
+	if r := b.restored[e.Zone]; e.Before(r.Position) {
 		e.ColdUntil = later(e.ColdUntil, r.at.Add(b.cold(e)))
 	}
 	f := decision.Fields{"endpoint": e.ID, "service": e.Service, "draining": e.Draining, "revision": item.Revision, "source": u.Source}
@@ -160,6 +187,7 @@
 		f["cold_ms"] = e.Cold.Milliseconds()
 	}
 	delete(b.lapsed, e.ID)
+	b.written(e.ID, item)
 	b.endpoints[e.ID] = e
 	s.config.Log.Event("endpoint", f)
 }
@@ -189,11 +217,14 @@
 // takeConfig puts a configuration in force, never an older one.
 func (s *State) takeConfig(b *book, c *Config, item Item, u Update) bool {
 	if b.config != nil && c.Version <= b.config.Version {
+		if c.Version == b.config.Version {
+			b.inForce = item
+		}
 		return false
 	}
 	c.Index()
 	s.checkHomes(c, item)
-	b.config = c
+	b.config, b.inForce = c, item
 	s.config.Log.Event("config", decision.Fields{
 		"version": c.Version, "routes": len(c.Routes), "revision": item.Revision, "source": u.Source,
 	})
@@ -231,7 +262,7 @@
 	if !ok {
 		return false
 	}
-	held := now.Before(b.trusted) && !e.Draining
+	held := now.Before(b.trusted) && !e.Draining && !b.leaves(e)
 	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
 	if held {
 		b.lapsed[id] = now.Add(min(lapseWindow, s.config.Drain-holdMargin))
@@ -242,7 +273,7 @@
 }
 
 func (s *State) sweep(b *book, now time.Time) {
-	changed := false
+	changed := s.release(b, now)
 	for id, until := range b.lapsed {
 		if now.Before(until) {
 			continue
@@ -266,7 +297,7 @@
 func (b *book) newest() map[netip.AddrPort]*Endpoint {
 	at := make(map[netip.AddrPort]*Endpoint, len(b.endpoints))
 	for _, e := range b.endpoints {
-		if o := at[e.Addr]; o == nil || o.Revision < e.Revision {
+		if o := at[e.Addr]; o == nil || o.Before(e.Position) {
 			at[e.Addr] = e
 		}
 	}
@@ -274,19 +305,20 @@
 }
 
 func (s *State) publish(b *book) {
-	snap := &Snapshot{Config: b.config, Revision: b.revision, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated)}
+	snap := &Snapshot{Config: b.config, Position: b.position, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated)}
 	newest := b.newest()
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		e := b.endpoints[id]
 		_, evacuated := b.evacuated[e.Zone]
-		if replaced := e.Addr.IsValid() && newest[e.Addr] != e; evacuated || replaced {
+		replaced, leaves := e.Addr.IsValid() && newest[e.Addr] != e, b.leaves(e)
+		if evacuated || replaced || leaves {
 			marked := *e
-			marked.Evacuated, marked.Replaced = evacuated, replaced
+			marked.Evacuated, marked.Replaced, marked.Draining = evacuated, replaced, e.Draining || leaves
 			e = &marked
 		}
 		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], e)
 	}
-	s.record.Store(newRecord(slices.Collect(maps.Values(b.items)), b.revision, b.since))
+	s.record.Store(newRecord(b))
 	first := b.config != nil && s.Snapshot().Config == nil
 	s.snapshot.Store(snap)
 	if first {
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"bytes"
 	"cmp"
 	"net/netip"
 	"slices"
@@ -22,8 +23,8 @@
 		Slots int
 		// Draining endpoints take no new requests.
 		Draining bool
-		// Revision is the store's revision of its entry.
-		Revision uint64
+		// Position is that of its entry.
+		Position
 		// Version is the software's version.
 		Version string
 		// Cold is for how much longer it was cold when it wrote its entry: slow,
@@ -52,8 +53,9 @@
 
 	// Item is one value as the platform's store keeps it.
 	Item struct {
-		Key      string
-		Value    []byte
+		Key   string
+		Value []byte
+		// Revision is that of its last change, in the epoch of what it is part of.
 		Revision uint64
 		Removed  bool
 	}
@@ -68,8 +70,8 @@
 
 	// Evacuated is what is known of an availability zone that is evacuated.
 	Evacuated struct {
-		// Revision is the store's revision of the evacuation.
-		Revision uint64 `json:"revision"`
+		// Position is that of the evacuation.
+		Position
 		// Since is when this node learnt of it, and Source from whom.
 		Since  time.Time `json:"since"`
 		Source string    `json:"source"`
@@ -96,8 +98,8 @@
 	Snapshot struct {
 		// Config is nil until the first configuration is known.
 		Config *Config
-		// Revision is the store's revision up to which all changes are known.
-		Revision uint64
+		// Position is the one up to which all changes are known.
+		Position
 		// Endpoints are those of each service, sorted by ID, draining ones too.
 		Endpoints map[string][]*Endpoint
 		// Evacuated are the availability zones that are evacuated, by name.
@@ -105,6 +107,11 @@
 	}
 )
 
+// same reports whether two items are one change.
+func (i *Item) same(o Item) bool {
+	return i.Key == o.Key && i.Revision == o.Revision && i.Removed == o.Removed && bytes.Equal(i.Value, o.Value)
+}
+
 // Start returns the name of this start of the endpoint's process.
 func (e *Endpoint) Start() Start { return Start{ID: e.ID, Born: e.Born} }
 
--- a/internal/deployment/evacuation.go
+++ b/internal/deployment/evacuation.go
@@ -12,10 +12,11 @@
 // just started, or takes everything from a peer learns of their beginnings and
 // ends as it learns of endpoints that have come and gone.
 func (s *State) takeEvacuation(b *book, e Evacuation, item Item, u Update, now time.Time) bool {
-	f := decision.Fields{"zone": e.Zone, "revision": item.Revision, "source": u.Source}
+	f := decision.Fields{"zone": e.Zone, "epoch": u.Epoch, "revision": item.Revision, "source": u.Source}
+	delete(b.kept, e.Zone)
 	if !e.Ended {
 		s.config.Log.Event("evacuation", f)
-		b.evacuated[e.Zone] = Evacuated{Revision: item.Revision, Since: now, Source: u.Source}
+		b.evacuated[e.Zone] = Evacuated{Position: Position{u.Epoch, item.Revision}, Since: now, Source: u.Source}
 		return true
 	}
 	if known, ok := b.evacuated[e.Zone]; ok {
@@ -23,7 +24,7 @@
 	}
 	s.config.Log.Event("evacuation.ended", f)
 	delete(b.evacuated, e.Zone)
-	b.restore(e.Zone, item.Revision, now)
+	b.restore(e.Zone, Position{u.Epoch, item.Revision}, now)
 	return true
 }
 
@@ -33,10 +34,10 @@
 // say so only with their next heartbeats. Were they taken for warm until then,
 // one would see engines crash under the requests that come back all at once. An
 // entry that was written after the zone was taken back says what holds.
-func (b *book) restore(zone string, revision uint64, now time.Time) {
-	b.restored[zone] = restored{revision: revision, at: now}
+func (b *book) restore(zone string, at Position, now time.Time) {
+	b.restored[zone] = restored{Position: at, at: now}
 	for id, e := range b.endpoints {
-		if e.Zone != zone || e.Revision > revision {
+		if e.Zone != zone || at.Before(e.Position) {
 			continue
 		}
 		cold := *e
--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -50,7 +50,7 @@
 // the store and by peers, in quick succession and out of their order. Cause: they
 // were not known at all, or what came last counted in place of what is newest.
 func TestEvacuations(t *testing.T) {
-	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Whole: true, Source: deployment.SourceStore}
+	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(2), Whole: true, Source: deployment.SourceStore}
 	cases := []struct {
 		name    string
 		updates []deployment.Update
@@ -58,51 +58,51 @@
 	}{
 		{
 			name:    "an evacuated zone's endpoints get nothing",
-			updates: []deployment.Update{{Items: []deployment.Item{evacuation("a", 3)}, Revision: 3, Source: deployment.SourceStore}},
+			updates: []deployment.Update{{Items: []deployment.Item{evacuation("a", 3)}, Position: at(3), Source: deployment.SourceStore}},
 			want:    []string{"a"},
 		},
 		{
 			name: "until it is taken back",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 3)}, Revision: 3, Source: "n1"},
-				{Items: []deployment.Item{takenBack("a", 4)}, Revision: 4, Source: "n2"},
+				{Items: []deployment.Item{evacuation("a", 3)}, Position: at(3), Source: "n1"},
+				{Items: []deployment.Item{takenBack("a", 4)}, Position: at(4), Source: "n2"},
 			},
 		},
 		{
 			name: "an older beginning says nothing after the end",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{takenBack("a", 4)}, Revision: 4, Source: "n2"},
-				{Items: []deployment.Item{evacuation("a", 3)}, Revision: 3, Source: "n1"},
+				{Items: []deployment.Item{takenBack("a", 4)}, Position: at(4), Source: "n2"},
+				{Items: []deployment.Item{evacuation("a", 3)}, Position: at(3), Source: "n1"},
 			},
 		},
 		{
 			name: "a second evacuation holds though the end of the first comes late",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 3)}, Revision: 3, Source: "n1"},
-				{Items: []deployment.Item{evacuation("a", 5)}, Revision: 5, Source: "n1"},
-				{Items: []deployment.Item{takenBack("a", 4)}, Revision: 4, Source: "n2"},
+				{Items: []deployment.Item{evacuation("a", 3)}, Position: at(3), Source: "n1"},
+				{Items: []deployment.Item{evacuation("a", 5)}, Position: at(5), Source: "n1"},
+				{Items: []deployment.Item{takenBack("a", 4)}, Position: at(4), Source: "n2"},
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "two zones at once",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 3), evacuation("b", 4)}, Revision: 4, Source: deployment.SourceStore},
+				{Items: []deployment.Item{evacuation("a", 3), evacuation("b", 4)}, Position: at(4), Source: deployment.SourceStore},
 			},
 			want: []string{"a", "b"},
 		},
 		{
 			name: "a reading that lacks it ends it",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 3)}, Revision: 3, Source: deployment.SourceStore},
-				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 5, Whole: true, Regained: true, Source: deployment.SourceStore},
+				{Items: []deployment.Item{evacuation("a", 3)}, Position: at(3), Source: deployment.SourceStore},
+				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(5), Whole: true, Regained: true, Source: deployment.SourceStore},
 			},
 		},
 		{
 			name: "an older reading that lacks it does not",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 6)}, Revision: 6, Source: "n1"},
-				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 5, Whole: true, Source: deployment.SourceStore},
+				{Items: []deployment.Item{evacuation("a", 6)}, Position: at(6), Source: "n1"},
+				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(5), Whole: true, Source: deployment.SourceStore},
 			},
 			want: []string{"a"},
 		},
@@ -111,15 +111,15 @@
 			// page counts as read at the first page's revision.
 			name: "nor does one whose first page is older than what others know",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("a", 6)}, Revision: 4, Source: "n1"},
-				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 5, Whole: true, Source: deployment.SourceStore},
+				{Items: []deployment.Item{evacuation("a", 6)}, Position: at(4), Source: "n1"},
+				{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(5), Whole: true, Source: deployment.SourceStore},
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "an endpoint that comes while its zone is evacuated",
 			updates: []deployment.Update{
-				{Items: []deployment.Item{evacuation("c", 3), entry("c", 4, "")}, Revision: 4, Source: deployment.SourceStore},
+				{Items: []deployment.Item{evacuation("c", 3), entry("c", 4, "")}, Position: at(4), Source: deployment.SourceStore},
 			},
 			want: []string{"c"},
 		},
@@ -157,7 +157,7 @@
 			return list
 		}
 		apply := func(revision uint64, items ...deployment.Item) {
-			s.Apply(t.Context(), deployment.Update{Items: items, Revision: revision, Source: "n1"})
+			s.Apply(t.Context(), deployment.Update{Items: items, Position: at(revision), Source: "n1"})
 			synctest.Wait()
 		}
 		apply(3, entry("a", 1, "at 10.0.0.1:80"), entry("b", 2, "at 10.0.0.2:80"), entry("nowhere", 3, ""))
@@ -175,7 +175,7 @@
 // with their next heartbeats.
 func TestEndpointsOfAZoneTakenBackAreCold(t *testing.T) {
 	config := deployment.Item{Key: "config", Value: []byte("x"), Revision: 1}
-	start := deployment.Update{Items: []deployment.Item{config, entry("a", 2, ""), entry("b", 3, "")}, Revision: 3, Whole: true, Source: deployment.SourceStore}
+	start := deployment.Update{Items: []deployment.Item{config, entry("a", 2, ""), entry("b", 3, "")}, Position: at(3), Whole: true, Source: deployment.SourceStore}
 	cases := []struct {
 		name  string
 		items []deployment.Item
@@ -198,7 +198,7 @@
 				s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
 				defer s.Close()
 				s.Apply(t.Context(), start)
-				s.Apply(t.Context(), deployment.Update{Items: c.items, Revision: 6, Source: "n1"})
+				s.Apply(t.Context(), deployment.Update{Items: c.items, Position: at(6), Source: "n1"})
 				synctest.Wait()
 				time.Sleep(c.wait)
 				require.Equal(t, c.want, cold(s))
--- a/internal/deployment/property_test.go
+++ b/internal/deployment/property_test.go
@@ -114,7 +114,7 @@
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
 		defer s.Close()
 		for _, i := range items {
-			s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{i}, Revision: i.Revision, Source: "peer"})
+			s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{i}, Position: at(i.Revision), Source: "peer"})
 		}
 		synctest.Wait()
 		list = ids(s)
--- a/internal/deployment/record.go
+++ b/internal/deployment/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,21 +16,25 @@
 // Record is what a node has read of the store, as it tells it to other nodes. It
 // is immutable.
 type Record struct {
-	// Items are all known ones, among them those that were removed after Since.
+	// Items are all known ones of the epoch, among them those that were removed
+	// after Since.
 	Items []Item
-	// Revision is the store's revision up to which all changes are known.
-	Revision uint64
-	// Since is the revision up to which a removal may be unknown: that of the
-	// newest reading of everything that closed a gap, or 0.
+	// Position is the one up to which all changes are known.
+	Position
+	// Since is the epoch's revision up to which a removal may be unknown: that of
+	// the newest reading of everything that closed a gap, or 0.
 	Since uint64
+	// Former are items of earlier epochs that still hold though the present one
+	// does not have them.
+	Former []Item
 	// Digest is the same for all nodes that know the same at one revision.
 	Digest uint32
 }
 
-// newRecord returns the record of some items.
-func newRecord(items []Item, revision, since uint64) *Record {
-	r := &Record{Items: items, Revision: revision, Since: since}
-	for _, i := range items {
+// newRecord returns the record of a book.
+func newRecord(b *book) *Record {
+	r := &Record{Items: slices.Collect(maps.Values(b.items)), Position: b.position, Since: b.since, Former: b.formers()}
+	for _, i := range r.Items {
 		if !i.Removed {
 			r.Digest ^= i.digest()
 		}
@@ -41,7 +46,7 @@
 	return uint32(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(i.Key), i.Revision)))
 }
 
-// After returns what changed after a revision, or everything there is, which
+// After returns what changed after a position, or everything there is, which
 // whole says.
 //
 // Who has read everything knows nothing of an entry that was removed before. As
@@ -49,10 +54,13 @@
 // would see the asking node send requests to an endpoint long after it has left,
 // though it takes all later news. From everything there is, the asking node finds
 // out itself what is gone.
-func (r *Record) After(revision uint64) (items []Item, whole bool) {
-	whole = revision < r.Since
+//
+// Nor is there a difference between two epochs, in which one revision names two
+// changes.
+func (r *Record) After(p Position) (items []Item, whole bool) {
+	whole = p.Epoch != r.Epoch || p.Revision < r.Since
 	for _, i := range r.Items {
-		if whole && !i.Removed || !whole && i.Revision > revision {
+		if whole && !i.Removed || !whole && i.Revision > p.Revision {
 			items = append(items, i)
 		}
 	}
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -75,7 +75,10 @@
 		// doubted is until when a peer's reading may have been made during an
 		// outage, as time since start.
 		doubted atomic.Int64
-		news    chan struct{}
+		// settling is until when the store may lack what it was told before it was
+		// restored, as time since start.
+		settling atomic.Int64
+		news     chan struct{}
 		// configured is closed with the first configuration.
 		configured chan struct{}
 		start      time.Time
@@ -89,10 +92,8 @@
 	// Update is a set of items, from the store or from a peer.
 	Update struct {
 		Items []Item
-		// Epoch is the store's at that time, 0 where it names none.
-		Epoch uint64
-		// Revision is the store's revision at which the items were read.
-		Revision uint64
+		// Position is the store's at which the items were read.
+		Position
 		// Whole says that the items are everything there is, so that entries
 		// that are missing are gone.
 		Whole bool
@@ -101,6 +102,10 @@
 		Regained bool
 		// Lapsing is for how much longer that may be so, as a peer says.
 		Lapsing time.Duration
+		// Former are items of earlier epochs that still hold, as a peer says, those
+		// of endpoints that were gone and of evacuations for the time of Settling.
+		Former   []Item
+		Settling time.Duration
 		// Source is SourceStore or a peer's name.
 		Source string
 	}
@@ -181,6 +186,12 @@
 	return max(time.Duration(s.lapsing.Load())-time.Since(s.start), 0)
 }
 
+// Settling returns for how much longer the store may lack what it was told before
+// it was restored, 0 if it does not.
+func (s *State) Settling() time.Duration {
+	return max(time.Duration(s.settling.Load())-time.Since(s.start), 0)
+}
+
 // Doubt notes that a node which should read the store cannot.
 //
 // A node that starts just after an outage finds the entries that have not lapsed,
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -48,6 +48,9 @@
 	return deployment.Change{Config: &deployment.Config{Version: uint64(len(i.Value)), Services: services}}, nil
 }
 
+// at is a position in the only epoch of a store that names none.
+func at(revision uint64) deployment.Position { return deployment.Position{Revision: revision} }
+
 func entry(id string, revision uint64, value string) deployment.Item {
 	return deployment.Item{Key: "e/" + id, Value: []byte(value), Revision: revision}
 }
@@ -66,7 +69,7 @@
 
 func TestStateOfUpdates(t *testing.T) {
 	const drain = 2 * time.Second
-	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Whole: true, Source: deployment.SourceStore}
+	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(2), Whole: true, Source: deployment.SourceStore}
 	cases := []struct {
 		name   string
 		update deployment.Update
@@ -76,7 +79,7 @@
 	}{
 		{
 			name:   "a removal told by the store counts at once",
-			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: deployment.SourceStore},
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Position: at(3), Source: deployment.SourceStore},
 			want:   []string{"b"},
 		},
 		{
@@ -84,7 +87,7 @@
 			// Sequence: the store is away, entries lapse, a reading finds none.
 			// Cause: lapsed entries were taken for endpoints that had left.
 			name:   "entries that are missing after an outage are kept for a while",
-			update: deployment.Update{Revision: 3, Whole: true, Regained: true, Source: deployment.SourceStore},
+			update: deployment.Update{Position: at(3), Whole: true, Regained: true, Source: deployment.SourceStore},
 			want:   []string{"a", "b"},
 		},
 		{
@@ -93,12 +96,12 @@
 			// its entry's removal. Cause: removals were held for longer than
 			// endpoints may get requests.
 			name:   "but not for longer than endpoints that leave may get requests",
-			update: deployment.Update{Revision: 3, Whole: true, Regained: true, Source: deployment.SourceStore},
+			update: deployment.Update{Position: at(3), Whole: true, Regained: true, Source: deployment.SourceStore},
 			wait:   drain - 100*time.Millisecond,
 		},
 		{
 			name:   "so is what a peer tells that has seen the outage",
-			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Lapsing: time.Second, Source: "n1"},
+			update: deployment.Update{Items: []deployment.Item{removal("a", 3)}, Position: at(3), Lapsing: time.Second, Source: "n1"},
 			want:   []string{"a", "b"},
 		},
 		{
@@ -106,22 +109,22 @@
 			// another writer spoils the endpoint's entry, then the endpoint
 			// leaves. Cause: what the entry had said before was still believed.
 			name:   "an entry that cannot be read names no endpoint, and the others hold",
-			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad"), entry("c", 4, "bad")}, Revision: 4, Source: deployment.SourceStore},
+			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad"), entry("c", 4, "bad")}, Position: at(4), Source: deployment.SourceStore},
 			want:   []string{"b"},
 		},
 		{
 			name:   "nor is it held back after an outage",
-			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad")}, Revision: 3, Lapsing: time.Second, Source: "n1"},
+			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad")}, Position: at(3), Lapsing: time.Second, Source: "n1"},
 			want:   []string{"b"},
 		},
 		{
 			name:   "an older reading says nothing",
-			update: deployment.Update{Revision: 1, Whole: true, Source: deployment.SourceStore},
+			update: deployment.Update{Position: at(1), Whole: true, Source: deployment.SourceStore},
 			want:   []string{"a", "b"},
 		},
 		{
 			name:   "an older item says nothing",
-			update: deployment.Update{Items: []deployment.Item{removal("b", 2)}, Revision: 4, Source: deployment.SourceStore},
+			update: deployment.Update{Items: []deployment.Item{removal("b", 2)}, Position: at(4), Source: deployment.SourceStore},
 			want:   []string{"a", "b"},
 		},
 	}
@@ -147,8 +150,8 @@
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}})
 		defer s.Close()
 		for _, u := range []deployment.Update{
-			{Items: []deployment.Item{{Key: "config", Value: []byte("xxx"), Revision: 5}}, Revision: 5, Source: deployment.SourceStore},
-			{Items: []deployment.Item{{Key: "config", Value: []byte("x"), Revision: 6}}, Revision: 6, Source: "n1"},
+			{Items: []deployment.Item{{Key: "config", Value: []byte("xxx"), Revision: 5}}, Position: at(5), Source: deployment.SourceStore},
+			{Items: []deployment.Item{{Key: "config", Value: []byte("x"), Revision: 6}}, Position: at(6), Source: "n1"},
 		} {
 			s.Apply(context.Background(), u)
 		}
@@ -166,9 +169,9 @@
 		const drain, news = 2 * time.Second, 400 * time.Millisecond
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: drain})
 		defer s.Close()
-		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("a", 1, "")}, Revision: 1, Whole: true, Regained: true, Source: deployment.SourceStore})
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("a", 1, "")}, Position: at(1), Whole: true, Regained: true, Source: deployment.SourceStore})
 		time.Sleep(news)
-		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{removal("a", 2)}, Revision: 2, Source: "peer"})
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{removal("a", 2)}, Position: at(2), Source: "peer"})
 		time.Sleep(drain - news)
 		require.Empty(t, ids(s))
 	})
@@ -184,7 +187,7 @@
 		peer := deployment.NewState(deployment.StateConfig{Decoder: decoder{}})
 		defer peer.Close()
 		apply := func(s *deployment.State, source string, items ...deployment.Item) {
-			s.Apply(t.Context(), deployment.Update{Items: items, Revision: items[len(items)-1].Revision, Source: source})
+			s.Apply(t.Context(), deployment.Update{Items: items, Position: at(items[len(items)-1].Revision), Source: source})
 			synctest.Wait()
 		}
 		apply(reader, deployment.SourceStore, entry("a", 1, ""), entry("b", 2, ""))
@@ -210,8 +213,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
 		defer s.Close()
-		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("b", 2, "")}, Revision: 4, Whole: true, Source: deployment.SourceStore})
-		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Revision: 2, Source: "peer"})
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("b", 2, "")}, Position: at(4), Whole: true, Source: deployment.SourceStore})
+		s.Apply(t.Context(), deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(2), Source: "peer"})
 		synctest.Wait()
 		require.Equal(t, []string{"b"}, ids(s))
 	})
@@ -226,17 +229,17 @@
 		entries := []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}
 		from := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
 		defer from.Close()
-		from.Apply(t.Context(), deployment.Update{Items: entries, Revision: 2, Whole: true, Regained: true, Source: deployment.SourceStore})
+		from.Apply(t.Context(), deployment.Update{Items: entries, Position: at(2), Whole: true, Regained: true, Source: deployment.SourceStore})
 		synctest.Wait()
 		for range 3 {
 			time.Sleep(time.Second)
 			to := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
 			defer to.Close()
-			to.Apply(t.Context(), deployment.Update{Items: entries, Revision: 2, Lapsing: from.Lapsing(), Source: "peer"})
+			to.Apply(t.Context(), deployment.Update{Items: entries, Position: at(2), Lapsing: from.Lapsing(), Source: "peer"})
 			synctest.Wait()
 			from = to
 		}
-		from.Apply(t.Context(), deployment.Update{Items: []deployment.Item{removal("a", 3)}, Revision: 3, Source: "peer"})
+		from.Apply(t.Context(), deployment.Update{Items: []deployment.Item{removal("a", 3)}, Position: at(3), Source: "peer"})
 		synctest.Wait()
 		require.Equal(t, []string{"b"}, ids(from))
 	})
--- a/internal/gossip/compare.go
+++ b/internal/gossip/compare.go
@@ -19,7 +19,7 @@
 )
 
 // compare makes the node read the store if many others say that they know
-// something else at the same revision.
+// something else at the same position.
 //
 // A node that has once missed a change believes to know all, and takes all later
 // news. One would see it send requests to endpoints that left long ago, or miss
@@ -29,7 +29,7 @@
 	same, other := 1, 0
 	for _, n := range o.table.nodes {
 		switch {
-		case !n.alive || n.digest == 0 || n.digested != own.Revision:
+		case !n.alive || n.digest == 0 || n.digested != own.Position:
 		case n.digest == own.Digest:
 			same++
 		default:
@@ -40,6 +40,6 @@
 		return
 	}
 	o.differed = now
-	g.config.Log.Event("record.differs", decision.Fields{"revision": own.Revision, "digest": own.Digest, "same": same, "other": other})
+	g.config.Log.Event("record.differs", decision.Fields{"epoch": own.Epoch, "revision": own.Revision, "digest": own.Digest, "same": same, "other": other})
 	g.config.Untold()
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -53,8 +53,11 @@
 		Confirm()
 		// Doubt notes that a node which should read the store cannot.
 		Doubt()
-		// Lapsing returns for how much longer removals may stem from an outage.
+		// Lapsing returns for how much longer removals may stem from an outage, and
+		// Settling for how much longer the store may lack what it was told before it
+		// was restored.
 		Lapsing() time.Duration
+		Settling() time.Duration
 		// News tells when the store itself has told something new.
 		News() <-chan struct{}
 	}
@@ -146,7 +149,10 @@
 		// toAll is when heartbeats last went to all, and toRelays to relays.
 		toAll    tellings
 		toRelays tellings
-		// behind is since when a newer revision than the node's own is known of;
+		// recalled is the newest epoch of which a peer was asked what still holds
+		// of earlier ones.
+		recalled atomic.Uint64
+		// behind is since when a newer position than the node's own is known of;
 		// zero if none is.
 		behind time.Time
 		// differed is when the node last read the store anew since others know
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -74,10 +74,13 @@
 	}
 )
 
+// at is a position in the only epoch of a store that names none.
+func at(revision uint64) deployment.Position { return deployment.Position{Revision: revision} }
+
 func (b *book) Snapshot() *deployment.Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &deployment.Snapshot{Revision: b.revision}
+	return &deployment.Snapshot{Position: at(b.revision)}
 }
 
 func (b *book) Items() []deployment.Item {
@@ -89,7 +92,7 @@
 func (b *book) Record() *deployment.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &deployment.Record{Items: b.items, Revision: b.revision}
+	return &deployment.Record{Items: b.items, Position: at(b.revision)}
 }
 
 func (b *book) Past() []deployment.Item {
@@ -124,6 +127,8 @@
 
 func (*book) Lapsing() time.Duration { return lapsing }
 
+func (*book) Settling() time.Duration { return 0 }
+
 func (b *book) News() <-chan struct{} { return b.news }
 
 func (w *work) Active() map[uint32]int {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -70,6 +70,8 @@
 		Revision uint64            `cbor:"3,keyasint"`
 		State    State             `cbor:"4,keyasint,omitempty"`
 		Access   deployment.Access `cbor:"5,keyasint,omitempty"`
+		// Epoch is the store's epoch of the revision.
+		Epoch uint64 `cbor:"17,keyasint,omitempty"`
 		// Loads are the node's requests in progress by endpoint.
 		Loads map[uint32]int `cbor:"6,keyasint,omitempty"`
 		// Reading are the prompt tokens that endpoints are still to read for the
@@ -94,18 +96,20 @@
 		Ask bool `cbor:"11,keyasint,omitempty"`
 	}
 
-	// itemsRequest asks for the items that changed after a revision.
+	// itemsRequest asks for the items that changed after a position.
 	itemsRequest struct {
 		After uint64 `cbor:"1,keyasint"`
+		Epoch uint64 `cbor:"3,keyasint,omitempty"`
 		// Base is the largest item that the caller has; its new value is sent
 		// as the difference to it where the other node still knows it.
 		Base itemName `cbor:"2,keyasint"`
 	}
 
-	// itemName names an item's value.
+	// itemName names an item's value by what it is: a revision names other values
+	// after the store was restored.
 	itemName struct {
-		Key      string `cbor:"1,keyasint"`
-		Revision uint64 `cbor:"2,keyasint"`
+		Key string `cbor:"1,keyasint"`
+		Sum uint64 `cbor:"3,keyasint"`
 	}
 
 	itemsReply struct {
@@ -117,6 +121,11 @@
 		// Based says that the base serves as the dictionary.
 		Based    bool   `cbor:"4,keyasint,omitempty"`
 		Revision uint64 `cbor:"2,keyasint"`
+		Epoch    uint64 `cbor:"7,keyasint,omitempty"`
+		// Former are the items of earlier epochs that still hold, as Packed, and
+		// Settling for how much longer the store may lack them.
+		Former   []byte        `cbor:"8,keyasint,omitempty"`
+		Settling time.Duration `cbor:"9,keyasint,omitempty"`
 		// Lapsing is for how much longer removals may stem from an outage of the
 		// store.
 		Lapsing time.Duration `cbor:"6,keyasint,omitempty"`
@@ -133,6 +142,11 @@
 	codec struct{}
 )
 
+// position is that of the store up to which the sender knows all.
+func (b *heartbeat) position() deployment.Position {
+	return deployment.Position{Epoch: b.Epoch, Revision: b.Revision}
+}
+
 // Marshal encodes a message.
 func (codec) Marshal(msg drpc.Message) ([]byte, error) {
 	data, err := cbor.Marshal(msg)
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -5,6 +5,7 @@
 	"math/bits"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 
@@ -33,8 +34,8 @@
 	}
 
 	packKey struct {
-		request  itemsRequest
-		revision uint64
+		request itemsRequest
+		record  *deployment.Record
 	}
 )
 
@@ -48,11 +49,11 @@
 // the caller has, a change of one route takes some hundred bytes.
 func (p *packer) reply(req itemsRequest) (*itemsReply, error) {
 	record := p.book.Record()
-	items, whole := record.After(req.After)
+	items, whole := record.After(deployment.Position{Epoch: req.Epoch, Revision: req.After})
 	if whole {
-		req.After = 0
+		req.After, req.Epoch = 0, 0
 	}
-	key := packKey{request: req, revision: record.Revision}
+	key := packKey{request: req, record: record}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.kept[key]; ok {
@@ -66,29 +67,39 @@
 	if err != nil {
 		return nil, err
 	}
+	var former []byte
+	if len(record.Former) > 0 {
+		if former, err = pack(mapped(record.Former, encodeItem), base); err != nil {
+			return nil, err
+		}
+	}
 	if len(p.kept) >= packsKept {
 		clear(p.kept)
 	}
-	r := &itemsReply{Packed: packed, Whole: whole, Based: base != nil, Revision: record.Revision}
+	r := &itemsReply{Packed: packed, Former: former, Whole: whole, Based: base != nil, Epoch: record.Epoch, Revision: record.Revision}
 	p.kept[key] = r
 	return r, nil
 }
 
 // largest names the largest item.
 func largest(items []deployment.Item) itemName {
-	var name itemName
-	size := 0
+	var most deployment.Item
 	for _, i := range items {
-		if len(i.Value) > size {
-			name, size = itemName{Key: i.Key, Revision: i.Revision}, len(i.Value)
+		if len(i.Value) > len(most.Value) {
+			most = i
 		}
 	}
-	return name
+	if most.Key == "" {
+		return itemName{}
+	}
+	return nameOf(most)
 }
 
+func nameOf(i deployment.Item) itemName { return itemName{Key: i.Key, Sum: xxhash.Sum64(i.Value)} }
+
 func valueOf(items []deployment.Item, name itemName) []byte {
 	for _, i := range items {
-		if i.Key == name.Key && i.Revision == name.Revision {
+		if i.Key == name.Key && nameOf(i) == name {
 			return i.Value
 		}
 	}
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -77,14 +77,14 @@
 		return err
 	}
 	reply := *packed
-	reply.Lapsing = h.book.Lapsing()
+	reply.Lapsing, reply.Settling = h.book.Lapsing(), h.book.Settling()
 	if err := stream.MsgSend(&reply, codec{}); err != nil {
 		return err
 	}
 	return stream.CloseSend()
 }
 
-// items asks a node for the items that changed after a revision.
+// items asks a node for the items that changed after a position.
 func (c *caller) items(ctx context.Context, ip netip.Addr, req itemsRequest) (*itemsReply, error) {
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp4", netip.AddrPortFrom(ip, c.port).String())
@@ -120,36 +120,70 @@
 				return
 			}
 		}
-		after := g.config.Book.Snapshot().Revision
+		after := g.config.Book.Snapshot().Position
 		if from, ok := g.View().informed(after); ok {
-			g.fetch(ctx, from, after)
+			g.fetch(ctx, o, from, after)
 		}
 	})
 }
 
-func (g *Gossip) fetch(ctx context.Context, from Member, after uint64) {
+// recall asks one peer, once in an epoch, what still holds of earlier epochs.
+//
+// A node that starts just after the store was restored reads a configuration that
+// is older than the one in force, and endpoints that have left.
+func (g *Gossip) recall(ctx context.Context, o *owner, own, at deployment.Position) {
+	if own.Epoch != at.Epoch || at.IsZero() || o.recalled.Load() >= own.Epoch {
+		return
+	}
+	select {
+	case o.pulling <- struct{}{}:
+	default:
+		return
+	}
+	g.running.Go(func() {
+		defer func() { <-o.pulling }()
+		if from, ok := g.View().contemporary(own.Epoch); ok {
+			g.fetch(ctx, o, from, own)
+		}
+	})
+}
+
+func (g *Gossip) fetch(ctx context.Context, o *owner, from Member, after deployment.Position) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	items := g.config.Book.Record().Items
-	req := itemsRequest{After: after, Base: largest(items)}
+	req := itemsRequest{After: after.Revision, Epoch: after.Epoch, Base: largest(items)}
 	reply, err := g.caller.items(ctx, from.IP, req)
-	var news []item
+	var news, former []item
 	if err == nil {
-		var base []byte
-		if reply.Based {
-			base = valueOf(items, req.Base)
-		}
-		news, err = unpack(reply.Packed, base)
+		news, former, err = reply.unpack(items, req.Base)
 	}
 	if err != nil {
-		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "after": after, "error": err.Error()})
+		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "epoch": after.Epoch, "after": after.Revision, "error": err.Error()})
 		g.config.Untold()
 		return
 	}
 	g.config.Log.Event("pull", decision.Fields{
-		"peer": from.Name, "after": after, "revision": reply.Revision, "whole": reply.Whole, "items": len(news), "bytes": len(reply.Packed),
+		"peer": from.Name, "after": after.Revision, "epoch": reply.Epoch, "revision": reply.Revision, "whole": reply.Whole, "items": len(news),
+		"former": len(former), "bytes": len(reply.Packed) + len(reply.Former),
 	})
 	g.config.Book.Apply(ctx, deployment.Update{
-		Items: mapped(news, decodeItem), Revision: reply.Revision, Whole: reply.Whole, Lapsing: reply.Lapsing, Source: from.Name,
+		Items: mapped(news, decodeItem), Position: deployment.Position{Epoch: reply.Epoch, Revision: reply.Revision}, Whole: reply.Whole,
+		Lapsing: reply.Lapsing, Former: mapped(former, decodeItem), Settling: reply.Settling, Source: from.Name,
 	})
+	o.recalled.Store(max(o.recalled.Load(), reply.Epoch))
+}
+
+// unpack returns the items of a reply, and those of earlier epochs. The caller's
+// own items have the base that the reply may refer to.
+func (r *itemsReply) unpack(own []deployment.Item, name itemName) (news, former []item, err error) {
+	var base []byte
+	if r.Based {
+		base = valueOf(own, name)
+	}
+	if news, err = unpack(r.Packed, base); err != nil || len(r.Former) == 0 {
+		return news, nil, err
+	}
+	former, err = unpack(r.Former, base)
+	return news, former, err
 }
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -61,7 +61,7 @@
 	}
 	g.learn(o, b, now)
 	if brought == regained {
-		g.config.Log.Event("node.heard", decision.Fields{"peer": n.member.Name, "incarnation": b.ID, "revision": b.Revision})
+		g.config.Log.Event("node.heard", decision.Fields{"peer": n.member.Name, "incarnation": b.ID, "epoch": b.Epoch, "revision": b.Revision})
 		// The node knows this one before the next heartbeat is due.
 		g.send(n.addr, g.introduction(o, false, now))
 	}
@@ -71,15 +71,17 @@
 	if b.Access == deployment.Failing {
 		g.config.Book.Doubt()
 	}
-	if !g.newer(ctx, o, b.Revision, now) && b.Access == deployment.Reading {
+	if !g.newer(ctx, o, b.position(), now) && b.Access == deployment.Reading {
 		g.config.Book.Confirm()
 	}
 }
 
-// newer takes news that others know a revision, and reports whether this node
-// does not.
-func (g *Gossip) newer(ctx context.Context, o *owner, revision uint64, now time.Time) bool {
-	if revision <= g.config.Book.Snapshot().Revision {
+// newer takes news that others know all up to a position of the store, and reports
+// whether this node does not.
+func (g *Gossip) newer(ctx context.Context, o *owner, at deployment.Position, now time.Time) bool {
+	own := g.config.Book.Snapshot().Position
+	if !own.Before(at) {
+		g.recall(ctx, o, own, at)
 		return false
 	}
 	if o.behind.IsZero() {
@@ -112,10 +114,10 @@
 	g.view.Store(o.table.view(now, o.relay.Sums(now)))
 }
 
-// caughtUp notes how long the node knew of a newer revision, once it has it. It
+// caughtUp notes how long the node knew of a newer position, once it has it. It
 // is looked at with each heartbeat, so that the time is that much too long.
 func (g *Gossip) caughtUp(o *owner, now time.Time) {
-	if o.behind.IsZero() || g.View().newest() > g.config.Book.Snapshot().Revision {
+	if o.behind.IsZero() || g.config.Book.Snapshot().Before(g.View().newest()) {
 		return
 	}
 	g.config.Metrics.behind.Update(now.Sub(o.behind).Seconds())
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -151,7 +151,7 @@
 // report returns what a heartbeat says, for a relay.
 func report(b *heartbeat, addr netip.Addr) relay.Report {
 	r := relay.Report{
-		ID: short(b.ID), Addr: addr, Sequence: b.Sequence, Mark: markOf(b.State, b.Access), Revision: b.Revision,
+		ID: short(b.ID), Addr: addr, Sequence: b.Sequence, Mark: markOf(b.State, b.Access), Position: b.position(),
 		Loads: b.Loads, Reading: b.Reading, Failures: b.Failures, Follows: b.Reporting == followed,
 		News: relay.News{Placements: b.Placements, EndpointLoads: b.Reports},
 	}
@@ -207,7 +207,7 @@
 	})
 	w.Informed.Each(func(_ int, id relay.ID) {
 		if n := by[id]; n != nil {
-			n.revision = max(n.revision, w.Revision)
+			n.position = deployment.Later(n.position, w.Position())
 		}
 	})
 	b := &heartbeat{Placements: w.News.Placements, Reports: w.News.EndpointLoads}
@@ -216,7 +216,7 @@
 	}
 	g.learn(o, b, now)
 	g.publish(o, now)
-	g.newer(ctx, o, w.Revision, now)
+	g.newer(ctx, o, w.Position(), now)
 }
 
 // cover notes that a relay hears a node.
--- a/internal/gossip/removal_test.go
+++ b/internal/gossip/removal_test.go
@@ -49,7 +49,7 @@
 
 // whole is a reading of everything that the store has at a revision.
 func whole(revision uint64, items ...deployment.Item) deployment.Update {
-	return deployment.Update{Items: items, Revision: revision, Whole: true, Source: deployment.SourceStore}
+	return deployment.Update{Items: items, Position: at(revision), Whole: true, Source: deployment.SourceStore}
 }
 
 // Symptom: a request reaches an endpoint 3.18 s after the store took the news
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -84,8 +84,9 @@
 // heartbeat returns a heartbeat with what is new since the last ones of its kind.
 func (g *Gossip) heartbeat(o *owner, t tellings, now time.Time) *heartbeat {
 	o.sequence++
+	at := g.config.Book.Record().Position
 	return &heartbeat{
-		ID: g.config.Self.Incarnation, Sequence: o.sequence, Revision: g.config.Book.Record().Revision,
+		ID: g.config.Self.Incarnation, Sequence: o.sequence, Epoch: at.Epoch, Revision: at.Revision,
 		State: g.config.State(), Access: g.config.Book.Access(),
 		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Failures: g.config.Work.Failures(now), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
 		// Each placement is told twice, as datagrams get lost.
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
@@ -37,9 +38,9 @@
 		failures map[uint32]int
 		// heard is the mean of the moments at which the living nodes were heard.
 		heard time.Time
-		// revisions are those of the store that the living nodes know all up
-		// to, in their order.
-		revisions []uint64
+		// positions are those of the store that the living nodes know all up to,
+		// in their order.
+		positions []deployment.Position
 	}
 
 	// table is the control goroutine's knowledge of other nodes.
@@ -63,14 +64,14 @@
 		covered    time.Time
 		introduced time.Time
 		sequence   uint64
-		revision   uint64
+		position   deployment.Position
 		loads      map[uint32]int
 		reading    map[uint32]int
 		failures   map[uint32]int
 		alive      bool
-		// digest is that of the node's record at the revision digested.
+		// digest is that of the node's record at the position digested.
 		digest   uint32
-		digested uint64
+		digested deployment.Position
 	}
 
 	// hearing is what a heartbeat brought.
@@ -85,7 +86,7 @@
 	stranger
 	// usual is the next one of a living node.
 	usual
-	// changed is the same with another state or revision.
+	// changed is the same with another state or position.
 	changed
 	// regained is one of a node that was not alive before.
 	regained
@@ -103,12 +104,22 @@
 // lately.
 func (v *View) OthersFailures(key uint32) int { return v.failures[key] }
 
-// informed draws a living node that knows more of the store than a revision, so
-// that not all ask the same one.
-func (v *View) informed(after uint64) (Member, bool) {
+// informed draws a living node that knows more of the store than up to a position,
+// so that not all ask the same one.
+func (v *View) informed(after deployment.Position) (Member, bool) {
+	return v.draw(func(at deployment.Position) bool { return after.Before(at) })
+}
+
+// contemporary draws a living node that knows an epoch.
+func (v *View) contemporary(epoch uint64) (Member, bool) {
+	return v.draw(func(at deployment.Position) bool { return at.Epoch == epoch && !at.IsZero() })
+}
+
+// draw draws a living node whose position fits.
+func (v *View) draw(fits func(at deployment.Position) bool) (Member, bool) {
 	var list []Member
 	for i, m := range v.Alive {
-		if v.revisions[i] > after {
+		if fits(v.positions[i]) {
 			list = append(list, m)
 		}
 	}
@@ -118,11 +129,10 @@
 	return list[rand.IntN(len(list))], true
 }
 
-// newest returns the newest revision that a living node knows.
-func (v *View) newest() uint64 {
-	newest := uint64(0)
-	for _, r := range v.revisions {
-		newest = max(newest, r)
+// newest returns the newest position that a living node knows.
+func (v *View) newest() (newest deployment.Position) {
+	for _, at := range v.positions {
+		newest = deployment.Later(newest, at)
 	}
 	return newest
 }
@@ -183,14 +193,14 @@
 	switch {
 	case !n.alive:
 		brought = regained
-	case n.member.State != b.State || n.member.Access != b.Access || n.revision != b.Revision:
+	case n.member.State != b.State || n.member.Access != b.Access || n.position != b.position():
 		brought = changed
 	}
 	n.member.State, n.member.Access = b.State, b.Access
-	n.sequence, n.revision, n.loads, n.reading, n.failures = b.Sequence, b.Revision, b.Loads, b.Reading, b.Failures
+	n.sequence, n.position, n.loads, n.reading, n.failures = b.Sequence, b.position(), b.Loads, b.Reading, b.Failures
 	n.heard, n.alive = now, true
 	if b.Digest != 0 {
-		n.digest, n.digested = b.Digest, b.Revision
+		n.digest, n.digested = b.Digest, b.position()
 	}
 	return n, brought
 }
@@ -229,7 +239,7 @@
 	var ages time.Duration
 	for _, n := range living {
 		v.Alive = append(v.Alive, n.member)
-		v.revisions = append(v.revisions, n.revision)
+		v.positions = append(v.positions, n.position)
 		if sums.Covers(short(n.member.Incarnation)) {
 			ages += sums.Age
 			continue
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
 // idBytes is the length of an ID in a list.
@@ -68,8 +69,8 @@
 		Addr     netip.Addr
 		Sequence uint64
 		Mark     Mark
-		// Revision is the store's revision up to which the node knows all.
-		Revision uint64
+		// Position is that of the store up to which the node knows all.
+		deployment.Position
 		// Loads are its requests in progress by endpoint, and Reading the prompt
 		// tokens that endpoints are still to read for them.
 		Loads   map[uint32]int
@@ -102,8 +103,9 @@
 		// Age is how old the loads are on the mean, and Oldest at most.
 		Age    time.Duration `cbor:"10,keyasint"`
 		Oldest time.Duration `cbor:"11,keyasint"`
-		// Revision is the newest that a node covered knows, and Informed some of
-		// those that do.
+		// Epoch and Revision are the newest position of the store that a node
+		// covered knows, and Informed some of those that do.
+		Epoch    uint64         `cbor:"16,keyasint,omitempty"`
 		Revision uint64         `cbor:"12,keyasint"`
 		Informed IDs            `cbor:"13,keyasint,omitempty"`
 		News     News           `cbor:"14,keyasint"`
@@ -136,6 +138,11 @@
 // Len returns how many nodes the list has.
 func (l IDs) Len() int { return len(l) / idBytes }
 
+// Position returns the newest position of the store that a node covered knows.
+func (s *Summary) Position() deployment.Position {
+	return deployment.Position{Epoch: s.Epoch, Revision: s.Revision}
+}
+
 // valid reports whether a summary that came from a peer holds together.
 func (s *Summary) valid() bool {
 	return s.ID != 0 && len(s.Covered)%idBytes == 0 && len(s.Lost)%idBytes == 0 && len(s.Marks) == s.Covered.Len() &&
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
@@ -163,7 +164,7 @@
 	m := a.model
 	a.work()
 	a.seq++
-	own := relay.Report{ID: a.peer.ID, Addr: a.peer.Addr, Sequence: a.seq, Loads: a.told(), Revision: 1, Mark: 1, News: a.news}
+	own := relay.Report{ID: a.peer.ID, Addr: a.peer.Addr, Sequence: a.seq, Loads: a.told(), Position: deployment.Position{Revision: 1}, Mark: 1, News: a.news}
 	for _, msg := range a.relay.Step(m.now, a.peers(), own) {
 		a.send(msg)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
 
@@ -298,3 +299,22 @@
 		}
 	}
 }
+
+// Guards against a summary that names the nodes with the highest revision, though
+// the store has given lower ones out since it was restored.
+func TestSummaryNamesTheNewestPosition(t *testing.T) {
+	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
+	at := func(epoch, revision uint64) deployment.Position {
+		return deployment.Position{Epoch: epoch, Revision: revision}
+	}
+	now := time.Now()
+	for id, p := range map[relay.ID]deployment.Position{2: at(1, 90), 3: at(2, 7), 4: at(2, 6), 5: at(2, 7)} {
+		n.Heard(now, relay.Report{ID: id, Sequence: 1, Position: p, Follows: true})
+	}
+	n.Step(now, nil, relay.Report{ID: 1, Sequence: 1, Position: at(1, 95)})
+	w := n.Whole(now)
+	require.Equal(t, at(2, 7), w.Position())
+	var informed []relay.ID
+	w.Informed.Each(func(_ int, id relay.ID) { informed = append(informed, id) })
+	require.ElementsMatch(t, []relay.ID{3, 5}, informed)
+}
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
 // Sums are what a node believes of all others.
@@ -74,7 +76,7 @@
 		add(s.Failures, r.Failures)
 		ages += age
 		s.Oldest = max(s.Oldest, age)
-		s.informed(r.Revision, IDs(nil).Add(r.ID))
+		s.informed(r.Position, IDs(nil).Add(r.ID))
 	}
 	add(&own, 0)
 	for _, f := range sorted(n.followers) {
@@ -177,16 +179,16 @@
 	add(w.Reading, p.summary.Reading)
 	add(w.Failures, p.summary.Failures)
 	w.Oldest = max(w.Oldest, p.summary.Oldest+since)
-	w.informed(p.summary.Revision, p.summary.Informed)
+	w.informed(p.summary.Position(), p.summary.Informed)
 	return (p.summary.Age + since) * time.Duration(p.summary.Covered.Len())
 }
 
-// informed notes that some nodes know a revision.
-func (s *Summary) informed(revision uint64, who IDs) {
-	switch {
-	case revision > s.Revision:
-		s.Revision, s.Informed = revision, slices.Clone(who)
-	case revision == s.Revision && s.Informed.Len() < informedTold:
+// informed notes that some nodes know all up to a position of the store.
+func (s *Summary) informed(at deployment.Position, who IDs) {
+	switch c := at.Compare(s.Position()); {
+	case c > 0:
+		s.Epoch, s.Revision, s.Informed = at.Epoch, at.Revision, slices.Clone(who)
+	case c == 0 && s.Informed.Len() < informedTold:
 		s.Informed = append(s.Informed, who[:min(len(who), (informedTold-s.Informed.Len())*idBytes)]...)
 	}
 }
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -45,8 +46,14 @@
 	failMemory = 5 * time.Second
 )
 
-// ErrCompacted is returned by a Source that no longer has the history asked for.
-var ErrCompacted = errors.New("store: history is gone")
+var (
+	// ErrCompacted is returned by a Source that no longer has the history asked
+	// for.
+	ErrCompacted = errors.New("store: history is gone")
+	// ErrOutdated is returned where the store answers from an earlier epoch than
+	// is known.
+	ErrOutdated = errors.New("store: outdated answer")
+)
 
 type (
 	// Source reads the store. Its errors are those of the network, statuses
@@ -64,11 +71,9 @@
 		Items []deployment.Item
 		// More says that another page follows after the last item.
 		More bool
-		// Epoch counts how often the store has been restored from a copy, 0 where
-		// it does not say. It is set beside ErrCompacted too.
-		Epoch uint64
-		// Revision is the store's revision of the answer.
-		Revision uint64
+		// Position is the store's of the answer. Beside ErrCompacted its epoch is
+		// set alone.
+		deployment.Position
 	}
 
 	// Sink takes what was read.
@@ -106,13 +111,16 @@
 
 	// cursor is what the follower's goroutine knows.
 	cursor struct {
-		// epoch is that of the last answer.
+		// position is that of the last answer that was taken, and epoch that of the
+		// last answer.
+		position deployment.Position
 		epoch    uint64
-		revision uint64
 		fresh    bool
-		failures int
-		lost     bool
-		failed   time.Time
+		// discarded is how many watches in a row had no history.
+		discarded int
+		failures  int
+		lost      bool
+		failed    time.Time
 	}
 )
 
@@ -159,7 +167,7 @@
 // readings. Were it to rest, the next nodes would fail in the same way, and one
 // would see all of them serve an old configuration while nobody reads.
 func (f *Follower) rests(ctx context.Context, cur *cursor) bool {
-	if f.config.Reads() || f.config.Sink.Snapshot().Revision == 0 || cur.failures == 1 {
+	if f.config.Reads() || f.config.Sink.Snapshot().IsZero() || cur.failures == 1 {
 		return false
 	}
 	if time.Since(cur.failed) > failMemory {
@@ -185,30 +193,43 @@
 	if !cur.fresh {
 		return f.read(ctx, cur)
 	}
-	cur.revision = max(cur.revision, f.config.Sink.Snapshot().Revision)
+	cur.position = deployment.Later(cur.position, f.config.Sink.Snapshot().Position)
 	wait := f.wait()
 	limited, cancel := context.WithTimeout(ctx, wait+f.part(slackShare))
 	defer cancel()
-	page, err := f.config.Source.Watch(limited, cur.revision, wait)
+	page, err := f.config.Source.Watch(limited, cur.position.Revision, wait)
 	f.config.Metrics.watches.note(err)
-	f.noteEpoch(cur, page, err)
-	if errors.Is(err, ErrCompacted) {
-		f.config.Log.Event("store.compacted", decision.Fields{"revision": cur.revision, "epoch": page.Epoch})
-		cur.fresh = false
-		return nil
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrCompacted) {
 		return err
 	}
+	f.noteEpoch(cur, page)
+	if err != nil || page.Epoch != cur.position.Epoch {
+		f.begin(ctx, cur, page)
+		return nil
+	}
+	cur.discarded = 0
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Epoch: page.Epoch, Revision: page.Revision, Source: deployment.SourceStore})
-	cur.revision = max(cur.revision, page.Revision)
+	f.config.Sink.Apply(ctx, deployment.Update{Items: page.Items, Position: page.Position, Source: deployment.SourceStore})
+	cur.position = deployment.Later(cur.position, page.Position)
 	if len(page.Items) > 0 {
 		pause(ctx, watchPause)
 	}
 	return nil
 }
 
+// begin makes the next call a reading of everything: the store has lost its
+// history, or was restored from a copy, after which revisions name other changes.
+//
+// A store that discards its history again and again is read with pauses between.
+func (f *Follower) begin(ctx context.Context, cur *cursor, page Page) {
+	f.config.Log.Event("store.compacted", decision.Fields{"epoch": cur.position.Epoch, "revision": cur.position.Revision, "answered": page.Epoch})
+	cur.fresh = false
+	if cur.discarded > 0 {
+		pause(ctx, backoff(cur.discarded))
+	}
+	cur.discarded++
+}
+
 // wait draws how long the store may hold the next watch open.
 //
 // A watch may never be told of changes, and nothing shows it but its end. Where
@@ -229,7 +250,7 @@
 // goes on from the first page's revision, so that nothing between is missed.
 func (f *Follower) read(ctx context.Context, cur *cursor) error {
 	var all []deployment.Item
-	var epoch, revision uint64
+	var at deployment.Position
 	after := ""
 	for {
 		page, err := f.page(ctx, after)
@@ -237,9 +258,13 @@
 		if err != nil {
 			return err
 		}
-		f.noteEpoch(cur, page, nil)
-		if revision == 0 {
-			epoch, revision = page.Epoch, page.Revision
+		f.noteEpoch(cur, page)
+		if after == "" {
+			at = page.Position
+		}
+		if page.Epoch != at.Epoch {
+			// The store was restored between two pages.
+			return nil
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -247,10 +272,13 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	if known := f.config.Sink.Snapshot(); at.Epoch < known.Epoch {
+		return fmt.Errorf("%w: epoch %d, known %d", ErrOutdated, at.Epoch, known.Epoch)
+	}
 	failed := cur.failures > 0
 	f.regained(cur)
-	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Epoch: epoch, Revision: revision, Whole: true, Regained: failed, Source: deployment.SourceStore})
-	cur.revision, cur.fresh = revision, true
+	f.config.Sink.Apply(ctx, deployment.Update{Items: all, Position: at, Whole: true, Regained: failed, Source: deployment.SourceStore})
+	cur.position, cur.fresh = at, true
 	return nil
 }
 
@@ -261,19 +289,19 @@
 }
 
 // noteEpoch logs that the store was restored from a copy since its last answer.
-func (f *Follower) noteEpoch(cur *cursor, page Page, err error) {
-	if err != nil && !errors.Is(err, ErrCompacted) || page.Epoch == cur.epoch {
+func (f *Follower) noteEpoch(cur *cursor, page Page) {
+	if page.Epoch == cur.epoch {
 		return
 	}
 	f.config.Metrics.epoch.Set(float64(page.Epoch))
-	f.config.Log.Event("store.epoch", decision.Fields{"epoch": page.Epoch, "before": cur.epoch, "revision": page.Revision, "known": cur.revision})
+	f.config.Log.Event("store.epoch", decision.Fields{"epoch": page.Epoch, "before": cur.epoch, "revision": page.Revision, "known": cur.position.Revision})
 	cur.epoch = page.Epoch
 }
 
 func (f *Follower) regained(cur *cursor) {
 	f.config.Sink.Noted(deployment.Reading)
 	if cur.lost {
-		f.config.Log.Event("store.regained", decision.Fields{"failures": cur.failures, "revision": cur.revision})
+		f.config.Log.Event("store.regained", decision.Fields{"failures": cur.failures, "revision": cur.position.Revision})
 	}
 	cur.failures, cur.lost = 0, false
 }
@@ -288,10 +316,15 @@
 	f.config.Sink.Noted(deployment.Failing)
 	if cur.failures >= refusals && !cur.lost {
 		cur.lost = true
-		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.revision})
+		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.position.Revision})
 	}
-	backoff := min(firstRetry<<min(cur.failures-1, 3), longestRetry)
-	pause(ctx, backoff/2+rand.N(backoff/2))
+	pause(ctx, backoff(cur.failures))
+}
+
+// backoff draws the pause after some failures in a row.
+func backoff(failures int) time.Duration {
+	most := min(firstRetry<<min(failures-1, 3), longestRetry)
+	return most/2 + rand.N(most/2)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -25,6 +25,7 @@
 		mute     bool
 		hung     bool
 		err      error
+		epoch    uint64
 		revision uint64
 		// oldest is the oldest revision that can be watched from.
 		oldest uint64
@@ -60,7 +61,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
-	return store.Page{Items: f.items, Revision: f.revision}, f.err
+	return store.Page{Items: f.items, Position: f.at()}, f.err
 }
 
 func (f *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (store.Page, error) {
@@ -86,6 +87,11 @@
 	}
 }
 
+// at is the store's position; the mutex must be held.
+func (f *fakeStore) at() deployment.Position {
+	return deployment.Position{Epoch: f.epoch, Revision: f.revision}
+}
+
 func (f *fakeStore) silent() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -104,10 +110,10 @@
 	if f.err != nil {
 		return store.Page{}, f.err
 	}
-	if after < f.oldest && !deaf {
-		return store.Page{}, store.ErrCompacted
+	if (after < f.oldest || after > f.revision) && !deaf {
+		return store.Page{Position: deployment.Position{Epoch: f.epoch}}, store.ErrCompacted
 	}
-	page := store.Page{Revision: f.revision}
+	page := store.Page{Position: f.at()}
 	for _, i := range f.items {
 		if i.Revision > after && !deaf {
 			page.Items = append(page.Items, i)
@@ -138,7 +144,7 @@
 }
 
 func (s *sink) Snapshot() *deployment.Snapshot {
-	return &deployment.Snapshot{Revision: s.last().Revision}
+	return &deployment.Snapshot{Position: s.last().Position}
 }
 
 func (s *sink) answered() int {
@@ -266,7 +272,7 @@
 		<-ctx.Done()
 		return store.Page{}, ctx.Err()
 	}
-	return store.Page{Revision: 1}, nil
+	return store.Page{Position: deployment.Position{Revision: 1}}, nil
 }
 
 // Symptom: a request reaches an endpoint 2.15 s after its leave was accepted,
