Order the first interface's versions by epoch too

What callers would see: endpoints that joined or left after the operators' platform was restored from a copy are not known, as its instance list has a version that it has given out before.

The client now puts the epoch that a response names above the version, so that whatever compares versions (reader, roster, heartbeats, digests, news) orders them as they were made. A watch that ends without a change in a new epoch reads the value. Platforms that name no epoch are read as before.

Before: TestListOfARestoredPlatformIsTaken failed in three of four cases. After: it passes.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -30,12 +30,18 @@
 
 	// HeaderVersion is the response header that holds a value's version.
 	HeaderVersion = "X-Version"
+	// HeaderEpoch is the response header that counts how often the platform was
+	// restored from a copy; it may be missing.
+	HeaderEpoch = "X-Epoch"
 
 	// DefaultWait is how long a watch waits for a change. A watch that the
 	// platform lost without a word costs at most this and watchSlack, so that a
 	// change still comes into force in time.
 	DefaultWait = 1500 * time.Millisecond
 
+	configPath = "/v1/config/"
+	watchPath  = "/v1/watch/"
+
 	maxValueBytes = 1 << 20
 	watchSlack    = time.Second
 	readTimeout   = 5 * time.Second
@@ -82,6 +88,8 @@
 
 	// Value is one value and its version.
 	Value struct {
+		// Version rises with each change of the value, also where the platform
+		// counts anew since it was restored.
 		Version uint64
 		Data    []byte
 	}
@@ -108,7 +116,7 @@
 func (c *Client) Get(ctx context.Context, key string) (Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	v, _, err := c.read(ctx, "/v1/config/"+key)
+	v, _, err := c.read(ctx, configPath+key)
 	return v, err
 }
 
@@ -136,15 +144,22 @@
 }
 
 // Watch waits for a value with a version above after. It reports false where
-// none came within the platform's waiting time. One call counts as one read.
+// none came within the platform's waiting time. One call counts as one read, and
+// as one more where the platform was restored meanwhile: it then has no version
+// above, though its value may be another.
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (Value, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wait+watchSlack)
 	defer cancel()
+	known, number := plain(after)
 	query := url.Values{
-		"after": {strconv.FormatUint(after, 10)},
+		"after": {strconv.FormatUint(number, 10)},
 		"wait":  {c.wait.String()},
 	}
-	return c.read(ctx, "/v1/watch/"+key+"?"+query.Encode())
+	v, changed, err := c.read(ctx, watchPath+key+"?"+query.Encode())
+	if epoch, _ := plain(v.Version); err != nil || changed || epoch <= known {
+		return v, changed, err
+	}
+	return c.read(ctx, configPath+key)
 }
 
 // Close drops idle connections.
@@ -163,11 +178,16 @@
 		return Value{}, false, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
+	epoch, err := epochOf(resp.Header)
+	if err != nil {
+		return Value{}, false, err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return value(resp)
+		return value(resp, epoch)
 	case http.StatusNotModified:
-		return Value{}, false, nil
+		version, err := ordered(epoch, 0)
+		return Value{Version: version}, false, err
 	case http.StatusNotFound:
 		return Value{}, false, fmt.Errorf("%w: %s", ErrNotFound, path)
 	default:
@@ -175,11 +195,15 @@
 	}
 }
 
-func value(resp *http.Response) (Value, bool, error) {
-	version, err := strconv.ParseUint(resp.Header.Get(HeaderVersion), 10, 64)
+func value(resp *http.Response, epoch uint64) (Value, bool, error) {
+	number, err := strconv.ParseUint(resp.Header.Get(HeaderVersion), 10, 64)
 	if err != nil {
 		return Value{}, false, fmt.Errorf("%w: version: %v", ErrValue, err)
 	}
+	version, err := ordered(epoch, number)
+	if err != nil {
+		return Value{}, false, err
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
 	if err != nil {
 		return Value{}, false, fmt.Errorf("%w: %v", ErrUnavailable, err)
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/platform"
@@ -33,6 +34,11 @@
 	}
 }
 
+// restore forgets the versions that were published after a time.
+func (h *history) restore(to time.Time) {
+	h.versions = slices.DeleteFunc(h.versions, func(v published) bool { return v.at.After(to) })
+}
+
 // read returns the newest version that was published by a time. Where flip is
 // set, each second read returns the one before.
 func (h *history) read(until time.Time, flip bool) platform.Value {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,6 +33,8 @@
 		changed chan struct{}
 		values  map[string]*history
 		faults  PlatformFaults
+		// epoch counts how often the platform was restored.
+		epoch uint64
 		// frozen is when the platform became stale.
 		frozen time.Time
 		reads  int
@@ -87,6 +89,18 @@
 	p.wake()
 }
 
+// Restore takes back what was published after a time: the platform is restored
+// from a copy of then, and gives the versions out again.
+func (p *Platform) Restore(to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.epoch++
+	for _, h := range p.values {
+		h.restore(to)
+	}
+	p.wake()
+}
+
 // SetDown makes every read fail, or ends that.
 func (p *Platform) SetDown(down bool) {
 	f := p.Faults()
@@ -135,6 +149,7 @@
 		return
 	}
 	if !found {
+		p.writeEpoch(w)
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
@@ -194,6 +209,16 @@
 	if f.Pad > 0 {
 		data = append(append([]byte{}, data...), make([]byte, f.Pad)...)
 	}
+	p.writeEpoch(w)
 	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.Version, 10))
 	_, _ = w.Write(data)
 }
+
+// writeEpoch names the epoch, once the platform has been restored.
+func (p *Platform) writeEpoch(w http.ResponseWriter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.epoch > 0 {
+		w.Header().Set(platform.HeaderEpoch, strconv.FormatUint(p.epoch, 10))
+	}
+}
