Restore the store from old copies in the soak

A copy of the store comes back up to four seconds old after an outage; what was lost is written again in any order.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -57,6 +57,13 @@
 		s.world.store.Compact()
 		return "its history"
 	}},
+	{name: "store restored", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		if !s.restoring.TryLock() {
+			return ""
+		}
+		defer s.restoring.Unlock()
+		return s.world.restore(r, func(most time.Duration) { wait(ctx, r, most) })
+	}},
 	{name: "store cut", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
 		return n.Node + " " + through(ctx, r, n.store)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -91,6 +91,8 @@
 		began  time.Time
 		// evacuating is held by the only evacuation at a time.
 		evacuating sync.Mutex
+		// restoring is held by the only restore of the store at a time.
+		restoring sync.Mutex
 
 		mu     sync.Mutex
 		errs   []error
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -203,6 +203,24 @@
 	return nil
 }
 
+// restore brings the store back from a copy that is some seconds old, after an
+// outage. What was lost is written again, in any order and after a while.
+func (w *world) restore(r *rand.Rand, pause func(most time.Duration)) string {
+	const age, outage, until = 4 * time.Second, 2 * time.Second, 300 * time.Millisecond
+	c := w.store.Copy()
+	pause(age)
+	w.store.Down(true)
+	pause(outage)
+	lost := w.store.Restore(c)
+	w.store.Down(false)
+	r.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	for _, change := range lost {
+		pause(until)
+		w.store.Again(change)
+	}
+	return fmt.Sprintf("%d keys had changed", len(lost))
+}
+
 // chilled returns the most requests that an engine got in a second while it was
 // cold.
 func (w *world) chilled() int {
