Ask three peers what holds of earlier epochs, and name epochs in logs

A peer that started as late as the asking node knows nothing of before, and one such answer was taken for enough. Lines of configurations, endpoints and bad items name the epoch of their revision; bulrushhinge zones shows it beside each revision.

--- a/cmd/bulrushhinge/zones.go
+++ b/cmd/bulrushhinge/zones.go
@@ -18,8 +18,8 @@
 
 // nodeZones is what one node knows.
 type nodeZones struct {
+	deployment.Position
 	Node      string                          `json:"node"`
-	Revision  uint64                          `json:"revision"`
 	Evacuated map[string]deployment.Evacuated `json:"evacuated"`
 }
 
@@ -40,19 +40,19 @@
 		}
 		rows = append(rows, n.rows()...)
 	}
-	table([]string{"zone", "node", "revision", "known for", "told by", "node knows all up to"}, rowsOf(rows, func(r []string) []string { return r }))
+	table([]string{"zone", "node", "epoch/revision", "known for", "told by", "node knows all up to"}, rowsOf(rows, func(r []string) []string { return r }))
 	return errors.Join(errs...)
 }
 
 func (n nodeZones) rows() [][]string {
-	upTo := fmt.Sprint(n.Revision)
+	upTo := fmt.Sprintf("%d/%d", n.Epoch, n.Revision)
 	if len(n.Evacuated) == 0 {
 		return [][]string{{"none", n.Node, "", "", "", upTo}}
 	}
 	var rows [][]string
 	for zone, e := range n.Evacuated {
 		rows = append(rows, []string{
-			zone, n.Node, fmt.Sprint(e.Revision), time.Since(e.Since).Round(time.Second).String(), e.Source, upTo,
+			zone, n.Node, fmt.Sprintf("%d/%d", e.Epoch, e.Revision), time.Since(e.Since).Round(time.Second).String(), e.Source, upTo,
 		})
 	}
 	return rows
--- a/cmd/bulrushhinge/zones_test.go
+++ b/cmd/bulrushhinge/zones_test.go
@@ -13,7 +13,7 @@
 // that does not answer hides none of them.
 func TestZonesOfNodes(t *testing.T) {
 	states := []string{
-		`{"node":"n1","revision":9,"evacuated":{"z1":{"revision":7,"since":"2020-01-01T00:00:00Z","source":"store"}}}`,
+		`{"node":"n1","epoch":3,"revision":9,"evacuated":{"z1":{"epoch":2,"revision":7,"since":"2020-01-01T00:00:00Z","source":"store"}}}`,
 		`{"node":"n2","revision":6,"evacuated":{}}`,
 	}
 	var at []string
@@ -24,8 +24,8 @@
 	}
 	code, out, _ := run(t, nil, append([]string{"zones"}, at...)...)
 	require.Zero(t, code)
-	require.Regexp(t, `z1 .* n1 .* 7 .* store .* 9`, out)
-	require.Regexp(t, `none .* n2 .* 6`, out)
+	require.Regexp(t, `z1 .* n1 .* 2/7 .* store .* 3/9`, out)
+	require.Regexp(t, `none .* n2 .* 0/6`, out)
 
 	code, out, errs := run(t, nil, "zones", "127.0.0.1:1", at[0])
 	require.NotZero(t, code)
--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -176,7 +176,7 @@
 	if r := b.restored[e.Zone]; e.Before(r.Position) {
 		e.ColdUntil = later(e.ColdUntil, r.at.Add(b.cold(e)))
 	}
-	f := decision.Fields{"endpoint": e.ID, "service": e.Service, "draining": e.Draining, "revision": item.Revision, "source": u.Source}
+	f := decision.Fields{"endpoint": e.ID, "service": e.Service, "draining": e.Draining, "epoch": u.Epoch, "revision": item.Revision, "source": u.Source}
 	if !e.Born.IsZero() {
 		f["born"] = e.Born.UnixMilli()
 	}
@@ -201,7 +201,7 @@
 // good entry. The item is kept, in short, so that nodes that are told by peers
 // learn the same.
 func (s *State) takeBad(b *book, item Item, change Change, u Update, err error) bool {
-	s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "revision": item.Revision, "source": u.Source, "error": err.Error()})
+	s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "epoch": u.Epoch, "revision": item.Revision, "source": u.Source, "error": err.Error()})
 	if change.Removed == "" {
 		return false
 	}
@@ -226,7 +226,7 @@
 	s.checkHomes(c, item)
 	b.config, b.inForce = c, item
 	s.config.Log.Event("config", decision.Fields{
-		"version": c.Version, "routes": len(c.Routes), "revision": item.Revision, "source": u.Source,
+		"version": c.Version, "routes": len(c.Routes), "epoch": u.Epoch, "revision": item.Revision, "source": u.Source,
 	})
 	return true
 }
@@ -263,7 +263,7 @@
 		return false
 	}
 	held := now.Before(b.trusted) && !e.Draining && !b.leaves(e)
-	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "revision": item.Revision, "source": u.Source})
+	s.config.Log.Event("endpoint.removed", decision.Fields{"endpoint": id, "held": held, "epoch": u.Epoch, "revision": item.Revision, "source": u.Source})
 	if held {
 		b.lapsed[id] = now.Add(min(lapseWindow, s.config.Drain-holdMargin))
 		return false
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -149,9 +149,10 @@
 		// toAll is when heartbeats last went to all, and toRelays to relays.
 		toAll    tellings
 		toRelays tellings
-		// recalled is the newest epoch of which a peer was asked what still holds
-		// of earlier ones.
-		recalled atomic.Uint64
+		// recalling is the epoch in which peers were asked what still holds of
+		// earlier ones, and recalls how many were.
+		recalling uint64
+		recalls   int
 		// behind is since when a newer position than the node's own is known of;
 		// zero if none is.
 		behind time.Time
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -24,6 +24,8 @@
 	pullDelay = 250 * time.Millisecond
 	// pullTimeout bounds a call to a peer, whose connection may be silent.
 	pullTimeout = 800 * time.Millisecond
+	// peersRecalled is how many peers are asked what holds of earlier epochs.
+	peersRecalled = 3
 )
 
 // errCall is returned for a call that a node does not know.
@@ -122,17 +124,21 @@
 		}
 		after := g.config.Book.Snapshot().Position
 		if from, ok := g.View().informed(after); ok {
-			g.fetch(ctx, o, from, after)
+			g.fetch(ctx, from, after)
 		}
 	})
 }
 
-// recall asks one peer, once in an epoch, what still holds of earlier epochs.
+// recall asks some peers, in each epoch, what still holds of earlier epochs.
 //
 // A node that starts just after the store was restored reads a configuration that
-// is older than the one in force, and endpoints that have left.
+// is older than the one in force, and endpoints that have left. A peer may have
+// started just as late.
 func (g *Gossip) recall(ctx context.Context, o *owner, own, at deployment.Position) {
-	if own.Epoch != at.Epoch || at.IsZero() || o.recalled.Load() >= own.Epoch {
+	if o.recalling < own.Epoch {
+		o.recalling, o.recalls = own.Epoch, 0
+	}
+	if own.Epoch == 0 || own.Epoch != at.Epoch || o.recalls >= peersRecalled {
 		return
 	}
 	select {
@@ -140,15 +146,16 @@
 	default:
 		return
 	}
+	o.recalls++
 	g.running.Go(func() {
 		defer func() { <-o.pulling }()
 		if from, ok := g.View().contemporary(own.Epoch); ok {
-			g.fetch(ctx, o, from, own)
+			g.fetch(ctx, from, own)
 		}
 	})
 }
 
-func (g *Gossip) fetch(ctx context.Context, o *owner, from Member, after deployment.Position) {
+func (g *Gossip) fetch(ctx context.Context, from Member, after deployment.Position) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	items := g.config.Book.Record().Items
@@ -171,7 +178,6 @@
 		Items: mapped(news, decodeItem), Position: deployment.Position{Epoch: reply.Epoch, Revision: reply.Revision}, Whole: reply.Whole,
 		Lapsing: reply.Lapsing, Former: mapped(former, decodeItem), Settling: reply.Settling, Source: from.Name,
 	})
-	o.recalled.Store(max(o.recalled.Load(), reply.Epoch))
 }
 
 // unpack returns the items of a reply, and those of earlier epochs. The caller's
