--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Length  time.Duration `help:"How long each seed runs." default:"40s"`
 	Nodes   int           `help:"How many nodes run." default:"6"`
 	Callers int           `help:"How many callers ask." default:"24"`
+	Faults  []string      `help:"Names of the faults that are drawn, separated by commas; all if empty."`
 	Untimed bool          `help:"Leave out the promises with a time bound."`
 }
 
@@ -50,7 +51,7 @@
 		return err
 	}
 	err = soak.Run(context.Background(), soak.Config{
-		Program: c.Program, Folder: folder, Seed: seed, Length: c.Length, Nodes: c.Nodes, Callers: c.Callers,
+		Program: c.Program, Folder: folder, Seed: seed, Length: c.Length, Nodes: c.Nodes, Callers: c.Callers, Faults: c.Faults,
 		Timed: !c.Untimed, Out: os.Stdout,
 	})
 	if err != nil {
--- a/internal/deployment/former.go
+++ b/internal/deployment/former.go
@@ -32,7 +32,8 @@
 	for _, item := range u.Items {
 		present[item.Key] = item
 	}
-	s.settle(b, u, now)
+	s.settle(b, b.settlesIn(u), now)
+	b.extend()
 	if !b.position.IsZero() {
 		s.config.Log.Event("epoch", decision.Fields{
 			"epoch": u.Epoch, "before": b.position.Epoch, "revision": u.Revision, "known": b.position.Revision, "items": len(u.Items), "source": u.Source,
@@ -47,25 +48,33 @@
 			b.items[key] = old
 			continue
 		}
-		if s.keepFormer(b, old, there) || there {
-			continue
+		if kept := s.carry(b, old, there); !there && !kept {
+			// Any change of this epoch is newer.
+			old.Revision = 0
+			b.items[key] = old
 		}
-		// Any change of this epoch is newer.
-		old.Revision = 0
-		b.items[key] = old
 	}
 }
 
 // settle notes for how much longer the store may lack what it was told before.
-func (s *State) settle(b *book, u Update, now time.Time) {
-	rest := u.Settling
-	if u.Source == SourceStore && !b.position.IsZero() {
-		rest = settleTime
-	}
+func (s *State) settle(b *book, rest time.Duration, now time.Time) {
 	if until := now.Add(rest); until.After(b.settled) {
 		b.settled = until
 		s.settling.Store(int64(time.Since(s.start) + rest))
 	}
+}
+
+// settlesIn returns how long the store settles after the beginning of an epoch: a
+// peer tells the rest, so that not each node counts anew.
+func (b *book) settlesIn(u Update) time.Duration {
+	if u.Source == SourceStore && !b.position.IsZero() {
+		return settleTime
+	}
+	return u.Settling
+}
+
+// extend makes what is carried hold on through one more epoch.
+func (b *book) extend() {
 	for _, list := range []map[string]former{b.leaving, b.kept} {
 		for name, f := range list {
 			if !f.until.IsZero() {
@@ -76,9 +85,9 @@
 	}
 }
 
-// keepFormer keeps an item that the epoch which begins does not have, if it still
-// holds, and reports whether nothing else is to be kept of it.
-func (s *State) keepFormer(b *book, item Item, there bool) bool {
+// carry keeps what an item of the epoch before still says, and reports whether that
+// is an evacuation which the new epoch lacks.
+func (s *State) carry(b *book, item Item, there bool) bool {
 	change, err := s.config.Decoder.Decode(item)
 	if err != nil {
 		return false
@@ -89,7 +98,8 @@
 	case change.Removed != "" && there:
 		s.withhold(b, change.Removed, former{item: item, until: b.settled})
 	case change.Evacuation != nil && !change.Evacuation.Ended && !there:
-		s.keepEvacuation(b, change.Evacuation.Zone, item)
+		b.kept[change.Evacuation.Zone] = former{item: item, until: b.settled}
+		s.config.Log.Event("evacuation.kept", decision.Fields{"zone": change.Evacuation.Zone, "epoch": b.position.Epoch})
 		return true
 	}
 	return false
@@ -101,11 +111,6 @@
 	s.config.Log.Event("endpoint.withheld", decision.Fields{"endpoint": id, "epoch": b.position.Epoch, "gone": f.item.Removed})
 }
 
-func (s *State) keepEvacuation(b *book, zone string, item Item) {
-	b.kept[zone] = former{item: item, until: b.settled}
-	s.config.Log.Event("evacuation.kept", decision.Fields{"zone": zone, "epoch": b.position.Epoch})
-}
-
 // leaves reports whether an endpoint said in an earlier epoch that it leaves, or
 // was gone.
 func (b *book) leaves(e *Endpoint) bool {
@@ -136,35 +141,55 @@
 }
 
 func (s *State) recallOne(b *book, u Update, item Item, change Change, now time.Time) bool {
-	known, there := b.items[item.Key]
-	// What was written since the epoch began is newer.
-	recent := u.Epoch != b.position.Epoch || u.Settling <= 0 || there && known.Revision > b.opened
-	until := now.Add(u.Settling)
 	switch {
 	case change.Config != nil:
 		return s.takeConfig(b, change.Config, item, u)
 	case change.Endpoint != nil && change.Endpoint.Draining:
-		if _, ok := b.leaving[change.Endpoint.ID]; ok {
+		if _, known := b.leaving[change.Endpoint.ID]; known {
 			return false
 		}
 		s.withhold(b, change.Endpoint.ID, former{item: item, born: change.Endpoint.Born})
+		return true
 	case change.Removed != "":
-		if _, ok := b.leaving[change.Removed]; ok || recent || !there || known.Removed {
-			return false
-		}
-		s.withhold(b, change.Removed, former{item: item, until: until})
-	case change.Evacuation != nil:
-		zone := change.Evacuation.Zone
-		if _, ok := b.evacuated[zone]; ok || recent || change.Evacuation.Ended {
-			return false
-		}
-		b.evacuated[zone] = Evacuated{Position: Position{Revision: item.Revision}, Since: now, Source: u.Source}
-		b.kept[zone] = former{item: item, until: until}
-	default:
+		return s.recallRemoval(b, u, change.Removed, item, now)
+	case change.Evacuation != nil && !change.Evacuation.Ended:
+		return s.recallEvacuation(b, u, change.Evacuation.Zone, item, now)
+	}
+	return false
+}
+
+// recallRemoval takes a peer's word that an endpoint was gone, whose entry is there
+// since the epoch began.
+func (s *State) recallRemoval(b *book, u Update, id string, item Item, now time.Time) bool {
+	entry, there := b.items[item.Key]
+	_, known := b.leaving[id]
+	if known || !there || entry.Removed || entry.Revision > b.opened || !s.unsettled(b, u, now) {
+		return false
+	}
+	s.withhold(b, id, former{item: item, until: b.settled})
+	return true
+}
+
+// recallEvacuation takes a peer's word that a zone was evacuated, of which nothing
+// was said since the epoch began.
+func (s *State) recallEvacuation(b *book, u Update, zone string, item Item, now time.Time) bool {
+	word, there := b.items[item.Key]
+	_, known := b.evacuated[zone]
+	if known || there && word.Revision > b.opened || !s.unsettled(b, u, now) {
+		return false
+	}
+	b.evacuated[zone] = Evacuated{Position: Position{Revision: item.Revision}, Since: now, Source: u.Source}
+	b.kept[zone] = former{item: item, until: b.settled}
+	return true
+}
+
+// unsettled reports whether a peer of the same epoch says that the store may still
+// lack something, and notes for how long.
+func (s *State) unsettled(b *book, u Update, now time.Time) bool {
+	if u.Epoch != b.position.Epoch || u.Settling <= 0 {
 		return false
 	}
-	b.settled = later(b.settled, until)
-	s.settling.Store(int64(max(time.Duration(s.settling.Load()), time.Since(s.start)+u.Settling)))
+	s.settle(b, u.Settling, now)
 	return true
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -123,6 +124,22 @@
 	}},
 }
 
+// chosen returns the faults of some names, all where there are none.
+func chosen(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	var list []fault
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("%w: %q", ErrFault, name)
+		}
+		list = append(list, faults[i])
+	}
+	return list, nil
+}
+
 // through makes a proxy misbehave for a while.
 func through(ctx context.Context, r *rand.Rand, p *proxy) string {
 	m := mode(1 + r.IntN(int(resets)))
@@ -149,7 +166,7 @@
 		wait(ctx, r, 2*contact)
 		onlyPlanned := r.IntN(3) == 0
 		for range 1 + r.IntN(3) {
-			f := faults[r.IntN(len(faults))]
+			f := s.faults[r.IntN(len(s.faults))]
 			if onlyPlanned && !f.planned {
 				continue
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -62,8 +62,12 @@
 // zones are the availability zones of the endpoints.
 var zones = []string{"z1", "z2"}
 
-// ErrBroken is returned where a promise was broken.
-var ErrBroken = errors.New("soak: a promise was broken")
+var (
+	// ErrBroken is returned where a promise was broken.
+	ErrBroken = errors.New("soak: a promise was broken")
+	// ErrFault is returned for the name of a fault that is not there.
+	ErrFault = errors.New("soak: no such fault")
+)
 
 type (
 	// Config is the settings of a run.
@@ -76,6 +80,8 @@
 		Length  time.Duration
 		Nodes   int
 		Callers int
+		// Faults are the names of those that are drawn, all if empty.
+		Faults []string
 		// Timed checks the promises with a time bound too; on a machine that is
 		// busy with other things they say little.
 		Timed bool
@@ -85,6 +91,7 @@
 
 	soak struct {
 		config Config
+		faults []fault
 		world  *world
 		ledger *ledger
 		nodes  []*node
@@ -103,7 +110,11 @@
 // Run runs one seed. It returns ErrBroken where a promise was broken, and
 // another error where the run itself failed.
 func Run(ctx context.Context, c Config) error {
-	s := &soak{config: c, ledger: newLedger(c.Timed), began: time.Now()}
+	drawn, err := chosen(c.Faults)
+	if err != nil {
+		return err
+	}
+	s := &soak{config: c, faults: drawn, ledger: newLedger(c.Timed), began: time.Now()}
 	defer s.end()
 	if err := s.start(); err != nil {
 		return err
