--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -32,6 +32,7 @@
 	// book is what a node has read of the store, as a test sets it.
 	book struct {
 		mu       sync.Mutex
+		epoch    uint64
 		revision uint64
 		items    []deployment.Item
 		past     []deployment.Item
@@ -77,10 +78,15 @@
 // at is a position in the only epoch of a store that names none.
 func at(revision uint64) deployment.Position { return deployment.Position{Revision: revision} }
 
+// position is what the book knows all up to; the mutex must be held.
+func (b *book) position() deployment.Position {
+	return deployment.Position{Epoch: b.epoch, Revision: b.revision}
+}
+
 func (b *book) Snapshot() *deployment.Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &deployment.Snapshot{Position: at(b.revision)}
+	return &deployment.Snapshot{Position: b.position()}
 }
 
 func (b *book) Items() []deployment.Item {
@@ -92,7 +98,7 @@
 func (b *book) Record() *deployment.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &deployment.Record{Items: b.items, Position: at(b.revision)}
+	return &deployment.Record{Items: b.items, Position: b.position()}
 }
 
 func (b *book) Past() []deployment.Item {
@@ -105,7 +111,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.items = append(b.items, u.Items...)
-	b.revision = max(b.revision, u.Revision)
+	newest := deployment.Later(b.position(), u.Position)
+	b.epoch, b.revision = newest.Epoch, newest.Revision
 	b.lapsing = max(b.lapsing, u.Lapsing)
 }
 
--- a/internal/gossip/relayed_test.go
+++ b/internal/gossip/relayed_test.go
@@ -117,3 +117,22 @@
 		require.Len(t, nd.gossip.View().Alive, len(list)-1)
 	}
 }
+
+// Guards against relays that name the nodes with the highest revision, so that
+// nobody hears of a restored store's lower ones.
+func TestNewsOfARestoredStorePassesThroughRelays(t *testing.T) {
+	f, list := relayedFleet(t, 9)
+	for _, nd := range list {
+		f.eventually(func() bool { return f.seesAll(list, nd) && nd.gossip.Relayed() }, "loads of all others, through a relay")
+	}
+	for i, position := range []deployment.Position{{Epoch: 1, Revision: 9}, {Epoch: 2, Revision: 7}, {Epoch: 3, Revision: 7}} {
+		teller := list[i]
+		teller.book.mu.Lock()
+		teller.book.epoch, teller.book.revision = position.Epoch, position.Revision
+		teller.book.mu.Unlock()
+		teller.book.news <- struct{}{}
+		for _, nd := range list {
+			f.eventually(func() bool { return nd.book.Snapshot().Position == position }, "the position")
+		}
+	}
+}
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -301,7 +301,7 @@
 func (f *Follower) regained(cur *cursor) {
 	f.config.Sink.Noted(deployment.Reading)
 	if cur.lost {
-		f.config.Log.Event("store.regained", decision.Fields{"failures": cur.failures, "revision": cur.position.Revision})
+		f.config.Log.Event("store.regained", decision.Fields{"failures": cur.failures, "epoch": cur.position.Epoch, "revision": cur.position.Revision})
 	}
 	cur.failures, cur.lost = 0, false
 }
@@ -316,7 +316,7 @@
 	f.config.Sink.Noted(deployment.Failing)
 	if cur.failures >= refusals && !cur.lost {
 		cur.lost = true
-		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "revision": cur.position.Revision})
+		f.config.Log.Event("store.lost", decision.Fields{"error": err.Error(), "epoch": cur.position.Epoch, "revision": cur.position.Revision})
 	}
 	pause(ctx, backoff(cur.failures))
 }
