Take engines for warm that were never known as cold

Cause: an entry of a warm engine set its cold time to end at the moment in which the node learnt of it, and the margin that nodes add to the end of a cold time made that a quarter to three quarters of a second. A node that had just started took all engines for cold.

Change: the time is kept only for engines that have said that they are cold; one that says that it is warm counts from then, so that nodes still come back one by one. Before: TestWarmEnginesServeAsSoonAsTheyAreKnown failed; after: it passes.

--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -172,7 +172,8 @@
 
 // takeEndpoint takes an endpoint's entry.
 func (s *State) takeEndpoint(b *book, e *Endpoint, item Item, u Update, now time.Time) {
-	e.Position, e.ColdUntil = Position{u.Epoch, item.Revision}, now.Add(e.Cold)
+	old := b.endpoints[e.ID]
+	e.Position, e.ColdUntil = Position{u.Epoch, item.Revision}, coldUntil(old, e, now)
 	if r := b.restored[e.Zone]; e.Before(r.Position) {
 		e.ColdUntil = later(e.ColdUntil, r.at.Add(b.cold(e)))
 	}
@@ -180,7 +181,7 @@
 	if !e.Born.IsZero() {
 		f["born"] = e.Born.UnixMilli()
 	}
-	if old := b.endpoints[e.ID]; old != nil && old.Start() != e.Start() {
+	if old != nil && old.Start() != e.Start() {
 		f["restarted"] = true
 	}
 	if e.Cold > 0 {
@@ -192,6 +193,20 @@
 	s.config.Log.Event("endpoint", f)
 }
 
+// coldUntil returns until when an endpoint is believed to be cold that writes an
+// entry after an old one, nil for none: zero if it never was, as far as is known.
+func coldUntil(old, e *Endpoint, now time.Time) time.Time {
+	switch {
+	case e.Cold > 0:
+		return now.Add(e.Cold)
+	case old == nil || old.Start() != e.Start():
+		return time.Time{}
+	case now.Before(old.ColdUntil):
+		return now
+	}
+	return old.ColdUntil
+}
+
 // takeBad takes an item that cannot be read.
 //
 // Anyone may write an entry. One that cannot be read names no endpoint, and what
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -30,7 +30,8 @@
 		// Cold is for how much longer it was cold when it wrote its entry: slow,
 		// and bearing few requests.
 		Cold time.Duration
-		// ColdUntil is until when it is believed to be cold, by this node's clock.
+		// ColdUntil is until when it is believed to be cold, by this node's clock;
+		// zero if it was not since it is known.
 		ColdUntil time.Time
 		// Replaced says that another endpoint has come to its address since: it is
 		// likely to be gone, though its entry has not lapsed yet.
