--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -30,9 +30,9 @@
 	// taken back.
 	evacuated map[string]Evacuated
 	restored  map[string]restored
-	// leaving are endpoints that drained or were gone in an earlier epoch, and kept
-	// zones that were evacuated in one; settled is when the store has everything
-	// again.
+	// leaving are the endpoints that drained or were gone in an earlier epoch, by
+	// ID, and kept the zones that were evacuated in one; settled is when the store
+	// is taken to have everything again.
 	leaving map[string]former
 	kept    map[string]former
 	settled time.Time
@@ -95,8 +95,8 @@
 	}
 }
 
-// ignore takes of an update that is older than what is known only what holds in
-// all epochs.
+// ignore drops an update that is older than what is known, or a difference of
+// another epoch. What it tells of earlier epochs may still hold.
 func (s *State) ignore(b *book, u Update, now time.Time) {
 	s.config.Log.Event("reading.ignored", decision.Fields{
 		"epoch": u.Epoch, "revision": u.Revision, "known": b.position.Revision, "in": b.position.Epoch, "items": len(u.Items), "whole": u.Whole, "source": u.Source,
@@ -193,8 +193,9 @@
 	s.config.Log.Event("endpoint", f)
 }
 
-// coldUntil returns until when an endpoint is believed to be cold that writes an
-// entry after an old one, nil for none: zero if it never was, as far as is known.
+// coldUntil returns the end of an endpoint's cold time after a new entry; old is
+// what was known before, nil for nothing. It is zero if the endpoint was never
+// known to be cold.
 func coldUntil(old, e *Endpoint, now time.Time) time.Time {
 	switch {
 	case e.Cold > 0:
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -31,7 +31,7 @@
 		// and bearing few requests.
 		Cold time.Duration
 		// ColdUntil is until when it is believed to be cold, by this node's clock;
-		// zero if it was not since it is known.
+		// zero if it was never known to be.
 		ColdUntil time.Time
 		// Replaced says that another endpoint has come to its address since: it is
 		// likely to be gone, though its entry has not lapsed yet.
--- a/internal/deployment/former.go
+++ b/internal/deployment/former.go
@@ -111,8 +111,8 @@
 	s.config.Log.Event("endpoint.withheld", decision.Fields{"endpoint": id, "epoch": b.position.Epoch, "gone": f.item.Removed})
 }
 
-// leaves reports whether an endpoint said in an earlier epoch that it leaves, or
-// was gone.
+// leaves reports whether an endpoint drained, or was gone, in an earlier epoch, and
+// that still holds.
 func (b *book) leaves(e *Endpoint) bool {
 	f, ok := b.leaving[e.ID]
 	return ok && (f.born.IsZero() || f.born.Equal(e.Born))
