Read a value and its epoch together in the first interface's stand-in

They were read under two locks: a restore between the two would have named the new epoch beside the old value, after which a test's reader would take what follows for older.

--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -21,6 +21,12 @@
 		platform.Value
 		at time.Time
 	}
+
+	// told is a value and the platform's epoch as it was read.
+	told struct {
+		platform.Value
+		epoch uint64
+	}
 )
 
 func (h *history) add(now time.Time, data []byte) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if !found {
-		p.writeEpoch(w)
+		v.writeEpoch(w)
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
@@ -157,7 +157,7 @@
 }
 
 // await waits for a value with a higher version.
-func (p *Platform) await(r *http.Request, key string, after uint64, wait time.Duration) (platform.Value, bool) {
+func (p *Platform) await(r *http.Request, key string, after uint64, wait time.Duration) (told, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -190,17 +190,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (p *Platform) value(key string) (platform.Value, <-chan struct{}) {
+func (p *Platform) value(key string) (told, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.values[key]
 	if h == nil {
-		return platform.Value{}, p.changed
+		return told{epoch: p.epoch}, p.changed
 	}
-	return h.read(p.visible(time.Now()), p.faults.Flip), p.changed
+	return told{Value: h.read(p.visible(time.Now()), p.faults.Flip), epoch: p.epoch}, p.changed
 }
 
-func (p *Platform) write(w http.ResponseWriter, v platform.Value) {
+func (p *Platform) write(w http.ResponseWriter, v told) {
 	f := p.Faults()
 	data := v.Data
 	if f.Half {
@@ -209,16 +209,14 @@
 	if f.Pad > 0 {
 		data = append(append([]byte{}, data...), make([]byte, f.Pad)...)
 	}
-	p.writeEpoch(w)
+	v.writeEpoch(w)
 	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.Version, 10))
 	_, _ = w.Write(data)
 }
 
 // writeEpoch names the epoch, once the platform has been restored.
-func (p *Platform) writeEpoch(w http.ResponseWriter) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.epoch > 0 {
-		w.Header().Set(platform.HeaderEpoch, strconv.FormatUint(p.epoch, 10))
+func (v told) writeEpoch(w http.ResponseWriter) {
+	if v.epoch > 0 {
+		w.Header().Set(platform.HeaderEpoch, strconv.FormatUint(v.epoch, 10))
 	}
 }
