Wait in a test until the paused process has stopped

TestProcessPausedInADispatchRunsOnce failed beside load with an unexpected EOF where the caller should be told unknown.

Cause: the test's. SIGSTOP stops a process of many threads only when the thread that takes the signal has its turn. On a busy machine the process went on for some hundred milliseconds, and answered the next ask of its ticket: the head and some events, and then nothing.

The test waits until all threads of the process are stopped, and asks as much as before. A new test holds the case that it had met by chance: a copy whose time is up while the first one is answered is cut visibly, at the node of the ticket and at others, and runs nothing.

--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -227,6 +227,26 @@
 	require.Equal(t, 1, runs(f, c, body))
 }
 
+// Guards against a copy of a request whose time is up while the first one is still
+// being answered: the caller must not take the part it has for the whole.
+func TestCopyWithTooLittleTimeIsCutVisibly(t *testing.T) {
+	c := loopback.Thies()
+	f := start(t, c)
+	body := strings.Replace(notice(1), `"max_tokens":8`, `"max_tokens":1000000`, 1)
+	ticket := ticketOf(t, f, "n1", body)
+	first, err := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.request(t.Context(), f)
+	require.NoError(t, err)
+	defer first.Body.Close()
+	for _, node := range []string{"n1", "n2", "n3"} {
+		x, err := exchange{node: node, path: chatPath, body: body, ticket: ticket, timeout: "100ms"}.do(f)
+		require.NotContains(t, x.text, "[DONE]", node)
+		if err == nil {
+			require.Equal(t, string(entry.RanUnknown), x.header.Get(entry.HeaderRan), x.text)
+		}
+	}
+	require.Equal(t, 1, runs(f, c, body))
+}
+
 // Symptom: a request of which the caller was told "not run" runs after all.
 // Sequence: the caller voids its ticket through another node; a delayed copy of
 // the request arrives at each node.
--- a/internal/loopback/pause_test.go
+++ b/internal/loopback/pause_test.go
@@ -39,7 +39,7 @@
 	require.NoError(t, err)
 	_, err = io.ReadFull(resp.Body, make([]byte, 64))
 	require.NoError(t, err)
-	require.NoError(t, node.command.Process.Signal(syscall.SIGSTOP))
+	node.pause(t)
 	resp.Body.Close()
 	for _, name := range []string{"n1", "n2", "n3"} {
 		x := exchange{node: name, path: chatPath, body: body, ticket: ticket, timeout: "300ms"}.must(t, f)
--- a/internal/loopback/stop_test.go
+++ b/internal/loopback/stop_test.go
@@ -225,3 +225,27 @@
 	go func() { _, _ = io.Copy(io.Discard, log) }()
 	return p
 }
+
+// pause stops the process and waits until none of its threads runs any more: on a
+// busy machine the others go on until the one that takes the signal has its turn.
+func (p *process) pause(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.command.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(t, func() bool { return p.stopped(t) }, patience, time.Millisecond)
+}
+
+// stopped reports whether all threads are in state T of proc(5).
+func (p *process) stopped(t *testing.T) bool {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	require.NoError(t, err)
+	require.NotEmpty(t, threads)
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
