Let the stand-in pass its parts on before it crashes

TestAnswersThatBreak, "dies while it answers", once counted two runs in place of one beside load.

Cause: the stand-in's. It was to crash after four parts of its answer, but crashed once it had made them: the goroutine that writes them may not have had its turn by then. The node had seen nothing of the answer, and nor had the caller, so that the node sent the request to another endpoint. It may be repeated: the case sends no ticket. In the case beside it, with a ticket, nothing was sent again.

The code has one way to a second run after a break, Run.Retry, which the plan refuses for a request that must run once.

--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -32,7 +32,9 @@
 		ended   bool
 		broken  bool
 		readers int
-		wrote   chan struct{}
+		// passed is how many parts have been written to a connection.
+		passed int
+		wrote  chan struct{}
 	}
 
 	// attempts is the newest attempts of an endpoint.
@@ -52,6 +54,29 @@
 	a.change(func() { a.parts = append(a.parts, part) })
 }
 
+// pass notes that the parts before a number have been written to a connection.
+func (a *attempt) pass(parts int) {
+	a.change(func() { a.passed = max(a.passed, parts) })
+}
+
+// delivered waits until so many parts have been written to a connection. It
+// reports false where the request ended before.
+func (a *attempt) delivered(ctx context.Context, parts int) bool {
+	for {
+		a.mu.Lock()
+		passed, wrote := a.passed, a.wrote
+		a.mu.Unlock()
+		if passed >= parts {
+			return true
+		}
+		select {
+		case <-wrote:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (a *attempt) change(f func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -144,6 +169,7 @@
 				return
 			}
 			at++
+			a.pass(at)
 		}
 		if ended && len(parts) == 0 {
 			return
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -80,14 +80,14 @@
 			return
 		}
 		to.add(numbered(i, chunk(a, e.token(a, i))))
-		s.crashAfter(i + 1)
+		s.crashAfterPassing(to, i+1)
 	}
 	last := chunk(a, "")
 	stop := finishStop
 	last.Choices[0].FinishReason = &stop
 	last.Usage = &a.usage
 	to.add(numbered(output, last))
-	s.crashAfter(output + 1)
+	s.crashAfterPassing(to, output+1)
 	to.add(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", output+1, endpoint.DoneMark))
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// crashAfterPassing is crashAfter for parts that have to be on their way to the
+// node first.
+func (s *session) crashAfterPassing(a *attempt, parts int) {
+	if s.crash && parts == s.faults.CrashAt && a.delivered(s.ctx, parts) {
+		s.endpoint.crash()
+	}
+}
+
 // step makes one token. It reports false where the caller hung up.
 func (s *session) step() bool {
 	if !s.pause(s.endpoint.config.Step) {
