Log and count what endpoints say of themselves in their answers

The names on the wire stand in the adapter. Nothing is decided by it yet.

An answer of another process than the one that was asked (421) says nothing of that one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,8 +45,10 @@
 	reserved bool
 	// status is the endpoint's, 0 if there was none.
 	status int
-	// load is what the endpoint says of its own in its answer.
-	load int
+	// load is what the endpoint says of its own in its answer, and notice what
+	// else it says of itself.
+	load   int
+	notice Notice
 	// first is how long the answer's first byte, or event, took.
 	first time.Duration
 	cause string
@@ -74,6 +76,7 @@
 	defer x.Abort()
 	a.status = x.Response.StatusCode
 	a.reported(x.Response.Header)
+	a.notice = c.handler.config.Headers.Notice(a.status, x.Response.Header)
 	h := c.handler.config.Headers
 	switch {
 	case x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest:
@@ -306,6 +309,12 @@
 	if a.load > 0 {
 		f["reported"] = a.load
 	}
+	if a.notice.Leaving {
+		f["leaving"] = true
+	}
+	if a.notice.Rest > 0 {
+		f["rest_ms"] = a.notice.Rest.Milliseconds()
+	}
 	if reading := a.choice.Reading; reading > 0 {
 		f["reading_ms"] = reading.Milliseconds()
 	}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -23,6 +23,11 @@
 		Load string
 		// NotRun says in an answer that the request did not run.
 		NotRun string
+		// Leaving says in an answer that the endpoint leaves.
+		Leaving string
+		// Rest says in a refusal for how many seconds the endpoint wants nothing
+		// from the node.
+		Rest string
 		// Seal marks an endpoint's answer.
 		Seal string
 		// Prompt lists the parts of a prompt, Tokens their count, and Model
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,17 @@
 func (m *Metrics) attempted(a *attempt, res result) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`attempts_total{result=%q}`, res)).Inc()
 	m.took.UpdateDuration(a.at)
+	m.noticed(a.notice)
+}
+
+// noticed counts what an endpoint has said of itself in an answer.
+func (m *Metrics) noticed(n Notice) {
+	if n.Leaving {
+		m.set.GetOrCreateCounter(metricPrefix + `notices_total{notice="leaving"}`).Inc()
+	}
+	if n.Rest > 0 {
+		m.set.GetOrCreateCounter(metricPrefix + `notices_total{notice="rest"}`).Inc()
+	}
 }
 
 func (m *Metrics) reserved(err error) {
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// leavingValue is what the header of a leaving endpoint holds.
+	leavingValue = "1"
+	// restDigits are the characters of a rest in seconds.
+	restDigits = "0123456789."
+	// longestRest bounds the rest that is believed.
+	longestRest = 24 * time.Hour
+)
+
+// Notice is what an endpoint says of itself in an answer, beside the answer.
+type Notice struct {
+	// Leaving says that it will end, and takes no new requests.
+	Leaving bool
+	// Rest is for how long it wants nothing from this node, 0 if it does not say.
+	Rest time.Duration
+}
+
+// Notice reads what an endpoint says of itself in an answer.
+//
+// An answer that another process gave for the one that was asked says nothing of
+// that one.
+func (h Headers) Notice(status int, header http.Header) Notice {
+	if status == http.StatusMisdirectedRequest {
+		return Notice{}
+	}
+	n := Notice{Leaving: slices.ContainsFunc(header[h.Leaving], func(v string) bool { return strings.TrimSpace(v) == leavingValue })}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		for _, v := range header[h.Rest] {
+			n.Rest = max(n.Rest, parseRest(v))
+		}
+	}
+	return n
+}
+
+// parseRest reads a number of seconds, which may have a fraction; it returns 0 for
+// anything else.
+func parseRest(text string) time.Duration {
+	text = strings.TrimSpace(text)
+	if strings.Trim(text, restDigits) != "" {
+		return 0
+	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(s, longestRest.Seconds()) * float64(time.Second))
+}
