--- a/gateway.go
+++ b/gateway.go
@@ -152,7 +152,7 @@
 	g.balancer = balance.New(balance.Config{Loads: loads{gateway: g}, Zone: c.Zone, Cap: c.LoadCap, Nodes: nodes})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	crashes := gateway.NewCrashes(func(fingerprint uint64, endpoint deployment.Start) {
-		g.gossip.Tell(gossip.Crash{Print: fingerprint, Endpoint: balance.Key(endpoint)})
+		g.gossip.Tell(gossip.Crash{Print: fingerprint, Endpoint: endpoint.Key()})
 	})
 	var err error
 	// The gossip may call for a reading before the follower is there.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,8 +3,6 @@
 package balance
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -58,7 +56,7 @@
 	// Loads tells what the other nodes have sent.
 	Loads interface {
 		// Others returns the requests in progress at an endpoint that other
-		// nodes have sent, by the endpoint's Key.
+		// nodes have sent, by the Key of its Start.
 		Others(key uint32) int
 		// OthersReading returns the prompt tokens that it is still to read for
 		// them.
@@ -157,7 +155,7 @@
 
 	// own is what this node knows of an endpoint.
 	own struct {
-		// key is the endpoint's Key.
+		// key is that of the endpoint's Start.
 		key    uint32
 		active int
 		// reading are the tokens that it is to read for this node's requests.
@@ -184,17 +182,6 @@
 	return &Balancer{config: c, own: map[deployment.Start]*own{}, held: newHolders(), reports: newReports(), asked: map[string]*rates.Decayed{}, began: time.Now()}
 }
 
-// Key returns the short name of an endpoint between nodes, another one for each
-// start of its process.
-func Key(s deployment.Start) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.ID))
-	if !s.Born.IsZero() {
-		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(s.Born.UnixMilli())))
-	}
-	return h.Sum32()
-}
-
 // Choose chooses an endpoint and counts the request there until Release. It
 // returns nil where no endpoint has room.
 func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
@@ -259,12 +246,12 @@
 	e.noteFailure(now, o)
 }
 
-// Active returns this node's requests in progress by the endpoints' Keys.
+// Active returns this node's requests in progress by the Keys of the endpoints' Starts.
 func (b *Balancer) Active() map[uint32]int {
 	return b.counts(func(o *own) int { return o.active })
 }
 
-// counts returns one of the counts that this node keeps, by the endpoints' Keys,
+// counts returns one of the counts that this node keeps, by the Keys of the starts,
 // where it is not 0.
 func (b *Balancer) counts(of func(o *own) int) map[uint32]int {
 	b.mu.Lock()
@@ -311,7 +298,7 @@
 func (b *Balancer) get(s deployment.Start, now time.Time) *own {
 	o := b.own[s]
 	if o == nil {
-		o = &own{key: Key(s), margin: b.drawMargin(), failed: rates.Decayed{Memory: failureMemory}}
+		o = &own{key: s.Key(), margin: b.drawMargin(), failed: rates.Decayed{Memory: failureMemory}}
 		b.own[s] = o
 	}
 	o.seen = now
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -16,7 +16,7 @@
 
 func (p peers) Others(key uint32) int {
 	for id, n := range p {
-		if balance.Key(named(id)) == key {
+		if named(id).Key() == key {
 			return n
 		}
 	}
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -216,7 +216,7 @@
 	for n := range 470 * 4 {
 		f.now = f.now.Add(time.Second / 470)
 		if len(run) >= 470 {
-			key := balance.Key(run[0].at.Start())
+			key := run[0].at.Start().Key()
 			all[key]--
 			owns[run[0].node][key]--
 			f.nodes[run[0].node].Release(f.now, run[0].at.Start(), balance.Served)
@@ -228,7 +228,7 @@
 		if c.Cold {
 			f.sent[c.Endpoint.ID] = append(f.sent[c.Endpoint.ID], f.now)
 		}
-		key := balance.Key(c.Endpoint.Start())
+		key := c.Endpoint.Start().Key()
 		all[key]++
 		owns[n%nodes][key]++
 		run = append(run, running{node: n % nodes, at: c.Endpoint})
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -17,7 +17,7 @@
 )
 
 // Failures returns this node's attempts that endpoints have failed lately, by the
-// endpoints' Keys, for the other nodes.
+// the Keys of the endpoints' starts, for the other nodes.
 func (b *Balancer) Failures(now time.Time) map[uint32]int {
 	return b.counts(func(o *own) int { return int(math.Round(o.failed.Get(now))) })
 }
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -123,7 +123,7 @@
 		if o.endpoint == chosen.key || now.Sub(o.at) >= heldFor {
 			continue
 		}
-		i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return Key(e.Start()) == o.endpoint })
+		i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return e.Start().Key() == o.endpoint })
 		if i >= 0 {
 			return list[i]
 		}
--- a/internal/balance/property_test.go
+++ b/internal/balance/property_test.go
@@ -85,7 +85,7 @@
 func counted(starts []deployment.Start) map[uint32]int {
 	counts := map[uint32]int{}
 	for _, s := range starts {
-		counts[balance.Key(s)]++
+		counts[s.Key()]++
 	}
 	return counts
 }
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -48,7 +48,7 @@
 }
 
 // Reading returns the prompt tokens that endpoints are still to read for this
-// node's requests, by the endpoints' Keys.
+// node's requests, by the Keys of the endpoints' starts.
 func (b *Balancer) Reading() map[uint32]int {
 	return b.counts(func(o *own) int { return o.reading })
 }
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -23,7 +23,7 @@
 
 func (u unread) OthersReading(key uint32) int {
 	for id, n := range u {
-		if balance.Key(named(id)) == key {
+		if named(id).Key() == key {
 			return n
 		}
 	}
@@ -108,7 +108,7 @@
 	now := time.Now()
 	b := balance.New(balance.Config{Loads: unread{}})
 	first := send(b, now, list, balance.Request{Key: "doc", Prompt: balance.Prompt{Own: 100, Shared: 900}})
-	key := balance.Key(first.Endpoint.Start())
+	key := first.Endpoint.Start().Key()
 	require.Equal(t, map[uint32]int{key: 1000}, b.Reading())
 	// The part is kept from now on.
 	second := send(b, now, list, balance.Request{Key: "doc", Prompt: balance.Prompt{Own: 200, Shared: 900}})
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -36,7 +36,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := report{load: load, at: now}
-	b.reports.own[Key(s)], b.reports.all[Key(s)] = r, r
+	b.reports.own[s.Key()], b.reports.all[s.Key()] = r, r
 }
 
 // Reports returns what endpoints have said to this node since a time, by their
@@ -68,7 +68,7 @@
 func (b *Balancer) Busy(now time.Time, e *deployment.Endpoint, s deployment.Service) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return float64(b.reports.load(Key(e.Start()), now)) / float64(slots(e, s))
+	return float64(b.reports.load(e.Start().Key(), now)) / float64(slots(e, s))
 }
 
 // load returns the newest word on an endpoint's load, 0 if that is too old.
--- a/internal/balance/restart_test.go
+++ b/internal/balance/restart_test.go
@@ -54,7 +54,7 @@
 			name: "it said that it was full",
 			learn: func(b *balance.Balancer, old *deployment.Endpoint) {
 				b.Reported(now, old.Start(), 100)
-				b.ReportsHeard(now, map[uint32]int{balance.Key(old.Start()): 100})
+				b.ReportsHeard(now, map[uint32]int{old.Start().Key(): 100})
 			},
 		},
 		{
@@ -74,7 +74,7 @@
 			b := balance.New(balance.Config{Loads: peers{}})
 			c.learn(b, born("e0", 1))
 			again := born("e0", 2)
-			require.NotEqual(t, balance.Key(again.Start()), balance.Key(born("e0", 1).Start()))
+			require.NotEqual(t, again.Start().Key(), born("e0", 1).Start().Key())
 			list := []*deployment.Endpoint{again, other}
 			want, got := fresh.Choose(now, list, request), b.Choose(now, list, request)
 			require.Equal(t, want, got)
@@ -90,6 +90,6 @@
 	require.NotNil(t, b.Choose(now, []*deployment.Endpoint{old}, balance.Request{}))
 	require.NotNil(t, b.Choose(now, []*deployment.Endpoint{again}, balance.Request{}))
 	b.Release(now, old.Start(), balance.Unreachable)
-	require.Equal(t, map[uint32]int{balance.Key(again.Start()): 1}, b.Active())
+	require.Equal(t, map[uint32]int{again.Start().Key(): 1}, b.Active())
 	require.NotNil(t, b.Choose(now, []*deployment.Endpoint{again}, balance.Request{}))
 }
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
@@ -116,6 +118,16 @@
 // Start returns the name of this start of the endpoint's process.
 func (e *Endpoint) Start() Start { return Start{ID: e.ID, Born: e.Born} }
 
+// Key returns the short name of a start between nodes. Two starts may have the same.
+func (s Start) Key() uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.ID))
+	if !s.Born.IsZero() {
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(s.Born.UnixMilli())))
+	}
+	return h.Sum32()
+}
+
 // Find returns a start of an endpoint of a service, nil where it is not known.
 func (s *Snapshot) Find(service string, start Start) *Endpoint {
 	list := s.Endpoints[service]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,7 +67,7 @@
 		defer timer.Stop()
 	}
 	x, err := pool.Do(ctx, http1.Request{
-		Addr: a.choice.Endpoint.Addr, Process: balance.Key(a.choice.Endpoint.Start()), ID: c.id, HTTP: a.request(),
+		Addr: a.choice.Endpoint.Addr, Process: a.choice.Endpoint.Start().Key(), ID: c.id, HTTP: a.request(),
 		Idle: c.idle(), Keep: c.keep(), Go: func() bool { return c.open(a.choice.Endpoint) },
 	})
 	if err != nil {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -43,7 +42,7 @@
 
 // Saw notes a crash that this node has seen, and tells the others.
 func (c *Crashes) Saw(now time.Time, hash uint64, endpoint deployment.Start) {
-	c.Note(now, hash, balance.Key(endpoint))
+	c.Note(now, hash, endpoint.Key())
 	c.tell(hash, endpoint)
 }
 
