Send nothing to endpoints that have said that they leave

What callers saw: requests went to an endpoint that had said in its answers that it leaves, for as long as the store was away or did not know of it; an endpoint may end at any moment after that, and what runs there is lost.

Cause: a node believed the store alone on who leaves. No line of code read an answer for it.

Nodes tell each other, in heartbeats and through relays, as far as the store does not. Another process's answer (421) says nothing. Where only endpoints that leave are left, requests are refused at once with the time to come back, also those that wait already.

--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -36,6 +36,8 @@
 	leaving map[string]former
 	kept    map[string]former
 	settled time.Time
+	// announced are the endpoints that have said themselves that they leave.
+	announced map[Start]announced
 }
 
 // restored is a zone that was taken back after an evacuation.
@@ -48,7 +50,7 @@
 	return &book{
 		items: map[string]Item{}, endpoints: map[string]*Endpoint{}, lapsed: map[string]time.Time{},
 		evacuated: map[string]Evacuated{}, restored: map[string]restored{},
-		leaving: map[string]former{}, kept: map[string]former{},
+		leaving: map[string]former{}, kept: map[string]former{}, announced: map[Start]announced{},
 	}
 }
 
@@ -290,6 +292,7 @@
 
 func (s *State) sweep(b *book, now time.Time) {
 	changed := s.release(b, now)
+	b.forgetAnnounced(now)
 	for id, until := range b.lapsed {
 		if now.Before(until) {
 			continue
@@ -321,7 +324,10 @@
 }
 
 func (s *State) publish(b *book) {
-	snap := &Snapshot{Config: b.config, Position: b.position, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated)}
+	snap := &Snapshot{Config: b.config, Position: b.position, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated), announced: make(map[Start]bool, len(b.announced)), untold: b.untold()}
+	for start := range b.announced {
+		snap.announced[start] = true
+	}
 	newest := b.newest()
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		e := b.endpoints[id]
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -107,6 +107,11 @@
 		Endpoints map[string][]*Endpoint
 		// Evacuated are the availability zones that are evacuated, by name.
 		Evacuated map[string]Evacuated
+
+		// announced are the endpoints that have said themselves that they leave,
+		// and untold those of them that other nodes are to be told of.
+		announced map[Start]bool
+		untold    []announcement
 	}
 )
 
--- a/internal/deployment/former.go
+++ b/internal/deployment/former.go
@@ -111,9 +111,12 @@
 	s.config.Log.Event("endpoint.withheld", decision.Fields{"endpoint": id, "epoch": b.position.Epoch, "gone": f.item.Removed})
 }
 
-// leaves reports whether an endpoint drained, or was gone, in an earlier epoch, and
-// that still holds.
+// leaves reports whether an endpoint leaves though its entry does not say so: it has
+// said so itself, or it drained or was gone in an earlier epoch and that still holds.
 func (b *book) leaves(e *Endpoint) bool {
+	if _, ok := b.announced[e.Start()]; ok {
+		return true
+	}
 	f, ok := b.leaving[e.ID]
 	return ok && (f.born.IsZero() || f.born.Equal(e.Born))
 }
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -84,9 +84,11 @@
 		start      time.Time
 		record     atomic.Pointer[Record]
 		// past are large values that were replaced, newest last.
-		past    atomic.Pointer[[]Item]
-		cancel  context.CancelFunc
-		running sync.WaitGroup
+		past atomic.Pointer[[]Item]
+		// announcements are what endpoints have said of themselves.
+		announcements *announcements
+		cancel        context.CancelFunc
+		running       sync.WaitGroup
 	}
 
 	// Update is a set of items, from the store or from a peer.
@@ -114,7 +116,7 @@
 // NewState starts a state that knows nothing yet.
 func NewState(c StateConfig) *State {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &State{config: c, updates: make(chan Update, updateQueue), news: make(chan struct{}, 1), configured: make(chan struct{}), start: time.Now(), cancel: cancel}
+	s := &State{config: c, updates: make(chan Update, updateQueue), news: make(chan struct{}, 1), configured: make(chan struct{}), start: time.Now(), cancel: cancel, announcements: newAnnouncements()}
 	s.snapshot.Store(&Snapshot{})
 	s.record.Store(&Record{})
 	s.past.Store(&[]Item{})
@@ -129,6 +131,8 @@
 				return
 			case u := <-s.updates:
 				s.apply(b, u, time.Now())
+			case <-s.announcements.news:
+				s.announce(b, time.Now())
 			case now := <-tick.C:
 				s.sweep(b, now)
 			}
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -36,8 +36,11 @@
 		if at, ok := strings.CutPrefix(string(i.Value), "at "); ok {
 			e.Addr = netip.MustParseAddrPort(at)
 		}
-		if string(i.Value) == "cold" {
+		switch string(i.Value) {
+		case "cold":
 			e.Cold = coldFor
+		case "born":
+			e.Born = time.UnixMilli(1)
 		}
 		return deployment.Change{Endpoint: e}, nil
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,7 @@
 	a.status = x.Response.StatusCode
 	a.reported(x.Response.Header)
 	a.notice = c.handler.config.Headers.Notice(a.status, x.Response.Header)
+	c.heed(a.choice.Endpoint, a.notice)
 	h := c.handler.config.Headers
 	switch {
 	case x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest:
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -67,8 +67,11 @@
 		}
 		evacuated = evacuated || e.Evacuated && !e.Draining
 	}
-	if evacuated {
+	switch {
+	case evacuated:
 		return reasonEvacuated
+	case len(list) > 0:
+		return reasonLeaving
 	}
 	return ""
 }
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -16,9 +16,9 @@
 type leaver struct{ leave func(e *deployment.Endpoint) }
 
 // Reserve implements gateway.Reserver.
-func (l leaver) Reserve(_ context.Context, e *deployment.Endpoint, _ gateway.Reservation) (string, error) {
+func (l leaver) Reserve(_ context.Context, e *deployment.Endpoint, _ gateway.Reservation) (gateway.Place, error) {
 	l.leave(e)
-	return "place", nil
+	return gateway.Place{Name: "place"}, nil
 }
 
 // Symptom: a caller waits for an answer that nobody may give. Sequence: an operator
@@ -37,6 +37,7 @@
 		{name: "one is left", evacuated: []bool{true, false}, status: 200},
 		{name: "all zones are evacuated", evacuated: []bool{true, true}, status: 503, reason: "zones-evacuated\n"},
 		{name: "the rest drains", evacuated: []bool{true, false}, draining: []bool{false, true}, status: 503, reason: "zones-evacuated\n"},
+		{name: "all drain", draining: []bool{true, true}, status: 503, reason: "endpoints-leaving\n"},
 		{name: "one is at home", homes: []string{"r1"}, status: 200},
 		{name: "none is at home", homes: []string{"r2"}, status: 503, reason: "no-endpoint-in-homes\n"},
 		{name: "the home is evacuated", homes: []string{"r1"}, evacuated: []bool{false, true}, status: 503, reason: "zones-evacuated\n"},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,10 +44,11 @@
 		requests []*http.Request
 	}
 
-	// fixed is a deployment that never changes.
+	// fixed is a deployment of which only that endpoints leave ever changes.
 	fixed struct {
 		snapshot *deployment.Snapshot
 		age      time.Duration
+		left     *[]string
 	}
 
 	noLoads struct{}
@@ -58,6 +59,8 @@
 		endpoints []*endpoint
 		snapshot  *deployment.Snapshot
 		crashes   int
+		// left are the endpoints that have said that they leave.
+		left []string
 	}
 
 	// answer is what a caller got.
@@ -76,6 +79,16 @@
 
 func (f fixed) Age() (time.Duration, bool) { return f.age, true }
 
+// Leaving implements gateway.Deployment.
+func (f fixed) Leaving(s deployment.Start, _ string) {
+	*f.left = append(*f.left, s.ID)
+	for _, list := range f.snapshot.Endpoints {
+		for _, e := range list {
+			e.Draining = e.Draining || e.Start() == s
+		}
+	}
+}
+
 func (noLoads) Others(uint32) int { return 0 }
 
 func (noLoads) OthersReading(uint32) int { return 0 }
@@ -90,7 +103,7 @@
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", Expect: "Expect-Endpoint",
 		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
-		Model: "Model", Priority: "Priority", LastEvent: "Last-Event-Id", Fetch: "Fetch", Reserved: reserved, Trusted: []string{"Fetch", "Account"},
+		Leaving: leaving, Rest: rest, Model: "Model", Priority: "Priority", LastEvent: "Last-Event-Id", Fetch: "Fetch", Reserved: reserved, Trusted: []string{"Fetch", "Account"},
 	}
 }
 
@@ -229,7 +242,7 @@
 	}
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
 	h := gateway.New(gateway.Config{
-		Headers: headers(), Deployment: fixed{snapshot: f.snapshot}, Pool: pool, Places: places,
+		Headers: headers(), Deployment: fixed{snapshot: f.snapshot, left: &f.left}, Pool: pool, Places: places,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: balance.New(balance.Config{Loads: loads}),
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,6 +43,8 @@
 		// Age returns how long ago the store last answered, and whether it
 		// ever did.
 		Age() (time.Duration, bool)
+		// Leaving notes that an endpoint has said that it leaves.
+		Leaving(s deployment.Start, source string)
 	}
 
 	// Config is the settings of a Handler.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
 const (
@@ -15,6 +17,8 @@
 	restDigits = "0123456789."
 	// longestRest bounds the rest that is believed.
 	longestRest = 24 * time.Hour
+	// sourceAnswer is the source of what an endpoint has said to this node.
+	sourceAnswer = "answer"
 )
 
 // Notice is what an endpoint says of itself in an answer, beside the answer.
@@ -42,6 +46,13 @@
 	return n
 }
 
+// heed takes what an endpoint has said of itself.
+func (c *call) heed(e *deployment.Endpoint, n Notice) {
+	if n.Leaving {
+		c.handler.config.Deployment.Leaving(e.Start(), sourceAnswer)
+	}
+}
+
 // parseRest reads a number of seconds, which may have a fraction; it returns 0 for
 // anything else.
 func parseRest(text string) time.Duration {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -1,15 +1,24 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
 )
 
+const (
+	leaving = "Leaving"
+	rest    = "Retry-After"
+	// leaves is the line of a header that says that the endpoint leaves.
+	leaves = leaving + ": 1\r\n"
+)
+
 // Guards against a node that takes an odd value for a notice, or another process's
 // notice for that of the endpoint it asked.
 func TestNotice(t *testing.T) {
@@ -44,9 +53,84 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			h := gateway.Headers{Leaving: "Leaving", Rest: "Retry-After"}
-			header := http.Header{"Leaving": c.leaving, "Retry-After": c.rest}
-			require.Equal(t, c.want, h.Notice(c.status, header))
+			header := http.Header{leaving: c.leaving, rest: c.rest}
+			require.Equal(t, c.want, headers().Notice(c.status, header))
+		})
+	}
+}
+
+// head is the beginning of an endpoint's answer that says that it leaves.
+func head(status string, more ...string) string {
+	text := "HTTP/1.1 " + status + "\r\n" + id + ": {id}\r\n" + leaves
+	for _, line := range more {
+		text += line + "\r\n"
+	}
+	return text
+}
+
+// Guards against requests to an endpoint that has said that it leaves, in whatever
+// answer it did.
+func TestEndpointThatSaysInAnAnswerThatItLeavesGetsNoMore(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  deployment.Kind
+		first reply
+		// not says that the answer says nothing of the endpoint that was asked.
+		not bool
+	}{
+		{name: "a whole answer", first: whole(200, "hi", leaves)},
+		{name: "a failure that is passed on", kind: deployment.AtMostOnce, first: whole(500, "no", leaves)},
+		{name: "a failure that is tried again elsewhere", first: whole(500, "no", leaves)},
+		{name: "a refusal", first: raw(head("503 X", "Not-Run: 1", "Content-Length: 0") + "\r\n")},
+		{name: "a refusal of one that runs once", kind: deployment.AtMostOnce, first: raw(head("503 X", "Not-Run: 1", "Content-Length: 0") + "\r\n")},
+		{name: "a refusal that promises nothing", kind: deployment.AtMostOnce, first: whole(503, "", leaves)},
+		{name: "an answer without its seal", kind: deployment.AtMostOnce, first: raw(head("200 X", "Content-Length: 2") + "\r\nhi")},
+		{name: "an answer that ends early", kind: deployment.AtMostOnce, first: raw(head("200 X", seal+": s", "Content-Length: 9") + "\r\nhi")},
+		{name: "an answer without a length", first: raw(head("200 X", seal+": s") + "\r\nhi")},
+		{name: "a stream", kind: deployment.Streaming, first: raw(head("200 X", seal+": s", "Content-Length: 18") + "\r\n" + event(1))},
+		{name: "a stream that breaks off", kind: deployment.Streaming, first: raw(head("200 X", seal+": s", "Content-Length: 99") + "\r\n" + event(1))},
+		{name: "a stream that goes on elsewhere", kind: deployment.Resumable, first: raw(head("200 X", seal+": s", "Content-Length: 99") + "\r\n" + event(1))},
+		{name: "another process at the address", first: raw(head("421 X", "Content-Length: 0") + "\r\n"), not: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			last := whole(200, "hi")
+			if c.kind.Streams() {
+				last = stream(3, "", true)
+			}
+			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, newEndpoint(t, c.first), newEndpoint(t, last))
+			for range 40 {
+				f.ask(t, "/p/x", nil)
+			}
+			require.Equal(t, 1, f.endpoints[0].count())
+			require.GreaterOrEqual(t, f.endpoints[1].count(), 39)
+			if c.not {
+				require.Empty(t, f.left)
+				return
+			}
+			require.Equal(t, []string{"e0"}, f.left)
+		})
+	}
+}
+
+// Guards against requests at a place that an engine has kept while it said that it
+// leaves, and against questions for more.
+func TestEngineThatSaysThatItLeavesIsAskedForNoMorePlaces(t *testing.T) {
+	for name, places := range map[string]*engines{
+		"it has a place": {left: map[string]int{"e0": 100, "e1": 100}},
+		"it has none":    {left: map[string]int{"e1": 100}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			places.asked = map[string]int{}
+			places.notices = map[string]gateway.Notice{"e0": {Leaving: true}}
+			f := newEngines(t, 3, places, newEndpoint(t, stream(3, "", true)), newEndpoint(t, stream(3, "", true)))
+			for n := range 20 {
+				a := f.ask(t, "/p/x", map[string]string{"Prompt": fmt.Sprintf("doc%d:10,own:1", n), "Model": "m"})
+				require.Equal(t, http.StatusOK, a.status)
+			}
+			require.Equal(t, []string{"e0"}, f.left)
+			require.Equal(t, 1, places.asked["e0"])
+			require.Zero(t, f.endpoints[0].count())
 		})
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -64,6 +64,9 @@
 			if choice != nil {
 				return choice, nil
 			}
+			if reason := c.barred(); reason != "" {
+				return nil, c.given(reason)
+			}
 		case <-time.After(placePoll):
 			q.Offer(time.Now())
 		case <-ctx.Done():
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -29,6 +29,7 @@
 	reasonEvacuated   = "zones-evacuated"
 	reasonHomes       = "no-endpoint-in-homes"
 	reasonWithdrawn   = "endpoint-left"
+	reasonLeaving     = "endpoints-leaving"
 )
 
 const (
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -43,11 +43,19 @@
 		For time.Duration
 	}
 
+	// Place is an engine's answer to a Reservation.
+	Place struct {
+		// Name is the reservation's, empty where there is none.
+		Name string
+		// Notice is what the engine says of itself beside.
+		Notice Notice
+	}
+
 	// Reserver reserves places at engines.
 	Reserver interface {
-		// Reserve returns the reservation's name, ErrFull, ErrNoReservations or
-		// an error of the connection.
-		Reserve(ctx context.Context, e *deployment.Endpoint, r Reservation) (string, error)
+		// Reserve returns the engine's answer, also beside ErrFull and
+		// ErrNoReservations, or an error of the connection.
+		Reserve(ctx context.Context, e *deployment.Endpoint, r Reservation) (Place, error)
 	}
 
 	// places reserves places, but not at engines that take no reservations.
@@ -100,19 +108,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	name, err := h.Places.Reserve(ctx, choice.Endpoint, Reservation{Tokens: reserveTokens, For: reserveFor})
+	place, err := h.Places.Reserve(ctx, choice.Endpoint, Reservation{Tokens: reserveTokens, For: reserveFor})
 	h.Metrics.reserved(err)
+	h.Metrics.noticed(place.Notice)
+	c.heed(choice.Endpoint, place.Notice)
 	if errors.Is(err, ErrFull) {
 		c.progress.full++
 		h.Balancer.Release(time.Now(), start, balance.Full)
 		return false
 	}
+	if place.Notice.Leaving {
+		c.progress.tried = append(c.progress.tried, start)
+		h.Balancer.Release(time.Now(), start, balance.Unknown)
+		return false
+	}
 	if err != nil {
 		if errors.Is(err, ErrNoReservations) {
 			c.handler.places.refused(start, time.Now())
 		}
 		c.log("reserve.failed", decision.Fields{"endpoint": choice.Endpoint.ID, "error": err.Error()})
 	}
-	c.reserved = name
+	c.reserved = place.Name
 	return true
 }
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -27,6 +27,8 @@
 		left  map[string]int
 		asked map[string]int
 		err   error
+		// notices are what engines say of themselves.
+		notices map[string]gateway.Notice
 	}
 )
 
@@ -41,18 +43,20 @@
 func (others) Age(time.Time) time.Duration { return 0 }
 
 // Reserve implements gateway.Reserver.
-func (e *engines) Reserve(_ context.Context, to *deployment.Endpoint, _ gateway.Reservation) (string, error) {
+func (e *engines) Reserve(_ context.Context, to *deployment.Endpoint, _ gateway.Reservation) (gateway.Place, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked[to.ID]++
+	place := gateway.Place{Notice: e.notices[to.ID]}
 	if e.err != nil {
-		return "", e.err
+		return place, e.err
 	}
 	if e.left[to.ID] == 0 {
-		return "", gateway.ErrFull
+		return place, gateway.ErrFull
 	}
 	e.left[to.ID]--
-	return "place-at-" + to.ID, nil
+	place.Name = "place-at-" + to.ID
+	return place, nil
 }
 
 // newEngines returns a gateway before engines of four slots, at each of which
--- a/internal/gateway/unconfigured_test.go
+++ b/internal/gateway/unconfigured_test.go
@@ -30,6 +30,9 @@
 // Age implements gateway.Deployment: all is new.
 func (*starting) Age() (time.Duration, bool) { return 0, true }
 
+// Leaving implements gateway.Deployment.
+func (*starting) Leaving(deployment.Start, string) {}
+
 func newStarting(after time.Duration) *starting {
 	s := &starting{configured: make(chan struct{})}
 	s.snapshot.Store(&deployment.Snapshot{})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,11 @@
 		// was restored.
 		Lapsing() time.Duration
 		Settling() time.Duration
+		// Announced returns the endpoints that have said themselves that they leave,
+		// as far as that became known since a time, by the Keys of their starts;
+		// LeavingHeard takes the same from another node.
+		Announced(since time.Time) []uint32
+		LeavingHeard(keys []uint32, source string)
 		// News tells when the store itself has told something new.
 		News() <-chan struct{}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -39,6 +39,8 @@
 		access   deployment.Access
 		lapsing  time.Duration
 		news     chan struct{}
+		// leaving are endpoints that said that they leave.
+		leaving []uint32
 	}
 
 	// work is a node's requests, as a test sets them.
@@ -138,6 +140,23 @@
 
 func (b *book) News() <-chan struct{} { return b.news }
 
+// Announced implements gossip.Book.
+func (b *book) Announced(time.Time) []uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaving
+}
+
+// LeavingHeard implements gossip.Book.
+func (b *book) LeavingHeard(keys []uint32, _ string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(b.leaving), keys...))))
+}
+
+// announce makes endpoints have said that they leave.
+func (b *book) announce(keys ...uint32) { b.LeavingHeard(keys, "") }
+
 func (w *work) Active() map[uint32]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -86,6 +86,9 @@
 		Placements []balance.Placement `cbor:"9,keyasint,omitempty"`
 		// Reports are what endpoints have lately said of their own load.
 		Reports map[uint32]int `cbor:"12,keyasint,omitempty"`
+		// Leaving are endpoints that have said themselves that they leave: in some
+		// heartbeats all, in others the newest.
+		Leaving []uint32 `cbor:"18,keyasint,omitempty"`
 		// From is who the sender is.
 		From *Member `cbor:"10,keyasint,omitempty"`
 		// Digest is that of the node's record, which stands in some heartbeats.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -59,7 +59,7 @@
 	if b.Reporting != plain {
 		o.relay.Heard(now, report(b, a.addr))
 	}
-	g.learn(o, b, now)
+	g.learn(o, b, n.member.Name, now)
 	if brought == regained {
 		g.config.Log.Event("node.heard", decision.Fields{"peer": n.member.Name, "incarnation": b.ID, "epoch": b.Epoch, "revision": b.Revision})
 		// The node knows this one before the next heartbeat is due.
@@ -91,8 +91,8 @@
 	return true
 }
 
-// learn takes what a heartbeat tells of others.
-func (g *Gossip) learn(o *owner, b *heartbeat, now time.Time) {
+// learn takes what a heartbeat tells of others, and who has told it.
+func (g *Gossip) learn(o *owner, b *heartbeat, source string, now time.Time) {
 	for _, addr := range b.Contacts {
 		if addr != g.config.Self.IP {
 			o.table.learn(addr, now)
@@ -101,6 +101,9 @@
 	for _, c := range b.Crashes {
 		g.config.Crashed(c)
 	}
+	if len(b.Leaving) > 0 {
+		g.config.Book.LeavingHeard(b.Leaving, source)
+	}
 	if len(b.Reports) > 0 {
 		g.config.Work.ReportsHeard(now, b.Reports)
 	}
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -25,6 +25,8 @@
 	lossDoubt = 650 * time.Millisecond
 	// accessBits is where a mark holds a node's access to the store.
 	accessBits = 4
+	// sourceRelay is the source of what relays tell.
+	sourceRelay = "relay"
 )
 
 // How a heartbeat goes to a relay.
@@ -153,7 +155,7 @@
 	r := relay.Report{
 		ID: short(b.ID), Addr: addr, Sequence: b.Sequence, Mark: markOf(b.State, b.Access), Position: b.position(),
 		Loads: b.Loads, Reading: b.Reading, Failures: b.Failures, Follows: b.Reporting == followed,
-		News: relay.News{Placements: b.Placements, EndpointLoads: b.Reports},
+		News: relay.News{Placements: b.Placements, EndpointLoads: b.Reports, Leaving: b.Leaving},
 	}
 	for _, c := range b.Crashes {
 		r.Crashes = append(r.Crashes, relay.Crash(c))
@@ -210,11 +212,11 @@
 			n.position = deployment.Later(n.position, w.Position())
 		}
 	})
-	b := &heartbeat{Placements: w.News.Placements, Reports: w.News.EndpointLoads}
+	b := &heartbeat{Placements: w.News.Placements, Reports: w.News.EndpointLoads, Leaving: w.News.Leaving}
 	for _, c := range w.News.Crashes {
 		b.Crashes = append(b.Crashes, Crash(c))
 	}
-	g.learn(o, b, now)
+	g.learn(o, b, sourceRelay, now)
 	g.publish(o, now)
 	g.newer(ctx, o, w.Position(), now)
 }
--- a/internal/gossip/relayed_test.go
+++ b/internal/gossip/relayed_test.go
@@ -136,3 +136,26 @@
 		}
 	}
 }
+
+// Guards against nodes that go on sending to an endpoint of which others know that it
+// leaves, also ones that start later.
+func TestLeavingEndpointsAreTold(t *testing.T) {
+	fleets := map[string]func(t *testing.T) (*fleet, []*node){
+		"to all": func(t *testing.T) (*fleet, []*node) {
+			f := newFleet(t)
+			return f, []*node{f.start(1, &book{}), f.start(2, &book{}), f.start(3, &book{})}
+		},
+		"through relays": func(t *testing.T) (*fleet, []*node) { return relayedFleet(t, 9) },
+	}
+	for name, fleet := range fleets {
+		t.Run(name, func(t *testing.T) {
+			f, list := fleet(t)
+			list[1].book.announce(41)
+			list[2].book.announce(42)
+			list = append(list, f.start(len(list)+1, &book{}))
+			for _, nd := range list {
+				f.eventually(func() bool { return len(nd.book.Announced(time.Time{})) == 2 }, "both are known")
+			}
+		})
+	}
+}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -28,6 +28,9 @@
 	crashFor = 2 * time.Second
 	// crashesPerBeat bounds a heartbeat.
 	crashesPerBeat = 16
+	// leavingFor is how long each heartbeat names an endpoint that has said that it
+	// leaves; afterwards those do that have a digest, and introductions.
+	leavingFor = 3 * time.Second
 )
 
 func (g *Gossip) tick(o *owner, now time.Time) {
@@ -58,6 +61,7 @@
 	b := g.heartbeat(o, o.toAll, now)
 	if o.rounds%digestEvery == 0 || g.relayed() {
 		b.Digest = g.config.Book.Record().Digest
+		b.Leaving = g.config.Book.Announced(time.Time{})
 	}
 	o.rounds++
 	data := g.encode(b)
@@ -91,6 +95,7 @@
 		Loads: g.config.Work.Active(), Reading: g.config.Work.Reading(), Failures: g.config.Work.Failures(now), Contacts: o.contacts(contactsPerBeat), Crashes: o.crashes(now),
 		// Each placement is told twice, as datagrams get lost.
 		Placements: g.config.Work.Placements(now, t.before), Reports: g.config.Work.Reports(now, t.last),
+		Leaving: g.config.Book.Announced(now.Add(-leavingFor)),
 	}
 }
 
@@ -98,6 +103,7 @@
 func (g *Gossip) introduction(o *owner, ask bool, now time.Time) []byte {
 	b := g.heartbeat(o, o.toAll, now)
 	b.From, b.Ask, b.Contacts = &g.config.Self, ask, o.contacts(contactsToNew)
+	b.Leaving = g.config.Book.Announced(time.Time{})
 	return g.encode(b)
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -61,6 +61,8 @@
 		// EndpointLoads are what endpoints have said of their own load.
 		EndpointLoads map[uint32]int `cbor:"2,keyasint,omitempty"`
 		Crashes       []Crash        `cbor:"3,keyasint,omitempty"`
+		// Leaving are endpoints that have said themselves that they leave.
+		Leaving []uint32 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Report is what one node tells its relays of itself.
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -29,6 +29,7 @@
 	outbox struct {
 		placements []waiting[balance.Placement]
 		crashes    []waiting[Crash]
+		leaving    []waiting[uint32]
 		loads      map[uint32]int
 	}
 
@@ -42,16 +43,20 @@
 	seen struct {
 		placements map[balance.Placement]time.Time
 		crashes    map[Crash]time.Time
+		leaving    map[uint32]time.Time
 	}
 )
 
 func newSeen() *seen {
-	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}}
+	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}}
 }
 
 // fresh returns what of some news was not seen before, and remembers it.
 func (s *seen) fresh(now time.Time, n News) News {
-	return News{Placements: unseen(s.placements, now, n.Placements), Crashes: unseen(s.crashes, now, n.Crashes), EndpointLoads: n.EndpointLoads}
+	return News{
+		Placements: unseen(s.placements, now, n.Placements), Crashes: unseen(s.crashes, now, n.Crashes),
+		Leaving: unseen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
+	}
 }
 
 func unseen[T comparable](known map[T]time.Time, now time.Time, list []T) []T {
@@ -73,6 +78,7 @@
 func (s *seen) forget(now time.Time) {
 	drop(s.placements, now)
 	drop(s.crashes, now)
+	drop(s.leaving, now)
 }
 
 func drop[T comparable](known map[T]time.Time, now time.Time) {
@@ -87,6 +93,7 @@
 func (o *outbox) add(n News) {
 	o.placements = wait(o.placements, n.Placements)
 	o.crashes = wait(o.crashes, n.Crashes)
+	o.leaving = wait(o.leaving, n.Leaving)
 	if o.loads == nil {
 		o.loads = map[uint32]int{}
 	}
@@ -100,6 +107,7 @@
 	var n News
 	n.Placements, o.placements = told(o.placements)
 	n.Crashes, o.crashes = told(o.crashes)
+	n.Leaving, o.leaving = told(o.leaving)
 	n.EndpointLoads, o.loads = o.loads, nil
 	return n
 }
