Heed what endpoints say in their answers in the first interface too

The same cause: nodes learned from the list and the endpoint's own report alone that it leaves, both of which lag, and a refusal's time to come back was not read.

All answers of an endpoint (requests, resumed answers, reports, orders, cache events, copies, cancellations) pass one place that reads the two words. The word that it leaves names the start that says so; it outweighs the list and the home, also where the list drops the endpoint and names it again, and ends with another start, which a node whose home is elsewhere asks for once a second. It spreads as a leave mark. A rest holds for the node that was asked, and is written to its view only. Both are looked at again before sending. A request is refused at once where no endpoint takes it before its deadline; until now it waited in rounds.

Plain numbers of seconds are read in one place for both interfaces.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -140,13 +140,15 @@
 		return nil, fmt.Errorf("%w: %v", ErrStart, err)
 	}
 	n := &Node{
-		config:    c,
-		key:       key,
-		limiter:   limit.NewLimiter(limit.LimiterConfig{}),
-		holder:    gate.NewHolder(),
-		meter:     capacity.NewMeter(),
-		endpoints: endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer}),
+		config:  c,
+		key:     key,
+		limiter: limit.NewLimiter(limit.LimiterConfig{}),
+		holder:  gate.NewHolder(),
+		meter:   capacity.NewMeter(),
 	}
+	n.endpoints = endpoint.NewClient(endpoint.ClientConfig{Dialer: c.Dialer, Heard: func(addr netip.AddrPort, w endpoint.Notice) {
+		n.control.heard(addr, w)
+	}})
 	self := kernel.Node{
 		Name:        c.Instance,
 		Zone:        c.Zone,
--- a/control.go
+++ b/control.go
@@ -297,11 +297,45 @@
 	c.Offer(kernel.OrderEnded{Endpoint: o.Endpoint, Accepted: err == nil, Fence: reply.Fence})
 }
 
-// readLoads asks the endpoints whose home the node is for their reports.
+// readLoads asks the endpoints whose home the node is for their reports, and those
+// that have told it that they leave whether they have started again.
 func (c *control) readLoads() {
-	for _, e := range c.View().Probes {
+	v := c.View()
+	for _, e := range v.Probes {
 		c.running.Go(func() { c.readLoad(e) })
 	}
+	for _, e := range v.Leavers {
+		c.running.Go(func() { c.readWord(e) })
+	}
+}
+
+// readWord asks an endpoint of another home whether it leaves. One that does not
+// answer says nothing.
+func (c *control) readWord(e kernel.Endpoint) {
+	report, err := c.config.Endpoints.Load(c.ctx, e.Addr)
+	if err != nil {
+		return
+	}
+	c.Offer(kernel.EndpointSpoke{Endpoint: e.Name, Leaving: report.Leaving, Incarnation: report.Incarnation})
+}
+
+// heard takes what an endpoint says of itself in an answer to this node. Names of
+// endpoints that have left may be at the address, too.
+func (c *control) heard(addr netip.AddrPort, n endpoint.Notice) {
+	now := time.Now()
+	for _, pool := range c.View().Pools {
+		for _, e := range pool.Endpoints {
+			if e.Addr != addr {
+				continue
+			}
+			if n.Leaving {
+				c.note(kernel.EndpointSpoke{Endpoint: e.Name, Leaving: true, Incarnation: n.Incarnation})
+			}
+			if n.Rest > 0 {
+				c.note(kernel.EndpointRests{Endpoint: e.Name, Until: now.Add(n.Rest)})
+			}
+		}
+	}
 }
 
 func (c *control) readLoad(e kernel.Endpoint) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -218,8 +218,23 @@
 	return j.d.permit(ctx, e, a)
 }
 
+// takes reports whether an endpoint may still be sent the request: between the
+// choice and the sending lies a question to its home.
+func (j *job) takes(e kernel.Endpoint) bool {
+	pool := j.d.config.View().Pools[j.req.Service]
+	if pool == nil {
+		return true
+	}
+	now, known := pool.Endpoint(e.Name)
+	return !known || now.Takes()
+}
+
 func (j *job) run(ctx context.Context, step route.Step) (*Run, route.Outcome) {
 	e := step.Endpoint
+	if !j.takes(e) {
+		j.d.void(j.permit)
+		return nil, route.OutcomeGone
+	}
 	j.move(ctx, step.From, e)
 	call := j.call
 	call.Attempt = strconv.FormatUint(j.permit, 16)
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -73,6 +73,9 @@
 		// Resume is how long an endpoint may take to answer for a broken
 		// attempt; 0 is DefaultResume.
 		Resume time.Duration
+		// Heard takes what endpoints say of themselves in their answers; it may be
+		// nil.
+		Heard func(addr netip.AddrPort, n Notice)
 	}
 
 	// Client calls endpoints over HTTP. It is safe for concurrent use.
@@ -98,23 +101,26 @@
 // nothing to send again. For the same reason no redirect is followed: a 307 or
 // 308 would send the body again.
 func NewClient(c ClientConfig) *Client {
+	if c.Heard == nil {
+		c.Heard = func(netip.AddrPort, Notice) {}
+	}
 	dialer := c.Dialer
 	if dialer == nil {
 		dialer = &net.Dialer{Timeout: dialTimeout}
 	}
 	return &Client{
-		shared: newHTTP(&http.Transport{
+		shared: newHTTP(c, &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
 			DisableCompression:  true,
 		}),
-		control: newHTTP(&http.Transport{
+		control: newHTTP(c, &http.Transport{
 			DialContext:           dialer.DialContext,
 			MaxIdleConnsPerHost:   idlePerHost,
 			DisableCompression:    true,
 			ResponseHeaderTimeout: cmp.Or(c.Resume, DefaultResume),
 		}),
-		single: newHTTP(&http.Transport{
+		single: newHTTP(c, &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
@@ -252,9 +258,9 @@
 	return fmt.Errorf("%w: %v", ErrNotRun, err)
 }
 
-func newHTTP(t *http.Transport) *http.Client {
+func newHTTP(c ClientConfig, t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     listener{next: t, heard: c.Heard},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -243,3 +245,66 @@
 	require.ErrorIs(t, err, endpoint.ErrLost)
 	require.NoError(t, ctx.Err())
 }
+
+// Guards against a word of an endpoint on itself that is heard in some of its answers
+// only.
+func TestNoticesAreHeardInAllAnswers(t *testing.T) {
+	calls := map[string]func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort){
+		"request": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) {
+			_, _ = c.Do(ctx, addr, endpoint.Call{Path: "/x", Attempt: "1"})
+		},
+		"request that runs once": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) {
+			_, _ = c.Do(ctx, addr, endpoint.Call{Path: "/x", Attempt: "1", Once: true})
+		},
+		"rest of an answer": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) { _, _ = c.Resume(ctx, addr, "1", 0) },
+		"cancellation":      func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) { _ = c.Cancel(ctx, addr, "1") },
+		"report":            func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) { _, _ = c.Load(ctx, addr) },
+		"order": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) {
+			_, _ = c.Order(ctx, addr, endpoint.Order{})
+		},
+		"cache events": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) { _, _ = c.Events(ctx, addr, 0) },
+		"copy from it": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) {
+			_, _ = c.ExportKV(ctx, addr, "chat")
+		},
+		"copy to it": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) {
+			_ = c.ImportKV(ctx, addr, endpoint.KV{Chat: "chat"})
+		},
+	}
+	says := map[string]struct {
+		status int
+		head   map[string]string
+		want   endpoint.Notice
+	}{
+		"leaves":                     {200, map[string]string{endpoint.HeaderLeaving: "7"}, endpoint.Notice{Leaving: true, Incarnation: 7}},
+		"leaves, of unknown start":   {404, map[string]string{endpoint.HeaderLeaving: "0"}, endpoint.Notice{Leaving: true}},
+		"rests":                      {503, map[string]string{endpoint.HeaderNotRun: "1", endpoint.HeaderRest: "2"}, endpoint.Notice{Rest: 2 * time.Second}},
+		"nothing that can be read":   {503, map[string]string{endpoint.HeaderLeaving: "soon", endpoint.HeaderRest: "later"}, endpoint.Notice{}},
+		"a rest with another status": {200, map[string]string{endpoint.HeaderRest: "2"}, endpoint.Notice{}},
+	}
+	for call, do := range calls {
+		for what, c := range says {
+			t.Run(call+" "+what, func(t *testing.T) {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					for name, value := range c.head {
+						w.Header().Set(name, value)
+					}
+					w.WriteHeader(c.status)
+				}))
+				defer s.Close()
+				addr := netip.MustParseAddrPort(s.Listener.Addr().String())
+				heard := make(chan endpoint.Notice, 10)
+				client := endpoint.NewClient(endpoint.ClientConfig{Heard: func(at netip.AddrPort, n endpoint.Notice) {
+					require.Equal(t, addr, at)
+					heard <- n
+				}})
+				do(t.Context(), client, addr)
+				client.Close()
+				if c.want == (endpoint.Notice{}) {
+					require.Empty(t, heard)
+					return
+				}
+				require.Equal(t, c.want, <-heard)
+			})
+		}
+	}
+}
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -12,6 +12,12 @@
 	HeaderDeadline = "X-Deadline"
 	// HeaderNotRun is set on a refusal where the endpoint ran nothing.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving is set on all answers of an endpoint that leaves: its
+	// incarnation, or 0 where it has none.
+	HeaderLeaving = "X-Leaving"
+	// HeaderRest says on a refusal for how many seconds the endpoint wants no
+	// requests from this node.
+	HeaderRest = "Retry-After"
 	// HeaderChat names the chat whose prefix the engine may reuse.
 	HeaderChat = "X-Chat"
 )
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -3,20 +3,16 @@
 import (
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
 const (
 	// leavingValue is what the header of a leaving endpoint holds.
 	leavingValue = "1"
-	// restDigits are the characters of a rest in seconds.
-	restDigits = "0123456789."
-	// longestRest bounds the rest that is believed.
-	longestRest = 24 * time.Hour
 	// sourceAnswer is the source of what an endpoint has said to this node.
 	sourceAnswer = "answer"
 )
@@ -39,9 +35,7 @@
 	}
 	n := Notice{Leaving: slices.ContainsFunc(header[h.Leaving], func(v string) bool { return strings.TrimSpace(v) == leavingValue })}
 	if refuses(status) {
-		for _, v := range header[h.Rest] {
-			n.Rest = max(n.Rest, parseRest(v))
-		}
+		n.Rest = http1.RetryAfter(header[h.Rest])
 	}
 	return n
 }
@@ -61,17 +55,3 @@
 func refuses(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
-
-// parseRest reads a number of seconds, which may have a fraction; it returns 0 for
-// anything else.
-func parseRest(text string) time.Duration {
-	text = strings.TrimSpace(text)
-	if strings.Trim(text, restDigits) != "" {
-		return 0
-	}
-	s, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(min(s, longestRest.Seconds()) * float64(time.Second))
-}
--- a/internal/kernel/event.go
+++ b/internal/kernel/event.go
@@ -86,6 +86,23 @@
 		Fence uint64
 	}
 
+	// EndpointSpoke is an endpoint's own word on whether it leaves, which it gave to
+	// this node in an answer.
+	EndpointSpoke struct {
+		Endpoint string
+		Leaving  bool
+		// Incarnation is that of the endpoint's start which says so; 0 where it does
+		// not say.
+		Incarnation uint64
+	}
+
+	// EndpointRests is an endpoint's wish to get no requests from this node until a
+	// time.
+	EndpointRests struct {
+		Endpoint string
+		Until    time.Time
+	}
+
 	// EndpointFailed is an attempt or a load request that an endpoint did not
 	// answer.
 	EndpointFailed struct {
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -92,6 +92,9 @@
 		// Models is the models that the endpoint has loaded; nil where it has
 		// not said.
 		Models []string
+		// Rest is until when the endpoint wants no requests from this node; zero
+		// where it takes them.
+		Rest time.Time
 	}
 
 	// Pool is the endpoints of one service.
@@ -133,6 +136,9 @@
 		// Probes is the endpoints whose home the node is, dead ones included:
 		// it reads their loads.
 		Probes []Endpoint
+		// Leavers is the endpoints that have told this node that they leave and whose
+		// home is another node: it asks them whether they have started again.
+		Leavers []Endpoint
 		// Suspects is the requests that ran on endpoints when they died, by
 		// print.
 		Suspects map[uint64]Suspicion
@@ -199,6 +205,9 @@
 	return v.Nodes[i], true
 }
 
+// Takes reports whether the endpoint may be sent new requests by this node.
+func (e *Endpoint) Takes() bool { return (e.State == Live || e.State == Suspect) && e.Rest.IsZero() }
+
 // Place returns where in the pool the endpoint with the given name is.
 func (p *Pool) Place(name string) (int, bool) {
 	return slices.BinarySearchFunc(p.Endpoints, name, func(e Endpoint, name string) int {
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -108,7 +108,7 @@
 		}
 		return
 	}
-	if m.leaving && now.Sub(m.left) >= markHold {
+	if m.leaving && now.Sub(m.left) >= markHold && !p.said(m) {
 		m.leaving = false
 	}
 	m.absent = state
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -82,14 +82,14 @@
 }
 
 // leave notes that an endpoint's incarnation is leaving, and spreads it.
-func (p *plugin) leave(now time.Time, m *member, out *kernel.Output) {
+func (p *plugin) leave(now time.Time, m *member, incarnation uint64, out *kernel.Output) {
 	if m.leaving {
 		return
 	}
 	m.leaving = true
 	m.left = now
 	out.Raise(kernel.Marked{Mark: kernel.Mark{
-		Name: m.endpoint.Name, Kind: kernel.KindEndpoint, Incarnation: m.incarnation,
+		Name: m.endpoint.Name, Kind: kernel.KindEndpoint, Incarnation: incarnation,
 	}})
 	out.Changed()
 }
@@ -115,7 +115,8 @@
 		return
 	}
 	if ev.Incarnation != m.incarnation && ev.Incarnation != 0 {
-		if m.incarnation != 0 {
+		if w := p.words[ev.Endpoint]; m.incarnation != 0 || w != nil && w.startedAgain(ev.Incarnation) {
+			delete(p.words, ev.Endpoint)
 			m.leaving = false
 		}
 		m.incarnation = ev.Incarnation
@@ -127,7 +128,7 @@
 		m.told, m.toldAt, m.base = ev.Load, now, kernel.Load{}
 	}
 	if ev.Leaving {
-		p.leave(now, m, out)
+		p.leave(now, m, m.incarnation, out)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,6 +50,8 @@
 		// cell and scopes are those of the newest view.
 		cell   string
 		scopes map[string]string
+		// words are what endpoints have told this node of themselves.
+		words map[string]*word
 	}
 )
 
@@ -81,6 +83,7 @@
 		sums:    map[string]scopeSums{},
 		told:    map[string]*peerLoads{},
 		counts:  map[string]int{},
+		words:   map[string]*word{},
 	}
 	k.Register(p, kernel.PriorityPool)
 }
@@ -93,6 +96,10 @@
 		out.Changed()
 	case kernel.LoadReported:
 		p.report(now, ev, out)
+	case kernel.EndpointSpoke:
+		p.spoke(now, ev, out)
+	case kernel.EndpointRests:
+		p.rests(now, ev, out)
 	case kernel.EndpointFailed:
 		p.fail(now, ev.Endpoint, out)
 	case kernel.Marked:
@@ -107,6 +114,7 @@
 		p.wake(now)
 	case kernel.Tick:
 		p.age(now)
+		p.forgetWords(now)
 		out.Changed()
 	}
 }
@@ -182,7 +190,7 @@
 	turned := i.Leaving && !m.listLeaving
 	m.listLeaving = i.Leaving
 	if turned {
-		p.leave(now, m, out)
+		p.leave(now, m, m.incarnation, out)
 	}
 }
 
@@ -214,8 +222,9 @@
 
 // place adds an endpoint to its pool.
 func (p *plugin) place(now time.Time, m *member, sent kernel.Load, v *kernel.View) {
-	m.endpoint.State = m.state(now)
 	p.homes.assign(now, m, p.config.Settle)
+	p.heed(now, m, v)
+	m.endpoint.State = m.state(now)
 	if m.endpoint.Home == p.self.Name {
 		p.mine = append(p.mine, m)
 		v.Probes = append(v.Probes, m.endpoint)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -208,3 +208,77 @@
 	n.run(kernel.DefaultTick)
 	require.Equal(t, kernel.Live, n.state(name))
 }
+
+// Guards against an endpoint that is taken for live again by whatever but another
+// start of it, after it has told this node that it leaves.
+func TestEndpointsOwnWordThatItLeaves(t *testing.T) {
+	// The home is another node, which does not know of it.
+	home := func(n *node, state kernel.State) {
+		n.Step(n.now, kernel.BeatReceived{Beat: &kernel.Beat{
+			Node: "n2", Incarnation: 9, Serial: 1, Intro: &kernel.Intro{Instance: kernel.Instance{Name: "n2", Kind: kernel.KindNode, Zone: "z1"}, Age: time.Minute},
+			Loads: []kernel.EndpointLoad{{Endpoint: "e1", State: state}},
+		}})
+	}
+	cases := []struct {
+		name string
+		at   func(n *node)
+		want kernel.State
+	}{
+		{name: "nothing more is heard", at: func(*node) {}, want: kernel.Leaving},
+		{name: "its home takes it for live", at: func(n *node) { home(n, kernel.Live) }, want: kernel.Leaving},
+		{name: "the list names it as before", at: func(n *node) { n.Step(n.now, kernel.Instances{Version: 2, List: n.list}) }, want: kernel.Leaving},
+		{name: "the list drops it and names it again", at: func(n *node) {
+			n.Step(n.now, kernel.Instances{Version: 2, List: n.list[:1]})
+			n.run(time.Second)
+			n.Step(n.now, kernel.Instances{Version: 3, List: n.list})
+		}, want: kernel.Leaving},
+		{name: "the same start says that it takes", at: func(n *node) { n.Step(n.now, kernel.EndpointSpoke{Endpoint: "e1", Incarnation: 5}) }, want: kernel.Leaving},
+		{name: "another start says so", at: func(n *node) { n.Step(n.now, kernel.EndpointSpoke{Endpoint: "e1", Incarnation: 6}) }, want: kernel.Live},
+		{name: "another endpoint has its name", at: func(n *node) {
+			moved := append([]kernel.Instance(nil), n.list...)
+			moved[1].Addr = netip.MustParseAddrPort("10.9.9.9:80")
+			n.Step(n.now, kernel.Instances{Version: 2, List: moved})
+		}, want: kernel.Live},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(3)
+			n.Step(n.now, kernel.Drain{})
+			home(n, kernel.Live)
+			n.run(kernel.DefaultTick)
+			n.Step(n.now, kernel.EndpointSpoke{Endpoint: "e1", Leaving: true, Incarnation: 5})
+			n.run(time.Second)
+			require.Equal(t, kernel.Leaving, n.state("e1"))
+			require.Len(t, n.View().Leavers, 1, "it is asked whether it has started again")
+			n.run(time.Minute)
+			c.at(n)
+			n.run(time.Second)
+			require.Equal(t, c.want, n.state("e1"))
+		})
+	}
+}
+
+// Guards against requests of a node that an endpoint has asked for a rest, and against
+// a rest that other nodes keep, or that outlives the endpoint.
+func TestRestOfAnEndpoint(t *testing.T) {
+	takes := func(n *node) bool {
+		e, ok := n.View().Pools["s"].Endpoint("e1")
+		require.True(t, ok)
+		require.Equal(t, kernel.Live, e.State, "others may send")
+		return e.Takes()
+	}
+	n := newNode(2)
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 1})
+	n.Step(n.now, kernel.EndpointRests{Endpoint: "e1", Until: n.now.Add(10 * time.Second)})
+	n.Step(n.now, kernel.EndpointRests{Endpoint: "e1", Until: n.now.Add(time.Second)})
+	n.run(9 * time.Second)
+	require.False(t, takes(n))
+	n.run(time.Second)
+	require.True(t, takes(n))
+	n.Step(n.now, kernel.EndpointRests{Endpoint: "e1", Until: n.now.Add(time.Hour)})
+	n.run(kernel.DefaultTick)
+	require.False(t, takes(n))
+	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 2})
+	n.run(kernel.DefaultTick)
+	require.True(t, takes(n), "it has started again")
+}
--- a/internal/route/ranker.go
+++ b/internal/route/ranker.go
@@ -58,7 +58,7 @@
 func Candidates(pool *kernel.Pool) []int {
 	list := make([]int, 0, len(pool.Endpoints))
 	for i := range pool.Endpoints {
-		if s := pool.Endpoints[i].State; s == kernel.Live || s == kernel.Suspect {
+		if pool.Endpoints[i].Takes() {
 			list = append(list, i)
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -188,6 +188,9 @@
 	if pool == nil || len(pool.Endpoints) == 0 {
 		return refuse(ReasonNoEndpoint)
 	}
+	if len(Candidates(pool)) == 0 {
+		return p.none(now, pool)
+	}
 	e, ok := p.choose(now, pool)
 	if !ok || p.asks >= maxAsks {
 		return p.wait(now)
@@ -247,6 +250,35 @@
 	return Step{Kind: StepWait, Until: now.Add(pause)}
 }
 
+// none waits for the first endpoint that takes requests of this node again, or
+// refuses the request at once where none does in time.
+func (p *Plan) none(now time.Time, pool *kernel.Pool) Step {
+	first := firstRest(pool)
+	if first.IsZero() || !first.Before(p.request.Deadline) {
+		step := refuse(ReasonNoEndpoint)
+		step.RetryAfter = max(first.Sub(now), step.RetryAfter)
+		return step
+	}
+	step := p.wait(now)
+	if first.After(step.Until) {
+		step.Until = first
+	}
+	return step
+}
+
+// firstRest returns when the first rest of a pool's endpoints ends; zero where none
+// rests.
+func firstRest(pool *kernel.Pool) (first time.Time) {
+	for i := range pool.Endpoints {
+		e := &pool.Endpoints[i]
+		if e.State > kernel.Suspect || e.Rest.IsZero() || !first.IsZero() && !e.Rest.Before(first) {
+			continue
+		}
+		first = e.Rest
+	}
+	return first
+}
+
 func (p *Plan) choose(now time.Time, pool *kernel.Pool) (kernel.Endpoint, bool) {
 	order, fresh := p.router.rank(now, pool, p.request, p.asks+p.waits > 0)
 	return p.prefer(fresh, order)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -253,3 +253,31 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its deadline for endpoints which take
+// nothing before.
+func TestRequestThatNoEndpointTakesInTime(t *testing.T) {
+	rests := func(d time.Duration) func(e *kernel.Endpoint) {
+		return func(e *kernel.Endpoint) { e.Rest = start.Add(d) }
+	}
+	leaves := func(e *kernel.Endpoint) { e.State = kernel.Leaving }
+	cases := map[string]struct {
+		first, second func(e *kernel.Endpoint)
+		want          route.Step
+	}{
+		"both leave":                        {leaves, leaves, route.Step{Kind: route.StepRefuse, Reason: route.ReasonNoEndpoint, RetryAfter: route.RetryAfter}},
+		"both rest beyond the deadline":     {rests(2 * time.Hour), rests(time.Hour), route.Step{Kind: route.StepRefuse, Reason: route.ReasonNoEndpoint, RetryAfter: time.Hour}},
+		"one leaves, one rests for long":    {leaves, rests(time.Hour), route.Step{Kind: route.StepRefuse, Reason: route.ReasonNoEndpoint, RetryAfter: time.Hour}},
+		"one that leaves wanted a rest too": {func(e *kernel.Endpoint) { leaves(e); rests(time.Second)(e) }, rests(time.Hour), route.Step{Kind: route.StepRefuse, Reason: route.ReasonNoEndpoint, RetryAfter: time.Hour}},
+		"one rests for less":                {rests(5 * time.Second), rests(time.Hour), route.Step{Kind: route.StepWait, Until: start.Add(5 * time.Second)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := view(0, 0)
+			p := v.Pools["engines"]
+			c.first(&p.Endpoints[0])
+			c.second(&p.Endpoints[1])
+			require.Equal(t, c.want, route.NewRouter(route.Config{}).Plan(start, request(100)).Next(start, v))
+		})
+	}
+}
--- a/internal/standin/endpoint_fault.go
+++ b/internal/standin/endpoint_fault.go
@@ -43,6 +43,10 @@
 	// Frame is a plain answer that is "short" of its announced length, or
 	// "unframed", without one.
 	Frame string `help:"Wrong length of plain answers: short or unframed."`
+	// Shed turns all requests away, and Rest is the time for which a node that was
+	// turned away is asked to send nothing.
+	Shed bool          `help:"Turn all requests away."`
+	Rest time.Duration `help:"Time for which nodes that were turned away are to send nothing."`
 	// Budget is how many more answers go wrong, over all endpoints that share
 	// it; nil is all.
 	Budget *atomic.Int64 `kong:"-"`
@@ -68,6 +72,8 @@
 	s.StringVar(&f.Cross, "cross", f.Cross, "")
 	s.BoolVar(&f.Forget, "forget", f.Forget, "")
 	s.StringVar(&f.Frame, "frame", f.Frame, "")
+	s.BoolVar(&f.Shed, "shed", f.Shed, "")
+	s.DurationVar(&f.Rest, "rest", f.Rest, "")
 	return s
 }
 
