Let endpoints say in the soak that they leave, and ask for rest

Two more faults: an endpoint says in its answers that it leaves, and the store seconds later, if at all; an endpoint turns requests away and asks for up to three seconds of rest. The ledger knows which start of a node was sent each request, and checks the two rules by it: nothing sent more than two seconds after a node has passed such an answer on, but for restarts and pauses; at most two requests from half a second after a refusal to the end of its time, but for restarts, pauses and harmed connections.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -105,6 +105,7 @@
 		patience = time.Duration(c.random.IntN(200)) * time.Millisecond
 	}
 	c.ledger.ask(id, k)
+	c.ledger.words.sent(id, c.soak.life(addr), time.Now())
 	a := c.ask(ctx, addr, route, id, patience)
 	a.left = a.left || (leaves && a.err != nil)
 	if a.left || ctx.Err() != nil {
@@ -130,6 +131,9 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get("Server-Leaving") != "" {
+		c.ledger.words.passed(id, resp.Header.Get("X-Instance-Id"), time.Now())
+	}
 	body, err := io.ReadAll(resp.Body)
 	a.status, a.body, a.err = resp.StatusCode, string(body), err
 	a.cut = err != nil
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -43,9 +43,11 @@
 	}},
 	{name: "pause", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
+		s.ledger.words.excuse(n.Node)
 		n.Signal(syscall.SIGSTOP)
 		wait(ctx, r, 4*time.Second)
 		n.Signal(syscall.SIGCONT)
+		s.ledger.words.excuse(n.Node)
 		return n.Node
 	}},
 	{name: "store down", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
@@ -78,6 +80,8 @@
 		if e == nil {
 			return ""
 		}
+		s.ledger.words.harm(e.id, true)
+		defer s.ledger.words.harm(e.id, false)
 		return e.id + " " + through(ctx, r, e.proxy)
 	}},
 	{name: "endpoint breaks off", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
@@ -106,6 +110,22 @@
 		s.note(s.world.leave(e))
 		return e.id
 	}},
+	{name: "endpoint says that it leaves", planned: true, strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		e := s.world.pick(r)
+		if e == nil {
+			return ""
+		}
+		s.note(s.world.announce(e, func(most time.Duration) { wait(ctx, r, most) }))
+		return e.id
+	}},
+	{name: "endpoint sheds", strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		e := s.world.pick(r)
+		if e == nil {
+			return ""
+		}
+		e.shed(r, func(most time.Duration) { wait(ctx, r, most) })
+		return e.id
+	}},
 	{name: "zone evacuated", planned: true, strike: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		zone := zones[r.IntN(len(zones))]
 		if !s.evacuating.TryLock() {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -31,6 +31,8 @@
 		repeats   []time.Time
 		outcomes  map[string]int
 		broken    []string
+		// words are what endpoints have said of themselves to nodes.
+		words *words
 	}
 
 	// run is one arrival at an endpoint that began to run.
@@ -59,6 +61,7 @@
 	return &ledger{
 		timed: timed, runs: map[string][]run{}, asked: map[string]kind{}, notRun: map[string]time.Time{},
 		seen: map[string]int{}, leaves: map[*endpoint]time.Time{}, evacuated: map[string]time.Time{}, outcomes: map[string]int{},
+		words: newWords(),
 	}
 }
 
@@ -230,6 +233,9 @@
 			break
 		}
 	}
+	if l.timed {
+		l.broken = append(l.broken, l.words.broken()...)
+	}
 	return l.broken
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -167,6 +167,16 @@
 	return fleet.Meet(all, meetTimeout)
 }
 
+// life is the start of the node at an address that runs now.
+func (s *soak) life(addr netip.AddrPort) life {
+	for _, n := range s.nodes {
+		if n.Callers() == addr {
+			return life{node: n.Node, start: n.Starts()}
+		}
+	}
+	return life{}
+}
+
 // seeds are the addresses of the first nodes.
 func seeds(network string, nodes int) []netip.Addr {
 	const most = 3
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -104,7 +104,8 @@
 	e := &endpoint{id: fmt.Sprintf("%s-%d", service, w.started), service: service, quiet: w.started%2 == 1, zone: zones[w.started/2%len(zones)]}
 	e.stand = standin.NewEndpoint(standin.EndpointConfig{
 		ID: e.id, Slots: slots, Events: streamEvents, Pause: workTime,
-		Ran: func(id, _ string, after uint64) { w.ledger.ran(id, e, after, time.Now()) },
+		Ran:     func(id, _ string, after uint64) { w.ledger.ran(id, e, after, time.Now()) },
+		Arrived: func(id string, rest time.Duration) { w.ledger.words.arrived(id, e.id, rest, time.Now()) },
 	})
 	listener, err := net.Listen("tcp4", w.ip+":0")
 	if err != nil {
@@ -171,6 +172,36 @@
 	return nil
 }
 
+// announce makes an endpoint say in its answers that it leaves, and the store only
+// after a while, if at all; another one takes its place.
+func (w *world) announce(e *endpoint, pause func(most time.Duration)) error {
+	if err := w.addEndpoint(e.service); err != nil {
+		return err
+	}
+	e.stand.Leave()
+	w.drop(e)
+	pause(8 * time.Second)
+	if !e.quiet {
+		if err := w.register(e, true); err != nil {
+			return err
+		}
+	}
+	go func() {
+		time.Sleep(drainBound + 2*time.Second)
+		w.store.Unregister(e.id)
+		time.Sleep(routeTimeout)
+		e.stop()
+	}()
+	return nil
+}
+
+// shed makes an endpoint turn all requests away for a while, and ask for rest.
+func (e *endpoint) shed(r *rand.Rand, pause func(most time.Duration)) {
+	e.stand.Shed(true, time.Duration(r.IntN(30))*100*time.Millisecond)
+	pause(5 * time.Second)
+	e.stand.Shed(false, 0)
+}
+
 // crash makes an endpoint crash; its entry lapses, and another one comes.
 func (w *world) crash(e *endpoint) error {
 	w.drop(e)
