--- a/cmd/bulrushhinge/ask_test.go
+++ b/cmd/bulrushhinge/ask_test.go
@@ -20,9 +20,7 @@
 // turnEnd is the line after each whole answer.
 var turnEnd = regexp.MustCompile(`^\[node (\S+), request [0-9a-f]+, \d+ of \d+ prompt tokens cached\]$`)
 
-// Symptom: a returning chat ends with the node that served it. Sequence: ask
-// gets an answer, its node is killed, ask asks on. Cause: a caller that keeps to
-// one address.
+// Guards against this failure: a returning chat ends with the node that served it.
 func TestAskFollowsAChatOverAKilledNode(t *testing.T) {
 	c := loopback.Thies()
 	c.Nodes = c.Nodes[:3]
--- a/internal/admission/accounts_test.go
+++ b/internal/admission/accounts_test.go
@@ -26,10 +26,8 @@
 	}
 }
 
-// Symptom: callers of all client accounts are refused while one account sends
-// many times its usual. Sequence: the account's requests come, places run short,
-// and its share of what is asked is its share of the places. Cause: the order did
-// not look at accounts. The places are some more than what all usually ask for.
+// Guards against this failure: callers of all client accounts are refused while one account
+// sends many times its usual.
 func TestSurgeOfOneAccountIsPaidForByIt(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -298,9 +298,7 @@
 	}
 }
 
-// Symptom: requests are held for most of their objective and refused then.
-// Sequence: the places can do a third of what is asked. Cause: all of them
-// waited, though no place would come in time for most.
+// Guards against this failure: requests are held for most of their objective and refused then.
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
 	m := play(pattern{nodes: 9, places: fixedPlaces(126), kinds: []load{urgent(steady(110)), long(steady(80))}, length: 20 * time.Second}, 3)
 	for i, k := range m.tallies {
@@ -309,8 +307,7 @@
 	}
 }
 
-// Symptom: the urgent are refused while others are served. Sequence: a steady
-// overload in which the urgent want to begin soonest. Cause: they gave up first.
+// Guards against this failure: the urgent are refused while others are served.
 func TestUrgentRequestsAreServedAtLeastAsOften(t *testing.T) {
 	m := play(pattern{nodes: 9, places: fixedPlaces(126), kinds: []load{urgent(steady(110)), long(steady(60))}, length: 20 * time.Second}, 5)
 	// Shares are kept even up to a tenth, and nodes see a part of the load each.
@@ -361,8 +358,7 @@
 	})
 }
 
-// Symptom: requests of an account that goes first wait behind others. Sequence:
-// both wait, a place comes free. Cause: only the routes' ranks counted.
+// Guards against this failure: requests of an account that goes first wait behind others.
 func TestAccountsRankGoesBeforeTheKinds(t *testing.T) {
 	q := admission.NewQueue()
 	usual := admission.Request{Kind: "urgent", Account: 1, Objective: time.Second}
@@ -388,9 +384,8 @@
 	require.Nil(t, q.Join(start, r))
 }
 
-// Symptom: a node that has run for days grows, and takes longer for each request.
-// Sequence: operators replace routes. Cause: what was known of the old ones
-// stayed.
+// Guards against this failure: a node that has run for days grows, and takes longer for each
+// request.
 func TestKindsThatNobodyAsksForAreForgotten(t *testing.T) {
 	q, now := admission.NewQueue(), start
 	for i := range 100_000 {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -67,8 +67,7 @@
 	}
 }
 
-// Symptom: one engine holds far more than the others. Sequence: one prompt gets
-// much of the traffic. Cause: all its requests went to the engine that keeps it.
+// Guards against this failure: one engine holds far more than the others.
 func TestHotPromptStaysUnderTheBound(t *testing.T) {
 	list := endpoints(4)
 	b := balance.New(balance.Config{Loads: peers{}})
@@ -84,9 +83,7 @@
 	require.GreaterOrEqual(t, len(counts), 3)
 }
 
-// Symptom: shared parts of prompts are read again. Sequence: the engine that
-// keeps a part is over the bound or leaves. Cause: nobody told the next one
-// where to fetch it.
+// Guards against this failure: shared parts of prompts are read again.
 func TestSourceOfAPromptThatMoves(t *testing.T) {
 	list := endpoints(3)
 	now := time.Now()
@@ -107,9 +104,7 @@
 	require.Equal(t, moved.Endpoint, elsewhere.Source)
 }
 
-// Symptom: endpoints refuse requests by turns while others are free. Sequence:
-// many nodes hear of each other's loads half a second late. Cause: all of them
-// took the endpoint that was least loaded then.
+// Guards against this failure: endpoints refuse requests by turns while others are free.
 func TestPlainRequestsAvoidTheMostLoadedAndSpread(t *testing.T) {
 	list := endpoints(3)
 	now := time.Now()
@@ -154,9 +149,8 @@
 	}
 }
 
-// Symptom: a third of all requests fail though two sound endpoints are there.
-// Sequence: one endpoint fails its requests while its health check is good.
-// Cause: it had the least load, as failures end soon.
+// Guards against this failure: a third of all requests fail though two sound endpoints are
+// there.
 func TestEndpointThatFailsMoreThanOthersIsAvoided(t *testing.T) {
 	list := endpoints(3)
 	b := balance.New(balance.Config{Loads: peers{}})
@@ -198,10 +192,8 @@
 	require.Greater(t, counts["e1"], 100)
 }
 
-// Symptom: a service has fewer endpoints than it seems, and the others carry
-// more. Sequence: an endpoint fails most of its requests for some seconds and is
-// sound again. Cause: the time until it may be tried again began anew whenever it
-// had passed.
+// Guards against this failure: a service has fewer endpoints than it seems, and the others
+// carry more.
 func TestEndpointThatFailedIsTriedAgain(t *testing.T) {
 	list := endpoints(3)
 	b := balance.New(balance.Config{Loads: peers{}})
@@ -222,9 +214,8 @@
 	require.Greater(t, counts["e1"], 300)
 }
 
-// Symptom: endpoints refuse requests as full that are believed to have little to
-// do. Sequence: some nodes are cut off from the others, and go on to send to the
-// same endpoints. Cause: only what nodes tell each other counted.
+// Guards against this failure: endpoints refuse requests as full that are believed to have
+// little to do.
 func TestEndpointsOwnWordCountsForAWhile(t *testing.T) {
 	list := endpoints(2)
 	now := time.Now()
@@ -285,10 +276,8 @@
 // Age implements balance.Loads: all is new.
 func (noPeers) Age(time.Time) time.Duration { return 0 }
 
-// Symptom: prompts are moved with nearly each request, and links fill with
-// copies. Sequence: places are short and come free at any engine. Cause: a
-// request took the first one, though it could have waited for a place where its
-// prompt is kept.
+// Guards against this failure: prompts are moved with nearly each request, and links fill with
+// copies.
 func TestPromptStaysWhereLastPlacesAreElsewhere(t *testing.T) {
 	now := time.Now()
 	list := endpoints(2)
@@ -319,9 +308,7 @@
 	}
 }
 
-// Symptom: an engine stays empty though requests wait. Sequence: it refuses a
-// reservation, then a request of this node ends there. Cause: what the engine had
-// said before still counted.
+// Guards against this failure: an engine stays empty though requests wait.
 func TestPlaceOfAnEndedRequestIsFreeAtOnce(t *testing.T) {
 	now := time.Now()
 	list := endpoints(1)
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -77,10 +77,7 @@
 	return most
 }
 
-// Symptom: engines that have just started crash, and crash again. Sequence: engines
-// start cold, and all nodes send to them, each a request or two. Cause: each node
-// kept to a bound of its own, and nobody to the sum; or thought the fleet smaller
-// than it is.
+// Guards against this failure: engines that have just started crash, and crash again.
 func TestColdEnginesGetFewRequestsFromAllNodes(t *testing.T) {
 	cases := []struct {
 		name string
@@ -141,9 +138,8 @@
 	require.LessOrEqual(t, f.busiest(), coldBound)
 }
 
-// Symptom: fifty requests reach an engine in the tenth of a second in which it says
-// that it is warm, some of them while it is not. Sequence: an engine starts, and all
-// nodes know when its time is over. Cause: all of them came back at that moment.
+// Guards against this failure: fifty requests reach an engine in the tenth of a second in which
+// it says that it is warm, some of them while it is not.
 func TestNodesDoNotComeBackAtOnce(t *testing.T) {
 	f := newColdFleet(85, 85, 1, 1, 1)
 	f.list[0].Draining = true
@@ -189,10 +185,8 @@
 
 func (c sharedLoads) Others(key uint32) int { return c.all[key] - c.own[key] }
 
-// Symptom: half of all requests reach engines that hold more than twice the mean.
-// Sequence: two of three zones are evacuated; one is taken back, and its engines are
-// cold. Cause: the third zone's engines took everything as long as they had room,
-// and those that were evacuated were left out of the mean.
+// Guards against this failure: half of all requests reach engines that hold more than twice the
+// mean.
 func TestColdEnginesTakeWhatIsOverTheBound(t *testing.T) {
 	const nodes, zone = 40, 20
 	f := newColdFleet(nodes, nodes, 2*zone, zone, 1)
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -108,10 +108,8 @@
 	}
 }
 
-// Symptom: hundreds of requests that may not be repeated are lost at a few engines,
-// seconds after the first of them was. Sequence: four of sixty engines say that they
-// are well and reset every connection; 85 nodes send each of them a request in ten
-// seconds. Cause: each node had to find out for itself.
+// Guards against this failure: hundreds of requests that may not be repeated are lost at a few
+// engines, seconds after the first of them was.
 func TestNodesTellEachOtherOfEnginesThatFail(t *testing.T) {
 	lost := map[bool]int{}
 	for _, told := range []bool{false, true} {
--- a/internal/balance/reading_test.go
+++ b/internal/balance/reading_test.go
@@ -55,10 +55,8 @@
 	return balance.Placement{}
 }
 
-// Symptom: short requests wait behind long prompts, while the engines beside
-// have nothing to read. Sequence: after a start all prompts are read for the
-// first time; one engine gets a long one, then a short request whose part it
-// keeps. Cause: load was counted in requests.
+// Guards against this failure: short requests wait behind long prompts, while the engines
+// beside have nothing to read.
 func TestShortRequestsPassBusyReaders(t *testing.T) {
 	const objective = 400 * time.Millisecond
 	list := endpoints(4)
--- a/internal/balance/restart_test.go
+++ b/internal/balance/restart_test.go
@@ -15,10 +15,8 @@
 	return &deployment.Endpoint{ID: id, Born: time.UnixMilli(int64(1000 * n)), Zone: "z", Slots: 8}
 }
 
-// Symptom: an engine that has started again under its ID gets nothing, or is
-// asked for prompts that it no longer keeps. Sequence: a node learns something
-// of a start, the process starts again, late news of the earlier start arrives.
-// Cause: both starts went by the same name.
+// Guards against this failure: an engine that has started again under its ID gets nothing, or
+// is asked for prompts that it no longer keeps.
 func TestLaterStartKnowsNothingOfTheEarlier(t *testing.T) {
 	now := time.Now()
 	other := born("other", 1)
--- a/internal/balance/tell_test.go
+++ b/internal/balance/tell_test.go
@@ -11,11 +11,8 @@
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
-// Symptom: in a fleet of two hundred nodes engines read the same parts of
+// Guards against this failure: in a fleet of two hundred nodes engines read the same parts of
 // prompts again, and nodes fetch parts from engines that never had them.
-// Sequence: a node places five prompts a second, and tells the others each 1.25 s.
-// Cause: a placement was told for 0.3 s, whatever the time between heartbeats, so
-// that three in four were in none.
 func TestEachPlacementIsInSomeHeartbeat(t *testing.T) {
 	for _, interval := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 1250 * time.Millisecond, 2600 * time.Millisecond} {
 		t.Run(interval.String(), func(t *testing.T) {
@@ -47,10 +44,7 @@
 	}
 }
 
-// Symptom: nodes pass over an endpoint that has long been idle.
-// Sequence: an endpoint says that it has twenty requests; they end; the node
-// that was told has its next heartbeat 1.2 s later.
-// Cause: a word that no longer counted at the node which got it was told as new.
+// Guards against this failure: nodes pass over an endpoint that has long been idle.
 func TestWordThatIsTooOldIsNotTold(t *testing.T) {
 	list := endpoints(1)
 	now := time.Now()
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -10,12 +10,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/budget"
 )
 
-// Symptom: a service in trouble gets twice its requests. Sequence: its endpoints
-// fail, and every node repeats what it has sent. Cause: repeats were not bounded
-// over all nodes together.
-//
-// Several nodes draw requests and repeats at any moments; in no window may the
-// service get more than the ratio of its requests plus the slack.
+// Guards against this failure: a service in trouble gets twice its requests.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window, ratio, slack = 10 * time.Second, 0.2, 56
--- a/internal/caller/entry_test.go
+++ b/internal/caller/entry_test.go
@@ -76,8 +76,7 @@
 	require.Equal(t, order, withoutActive(caller.Nodes(v, "", "chat-1")), "loads that are nearly even move nobody")
 }
 
-// Symptom: one node serves far more callers than the others. Sequence: a few
-// large client accounts stay on it. Cause: an entry answer that knows no load.
+// Guards against this failure: one node serves far more callers than the others.
 func TestEntryMovesChatsOffLoadedNodes(t *testing.T) {
 	v := fleet(8)
 	for i := range v.Nodes {
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -47,9 +47,7 @@
 	require.NoError(t, h.Wait(t.Context()))
 }
 
-// Symptom: memory grows and engines stay taken. Sequence: a caller asks for a
-// stream and stops reading. Cause: a write without a deadline waits as long as
-// the caller likes.
+// Guards against this failure: memory grows and engines stay taken.
 func TestSlowReadersAreCutOff(t *testing.T) {
 	answer := &body{closed: make(chan struct{})}
 	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
@@ -66,8 +64,7 @@
 	<-answer.closed
 }
 
-// Symptom: a place on the node is taken without end. Sequence: a caller sends a
-// body a byte at a time or not at all. Cause: a read without a deadline.
+// Guards against this failure: a place on the node is taken without end.
 func TestSlowWritersAreCutOff(t *testing.T) {
 	e := &endpoints{}
 	s, h := serve(t, e, caller.Config{ReadTimeout: 50 * time.Millisecond})
@@ -80,10 +77,7 @@
 	require.NoError(t, h.Wait(t.Context()))
 }
 
-// Symptom: a node is killed for its memory, and all its requests with it.
-// Sequence: many callers send large bodies at once, each within its own limit.
-// Cause: limits on one body and on the number of requests, none on their
-// product.
+// Guards against this failure: a node is killed for its memory, and all its requests with it.
 func TestMemoryOfBodiesIsBounded(t *testing.T) {
 	entered := make(chan struct{})
 	leave := make(chan struct{})
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -71,10 +71,7 @@
 	require.Zero(t, e.calls.Load())
 }
 
-// Symptom: a caller takes half an answer for a whole one. Sequence: the
-// endpoint's stream ends without its end mark, within a line, or its plain
-// answer has no marked end. Cause: the node passed an end on that the endpoint
-// never gave.
+// Guards against this failure: a caller takes half an answer for a whole one.
 func TestCutAnswersAreToldFromWholeOnes(t *testing.T) {
 	plain := func(status int, body io.Reader, framed bool) *endpoint.Answer {
 		return &endpoint.Answer{Status: status, Header: http.Header{}, Body: newBody(body), Framed: framed}
@@ -121,9 +118,7 @@
 	}
 }
 
-// Symptom: a caller reads words of another caller's answer. Sequence: an
-// endpoint writes events of an earlier attempt into a stream. Cause: the node
-// trusted the connection in place of the attempt's id.
+// Guards against this failure: a caller reads words of another caller's answer.
 func TestCrossedAnswersAreDropped(t *testing.T) {
 	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
 		crossed := `data: {"id":"` + call.Attempt + `0","choices":[{"delta":{"content":"theirs"}}]}` + "\n\n"
@@ -225,9 +220,8 @@
 	require.True(t, resp.Close)
 }
 
-// Symptom: a stream goes on although its caller's time is over, or ends without
-// a word. Sequence: the engine stalls within an answer. Cause: a deadline that
-// ends at the head of the answer.
+// Guards against this failure: a stream goes on although its caller's time is over, or ends
+// without a word.
 func TestDeadlineEndsStreams(t *testing.T) {
 	freed := make(chan struct{})
 	e := &endpoints{answer: func(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -130,9 +130,8 @@
 	require.Equal(t, 1, n.with("large"))
 }
 
-// Symptom: a node that was paused orders an endpoint back to what it had before.
-// Sequence: it sleeps; another home orders; it wakes.
-// Cause: it acts on what it knew before it has reread anything.
+// Guards against this failure: a node that was paused orders an endpoint back to what it had
+// before.
 func TestWokenNodeOrdersNothingBeforeItHasReread(t *testing.T) {
 	n := newNode(1)
 	n.demand = map[string]int{"large": 500, "small": 500}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,10 +60,7 @@
 }
 
 func TestStartAgainstStalePlatform(t *testing.T) {
-	// Symptom: settings revert for a moment on a node that restarted.
-	// Sequence: the node starts, reads an old accepted revision from a stale
-	// platform, puts it in force, then hears of the newer one.
-	// Cause: a starting node that trusts the platform alone.
+	// Guards against this failure: settings revert for a moment on a node that restarted.
 	for _, c := range []struct {
 		name   string
 		events []kernel.Event
@@ -114,10 +111,7 @@
 }
 
 func TestChangesThatFollowEachOtherAreFetchedAtATick(t *testing.T) {
-	// Symptom: the second of two quick changes is a second late.
-	// Sequence: a peer tells of 7, then of 8 just after 7 was fetched.
-	// Cause: the pause between fetches, after which only the peer's next
-	// heartbeat would count.
+	// Guards against this failure: the second of two quick changes is a second late.
 	k := newKernel(0)
 	k.Step(start, accepted(6))
 	k.Step(start, beat("n2", 7))
@@ -128,10 +122,7 @@
 }
 
 func TestTwoManifestsOfOneRevisionAreNoticed(t *testing.T) {
-	// Symptom: nodes treat the same account differently, for good.
-	// Sequence: operators accept two manifests under one number; each reaches
-	// some nodes first.
-	// Cause: nodes that compare numbers alone.
+	// Guards against this failure: nodes treat the same account differently, for good.
 	k := newKernel(0)
 	own := joined(t, &manifest.Manifest{Revision: 7})
 	other := joined(t, &manifest.Manifest{Revision: 7, Zones: []manifest.Zone{{Name: "a", Region: "r"}}})
--- a/internal/decision/log_test.go
+++ b/internal/decision/log_test.go
@@ -26,8 +26,7 @@
 	return s.got.Write(p)
 }
 
-// Symptom: all requests hang. Sequence: nobody reads the process's output.
-// Cause: a request waited for its line to be written.
+// Guards against this failure: all requests hang.
 func TestFullOutputHoldsUpNobody(t *testing.T) {
 	w := &stuck{release: make(chan struct{})}
 	l := decision.New(decision.LogConfig{To: w, Node: "n1"})
--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -45,10 +45,8 @@
 	return list
 }
 
-// Symptom: requests reach endpoints of a zone five seconds after its evacuation, or
-// none reach them after it was taken back. Sequence: evacuations begin and end, by
-// the store and by peers, in quick succession and out of their order. Cause: they
-// were not known at all, or what came last counted in place of what is newest.
+// Guards against this failure: requests reach endpoints of a zone five seconds after its
+// evacuation, or none reach them after it was taken back.
 func TestEvacuations(t *testing.T) {
 	start := deployment.Update{Items: []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}, Position: at(2), Whole: true, Source: deployment.SourceStore}
 	cases := []struct {
@@ -140,10 +138,8 @@
 	}
 }
 
-// Symptom: requests are refused by endpoints that are not the ones meant, until the
-// budget of repeats is used up. Sequence: a zone's endpoints crash and come back at
-// their addresses under new names. Cause: their former entries, which lapse later,
-// still named endpoints that seemed idle.
+// Guards against this failure: requests are refused by endpoints that are not the ones meant,
+// until the budget of repeats is used up.
 func TestNewestEndpointOfAnAddressReplacesTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
@@ -169,10 +165,8 @@
 	})
 }
 
-// Symptom: engines of a zone that was taken back crash under the requests that
-// come back to them. Sequence: they become cold while nothing is sent to them, the
-// zone is taken back, and all nodes send at once. Cause: their entries said so only
-// with their next heartbeats.
+// Guards against this failure: engines of a zone that was taken back crash under the requests
+// that come back to them.
 func TestEndpointsOfAZoneTakenBackAreCold(t *testing.T) {
 	config := deployment.Item{Key: "config", Value: []byte("x"), Revision: 1}
 	start := deployment.Update{Items: []deployment.Item{config, entry("a", 2, ""), entry("b", 3, "")}, Position: at(3), Whole: true, Source: deployment.SourceStore}
--- a/internal/deployment/property_test.go
+++ b/internal/deployment/property_test.go
@@ -78,9 +78,7 @@
 	})
 }
 
-// Symptom: two nodes that have heard the same news know different things.
-// Sequence: the store and peers tell the same items, in other orders and more
-// than once. Cause: what came last counted, in place of what is newest.
+// Guards against this failure: two nodes that have heard the same news know different things.
 func TestOrderOfNewsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		var items []deployment.Item
--- a/internal/deployment/record_test.go
+++ b/internal/deployment/record_test.go
@@ -131,10 +131,8 @@
 	return &modelNode{state: deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})}
 }
 
-// Symptom: a node sends requests to an endpoint that has left, and is told all
-// other news. Sequence: nodes start, read the store, follow it, ask each other and
-// get late answers, in any order, while entries come and go. Cause: a node
-// believed to know all up to a revision, and did not.
+// Guards against this failure: a node sends requests to an endpoint that has left, and is told
+// all other news.
 func TestNodesKnowAllUpToTheirRevision(t *testing.T) { playModels(t, modelEvents, 0) }
 
 // Guards against the same where the store is restored from copies, so that one
@@ -241,11 +239,8 @@
 	return store
 }
 
-// Symptom: every request is refused on a node for two seconds just after an
-// outage of the store. Sequence: the store is away and entries lapse; a node
-// starts as the store is back, and is the first to tell what it has read. Cause:
-// the node that started knows of no outage, so that what its reading lacks counted
-// as gone at once.
+// Guards against this failure: every request is refused on a node for two seconds just after an
+// outage of the store.
 func TestReadingOfAPeerIsHeldBackWhileReadersFail(t *testing.T) {
 	cases := []struct {
 		name string
@@ -274,9 +269,8 @@
 	}
 }
 
-// Symptom: a node's memory and its answers to peers grow for as long as it runs.
-// Sequence: endpoints come and go, each under a name of its own. Cause: each
-// removal was remembered for good. Peers that know less are then told everything.
+// Guards against this failure: a node's memory and its answers to peers grow for as long as it
+// runs.
 func TestOldRemovalsAreForgotten(t *testing.T) {
 	const starts = 3000
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/deployment/state_test.go
+++ b/internal/deployment/state_test.go
@@ -86,18 +86,13 @@
 			want:   []string{"b"},
 		},
 		{
-			// Symptom: every request refused just after an outage of the store.
-			// Sequence: the store is away, entries lapse, a reading finds none.
-			// Cause: lapsed entries were taken for endpoints that had left.
+			// Guards against this failure: every request refused just after an outage of the store.
 			name:   "entries that are missing after an outage are kept for a while",
 			update: deployment.Update{Position: at(3), Whole: true, Regained: true, Source: deployment.SourceStore},
 			want:   []string{"a", "b"},
 		},
 		{
-			// Symptom: a request reaches an endpoint 2065 ms after it has left.
-			// Sequence: the store is back after an outage, an endpoint leaves by
-			// its entry's removal. Cause: removals were held for longer than
-			// endpoints may get requests.
+			// Guards against this failure: a request reaches an endpoint 2065 ms after it has left.
 			name:   "but not for longer than endpoints that leave may get requests",
 			update: deployment.Update{Position: at(3), Whole: true, Regained: true, Source: deployment.SourceStore},
 			wait:   drain - 100*time.Millisecond,
@@ -108,9 +103,7 @@
 			want:   []string{"a", "b"},
 		},
 		{
-			// Symptom: a request reaches an endpoint that left long ago. Sequence:
-			// another writer spoils the endpoint's entry, then the endpoint
-			// leaves. Cause: what the entry had said before was still believed.
+			// Guards against this failure: a request reaches an endpoint that left long ago.
 			name:   "an entry that cannot be read names no endpoint, and the others hold",
 			update: deployment.Update{Items: []deployment.Item{entry("a", 3, "bad"), entry("c", 4, "bad")}, Position: at(4), Source: deployment.SourceStore},
 			want:   []string{"b"},
@@ -163,10 +156,8 @@
 	})
 }
 
-// Symptom: a request reaches an endpoint 66 ms past the bound on its leaving.
-// Sequence: an endpoint leaves by its entry's removal, shortly after an outage; a
-// node hears of it a quarter of a second later than others, and holds it back.
-// Cause: the hold left no time for the news to arrive.
+// Guards against this failure: a request reaches an endpoint 66 ms past the bound on its
+// leaving.
 func TestHeldRemovalLeavesTimeForTheNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const drain, news = 2 * time.Second, 400 * time.Millisecond
@@ -180,9 +171,7 @@
 	})
 }
 
-// Symptom: some nodes go on sending to an endpoint whose entry was spoiled.
-// Sequence: the node that reads the store sees the bad entry, and its peers ask
-// it for what is new. Cause: what could not be read was not handed on.
+// Guards against this failure: some nodes go on sending to an endpoint whose entry was spoiled.
 func TestBadEntryIsHandedOnAndAGoodOneFollows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := deployment.NewState(deployment.StateConfig{Decoder: decoder{}})
@@ -207,11 +196,8 @@
 	})
 }
 
-// Symptom: a node that has just started sends requests to an endpoint that left
-// before its start. Sequence: the node asks a peer for all that it knows, and
-// reads the store meanwhile; an endpoint's entry is removed in between, and the
-// peer's answer comes last. Cause: nothing of the removal is left in what was
-// read, so that the older entry was taken for a new one.
+// Guards against this failure: a node that has just started sends requests to an endpoint that
+// left before its start.
 func TestOlderNewsBringsBackNothingThatAReadingLacked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := deployment.NewState(deployment.StateConfig{Decoder: decoder{}, Drain: 2 * time.Second})
@@ -223,10 +209,8 @@
 	})
 }
 
-// Symptom: requests reach endpoints whose entries are gone, two seconds after the
-// removal, minutes after an outage of the store. Sequence: nodes take news from
-// one another, each shortly before the time is over for which the other one holds
-// removals back. Cause: each held them back for the full time from then on.
+// Guards against this failure: requests reach endpoints whose entries are gone, two seconds
+// after the removal, minutes after an outage of the store.
 func TestTimeAfterAnOutageIsNotCountedAnewByEachNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entries := []deployment.Item{entry("a", 1, ""), entry("b", 2, "")}
--- a/internal/dispatch/admit_test.go
+++ b/internal/dispatch/admit_test.go
@@ -16,10 +16,7 @@
 )
 
 func TestRequestOverItsShareIsRefusedAtOnceOrWaits(t *testing.T) {
-	// Symptom: a caller learns at its deadline that it never had a chance.
-	// Sequence: the account's share is used up; two more requests come, one
-	// with time enough.
-	// Cause: a queue that looks at deadlines only when they pass.
+	// Guards against this failure: a caller learns at its deadline that it never had a chance.
 	synctest.Test(t, func(t *testing.T) {
 		l := limit.NewLimiter(limit.LimiterConfig{})
 		share := map[string]limit.Share{"a": {Rate: 1, Burst: 10}}
--- a/internal/dispatch/paused_test.go
+++ b/internal/dispatch/paused_test.go
@@ -64,10 +64,7 @@
 	return nil, errors.Join(endpoint.ErrNotRun, errRefused)
 }
 
-// Symptom: a leaving endpoint gets new work long after it left.
-// Sequence: a node asks for a permit and is paused for seconds; the endpoint
-// leaves; the node wakes with the answer in its hands and dispatches.
-// Cause: the permit was taken for one of now.
+// Guards against this failure: a leaving endpoint gets new work long after it left.
 func TestPausedNodeAsksAgainBeforeItDispatches(t *testing.T) {
 	for _, pause := range []time.Duration{0, kernel.MaxAge} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -57,11 +57,8 @@
 	return c
 }
 
-// Symptom: a renewal letter goes out twice although the node sent one request.
-// Sequence: a kept-alive connection; the endpoint takes the next request on it
-// and closes without an answer, as a service that restarts does.
-// Cause: the transport of net/http sends a request with an Idempotency-Key again
-// on a new connection, below everything that counts attempts.
+// Guards against this failure: a renewal letter goes out twice although the node sent one
+// request.
 func TestTransportNeverSendsACallTwice(t *testing.T) {
 	var letters atomic.Int32
 	addr := serve(t, func(c net.Conn) {
@@ -102,9 +99,7 @@
 	}
 }
 
-// Symptom: the same, from a redirect.
-// Sequence: the service runs the call and answers 307.
-// Cause: the client of net/http sends the body again to where it points.
+// Guards against this failure: the same, from a redirect.
 func TestNoRedirectIsFollowed(t *testing.T) {
 	var calls atomic.Int32
 	addr := serve(t, func(c net.Conn) {
@@ -130,9 +125,7 @@
 	}
 }
 
-// Symptom: the caller is told "not run" of a request that ran.
-// Sequence: the endpoint accepts the connection and closes it at some point.
-// Cause: an error while writing was taken for proof that nothing was read.
+// Guards against this failure: the caller is told "not run" of a request that ran.
 func TestNotRunIsSaidOnlyWithoutAConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -186,10 +179,8 @@
 	}
 }
 
-// Symptom: an answer that came after the node gave up reaches the next caller.
-// Sequence: the deadline passes; the endpoint answers late on the same
-// connection; another call goes out.
-// Cause: the connection was used again.
+// Guards against this failure: an answer that came after the node gave up reaches the next
+// caller.
 func TestLateAnswerReachesNobody(t *testing.T) {
 	late := make(chan struct{})
 	var first atomic.Bool
@@ -224,10 +215,8 @@
 	}
 }
 
-// Symptom: a caller waits until its deadline for an answer that cannot come.
-// Sequence: the connection breaks; the endpoint takes the question for the
-// attempt and does not answer it.
-// Cause: the question waited as long as the call itself.
+// Guards against this failure: a caller waits until its deadline for an answer that cannot
+// come.
 func TestQuestionForABrokenAttemptIsBounded(t *testing.T) {
 	release := make(chan struct{})
 	addr := serve(t, func(c net.Conn) {
--- a/internal/endpoint/number_test.go
+++ b/internal/endpoint/number_test.go
@@ -45,9 +45,7 @@
 	}
 }
 
-// Symptom: a cut answer passes for whole, or pieces of others are in it.
-// Sequence: the stream ends, repeats, jumps or changes hands at some event.
-// Cause: events were passed on without being checked.
+// Guards against this failure: a cut answer passes for whole, or pieces of others are in it.
 func TestStreamChecksEveryEvent(t *testing.T) {
 	numbered := func(n int, e string) string { return fmt.Sprintf("id: %d\n%s", n, e) }
 	one, two := chunkOf("a", "one"), chunkOf("a", "two")
--- a/internal/gate/concurrency.go
+++ b/internal/gate/concurrency.go
@@ -32,12 +32,11 @@
 // concurrency is how many requests one endpoint finishes in time. It is learned
 // from those that do and those that don't.
 //
-// Symptom: under overload hardly any request is answered, though every engine
-// is busy. What goes wrong: engines take in more than they finish before the
-// deadlines, so that all their work is on answers that come too late. The mean
-// load does not show it, since every endpoint is equally late. The limit is cut
-// when requests run out of time and grows by one for each round of requests
-// that end well, as a congestion window does.
+// Guards against this failure: under overload hardly any request is answered, though every
+// engine is busy. What goes wrong: engines take in more than they finish before the deadlines,
+// so that all their work is on answers that come too late. The mean load does not show it,
+// since every endpoint is equally late. The limit is cut when requests run out of time and
+// grows by one for each round of requests that end well, as a congestion window does.
 type concurrency struct {
 	// most is the limit; 0 is none.
 	most float64
--- a/internal/gate/fresh_test.go
+++ b/internal/gate/fresh_test.go
@@ -10,10 +10,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 )
 
-// Symptom: an endpoint that has long been leaving gets new work.
-// Sequence: its home is paused for seconds, the endpoint leaves, and the first
-// that the home does after the pause is to answer an ask.
-// Cause: it acts on the view from before the pause. Found by a random schedule.
+// Guards against this failure: an endpoint that has long been leaving gets new work.
 func TestPausedHomeGrantsNothingOnAnOldView(t *testing.T) {
 	p := newPressed()
 	p.view.At = p.now
--- a/internal/gate/holder_test.go
+++ b/internal/gate/holder_test.go
@@ -42,10 +42,7 @@
 	return kernel.Load{}
 }
 
-// Symptom: after a node joined or died, engines ran at twice the bound.
-// Sequence: requests run at an endpoint; its home changes; the new home admits
-// as much work again.
-// Cause: a home knows only the permits that it granted itself.
+// Guards against this failure: after a node joined or died, engines ran at twice the bound.
 func TestNewHomeHearsOfPermits(t *testing.T) {
 	h := gate.NewHolder()
 	before := two("n1", "n1", 0)
@@ -69,10 +66,7 @@
 	require.Zero(t, loadOf(home, "w1").Requests)
 }
 
-// Symptom: an endpoint was flooded in the second in which its home changed.
-// Sequence: the home changes; before other nodes have told the new home what
-// they hold, it is asked for more.
-// Cause: the new home took the endpoint for idle.
+// Guards against this failure: an endpoint was flooded in the second in which its home changed.
 func TestNewHomeKeepsTheLoadLastHeardOf(t *testing.T) {
 	v := two("n1", "n2", 7)
 	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
@@ -84,9 +78,8 @@
 	require.Zero(t, loadOf(g, "w1").Requests)
 }
 
-// Symptom: for seconds after a node died, engines were filled beyond the bound.
-// Sequence: a node dies with many streams; its permits stay at the homes.
-// Cause: the permits of the dead node kept the mean too high.
+// Guards against this failure: for seconds after a node died, engines were filled beyond the
+// bound.
 func TestSilentNodeHoldsNothing(t *testing.T) {
 	v := two("n2", "n2", 0)
 	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
@@ -99,9 +92,7 @@
 	require.Zero(t, loadOf(g, "w1").Requests)
 }
 
-// Symptom: endpoints carried far more tokens than the bound allows.
-// Sequence: chats come back to an endpoint that has dropped their prefixes.
-// Cause: the home counts what was expected of a request when it was admitted.
+// Guards against this failure: endpoints carried far more tokens than the bound allows.
 func TestReportCorrectsTheCount(t *testing.T) {
 	v := two("n1", "n1", 0)
 	g := gate.New(gate.Config{View: func() *kernel.View { return v }})
@@ -142,11 +133,7 @@
 	}
 }
 
-// Symptom: requests waited until their deadlines before engines with room.
-// Sequence: demand rises while all engines are evenly loaded; every home denies
-// what would bring its engine above the margin, so that the mean does not rise
-// either, and nothing more is admitted.
-// Cause: the margin also held for requests that every home had denied.
+// Guards against this failure: requests waited until their deadlines before engines with room.
 func TestEvenPoolGrowsIntoItsDemand(t *testing.T) {
 	v := two("n1", "n1", 7)
 	v.Pools["s"].Endpoints[1].Load = kernel.Load{Requests: 6, Tokens: 60}
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -127,11 +127,8 @@
 	})
 }
 
-// Symptom: under ten times the load an engine is busy with requests that end
-// too late, and hardly one is answered.
-// Sequence: callers ask one engine for ten times what it can do before their
-// deadlines, for half a minute, and ask again at once.
-// Cause: the gate admits what the mean allows, however long the engine's queue.
+// Guards against this failure: under ten times the load an engine is busy with requests that
+// end too late, and hardly one is answered.
 func TestOverloadedEngineStillAnswers(t *testing.T) {
 	const (
 		able    = float64(engineBatch) * float64(time.Second) / float64(engineService)
@@ -150,11 +147,8 @@
 	require.Less(t, p.refused+p.wasted-before, callers+1, "the surge leaves nothing behind")
 }
 
-// Symptom: an idle endpoint seems loaded until a lease ends, and requests wait.
-// Sequence: an ask is not answered in time; the node gives back what it may have
-// been granted; that message overtakes the ask.
-// Cause: the home ignores the return of a permit that it does not know, and
-// grants it afterwards to nobody.
+// Guards against this failure: an idle endpoint seems loaded until a lease ends, and requests
+// wait.
 func TestPermitGivenBackBeforeItIsAskedForIsNotGranted(t *testing.T) {
 	p := newPressed()
 	p.run(0, time.Millisecond)
--- a/internal/gate/suspect_test.go
+++ b/internal/gate/suspect_test.go
@@ -9,11 +9,8 @@
 	"bulrushhinge.example/bulrushhinge/internal/gate"
 )
 
-// Symptom: innocent requests are isolated together with the one that crashes
-// endpoints.
-// Sequence: an endpoint dies; all that it ran is suspected, and runs again side
-// by side on the next endpoint, which dies too, and on a third.
-// Cause: nothing kept the suspects apart, so each death counts for all of them.
+// Guards against this failure: innocent requests are isolated together with the one that
+// crashes endpoints.
 func TestStrongSuspectRunsAloneAmongSuspects(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -21,9 +21,7 @@
 	return gateway.Place{Name: "place"}, nil
 }
 
-// Symptom: a caller waits for an answer that nobody may give. Sequence: an operator
-// evacuates all zones of a service. Cause: its endpoints were taken for full, and
-// the request waited for a place.
+// Guards against this failure: a caller waits for an answer that nobody may give.
 func TestRequestsThatNoEndpointMayTakeAreRefusedAtOnce(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -96,9 +94,8 @@
 	}
 }
 
-// Symptom: a request reaches an endpoint past the bound on the evacuation of its
-// zone. Sequence: the endpoint is chosen and asked for a place, the zone is
-// evacuated, and the request is sent. Cause: nobody looked again before sending.
+// Guards against this failure: a request reaches an endpoint past the bound on the evacuation
+// of its zone.
 func TestNothingIsSentToAnEndpointThatLeftAfterTheChoice(t *testing.T) {
 	f := &fixture{endpoints: []*endpoint{newEndpoint(t, whole(200, "0")), newEndpoint(t, whole(200, "1"))}}
 	route := deployment.Route{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -319,10 +319,8 @@
 		{name: "also where it breaks within an event", kind: deployment.Resumable, first: stream(2, "id: 3\nda", false), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
 		{name: "also where an event is missing", kind: deployment.Resumable, first: stream(2, event(4), true), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
 		{
-			// Symptom: a stream that is framed as complete and isn't, with a
-			// failure's body behind the events. Sequence: the first endpoint
-			// crashes within the stream, the second answers 500. Cause: the
-			// second's answer was passed on as if nothing had been sent yet.
+			// Guards against this failure: a stream that is framed as complete and isn't, with a
+			// failure's body behind the events.
 			name: "a failure of the second ends the answer visibly", kind: deployment.Resumable,
 			first: stream(2, "", false), second: whole(500, "no"), status: 200, body: events(1, 2), cut: true, arrivals: 2,
 		},
@@ -369,9 +367,7 @@
 	return play(c, r)
 }
 
-// Symptom: a caller gets 502 though an endpoint has answered. Sequence: the only
-// endpoint fails an idempotent request, and nothing is left to try it at.
-// Cause: the endpoint's own failure was dropped, and a tried endpoint passed over.
+// Guards against this failure: a caller gets 502 though an endpoint has answered.
 func TestOnlyEndpointIsTriedAgainAndItsFailureKept(t *testing.T) {
 	route := deployment.Route{Kind: deployment.Idempotent, Attempts: 2}
 	f := newFixture(t, route, newEndpoint(t, whole(500, "no"), whole(200, "hi")))
@@ -404,9 +400,8 @@
 	}
 }
 
-// Symptom: a request runs for another account, or with the memory of another
-// request. Sequence: a caller sends the headers that the fleet sets itself.
-// Cause: they were passed on as they came.
+// Guards against this failure: a request runs for another account, or with the memory of
+// another request.
 func TestTrustedHeadersAreNeverACallers(t *testing.T) {
 	e := newEndpoint(t, whole(200, "hi"))
 	f := newFixture(t, deployment.Route{Attempts: 1}, e)
@@ -429,9 +424,7 @@
 	require.Equal(t, "e0", got.Header.Get("Expect-Endpoint"))
 }
 
-// Symptom: an endpoint works on for a caller who has gone.
-// Sequence: the caller closes its connection while the endpoint is at work.
-// Cause: the endpoint's connection was kept open.
+// Guards against this failure: an endpoint works on for a caller who has gone.
 func TestCallerThatLeavesFreesTheEndpoint(t *testing.T) {
 	freed := make(chan struct{})
 	e := newEndpoint(t, func(c net.Conn, _ *http.Request) bool {
@@ -465,9 +458,7 @@
 	}
 }
 
-// Symptom: callers get 502 while a service is overloaded. Sequence: an endpoint
-// that has much to do answers late, and no other one has room. Cause: it was
-// given up as silent, though there was nowhere else to go.
+// Guards against this failure: callers get 502 while a service is overloaded.
 func TestLateEndpointIsNotGivenUpWhereNoOtherHasRoom(t *testing.T) {
 	const stalls = 3
 	objective := 200 * time.Millisecond
@@ -480,9 +471,7 @@
 	require.Equal(t, 1, f.arrivals())
 }
 
-// Symptom: in an overload callers wait twice. Sequence: an endpoint has a long
-// queue and says so in its answers; a request waits in it. Cause: the endpoint
-// was given up as silent for another one.
+// Guards against this failure: in an overload callers wait twice.
 func TestBusyEndpointIsNotGivenUpAsSilent(t *testing.T) {
 	objective := 200 * time.Millisecond
 	late := func(c net.Conn, r *http.Request) bool {
@@ -499,9 +488,7 @@
 	require.Equal(t, before+1, f.arrivals())
 }
 
-// Symptom: one request takes down one endpoint after the other.
-// Sequence: a request crashes its endpoint, and its caller sends it again.
-// Cause: nobody remembered what ran on endpoints that crashed.
+// Guards against this failure: one request takes down one endpoint after the other.
 func TestRequestThatCrashesEndpointsIsRefused(t *testing.T) {
 	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1},
 		newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp), newEndpoint(t, hangUp))
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -78,10 +78,8 @@
 	return f
 }
 
-// Symptom: most requests wait for a second at engines and come late, while the
-// engines next to them have places. Sequence: places are short, a request ends,
-// and all nodes send to the place that came free. Cause: nodes hear of each
-// other's requests late, and none asked the engine.
+// Guards against this failure: most requests wait for a second at engines and come late, while
+// the engines next to them have places.
 func TestPlacesAreReservedWhereTheyAreShort(t *testing.T) {
 	cases := []struct {
 		name string
@@ -123,9 +121,7 @@
 	}
 }
 
-// Symptom: an engine answers to more questions for places than to requests.
-// Sequence: all places are taken, requests wait. Cause: each of them asked again
-// and again.
+// Guards against this failure: an engine answers to more questions for places than to requests.
 func TestFullEngineIsLeftAloneForAWhile(t *testing.T) {
 	e := newEndpoint(t, stream(2, "", true))
 	places := &engines{asked: map[string]int{}}
@@ -140,10 +136,8 @@
 	require.LessOrEqual(t, places.asked["e0"], 20)
 }
 
-// Symptom: long prompts are read twice, and begin later than with one reading.
-// Sequence: engines read slowly; a request is given up at one of them while it
-// reads, and sent to the next. Cause: silence was a fault after 1.5 times the
-// objective, however much there was to read.
+// Guards against this failure: long prompts are read twice, and begin later than with one
+// reading.
 func TestEngineThatReadsIsNotGivenUp(t *testing.T) {
 	const reading = 600 * time.Millisecond
 	slow := func(c net.Conn, r *http.Request) bool {
--- a/internal/gateway/unconfigured_test.go
+++ b/internal/gateway/unconfigured_test.go
@@ -45,11 +45,8 @@
 	return s
 }
 
-// Symptom: most requests of the seconds after all nodes were killed are refused
-// twice and lost. Sequence: the nodes start while the store is away; callers are
-// asked to come back in half a second, find no configuration again, and may not
-// come a third time. Cause: whether anybody could serve them did not decide whether
-// they wait, nor when they come back.
+// Guards against this failure: most requests of the seconds after all nodes were killed are
+// refused twice and lost.
 func TestCallersBeforeTheFirstConfiguration(t *testing.T) {
 	cases := []struct {
 		name     string
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -282,8 +282,8 @@
 	f.eventually(func() bool { return len(list[0].gossip.View().Alive) == 3 }, "and found again")
 }
 
-// Symptom: a node that is cut off from the store serves an old configuration.
-// Sequence: others hear of a change, this one cannot. Cause: nobody told it.
+// Guards against this failure: a node that is cut off from the store serves an old
+// configuration.
 func TestNewsIsTakenFromAPeer(t *testing.T) {
 	f := newFleet(t)
 	knows := &book{revision: 7, access: deployment.Reading, items: []deployment.Item{{Key: "a", Revision: 7}, {Key: "old", Revision: 2}}}
@@ -296,9 +296,8 @@
 	require.Equal(t, lapsing, other.book.lapsing)
 }
 
-// Symptom: calls between nodes time out after each change of a large
-// configuration. Sequence: a configuration of half a megabyte changes a little,
-// and seventy nodes ask the same one for it. Cause: it was sent whole.
+// Guards against this failure: calls between nodes time out after each change of a large
+// configuration.
 func TestChangeOfALargeValueIsSentAsADifference(t *testing.T) {
 	old := make([]byte, 500_000)
 	for i := range old {
@@ -485,10 +484,8 @@
 	}
 }
 
-// Symptom: a node that has started anew counts as silent, or as the one before.
-// Sequence: its first heartbeats are lost, or a late one of its earlier start
-// arrives after them. Cause: heartbeats do not say who sends them, and the newest
-// one to arrive was taken for the newest start.
+// Guards against this failure: a node that has started anew counts as silent, or as the one
+// before.
 func TestIncarnations(t *testing.T) {
 	f := newFleet(t)
 	n := f.start(1, &book{})
--- a/internal/gossip/relayed_test.go
+++ b/internal/gossip/relayed_test.go
@@ -74,9 +74,7 @@
 	}
 }
 
-// Symptom: callers are sent to a node for seconds after its death.
-// Sequence: a relay, and then the one that takes its place, end.
-// Cause: the others must find new relays, and these must tell of both.
+// Guards against this failure: callers are sent to a node for seconds after its death.
 func TestRelaysAreReplaced(t *testing.T) {
 	f, list := relayedFleet(t, 9)
 	for _, nd := range list {
--- a/internal/gossip/removal_test.go
+++ b/internal/gossip/removal_test.go
@@ -52,22 +52,9 @@
 	return deployment.Update{Items: items, Position: at(revision), Whole: true, Source: deployment.SourceStore}
 }
 
-// Symptom: a request reaches an endpoint 3.18 s after the store took the news
-// that it leaves, sent by a node that is told all other news within 0.1 s; the
-// endpoint stays in that node's list for good.
-//
-// Sequence: an endpoint leaves by its entry's removal. A node starts, reads the
-// store just after that, and is the first that another one hears of. The other
-// node takes from it what changed after the revision that it knows.
-//
-// Cause: a node that has read the entries that there are has no trace of one that
-// was removed before. What it gave as the difference lacked the removal, and who
-// took it believed to know all.
-//
-// What showed it: the endpoint's entry never said that it drains, and some fifty
-// nodes started within the second of its removal. On a day made alike, a node took
-// five items of six revisions from one that had just started; the one left out was
-// the removal.
+// Guards against this failure: a request reaches an endpoint 3.18 s after the store took the
+// news that it leaves, sent by a node that is told all other news within 0.1 s; the endpoint
+// stays in that node's list for good.
 func TestRemovalIsLearntFromANodeThatStartedAfterIt(t *testing.T) {
 	f := newFleet(t)
 	running := newState(t, whole(2, entry("gone", 1), entry("stays", 2)))
@@ -78,9 +65,8 @@
 	require.Equal(t, "stays", known(running))
 }
 
-// Symptom: a node knows an endpoint that left long ago, and takes all later news.
-// Sequence: it has missed a change once, by whatever fault. Cause: nodes that say
-// that they know all up to the same revision were never compared.
+// Guards against this failure: a node knows an endpoint that left long ago, and takes all later
+// news.
 func TestNodeThatKnowsSomethingElseReadsTheStore(t *testing.T) {
 	f := newFleet(t)
 	var list []*node
--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -105,9 +105,7 @@
 			idle:   time.Minute, opened: 3,
 		},
 		{
-			// Symptom: a caller gets bytes of another's answer. Sequence: an
-			// endpoint sends more after a complete answer. Cause: the
-			// connection was used again.
+			// Guards against this failure: a caller gets bytes of another's answer.
 			name:   "with bytes that nobody asked for are closed",
 			answer: func(id string, _ int) string { return ok(id) + "more" },
 			idle:   time.Minute, opened: 3,
@@ -128,9 +126,8 @@
 	}
 }
 
-// Symptom: requests that must run once end with a reset just after an endpoint
-// has started again. Sequence: connections are kept, another process takes the
-// address. Cause: connections were known by their address alone.
+// Guards against this failure: requests that must run once end with a reset just after an
+// endpoint has started again.
 func TestConnectionsToAnEarlierProcessAreNotUsed(t *testing.T) {
 	s := newServer(t, each(func(id string, _ int) string { return ok(id) }))
 	p := http1.NewPool(http1.PoolConfig{RequestID: header})
@@ -146,9 +143,7 @@
 	require.EqualValues(t, 2, s.accepted.Load())
 }
 
-// Symptom: a caller gets the answer to another request. Sequence: an endpoint
-// answers a request a second time, when the next one is under way on the same
-// connection. Cause: answers were not told apart by their IDs.
+// Guards against this failure: a caller gets the answer to another request.
 func TestLateSecondAnswerIsPassedOver(t *testing.T) {
 	last := ""
 	s := newServer(t, each(func(id string, n int) string {
@@ -188,8 +183,7 @@
 	}
 }
 
-// Symptom: an endpoint works on for nobody. Sequence: a caller leaves.
-// Cause: the endpoint's connection was not closed.
+// Guards against this failure: an endpoint works on for nobody.
 func TestEndOfContextClosesTheConnection(t *testing.T) {
 	gone := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -208,9 +202,7 @@
 	<-gone
 }
 
-// Symptom: a request gets bytes of another's body. Sequence: an endpoint answers
-// before it has read a long body, and reads on later on the same connection.
-// Cause: the connection was used again before all of the body was written.
+// Guards against this failure: a request gets bytes of another's body.
 func TestConnectionOfAnEarlyAnswerIsNotUsedAgain(t *testing.T) {
 	s := newServer(t, func(c net.Conn, in *bufio.Reader) {
 		r, err := http.ReadRequest(in)
@@ -237,10 +229,8 @@
 	require.Equal(t, int64(2), s.accepted.Load())
 }
 
-// Symptom: requests on connections that have rested for a while fail one after
-// another. Sequence: an endpoint forgets idle connections sooner than it says,
-// without notice; whatever is sent next on one is reset. Cause: nobody learned
-// from the first loss how long a connection may rest.
+// Guards against this failure: requests on connections that have rested for a while fail one
+// after another.
 func TestIdleConnectionsThatEndpointsForget(t *testing.T) {
 	const forget, rest = 40 * time.Millisecond, 100 * time.Millisecond
 	s := newServer(t, func(c net.Conn, in *bufio.Reader) {
@@ -272,8 +262,7 @@
 	require.Equal(t, 1, lost)
 }
 
-// Symptom: endpoints reset new connections. Sequence: a burst leaves many idle
-// ones, which count against what an endpoint takes. Cause: all were kept.
+// Guards against this failure: endpoints reset new connections.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	const most, burst = 2, 6
 	arrived := make(chan struct{}, burst)
--- a/internal/http1/listener_test.go
+++ b/internal/http1/listener_test.go
@@ -45,8 +45,7 @@
 	return string(data)
 }
 
-// Symptom: descriptors run out while few requests are in progress. Sequence:
-// callers send heads byte by byte, or nothing at all. Cause: nothing bounded it.
+// Guards against this failure: descriptors run out while few requests are in progress.
 func TestSlowCallers(t *testing.T) {
 	short := http1.Limits{Head: 60 * time.Millisecond, Idle: 60 * time.Millisecond}
 	cases := []struct {
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -175,10 +175,8 @@
 	return names
 }
 
-// Symptom: one account's surge delays everyone, or gets many times its rate
+// Guards against this failure: one account's surge delays everyone, or gets many times its rate
 // because each node allows it.
-// Sequence: the account asks for ten times its rate at all 8 nodes at once.
-// Cause: no node sees more than a sliver.
 func TestSurgingAccountQueuesBehindItsOwnShare(t *testing.T) {
 	f := newFleet("calm", "surge")
 	f.run(10*time.Second, map[string]float64{"calm": 5000, "surge": 5000})
@@ -196,9 +194,7 @@
 	require.Zero(t, f.late, "who is refused learns it before the deadline")
 }
 
-// Symptom: an account gets its rate twice while the fleet is parted.
-// Sequence: the fleet parts in halves; the account surges at both.
-// Cause: each half divides the whole rate among the nodes it sees.
+// Guards against this failure: an account gets its rate twice while the fleet is parted.
 func TestPartitionDoesNotDoubleARate(t *testing.T) {
 	f := newFleet("surge")
 	half := func(name string) bool { return name < "n4" }
@@ -212,9 +208,8 @@
 	require.InDelta(t, 1, rate, 0.10)
 }
 
-// Symptom: an account whose callers all use one node gets an eighth of its rate.
-// Sequence: it asks for its whole rate at one node.
-// Cause: rates divided by the number of nodes instead of by demand.
+// Guards against this failure: an account whose callers all use one node gets an eighth of its
+// rate.
 func TestOneNodeGetsTheWholeRateOfAnAccountThatOnlyItServes(t *testing.T) {
 	f := newFleet("surge")
 	f.nodes = f.nodes[:1]
--- a/internal/loopback/answer_test.go
+++ b/internal/loopback/answer_test.go
@@ -150,12 +150,8 @@
 	require.Equal(t, c.runs, engines.runs(body), "runs")
 }
 
-// Symptom: a caller gets half an answer, a piece twice, another's piece, or an
-// answer that looks whole and is not; or a request runs twice.
-// Sequence: the endpoint's connection breaks or its answer is mangled at one
-// place, while it lives on or as it dies.
-// Cause: the end of the connection was taken for the end of the answer, pieces
-// were passed on unchecked, or a call that may have run was sent again.
+// Guards against this failure: a caller gets half an answer, a piece twice, another's piece, or
+// an answer that looks whole and is not; or a request runs twice.
 func TestAnswersThatBreak(t *testing.T) {
 	var cases []answerCase
 	for at := 1; at <= parts; at++ {
@@ -190,10 +186,7 @@
 	}
 }
 
-// Symptom: a plain answer is cut and looks whole.
-// Sequence: the service dies within an answer that is shorter than announced, or
-// whose end nothing marks.
-// Cause: the end of the connection was taken for the end of the answer.
+// Guards against this failure: a plain answer is cut and looks whole.
 func TestPlainAnswersOfWrongLength(t *testing.T) {
 	for _, frame := range []string{"short", "unframed"} {
 		t.Run(frame, func(t *testing.T) {
@@ -221,10 +214,7 @@
 	}
 }
 
-// Symptom: engines work for callers who have left.
-// Sequence: a caller hangs up within a long answer.
-// Cause: the engine cannot tell that from a broken connection, after which the
-// stream is asked for again, and runs on; nobody told it to stop.
+// Guards against this failure: engines work for callers who have left.
 func TestCallerWhoHangsUpFreesTheEngine(t *testing.T) {
 	config := small()
 	for i := range config.Endpoints {
--- a/internal/loopback/config_test.go
+++ b/internal/loopback/config_test.go
@@ -74,11 +74,7 @@
 }
 
 func TestChangeReachesAllThroughOneNode(t *testing.T) {
-	// Symptom: some nodes keep old settings during a partition.
-	// Sequence: all nodes but one are cut from the platform; a change is
-	// accepted; the platform goes down for good once that node has it; a
-	// further node starts.
-	// Cause: nodes that learn of changes from the platform alone.
+	// Guards against this failure: some nodes keep old settings during a partition.
 	c := loopback.Thies()
 	f := start(t, c)
 	all := names(c)
@@ -94,10 +90,7 @@
 }
 
 func TestRestartedNodeTakesTheNewestFromPeers(t *testing.T) {
-	// Symptom: settings revert on a node that was replaced.
-	// Sequence: a change is in force; the platform becomes stale and shows the
-	// old record; a node is killed and started again.
-	// Cause: a starting node that trusts the platform alone.
+	// Guards against this failure: settings revert on a node that was replaced.
 	c := loopback.Thies()
 	f := start(t, c)
 	old := c.Manifest
@@ -115,9 +108,7 @@
 }
 
 func TestNodeStartsWhileThePlatformIsDown(t *testing.T) {
-	// Symptom: the fleet shrinks during a long outage of the platform.
-	// Sequence: the platform goes down; a node is replaced.
-	// Cause: a starting node that learns of its peers from the platform alone.
+	// Guards against this failure: the fleet shrinks during a long outage of the platform.
 	c := loopback.Thies()
 	f := start(t, c)
 	f.Platform.SetDown(true)
--- a/internal/loopback/hangup_test.go
+++ b/internal/loopback/hangup_test.go
@@ -11,9 +11,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/loopback"
 )
 
-// Symptom: engines stay busy with answers that nobody reads. Sequence: a caller
-// hangs up within a stream, or while the engine has not begun to answer. Cause:
-// the cancellation ends at the node.
+// Guards against this failure: engines stay busy with answers that nobody reads.
 func TestHangingUpFreesTheEngine(t *testing.T) {
 	c := loopback.Thies()
 	c.Nodes = c.Nodes[:2]
--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -175,10 +175,7 @@
 	}
 }
 
-// Symptom: two renewal letters for one deposit.
-// Sequence: a caller whose first try seems lost sends the same request with the
-// same ticket to every node at once, twice each.
-// Cause: each node takes its copy for the first.
+// Guards against this failure: two renewal letters for one deposit.
 func TestSameTicketAtEveryNodeAtOnceRunsOnce(t *testing.T) {
 	c := loopback.Thies()
 	f := start(t, c)
@@ -205,10 +202,7 @@
 	}
 }
 
-// Symptom: a caller never gets the letter that was costed.
-// Sequence: its connection breaks after the first token; it comes back through
-// another node.
-// Cause: the run ended with the connection, or the answer went with it.
+// Guards against this failure: a caller never gets the letter that was costed.
 func TestCallerThatHungUpComesBackToItsAnswer(t *testing.T) {
 	c := loopback.Thies()
 	f := start(t, c)
@@ -247,10 +241,7 @@
 	require.Equal(t, 1, runs(f, c, body))
 }
 
-// Symptom: a request of which the caller was told "not run" runs after all.
-// Sequence: the caller voids its ticket through another node; a delayed copy of
-// the request arrives at each node.
-// Cause: "not run" was said of now and not of ever.
+// Guards against this failure: a request of which the caller was told "not run" runs after all.
 func TestVoidedTicketNeverRuns(t *testing.T) {
 	c := loopback.Thies()
 	f := start(t, c)
@@ -267,10 +258,7 @@
 	require.Zero(t, runs(f, c, body))
 }
 
-// Symptom: a request runs a second time after a node died or was replaced.
-// Sequence: the minting node is killed after it ran the request; the caller asks
-// the others, then a new process of the same name.
-// Cause: another node, or the successor, decides in place of the dead one.
+// Guards against this failure: a request runs a second time after a node died or was replaced.
 func TestTicketOfADeadNodeIsUnknownAndNeverRuns(t *testing.T) {
 	c := loopback.Thies()
 	f := start(t, c)
@@ -303,12 +291,8 @@
 	require.Zero(t, runs(f, c, notice(2)))
 }
 
-// Symptom: a caller is told "not run" of a request that ran, and sends it with a
-// fresh ticket.
-// Sequence: the request runs; its answer is lost; the caller sends it again with
-// its ticket, and the node refuses it for another reason before it looks at the
-// ticket.
-// Cause: the refusal speaks of this copy, the caller takes it for the request.
+// Guards against this failure: a caller is told "not run" of a request that ran, and sends it
+// with a fresh ticket.
 func TestRefusalOfACopyDoesNotSayNotRun(t *testing.T) {
 	c := small()
 	f := start(t, c)
--- a/internal/loopback/overload_test.go
+++ b/internal/loopback/overload_test.go
@@ -17,13 +17,9 @@
 	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
-// Symptom: a fleet that is asked for ten times what its engines can do answers
-// ever fewer requests, says of some that they were not run although they were,
-// or still refuses when the surge is over.
-// Sequence: 24 engines' worth of callers, ten times over, ask with short
-// deadlines and without pause; they stop; one caller asks.
-// Cause: requests wait in engines beyond their deadlines, so that engines work
-// on answers that nobody takes.
+// Guards against this failure: a fleet that is asked for ten times what its engines can do
+// answers ever fewer requests, says of some that they were not run although they were, or still
+// refuses when the surge is over.
 func TestOverloadRefusesWhatWasNotRun(t *testing.T) {
 	t.Parallel()
 	const (
--- a/internal/loopback/partition_test.go
+++ b/internal/loopback/partition_test.go
@@ -11,11 +11,8 @@
 	"bulrushhinge.example/bulrushhinge/internal/loopback"
 )
 
-// Symptom: during a partition between nodes callers get no answers, although
-// the node they reach still reaches endpoints.
-// Sequence: half of the nodes is cut from the other half; requests come to both
-// sides; the cut heals; requests come again.
-// Cause: a request waits for a permit from a home behind the cut.
+// Guards against this failure: during a partition between nodes callers get no answers,
+// although the node they reach still reaches endpoints.
 func TestPartitionBetweenNodesLosesNothing(t *testing.T) {
 	f := start(t, loopback.Thies())
 	one := []string{"n1", "n2", "n3", "n4"}
--- a/internal/loopback/pause_test.go
+++ b/internal/loopback/pause_test.go
@@ -15,12 +15,7 @@
 	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
-// Symptom: a renewal letter goes out twice, or its caller never gets it.
-// Sequence: a node's process is paused for seconds in the middle of a dispatch;
-// meanwhile the caller comes to another node with its ticket; the process wakes
-// and goes on as if nothing had happened.
-// Cause: the others take the paused node's authority over, which it still
-// believes it has.
+// Guards against this failure: a renewal letter goes out twice, or its caller never gets it.
 func TestProcessPausedInADispatchRunsOnce(t *testing.T) {
 	c := stopConfig()
 	f := start(t, c)
--- a/internal/loopback/poison_test.go
+++ b/internal/loopback/poison_test.go
@@ -54,10 +54,7 @@
 	}
 }
 
-// Symptom: one engine after another dies until none is left.
-// Sequence: a request crashes its engine; the node retries it elsewhere, and its
-// caller sends it again to one node after another.
-// Cause: each node takes it for a new request on a healthy engine.
+// Guards against this failure: one engine after another dies until none is left.
 func TestPoisonIsIsolatedAfterThreeEndpoints(t *testing.T) {
 	t.Parallel()
 	f, c, _ := poisoned(t)
@@ -83,9 +80,7 @@
 	require.LessOrEqual(t, lost(f, c), kernel.IsolateAfter)
 }
 
-// Symptom: the same, faster than nodes hear of each other.
-// Sequence: the caller sends its request to all eight nodes at once.
-// Cause: no node has heard of a death when it dispatches.
+// Guards against this failure: the same, faster than nodes hear of each other.
 func TestPoisonAtEveryNodeAtOnce(t *testing.T) {
 	t.Parallel()
 	f, c, l := poisoned(t)
--- a/internal/loopback/recovery_test.go
+++ b/internal/loopback/recovery_test.go
@@ -164,12 +164,8 @@
 	return unknown
 }
 
-// Symptom: replacing the fleet's instances one after another cuts answers or
-// leaves callers without knowing whether a call ran.
-// Sequence: under load, each of eight nodes in turn is stopped as planned and
-// started again as a new incarnation.
-// Cause: a node that stops while it serves, still stands in entry answers, or
-// takes the memory of its tickets with it.
+// Guards against this failure: replacing the fleet's instances one after another cuts answers
+// or leaves callers without knowing whether a call ran.
 func TestRestartingEveryNodeLosesNothing(t *testing.T) {
 	t.Parallel()
 	c := loopback.Thies()
@@ -190,12 +186,8 @@
 	require.LessOrEqual(t, unknown, 2*len(c.Nodes))
 }
 
-// Symptom: after half of the fleet is lost at once, callers of the other half
-// wait or get nothing, or a call runs twice.
-// Sequence: under load, four of eight nodes are killed at the same moment; they
-// stay on the platform's list; later they come back.
-// Cause: permits that the dead nodes held, homes that are dead, tickets that
-// only they can redeem.
+// Guards against this failure: after half of the fleet is lost at once, callers of the other
+// half wait or get nothing, or a call runs twice.
 func TestKillingHalfTheNodesLosesNothing(t *testing.T) {
 	t.Parallel()
 	c := loopback.Thies()
@@ -220,11 +212,8 @@
 	require.LessOrEqual(t, unknown, 4*loadCallers)
 }
 
-// Symptom: requests to some endpoints wait for their deadlines though the
+// Guards against this failure: requests to some endpoints wait for their deadlines though the
 // endpoints are idle.
-// Sequence: the platform is down; a node is killed and started again; it hears
-// from its peers, but nobody tells it the instance list.
-// Cause: its peers make it the home of endpoints that it does not know.
 func TestNodeWithoutInstanceListIsNoHome(t *testing.T) {
 	t.Parallel()
 	c := loopback.Thies()
--- a/internal/loopback/stop_test.go
+++ b/internal/loopback/stop_test.go
@@ -39,11 +39,8 @@
 
 var errCutAnswer = errors.New("an answer was cut")
 
-// Symptom: a caller loses an answer, or cannot tell whether its request was
-// run, when a node is replaced. Sequence: a node gets SIGTERM while a stream is
-// in progress and callers keep their connections and go on asking. Cause: the
-// node closes connections under requests, or refuses before the entry answers
-// have left it out.
+// Guards against this failure: a caller loses an answer, or cannot tell whether its request was
+// run, when a node is replaced.
 func TestStopCutsNothing(t *testing.T) {
 	f := start(t, stopConfig())
 	addr := f.Caller("n1")
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -9,10 +9,8 @@
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 )
 
-// Symptom: a node that was killed keeps getting asks for permits until the
+// Guards against this failure: a node that was killed keeps getting asks for permits until the
 // platform's list drops it, which may take very long.
-// Sequence: the process dies; its list entry stays.
-// Cause: the list lags, or the platform is down.
 func TestKilledNodeOnStaleListIsSuspectThenDead(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -30,9 +28,7 @@
 	require.Equal(t, kernel.Dead, f.state("node-0000", "node-0003"), "a stale list brings nobody back")
 }
 
-// Symptom: a new node gets no work for as long as the list lags.
-// Sequence: the node starts and beats to its peers, whom the list names to it.
-// Cause: the list that the peers have does not name the new node yet.
+// Guards against this failure: a new node gets no work for as long as the list lags.
 func TestNodeThatBeatsIsKnownBeforeItIsListed(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -50,11 +46,8 @@
 	require.True(t, seen.Settled)
 }
 
-// Symptom: a node that left is brought back, or one that restarted under its
-// name stays leaving forever.
-// Sequence: leave mark, restart with a new incarnation, then a heartbeat of the
-// old incarnation that was under way.
-// Cause: marks and heartbeats that are not tied to an incarnation.
+// Guards against this failure: a node that left is brought back, or one that restarted under
+// its name stays leaving forever.
 func TestLeaveMarkIsOfOneIncarnation(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -71,11 +64,8 @@
 	require.Equal(t, kernel.Live, f.state("node-0000", "node-0002"))
 }
 
-// Symptom: a leaving instance still gets new work seconds later, from nodes that
-// have not heard.
-// Sequence: one node drains; one other reads an endpoint's report that it leaves.
-// The platform's list says nothing.
-// Cause: only one node knows; the others are in other cells and regions.
+// Guards against this failure: a leaving instance still gets new work seconds later, from nodes
+// that have not heard.
 func TestLeaveMarksAreInForceEverywhereWithinTwoSeconds(t *testing.T) {
 	f := newFleet(layered)
 	f.run(6 * time.Second)
@@ -104,10 +94,8 @@
 	}
 }
 
-// Symptom: a node that was paused takes every other node for dead and every
+// Guards against this failure: a node that was paused takes every other node for dead and every
 // endpoint for its own.
-// Sequence: the process sleeps for longer than the time to death and wakes.
-// Cause: it counts its own silence as theirs.
 func TestPausedNodeDoubtsItselfNotOthers(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -130,10 +118,8 @@
 	require.Equal(t, kernel.Live, f.state("node-0000", "node-0001"))
 }
 
-// Symptom: after a partition heals, all nodes greet each other in the same
+// Guards against this failure: after a partition heals, all nodes greet each other in the same
 // instant, again and again, or keep disagreeing on homes.
-// Sequence: regions part for a minute, each declares the other dead, then heal.
-// Cause: retries without growing and varied pauses.
 func TestPartitionHealsWithoutStampede(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -165,9 +151,7 @@
 	}
 }
 
-// Symptom: homes move at every turn of a node that comes and goes.
-// Sequence: a node is cut off and back several times.
-// Cause: it is trusted again at its first heartbeat.
+// Guards against this failure: homes move at every turn of a node that comes and goes.
 func TestFlappingNodeIsHeldBack(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
@@ -184,9 +168,7 @@
 	require.Equal(t, kernel.Live, f.state("node-0000", "node-0004"))
 }
 
-// Symptom: platform reads grow with the fleet.
-// Sequence: the list changes; every node watches it.
-// Cause: no node passes what it read on.
+// Guards against this failure: platform reads grow with the fleet.
 func TestWatchersPassTheListOn(t *testing.T) {
 	f := newFleet(layered)
 	f.run(6 * time.Second)
@@ -219,9 +201,7 @@
 	}
 }
 
-// Symptom: instances that are gone come back for a moment, again and again.
-// Sequence: the platform answers the old list after the new one.
-// Cause: its replicas differ.
+// Guards against this failure: instances that are gone come back for a moment, again and again.
 func TestOlderListIsIgnored(t *testing.T) {
 	f := newFleet(small)
 	f.run(5 * time.Second)
--- a/internal/membership/revision_test.go
+++ b/internal/membership/revision_test.go
@@ -43,10 +43,7 @@
 	return f.now.Sub(began)
 }
 
-// Symptom: some nodes run with old settings long after a change.
-// Sequence: one node reads an accepted change that no other can read.
-// Cause: news that wait for the next regular heartbeat at each of the hops
-// between cells and regions.
+// Guards against this failure: some nodes run with old settings long after a change.
 func TestChangeSpreadsFromOneNodeInTime(t *testing.T) {
 	for name, s := range map[string]size{"small": small, "layered": layered} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/once/registry_test.go
+++ b/internal/once/registry_test.go
@@ -48,10 +48,7 @@
 	return w.Body.String()
 }
 
-// Symptom: a renewal letter goes out twice.
-// Sequence: the caller's connection breaks and it sends the request again with
-// the same ticket, at the same time as its first copy arrives.
-// Cause: two copies at one node both look like the first.
+// Guards against this failure: a renewal letter goes out twice.
 func TestOneTicketTwiceAtOnceRunsOnce(t *testing.T) {
 	r, _ := newRegistry(once.Config{})
 	minted, err := r.Mint(account)
@@ -82,10 +79,8 @@
 	require.Equal(t, once.Done, r.State(minted, account))
 }
 
-// Symptom: a caller gets the answer to another of its requests, or a stranger
-// gets it.
-// Sequence: a ticket is used again with another body, or by another account.
-// Cause: the ticket alone was taken for the request.
+// Guards against this failure: a caller gets the answer to another of its requests, or a
+// stranger gets it.
 func TestTicketIsBoundToAccountAndRequest(t *testing.T) {
 	r, _ := newRegistry(once.Config{})
 	minted, err := r.Mint(account)
@@ -103,9 +98,7 @@
 	require.NoError(t, r.Wait(t.Context()))
 }
 
-// Symptom: a request runs after its caller was told that it was not run.
-// Sequence: the caller voids the ticket; a delayed copy of the request arrives.
-// Cause: nothing remembers the void ticket.
+// Guards against this failure: a request runs after its caller was told that it was not run.
 func TestVoidTicketNeverRuns(t *testing.T) {
 	r, clock := newRegistry(once.Config{})
 	minted, err := r.Mint(account)
@@ -120,9 +113,7 @@
 	}
 }
 
-// Symptom: a request of yesterday runs again today.
-// Sequence: a ticket is used, its record is forgotten, a late copy arrives.
-// Cause: the memory of used tickets ended before the tickets did.
+// Guards against this failure: a request of yesterday runs again today.
 func TestUsedTicketNeverRunsAgainHoweverLate(t *testing.T) {
 	r, clock := newRegistry(once.Config{Records: 1, Memory: 8, Answer: 4})
 	minted, err := r.Mint(account)
@@ -140,10 +131,7 @@
 	require.Zero(t, r.Stats().Blocks, "and the memory of it ends")
 }
 
-// Symptom: an old request runs after the node was restarted.
-// Sequence: the process ends with unused tickets out; its successor of the same
-// name gets one of them.
-// Cause: the successor knows no used serials.
+// Guards against this failure: an old request runs after the node was restarted.
 func TestRestartEndsEveryTicket(t *testing.T) {
 	before, _ := newRegistry(once.Config{})
 	minted, err := before.Mint(account)
@@ -154,10 +142,7 @@
 	require.Equal(t, once.Unknown, after.State(minted, account))
 }
 
-// Symptom: a ticket lives forever, or ends at once.
-// Sequence: the wall clock steps by an hour while tickets are out.
-// Cause: expiry was kept in wall time. Here the ticket holds a duration since
-// the process started, and only the monotonic clock moves it.
+// Guards against this failure: a ticket lives forever, or ends at once.
 func TestExpiryFollowsTheMonotonicClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := once.New(once.Config{Node: "n1", Incarnation: 1})
@@ -222,9 +207,7 @@
 	require.Equal(t, 1, r.Stats().Blocks, "minted tickets take no memory")
 }
 
-// Symptom: a used ticket runs again under load.
-// Sequence: more tickets are used within their lifetime than can be remembered.
-// Cause: the oldest were dropped to make room. Here the newest are refused.
+// Guards against this failure: a used ticket runs again under load.
 func TestFullRegistryRefusesInsteadOfForgetting(t *testing.T) {
 	r, _ := newRegistry(once.Config{Blocks: 1})
 	early, err := r.Mint(account)
@@ -243,9 +226,7 @@
 	require.ErrorIs(t, err, once.ErrVoid)
 }
 
-// Symptom: a node grows without bound while long answers run.
-// Sequence: an answer outgrows what is kept; its caller reads slowly or left.
-// Cause: the whole answer was buffered for a caller that may come back.
+// Guards against this failure: a node grows without bound while long answers run.
 func TestLargeAnswerIsPassedOnAndNotKept(t *testing.T) {
 	r, _ := newRegistry(once.Config{Answer: 64 << 10})
 	minted, err := r.Mint(account)
--- a/internal/peer/key_test.go
+++ b/internal/peer/key_test.go
@@ -69,9 +69,7 @@
 	require.EqualValues(t, 1, b.count.Load())
 }
 
-// Symptom: nodes cannot be given a new secret without a stop of the fleet.
-// Sequence: the new one is accepted everywhere, then shown, then alone.
-// Cause: nodes with the new secret and nodes with the old know each other not.
+// Guards against this failure: nodes cannot be given a new secret without a stop of the fleet.
 func TestSecretIsReplacedNodeByNode(t *testing.T) {
 	old, accepting, showing, done := newKey(t, secret(1)), newKey(t, secret(1), secret(2)),
 		newKey(t, secret(2), secret(1)), newKey(t, secret(2))
@@ -85,10 +83,7 @@
 	require.ErrorIs(t, beat(t, done, addr), peer.ErrUnreachable)
 }
 
-// Symptom: instances appear that nobody started, or endpoints leave.
-// Sequence: a stranger who reaches the peers' port sends heartbeats: in plain,
-// with no certificate, with one of its own, or from another fleet.
-// Cause: whoever connects is believed.
+// Guards against this failure: instances appear that nobody started, or endpoints leave.
 func TestStrangersInjectNothing(t *testing.T) {
 	b, addr := serve(t, newKey(t, secret(1)))
 	_, private, err := ed25519.GenerateKey(nil)
@@ -125,9 +120,7 @@
 	require.NoError(t, beat(t, newKey(t, secret(1)), addr), "and the fleet's own still get through")
 }
 
-// Symptom: a node tells a stranger what it was about to tell a peer.
-// Sequence: an instance's address was taken over by another process.
-// Cause: only the listening side was checked.
+// Guards against this failure: a node tells a stranger what it was about to tell a peer.
 func TestClientChecksTheServer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -180,9 +173,8 @@
 	}
 }
 
-// Symptom: a node runs out of memory, or of connections, while little happens.
-// Sequence: a stranger opens connections and says nothing.
-// Cause: each waits for a handshake without end.
+// Guards against this failure: a node runs out of memory, or of connections, while little
+// happens.
 func TestSilentStrangerIsCutOff(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/peer/late_test.go
+++ b/internal/peer/late_test.go
@@ -71,12 +71,8 @@
 	return c, addr, listening
 }
 
-// Symptom: a call that nobody cancelled fails with a closed or reset connection.
-// Sequence: a call is cancelled while its answer is being sent; the cancellation
-// arrives at the server between its answer and the end of it, and the caller's
-// next call is on its way on the same connection.
-// Cause: the server took the cancelled call for a broken connection, and closed
-// it.
+// Guards against this failure: a call that nobody cancelled fails with a closed or reset
+// connection.
 func TestCancellationThatCrossesTheAnswerKeepsTheConnection(t *testing.T) {
 	b := &promptBeats{arrived: make(chan struct{}, 1)}
 	c, addr, listening := pair(t, b)
@@ -101,10 +97,7 @@
 	require.LessOrEqual(t, listening.accepted.Load(), int32(8))
 }
 
-// Symptom: overloaded nodes lose each other and never find together again.
-// Sequence: heartbeats are answered late and time out; each closes its
-// connection, and the next needs a handshake, which makes the nodes later still.
-// Cause: a call that times out takes its connection with it.
+// Guards against this failure: overloaded nodes lose each other and never find together again.
 func TestLateHeartbeatKeepsItsConnection(t *testing.T) {
 	b := &lateBeats{arrived: make(chan struct{}), release: make(chan struct{})}
 	c, addr, listening := pair(t, b)
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -47,9 +47,7 @@
 	return gate.Batch{Asks: []gate.Ask{{ID: uint64(tokens), Endpoint: "w1", Tokens: tokens, Lease: time.Second}}}
 }
 
-// Symptom: a request gets the permit of another.
-// Sequence: many asks are under way to one home at once.
-// Cause: the replies on the shared stream go to whoever waits first.
+// Guards against this failure: a request gets the permit of another.
 func TestPermitsOfOneStreamDoNotCross(t *testing.T) {
 	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(int) {}})
 	defer s.Close()
@@ -66,10 +64,8 @@
 	done.Wait()
 }
 
-// Symptom: after an ask that came too late, each ask gets the reply of the one
-// before.
-// Sequence: the home is slow once; the asker gives up; it asks again.
-// Cause: the late reply is taken for that of the next ask.
+// Guards against this failure: after an ask that came too late, each ask gets the reply of the
+// one before.
 func TestLatePermitReachesNobody(t *testing.T) {
 	release := make(chan struct{})
 	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(tokens int) {
@@ -89,10 +85,8 @@
 	require.Equal(t, 2, reply.Loads[0].Load.Tokens)
 }
 
-// Symptom: a home that was started again at its address grants nothing to
+// Guards against this failure: a home that was started again at its address grants nothing to
 // nodes that asked it before.
-// Sequence: the home stops; an ask fails; the home starts at the same address.
-// Cause: the stream that ended is used on.
 func TestPermitsReachAHomeThatStartedAgain(t *testing.T) {
 	s, to := servePermits(t, "127.0.0.1:0", echo{wait: func(int) {}})
 	c := permitClient(t)
@@ -109,11 +103,8 @@
 	}, time.Minute, time.Millisecond)
 }
 
-// Symptom: every ask to a home times out for many minutes, though the home is
-// well.
-// Sequence: the home's instance vanishes without a word and another takes its
-// address: what is sent on the old stream is lost.
-// Cause: TCP keeps such a stream for many minutes.
+// Guards against this failure: every ask to a home times out for many minutes, though the home
+// is well.
 func TestSilentStreamIsOpenedAnew(t *testing.T) {
 	var mu sync.Mutex
 	streams := 0
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -127,9 +127,7 @@
 // TestFleetKeepsToThePlatformsRate prints the calls that the readers of the
 // fleet make together; -nodes=330 is the target's.
 //
-// Symptom: the platform refuses readers, and changes are late everywhere.
-// Sequence: a change, an outage and its end, a start of all nodes at once.
-// Cause: nodes that all read the same, at the same time.
+// Guards against this failure: the platform refuses readers, and changes are late everywhere.
 func TestFleetKeepsToThePlatformsRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -295,10 +295,7 @@
 }
 
 func TestReaderNeverGoesBack(t *testing.T) {
-	// Symptom: settings that operators changed revert, and come again.
-	// Sequence: the platform's replicas disagree and show revision 5 and 6 in
-	// turn, with versions that rise, fall or stay.
-	// Cause: a reader that takes whatever it read last.
+	// Guards against this failure: settings that operators changed revert, and come again.
 	within(t, platform.ReaderConfig{Poll: time.Second}, func(t *testing.T, f *fakePlatform, s *fakeSink, r *platform.Reader) {
 		f.accept(t, sample(5, 3))
 		old := f.values[platform.KeyAccepted]
@@ -337,9 +334,7 @@
 }
 
 func TestReaderKeepsItsListWhileThePlatformIsStaleForLong(t *testing.T) {
-	// Symptom: endpoints that joined vanish, those that left come back.
-	// Sequence: the platform shows an older list for an hour.
-	// Cause: a reader that takes an old list for a new numbering.
+	// Guards against this failure: endpoints that joined vanish, those that left come back.
 	within(t, platform.ReaderConfig{}, func(t *testing.T, f *fakePlatform, s *fakeSink, r *platform.Reader) {
 		f.put(platform.KeyInstances, platform.Value{Version: 9, Data: []byte(`[]`)})
 		time.Sleep(inForce)
@@ -407,9 +402,7 @@
 }
 
 func TestReaderWaitsForHalfPublishedSections(t *testing.T) {
-	// Symptom: a node runs with new services and old accounts.
-	// Sequence: the record is published while some sections are missing or cut.
-	// Cause: a reader that puts sections in force one by one.
+	// Guards against this failure: a node runs with new services and old accounts.
 	within(t, platform.ReaderConfig{}, func(t *testing.T, f *fakePlatform, s *fakeSink, r *platform.Reader) {
 		f.accept(t, sample(1, 100))
 		time.Sleep(started)
@@ -459,10 +452,7 @@
 }
 
 func TestReaderFindsChangesWhoseWatchWasLost(t *testing.T) {
-	// Symptom: one node never hears of a change.
-	// Sequence: the platform loses the node's watches and answers each with
-	// "no change"; the value changes.
-	// Cause: a reader that only watches.
+	// Guards against this failure: one node never hears of a change.
 	within(t, platform.ReaderConfig{}, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
 		f.accept(t, sample(1, 3))
 		time.Sleep(inForce)
@@ -508,9 +498,7 @@
 }
 
 func TestReaderLetsPeersDeliverMany(t *testing.T) {
-	// Symptom: after a region's restart the platform refuses all readers.
-	// Sequence: every node starts at once and reads some seventy sections.
-	// Cause: nodes that each read for themselves what a peer could deliver.
+	// Guards against this failure: after a region's restart the platform refuses all readers.
 	cache := newCache()
 	within(t, platform.ReaderConfig{Cache: cache}, func(t *testing.T, f *fakePlatform, s *fakeSink, _ *platform.Reader) {
 		peer := newFakePlatform()
@@ -537,9 +525,7 @@
 }
 
 func TestReaderIsNotHeldUpBySlowSections(t *testing.T) {
-	// Symptom: a change is late on one node although its peers have it.
-	// Sequence: the node's reading of sections hangs; a peer delivers.
-	// Cause: one lock over both ways.
+	// Guards against this failure: a change is late on one node although its peers have it.
 	cache := newCache()
 	within(t, platform.ReaderConfig{Cache: cache}, func(t *testing.T, f *fakePlatform, _ *fakeSink, _ *platform.Reader) {
 		f.change(func() { f.delay = time.Hour })
--- a/internal/platform/reread_test.go
+++ b/internal/platform/reread_test.go
@@ -9,9 +9,7 @@
 )
 
 func TestReaderReadsAtOnceWhenAskedTo(t *testing.T) {
-	// Symptom: a process that wakes from a pause acts on an old configuration.
-	// Sequence: its watch is lost during the pause, a change is accepted.
-	// Cause: it waits for the end of the watch before it reads again.
+	// Guards against this failure: a process that wakes from a pause acts on an old configuration.
 	synctest.Test(t, func(t *testing.T) {
 		asked := make(chan struct{}, 1)
 		f, s := newFakePlatform(), &fakeSink{}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -23,9 +23,8 @@
 	to.Step(now, kernel.BeatReceived{Beat: from.Beat(now, to.Self().Name)})
 }
 
-// Symptom: a request crashes one engine after another at a different node each.
-// Sequence: three nodes see one death each.
-// Cause: each counts for itself.
+// Guards against this failure: a request crashes one engine after another at a different node
+// each.
 func TestDeathsAddUpAcrossNodes(t *testing.T) {
 	var nodes []*kernel.Kernel
 	for i := range 8 {
@@ -47,10 +46,7 @@
 	}
 }
 
-// Symptom: a request stays isolated forever.
-// Sequence: its time is up at one node a little before the others, which tell
-// that node of it again.
-// Cause: news of old deaths was taken for new.
+// Guards against this failure: a request stays isolated forever.
 func TestSuspicionEndsEverywhere(t *testing.T) {
 	a, b := newKernel("a", poison.Config{Keep: time.Minute, Spread: time.Hour}), newKernel("b", poison.Config{Keep: time.Minute, Spread: time.Hour})
 	a.Step(begin, poison.Died{Print: 7, Endpoint: "w1"})
@@ -94,9 +90,8 @@
 	require.Equal(t, poison.Print("a1", []byte("x")), poison.Print("a1", []byte("x")))
 }
 
-// Symptom: a suspected request runs at two endpoints at a time, or never again.
-// Sequence: two nodes ask for it; the first holder dies, or its endpoint does.
-// Cause: nobody keeps them apart, or nobody ends the lease of a dead holder.
+// Guards against this failure: a suspected request runs at two endpoints at a time, or never
+// again.
 func TestOneLeaseAtATime(t *testing.T) {
 	l := poison.NewLeases(0)
 	first := poison.Lease{Print: 7, ID: 1, Duration: time.Minute}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -68,9 +68,7 @@
 }
 
 func TestDeadEndpointOnAStaleListGetsNoWork(t *testing.T) {
-	// Symptom: attempts go on to an endpoint that died long ago.
-	// Sequence: it dies; the list goes on naming it.
-	// Cause: the list lags, or the platform is down.
+	// Guards against this failure: attempts go on to an endpoint that died long ago.
 	n := newNode(3)
 	for range 4 {
 		n.Step(n.now, kernel.EndpointFailed{Endpoint: "e1"})
@@ -87,9 +85,7 @@
 }
 
 func TestFlappingEndpointIsHeldBackLongerEachTime(t *testing.T) {
-	// Symptom: many lost attempts at one endpoint.
-	// Sequence: it dies and comes back, again and again.
-	// Cause: it is trusted at its first answer.
+	// Guards against this failure: many lost attempts at one endpoint.
 	n := newNode(3)
 	var quiet []time.Duration
 	for range 4 {
@@ -104,8 +100,8 @@
 }
 
 func TestLeavingEndsWithTheIncarnation(t *testing.T) {
-	// Symptom: an endpoint that was replaced in place never gets work again, or
-	// a leaving one gets it back from a list that does not know.
+	// Guards against this failure: an endpoint that was replaced in place never gets work again,
+	// or a leaving one gets it back from a list that does not know.
 	n := newNode(2)
 	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 1, Leaving: true})
 	n.Step(n.now, kernel.LoadReported{Endpoint: "e1", Incarnation: 1})
@@ -118,9 +114,7 @@
 }
 
 func TestHalfAListDoesNotEmptyTheFleet(t *testing.T) {
-	// Symptom: a fleet without endpoints, while all of them answer.
-	// Sequence: the platform answers with part of its list, then the whole.
-	// Cause: what a list does not name is taken to be gone.
+	// Guards against this failure: a fleet without endpoints, while all of them answer.
 	n := newNode(8)
 	n.Step(n.now, kernel.Instances{Version: 2, List: n.list[:1]})
 	n.run(time.Second)
@@ -131,10 +125,7 @@
 }
 
 func TestOwnDispatchesCorrectALaggedLoad(t *testing.T) {
-	// Symptom: a node sends a burst to the endpoint that seemed idle.
-	// Sequence: the home tells a load; the node sends three requests before
-	// the home's next heartbeat.
-	// Cause: the load that the node sees is old.
+	// Guards against this failure: a node sends a burst to the endpoint that seemed idle.
 	n := newNode(1)
 	peer := kernel.Instance{Name: "n2", Kind: kernel.KindNode, Zone: "z1"}
 	beat := func(requests int) {
@@ -177,10 +168,7 @@
 }
 
 func TestNewHomeOutweighsTheOldHomesWord(t *testing.T) {
-	// Symptom: an endpoint that answers gets no work ever again.
-	// Sequence: it fails for some seconds; its home tells the others that it is
-	// dead, and stops; it answers its new home.
-	// Cause: the old home's word was kept, with nobody left to take it back.
+	// Guards against this failure: an endpoint that answers gets no work ever again.
 	n := newNode(8)
 	n.list = append(n.list, kernel.Instance{
 		Name: "n2", Kind: kernel.KindNode, Zone: "z1",
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -67,9 +67,7 @@
 	}
 }
 
-// Symptom: callers are sent to nodes that died seconds ago.
-// Sequence: some nodes die at once, among them relays, or all relays of a zone.
-// Cause: only heartbeats to all told of it, which come each second and later.
+// Guards against this failure: callers are sent to nodes that died seconds ago.
 func TestDeadNodesAreMissedAndNoOthers(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -120,10 +118,7 @@
 	}
 }
 
-// Symptom: endpoints look busy, or idle, for good.
-// Sequence: relays die and others take over, datagrams are repeated and lost; then
-// nothing changes any more.
-// Cause: a load was counted twice, or that of a dead node stayed.
+// Guards against this failure: endpoints look busy, or idle, for good.
 func TestSumsAreExactOnceNewsSettles(t *testing.T) {
 	for seed := range *seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -142,9 +137,8 @@
 	}
 }
 
-// Symptom: nodes of the larger part of a split fleet send callers to the other.
-// Sequence: a third of the nodes is cut off, and found again later.
-// Cause: what tells of a loss must come from whom it can be heard.
+// Guards against this failure: nodes of the larger part of a split fleet send callers to the
+// other.
 func TestPartsOfASplitFleetMissEachOther(t *testing.T) {
 	t.Parallel()
 	m := newModel(large(5))
@@ -173,10 +167,7 @@
 	require.LessOrEqual(t, count, 195*195/100, "nodes of the other part that are believed to live")
 }
 
-// Symptom: a zone is lost though all its nodes serve.
-// Sequence: a relay can send, but nothing reaches it.
-// Cause: it tells that all its followers are lost, while the zone's other relay
-// hears them.
+// Guards against this failure: a zone is lost though all its nodes serve.
 func TestRelayThatHearsNothingLosesNobody(t *testing.T) {
 	t.Parallel()
 	m := newModel(large(6))
@@ -226,10 +217,8 @@
 	}
 }
 
-// Symptom: a node ends with "assignment to entry in nil map" soon after its start.
-// Sequence: it gets a summary from which maps without entries are left out, while
-// it has requests itself, or hears of some from a node that no relay covers.
-// Cause: sums without entries were no maps that something can be added to.
+// Guards against this failure: a node ends with "assignment to entry in nil map" soon after its
+// start.
 func TestSumsWithoutEntriesCanBeAddedTo(t *testing.T) {
 	now := time.Now()
 	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
@@ -248,10 +237,8 @@
 	require.Equal(t, 1, s.Loads[5])
 }
 
-// Symptom: the memory of relays grows without end, and placements are told later
-// and later.
-// Sequence: nodes place more parts of prompts a second than summaries take.
-// Cause: what waited to be told was kept for ever, the oldest first.
+// Guards against this failure: the memory of relays grows without end, and placements are told
+// later and later.
 func TestNewsIsToldSoonAfterAFlood(t *testing.T) {
 	now := time.Now()
 	n := relay.New(relay.Config{ID: 1, Zone: "z", Power: 1})
@@ -273,10 +260,8 @@
 	require.True(t, told)
 }
 
-// Symptom: nodes that were replaced one after the other are counted twice, or
-// those that replaced them are taken as lost.
-// Sequence: each 0.1 s a node ends and starts again, relays first.
-// Cause: what is known of a node's earlier incarnation is taken for the present.
+// Guards against this failure: nodes that were replaced one after the other are counted twice,
+// or those that replaced them are taken as lost.
 func TestNodesAreReplacedInSeries(t *testing.T) {
 	t.Parallel()
 	m := newModel(plan{nodes: 110, zones: 4, endpoints: 40, each: 9, loss: 0.025, seed: 8})
--- a/internal/route/attempts_test.go
+++ b/internal/route/attempts_test.go
@@ -20,10 +20,7 @@
 	return p.Next(now, v)
 }
 
-// Symptom: a request fails although other endpoints could answer it.
-// Sequence: three endpoints die; their connections are refused one after
-// another.
-// Cause: a refused connection counted as one of the request's attempts.
+// Guards against this failure: a request fails although other endpoints could answer it.
 func TestOnlyAttemptsThatMayHaveRunCount(t *testing.T) {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	pool := &kernel.Pool{Service: manifest.Service{Name: "s"}, Bound: 2, Live: 8}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -79,9 +79,7 @@
 	require.Equal(t, "w1", r.Plan(start.Add(time.Second), req).Next(start, v).Endpoint.Name)
 }
 
-// Symptom: endpoints seemed full of work that never came.
-// Sequence: callers allow long answers and get short ones.
-// Cause: the longest answer that a caller allows was counted as load.
+// Guards against this failure: endpoints seemed full of work that never came.
 func TestAnswersAreCountedAsLongAsTheyTurnOut(t *testing.T) {
 	r := route.NewRouter(route.Config{})
 	v := view(1, 1)
@@ -93,9 +91,7 @@
 	require.Equal(t, 100+20, r.Plan(start, other).Next(start, v).Tokens)
 }
 
-// Symptom: endpoints carried far more tokens than the bound allows.
-// Sequence: chats come back after long pauses with hints that are out of date.
-// Cause: every hint was taken for true, whatever its age.
+// Guards against this failure: endpoints carried far more tokens than the bound allows.
 func TestOldPrefixesAreFoundToBeGone(t *testing.T) {
 	r := route.NewRouter(route.Config{})
 	v := view(1, 1, 1, 1)
@@ -193,9 +189,8 @@
 	}
 }
 
-// Symptom: when some endpoints died, the others were overloaded and died too.
-// Sequence: every request on them is repeated as often as one may be.
-// Cause: nothing bounded the repeats of all requests together.
+// Guards against this failure: when some endpoints died, the others were overloaded and died
+// too.
 func TestRetryStormIsBounded(t *testing.T) {
 	const requests = 1000
 	r := route.NewRouter(route.Config{})
--- a/internal/standin/order_test.go
+++ b/internal/standin/order_test.go
@@ -12,11 +12,8 @@
 )
 
 func TestOrdersWithOldFencingNumbers(t *testing.T) {
-	// Symptom: a home that was replaced while it was paused undoes the new
+	// Guards against this failure: a home that was replaced while it was paused undoes the new
 	// home's order.
-	// Sequence: order 2 by the new home, then order 1 by the old one.
-	// Cause: a process that wakes believes in authority that it has lost. An
-	// endpoint that checks refuses it; one that does not obeys.
 	for _, unfenced := range []bool{false, true} {
 		e := standin.NewEndpoint(standin.EndpointConfig{Name: "e", Unfenced: unfenced})
 		server := httptest.NewServer(e)
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -175,10 +175,7 @@
 	return s.updates[len(s.updates)-1]
 }
 
-// Symptom: a node answers 404 for a route that was added five seconds ago.
-// Sequence: the store drops its history while a watch waits; the watch is never
-// told of the changes made meanwhile, and nothing resets its connection.
-// Cause: the watch was held open for 20 s, and only its end showed the loss.
+// Guards against this failure: a node answers 404 for a route that was added five seconds ago.
 func TestWatchThatHearsNothingIsAskedAnewWithinSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10, deaf: true}
@@ -210,9 +207,7 @@
 	})
 }
 
-// Symptom: no endpoint is known for seconds after an outage of the store.
-// Sequence: the store is away, entries lapse, the store is back.
-// Cause: the update after an outage did not say that entries may have lapsed.
+// Guards against this failure: no endpoint is known for seconds after an outage of the store.
 func TestReadingAfterAnOutageSaysSo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
@@ -234,11 +229,8 @@
 	})
 }
 
-// Symptom: a node follows the store again only three seconds after the store's
-// return from a silent outage, while its peers do at once.
-// Sequence: the store falls silent, the watch times out, the next watch is sent
-// and hangs until its own timeout though the store is back.
-// Cause: a watch was asked for again instead of a reading, which fails soon.
+// Guards against this failure: a node follows the store again only three seconds after the
+// store's return from a silent outage, while its peers do at once.
 func TestSilentStoreIsFoundBackSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &silentStore{}
@@ -275,11 +267,8 @@
 	return store.Page{Position: deployment.Position{Revision: 1}}, nil
 }
 
-// Symptom: a request reaches an endpoint 2.15 s after its leave was accepted,
-// where 2 s are allowed. Sequence: the store falls silent to the three nodes that
-// read it, and to no other; an endpoint leaves at the same moment. Cause: the
-// readers waited for their watches to end for up to three seconds, and nobody
-// else read.
+// Guards against this failure: a request reaches an endpoint 2.15 s after its leave was
+// accepted, where 2 s are allowed.
 func TestSilentWatchIsNoticedWithinTheBound(t *testing.T) {
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
@@ -297,11 +286,8 @@
 	}
 }
 
-// Symptom: all nodes serve an old configuration for five seconds, and the store
-// answers. Sequence: watches hang while a change is made and the history is
-// dropped; each node that reads fails once, leaves the reading to the next, and
-// rests; the next ones fail in the same way. Cause: a watch that hangs was taken
-// for a store that cannot be reached.
+// Guards against this failure: all nodes serve an old configuration for five seconds, and the
+// store answers.
 func TestNodeWhoseWatchHangsReadsBeforeItRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bound = 2 * time.Second
@@ -323,9 +309,8 @@
 	})
 }
 
-// Symptom: a node that reads the store goes on with what it knows, though others
-// know something else. Sequence: it is to read everything anew, while it follows
-// changes. Cause: only nodes that rest did.
+// Guards against this failure: a node that reads the store goes on with what it knows, though
+// others know something else.
 func TestNodeThatFollowsReadsAnewWhenTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source, s := &fakeStore{revision: 1}, &sink{}
--- a/pkg/entry/client_test.go
+++ b/pkg/entry/client_test.go
@@ -85,9 +85,8 @@
 	answer(whole)(w, r)
 }
 
-// Symptom: a request runs twice, or a caller gives up though another node could
-// have served it. Sequence: the first node refuses or dies. Cause: a client that
-// goes on too readily, or not at all.
+// Guards against this failure: a request runs twice, or a caller gives up though another node
+// could have served it.
 func TestClientGoesToTheNextNodeOnlyWhereThatIsSafe(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -266,9 +265,8 @@
 	}
 }
 
-// Symptom: a caller holds a request for unknown of which the node says that it
-// was not run. Sequence: the fleet cannot serve it in time. Cause: node and
-// caller give up at the same moment.
+// Guards against this failure: a caller holds a request for unknown of which the node says that
+// it was not run.
 func TestNodesGiveUpBeforeTheirCallers(t *testing.T) {
 	n := newNode(t, answer(whole))
 	n.entry = entry.Answer{KeepMS: 60_000, Nodes: []netip.AddrPort{n.addr()}}
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -12,9 +12,7 @@
 	"bulrushhinge.example/bulrushhinge/pkg/entry"
 )
 
-// Symptom: a chat ends with its node. Sequence: a node dies while it streams an
-// answer, and again between two turns. Cause: a caller that keeps to one node,
-// or takes the piece that it has for the whole.
+// Guards against this failure: a chat ends with its node.
 func TestChatFollowsOverKilledNodes(t *testing.T) {
 	f := fleet()
 	defer func() { require.NoError(t, f.Close()) }()
