--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -58,8 +58,8 @@
 }
 
 // follow takes new settings until a signal ends the process. The file may change
-// without a signal; one would see a node that was cut off for long go on to look
-// for seeds that are gone.
+// without a signal; a node that was cut off for long must not go on to look for
+// seeds that are gone.
 func (*serveCommand) follow(g *bulrushhinge.Gateway, s platform.Settings, signals <-chan os.Signal) {
 	look := time.NewTicker(lookInterval)
 	defer look.Stop()
--- a/control.go
+++ b/control.go
@@ -119,8 +119,8 @@
 // it where too many wait.
 //
 // Were traffic to wait for the control goroutine, one slow step would hold up
-// every answer that the node streams; one would see gaps between tokens at all
-// callers at once. What traffic tells is seen again at the next failure.
+// every answer that the node streams, at all callers at once. What traffic tells
+// is seen again at the next failure.
 func (c *control) note(ev kernel.Event) {
 	select {
 	case c.inputs <- input{event: ev}:
--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -68,8 +68,8 @@
 // grown by, unless the account is served much less often than all.
 //
 // Where places are short, they go to who asks. One account that asks for many
-// times its usual would get most of them; one would see the others' callers
-// refused for it. What it asks beyond its measure goes behind all others.
+// times its usual would get most of them, and the others' callers be refused for
+// it. What it asks beyond its measure goes behind all others.
 func (a *accounts) asked(now time.Time, name string) bool {
 	if name == "" {
 		return false
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -326,8 +326,8 @@
 // is being refused.
 //
 // Kinds that may begin later wait for longer, and there is nearly always one of
-// them to take the next place. One would see twice as large a share of them
-// served as of the urgent, which have given up.
+// them to take the next place. A larger share of them would be served than of the
+// urgent, which have given up.
 func (q *Queue) ahead(k *kind, now time.Time) bool {
 	own := k.share(now)
 	for _, o := range q.kinds {
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -31,8 +31,7 @@
 //
 // A cold endpoint bears few requests a second and crashes well above that; all
 // nodes see it come back empty at the same moment, and hear of each other's
-// requests too late. One would see engines that have just started crash, and
-// crash again, under requests that others had room for.
+// requests too late.
 func (b *Balancer) pickWarm(all []candidate, m means, r Request, now time.Time) *candidate {
 	if !slices.ContainsFunc(all, func(c candidate) bool { return c.cold }) {
 		return b.pick(all, m, r)
@@ -68,9 +67,9 @@
 
 // cold reports whether an endpoint bears only few requests now.
 //
-// All nodes know to the millisecond when it is warm again. Were all of them to come
-// back then, one would see fifty requests reach it in the same tenth of a second, and
-// as many while it is cold if its clock is a little behind.
+// All nodes know to the millisecond when it is warm again. All of them would come
+// back in the same tenth of a second, and before its time if its clock is a
+// little behind.
 func (b *Balancer) cold(e *deployment.Endpoint, o *own, s deployment.Service, now time.Time) bool {
 	return s.ColdRate > 0 && e.IsCold(now.Add(-o.margin))
 }
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -44,8 +44,8 @@
 // failing sums up what all nodes have seen of the endpoints.
 //
 // Each node sends an endpoint one request in ten seconds where there are many of
-// both. Were each to find out for itself, one would see hundreds of requests fail at
-// an endpoint that says it is well, most of them lost as they may not be repeated.
+// both. Were each to find out for itself, hundreds of requests would fail at an
+// endpoint that says it is well.
 func (b *Balancer) failing(now time.Time, known []*own, service string) failing {
 	f := failing{failed: make([]float64, len(known))}
 	for i, o := range known {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -60,9 +60,9 @@
 // of the last places of another.
 //
 // Where places are short, a place comes free somewhere every few milliseconds,
-// and rarely where the prompt is kept. One would see most prompts moved with
-// each request, and links and memory full of copies. A short wait brings a place
-// at the right engine, and the other goes to somebody else.
+// and rarely where the prompt is kept. Most prompts would move with each request.
+// A short wait brings a place at the right engine, and the other goes to somebody
+// else.
 func (c *candidate) leaves(all []candidate) bool {
 	return !c.holds && c.scarce() && slices.ContainsFunc(all, func(o candidate) bool { return o.holds })
 }
@@ -80,8 +80,7 @@
 
 // pickPlain takes the better of two endpoints that it draws, by their load for
 // their slots. Were the least loaded of all taken, all nodes would take the same
-// one until they hear of each other again; one would see endpoints refuse
-// requests by turns while others are free.
+// one until they hear of each other again.
 func (b *Balancer) pickPlain(all []candidate) *candidate {
 	var sound, rest []*candidate
 	for i := range all {
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -76,10 +76,9 @@
 // quicker returns an engine that would begin the answer much sooner than the one
 // that comes first, if that is busy reading.
 //
-// Engines read prompts one after another. Counted in requests, an engine that
-// has begun to read ten thousand tokens looks idle. One would see short requests
-// wait behind long prompts, above all in the first seconds after a start, while
-// the engines beside have nothing to read.
+// Engines read prompts one after another. Counted in requests, an engine that has
+// begun to read ten thousand tokens looks idle. Short requests would wait behind
+// long prompts while the engines beside have nothing to read.
 func (b *Balancer) quicker(all []candidate, best *candidate, bound float64, r Request) *candidate {
 	if time.Duration(best.reading)*b.perToken <= time.Duration(busyReading*float64(r.Objective)) {
 		return best
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -14,9 +14,7 @@
 // reports are what endpoints say of their load in their answers, to any node.
 //
 // What nodes tell each other of their requests lacks those of nodes that cannot
-// be heard. One would see endpoints refuse requests as full that are believed to
-// have little to do, while some nodes are cut off from the others but not from
-// the endpoints. The endpoint's own word covers all.
+// be heard. The endpoint's own word covers all.
 type reports struct {
 	// own are those that this node got itself.
 	own map[uint32]report
--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -140,8 +140,8 @@
 // take applies one item; an older one than is known says nothing.
 //
 // Nor does one that a reading of everything lacked. A peer's answer may be older
-// than the reading and arrive after it; one would see an endpoint come back that
-// had left before, for good, as nothing is known of its removal.
+// than the reading and arrive after it, with an endpoint that had left before, of
+// whose removal nothing is known.
 func (s *State) take(b *book, item Item, u Update, now time.Time) bool {
 	if !u.Whole && item.Revision <= b.since {
 		return false
@@ -214,10 +214,9 @@
 //
 // Anyone may write an entry. One that cannot be read names no endpoint, and what
 // it said before no longer holds: the endpoint may have left, and nobody could
-// tell. One would see requests reach it past the bound on leaving endpoints. It
-// is therefore out at once, also just after an outage, and is back with its next
-// good entry. The item is kept, in short, so that nodes that are told by peers
-// learn the same.
+// tell. It is therefore out at once, also just after an outage, and is back with
+// its next good entry. The item is kept, in short, so that nodes that are told by
+// peers learn the same.
 func (s *State) takeBad(b *book, item Item, change Change, u Update, err error) bool {
 	s.config.Log.Event("item.bad", decision.Fields{"key": item.Key, "epoch": u.Epoch, "revision": item.Revision, "source": u.Source, "error": err.Error()})
 	if change.Removed == "" {
@@ -269,12 +268,10 @@
 
 // remove takes an endpoint out, or holds that back after an outage.
 //
-// While the store is away, endpoints cannot renew their entries, and all of
-// them lapse though their processes live. One would see every request refused
-// for lack of endpoints just after the store is back. Those that live are back
-// in the store soon; a removal counts if its entry isn't. The hold stays under
-// the bound on endpoints that leave, since some of them leave by their entry's
-// removal alone.
+// While the store is away, endpoints cannot renew their entries, and all of them
+// lapse though their processes live. Those that live are back in the store soon;
+// a removal counts if its entry isn't. The hold stays under the bound on
+// endpoints that leave, since some of them leave by their entry's removal alone.
 func (s *State) remove(b *book, id string, item Item, u Update, now time.Time) bool {
 	e, ok := b.endpoints[id]
 	if !ok {
--- a/internal/deployment/evacuation.go
+++ b/internal/deployment/evacuation.go
@@ -30,10 +30,10 @@
 
 // restore takes a zone's endpoints for cold, as if they had just started.
 //
-// They may have become cold while nothing was sent to them, and their entries
-// say so only with their next heartbeats. Were they taken for warm until then,
-// one would see engines crash under the requests that come back all at once. An
-// entry that was written after the zone was taken back says what holds.
+// They may have become cold while nothing was sent to them, and their entries say
+// so only with their next heartbeats. Taken for warm until then, they would crash
+// under the requests that come back all at once. An entry that was written after
+// the zone was taken back says what holds.
 func (b *book) restore(zone string, at Position, now time.Time) {
 	b.restored[zone] = restored{Position: at, at: now}
 	for id, e := range b.endpoints {
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -13,11 +13,10 @@
 	// lapseWindow is how long after an outage of the store entries may have
 	// lapsed: two seconds by the platform's word, and a quarter for the way.
 	lapseWindow = 2250 * time.Millisecond
-	// holdMargin is how long before the bound on leaving endpoints a removal
-	// that was held back counts: a node may learn of it 0.3 s late, as one that
-	// reads the store waits a quarter of a second before it asks a peer, and held
-	// removals are looked at every 0.1 s. With less, one would see a request reach
-	// an endpoint some 70 ms past the bound.
+	// holdMargin is how long before the bound on leaving endpoints a removal that was
+	// held back counts: a node may learn of it 0.3 s late, as one that reads the store
+	// waits a quarter of a second before it asks a peer, and held removals are looked at
+	// every 0.1 s. With less, a request may reach an endpoint after the bound.
 	holdMargin = 600 * time.Millisecond
 	// sweepInterval is how often held removals are looked at.
 	sweepInterval = 100 * time.Millisecond
@@ -184,8 +183,8 @@
 // store, 0 if they do not.
 //
 // It is told to peers as a rest of time. Were they told only that there was an
-// outage, each would count anew; one would see removals held back for as long as
-// there is news, minutes after the outage.
+// outage, each would count anew, and hold removals back for as long as there is
+// news.
 func (s *State) Lapsing() time.Duration {
 	return max(time.Duration(s.lapsing.Load())-time.Since(s.start), 0)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,11 +38,9 @@
 		// Waited is the Rule for requests that homes have denied before; nil is
 		// the whole bound, or Rule where that is given.
 		//
-		// The margin keeps loads even while there is room elsewhere. Where
-		// there is hardly any, it would keep the fleet from growing into its
-		// demand: the mean cannot rise, as nothing is admitted above it, and
-		// nothing is admitted, as the mean does not rise. One would see
-		// requests wait until their deadlines before engines with room.
+		// The margin keeps loads even while there is room elsewhere. Where there is hardly any,
+		// it would keep the fleet from growing into its demand: the mean cannot rise, as
+		// nothing is admitted above it, and nothing is admitted, as the mean does not rise.
 		Waited Rule
 	}
 
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -133,8 +133,7 @@
 //
 // A home knows only the permits that it granted itself. When an endpoint's home
 // changes, the new one would take the endpoint for idle and admit as much work
-// again; one would see the endpoint at twice the bound for as long as requests
-// take. So every node tells the new home what it has in progress there.
+// again. So every node tells the new home what it has in progress there.
 func (h *Holder) Due(now time.Time, v *kernel.View) []Send {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -79,9 +79,8 @@
 
 // open reports whether an endpoint may still be sent a request.
 //
-// Between the choice and the sending lie a question for a place and the opening of
-// a connection. One would see a request reach an endpoint past the bound on its
-// leaving, or on the evacuation of its zone.
+// Between the choice and the sending lie a question for a place and the opening
+// of a connection. The endpoint may leave, or its zone be evacuated, in between.
 func (c *call) open(e *deployment.Endpoint) bool {
 	h := c.handler.config
 	now := h.Deployment.Snapshot().Find(c.service.Name, e.Start())
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -76,9 +76,8 @@
 }
 
 // forEndpoint returns a caller's headers as an endpoint gets them at every
-// attempt. Headers that the fleet sets itself are never taken from a caller:
-// one would see requests run for another account, or go on from the memory of
-// another request.
+// attempt. Headers that the fleet sets itself are never taken from a caller: its
+// request could run for another account, or go on from the memory of another one.
 func (h Headers) forEndpoint(from http.Header, account string) http.Header {
 	to := passed(from)
 	// A name that the Connection header lists must not take these from a request.
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -50,8 +50,8 @@
 }
 
 // watch gives a silent endpoint up, unless no other one has room: in an overload
-// all of them answer late, and one would see requests end with 502 that an
-// endpoint was about to answer. It returns nil for a request that must wait.
+// all of them answer late, and requests would end that an endpoint was about to
+// answer. It returns nil for a request that must wait.
 func (a *attempt) watch(ctx context.Context, giveUp func()) *time.Timer {
 	c, stall := a.call, a.stall()
 	if stall == 0 {
@@ -74,13 +74,12 @@
 	return timer
 }
 
-// queued is how long an endpoint that says how much it has to do may be silent:
-// a request that waits behind others in its queue is no sign of a fault. One
-// would see requests given up in an overload, which then wait once more
-// elsewhere.
+// queued is how long an endpoint that says how much it has to do may be silent: a
+// request that waits behind others in its queue is no sign of a fault. Given up
+// in an overload, it would wait once more elsewhere.
 //
-// Nor is one that an engine has yet to read: one would see long prompts given up
-// at engines that read slowly, and read again from their beginning at the next.
+// Nor is one that an engine has yet to read: a long prompt would be given up at
+// an engine that reads slowly, and read again from its beginning at the next.
 func (a *attempt) queued(stall time.Duration) time.Duration {
 	busy := a.call.handler.config.Balancer.Busy(time.Now(), a.choice.Endpoint, a.call.service)
 	return max(time.Duration(float64(stall)*max(busy, 1)), readStall*a.choice.Reading)
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -97,10 +97,9 @@
 // request may go there.
 //
 // Nodes hear of each other's requests late. Where places are short, all nodes
-// that wait see the same place come free and send to it; one would see up to twice
-// as many requests at an engine as it has slots, most of which wait for a second
-// and come late, while they could have waited here for the next place anywhere.
-// The engine itself knows, and gives each place once.
+// that wait see the same place come free and send to it. Most of what they send
+// would wait at that engine, and could have waited here for the next place
+// anywhere. The engine itself knows, and gives each place once.
 func (c *call) reserve(ctx context.Context, choice *balance.Choice) bool {
 	h, start := c.handler.config, choice.Endpoint.Start()
 	if !c.service.Model || !choice.Scarce || !c.handler.places.takes(start, time.Now()) {
--- a/internal/gateway/unconfigured.go
+++ b/internal/gateway/unconfigured.go
@@ -39,8 +39,8 @@
 // After all nodes were killed while the store is away, each of them knows that it
 // lives, and nothing else. Were callers refused then, those that have come back
 // once already would be lost, and the others would come back to the same refusal.
-// One would see a second of requests refused for good. Those whose time allows it
-// wait for the store; a node that alone knows nothing sends them elsewhere.
+// Those whose time allows it wait for the store; a node that alone knows nothing
+// sends them elsewhere.
 func (c *call) awaitConfig() *deployment.Config {
 	d := c.handler.config.Deployment
 	if config := d.Snapshot().Config; config != nil {
--- a/internal/gossip/compare.go
+++ b/internal/gossip/compare.go
@@ -22,8 +22,7 @@
 // something else at the same position.
 //
 // A node that has once missed a change believes to know all, and takes all later
-// news. One would see it send requests to endpoints that left long ago, or miss
-// others, for as long as it runs; nothing else shows it.
+// news. Nothing else shows it, for as long as the node runs.
 func (g *Gossip) compare(o *owner, now time.Time) {
 	own := g.config.Book.Record()
 	same, other := 1, 0
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -104,9 +104,8 @@
 
 // pull takes from a peer what it has read of the store and this node has not.
 //
-// A node may be cut off from the store while others are not. One would see it
-// serve an old configuration, and send requests to endpoints that have left.
-// Any node that knows more is asked, one at a time.
+// A node may be cut off from the store while others are not. Any node that knows
+// more is asked, one at a time.
 func (g *Gossip) pull(ctx context.Context, o *owner) {
 	select {
 	case o.pulling <- struct{}{}:
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -54,9 +54,8 @@
 
 // Dialer returns a dialer whose connections show a silent peer within seconds.
 //
-// Connections may fall silent for good without a reset. One would see requests
-// hang until they time out, and a node that no longer hears of changes. Probes
-// show it within three seconds, unacknowledged data earlier.
+// Connections may fall silent for good without a reset. Probes show it within
+// three seconds, unacknowledged data earlier.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -112,8 +112,7 @@
 // await reads answers until one names the request.
 //
 // An endpoint may send an answer twice, or late: it then stands where the next
-// answer on that connection is expected. One would see a caller get another's
-// answer. The request's ID tells them apart.
+// answer on that connection is expected. The request's ID tells them apart.
 func (x *Exchange) await(r Request) (*http.Response, error) {
 	for range maxStray + 1 {
 		resp, err := x.conn.answer(r.HTTP)
--- a/internal/http1/listener.go
+++ b/internal/http1/listener.go
@@ -104,8 +104,7 @@
 // Read reads, and notices where a request begins or its head is late.
 //
 // Callers may send a head byte by byte, or never to its end, and hold a
-// descriptor each. One would see descriptors run out while few requests are in
-// progress. Past the bound the caller is told, and the connection ends.
+// descriptor each. Past the bound the caller is told, and the connection ends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -53,8 +53,7 @@
 	// peer is one process at an address.
 	//
 	// A process that starts again, or another one, may be at an address to which
-	// connections are kept. What is sent on one of those is lost. One would see
-	// requests that must run once end with a reset just after a restart.
+	// connections are kept. What is sent on one of those is lost.
 	peer struct {
 		addr    netip.AddrPort
 		process uint32
@@ -109,10 +108,9 @@
 
 // forgotten learns from a kept connection that broke before any answer.
 //
-// Endpoints may forget idle connections sooner than they say, and without
-// notice; whatever is sent next is reset, and a request that must run once is
-// lost. One would see attempts end with a reset within a round trip, on
-// connections that had rested. After the first loss connections rest for less.
+// Endpoints may forget idle connections sooner than they say, and without notice;
+// whatever is sent next is reset, and a request that must run once is lost. After
+// the first loss connections rest for less.
 func (p *Pool) forgotten(rested time.Duration) {
 	if rested < leastRest {
 		return
--- a/internal/kernel/damper.go
+++ b/internal/kernel/damper.go
@@ -18,10 +18,9 @@
 // Damper holds back an instance that comes and goes. The zero value has seen no
 // flap.
 //
-// An instance that answers and falls silent by turns would get work, lose it
-// and move its neighbours' homes at each turn; one would notice many lost
-// attempts at a single instance and homes that never settle. Each further flap
-// therefore doubles the quiet period before the instance is trusted again.
+// An instance that answers and falls silent by turns would get work, lose it and
+// move its neighbours' homes at each turn. Each further flap therefore doubles
+// the quiet period before the instance is trusted again.
 type Damper struct {
 	score float64
 	last  time.Time
--- a/internal/limit/plugin.go
+++ b/internal/limit/plugin.go
@@ -262,8 +262,7 @@
 //
 // Demand that rises everywhere at once is seen at home first. Dividing by the
 // others' old numbers, each node would take most of the rate until it hears of
-// them: at 8 nodes one would notice several times the rate for a second. The
-// least demand of the time that a heartbeat takes is known to all.
+// them. The least demand of the time that a heartbeat takes is known to all.
 func (p *plugin) known(account string) float64 {
 	least := math.Inf(1)
 	for _, heavy := range p.past {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -181,8 +181,7 @@
 //
 // A heartbeat of an earlier incarnation may be under way when the node restarts
 // under its name. Taken for news, it would bring back the old incarnation, and
-// with it leave marks and addresses; one would notice a node that changes its
-// incarnation twice. The incarnation that started last wins.
+// with it leave marks and addresses. The incarnation that started last wins.
 func (p *plugin) sender(now time.Time, b *kernel.Beat, out *kernel.Output) *member {
 	m := p.members[b.Node]
 	if m == nil && b.Intro == nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -197,9 +197,8 @@
 // unlist drops the endpoints that the list does not name any more.
 //
 // A platform that answers with half a list would take away most endpoints at
-// once; one would notice a fleet without endpoints while all of them answer.
-// Where a list drops more than half, those that answered their home of late are
-// kept for a while.
+// once, while all of them answer. Where a list drops more than half, those that
+// answered their home of late are kept for a while.
 func (p *plugin) unlist(now time.Time) {
 	var gone []string
 	for name, m := range p.members {
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -97,9 +97,9 @@
 // silent notes the nodes of the zone that live, as far as is known, but have not
 // found this relay though it has been one for some time.
 //
-// Where both relays of a zone die together with others, those have never
-// reported to the new ones. One would see callers sent to the dead for as long as
-// heartbeats to all take.
+// Where both relays of a zone die together with others, those have never reported
+// to the new ones. Callers would be sent to the dead for as long as heartbeats to
+// all take.
 func (n *Node) silent(now time.Time, peers []Peer) {
 	if n.since.IsZero() || now.Sub(n.since) < settle {
 		return
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -234,8 +234,8 @@
 //
 // A watch may never be told of changes, and nothing shows it but its end. Where
 // the store falls silent to the few nodes that read it, and to none of the
-// others, one would see requests reach an endpoint past the bound on its leaving.
-// These nodes must notice soon enough for another one to read and tell the rest.
+// others, nobody would hear of changes. These nodes must notice soon enough for
+// another one to read and tell the rest.
 func (f *Follower) wait() time.Duration {
 	wait := f.part(watchShare)
 	return wait - time.Duration(rand.Float64()*watchJitter*float64(wait))
