--- a/internal/pool/word.go
+++ b/internal/pool/word.go
@@ -44,11 +44,18 @@
 	return w != nil && w.addr == m.endpoint.Addr && w.leaving
 }
 
+// outdated reports whether a word is of another start than that which the node, as
+// the endpoint's home, knows from its reports.
+func (p *plugin) outdated(m *member, incarnation uint64) bool {
+	known := m.endpoint.Home == p.self.Name && m.incarnation != 0 && incarnation != 0
+	return known && incarnation != m.incarnation
+}
+
 // spoke applies an endpoint's own word on whether it leaves. Only another start of
 // it takes that back.
 func (p *plugin) spoke(now time.Time, ev kernel.EndpointSpoke, out *kernel.Output) {
 	m := p.members[ev.Endpoint]
-	if m == nil || m.incarnation != 0 && ev.Incarnation != 0 && ev.Incarnation != m.incarnation && m.endpoint.Home == p.self.Name {
+	if m == nil || p.outdated(m, ev.Incarnation) {
 		return
 	}
 	w := p.word(m, now)
