Give a suspected request's lease back until its holder hears

It is now given back up to six times, over some three seconds and the time that each message may take; giving back twice does no harm. The test, with a holder that does not hear the first two, ended in deadline before.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -17,6 +17,10 @@
 	suspectPause = 100 * time.Millisecond
 	// leaseTimeout bounds the message that gives a lease back.
 	leaseTimeout = time.Second
+	// leaseTries is how often a lease is given back at most, with pauses between
+	// that grow from suspectPause. One that is not lasts until its request's
+	// deadline, and keeps all others of the same content from running.
+	leaseTries = 6
 )
 
 type (
@@ -108,12 +112,22 @@
 	}
 	to, lease := s.holder.Peer, s.lease
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
-		defer cancel()
-		_ = j.d.config.PeerLeases.GiveBack(ctx, to, lease, died)
+		for try := range leaseTries {
+			if j.d.returned(to, lease, died) {
+				return
+			}
+			time.Sleep(suspectPause << try)
+		}
 	}()
 }
 
+// returned gives a lease back, and reports whether its holder has heard of that.
+func (d *Dispatcher) returned(to netip.AddrPort, l poison.Lease, died bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	return d.config.PeerLeases.GiveBack(ctx, to, l, died) == nil
+}
+
 // failed tells the control state of an attempt that broke.
 func (j *job) failed(ctx context.Context, e kernel.Endpoint, err error) {
 	died := errors.Is(err, endpoint.ErrDied)
--- /dev/null
+++ b/internal/dispatch/suspect_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/dispatch"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/poison"
+	"bulrushhinge.example/bulrushhinge/internal/route"
+)
+
+var errLate = errors.New("no answer in time")
+
+// holder is a node that grants leases, and does not hear of some that are given back.
+type holder struct {
+	leases  *poison.Leases
+	unheard atomic.Int64
+}
+
+func (h *holder) Acquire(_ context.Context, _ netip.AddrPort, l poison.Lease) (bool, error) {
+	return h.leases.Acquire(time.Now(), l), nil
+}
+
+func (h *holder) GiveBack(_ context.Context, _ netip.AddrPort, l poison.Lease, died bool) error {
+	if h.unheard.Add(-1) >= 0 {
+		return errLate
+	}
+	h.leases.Release(time.Now(), l, died)
+	return nil
+}
+
+// Guards against a suspected request that waits until its deadline for a lease which
+// was given back, but not heard of.
+func TestLeaseIsGivenBackUntilItsHolderHears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := []kernel.Node{{Name: "n1"}, {Name: "n2"}}
+		content := uint64(1)
+		for other, _ := poison.Holder(content, nodes); other.Name != "n2"; other, _ = poison.Holder(content, nodes) {
+			content++
+		}
+		v := &kernel.View{
+			Self: nodes[0], Nodes: nodes, Pools: map[string]*kernel.Pool{},
+			Suspects: map[uint64]kernel.Suspicion{content: {Endpoints: []string{"w1"}}},
+		}
+		h := &holder{leases: poison.NewLeases(0)}
+		h.unheard.Store(2)
+		d := dispatch.New(dispatch.Config{View: func() *kernel.View { return v }, PeerLeases: h})
+		defer d.Close()
+		for range 2 {
+			_, err := d.Do(t.Context(), route.Request{Service: "s", Print: content, Deadline: time.Now().Add(3 * time.Minute)}, endpoint.Call{})
+			var refusal *dispatch.Refusal
+			require.ErrorAs(t, err, &refusal)
+			// The pool is empty: that is found out only with the lease.
+			require.Equal(t, route.ReasonNoEndpoint, refusal.Reason)
+		}
+	})
+}
