Wait for a write to count before counting, in a test

The other side's write is counted once it has returned, and its bytes may be read before that. The test waits for that goroutine now, and asserts the same.

--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -213,7 +213,9 @@
 	require.NoError(t, err)
 	l := m.Listener(inner)
 	defer l.Close()
+	echoed := make(chan struct{})
 	go func() {
+		defer close(echoed)
 		c, err := l.Accept()
 		if err != nil {
 			return
@@ -228,6 +230,8 @@
 	require.NoError(t, err)
 	_, err = io.ReadFull(c, make([]byte, 10))
 	require.NoError(t, err)
+	// A write counts once it has returned, which may be after its bytes arrive.
+	<-echoed
 	var text bytes.Buffer
 	m.Write(&text)
 	require.Contains(t, text.String(), `bulrushhinge_peer_bytes_total{direction="sent"} 20`)
