--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -34,7 +34,9 @@
 		readers int
 		// passed is how many parts have been written to a connection.
 		passed int
-		wrote  chan struct{}
+		// left says that all connections that read the answer have ended.
+		left  bool
+		wrote chan struct{}
 	}
 
 	// attempts is the newest attempts of an endpoint.
@@ -59,14 +61,14 @@
 	a.change(func() { a.passed = max(a.passed, parts) })
 }
 
-// delivered waits until so many parts have been written to a connection. It
-// reports false where the request ended before.
+// delivered waits until so many parts have been written to a connection, or nobody
+// reads any more. It reports false where the request ended before.
 func (a *attempt) delivered(ctx context.Context, parts int) bool {
 	for {
 		a.mu.Lock()
-		passed, wrote := a.passed, a.wrote
+		done, wrote := a.passed >= parts || a.left, a.wrote
 		a.mu.Unlock()
-		if passed >= parts {
+		if done {
 			return true
 		}
 		select {
@@ -107,7 +109,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
-	if a.readers > 0 || a.ended {
+	if a.readers > 0 {
+		return
+	}
+	a.left = true
+	close(a.wrote)
+	a.wrote = make(chan struct{})
+	if a.ended {
 		return
 	}
 	time.AfterFunc(a.linger, func() {
