--- a/internal/account/belief.go
+++ b/internal/account/belief.go
@@ -43,6 +43,10 @@
 		Reported int    `json:"reported"`
 		Peer     string `json:"peer"`
 		Draining bool   `json:"draining"`
+		// Leaving says that the endpoint said in its answer that it leaves, and Rest
+		// for how many milliseconds it asked for nothing more.
+		Leaving bool  `json:"leaving"`
+		Rest    int64 `json:"rest_ms"`
 	}
 
 	// Belief is what nodes believed of one endpoint around one attempt.
@@ -52,7 +56,7 @@
 		// one that believed something most different first.
 		Others []Attempt
 		// Known is what nodes logged of the endpoint's state around it, by time:
-		// that it is known, drains or is gone.
+		// that it is known, drains or is gone, and what it told the node itself.
 		Known []Attempt
 		// Events are what the node logged of its peers, its relay and the store
 		// before the attempt.
@@ -97,13 +101,16 @@
 	apart := b.distance(l)
 	switch l.Event {
 	case eventAttempt:
+		if l.says(b.Attempt) && apart <= before {
+			b.Known = append(b.Known, l)
+		}
 		if l.Endpoint != b.Attempt.Endpoint || l.Node == b.Attempt.Node || apart > believedWithin {
 			return
 		}
 		if known, ok := nearest[l.Node]; !ok || apart < b.distance(known) {
 			nearest[l.Node] = l
 		}
-	case "endpoint", "endpoint.removed", "endpoint.lapsed":
+	case "endpoint", "endpoint.removed", "endpoint.lapsed", "endpoint.leaving", "endpoint.withheld", "endpoint.released":
 		if l.Endpoint == b.Attempt.Endpoint && apart <= before {
 			b.Known = append(b.Known, l)
 		}
@@ -114,6 +121,25 @@
 	}
 }
 
+// says reports whether the endpoint of an attempt said something of itself in another
+// answer to the same node.
+func (a Attempt) says(of Attempt) bool {
+	return a.Node == of.Node && a.Endpoint == of.Endpoint && (a.Leaving || a.Rest > 0)
+}
+
+// word is what a line says of an endpoint's state.
+func (a Attempt) word() string {
+	switch {
+	case a.Draining:
+		return "draining"
+	case a.Leaving:
+		return "says that it leaves"
+	case a.Rest > 0:
+		return "asks for rest of " + ms(a.Rest).String()
+	}
+	return ""
+}
+
 func (b *Belief) distance(l Attempt) time.Duration { return l.At.Sub(b.Attempt.At).Abs() }
 
 // sort puts the nodes that believed something most different from the middle
@@ -152,7 +178,7 @@
 	}
 	row("of the endpoint")
 	for _, a := range b.Known {
-		row(a.Node, since(a), a.Event, map[bool]string{true: "draining"}[a.Draining])
+		row(a.Node, since(a), a.Event, a.word())
 	}
 	row("at the node before")
 	for _, a := range b.Events {
--- a/internal/account/belief_test.go
+++ b/internal/account/belief_test.go
@@ -30,6 +30,10 @@
 		event(7000, "n1", "endpoint", `,"endpoint":"e1","draining":true`),
 		event(7010, "n2", "endpoint", `,"endpoint":"e1","draining":true`),
 		event(9500, "n7", "endpoint", `,"endpoint":"e1","draining":true`),
+		event(3000, "n7", "attempt", `,"request":"told","endpoint":"e1","leaving":true`),
+		event(3500, "n7", "attempt", `,"request":"refused","endpoint":"e1","rest_ms":3000`),
+		event(3000, "n3", "attempt", `,"request":"elsewhere","endpoint":"e1","rest_ms":1000`),
+		event(3010, "n7", "endpoint.leaving", `,"endpoint":"e1"`),
 		event(8000, "n7", "node.lost", `,"peer":"n2"`),
 		event(8000, "n3", "node.lost", `,"peer":"n2"`),
 	}
@@ -42,13 +46,16 @@
 	require.Equal(t, "n7", b.Attempt.Node)
 	require.Len(t, b.Others, 30)
 	require.Equal(t, "near", b.Others[0].Request)
-	require.Len(t, b.Known, 3)
-	require.Equal(t, "n7", b.Known[2].Node)
+	require.Len(t, b.Known, 6)
+	require.Equal(t, "n7", b.Known[5].Node)
 	require.Len(t, b.Events, 2)
 	var out strings.Builder
 	require.NoError(t, b.Table(&out))
 	require.Contains(t, out.String(), "e1")
 	require.Contains(t, out.String(), "+0.500 s")
+	for _, word := range []string{"draining", "says that it leaves", "asks for rest of 3"} {
+		require.Contains(t, out.String(), word)
+	}
 	_, err = account.ReadBelief(strings.NewReader(strings.Join(log, "\n")), "unknown")
 	require.ErrorIs(t, err, account.ErrRequest)
 }
