Let requests from before a rest not keep an endpoint closed after it

Found by reading. After its rest an endpoint got one request at a time, and what this node had sent before the rest counted: an engine that shed one request while it ran streams of this node would have got nothing more from it until the last of them had ended, up to fifteen seconds later. Now one request in a quarter of a second tries it until it has taken one; a silent one does not keep it closed. The new test failed before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -200,6 +200,7 @@
 	}
 	o := b.own[c.endpoint.Start()]
 	o.active++
+	o.rest.tried = now
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -55,7 +55,7 @@
 	if r.Key != "" {
 		depth = modelDepth
 	}
-	return o.health.gone || o.rest.closes(now, o.active) || now.Before(o.health.until) || now.Before(o.health.full) || now.Before(o.health.busy) ||
+	return o.health.gone || o.rest.closes(now) || now.Before(o.health.until) || now.Before(o.health.full) || now.Before(o.health.busy) ||
 		float64(sent) >= depth*float64(slots(e, r.Service))
 }
 
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -6,11 +6,16 @@
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
+// trialGap is the time between two requests that try an endpoint after its rest.
+const trialGap = 250 * time.Millisecond
+
 // rest is an endpoint's wish to get nothing from this node for a time.
 type rest struct {
 	until time.Time
-	// trial says that it gets one request at a time until it has taken one.
+	// trial says that it gets one request now and then until it has taken one, and
+	// tried is when one was last sent.
 	trial bool
+	tried time.Time
 }
 
 // Rest notes that an endpoint wants nothing from this node for a time. A shorter
@@ -59,6 +64,6 @@
 
 // closes reports whether the endpoint gets no request now. After its rest all that
 // wait here would come to it at once.
-func (r *rest) closes(now time.Time, active int) bool {
-	return r.lasts(now) || r.trial && active > 0
+func (r *rest) closes(now time.Time) bool {
+	return r.lasts(now) || r.trial && now.Sub(r.tried) < trialGap
 }
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -98,6 +98,25 @@
 	require.Equal(t, 1, again)
 }
 
+// Guards against an endpoint that gets nothing after its rest for as long as requests
+// from before it run.
+func TestRequestsFromBeforeARestDoNotKeepItClosed(t *testing.T) {
+	now := time.Now()
+	b := balance.New(balance.Config{Loads: peers{}})
+	list := endpoints(1)
+	for range 3 {
+		require.NotNil(t, b.Choose(now, list, balance.Request{}))
+	}
+	b.Rest(now, list[0].Start(), time.Second)
+	now = now.Add(time.Second)
+	require.NotNil(t, b.Choose(now, list, balance.Request{}))
+	require.Nil(t, b.Choose(now, list, balance.Request{}), "one tries it")
+	now = now.Add(time.Second)
+	require.NotNil(t, b.Choose(now, list, balance.Request{}), "another one, if the first is silent")
+	b.Takes(now, list[0].Start())
+	require.NotNil(t, b.Choose(now, list, balance.Request{}))
+}
+
 // Guards against a rest that outlives the process that asked for it.
 func TestRestEndsWithTheStart(t *testing.T) {
 	now := time.Now()
