--- a/internal/deployment/announce.go
+++ b/internal/deployment/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,9 @@
 func (s *State) LeavingHeard(keys []uint32, source string) {
 	snap := s.Snapshot()
 	for _, key := range keys {
+		if slices.ContainsFunc(snap.untold, func(a announcement) bool { return a.key == key }) {
+			continue
+		}
 		if list := snap.named(key); len(list) == 1 && !list[0].Draining {
 			s.Leaving(list[0].Start(), source)
 		}
