Leave the wire's names to the stand-in in the soak, and end leaving endpoints in one place

The soak's callers read two headers of the platform by their names; the stand-in's folder now says who answered and whether it leaves. The two ways in which the soak's endpoints leave ended them by the same five lines. Behaviour as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -131,8 +131,8 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get("Server-Leaving") != "" {
-		c.ledger.words.passed(id, resp.Header.Get("X-Instance-Id"), time.Now())
+	if endpoint, leaves := standin.Leaving(resp); leaves {
+		c.ledger.words.passed(id, endpoint, time.Now())
 	}
 	body, err := io.ReadAll(resp.Body)
 	a.status, a.body, a.err = resp.StatusCode, string(body), err
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -163,15 +163,19 @@
 	}
 	w.ledger.left(e, time.Now())
 	w.drop(e)
-	go func() {
-		time.Sleep(drainBound + 2*time.Second)
-		w.store.Unregister(e.id)
-		time.Sleep(routeTimeout)
-		e.stop()
-	}()
+	go w.retire(e)
 	return nil
 }
 
+// retire ends an endpoint that leaves: its entry once it has drained, and itself once
+// no request can run any more.
+func (w *world) retire(e *endpoint) {
+	time.Sleep(drainBound + 2*time.Second)
+	w.store.Unregister(e.id)
+	time.Sleep(routeTimeout)
+	e.stop()
+}
+
 // announce makes an endpoint say in its answers that it leaves, and the store only
 // after a while, if at all; another one takes its place.
 func (w *world) announce(e *endpoint, pause func(most time.Duration)) error {
@@ -186,12 +190,7 @@
 			return err
 		}
 	}
-	go func() {
-		time.Sleep(drainBound + 2*time.Second)
-		w.store.Unregister(e.id)
-		time.Sleep(routeTimeout)
-		e.stop()
-	}()
+	go w.retire(e)
 	return nil
 }
 
