Say once what the change had written twice

The stand-in's wake and a test's gateway before two endpoints stood twice. A lease that was not given back slept once more after its last try. Assertions as before.

--- a/internal/deployment/announce.go
+++ b/internal/deployment/announce.go
@@ -24,16 +24,12 @@
 
 	// announced is an endpoint's word that it leaves.
 	announced struct {
+		// key is that of its start.
+		key uint32
 		// at is when this node learnt of it, and seen when the endpoint was last
 		// known.
 		at, seen time.Time
 	}
-
-	// announcement is one that other nodes are to be told of.
-	announcement struct {
-		key uint32
-		at  time.Time
-	}
 )
 
 func newAnnouncements() *announcements {
@@ -65,7 +61,7 @@
 // Leaving notes that an endpoint has said itself that it leaves. It never takes
 // requests again under this start, whatever the store says.
 func (s *State) Leaving(start Start, source string) {
-	if !s.Snapshot().announced[start] {
+	if _, known := s.Snapshot().announced[start]; !known {
 		s.announcements.put(start, source)
 	}
 }
@@ -86,7 +82,7 @@
 func (s *State) LeavingHeard(keys []uint32, source string) {
 	snap := s.Snapshot()
 	for _, key := range keys {
-		if slices.ContainsFunc(snap.untold, func(a announcement) bool { return a.key == key }) {
+		if slices.ContainsFunc(snap.untold, func(a announced) bool { return a.key == key }) {
 			continue
 		}
 		if list := snap.named(key); len(list) == 1 && !list[0].Draining {
@@ -107,6 +103,14 @@
 	return list
 }
 
+// endpoint returns a start of an endpoint, nil where it is not known.
+func (b *book) endpoint(start Start) *Endpoint {
+	if e := b.endpoints[start.ID]; e != nil && e.Start() == start {
+		return e
+	}
+	return nil
+}
+
 // announce takes what endpoints have said.
 func (s *State) announce(b *book, now time.Time) {
 	changed := false
@@ -114,7 +118,7 @@
 		if _, known := b.announced[start]; known {
 			continue
 		}
-		b.announced[start] = announced{at: now, seen: now}
+		b.announced[start] = announced{key: start.Key(), at: now, seen: now}
 		changed = true
 		f := decision.Fields{"endpoint": start.ID, "source": source}
 		if !start.Born.IsZero() {
@@ -130,7 +134,7 @@
 // forgetAnnounced drops the words of endpoints that are long gone.
 func (b *book) forgetAnnounced(now time.Time) {
 	for start, a := range b.announced {
-		if e := b.endpoints[start.ID]; e != nil && e.Start() == start {
+		if b.endpoint(start) != nil {
 			a.seen = now
 			b.announced[start] = a
 		}
@@ -139,10 +143,10 @@
 }
 
 // untold returns what other nodes are to be told: the store tells them the rest.
-func (b *book) untold() (list []announcement) {
+func (b *book) untold() (list []announced) {
 	for start, a := range b.announced {
-		if e := b.endpoints[start.ID]; e != nil && e.Start() == start && !e.Draining {
-			list = append(list, announcement{key: start.Key(), at: a.at})
+		if e := b.endpoint(start); e != nil && !e.Draining {
+			list = append(list, a)
 		}
 	}
 	return list
--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -321,10 +321,7 @@
 }
 
 func (s *State) publish(b *book) {
-	snap := &Snapshot{Config: b.config, Position: b.position, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated), announced: make(map[Start]bool, len(b.announced)), untold: b.untold()}
-	for start := range b.announced {
-		snap.announced[start] = true
-	}
+	snap := &Snapshot{Config: b.config, Position: b.position, Endpoints: make(map[string][]*Endpoint), Evacuated: maps.Clone(b.evacuated), announced: maps.Clone(b.announced), untold: b.untold()}
 	newest := b.newest()
 	for _, id := range slices.Sorted(maps.Keys(b.endpoints)) {
 		e := b.endpoints[id]
--- a/internal/deployment/endpoint.go
+++ b/internal/deployment/endpoint.go
@@ -110,8 +110,8 @@
 
 		// announced are the endpoints that have said themselves that they leave,
 		// and untold those of them that other nodes are to be told of.
-		announced map[Start]bool
-		untold    []announcement
+		announced map[Start]announced
+		untold    []announced
 	}
 )
 
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -112,11 +112,8 @@
 	}
 	to, lease := s.holder.Peer, s.lease
 	go func() {
-		for try := range leaseTries {
-			if j.d.returned(to, lease, died) {
-				return
-			}
-			time.Sleep(suspectPause << try)
+		for try := 1; !j.d.returned(to, lease, died) && try < leaseTries; try++ {
+			time.Sleep(suspectPause << (try - 1))
 		}
 	}()
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,7 @@
 	if x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest {
 		return a.notRun(x)
 	}
-	if !refuses(a.status) {
+	if !http1.Refuses(a.status) {
 		c.handler.config.Balancer.Takes(time.Now(), a.choice.Endpoint.Start())
 	}
 	switch {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -34,7 +34,7 @@
 		return Notice{}
 	}
 	n := Notice{Leaving: slices.ContainsFunc(header[h.Leaving], func(v string) bool { return strings.TrimSpace(v) == leavingValue })}
-	if refuses(status) {
+	if http1.Refuses(status) {
 		n.Rest = http1.RetryAfter(header[h.Rest])
 	}
 	return n
@@ -50,8 +50,3 @@
 		h.Balancer.Rest(time.Now(), e.Start(), n.Rest)
 	}
 }
-
-// refuses reports whether an endpoint that answers with a status has too much to do.
-func refuses(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-}
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -63,6 +63,20 @@
 	return text
 }
 
+// askBeside asks for many answers of a gateway before an endpoint that always answers
+// in one way, and a sound one.
+func askBeside(t *testing.T, kind deployment.Kind, first reply) *fixture {
+	sound := whole(200, "hi")
+	if kind.Streams() {
+		sound = stream(3, "", true)
+	}
+	f := newFixture(t, deployment.Route{Kind: kind, Attempts: 2, Objective: time.Second}, newEndpoint(t, first), newEndpoint(t, sound))
+	for range 40 {
+		f.ask(t, "/p/x", nil)
+	}
+	return f
+}
+
 // Guards against requests to an endpoint that has said that it leaves, in whatever
 // answer it did.
 func TestEndpointThatSaysInAnAnswerThatItLeavesGetsNoMore(t *testing.T) {
@@ -89,14 +103,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			last := whole(200, "hi")
-			if c.kind.Streams() {
-				last = stream(3, "", true)
-			}
-			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, newEndpoint(t, c.first), newEndpoint(t, last))
-			for range 40 {
-				f.ask(t, "/p/x", nil)
-			}
+			f := askBeside(t, c.kind, c.first)
 			require.Equal(t, 1, f.endpoints[0].count())
 			require.GreaterOrEqual(t, f.endpoints[1].count(), 39)
 			if c.not {
@@ -153,14 +160,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			last := whole(200, "hi")
-			if c.kind.Streams() {
-				last = stream(3, "", true)
-			}
-			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, newEndpoint(t, c.first), newEndpoint(t, last))
-			for range 40 {
-				f.ask(t, "/p/x", nil)
-			}
+			f := askBeside(t, c.kind, c.first)
 			time.Sleep(200 * time.Millisecond)
 			for range 40 {
 				require.Equal(t, http.StatusOK, f.ask(t, "/p/x", nil).status)
--- a/internal/http1/retry.go
+++ b/internal/http1/retry.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,12 @@
 	longestRetry = 24 * time.Hour
 )
 
+// Refuses reports whether a status says that the other side has too much to do, so
+// that its Retry-After is a wish to get nothing for that time.
+func Refuses(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // RetryAfter reads the values of a Retry-After header as seconds, which may have a
 // fraction, and returns the longest. A date, or what is no plain number, counts as 0.
 func RetryAfter(values []string) time.Duration {
--- a/internal/pool/word.go
+++ b/internal/pool/word.go
@@ -27,10 +27,18 @@
 	listed time.Time
 }
 
-// word returns what is kept of an endpoint.
+// kept returns what an endpoint has told this node, nil if it has told nothing.
+func (p *plugin) kept(m *member) *word {
+	if w := p.words[m.endpoint.Name]; w != nil && w.addr == m.endpoint.Addr {
+		return w
+	}
+	return nil
+}
+
+// word returns what is kept of an endpoint, to be written to.
 func (p *plugin) word(m *member, now time.Time) *word {
-	w := p.words[m.endpoint.Name]
-	if w == nil || w.addr != m.endpoint.Addr {
+	w := p.kept(m)
+	if w == nil {
 		w = &word{addr: m.endpoint.Addr}
 		p.words[m.endpoint.Name] = w
 	}
@@ -40,8 +48,8 @@
 
 // said reports whether an endpoint has told this node that it leaves.
 func (p *plugin) said(m *member) bool {
-	w := p.words[m.endpoint.Name]
-	return w != nil && w.addr == m.endpoint.Addr && w.leaving
+	w := p.kept(m)
+	return w != nil && w.leaving
 }
 
 // outdated reports whether a word is of another start than that which the node, as
@@ -92,8 +100,8 @@
 // endpoint is listed.
 func (p *plugin) heed(now time.Time, m *member, v *kernel.View) {
 	m.endpoint.Rest = time.Time{}
-	w := p.words[m.endpoint.Name]
-	if w == nil || w.addr != m.endpoint.Addr {
+	w := p.kept(m)
+	if w == nil {
 		return
 	}
 	w.listed = now
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -83,6 +83,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f()
+	a.wake()
+}
+
+// wake tells all that wait for a change; the mutex must be held.
+func (a *attempt) wake() {
 	close(a.wrote)
 	a.wrote = make(chan struct{})
 }
@@ -113,8 +118,7 @@
 		return
 	}
 	a.left = true
-	close(a.wrote)
-	a.wrote = make(chan struct{})
+	a.wake()
 	if a.ended {
 		return
 	}
