Tell callers under a ticket why their answer ends early

A copy of a request that must not be repeated, whose answer had begun, was cut without a word when its time was up or the node of the ticket fell silent or died: the caller saw its connection break, and could not tell whether to come back.

Cause: the event was written where the endpoint's stream is read, into the run's record. What ends a copy alone, its own deadline, the relay between two nodes, or that node's death, went past it, straight to the break of the connection.

The new test TestCopyThatEndsWithinTheAnswerSaysWhatToDo fails in its three cases on (time up at the node of the ticket and at others, silence, death); with the change it passes.

Change: an answer's end is told in one place, endEarly, for the first caller, its copies and relayed ones. The event says unknown, what to do and when, or that the ticket runs nothing again. The node of a ticket tells the other node that it has said so already (ErrEnded), so that callers get one event.

Before: cut within an event, "" or half an event; a plain answer short of its length. After: one error event, or 409, 503 and 504 that say unknown.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -84,12 +84,12 @@
 }
 
 func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) error {
-	isStream := strings.HasPrefix(run.Answer.Header.Get("Content-Type"), "text/event-stream")
+	isStream := strings.HasPrefix(run.Answer.Header.Get(headerType), typeStream)
 	if run.Answer.Status == http.StatusOK {
 		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input, At: time.Now()}.String())
 	}
 	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
-		return h.stream(w, req, run)
+		return h.stream(w, run)
 	}
 	held := h.slots.empty()
 	defer held.release()
@@ -107,18 +107,16 @@
 // cachedUnknown tells that an endpoint did not say what it had cached.
 const cachedUnknown = -1
 
-// stream passes a stream on. Where it was cut after it began, an event says so.
-func (h *Handler) stream(w http.ResponseWriter, req route.Request, run *dispatch.Run) error {
+// stream passes a stream on.
+func (h *Handler) stream(w http.ResponseWriter, run *dispatch.Run) error {
 	w.Header().Set(HeaderRan, string(RanYes))
 	out := newEvents(w, h.config.WriteTimeout)
+	out.begin()
 	stream := endpoint.NewStream(run.Answer, run.Attempt)
 	err := out.relay(stream)
 	if err == nil {
 		run.Learn(stream.Passed(), cachedUnknown)
 	}
-	if err != nil && out.begun {
-		out.fail(h.broken(err, req.Deadline))
-	}
 	return err
 }
 
--- /dev/null
+++ b/internal/caller/early_test.go
@@ -0,0 +1,110 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/caller"
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
+	"bulrushhinge.example/bulrushhinge/internal/kernel"
+	"bulrushhinge.example/bulrushhinge/internal/peer"
+	"bulrushhinge.example/bulrushhinge/pkg/entry"
+	"bulrushhinge.example/bulrushhinge/pkg/ticket"
+)
+
+const plainPath = "/v1/services/prices/x"
+
+// relays answers in place of the node of a ticket: a head, pieces, and an error.
+type relays struct {
+	header http.Header
+	pieces []string
+	err    error
+}
+
+// Relay passes the answer on.
+func (r *relays) Relay(_ context.Context, _ netip.AddrPort, _ peer.Relayed, w http.ResponseWriter) (bool, error) {
+	for name, values := range r.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(http.StatusOK)
+	for _, piece := range r.pieces {
+		if _, err := w.Write([]byte(piece)); err != nil {
+			return true, err
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return true, err
+		}
+	}
+	return true, r.err
+}
+
+// Guards against an answer from the node of a ticket that begins and ends early without a
+// word, and against one that is taken for whole.
+func TestAnswerOfAnotherNodeThatEndsEarly(t *testing.T) {
+	stream := http.Header{"Content-Type": {"text/event-stream"}}
+	plain := http.Header{"Content-Length": {"8"}}
+	first, second := "data: {\"id\":\"a\"}\n\n", "data: {\"id\":\"b\"}\n\n"
+	told := `data: {"error":{"type":"cut","ran":"unknown"}}` + "\n\n"
+	tests := map[string]struct {
+		relays relays
+		broken bool
+		status int
+		events string
+		kind   string
+	}{
+		"stream lost":                 {relays{stream, []string{first}, peer.ErrRelay}, true, 200, first, "cut"},
+		"stream lost within an event": {relays{stream, []string{first, second[:9]}, peer.ErrRelay}, true, 200, first, "cut"},
+		"event in two pieces":         {relays{stream, []string{first[:9], first[9:] + second}, peer.ErrRelay}, true, 200, first + second, "cut"},
+		"time is up":                  {relays{stream, []string{first}, fmt.Errorf("%w: %w", peer.ErrRelay, context.DeadlineExceeded)}, true, 200, first, "deadline"},
+		"ended by the other node":     {relays{stream, []string{first, told}, peer.ErrEnded}, true, 200, first + told, ""},
+		"plain answer lost":           {relays{plain, []string{"half"}, peer.ErrRelay}, false, 409, "", "ticket_unknown"},
+		"too large":                   {relays{plain, []string{strings.Repeat("x", 2<<10)}, nil}, false, 503, "", "busy"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := view()
+			v.Nodes = []kernel.Node{{Name: "n2"}}
+			s, _ := serveView(t, &endpoints{}, v, caller.Config{Relays: &test.relays, MaxHeld: 1 << 10})
+			theirs := ticket.Ticket{Node: "n2", Incarnation: 1, Serial: 1}
+			resp, text, err := do(t, request(t, "POST", s.URL+plainPath, "{}", entry.HeaderOnce, "true", entry.HeaderTicket, theirs.String()))
+			require.Equal(t, test.broken, err != nil, "a begun answer breaks its connection: %v", err)
+			require.Equal(t, test.status, resp.StatusCode)
+			rest, begun := strings.CutPrefix(text, test.events)
+			require.True(t, begun, text)
+			if test.kind == "" {
+				require.Empty(t, rest)
+				return
+			}
+			require.Contains(t, rest, `"type":"`+test.kind+`"`)
+			require.NotContains(t, rest, `"ran":"not_run"`)
+			require.Equal(t, 1, strings.Count(rest, `"error"`))
+		})
+	}
+}
+
+// Guards against a run under a ticket that ends early and sends its callers back to a ticket
+// under which nothing runs any more.
+func TestRunThatEndsEarlySaysWhatToDo(t *testing.T) {
+	e := &endpoints{answer: func(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		return streamed(events(call.Attempt)), nil
+	}}
+	s, _ := serve(t, e, caller.Config{})
+	resp, _, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, entry.HeaderOnce, "true"))
+	require.NoError(t, err)
+	for range 2 {
+		_, text, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, entry.HeaderOnce, "true", entry.HeaderTicket, resp.Header.Get(entry.HeaderTicket)))
+		require.Error(t, err, "the connection breaks")
+		require.Equal(t, 1, strings.Count(text, `"error"`), text)
+		require.Contains(t, text, `"type":"cut"`)
+		require.Contains(t, text, `"ran":"unknown"`)
+		require.Contains(t, text, "ask the service")
+		require.NotContains(t, text, "retry_after_ms")
+	}
+	require.EqualValues(t, 1, e.calls.Load())
+}
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -101,7 +101,13 @@
 // side of each connection has a small receive buffer.
 func serve(t *testing.T, e *endpoints, limits caller.Config) (*httptest.Server, *caller.Handler) {
 	t.Helper()
-	h := handler(e, view(), limits)
+	return serveView(t, e, view(), limits)
+}
+
+// serveView is serve for a node with a view of its own.
+func serveView(t *testing.T, e *endpoints, v *kernel.View, limits caller.Config) (*httptest.Server, *caller.Handler) {
+	t.Helper()
+	h := handler(e, v, limits)
 	s := httptest.NewUnstartedServer(h)
 	s.Config = caller.NewServer(h)
 	s.Start()
--- /dev/null
+++ b/internal/caller/passing.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strings"
+)
+
+var (
+	errNoAnswer = errors.New("caller: the other node gave no answer")
+
+	eventEnd = []byte("\n\n")
+)
+
+// passing is the writer of an answer that comes piece by piece from the run of a
+// ticket, at this node or another. It passes a stream on by whole events, so that
+// one more can follow wherever it ends, and any other answer once that is whole:
+// one that breaks off cannot say so.
+type passing struct {
+	http.ResponseWriter
+	events *events
+	held   *hold
+	status int
+	// rest is what is not passed on yet.
+	rest []byte
+	// begun is set once the caller was given some of the answer.
+	begun bool
+}
+
+func (h *Handler) newPassing(w http.ResponseWriter) *passing {
+	return &passing{ResponseWriter: w, events: newEvents(w, h.config.WriteTimeout), held: h.slots.empty()}
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (p *passing) Unwrap() http.ResponseWriter { return p.ResponseWriter }
+
+// WriteHeader takes the head of the answer.
+func (p *passing) WriteHeader(status int) {
+	p.status = status
+	if p.streams() {
+		p.begin()
+	}
+}
+
+// Write takes a piece of the answer.
+func (p *passing) Write(data []byte) (int, error) {
+	if !p.streams() {
+		if err := p.held.grow(len(data)); err != nil {
+			return 0, err
+		}
+	}
+	p.rest = append(p.rest, data...)
+	if !p.streams() {
+		return len(data), nil
+	}
+	whole := bytes.LastIndex(p.rest, eventEnd)
+	if whole < 0 {
+		return len(data), nil
+	}
+	whole += len(eventEnd)
+	if err := p.pass(p.rest[:whole]); err != nil {
+		return 0, err
+	}
+	p.rest = append(p.rest[:0], p.rest[whole:]...)
+	return len(data), nil
+}
+
+// FlushError sends what was passed on.
+func (p *passing) FlushError() error {
+	if !p.begun {
+		return nil
+	}
+	return p.events.flush()
+}
+
+// finish passes on the rest of an answer that came whole.
+func (p *passing) finish() error {
+	if p.status == 0 {
+		return errNoAnswer
+	}
+	if !p.begun {
+		p.begin()
+	}
+	return p.pass(p.rest)
+}
+
+// release gives back the memory of an answer that is not a stream.
+func (p *passing) release() { p.held.release() }
+
+func (p *passing) streams() bool {
+	return strings.HasPrefix(p.Header().Get(headerType), typeStream)
+}
+
+func (p *passing) begin() {
+	p.begun = true
+	p.ResponseWriter.WriteHeader(p.status)
+}
+
+func (p *passing) pass(data []byte) error {
+	_, err := p.ResponseWriter.Write(data)
+	return err
+}
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -136,7 +136,7 @@
 func cut() *problem {
 	return &problem{
 		status: http.StatusBadGateway, kind: "cut",
-		text: "the endpoint's answer ended early", ran: RanYes, retry: retryDelay(),
+		text: "the endpoint's answer ended early; send the request again if it may be repeated", ran: RanYes, retry: retryDelay(),
 	}
 }
 
@@ -158,7 +158,7 @@
 func late() *problem {
 	return &problem{
 		status: http.StatusGatewayTimeout, kind: "deadline",
-		text: "the deadline passed within the answer", ran: RanYes,
+		text: "the deadline passed within the answer; give the request more time", ran: RanYes,
 	}
 }
 
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -10,8 +10,13 @@
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 )
 
-// extendShare is the part of a write deadline that passes before it is moved.
-const extendShare = 4
+const (
+	// extendShare is the part of a write deadline that passes before it is moved.
+	extendShare = 4
+
+	headerType = "Content-Type"
+	typeStream = "text/event-stream"
+)
 
 // events writes a stream of server-sent events.
 type events struct {
@@ -21,16 +26,18 @@
 	// extend is when the write deadline is moved again.
 	extend time.Time
 	buffer []byte
-	// begun is set once something was written.
-	begun bool
 }
 
 func newEvents(w http.ResponseWriter, timeout time.Duration) *events {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Cache-Control", "no-store")
 	return &events{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
+// begin sets the head of a stream.
+func (e *events) begin() {
+	e.w.Header().Set(headerType, typeStream)
+	e.w.Header().Set("Cache-Control", "no-store")
+}
+
 // relay passes a stream on as it comes. The caller sees the end mark only
 // after the endpoint's own.
 func (e *events) relay(s *endpoint.Stream) error {
@@ -56,17 +63,18 @@
 }
 
 // fail ends a cut stream with an event that says so.
-func (e *events) fail(p *problem) {
+func (e *events) fail(p *problem) error {
 	data, err := json.Marshal(p.body())
 	if err != nil {
-		return
+		return err
+	}
+	if err := e.write(data); err != nil {
+		return err
 	}
-	_ = e.write(data)
-	_ = e.flush()
+	return e.flush()
 }
 
 func (e *events) write(data []byte) error {
-	e.begun = true
 	e.keepAlive()
 	e.buffer = append(e.buffer[:0], "data: "...)
 	e.buffer = append(e.buffer, data...)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
@@ -16,6 +17,9 @@
 	"bulrushhinge.example/bulrushhinge/pkg/ticket"
 )
 
+// endMargin is how much longer than its run the first copy of a request waits.
+const endMargin = 500 * time.Millisecond
+
 // work is an admitted request on its way to an endpoint.
 type work struct {
 	view    *kernel.View
@@ -60,9 +64,7 @@
 		return
 	}
 	if _, err := h.carry(r.Context(), w, k); err != nil {
-		// Even a caller that reads to the end of the body must not take a cut
-		// answer for a whole one.
-		panic(http.ErrAbortHandler)
+		endEarly(newEvents(w, h.config.WriteTimeout), h.ended(err))
 	}
 }
 
@@ -103,10 +105,11 @@
 		run.Fail(ctx, cut)
 	}
 	_ = run.Close()
+	p := h.broken(cut, k.request.Deadline)
 	if out.started {
-		return cut
+		return &early{problem: p.under(k.request), cause: cut}
 	}
-	h.broken(cut, k.request.Deadline).write(out)
+	p.write(out)
 	return nil
 }
 
@@ -140,8 +143,8 @@
 	if t.Node != k.view.Self.Name {
 		ctx, cancel := context.WithDeadline(r.Context(), k.request.Deadline)
 		defer cancel()
-		if !h.relay(w, r.WithContext(ctx), k.view, t, k.call.Body) {
-			ticketProblem(once.ErrUnknown).write(sure(w))
+		if p := h.relay(w, r.WithContext(ctx), k.view, t, k.call.Body); p != nil {
+			p.write(sure(w))
 		}
 		return
 	}
@@ -170,16 +173,24 @@
 			return h.carryApart(ctx, w, k)
 		})
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), k.request.Deadline)
+	deadline := k.request.Deadline
+	if first {
+		// Its run has the same deadline, and says how it ended.
+		deadline = deadline.Add(endMargin)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	started, err := reader.Copy(ctx, w)
+	out := h.newPassing(w)
+	defer out.release()
+	if _, err = reader.Copy(ctx, out); err == nil {
+		err = out.finish()
+	}
 	switch {
 	case err == nil:
-	case started:
-		// The caller must see that the answer was cut.
-		panic(http.ErrAbortHandler)
+	case out.begun:
+		endEarly(out.events, h.ended(err))
 	default:
-		stillRunning().write(w)
+		h.ended(err).write(w)
 	}
 }
 
@@ -208,10 +219,3 @@
 	k.seated = done
 	return h.carry(ctx, w, k)
 }
-
-func stillRunning() *problem {
-	return &problem{
-		status: http.StatusGatewayTimeout, kind: string(route.ReasonDeadline),
-		text: "no answer yet; come back with the same ticket", ran: RanUnknown, retry: retryDelay(),
-	}
-}
--- a/internal/caller/ticket.go
+++ b/internal/caller/ticket.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
 	"bulrushhinge.example/bulrushhinge/internal/once"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
@@ -120,27 +121,39 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
 	defer cancel()
-	if !h.relay(w, r.WithContext(ctx), v, t, nil) {
+	if p := h.relay(w, r.WithContext(ctx), v, t, nil); p != nil {
 		writeState(w, http.StatusOK, t, once.Unknown)
 	}
 }
 
-// relay passes a request to the node that minted its ticket, and reports
-// whether w got an answer. Only that node may run the request: this one must
+// relay passes a request to the node that minted its ticket. It returns what is
+// known where w got no answer. Only that node may run the request: this one must
 // not, whatever it believes of the other.
-func (h *Handler) relay(w http.ResponseWriter, r *http.Request, v *kernel.View, t ticket.Ticket, body []byte) bool {
+func (h *Handler) relay(w http.ResponseWriter, r *http.Request, v *kernel.View, t ticket.Ticket, body []byte) *problem {
 	to, ok := v.Node(t.Node)
 	if !ok || r.Context().Value(relayedKey{}) != nil {
-		return false
+		return ticketProblem(once.ErrUnknown)
 	}
-	started, err := h.config.Relays.Relay(r.Context(), to.Peer, peer.Relayed{
+	out := h.newPassing(w)
+	defer out.release()
+	_, err := h.config.Relays.Relay(r.Context(), to.Peer, peer.Relayed{
 		Method: r.Method, URI: r.URL.RequestURI(), Header: relayedHeader(r.Header), Body: body,
-	}, w)
-	if err != nil && started {
-		// The caller must see that the answer was cut.
+	}, out)
+	if err == nil {
+		err = out.finish()
+	}
+	switch {
+	case err == nil:
+		return nil
+	case out.begun && errors.Is(err, peer.ErrEnded):
+		// The other node has told the caller.
 		panic(http.ErrAbortHandler)
+	case out.begun:
+		endEarly(out.events, h.ended(err))
+	case errors.Is(err, endpoint.ErrFull), r.Context().Err() != nil:
+		return h.ended(err)
 	}
-	return started
+	return ticketProblem(once.ErrUnknown)
 }
 
 // freshTickets returns tickets for the caller's account; none where the caller
--- a/internal/loopback/once_test.go
+++ b/internal/loopback/once_test.go
@@ -221,24 +221,67 @@
 	require.Equal(t, 1, runs(f, c, body))
 }
 
-// Guards against a copy of a request whose time is up while the first one is still
-// being answered: the caller must not take the part it has for the whole.
-func TestCopyWithTooLittleTimeIsCutVisibly(t *testing.T) {
-	c := loopback.Thies()
-	f := start(t, c)
-	body := strings.Replace(notice(1), `"max_tokens":8`, `"max_tokens":1000000`, 1)
-	ticket := ticketOf(t, f, "n1", body)
-	first, err := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.request(t.Context(), f)
-	require.NoError(t, err)
-	defer first.Body.Close()
-	for _, node := range []string{"n1", "n2", "n3"} {
-		x, err := exchange{node: node, path: chatPath, body: body, ticket: ticket, timeout: "100ms"}.do(f)
-		require.NotContains(t, x.text, "[DONE]", node)
-		if err == nil {
-			require.Equal(t, string(entry.RanUnknown), x.header.Get(entry.HeaderRan), x.text)
-		}
+// Guards against a copy of a request that ends within the answer without a word: its caller
+// could neither tell whether the request was run nor what to do.
+func TestCopyThatEndsWithinTheAnswerSaysWhatToDo(t *testing.T) {
+	nothing := func(*testing.T, *loopback.Fleet) {}
+	tests := map[string]struct {
+		nodes   []string
+		timeout string
+		// happens is once the copy's answer has begun.
+		happens func(t *testing.T, f *loopback.Fleet)
+		kind    string
+	}{
+		"time is up": {[]string{"n1", "n2", "n3"}, "300ms", nothing, "deadline"},
+		"holder is silent": {[]string{"n2"}, "1s", func(_ *testing.T, f *loopback.Fleet) {
+			f.Network.Cut([]string{"n1"}, []string{"n2"})
+		}, "deadline"},
+		"holder dies": {[]string{"n2"}, "1m", func(t *testing.T, f *loopback.Fleet) {
+			require.NoError(t, f.KillNode("n1"))
+		}, "cut"},
 	}
-	require.Equal(t, 1, runs(f, c, body))
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := small()
+			c.Nodes = loopback.Thies().Nodes[:3]
+			f := start(t, c)
+			body := strings.Replace(notice(1), `"max_tokens":8`, `"max_tokens":1000000`, 1)
+			ticket := ticketOf(t, f, "n1", body)
+			first, err := exchange{node: "n1", path: chatPath, body: body, ticket: ticket}.request(t.Context(), f)
+			require.NoError(t, err)
+			defer first.Body.Close()
+			for _, node := range test.nodes {
+				x := exchange{node: node, path: chatPath, body: body, ticket: ticket, timeout: test.timeout}
+				resp, err := x.request(t.Context(), f)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				_, err = resp.Body.Read(make([]byte, 1))
+				require.NoError(t, err)
+				test.happens(t, f)
+				rest, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				require.Error(t, err, "the connection breaks")
+				requireEndedEarly(t, string(rest), test.kind)
+			}
+			require.Equal(t, 1, runs(f, c, body))
+		})
+	}
+}
+
+// requireEndedEarly checks that a stream's last event, and no other, says that the caller
+// may come back under its ticket.
+func requireEndedEarly(t *testing.T, text, kind string) {
+	t.Helper()
+	require.NotContains(t, text, "[DONE]")
+	require.Equal(t, 1, strings.Count(text, `"error"`), text)
+	last := text[strings.LastIndex(text, "data: "):]
+	var p entry.Problem
+	require.NoError(t, json.Unmarshal([]byte(strings.TrimPrefix(last, "data: ")), &p), last)
+	require.Equal(t, entry.RanUnknown, p.Error.Ran)
+	require.Equal(t, kind, p.Error.Type)
+	require.Positive(t, p.Error.RetryAfterMS)
+	require.Contains(t, p.Error.Message, "come back with the same ticket")
 }
 
 // Guards against this failure: a request of which the caller was told "not run" runs after all.
