Cut off callers under a ticket that stop reading

A caller under a ticket that no longer read its answer kept its place on the node, and the answer's memory, for as long as its connection stood: no deadline ended a write that made no headway. docs/callers.md promises 20 s for each piece.

Cause: the write deadline is moved where the endpoint's stream is read; the run of a ticket writes into a record there, which has no deadlines, and the copy from the record to the caller set none.

--- a/internal/caller/early_test.go
+++ b/internal/caller/early_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -27,6 +29,20 @@
 	err    error
 }
 
+// until is a Reader that ends with a context.
+type until struct {
+	ctx context.Context
+	io.Reader
+}
+
+// Read reads unless the context has ended.
+func (u until) Read(data []byte) (int, error) {
+	if err := u.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return u.Reader.Read(data)
+}
+
 // Relay passes the answer on.
 func (r *relays) Relay(_ context.Context, _ netip.AddrPort, _ peer.Relayed, w http.ResponseWriter) (bool, error) {
 	for name, values := range r.header {
@@ -88,6 +104,28 @@
 	}
 }
 
+// Guards against a caller under a ticket that stops reading and keeps its request's place on
+// the node.
+func TestSlowReaderUnderATicketIsCutOff(t *testing.T) {
+	e := &endpoints{answer: func(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+		a := streamed("")
+		a.Body = newBody(until{ctx, endless(events(call.Attempt))})
+		return a, nil
+	}}
+	s, h := serve(t, e, caller.Config{WriteTimeout: 50 * time.Millisecond})
+	resp, _, err := do(t, request(t, "POST", s.URL+entry.PathChat, chatBody, entry.HeaderOnce, "true"))
+	require.NoError(t, err)
+	c := dial(t, s)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s: true\r\n%s: %s\r\n%s: 300ms\r\nContent-Length: %d\r\n\r\n%s",
+		entry.PathChat, secret, entry.HeaderOnce, entry.HeaderTicket, resp.Header.Get(entry.HeaderTicket), entry.HeaderTimeout, len(chatBody), chatBody)
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	require.NoError(t, h.Wait(ctx))
+}
+
 // Guards against a run under a ticket that ends early and sends its callers back to a ticket
 // under which nothing runs any more.
 func TestRunThatEndsEarlySaysWhatToDo(t *testing.T) {
--- a/internal/caller/passing.go
+++ b/internal/caller/passing.go
@@ -98,6 +98,7 @@
 }
 
 func (p *passing) pass(data []byte) error {
+	p.events.keepAlive()
 	_, err := p.ResponseWriter.Write(data)
 	return err
 }
