Let callers hear that a stop gives their answers up

An answer that outlasted a node's planned stop (--patience) was cut without a word, as was every copy of a request under one of its tickets: the node closed its connections under them.

Cause: a stop had no step between waiting for the requests in progress and closing their connections.

Evidence: TestStopThatCutsSaysSo failed in both cases without the new step (events, then a broken connection); with it, both pass.

Change: when the time of a stop is over, the requests in progress are ended first and have half a second for the event that says so, with "stopping", unknown and what to do.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -44,6 +44,9 @@
 	// DefaultLinger is how long a stopping node at least answers that it takes
 	// no more requests, before it closes its listener.
 	DefaultLinger = time.Second
+
+	// endTime is how long callers have to hear that a stop gives their requests up.
+	endTime = 500 * time.Millisecond
 )
 
 // ErrStart is returned where a node cannot start.
@@ -204,11 +207,24 @@
 	n.handler.Refuse()
 	refused := time.Now()
 	err := errors.Join(n.handler.Wait(ctx), n.tickets.Wait(ctx))
+	if err != nil {
+		n.endRequests(ctx)
+	}
 	pause(ctx, time.Until(refused.Add(n.config.Linger)))
 	err = errors.Join(err, n.callers.Shutdown(ctx))
 	return errors.Join(err, n.Close())
 }
 
+// endRequests gives up the requests that outlast a stop, and lets their callers hear so.
+func (n *Node) endRequests(ctx context.Context) {
+	n.handler.End()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTime)
+	defer cancel()
+	if err := n.handler.Wait(ctx); err != nil {
+		n.config.Log.WithError(err).Warn("requests cut by the stop")
+	}
+}
+
 // Close stops the node at once and cuts what is in progress.
 func (n *Node) Close() error {
 	err := errors.Join(n.callers.Close(), n.operators.Close())
--- a/internal/caller/early.go
+++ b/internal/caller/early.go
@@ -44,6 +44,8 @@
 		return e.problem
 	case errors.Is(err, endpoint.ErrFull):
 		return noRoom()
+	case h.ending.Err() != nil:
+		return givenUp()
 	case errors.Is(err, peer.ErrRelay) && !errors.Is(err, context.DeadlineExceeded):
 		return lostNode()
 	default:
@@ -70,6 +72,14 @@
 	}
 }
 
+// givenUp is an answer that has outlasted the time in which the node stops.
+func givenUp() *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: "stopping",
+		text: "the node stops and gave the answer up; send the request to another node if it may be repeated, or ask the service whether it was done", ran: RanUnknown, retry: retryDelay(), close: true,
+	}
+}
+
 // lostNode is an answer of the node of a ticket that ended with its connection.
 func lostNode() *problem {
 	return &problem{
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -101,6 +101,9 @@
 		slots  *slots
 		// refusing is set once the node takes no more requests.
 		refusing atomic.Bool
+		// ending ends once the node gives up the requests in progress.
+		ending context.Context
+		end    context.CancelFunc
 	}
 )
 
@@ -108,6 +111,7 @@
 func New(c Config) *Handler {
 	c = withDefaults(c)
 	h := &Handler{config: c, mux: http.NewServeMux(), slots: newSlots(c)}
+	h.ending, h.end = context.WithCancel(context.Background())
 	h.mux.HandleFunc("POST "+entry.PathChat, h.guard(h.chat))
 	h.mux.HandleFunc(entry.PathChat, notAllowed(http.MethodPost))
 	h.mux.HandleFunc(entry.PathServices+"{service}/{rest...}", h.guard(h.plain))
@@ -140,6 +144,10 @@
 // Refuse makes every further request end as not run.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
+// End gives up all requests in progress: answers that have begun end with an event that
+// says so.
+func (h *Handler) End() { h.end() }
+
 // Wait waits until no request is in progress or ctx ends.
 func (h *Handler) Wait(ctx context.Context) error { return h.slots.drain(ctx) }
 
@@ -176,7 +184,10 @@
 		// The deadline of an earlier request on the connection must not end
 		// this one.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.MaxTimeout + h.config.WriteTimeout))
-		next(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(h.ending, cancel)()
+		next(w, r.WithContext(ctx))
 	}
 }
 
--- a/internal/caller/whole.go
+++ b/internal/caller/whole.go
@@ -157,6 +157,8 @@
 		return noRoom()
 	case !time.Now().Before(deadline):
 		return late()
+	case h.ending.Err() != nil:
+		return givenUp()
 	default:
 		return cut()
 	}
--- a/internal/loopback/stop_test.go
+++ b/internal/loopback/stop_test.go
@@ -68,6 +68,48 @@
 	requireRefused(t, node.Callers)
 }
 
+// Guards against an answer that outlasts a node's stop and ends without a word.
+func TestStopThatCutsSaysSo(t *testing.T) {
+	tests := map[string]struct {
+		once bool
+		// nodes is where the request, or copies of it, are answered.
+		nodes []string
+	}{
+		"repeatable": {false, []string{"n1"}},
+		"once":       {true, []string{"n1", "n2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, stopConfig())
+			x := exchange{node: "n1", path: chatPath, body: strings.Replace(notice(1), `"max_tokens":8`, `"max_tokens":1000000`, 1), repeatable: !test.once}
+			if test.once {
+				x.ticket = ticketOf(t, f, "n1", x.body)
+			}
+			var answers []*http.Response
+			for _, node := range test.nodes {
+				x.node = node
+				resp, err := x.request(t.Context(), f)
+				require.NoError(t, err)
+				defer resp.Body.Close()
+				_, err = resp.Body.Read(make([]byte, 1))
+				require.NoError(t, err)
+				answers = append(answers, resp)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), stopGrace+stopLinger)
+			defer cancel()
+			require.ErrorIs(t, f.StopNode(ctx, "n1"), context.DeadlineExceeded)
+			for _, resp := range answers {
+				rest, err := io.ReadAll(resp.Body)
+				require.Error(t, err, "the connection breaks")
+				require.NotContains(t, string(rest), "[DONE]")
+				require.Contains(t, string(rest), `"type":"stopping"`)
+				require.Contains(t, string(rest), `"ran":"unknown"`)
+			}
+		})
+	}
+}
+
 func stopConfig() loopback.Config {
 	c := loopback.Thies()
 	c.Nodes = c.Nodes[:3]
