Say in the second interface too why a begun stream ends early

A caller of the gateway whose stream broke off for good saw its connection break and nothing else: not whether the request had run, nor whether to resume it or to send it again.

Cause: once the answer had begun, a refusal was only logged.

Kept: the comment, which event streams have for this, with the reason, unknown and what to do, or from where to resume.

TestAnswers asked that the body be the events and nothing else in two cases of a cut stream; it now asks that it be the events and just this comment.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -314,7 +314,7 @@
 		{name: "bytes that are no answer reach nobody", kind: deployment.AtMostOnce, first: raw("garbage\r\n\r\n"), status: 502, arrivals: 1},
 		{name: "a body may end with its connection", first: raw("HTTP/1.1 200 OK\r\n" + id + ": {id}\r\n" + seal + ": s\r\n\r\nhi"), status: 200, body: "hi", arrivals: 1},
 		{name: "events are passed on", kind: deployment.Streaming, first: stream(3, "", true), status: 200, body: events(1, 3), arrivals: 1},
-		{name: "a stream that breaks off is cut", kind: deployment.Streaming, first: stream(2, "", false), status: 200, body: events(1, 2), cut: true, arrivals: 1},
+		{name: "a stream that breaks off is cut", kind: deployment.Streaming, first: stream(2, "", false), status: 200, body: events(1, 2) + ": unknown: endpoint-broke-off; send it again only if it may run twice\n\n", cut: true, arrivals: 1},
 		{name: "a resumable one goes on elsewhere", kind: deployment.Resumable, first: stream(2, "", false), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
 		{name: "also where it breaks within an event", kind: deployment.Resumable, first: stream(2, "id: 3\nda", false), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
 		{name: "also where an event is missing", kind: deployment.Resumable, first: stream(2, event(4), true), second: stream(4, "", true), status: 200, body: events(1, 4), arrivals: 2},
@@ -322,7 +322,8 @@
 			// Guards against this failure: a stream that is framed as complete and isn't, with a
 			// failure's body behind the events.
 			name: "a failure of the second ends the answer visibly", kind: deployment.Resumable,
-			first: stream(2, "", false), second: whole(500, "no"), status: 200, body: events(1, 2), cut: true, arrivals: 2,
+			first: stream(2, "", false), second: whole(500, "no"), status: 200, cut: true, arrivals: 2,
+			body: events(1, 2) + ": unknown: endpoint-broke-off; resume it with Last-Event-Id: 2\n\n",
 		},
 	}
 	for _, c := range cases {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -300,9 +300,7 @@
 	}
 	c.log("refused", f)
 	if c.progress.started {
-		// The caller has a part of the answer; only a broken connection tells
-		// it that the rest will not come.
-		panic(http.ErrAbortHandler)
+		c.endEarly(r)
 	}
 	r.write(c.out)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -97,6 +98,22 @@
 	return resultDone
 }
 
+// endEarly ends an answer of which the caller already has a part. A stream's last line,
+// a comment, says that the rest is unknown and what to do: events are the endpoint's
+// alone. Only the broken connection tells any caller that the rest will not come.
+func (c *call) endEarly(r *refusal) {
+	if c.route.Kind.Streams() {
+		advice := "send it again only if it may run twice"
+		if c.route.Kind.Repeats() {
+			advice = fmt.Sprintf("resume it with %s: %d", c.handler.config.Headers.LastEvent, c.progress.last)
+		}
+		// A caller that has gone needs no advice.
+		_, _ = fmt.Fprintf(c.out, ": unknown: %s; %s\n\n", r.reason, advice)
+		_ = http.NewResponseController(c.out).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // brokeOff sorts the end of a stream that is not complete.
 func (a *attempt) brokeOff(err error) result {
 	a.cause = a.explain(err)
