Pass the head of large answers on, and log where they end early

An answer of the gateway over 1 MiB reached its caller without the endpoint's headers: no seal, no content type, no length. Where it broke off, nothing was logged but the attempt.

Cause: such answers are passed on as they come, by a function of their own that copied no head and ended the answer by a panic of its own.

Evidence: TestLargeAnswers failed in its three cases before (header "s" expected, "" found), and passes now. Found by reading, while looking for answers that begin and end without a word; no deployment of the users has answers of that size.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -275,13 +275,23 @@
 // long passes on an answer that is too large to be held.
 func (a *attempt) long(x *http1.Exchange, begin []byte) result {
 	c := a.call
+	c.copyHead(x.Response)
+	if length := x.Response.ContentLength; length >= 0 {
+		c.out.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	c.out.WriteHeader(x.Response.StatusCode)
 	c.progress.started = true
 	_, err := io.Copy(c.out, io.MultiReader(bytes.NewReader(begin), x.Response.Body))
 	if err != nil {
-		a.cause = err.Error()
-		a.outcome = balance.Unknown
-		panic(http.ErrAbortHandler)
+		a.cause = a.explain(err)
+		if c.gone() {
+			return resultGone
+		}
+		return resultCut
+	}
+	if x.Response.StatusCode < http.StatusInternalServerError {
+		a.outcome = balance.Served
+		c.handler.config.Crashes.Served(c.print)
 	}
 	x.Finish()
 	return resultDone
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -353,6 +353,32 @@
 	}
 }
 
+// Guards against an answer that is too large to be held and loses its head on the way, or
+// looks complete where it is not.
+func TestLargeAnswers(t *testing.T) {
+	body := strings.Repeat("x", 2<<20)
+	head := "HTTP/1.1 200 OK\r\n" + id + ": {id}\r\n" + seal + ": s\r\nContent-Type: text/x\r\n"
+	for name, test := range map[string]struct {
+		reply reply
+		whole bool
+	}{
+		"whole":                 {raw(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)), true},
+		"ends with its channel": {raw(head + "\r\n" + body), true},
+		"short":                 {raw(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+1, body)), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2}, newEndpoint(t, test.reply), newEndpoint(t, test.reply))
+			a := f.ask(t, "/p/x", nil)
+			require.Equal(t, 200, a.status)
+			require.Equal(t, "s", a.header.Get(seal))
+			require.Equal(t, "text/x", a.header.Get("Content-Type"))
+			require.Equal(t, test.whole, a.complete)
+			require.True(t, a.body == body, len(a.body))
+			require.Equal(t, 1, f.arrivals())
+		})
+	}
+}
+
 // turns is a list of replies that several endpoints play together.
 type turns struct {
 	mu      sync.Mutex
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,6 +29,8 @@
 	resultBroken
 	// resultGone says that the caller has gone.
 	resultGone
+	// resultCut says that the caller has a part of an answer that cannot be resumed.
+	resultCut
 )
 
 // result is how an attempt ended for the call.
@@ -80,6 +82,9 @@
 	if ctx.Err() != nil {
 		return c.given(reasonTimeout)
 	}
+	if res == resultCut {
+		return unknown(reasonBroken)
+	}
 	if res == resultBroken && (!c.route.Kind.Repeats() || c.progress.runs >= c.route.Attempts) {
 		return c.given(reasonBroken)
 	}
@@ -128,7 +133,7 @@
 
 // status is a result's name in logs.
 func (r result) String() string {
-	return [...]string{"answered", "not-sent", "withdrawn", "not-run", "broken", "caller-gone"}[r]
+	return [...]string{"answered", "not-sent", "withdrawn", "not-run", "broken", "caller-gone", "cut"}[r]
 }
 
 // names returns the IDs of endpoints, for logs.
