Refuse a request once its last round is over

A caller that hears at once can go elsewhere, and its place on the node is free.

Cause: a request that every home had denied paused for up to 200 ms, also where its deadline comes before the end of the pause, and was then refused.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -240,14 +240,24 @@
 	}
 }
 
-// wait ends a round in which no endpoint took the request. The pauses grow:
-// under overload, asking would otherwise cost more than the requests.
+// wait ends a round in which no endpoint took the request, or refuses the request
+// where the next round would come too late.
 func (p *Plan) wait(now time.Time) Step {
+	until := p.pause(now)
+	if !until.Before(p.request.Deadline) {
+		return refuse(ReasonDeadline)
+	}
+	return Step{Kind: StepWait, Until: until}
+}
+
+// pause ends a round and returns when the next one begins. The pauses grow: under
+// overload, asking would otherwise cost more than the requests.
+func (p *Plan) pause(now time.Time) time.Time {
 	clear(p.tried)
 	p.asks = 0
 	pause := min(fullPause<<min(p.waits, maxDoublings), maxPause)
 	p.waits++
-	return Step{Kind: StepWait, Until: now.Add(pause)}
+	return now.Add(pause)
 }
 
 // none waits for the first endpoint that takes requests of this node again, or
@@ -259,11 +269,11 @@
 		step.RetryAfter = max(first.Sub(now), step.RetryAfter)
 		return step
 	}
-	step := p.wait(now)
-	if first.After(step.Until) {
-		step.Until = first
+	until := p.pause(now)
+	if first.After(until) || !until.Before(p.request.Deadline) {
+		until = first
 	}
-	return step
+	return Step{Kind: StepWait, Until: until}
 }
 
 // firstRest returns when the first rest of a pool's endpoints ends; zero where none
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -276,3 +276,35 @@
 		})
 	}
 }
+
+// denied plays a request that every home denies until the plan refuses it or the time is
+// over. It returns the plan's last step, when that was and how often homes were asked.
+func denied(v *kernel.View, req route.Request, span time.Duration) (last route.Step, at time.Duration, asks int) {
+	p := route.NewRouter(route.Config{}).Plan(start, req)
+	for now := start; now.Sub(start) < span; {
+		switch last = p.Next(now, v); last.Kind {
+		case route.StepAsk:
+			asks++
+			p.Report(route.OutcomeFull)
+		case route.StepWait:
+			now = last.Until
+		default:
+			return last, now.Sub(start), asks
+		}
+	}
+	return last, span, asks
+}
+
+// Guards against callers in an overload that wait for a refusal until their time is up,
+// though nobody would look for an endpoint any more.
+func TestRequestOfAnOverloadIsRefusedOnceItsLastRoundIsOver(t *testing.T) {
+	v := view(make([]int, 24)...)
+	for _, left := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		req := request(100)
+		req.Deadline = start.Add(left)
+		step, at, asks := denied(v, req, time.Minute)
+		require.Equal(t, route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline, RetryAfter: route.RetryAfter}, step)
+		require.Less(t, at, left)
+		require.Positive(t, asks)
+	}
+}
