Give back the lease that an earlier holder may have granted

A request that crashes endpoints could wait for its lease until its deadline: 504 after three minutes in place of 422, as TestPoisonIsIsolatedAfterThreeEndpoints once found beside load.

Cause: where the answer to an ask for a lease is lost and another node becomes the holder, as when the first one misses heartbeats, the request asked the second under a new number and forgot the first. Once the first was live again it kept all copies out until the forgotten lease ended.

Evidence: TestLeaseOfAnEarlierHolderIsGivenBack, in virtual time, ended in "deadline" before and passes now.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -84,7 +84,11 @@
 	// The same lease is asked for again where the holder did not answer: it may
 	// have granted it, and would keep a second one out until the deadline.
 	s := &j.suspicion
-	if s.lease.ID == 0 || s.holder.Name != holder.Name {
+	if s.holder.Name != holder.Name {
+		// The earlier holder may have granted it too.
+		j.giveBack(false)
+	}
+	if s.lease.ID == 0 {
 		s.lease = poison.Lease{Print: j.req.Print, ID: j.d.base + j.d.serial.Add(1)}
 	}
 	s.holder = holder
