--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -84,21 +83,21 @@
 }
 
 func (h *Handler) answerChat(w http.ResponseWriter, c endpoint.ChatRequest, req route.Request, run *dispatch.Run) error {
-	isStream := strings.HasPrefix(run.Answer.Header.Get(headerType), typeStream)
+	streamed := isStream(run.Answer.Header)
 	if run.Answer.Status == http.StatusOK {
 		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input, At: time.Now()}.String())
 	}
-	if c.Stream && isStream && run.Answer.Status == http.StatusOK {
+	if c.Stream && streamed && run.Answer.Status == http.StatusOK {
 		return h.stream(w, run)
 	}
 	held := h.slots.empty()
 	defer held.release()
 	run.Answer.Meter = held.grow
-	data, err := h.read(run, isStream)
+	data, err := h.read(run, streamed)
 	if err != nil {
 		return err
 	}
-	if isStream {
+	if streamed {
 		run.Answer.Header.Set("Content-Type", "application/json")
 	}
 	return h.pass(w, run, data)
@@ -120,11 +119,11 @@
 	return err
 }
 
-func (h *Handler) read(run *dispatch.Run, isStream bool) ([]byte, error) {
+func (h *Handler) read(run *dispatch.Run, streamed bool) ([]byte, error) {
 	switch {
 	case run.Answer.Status != http.StatusOK:
 		return whole(run.Answer, h.config.MaxAnswer)
-	case isStream:
+	case streamed:
 		return collect(endpoint.NewStream(run.Answer, run.Attempt), h.config.MaxAnswer, run.Answer.Meter)
 	default:
 		return wholeChat(run, h.config.MaxAnswer)
--- a/internal/caller/early.go
+++ b/internal/caller/early.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
@@ -29,7 +28,7 @@
 // The connection breaks in any case: a caller that reads to the end of the body
 // without a look at the events must not take the answer for a whole one.
 func endEarly(out *events, p *problem) {
-	if strings.HasPrefix(out.w.Header().Get(headerType), typeStream) {
+	if isStream(out.w.Header()) {
 		// A caller that cannot be written to has gone.
 		_ = out.fail(p)
 	}
--- a/internal/caller/passing.go
+++ b/internal/caller/passing.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"net/http"
-	"strings"
 )
 
 var (
@@ -89,7 +88,7 @@
 func (p *passing) release() { p.held.release() }
 
 func (p *passing) streams() bool {
-	return strings.HasPrefix(p.Header().Get(headerType), typeStream)
+	return isStream(p.Header())
 }
 
 func (p *passing) begin() {
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
@@ -28,6 +29,11 @@
 	buffer []byte
 }
 
+// isStream reports whether an answer with a header is a stream of events.
+func isStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get(headerType), typeStream)
+}
+
 func newEvents(w http.ResponseWriter, timeout time.Duration) *events {
 	return &events{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -39,15 +39,21 @@
 	return nil
 }
 
+// contentOf returns the content of a request whose leases a node grants.
+func contentOf(node string, nodes []kernel.Node) uint64 {
+	for content := uint64(1); ; content++ {
+		if holder, _ := poison.Holder(content, nodes); holder.Name == node {
+			return content
+		}
+	}
+}
+
 // Guards against a suspected request that waits until its deadline for a lease which
 // was given back, but not heard of.
 func TestLeaseIsGivenBackUntilItsHolderHears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := []kernel.Node{{Name: "n1"}, {Name: "n2"}}
-		content := uint64(1)
-		for other, _ := poison.Holder(content, nodes); other.Name != "n2"; other, _ = poison.Holder(content, nodes) {
-			content++
-		}
+		content := contentOf("n2", nodes)
 		v := &kernel.View{
 			Self: nodes[0], Nodes: nodes, Pools: map[string]*kernel.Pool{},
 			Suspects: map[uint64]kernel.Suspicion{content: {Endpoints: []string{"w1"}}},
@@ -97,11 +103,7 @@
 		for i := range nodes {
 			nodes[i].Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
 		}
-		first := nodes[1]
-		content := uint64(1)
-		for other, _ := poison.Holder(content, nodes); other.Name != first.Name; other, _ = poison.Holder(content, nodes) {
-			content++
-		}
+		content := contentOf("n2", nodes)
 		var v atomic.Pointer[kernel.View]
 		show := func(state kernel.State) {
 			now := slices.Clone(nodes)
