Let later rounds ask on where homes do not answer

Four asks in each later round were counted whether or not the home answered: a request whose four best endpoints had homes that could not be reached would have asked the same four in every round, and never the others, until these homes were known to be dead.

Only denials count against the four now; a round asks eight homes at most, as before. TestRequestAsksOnWhereHomesAreUnreachable failed with four.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -69,10 +69,11 @@
 	fullPause = 20 * time.Millisecond
 	maxPause  = 200 * time.Millisecond
 	// maxDoublings bounds the growth of the pause, maxAsks the homes that are
-	// asked in the first round, and laterAsks in each one after it.
+	// asked in one round, and laterDenials those that may deny the request in
+	// each round after the first.
 	maxDoublings = 4
 	maxAsks      = 8
-	laterAsks    = 4
+	laterDenials = 4
 	// maxRefused is how many endpoints may refuse a request before it is given
 	// up: they are down, and its caller may come back later.
 	maxRefused  = 8
@@ -161,10 +162,11 @@
 		late        bool
 		attempts    int
 		refused     int
-		// asks counts those of the present round, waits the rounds that found
-		// no endpoint.
-		asks  int
-		waits int
+		// asks counts those of the present round, denials those of them that
+		// were answered by a denial, and waits the rounds that found no endpoint.
+		asks    int
+		denials int
+		waits   int
 	}
 )
 
@@ -193,7 +195,7 @@
 		return p.none(now, pool)
 	}
 	e, ok := p.choose(now, pool)
-	if !ok || p.asks >= p.mayAsk() {
+	if !ok || p.asked() {
 		return p.wait(now)
 	}
 	p.next = e
@@ -207,13 +209,10 @@
 	}
 }
 
-// mayAsk is how many homes the present round may ask. One that follows on a round of denials
-// finds few places: in an overload most of the fleet's work would be to deny them.
-func (p *Plan) mayAsk() int {
-	if p.waits > 0 {
-		return laterAsks
-	}
-	return maxAsks
+// asked reports whether the present round has asked enough homes. One that follows on a round of
+// denials finds few places: in an overload most of the fleet's work would be to deny them.
+func (p *Plan) asked() bool {
+	return p.asks >= maxAsks || p.waits > 0 && p.denials >= laterDenials
 }
 
 func (p *Plan) run(pool *kernel.Pool) Step {
@@ -232,7 +231,10 @@
 	switch o {
 	case OutcomeGranted:
 		p.granted = true
-	case OutcomeFull, OutcomeGone, OutcomeUnreachable:
+	case OutcomeFull:
+		p.tried[p.next.Name] = true
+		p.denials++
+	case OutcomeGone, OutcomeUnreachable:
 		p.tried[p.next.Name] = true
 	case OutcomeNotRun:
 		p.refused++
@@ -264,7 +266,7 @@
 // overload, asking would otherwise cost more than the requests.
 func (p *Plan) pause(now time.Time) time.Time {
 	clear(p.tried)
-	p.asks = 0
+	p.asks, p.denials = 0, 0
 	pause := min(fullPause<<min(p.waits, maxDoublings), maxPause)
 	p.waits++
 	return now.Add(pause)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -277,15 +277,15 @@
 	}
 }
 
-// denied plays a request that every home denies until the plan refuses it or the time is
+// denied plays a request that every home denies, or does not answer, until the plan refuses it or the time is
 // over. It returns the plan's last step, when that was and how often homes were asked.
-func denied(v *kernel.View, req route.Request, span time.Duration) (last route.Step, at time.Duration, asks int) {
+func denied(v *kernel.View, req route.Request, answer route.Outcome, span time.Duration) (last route.Step, at time.Duration, asks int) {
 	p := route.NewRouter(route.Config{}).Plan(start, req)
 	for now := start; now.Sub(start) < span; {
 		switch last = p.Next(now, v); last.Kind {
 		case route.StepAsk:
 			asks++
-			p.Report(route.OutcomeFull)
+			p.Report(answer)
 		case route.StepWait:
 			now = last.Until
 		default:
@@ -302,7 +302,7 @@
 	for _, left := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
 		req := request(100)
 		req.Deadline = start.Add(left)
-		step, at, asks := denied(v, req, time.Minute)
+		step, at, asks := denied(v, req, route.OutcomeFull, time.Minute)
 		require.Equal(t, route.Step{Kind: route.StepRefuse, Reason: route.ReasonDeadline, RetryAfter: route.RetryAfter}, step)
 		require.Less(t, at, left)
 		require.Positive(t, asks)
@@ -316,6 +316,23 @@
 		span = 10 * time.Second
 		most = 250
 	)
-	_, _, asks := denied(view(make([]int, 24)...), request(100), span)
+	_, _, asks := denied(view(make([]int, 24)...), request(100), route.OutcomeFull, span)
 	require.LessOrEqual(t, asks, most)
 }
+
+// Guards against a request that asks the same few homes in every round while they cannot be
+// reached and others could.
+func TestRequestAsksOnWhereHomesAreUnreachable(t *testing.T) {
+	const rounds, each = 5, 8
+	p := route.NewRouter(route.Config{}).Plan(start, request(100))
+	for now, round := start, 0; round < rounds; round++ {
+		asked := map[string]bool{}
+		step := p.Next(now, view(make([]int, each)...))
+		for ; step.Kind == route.StepAsk; step = p.Next(now, view(make([]int, each)...)) {
+			asked[step.Endpoint.Name] = true
+			p.Report(route.OutcomeUnreachable)
+		}
+		require.Len(t, asked, each)
+		now = step.Until
+	}
+}
