Keep the head of a lost answer out of the refusal in its place

A plain answer under a ticket that another node began and lost is now refused; the refusal still carried headers of the lost answer (Etag and the like), as the head had been copied already.

--- a/internal/caller/early_test.go
+++ b/internal/caller/early_test.go
@@ -64,7 +64,7 @@
 // word, and against one that is taken for whole.
 func TestAnswerOfAnotherNodeThatEndsEarly(t *testing.T) {
 	stream := http.Header{"Content-Type": {"text/event-stream"}}
-	plain := http.Header{"Content-Length": {"8"}}
+	plain := http.Header{"Content-Length": {"8"}, "Etag": {"theirs"}}
 	first, second := "data: {\"id\":\"a\"}\n\n", "data: {\"id\":\"b\"}\n\n"
 	told := `data: {"error":{"type":"cut","ran":"unknown"}}` + "\n\n"
 	tests := map[string]struct {
@@ -91,6 +91,7 @@
 			resp, text, err := do(t, request(t, "POST", s.URL+plainPath, "{}", entry.HeaderOnce, "true", entry.HeaderTicket, theirs.String()))
 			require.Equal(t, test.broken, err != nil, "a begun answer breaks its connection: %v", err)
 			require.Equal(t, test.status, resp.StatusCode)
+			require.Empty(t, resp.Header.Get("Etag"))
 			rest, begun := strings.CutPrefix(text, test.events)
 			require.True(t, begun, text)
 			if test.kind == "" {
--- a/internal/caller/passing.go
+++ b/internal/caller/passing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"maps"
 	"net/http"
 )
 
@@ -20,6 +21,8 @@
 	http.ResponseWriter
 	events *events
 	held   *hold
+	// header is that of the answer; a refusal in its place has none of it.
+	header http.Header
 	status int
 	// rest is what is not passed on yet.
 	rest []byte
@@ -28,12 +31,15 @@
 }
 
 func (h *Handler) newPassing(w http.ResponseWriter) *passing {
-	return &passing{ResponseWriter: w, events: newEvents(w, h.config.WriteTimeout), held: h.slots.empty()}
+	return &passing{ResponseWriter: w, events: newEvents(w, h.config.WriteTimeout), held: h.slots.empty(), header: http.Header{}}
 }
 
 // Unwrap returns the writer below, for http.ResponseController.
 func (p *passing) Unwrap() http.ResponseWriter { return p.ResponseWriter }
 
+// Header returns the header of the answer.
+func (p *passing) Header() http.Header { return p.header }
+
 // WriteHeader takes the head of the answer.
 func (p *passing) WriteHeader(status int) {
 	p.status = status
@@ -88,11 +94,12 @@
 func (p *passing) release() { p.held.release() }
 
 func (p *passing) streams() bool {
-	return isStream(p.Header())
+	return isStream(p.header)
 }
 
 func (p *passing) begin() {
 	p.begun = true
+	maps.Copy(p.ResponseWriter.Header(), p.header)
 	p.ResponseWriter.WriteHeader(p.status)
 }
 
