--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,7 +96,7 @@
 	case c.route.Kind.Streams() && a.status/100 == 2:
 		return a.stream(x, timer)
 	}
-	return a.whole(x)
+	return a.whole(x, timer)
 }
 
 // idle is for how long the connection may have been idle.
@@ -230,7 +230,7 @@
 // whole passes on an answer that is not a stream, once it is complete. A failure
 // that may be tried again is kept: it is still the endpoint's answer where
 // nothing better comes.
-func (a *attempt) whole(x *http1.Exchange) result {
+func (a *attempt) whole(x *http1.Exchange, timer *time.Timer) result {
 	c := a.call
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxWhole+1))
 	if err != nil {
@@ -239,6 +239,10 @@
 	a.first = time.Since(a.at)
 	c.queue().Began(c.wanted(), a.first)
 	if len(body) > maxWhole {
+		if timer != nil {
+			// The endpoint is not silent, and nobody else could go on with its answer.
+			timer.Stop()
+		}
 		return a.long(x, body)
 	}
 	x.Finish()
