Tell a copy only once why its answer ends early

Cause: the other node had ended the answer with its event, and this node's own time was up before it heard that the other had ended it; it then said so again. It now sees that the last event passed on says so. The new case of TestAnswerOfAnotherNodeThatEndsEarly failed before.

--- a/internal/caller/passing.go
+++ b/internal/caller/passing.go
@@ -10,7 +10,8 @@
 var (
 	errNoAnswer = errors.New("caller: the other node gave no answer")
 
-	eventEnd = []byte("\n\n")
+	eventEnd   = []byte("\n\n")
+	errorEvent = []byte(`data: {"error":`)
 )
 
 // passing is the writer of an answer that comes piece by piece from the run of a
@@ -26,8 +27,10 @@
 	status int
 	// rest is what is not passed on yet.
 	rest []byte
-	// begun is set once the caller was given some of the answer.
+	// begun is set once the caller was given some of the answer, told while the
+	// last event of a stream says why it ends early.
 	begun bool
+	told  bool
 }
 
 func (h *Handler) newPassing(w http.ResponseWriter) *passing {
@@ -105,6 +108,16 @@
 
 func (p *passing) pass(data []byte) error {
 	p.events.keepAlive()
+	p.told = bytes.HasPrefix(lastEvent(data), errorEvent)
 	_, err := p.ResponseWriter.Write(data)
 	return err
 }
+
+// lastEvent returns the last of some whole events.
+func lastEvent(data []byte) []byte {
+	data = bytes.TrimSuffix(data, eventEnd)
+	if i := bytes.LastIndex(data, eventEnd); i >= 0 {
+		return data[i+len(eventEnd):]
+	}
+	return data
+}
