Tell from the stream alone that its early end was told

Two mechanisms said the same: an error code between nodes, and the last event that was passed on. The second suffices, as a node of a ticket that ends an answer early does so with that event. The code between nodes goes; answers and tests are as before (the test's other node now ends with the plain relay error behind its event).

--- a/internal/caller/early_test.go
+++ b/internal/caller/early_test.go
@@ -78,7 +78,7 @@
 		"stream lost within an event": {relays{stream, []string{first, second[:9]}, peer.ErrRelay}, true, 200, first, "cut"},
 		"event in two pieces":         {relays{stream, []string{first[:9], first[9:] + second}, peer.ErrRelay}, true, 200, first + second, "cut"},
 		"time is up":                  {relays{stream, []string{first}, fmt.Errorf("%w: %w", peer.ErrRelay, context.DeadlineExceeded)}, true, 200, first, "deadline"},
-		"ended by the other node":     {relays{stream, []string{first, told}, peer.ErrEnded}, true, 200, first + told, ""},
+		"ended by the other node":     {relays{stream, []string{first, told}, peer.ErrRelay}, true, 200, first + told, ""},
 		"ended, then time is up":      {relays{stream, []string{first + told}, fmt.Errorf("%w: %w", peer.ErrRelay, context.DeadlineExceeded)}, true, 200, first + told, ""},
 		"plain answer lost":           {relays{plain, []string{"half"}, peer.ErrRelay}, false, 409, "", "ticket_unknown"},
 		"too large":                   {relays{plain, []string{strings.Repeat("x", 2<<10)}, nil}, false, 503, "", "busy"},
--- a/internal/caller/ticket.go
+++ b/internal/caller/ticket.go
@@ -145,7 +145,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case out.begun && (out.told || errors.Is(err, peer.ErrEnded)):
+	case out.told:
 		// The other node has told the caller.
 		panic(http.ErrAbortHandler)
 	case out.begun:
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 
-	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
@@ -19,19 +18,11 @@
 // relayed request with its body and headers.
 const maxMessageBytes = 8 << 20
 
-const (
-	maxStatus = 599
-	// codeEnded is the error code of ErrEnded between nodes.
-	codeEnded = 1
-)
+const maxStatus = 599
 
-var (
-	// ErrRelay is returned where a relayed answer did not come whole. Whether the
-	// request was run is unknown.
-	ErrRelay = errors.New("peer: relay cut")
-	// ErrEnded is the ErrRelay of an answer that the other node ended early itself.
-	ErrEnded = fmt.Errorf("%w by the other node", ErrRelay)
-)
+// ErrRelay is returned where a relayed answer did not come whole. Whether the
+// request was run is unknown.
+var ErrRelay = errors.New("peer: relay cut")
 
 type (
 	// Relayed is a caller's request as it came to another node.
@@ -68,7 +59,7 @@
 	for {
 		part, err := stream.Recv()
 		if err != nil {
-			return started, fmt.Errorf("%w: %v: %w", relayError(err), to, err)
+			return started, fmt.Errorf("%w: %v: %w", ErrRelay, to, err)
 		}
 		if part.End {
 			return started, nil
@@ -89,9 +80,6 @@
 		// other node must see the answer cut, not ended.
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%w: %v", ErrRelay, p)
-			if p == http.ErrAbortHandler {
-				err = drpcerr.WithCode(ErrEnded, codeEnded)
-			}
 		}
 	}()
 	h.config.Relays.Relay(stream.Context(), Relayed{
@@ -103,14 +91,6 @@
 	return stream.Send(&peerpb.RelayPart{End: true})
 }
 
-// relayError sorts the error of a call that the other node answers.
-func relayError(err error) error {
-	if drpcerr.Code(err) == codeEnded {
-		return ErrEnded
-	}
-	return ErrRelay
-}
-
 // Header returns the header of the answer.
 func (w *relayWriter) Header() http.Header { return w.header }
 
