Derive the relays' timeouts from their period

What callers would see: in a fleet of 585 nodes and more, callers are sent to fewer nodes than live, and nodes choose endpoints without the loads of others, though nothing has failed.

Cause: the period of reports grew by 0.8 ms a node without bound, while the timeouts were constants that had been set at 195 nodes. At 585 nodes a report came each 438 ms, so that the timeout of 650 ms was one report and a half; at 1,000 nodes no relay responded in time at all.

Evidence: the model without failures, 2.5 % of datagrams lost, before this change: 375 of 341,640 pairs of living nodes held lost at 585 nodes, 21 % at 1,000, and 64 % of the loads missing there.

Change: Timing holds the period and all timeouts, each several periods long. Nodes rank the relays of a zone only where they need them, as sorting all zones at each step was two fifths of the model's time.

--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -21,9 +21,6 @@
 	// relayCheckInterval is how often a node of a small fleet checks whether it
 	// needs relays.
 	relayCheckInterval = time.Second
-	// minSilence is how long this node must have received nothing from a node
-	// itself before it accepts a relay's report that the node is lost.
-	minSilence = 650 * time.Millisecond
 	// accessShift is the offset of the store access in a status byte.
 	accessShift = 4
 	// sourceRelay is the logged source of updates that come through relays.
@@ -71,7 +68,7 @@
 	if !g.usesRelays() {
 		return relayCheckInterval
 	}
-	return relay.Step(g.View().Known)
+	return relay.NewTiming(g.View().Known).Step
 }
 
 // step reports to the node's relays, and sends summaries if it is a relay.
@@ -88,7 +85,7 @@
 	l.reportTimes.record(now)
 	own := newReport(b, g.config.Self.IP)
 	encoded := map[*relay.Summary][]byte{}
-	for _, m := range l.relay.Step(now, l.table.peers(), own) {
+	for _, m := range l.relay.Step(now, relay.NewTiming(g.View().Known), l.table.peers(), own) {
 		if m.Report != nil {
 			g.sendReport(b, m)
 			continue
@@ -198,12 +195,12 @@
 	nodes := l.table.byShortID()
 	fleet.Covered.Each(func(i int, id relay.ID) {
 		if n := nodes[id]; n != nil {
-			g.markCovered(n, fleet.Statuses[i], now)
+			g.markCovered(n, fleet.Statuses[i], l.relay.Timing().Lost, now)
 		}
 	})
 	fleet.Lost.Each(func(_ int, id relay.ID) {
 		if n := nodes[id]; n != nil {
-			g.markLost(n, nodes[fleet.ID], now)
+			g.markLost(n, nodes[fleet.ID], l.relay.Timing().Lost, now)
 		}
 	})
 	fleet.UpToDate.Each(func(_ int, id relay.ID) {
@@ -220,8 +217,9 @@
 	g.pullIfBehind(ctx, l, fleet.Position(), now)
 }
 
-// markCovered records that a relay has recent reports of a node.
-func (g *Gossip) markCovered(n *node, status byte, now time.Time) {
+// markCovered records that a relay has recent reports of a node. Its reported store
+// access counts if the node itself has sent nothing for the time of silence.
+func (g *Gossip) markCovered(n *node, status byte, silence time.Duration, now time.Time) {
 	if !n.alive {
 		g.config.Log.Event("node.heard", decision.Fields{"peer": n.member.Name, "incarnation": n.member.Incarnation, "relayed": true})
 	}
@@ -229,7 +227,7 @@
 	// The states of one incarnation only advance, and the node's own heartbeat
 	// may have arrived before the relayed status.
 	n.member.State = max(n.member.State, state(status))
-	if now.Sub(n.lastSeen) > minSilence {
+	if now.Sub(n.lastSeen) > silence {
 		n.member.Access = access(status)
 	}
 	if access(status) == deployment.Failing {
@@ -237,9 +235,10 @@
 	}
 }
 
-// markLost handles a relay's report that a node is unreachable.
-func (g *Gossip) markLost(n, by *node, now time.Time) {
-	if !n.alive || now.Sub(n.lastSeen) < minSilence {
+// markLost handles a relay's report that a node is unreachable. It is accepted if the
+// node itself has sent nothing for the time of silence.
+func (g *Gossip) markLost(n, by *node, silence time.Duration, now time.Time) {
+	if !n.alive || now.Sub(n.lastSeen) < silence {
 		return
 	}
 	silent := now.Sub(later(n.lastSeen, n.coveredAt))
--- a/internal/relay/contacts.go
+++ b/internal/relay/contacts.go
@@ -9,10 +9,8 @@
 const (
 	// relaysPerZone is how many relays of a zone are contacted: one may die.
 	relaysPerZone = 2
-	// responseTimeout is how long a contacted relay may be unresponsive: three
-	// responses at 195 nodes. It is then skipped for skipFor.
-	responseTimeout = 450 * time.Millisecond
-	skipFor         = 3 * time.Second
+	// skipFor is how long a relay is skipped that has not responded in time.
+	skipFor = 3 * time.Second
 	// maxTried bounds the contacted relays while others are skipped: after many
 	// deaths some of the next candidates are dead too, and trying one after the
 	// other would take seconds.
@@ -58,15 +56,15 @@
 	return ok
 }
 
-// responds reports whether a contacted relay responds.
-func (c *contacts) responds(now time.Time, id ID) bool {
-	return now.Sub(c.active[id].lastSeen) <= responseTimeout
+// responds reports whether a contacted relay has responded within the timeout.
+func (c *contacts) responds(now time.Time, timeout time.Duration, id ID) bool {
+	return now.Sub(c.active[id].lastSeen) <= timeout
 }
 
 // any reports whether a relay other than the node itself responds.
-func (c *contacts) any(now time.Time, self ID) bool {
+func (c *contacts) any(now time.Time, timeout time.Duration, self ID) bool {
 	for id := range c.active {
-		if id != self && c.responds(now, id) {
+		if id != self && c.responds(now, timeout, id) {
 			return true
 		}
 	}
@@ -77,16 +75,16 @@
 // are not skipped. Until they respond, others that do are kept. While none does,
 // more are tried, each until it responds or is skipped: if those that have yet to
 // respond were dropped, they would be tried again two at a time.
-func (c *contacts) choose(now time.Time, list []Peer, self ID) []Peer {
-	c.skipSilent(now)
-	widen := len(c.skipped) > 0 && !c.any(now, self)
+func (c *contacts) choose(now time.Time, timeout time.Duration, list []Peer, self ID) []Peer {
+	c.skipSilent(now, timeout)
+	widen := len(c.skipped) > 0 && !c.any(now, timeout, self)
 	var chosen []Peer
 	first, responding := 0, 0
 	for _, p := range list {
 		if _, skip := c.skipped[p.ID]; skip {
 			continue
 		}
-		responds := c.responds(now, p.ID)
+		responds := c.responds(now, timeout, p.ID)
 		switch {
 		case first < relaysPerZone:
 			first++
@@ -113,32 +111,35 @@
 }
 
 // skipSilent skips unresponsive relays for skipFor.
-func (c *contacts) skipSilent(now time.Time) {
+func (c *contacts) skipSilent(now time.Time, timeout time.Duration) {
 	for id, until := range c.skipped {
 		if now.After(until) {
 			delete(c.skipped, id)
 		}
 	}
 	for id, k := range c.active {
-		if now.Sub(k.since) > responseTimeout && now.Sub(k.lastSeen) > responseTimeout {
+		if now.Sub(k.since) > timeout && now.Sub(k.lastSeen) > timeout {
 			c.skipped[id] = now.Add(skipFor)
 		}
 	}
 }
 
-// rankRelays returns the candidate relays of each zone: those with the most
-// processor time first, and among equals in an order that all nodes share.
-func rankRelays(self Peer, peers []Peer) map[string][]Peer {
+// groupByZone returns the candidate relays of each zone, unranked.
+func groupByZone(self Peer, peers []Peer) map[string][]Peer {
 	zones := map[string][]Peer{self.Zone: {self}}
 	for _, p := range peers {
 		if p.Power > 0 {
 			zones[p.Zone] = append(zones[p.Zone], p)
 		}
 	}
-	for _, list := range zones {
-		slices.SortFunc(list, func(a, b Peer) int {
-			return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(a.ID), rank(b.ID)), cmp.Compare(a.ID, b.ID))
-		})
-	}
 	return zones
 }
+
+// rankRelays sorts the candidate relays of a zone: those with the most processor
+// time first, and among equals in an order that all nodes share.
+func rankRelays(list []Peer) []Peer {
+	slices.SortFunc(list, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(a.ID), rank(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
@@ -13,34 +14,13 @@
 	// each node sends to all others several times a second.
 	MaxDirect = 100
 
-	// baseStep is the time between two reports, and two summaries, in a fleet of
-	// up to stepNodes. Each further node adds stepPerNode, as the loads of more
-	// endpoints make summaries larger. An update takes at most three steps: to
-	// the relay, to the other relays, to their followers.
-	baseStep    = 130 * time.Millisecond
-	stepNodes   = 200
-	stepPerNode = 800 * time.Microsecond
-
-	// lostAfter is how long a node that reported may be unreachable until it is
-	// lost: five reports at 195 nodes. One in forty datagrams is lost, so a live
-	// node is affected only if five in a row to each of two relays are.
-	lostAfter = 650 * time.Millisecond
-	// settleTime is how long a relay waits for the nodes of its zone to report
-	// before it declares those that never did lost: they all choose another relay
-	// within responseTimeout of the same death.
-	settleTime = 900 * time.Millisecond
-	// zoneLostAfter is how long no relay of a zone may be heard from until the
-	// zone's nodes are lost: others take over before then, if any node lives.
-	zoneLostAfter = 1500 * time.Millisecond
 	// repeatLossFor is how long the loss of a node is repeated.
 	repeatLossFor = 3 * time.Second
-	// partTTL is how long a relay's summary is valid after it was received.
-	partTTL = time.Second
 	// maxUpToDate bounds the nodes at the newest position that a summary names;
 	// more than one, so that not all nodes ask the same one.
 	maxUpToDate = 8
 	// reportsKept is how many of its own reports a node keeps, to subtract its
-	// share from the sums: 2.4 s.
+	// share from the sums: more than are sent while a summary is valid.
 	reportsKept = 16
 )
 
@@ -57,6 +37,7 @@
 	// safe for concurrent use.
 	Node struct {
 		config    Config
+		timing    Timing
 		sequence  uint64
 		followers map[ID]*follower
 		// relaySince is when this node got its first follower, zero if it has none.
@@ -98,25 +79,25 @@
 	}
 )
 
-// Step returns the time between two calls of Node.Step in a fleet of some size.
-func Step(nodes int) time.Duration {
-	return baseStep + time.Duration(max(nodes-stepNodes, 0))*stepPerNode
-}
-
 // New returns a Node that knows no other nodes.
 func New(c Config) *Node {
 	return &Node{
-		config: c, followers: map[ID]*follower{}, parts: map[ID]*part{}, lost: map[ID]time.Time{}, zoneLost: map[ID]time.Time{},
+		config: c, timing: NewTiming(0), followers: map[ID]*follower{}, parts: map[ID]*part{}, lost: map[ID]time.Time{}, zoneLost: map[ID]time.Time{},
 		zoneContacts: map[string]*contacts{c.Zone: newContacts()}, seen: newSeen(),
 	}
 }
 
+// Timing returns the node's period and timeouts.
+func (n *Node) Timing() Timing { return n.timing }
+
 // Step does the periodic work and returns the messages to send: the node's own
-// report and, if it is a relay, summaries for other nodes.
-func (n *Node) Step(now time.Time, peers []Peer, own Report) []Message {
+// report and, if it is a relay, summaries for other nodes. The timing is that of
+// the fleet's present size.
+func (n *Node) Step(now time.Time, timing Timing, peers []Peer, own Report) []Message {
+	n.timing = timing
 	n.rememberReport(own)
-	zones := rankRelays(Peer{ID: n.config.ID, Zone: n.config.Zone, Power: n.config.Power}, peers)
-	relays, first := n.chooseRelays(now, zones[n.config.Zone])
+	zones := groupByZone(Peer{ID: n.config.ID, Zone: n.config.Zone, Power: n.config.Power}, peers)
+	relays, first := n.chooseRelays(now, rankRelays(zones[n.config.Zone]))
 	var messages []Message
 	for _, r := range relays {
 		report := own
@@ -228,7 +209,11 @@
 	n.ownReports = n.ownReports[max(len(n.ownReports)-reportsKept, 0):]
 }
 
-func rank(id ID) uint64 { return xxhash.Sum64(IDs(nil).Add(id)) }
+func rank(id ID) uint64 {
+	var b [idBytes]byte
+	binary.BigEndian.PutUint32(b[:], uint32(id))
+	return xxhash.Sum64(b[:])
+}
 
 func (n *Node) contacts(zone string) *contacts {
 	c := n.zoneContacts[zone]
@@ -245,7 +230,7 @@
 func (n *Node) chooseRelays(now time.Time, zone []Peer) ([]Peer, bool) {
 	c := n.contacts(n.config.Zone)
 	c.markAlive(now, n.config.ID)
-	relays := c.choose(now, zone, n.config.ID)
+	relays := c.choose(now, n.timing.Response, zone, n.config.ID)
 	own := slices.IndexFunc(relays, func(p Peer) bool { return p.ID == n.config.ID })
 	if own >= 0 {
 		relays = slices.Delete(relays, own, own+1)
@@ -266,7 +251,7 @@
 func (n *Node) chooseFollowed(now time.Time, c *contacts, relays []Peer) ID {
 	first := relays[:min(len(relays), relaysPerZone)]
 	if len(c.skipped) > 0 {
-		first = slices.DeleteFunc(slices.Clone(first), func(p Peer) bool { return !c.responds(now, p.ID) })
+		first = slices.DeleteFunc(slices.Clone(first), func(p Peer) bool { return !c.responds(now, n.timing.Response, p.ID) })
 	}
 	if len(first) == 0 {
 		return 0
@@ -282,7 +267,7 @@
 		to[p.ID] = p
 	}
 	for id, p := range n.parts {
-		if now.Sub(p.receivedAt) < partTTL {
+		if now.Sub(p.receivedAt) < n.timing.Valid {
 			to[id] = p.peer
 		}
 	}
@@ -290,7 +275,7 @@
 		if zone == n.config.Zone {
 			continue
 		}
-		for _, p := range n.contacts(zone).choose(now, list, n.config.ID) {
+		for _, p := range n.contacts(zone).choose(now, n.timing.Response, rankRelays(list), n.config.ID) {
 			to[p.ID] = p
 		}
 	}
@@ -311,7 +296,7 @@
 func (n *Node) expire(now time.Time) {
 	n.seen.expire(now)
 	for id, f := range n.followers {
-		if now.Sub(f.lastSeen) > lostAfter {
+		if now.Sub(f.lastSeen) > n.timing.Lost {
 			n.lost[id] = now
 			delete(n.followers, id)
 		}
@@ -320,7 +305,7 @@
 		n.relaySince = time.Time{}
 	}
 	for id, p := range n.parts {
-		if now.Sub(p.receivedAt) > partTTL {
+		if now.Sub(p.receivedAt) > n.timing.Valid {
 			delete(n.parts, id)
 		}
 	}
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -27,7 +27,7 @@
 
 // Fleet returns the newest summary of the fleet, nil if there is no valid one.
 func (n *Node) Fleet(now time.Time) *Summary {
-	if n.fleet == nil || now.Sub(n.fleetAt) > partTTL {
+	if n.fleet == nil || now.Sub(n.fleetAt) > n.timing.Valid {
 		return nil
 	}
 	return n.fleet
@@ -100,13 +100,13 @@
 // reported to the new relays. Without this, callers would be sent to the dead
 // nodes for as long as the timeout of broadcast heartbeats.
 func (n *Node) markSilent(now time.Time, peers []Peer) {
-	if n.relaySince.IsZero() || now.Sub(n.relaySince) < settleTime {
+	if n.relaySince.IsZero() || now.Sub(n.relaySince) < n.timing.Settle {
 		return
 	}
 	for _, p := range peers {
 		_, follows := n.followers[p.ID]
 		if _, lost := n.lost[p.ID]; follows || lost || p.Zone != n.config.Zone || p.Power == 0 ||
-			now.Sub(p.FirstSeen) < settleTime || now.Sub(p.LastSeen) < lostAfter {
+			now.Sub(p.FirstSeen) < n.timing.Settle || now.Sub(p.LastSeen) < n.timing.Lost {
 			continue
 		}
 		n.lost[p.ID] = now
@@ -118,7 +118,7 @@
 func (n *Node) markZonesLost(now time.Time, peers []Peer) {
 	for _, p := range peers {
 		c := n.zoneContacts[p.Zone]
-		if c == nil || c.lastSeen.IsZero() || p.Zone == n.config.Zone || now.Sub(c.lastSeen) <= zoneLostAfter || now.Sub(p.LastSeen) <= lostAfter {
+		if c == nil || c.lastSeen.IsZero() || p.Zone == n.config.Zone || now.Sub(c.lastSeen) <= n.timing.ZoneLost || now.Sub(p.LastSeen) <= n.timing.Lost {
 			continue
 		}
 		n.zoneLost[p.ID] = now
