Let few nodes read the store when a large fleet starts

A node also pulled the same items twice, as it asked again before the first reply was in force.

Change: internal/catchup decides, without network or clock, which nodes read, whom a node asks and what a node serves. Seeds read at once, the others once they have met and only the first three; the rest pull. In a fleet with relays these ask first, the others a node of their own zone. A node that sends too much already says so. After one failure eight nodes of the fleet read, on average, and the others ask another peer; all read after half of the bound. Readers are the nodes with the most processor time.

TestNonReadersReadOnce said that every node reads once; its successor asks that a node that is no reader makes no call at all until it is told to.

A peer of the build before takes "busy" for a reply that it can't decode, and reads the store.

--- a/gateway.go
+++ b/gateway.go
@@ -160,7 +160,7 @@
 	follower := &atomic.Pointer[store.Follower]{}
 	g.gossip, err = gossip.New(gossip.Config{
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Power: power(c.Power), Incarnation: rand.Uint64()},
-		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state,
+		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state, Bound: shorterBound(c.Drain, c.Apply),
 		State: g.memberState, Work: g.balancer, Metrics: g.gossipMetrics, Log: g.log,
 		OnCrash: func(k gossip.Crash) { crashes.Record(time.Now(), k.Fingerprint, k.Endpoint) },
 		Reread: func() {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/catchup"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
@@ -31,9 +34,6 @@
 	heartbeatPerExtra = 20 * time.Millisecond
 	// inboxLength bounds the queued datagrams; further ones are dropped.
 	inboxLength = 256
-	// storeReaders is how many nodes read the store on behalf of all: one or two
-	// may be cut off before the others notice.
-	storeReaders = 3
 )
 
 // ErrStart is returned if the sockets cannot be opened.
@@ -96,6 +96,9 @@
 		// Seeds returns the addresses of some nodes; they may be down or stale.
 		Seeds   func() []netip.Addr
 		Replica Replica
+		// Bound is the time within which a change of the store must be in force, 0
+		// for catchup.DefaultBound.
+		Bound time.Duration
 		// State returns whether this node takes callers.
 		State func() State
 		Work  Work
@@ -116,14 +119,18 @@
 	// its state.
 	Gossip struct {
 		config  Config
-		socket  *net.UDPConn
-		client  *client
-		server  *server
-		view    atomic.Pointer[View]
-		inbox   chan packet
-		crashes chan Crash
-		cancel  context.CancelFunc
-		running sync.WaitGroup
+		started time.Time
+		// patience is how long the node waits for a peer before it reads the store
+		// although others should.
+		patience time.Duration
+		socket   *net.UDPConn
+		client   *client
+		server   *server
+		view     atomic.Pointer[View]
+		inbox    chan packet
+		crashes  chan Crash
+		cancel   context.CancelFunc
+		running  sync.WaitGroup
 	}
 
 	// packet is a received heartbeat or summary and its sender's address.
@@ -148,7 +155,9 @@
 		// broadcasts counts the heartbeats sent to all nodes.
 		broadcasts    uint64
 		recentCrashes []recentCrash
-		pulling       chan struct{}
+		// pulling holds a value while a pull runs, which then owns the puller.
+		pulling chan struct{}
+		puller  *catchup.Puller
 		// publishedAt is when the view was last published.
 		publishedAt time.Time
 		// broadcastTimes are those of heartbeats to all, reportTimes to relays.
@@ -193,7 +202,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gossip{
-		config: c, socket: socket, client: newClient(c.Port), inbox: make(chan packet, inboxLength),
+		config: c, started: time.Now(), patience: catchup.MinPatience + rand.N(catchup.MaxPatience-catchup.MinPatience), socket: socket, client: newClient(c.Port), inbox: make(chan packet, inboxLength),
 		crashes: make(chan Crash, crashesPerHeartbeat), cancel: cancel,
 	}
 	g.view.Store(&View{Known: 1})
@@ -212,9 +221,11 @@
 		}
 	})
 	g.running.Go(func() {
-		l := &loop{table: newTable(), pulling: make(chan struct{}, 1), relay: relay.New(relay.Config{
-			ID: shortID(c.Self.Incarnation), Zone: c.Self.Zone, Power: int(c.Self.Power),
-		})}
+		l := &loop{
+			table: newTable(), pulling: make(chan struct{}, 1),
+			puller: catchup.NewPuller(catchup.Config{Zone: c.Self.Zone, Bound: c.Bound, Draw: rand.Float64}),
+			relay:  relay.New(relay.Config{ID: shortID(c.Self.Incarnation), Zone: c.Self.Zone, Power: int(c.Self.Power)}),
+		}
 		timer, steps := time.NewTimer(0), time.NewTimer(relayCheckInterval)
 		defer timer.Stop()
 		defer steps.Stop()
@@ -285,24 +296,35 @@
 	return max(heartbeatInterval, time.Duration(base)*heartbeatPerNode+time.Duration(nodes-base)*heartbeatPerExtra)
 }
 
-// Reads reports whether this node is one of the few that read the store on
-// behalf of all: the first storeReaders, in rank order, of the nodes that can.
-// A node that cannot keeps trying only if it is among the first of all nodes.
+// Reads reports whether this node reads the store on behalf of all. The readers are
+// the first, in rank order, of the nodes that can. A node that cannot keeps trying
+// only if it is among the first of all nodes.
 func (g *Gossip) Reads() bool {
+	view, known := g.View(), g.config.Replica.Snapshot().Position
 	failing := g.config.Replica.Access() == deployment.Failing
-	self := rank(g.config.Self.Name)
-	ahead := 0
-	for _, m := range g.View().Alive {
-		if m.State == Stopping || rank(m.Name) >= self {
-			continue
-		}
-		if failing || m.Access != deployment.Failing {
-			ahead++
+	r := catchup.Reader{
+		Age: time.Since(g.started), Met: time.Since(later(view.metAt, g.started)), Patience: g.patience, Empty: known.IsZero(), Informed: !view.newest().IsZero(), Seed: g.isSeed(),
+	}
+	for _, m := range view.Alive {
+		if m.State != Stopping && readsBefore(m, g.config.Self) && (failing || m.Access != deployment.Failing) {
+			r.Ahead++
 		}
 	}
-	return ahead < storeReaders
+	return r.Reads()
+}
+
+// isSeed reports whether other nodes ask this one when they start, or whether it
+// knows no node to ask.
+func (g *Gossip) isSeed() bool {
+	seeds := g.config.Seeds()
+	return len(seeds) == 0 || slices.Contains(seeds, g.config.Self.IP)
+}
+
+// readsBefore is the rank order of the readers: those with the most processor time
+// first, as all others get the changes from them. Among equals a hash spreads them
+// over the availability zones, whose nodes often have similar names.
+func readsBefore(a, b Member) bool {
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(a.Name), rank(b.Name))) < 0
 }
 
-// rank orders the readers. The hash spreads them over the availability zones,
-// whose nodes often have similar names.
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -117,6 +117,8 @@
 	}
 
 	itemsReply struct {
+		// Busy says that the node sends too many replies already; the rest is empty.
+		Busy bool `cbor:"10,keyasint,omitempty"`
 		// Packed are the items, encoded and compressed.
 		Packed []byte `cbor:"1,keyasint"`
 		// Whole says that the items are the complete set, because the node does not
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -27,6 +27,8 @@
 	sent, sentBytes         *metrics.Counter
 	received, receivedBytes *metrics.Counter
 	dropped                 *metrics.Counter
+	// busy counts the peers that had no capacity for this node's requests.
+	busy *metrics.Counter
 }
 
 // NewMetrics returns Metrics whose counters are 0.
@@ -42,6 +44,7 @@
 		sentBytes:     s.NewCounter(metricPrefix + `bytes_total{direction="sent"}`),
 		receivedBytes: s.NewCounter(metricPrefix + `bytes_total{direction="received"}`),
 		dropped:       s.NewCounter(metricPrefix + "dropped_total"),
+		busy:          s.NewCounter(metricPrefix + "busy_peers_total"),
 	}
 }
 
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
 
+	"bulrushhinge.example/bulrushhinge/internal/catchup"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
@@ -25,12 +26,21 @@
 	pullDelay = 250 * time.Millisecond
 	// pullTimeout bounds a call to a peer, whose connection may be unresponsive.
 	pullTimeout = 800 * time.Millisecond
+	// applyTimeout bounds the wait for a reply's items to be in force, which is
+	// checked each applyCheck. Without it, a node would ask for the same items
+	// again.
+	applyTimeout = time.Second
+	applyCheck   = 5 * time.Millisecond
 	// maxPreviousPulls is how many peers are asked for items of previous epochs.
 	maxPreviousPulls = 3
 )
 
-// errUnknownRPC is returned for an RPC that the node does not implement.
-var errUnknownRPC = errors.New("gossip: unknown call")
+var (
+	// errUnknownRPC is returned for an RPC that the node does not implement.
+	errUnknownRPC = errors.New("gossip: unknown call")
+	// errBusy is returned if a peer sends too many replies already.
+	errBusy = errors.New("gossip: peer is busy")
+)
 
 type (
 	// client calls other nodes.
@@ -46,6 +56,7 @@
 	handler struct {
 		replica Replica
 		packer  *packer
+		limit   *catchup.Server
 	}
 )
 
@@ -56,7 +67,7 @@
 	s := &server{cancel: cancel}
 	s.running.Go(func() {
 		// Serve returns when its context is canceled.
-		_ = drpcserver.New(handler{replica: replica, packer: newPacker(replica)}).Serve(ctx, l)
+		_ = drpcserver.New(handler{replica: replica, packer: newPacker(replica), limit: &catchup.Server{}}).Serve(ctx, l)
 	})
 	return s
 }
@@ -79,8 +90,13 @@
 	if err != nil {
 		return err
 	}
-	reply := *packed
-	reply.Lapsing, reply.Settling = h.replica.Lapsing(), h.replica.Settling()
+	size := len(packed.Packed) + len(packed.Previous)
+	reply := itemsReply{Busy: true}
+	if h.limit.Begin(size) {
+		defer h.limit.End(size)
+		reply = *packed
+		reply.Lapsing, reply.Settling = h.replica.Lapsing(), h.replica.Settling()
+	}
 	if err := stream.MsgSend(&reply, codec{}); err != nil {
 		return err
 	}
@@ -100,35 +116,72 @@
 	if err := conn.Invoke(ctx, itemsRPC, codec{}, &req, &reply); err != nil {
 		return nil, fmt.Errorf("gossip: items: %w", err)
 	}
+	if reply.Busy {
+		return nil, errBusy
+	}
 	return &reply, nil
 }
 
-// pull fetches from a peer what it has read of the store and this node lacks.
+// pull fetches from peers what they have read of the store and this node lacks.
 //
 // A node may be cut off from the store while others are not. Any node that is
 // ahead may be asked; only one pull runs at a time.
-func (g *Gossip) pull(ctx context.Context, l *loop) {
+func (g *Gossip) pull(ctx context.Context, l *loop, now time.Time) {
 	select {
 	case l.pulling <- struct{}{}:
 	default:
 		return
 	}
+	relay := !g.usesRelays() || l.relay.First(now)
 	g.running.Go(func() {
 		defer func() { <-l.pulling }()
-		if g.config.Replica.Access() == deployment.Reading {
-			select {
-			case <-time.After(pullDelay):
-			case <-ctx.Done():
+		if g.config.Replica.Access() == deployment.Reading && !wait(ctx, pullDelay) {
+			return
+		}
+		for g.pullOnce(ctx, l.puller, relay) {
+			if ctx.Err() != nil {
 				return
 			}
 		}
-		after := g.config.Replica.Snapshot().Position
-		if from, ok := g.View().aheadOf(after); ok {
-			g.fetch(ctx, from, after)
-		}
 	})
 }
 
+// pullOnce asks one peer, or waits until it may, and reports whether to go on.
+func (g *Gossip) pullOnce(ctx context.Context, p *catchup.Puller, relay bool) bool {
+	view, after := g.View(), g.config.Replica.Snapshot().Position
+	ahead := view.aheadOf(after)
+	if len(ahead) == 0 {
+		p.Done()
+		return false
+	}
+	peer, pause, ok := p.Next(time.Now(), catchup.Fleet{Ahead: ahead, Nodes: view.Known, Relay: relay})
+	if !ok || pause > 0 {
+		return ok && wait(ctx, pause)
+	}
+	err := g.fetch(ctx, peer, after)
+	switch {
+	case err == nil:
+		p.Done()
+		return false
+	case errors.Is(err, errBusy):
+		p.Busy(time.Now(), peer)
+	case p.Failed(time.Now(), peer, view.Known):
+		g.config.Reread()
+		return false
+	}
+	return true
+}
+
+// wait waits and reports whether the time has passed before ctx ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // pullPrevious asks a peer for the items of previous epochs that are still valid,
 // up to maxPreviousPulls times per epoch.
 //
@@ -150,26 +203,31 @@
 	l.previousPulls++
 	g.running.Go(func() {
 		defer func() { <-l.pulling }()
-		if from, ok := g.View().inEpoch(own.Epoch); ok {
-			g.fetch(ctx, from, own)
+		if from, ok := g.View().inEpoch(own.Epoch); ok && g.fetch(ctx, from, own) != nil {
+			g.config.Reread()
 		}
 	})
 }
 
-func (g *Gossip) fetch(ctx context.Context, from Member, after deployment.Position) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+// fetch asks a peer for the items after a position, and returns once they are in
+// force. Its errors are errBusy and those of the call.
+func (g *Gossip) fetch(ctx context.Context, from catchup.Peer, after deployment.Position) error {
+	limited, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	items := g.config.Replica.Record().Items
 	req := itemsRequest{After: after.Revision, Epoch: after.Epoch, Base: largest(items)}
-	reply, err := g.client.items(ctx, from.IP, req)
+	reply, err := g.client.items(limited, from.IP, req)
+	if errors.Is(err, errBusy) {
+		g.config.Metrics.busy.Inc()
+		return err
+	}
 	var changed, previous []item
 	if err == nil {
 		changed, previous, err = reply.unpack(items, req.Base)
 	}
 	if err != nil {
 		g.config.Log.Event("pull.failed", decision.Fields{"peer": from.Name, "epoch": after.Epoch, "after": after.Revision, "error": err.Error()})
-		g.config.Reread()
-		return
+		return err
 	}
 	g.config.Log.Event("pull", decision.Fields{
 		"peer": from.Name, "after": after.Revision, "epoch": reply.Epoch, "revision": reply.Revision, "whole": reply.Whole, "items": len(changed),
@@ -179,6 +237,16 @@
 		Items: mapSlice(changed, decodeItem), Position: deployment.Position{Epoch: reply.Epoch, Revision: reply.Revision}, Whole: reply.Whole,
 		Lapsing: reply.Lapsing, Previous: mapSlice(previous, decodeItem), Settling: reply.Settling, Source: from.Name,
 	})
+	g.awaitApplied(ctx, deployment.Position{Epoch: reply.Epoch, Revision: reply.Revision})
+	return nil
+}
+
+// awaitApplied waits until the node's state is at a position.
+func (g *Gossip) awaitApplied(ctx context.Context, at deployment.Position) {
+	deadline := time.Now().Add(applyTimeout)
+	for g.config.Replica.Snapshot().Before(at) && time.Now().Before(deadline) && wait(ctx, applyCheck) {
+		continue
+	}
 }
 
 // unpack returns the changed items of a reply, and those of previous epochs. The
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -89,7 +89,7 @@
 	if l.behindSince.IsZero() {
 		l.behindSince = now
 	}
-	g.pull(ctx, l)
+	g.pull(ctx, l, now)
 	return true
 }
 
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/catchup"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
 )
@@ -42,6 +43,8 @@
 		// positions are the store positions of the nodes in Alive, in the same
 		// order.
 		positions []deployment.Position
+		// metAt is when another node became known last.
+		metAt time.Time
 	}
 
 	// table is what the control goroutine knows of other nodes.
@@ -104,29 +107,29 @@
 // endpoint.
 func (v *View) OthersFailures(key uint32) int { return v.failures[key] }
 
-// aheadOf returns a living node whose position is newer. It is random, so that
-// not all nodes ask the same one.
-func (v *View) aheadOf(after deployment.Position) (Member, bool) {
-	return v.pick(func(at deployment.Position) bool { return after.Before(at) })
+// aheadOf returns the living nodes whose positions are newer.
+func (v *View) aheadOf(after deployment.Position) []catchup.Peer {
+	return v.matching(func(at deployment.Position) bool { return after.Before(at) })
 }
 
 // inEpoch returns a random living node whose position is in an epoch.
-func (v *View) inEpoch(epoch uint64) (Member, bool) {
-	return v.pick(func(at deployment.Position) bool { return at.Epoch == epoch && !at.IsZero() })
+func (v *View) inEpoch(epoch uint64) (catchup.Peer, bool) {
+	list := v.matching(func(at deployment.Position) bool { return at.Epoch == epoch && !at.IsZero() })
+	if len(list) == 0 {
+		return catchup.Peer{}, false
+	}
+	return list[rand.IntN(len(list))], true
 }
 
-// pick returns a random living node whose position matches.
-func (v *View) pick(match func(at deployment.Position) bool) (Member, bool) {
-	var list []Member
+// matching returns the living nodes whose positions match.
+func (v *View) matching(match func(at deployment.Position) bool) []catchup.Peer {
+	var list []catchup.Peer
 	for i, m := range v.Alive {
 		if match(v.positions[i]) {
-			list = append(list, m)
+			list = append(list, catchup.Peer{Name: m.Name, Zone: m.Zone, IP: m.IP})
 		}
 	}
-	if len(list) == 0 {
-		return Member{}, false
-	}
-	return list[rand.IntN(len(list))], true
+	return list
 }
 
 // newest returns the newest position of a living node.
@@ -227,13 +230,15 @@
 // and the last heartbeat for others.
 func (t *table) view(now time.Time, sums *relay.Sums) *View {
 	living := make([]*node, 0, len(t.nodes))
+	var metAt time.Time
 	for _, n := range t.nodes {
+		metAt = later(metAt, n.introducedAt)
 		if n.alive {
 			living = append(living, n)
 		}
 	}
 	slices.SortFunc(living, func(a, b *node) int { return cmp.Compare(a.member.Name, b.member.Name) })
-	v := &View{Known: len(t.nodes) + 1, loads: map[uint32]int{}, reading: map[uint32]int{}, failures: map[uint32]int{}}
+	v := &View{Known: len(t.nodes) + 1, metAt: metAt, loads: map[uint32]int{}, reading: map[uint32]int{}, failures: map[uint32]int{}}
 	if sums != nil {
 		v.loads, v.reading, v.failures, v.Relayed = sums.Loads, sums.PendingPrefill, sums.Failures, true
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -145,6 +145,12 @@
 	return 0, len(n.followers)
 }
 
+// First reports whether the node is one of the first relays of its zone.
+func (n *Node) First(now time.Time) bool {
+	id, _ := n.Relay(now)
+	return id == n.config.ID
+}
+
 // ReceiveReport handles the report of a node that chose this one as its relay.
 func (n *Node) ReceiveReport(now time.Time, r Report) {
 	if f := n.followers[r.ID]; f != nil && f.report.Sequence >= r.Sequence {
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -162,13 +162,13 @@
 }
 
 // waitUnlessReader waits for roleCheck if others read the store for this node, and
-// reports whether it did. A node that knows nothing yet reads for itself.
+// reports whether it did.
 //
-// So does one that has failed once: watches may hang while the store answers reads.
+// A node that has failed once goes on reading: watches may hang while the store answers reads.
 // If it stopped reading then, the next readers would fail in the same way, and all
 // of them would serve an old configuration while no node reads.
 func (f *Follower) waitUnlessReader(ctx context.Context, cur *cursor) bool {
-	if f.config.Reads() || f.config.Sink.Snapshot().IsZero() || cur.failures == 1 {
+	if f.config.Reads() || cur.failures == 1 {
 		return false
 	}
 	if time.Since(cur.failed) > failHold {
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -193,18 +193,20 @@
 	})
 }
 
-// Most nodes read once, and then get changes from the few that keep reading; a node
-// that peers cannot update reads for itself.
-func TestNonReadersReadOnce(t *testing.T) {
+// Guards against a fleet that reads the whole store once per node: a node that is no
+// reader makes no call, not even while it knows nothing, until it is asked to.
+func TestNonReadersReadOnlyWhenAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{revision: 10}
 		follower := store.NewFollower(store.FollowerConfig{Source: f, Sink: &sink{}, Reads: never})
 		defer follower.Close()
 		time.Sleep(time.Minute)
-		require.Equal(t, 1, f.count())
-		follower.Reread()
-		time.Sleep(time.Second)
-		require.Equal(t, 2, f.count())
+		require.Zero(t, f.count())
+		for reads := 1; reads <= 2; reads++ {
+			follower.Reread()
+			time.Sleep(time.Second)
+			require.Equal(t, reads, f.count())
+		}
 	})
 }
 
