Send items without a large value without a base

Cause: each reply to a peer used the requester's configuration as the compression dictionary, also where only entries of endpoints had changed, which have nothing in common with it; indexing it costs more than the rest of the reply. Replies to requests after different revisions were packed anew, even if they named the same items.

Change: only replies with a value of 4 KB or more use a base, and replies of a record are cached by the items in them.

--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/bits"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,8 @@
 	// maxUnpacked bounds a reply's decoded size: about a thousand items, one of
 	// them a megabyte.
 	maxUnpacked = 16 << 20
+	// minBased is the size from which a value is sent as a delta to a base.
+	minBased = 4 << 10
 	// maxWindow bounds an encoder's memory.
 	maxWindow = 4 << 20
 	// dictionaryID is the ID of the only dictionary, the base's value.
@@ -33,9 +36,13 @@
 		cache   map[packKey]*itemsReply
 	}
 
+	// packKey identifies a reply: of one record, the items after two revisions are
+	// the same if they are as many.
 	packKey struct {
-		request itemsRequest
-		record  *deployment.Record
+		record *deployment.Record
+		whole  bool
+		items  int
+		base   itemName
 	}
 )
 
@@ -52,19 +59,17 @@
 func (p *packer) reply(req itemsRequest) (*itemsReply, error) {
 	record := p.replica.Record()
 	items, whole := record.After(deployment.Position{Epoch: req.Epoch, Revision: req.After})
-	if whole {
-		req.After, req.Epoch = 0, 0
+	if !slices.ContainsFunc(items, isLarge) && !slices.ContainsFunc(record.Previous, isLarge) {
+		// Only large values gain more from a base than it costs to index it.
+		req.Base = itemName{}
 	}
-	key := packKey{request: req, record: record}
+	key := packKey{record: record, whole: whole, items: len(items), base: req.Base}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r, ok := p.cache[key]; ok {
 		return r, nil
 	}
-	base := valueOf(p.replica.Replaced(), req.Base)
-	if base == nil {
-		base = valueOf(record.Items, req.Base)
-	}
+	base := p.base(record, req.Base)
 	packed, err := pack(mapSlice(items, encodeItem), base)
 	if err != nil {
 		return nil, err
@@ -83,6 +88,20 @@
 	return r, nil
 }
 
+// base returns the value that a request names, nil if it names none or the node does
+// not have it.
+func (p *packer) base(record *deployment.Record, name itemName) []byte {
+	if name == (itemName{}) {
+		return nil
+	}
+	if value := valueOf(p.replica.Replaced(), name); value != nil {
+		return value
+	}
+	return valueOf(record.Items, name)
+}
+
+func isLarge(i deployment.Item) bool { return len(i.Value) >= minBased }
+
 // largest returns the name of the largest item.
 func largest(items []deployment.Item) itemName {
 	var most deployment.Item
