Reread the store only if digests differ for some time

What callers would see: nothing; a node reads the store once more than it needs to, which a fleet pays for.

Cause: at its start a node counts only itself as agreeing, so that one deviating digest decides if it arrives first.

Change: a mismatch counts once it has lasted for two rounds of digests.

--- a/internal/gossip/compare.go
+++ b/internal/gossip/compare.go
@@ -16,6 +16,10 @@
 	// mismatchRatio is how many nodes, per node that agrees with this one, must
 	// differ before it rereads: a few wrong nodes must not make all others read.
 	mismatchRatio = 0.5
+	// mismatchRounds is how many rounds of digests a mismatch must last, up to
+	// maxMismatchTime: the first digest that a node receives may be the wrong one.
+	mismatchRounds  = 2
+	maxMismatchTime = 3 * time.Second
 )
 
 // compareDigests makes the node reread the store if many nodes report a
@@ -35,10 +39,30 @@
 			other++
 		}
 	}
-	if float64(other) <= mismatchRatio*float64(same) || now.Sub(l.rereadAt) < rereadInterval {
+	differs := float64(other) > mismatchRatio*float64(same)
+	switch {
+	case same == 1 && other == 0:
+		// Nobody is at this node's position.
+		return
+	case !differs:
+		l.differsSince = time.Time{}
+		return
+	case l.differsSince.IsZero():
+		l.differsSince = now
+	}
+	if now.Sub(l.differsSince) < g.mismatchTime() || now.Sub(l.rereadAt) < rereadInterval {
 		return
 	}
 	l.rereadAt = now
 	g.config.Log.Event("record.differs", decision.Fields{"epoch": own.Epoch, "revision": own.Revision, "digest": own.Digest, "same": same, "other": other})
 	g.config.Reread()
 }
+
+// mismatchTime is how long a mismatch must last.
+func (g *Gossip) mismatchTime() time.Duration {
+	round := interval(g.View().Known)
+	if !g.usesRelays() {
+		round *= digestEvery
+	}
+	return min(mismatchRounds*round, maxMismatchTime)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,6 +170,9 @@
 		// behindSince is when a newer position than the node's own became known;
 		// zero if none is.
 		behindSince time.Time
+		// differsSince is since when too many nodes have reported another digest,
+		// zero if they do not.
+		differsSince time.Time
 		// rereadAt is when the node last reread the store because of a digest
 		// mismatch.
 		rereadAt time.Time
