Log the endpoints of a full read in one line

What operators saw: the log of a node that started in a fleet with 6,000 endpoints had no line on its configuration, and few of any kind, for up to 20 seconds.

Cause: each endpoint that a full read added was a line of its own. 6,000 lines are twenty seconds of the log's rate, and other lines were dropped (4,376 in one line's count).

Change: the line of the read counts the added endpoints; those that leave, restart or come later still have their own.

--- a/internal/deployment/apply.go
+++ b/internal/deployment/apply.go
@@ -63,7 +63,7 @@
 		b.holdUntil = now.Add(lapsing)
 		s.lapsing.Store(int64(time.Since(s.start) + lapsing))
 	}
-	changed := false
+	changed, endpoints := false, len(b.endpoints)
 	switch {
 	case entering:
 		s.enterEpoch(b, u, now)
@@ -79,7 +79,7 @@
 		changed = s.applyItem(b, item, u, now) || changed
 	}
 	if u.Whole {
-		changed = s.removeMissing(b, u, now) || changed
+		changed = s.removeMissing(b, u, endpoints, now) || changed
 	}
 	if u.Revision > b.position.Revision {
 		b.position.Revision = u.Revision
@@ -109,8 +109,10 @@
 	}
 }
 
-// removeMissing removes the entries that a full read lacks.
-func (s *State) removeMissing(b *builder, u Update, now time.Time) bool {
+// removeMissing removes the entries that a full read lacks, and logs the read; before
+// is how many endpoints were known.
+func (s *State) removeMissing(b *builder, u Update, before int, now time.Time) bool {
+	added := len(b.endpoints) - before
 	present := make(map[string]bool, len(u.Items))
 	for _, item := range u.Items {
 		present[item.Key] = !item.Removed
@@ -123,7 +125,7 @@
 		}
 	}
 	s.config.Log.Event("reading", decision.Fields{
-		"epoch": u.Epoch, "revision": u.Revision, "known": b.position.Revision, "items": len(u.Items), "missing": missing, "source": u.Source,
+		"epoch": u.Epoch, "revision": u.Revision, "known": b.position.Revision, "items": len(u.Items), "added": added, "missing": missing, "source": u.Source,
 	})
 	return changed
 }
@@ -193,6 +195,11 @@
 	delete(b.heldRemovals, e.ID)
 	b.entryWritten(e.ID, item)
 	b.endpoints[e.ID] = e
+	if old == nil && u.Whole && !e.Draining {
+		// The line of the full read counts these: thousands of lines would use up the
+		// log's rate for many seconds.
+		return
+	}
 	s.config.Log.Event("endpoint", f)
 }
 
