Split summaries that exceed a datagram

What callers would see: when most endpoints of a large deployment are busy, no node knows the others' loads, and all of them choose the same endpoints.

Cause: a relay's summary is one datagram that names each endpoint with requests in up to four maps. With 6,000 busy endpoints it exceeds 65,507 bytes and can't be sent; the error was dropped unseen. Below that it is many fragments, and the loss of any of them loses all.

Change: a summary over 7 KB is sent in shards, by endpoint and node, that stay under 8 KB whatever the fleet's size. Each shard is complete for its endpoints, so that a lost one leaves these older. The lost nodes are named in each. Datagrams that the system does not accept are counted. A dead node is lost after 3.5 periods in place of 4, which keeps the two seconds.

Nodes of the build before use one shard of each summary: while both run, they know a part of the loads.

--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -27,6 +27,8 @@
 	sent, sentBytes         *metrics.Counter
 	received, receivedBytes *metrics.Counter
 	dropped                 *metrics.Counter
+	// unsent counts the datagrams that the system did not accept.
+	unsent *metrics.Counter
 	// busy counts the peers that had no capacity for this node's requests.
 	busy *metrics.Counter
 }
@@ -44,6 +46,7 @@
 		sentBytes:     s.NewCounter(metricPrefix + `bytes_total{direction="sent"}`),
 		receivedBytes: s.NewCounter(metricPrefix + `bytes_total{direction="received"}`),
 		dropped:       s.NewCounter(metricPrefix + "dropped_total"),
+		unsent:        s.NewCounter(metricPrefix + "unsent_total"),
 		busy:          s.NewCounter(metricPrefix + "busy_peers_total"),
 	}
 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -152,5 +152,7 @@
 		return
 	}
 	g.config.Metrics.countSent(len(data))
-	_, _ = g.socket.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, g.config.Port))
+	if _, err := g.socket.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, g.config.Port)); err != nil {
+		g.config.Metrics.unsent.Inc()
+	}
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -23,6 +23,7 @@
 		}
 		f.Add(data)
 		f.Add(data[:len(data)/2])
+		good.Shard, good.Shards = 3, 8
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := &relay.Summary{}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -112,6 +112,10 @@
 		UpToDate IDs            `cbor:"13,keyasint,omitempty"`
 		Updates  Updates        `cbor:"14,keyasint"`
 		Failures map[uint32]int `cbor:"15,keyasint,omitempty"`
+		// Shard is the index of this part of a summary that was split into Shards
+		// parts, and Shards 0 if it was not.
+		Shard  uint8 `cbor:"17,keyasint,omitempty"`
+		Shards uint8 `cbor:"18,keyasint,omitempty"`
 	}
 
 	// Message is a message to send.
@@ -148,5 +152,5 @@
 // valid reports whether a summary from a peer is consistent.
 func (s *Summary) valid() bool {
 	return s.ID != 0 && len(s.Covered)%idBytes == 0 && len(s.Lost)%idBytes == 0 && len(s.Statuses) == s.Covered.Len() &&
-		s.Age >= 0 && s.Oldest >= s.Age && (s.Zone != "" || s.Covered.Len() == 0)
+		s.Age >= 0 && s.Oldest >= s.Age && s.Shards <= maxShards && s.Shard < max(s.Shards, 1) && (s.Zone != "" || s.Covered.Len() == 0)
 }
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -28,14 +28,16 @@
 
 	// model simulates a fleet and its network in virtual time.
 	model struct {
-		plan    plan
-		timing  relay.Timing
-		random  *rand.Rand
-		now     time.Time
-		queue   events
-		nodes   []*modelNode
-		byAddr  map[netip.Addr]*modelNode
-		number  int
+		plan   plan
+		timing relay.Timing
+		random *rand.Rand
+		now    time.Time
+		queue  events
+		nodes  []*modelNode
+		byAddr map[netip.Addr]*modelNode
+		number int
+		// largest is the size of the largest datagram.
+		largest int
 		encoded map[*relay.Summary]decodedSummary
 		// cut returns whether datagrams from one node to another are dropped.
 		cut func(from, to *modelNode) bool
@@ -231,6 +233,7 @@
 	}
 	a.sent++
 	a.bytes += size
+	m.largest = max(m.largest, size)
 	if m.random.Float64() < m.plan.loss || m.cut(a, to) {
 		return
 	}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -46,9 +46,11 @@
 		// zones of which no relay is heard from.
 		lost     map[ID]time.Time
 		zoneLost map[ID]time.Time
-		// fleet is the newest summary of the fleet, and ownSequence that of the own
-		// report included in it.
+		// fleet is the newest summary of the fleet or the newest shard of one, whose
+		// shards are in fleetShards, and ownSequence that of the own report included
+		// in it.
 		fleet       *Summary
+		fleetShards assembly
 		fleetAt     time.Time
 		ownSequence uint64
 		// following is the relay that this node follows; 0 if it follows all that
@@ -72,9 +74,11 @@
 
 	// part is a zone's summary from one of its relays.
 	part struct {
-		summary    *Summary
+		shards     assembly
 		receivedAt time.Time
-		peer       Peer
+		// summary is that of the shards at the last step.
+		summary *Summary
+		peer    Peer
 	}
 )
 
@@ -118,16 +122,21 @@
 	zone := n.zoneSummary(now, peers, own, first)
 	fleet := n.fleetSummary(now, peers, zone)
 	var messages []Message
+	zoneShards, fleetShards := zone.split(), fleet.split()
 	for _, p := range targets {
-		messages = append(messages, Message{To: p.Addr, Summary: zone})
+		for _, s := range zoneShards {
+			messages = append(messages, Message{To: p.Addr, Summary: s})
+		}
 	}
 	presence := &Summary{ID: n.config.ID, Sequence: n.sequence}
 	for _, f := range sorted(n.followers) {
-		m := Message{To: f.report.Addr, Summary: presence}
-		if f.report.Follows {
-			m.Summary, m.Sequence = fleet, f.report.Sequence
+		if !f.report.Follows {
+			messages = append(messages, Message{To: f.report.Addr, Summary: presence})
+			continue
+		}
+		for _, s := range fleetShards {
+			messages = append(messages, Message{To: f.report.Addr, Summary: s, Sequence: f.report.Sequence})
 		}
-		messages = append(messages, m)
 	}
 	if first {
 		n.setFleet(now, fleet, own.Sequence)
@@ -163,8 +172,8 @@
 	n.addUpdates(now, r.Updates)
 }
 
-// ReceiveSummary handles a summary from another node. It reports whether it is a
-// newer summary of the fleet that the node now uses.
+// ReceiveSummary handles a summary from another node. It reports whether the node now
+// has a newer summary of the fleet to use.
 func (n *Node) ReceiveSummary(now time.Time, from Peer, s *Summary, sequence uint64) bool {
 	if !s.valid() || s.ID == n.config.ID {
 		return false
@@ -177,24 +186,34 @@
 		// This response only shows that the relay is alive.
 		return false
 	}
-	if p := n.parts[s.ID]; p != nil && p.summary.Sequence >= s.Sequence {
+	p := n.parts[s.ID]
+	if p == nil {
+		p = &part{}
+	}
+	if !p.shards.add(now, s) {
 		return false
 	}
-	n.parts[s.ID] = &part{summary: s, receivedAt: now, peer: from}
+	p.receivedAt, p.peer = now, from
+	n.parts[s.ID] = p
 	n.toFollowers.add(n.seen.filter(now, s.Updates))
 	return false
 }
 
-// receiveFleet handles a summary of the fleet from the relay that this node
-// follows, or from the first one that responds.
+// receiveFleet handles a summary of the fleet, or a shard of one, from the relay that
+// this node follows, or from the first one that responds.
 func (n *Node) receiveFleet(now time.Time, s *Summary, sequence uint64) bool {
-	if !n.contacts(n.config.Zone).has(s.ID) || (n.following != 0 && s.ID != n.following) ||
-		(n.fleet != nil && n.fleet.ID == s.ID && n.fleet.Sequence >= s.Sequence) {
+	if !n.contacts(n.config.Zone).has(s.ID) || (n.following != 0 && s.ID != n.following) {
+		return false
+	}
+	if n.fleet == nil || n.fleet.ID != s.ID {
+		n.fleetShards = assembly{}
+	}
+	if !n.fleetShards.add(now, s) {
 		return false
 	}
 	n.following = s.ID
 	n.setFleet(now, s, sequence)
-	return true
+	return n.fleetShards.ready()
 }
 
 func (n *Node) setFleet(now time.Time, s *Summary, sequence uint64) {
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -30,6 +30,9 @@
 	if n.fleet == nil || now.Sub(n.fleetAt) > n.timing.Valid {
 		return nil
 	}
+	if n.fleet.Shards > 0 {
+		return n.fleetShards.summary(now, n.timing.Valid)
+	}
 	return n.fleet
 }
 
@@ -152,6 +155,7 @@
 		lost[id] = true
 	}
 	for _, p := range sorted(n.parts) {
+		p.summary = p.shards.summary(now, n.timing.Valid)
 		note(p.summary)
 		if b := best[p.summary.Zone]; p.summary.Zone != own.Zone && (b == nil || p.before(b)) {
 			best[p.summary.Zone] = p
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -22,7 +22,7 @@
 	// The timeouts of a large fleet, in steps. One in forty datagrams is lost, so
 	// a timeout of one or two steps would expire for many live nodes.
 	responseSteps = 3
-	lostSteps     = 4
+	lostSteps     = 3.5
 	settleSteps   = 6
 	zoneLostSteps = 7
 	validSteps    = 4
@@ -58,7 +58,7 @@
 	return Timing{
 		Step:     step,
 		Response: max(minResponse, responseSteps*step),
-		Lost:     max(minLost, lostSteps*step),
+		Lost:     max(minLost, time.Duration(lostSteps*float64(step))),
 		Settle:   max(minSettle, settleSteps*step),
 		ZoneLost: max(minZoneLost, zoneLostSteps*step),
 		Valid:    max(minValid, validSteps*step),
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -51,6 +52,17 @@
 	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}}
 }
 
+// append adds updates.
+func (n *Updates) append(more Updates) {
+	n.Placements = append(n.Placements, more.Placements...)
+	n.Crashes = append(n.Crashes, more.Crashes...)
+	n.Leaving = append(n.Leaving, more.Leaving...)
+	if n.EndpointLoads == nil {
+		n.EndpointLoads = map[uint32]int{}
+	}
+	maps.Copy(n.EndpointLoads, more.EndpointLoads)
+}
+
 // filter returns the updates that were not seen recently, and remembers them.
 func (s *seen) filter(now time.Time, n Updates) Updates {
 	return Updates{
