Do not read the store because a peer is busy after a restore

A node that asks a peer for items of earlier epochs read the whole store if the peer was busy. Each node asks three of them, so that a large fleet whose store was restored could read it once a node.

--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -203,7 +203,11 @@
 	l.previousPulls++
 	g.running.Go(func() {
 		defer func() { <-l.pulling }()
-		if from, ok := g.View().inEpoch(own.Epoch); ok && g.fetch(ctx, from, own) != nil {
+		from, ok := g.View().inEpoch(own.Epoch)
+		if !ok {
+			return
+		}
+		if err := g.fetch(ctx, from, own); err != nil && !errors.Is(err, errBusy) {
 			g.config.Reread()
 		}
 	})
