Revert "Derive the bytes that a node serves to peers from its link"

A seed that serves many peers at once is bound by its processor, not by its link, so that all its replies are late.

--- a/gateway.go
+++ b/gateway.go
@@ -62,10 +62,7 @@
 		Regions map[string]string
 		// Power is the node's CPU allowance in thousandths of a core.
 		Power int
-		// Link is the capacity of the node's link in bytes a second, 0 if it is not
-		// known.
-		Link int
-		IP   netip.Addr
+		IP    netip.Addr
 		// Port is the port for datagrams and calls between nodes, the same on all.
 		Port uint16
 		// Seeds are the addresses of some nodes.
@@ -163,7 +160,7 @@
 	follower := &atomic.Pointer[store.Follower]{}
 	g.gossip, err = gossip.New(gossip.Config{
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Power: power(c.Power), Incarnation: rand.Uint64()},
-		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state, Bound: shorterBound(c.Drain, c.Apply), Link: c.Link,
+		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state, Bound: shorterBound(c.Drain, c.Apply),
 		State: g.memberState, Work: g.balancer, Metrics: g.gossipMetrics, Log: g.log,
 		OnCrash: func(k gossip.Crash) { crashes.Record(time.Now(), k.Fingerprint, k.Endpoint) },
 		Reread: func() {
--- a/internal/catchup/server.go
+++ b/internal/catchup/server.go
@@ -1,16 +1,11 @@
 package catchup
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 const (
-	// minLink is the capacity that a link has at least, in bytes a second.
-	minLink = 10_000_000 / 8
-	// maxBacklog is how long the replies in progress may occupy the link: half of the
-	// time for which peers wait.
-	maxBacklog = 400 * time.Millisecond
+	// maxInFlight bounds the bytes of the replies in progress: what a link of
+	// 10 Mbit/s sends in 0.4 s, half of the time for which peers wait.
+	maxInFlight = 512 << 10
 	// minCost is what a reply counts at least, for its processor time.
 	minCost = 16 << 10
 )
@@ -18,15 +13,8 @@
 // Server limits the replies that a node sends to its peers at a time. It is safe for
 // concurrent use.
 type Server struct {
-	maxInFlight int
-	mu          sync.Mutex
-	inFlight    int
-}
-
-// NewServer returns a Server that has nothing to send. The link is the capacity of the
-// node's own, in bytes a second; 0 if it is not known.
-func NewServer(link int) *Server {
-	return &Server{maxInFlight: int(maxBacklog.Seconds() * float64(max(link, minLink)))}
+	mu       sync.Mutex
+	inFlight int
 }
 
 // Begin reports whether a reply of some size may be sent now; End must follow if it
@@ -37,7 +25,7 @@
 func (s *Server) Begin(bytes int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight > 0 && s.inFlight+max(bytes, minCost) > s.maxInFlight {
+	if s.inFlight > 0 && s.inFlight+max(bytes, minCost) > maxInFlight {
 		return false
 	}
 	s.inFlight += max(bytes, minCost)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -99,9 +99,6 @@
 		// Bound is the time within which a change of the store must be in force, 0
 		// for catchup.DefaultBound.
 		Bound time.Duration
-		// Link is the capacity of the node's link in bytes a second, 0 if it is not
-		// known.
-		Link int
 		// State returns whether this node takes callers.
 		State func() State
 		Work  Work
@@ -212,7 +209,7 @@
 		crashes: make(chan Crash, crashesPerHeartbeat), cancel: cancel,
 	}
 	g.view.Store(&View{Known: 1})
-	g.server = newServer(ctx, listener, c.Replica, c.Link)
+	g.server = newServer(ctx, listener, c.Replica)
 	g.running.Go(func() {
 		buffer := make([]byte, 64<<10)
 		for {
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -62,12 +62,12 @@
 
 func newClient(port uint16) *client { return &client{port: port} }
 
-func newServer(ctx context.Context, l net.Listener, replica Replica, link int) *server {
+func newServer(ctx context.Context, l net.Listener, replica Replica) *server {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &server{cancel: cancel}
 	s.running.Go(func() {
 		// Serve returns when its context is canceled.
-		_ = drpcserver.New(handler{replica: replica, packer: newPacker(replica), limit: catchup.NewServer(link)}).Serve(ctx, l)
+		_ = drpcserver.New(handler{replica: replica, packer: newPacker(replica), limit: &catchup.Server{}}).Serve(ctx, l)
 	})
 	return s
 }
