Log each crash that a node counts against a request

The refusals of a request that crashes endpoints could not be traced: no line said which crashes a node had counted, nor whether it saw them itself or was told by another. A line for each names the request's fingerprint, the endpoint, the count and the source.

--- a/gateway.go
+++ b/gateway.go
@@ -154,7 +154,7 @@
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	crashes := gateway.NewCrashTracker(func(fingerprint uint64, endpoint deployment.Start) {
 		g.gossip.ReportCrash(gossip.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Key()})
-	})
+	}, g.log)
 	var err error
 	// The gossip may call for a reread before the follower exists.
 	follower := &atomic.Pointer[store.Follower]{}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -14,6 +16,9 @@
 	crashTTL = 2 * time.Minute
 	// maxCrashEntries bounds the number of requests remembered.
 	maxCrashEntries = 4096
+	// sourceSelf and sourcePeer are the logged sources of a crash.
+	sourceSelf = "self"
+	sourcePeer = "peer"
 )
 
 type (
@@ -25,6 +30,7 @@
 	// that has crashed three endpoints.
 	CrashTracker struct {
 		broadcast func(hash uint64, endpoint deployment.Start)
+		log       *decision.Log
 		mu        sync.Mutex
 		seen      map[uint64]*crashRecord
 	}
@@ -36,19 +42,24 @@
 )
 
 // NewCrashTracker returns an empty record; broadcast is called for each crash that this
-// node sees.
-func NewCrashTracker(broadcast func(hash uint64, endpoint deployment.Start)) *CrashTracker {
-	return &CrashTracker{broadcast: broadcast, seen: map[uint64]*crashRecord{}}
+// node sees. A nil log discards all lines.
+func NewCrashTracker(broadcast func(hash uint64, endpoint deployment.Start), log *decision.Log) *CrashTracker {
+	return &CrashTracker{broadcast: broadcast, log: log, seen: map[uint64]*crashRecord{}}
 }
 
 // Report records a crash that this node has seen and reports it to the others.
 func (c *CrashTracker) Report(now time.Time, hash uint64, endpoint deployment.Start) {
-	c.Record(now, hash, endpoint.Key())
+	c.record(now, hash, endpoint.Key(), sourceSelf)
 	c.broadcast(hash, endpoint)
 }
 
-// Record records that a request crashed an endpoint, given by the Key of its Start.
+// Record records a crash that another node has seen; the endpoint is given by the Key
+// of its Start.
 func (c *CrashTracker) Record(now time.Time, hash uint64, endpoint uint32) {
+	c.record(now, hash, endpoint, sourcePeer)
+}
+
+func (c *CrashTracker) record(now time.Time, hash uint64, endpoint uint32, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.seen) >= maxCrashEntries {
@@ -59,6 +70,9 @@
 		e = &crashRecord{endpoints: map[uint32]bool{}}
 		c.seen[hash] = e
 	}
+	if !e.endpoints[endpoint] {
+		c.log.Event("crash", decision.Fields{"print": strconv.FormatUint(hash, 36), "endpoint": endpoint, "crashes": len(e.endpoints) + 1, "source": source})
+	}
 	e.endpoints[endpoint] = true
 	e.last = now
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -246,7 +246,7 @@
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: balance.New(balance.Config{Loads: loads}),
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
-		Crashes:  gateway.NewCrashTracker(func(uint64, deployment.Start) { f.crashes++ }), Metrics: gateway.NewMetrics(),
+		Crashes:  gateway.NewCrashTracker(func(uint64, deployment.Start) { f.crashes++ }, nil), Metrics: gateway.NewMetrics(),
 		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
 	})
 	f.server = httptest.NewServer(h)
