--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,162 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// fleetSize is how many endpoints could end, and mayEnd how many may.
+	fleetSize = 12
+	mayEnd    = 3
+	// runTime is how long a request runs before it ends its endpoint.
+	runTime = 10 * time.Millisecond
+)
+
+type (
+	// ending is a way in which an endpoint's answer breaks as its process ends.
+	ending struct {
+		name string
+		kind deployment.Kind
+		last reply
+	}
+
+	// fleet counts the endpoints that have ended.
+	fleet struct {
+		mu    sync.Mutex
+		ended map[int]bool
+	}
+)
+
+// headOf returns the head of a sealed response with one more header line.
+func headOf(line string) string {
+	return "HTTP/1.1 200 OK\r\n" + id + ": {id}\r\n" + seal + ": s\r\n" + line + "\r\n\r\n"
+}
+
+// resets answers like reply, and resets the connection when it is closed.
+func resets(answer reply) reply {
+	return func(c net.Conn, r *http.Request) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return answer(c, r)
+	}
+}
+
+// endings returns the ways in which an answer may break.
+func endings() []ending {
+	chunked, first := headOf("Transfer-Encoding: chunked"), fmt.Sprintf("%x\r\n%s\r\n", len(event(1)), event(1))
+	large := strings.Repeat("x", 2<<20)
+	return []ending{
+		{name: "before the head", kind: deployment.Idempotent, last: hangUp},
+		{name: "before the head, at most once", kind: deployment.AtMostOnce, last: hangUp},
+		{name: "before the head of a stream", kind: deployment.Resumable, last: hangUp},
+		{name: "by a reset", kind: deployment.Idempotent, last: resets(hangUp)},
+		{name: "after the head of a stream", kind: deployment.Resumable, last: raw(chunked)},
+		{name: "after the head of a stream that may not resume", kind: deployment.Streaming, last: raw(chunked)},
+		{name: "between two events", kind: deployment.Resumable, last: raw(chunked + first)},
+		{name: "between two events of a stream that may not resume", kind: deployment.Streaming, last: raw(chunked + first)},
+		{name: "within an event", kind: deployment.Resumable, last: raw(chunked + first + "10\r\nid: 2\nda")},
+		{name: "after the last event", kind: deployment.Resumable, last: stream(4, "", false)},
+		{name: "in a buffered body", kind: deployment.Idempotent, last: raw(headOf("Content-Length: 9") + "hi")},
+		{name: "in a buffered body, at most once", kind: deployment.AtMostOnce, last: raw(headOf("Content-Length: 9") + "hi")},
+		{name: "in a chunked body", kind: deployment.Idempotent, last: raw(chunked + "2\r\nhi\r\n")},
+		{name: "in a body too large to buffer", kind: deployment.Idempotent, last: raw(headOf(fmt.Sprintf("Content-Length: %d", len(large)+1)) + large)},
+		{name: "in a body without a length", kind: deployment.Idempotent, last: raw(headOf("X: y") + "hi")},
+		{name: "in a stream without a length", kind: deployment.Streaming, last: raw(headOf("X: y") + event(1))},
+	}
+}
+
+// end closes the endpoint's listener and all connections but one, as the kernel does
+// when its process ends.
+func (e *endpoint) end(but net.Conn) {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		if c != but {
+			_ = c.Close()
+		}
+	}
+}
+
+// newFleet returns endpoints whose processes end as they answer, but serve requests
+// with the body "sound".
+func newFleet(t *testing.T, size int, last reply) (*fleet, []*endpoint) {
+	f := &fleet{ended: map[int]bool{}}
+	var list []*endpoint
+	for i := range size {
+		e := newEndpoint(t, nil)
+		e.replies[0] = func(c net.Conn, r *http.Request) bool {
+			if body, _ := io.ReadAll(r.Body); string(body) == "sound" {
+				return whole(200, "hi")(c, r)
+			}
+			time.Sleep(runTime)
+			e.end(c)
+			f.mu.Lock()
+			f.ended[i] = true
+			f.mu.Unlock()
+			last(c, r)
+			return false
+		}
+		list = append(list, e)
+	}
+	return f, list
+}
+
+func (f *fleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ended)
+}
+
+// Guards against a request that ends one endpoint after another because some way in
+// which its answers break is not counted.
+func TestEachBrokenAnswerOfEndedEndpointCounts(t *testing.T) {
+	for _, c := range endings() {
+		t.Run(c.name, func(t *testing.T) {
+			ended, list := newFleet(t, fleetSize, c.last)
+			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, list...)
+			for range 2 * fleetSize {
+				f.post(t, "/p/x", nil)
+			}
+			require.LessOrEqual(t, ended.count(), mayEnd)
+			require.Equal(t, 503, f.post(t, "/p/x", nil).status)
+			if c.kind != deployment.Resumable && c.kind != deployment.Streaming {
+				require.Equal(t, 200, f.postBody(t.Context(), t, "/p/x", "sound", nil).status)
+			}
+		})
+	}
+}
+
+// Guards against copies that wait for a slot and run although the request has ended
+// three endpoints meanwhile.
+func TestWaitingCopiesOfCrashingRequestAreRefused(t *testing.T) {
+	const endpoints, copies = 4, 80
+	ended, list := newFleet(t, endpoints, hangUp)
+	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 3, Objective: 10 * time.Second, Timeout: 10 * time.Second}, list...)
+	var running sync.WaitGroup
+	for range copies {
+		running.Go(func() { f.post(t, "/p/x", nil) })
+	}
+	require.Eventually(t, func() bool { return ended.count() == endpoints }, 5*time.Second, time.Millisecond)
+	before := f.arrivals()
+	// The next starts of the endpoints at the same addresses.
+	for _, e := range list {
+		l, err := net.Listen("tcp4", e.listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go e.accept(l)
+	}
+	running.Wait()
+	require.Equal(t, before, f.arrivals())
+	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,7 @@
 		mu       sync.Mutex
 		replies  []reply
 		requests []*http.Request
+		conns    map[net.Conn]bool
 	}
 
 	// staticDeployment is a deployment that changes only by leave notices.
@@ -110,21 +111,26 @@
 func newEndpoint(t *testing.T, replies ...reply) *endpoint {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	e := &endpoint{listener: l, replies: replies}
+	e := &endpoint{listener: l, replies: replies, conns: map[net.Conn]bool{}}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c)
-		}
-	}()
+	go e.accept(l)
 	return e
 }
 
+func (e *endpoint) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
 func (e *endpoint) serve(c net.Conn) {
+	e.mu.Lock()
+	e.conns[c] = true
+	e.mu.Unlock()
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -259,7 +265,11 @@
 }
 
 func (f *fixture) postContext(ctx context.Context, t *testing.T, path string, header map[string]string) response {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader("body"))
+	return f.postBody(ctx, t, path, "body", header)
+}
+
+func (f *fixture) postBody(ctx context.Context, t *testing.T, path, body string, header map[string]string) response {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Host = "h"
 	req.Header.Set(id, "q1")
@@ -271,8 +281,8 @@
 		return response{}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, body: string(body), header: resp.Header, complete: err == nil}
+	got, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, body: string(got), header: resp.Header, complete: err == nil}
 }
 
 func (f *fixture) arrivals() int {
