Count each run that an endpoint's end broke, and only those

Cause: a crash was counted only where the connection broke before the head of the answer or in a buffered body. The class: the end of an endpoint was inferred from one of the places at which a read fails, so that each new way to forward an answer had to remember it.

Now each way in which a run ends goes through two functions (recordBreak, recordEnd). What proves an end is no longer the break: endpoints break off answers, links are reset, and a request that many callers send alike would collect three of these. A run whose endpoint was not asked in time counts once another process has started at its address. A crash is taken back, at all nodes, if the request is served afterwards, and at each node if the platform still lists the endpoint ten seconds later. A failure of an endpoint no longer clears a request: it may have failed it without running it.

Reports are no longer queued by time: heartbeats carry those of the most suspected requests first, each node passes on what it learns of a request with two crashes or more, and nodes that start or come back get the crashes of such requests with the introduction.

--- a/gateway.go
+++ b/gateway.go
@@ -20,6 +20,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/budget"
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
@@ -114,6 +115,8 @@
 		handler       *gateway.Handler
 		metrics       *gateway.Metrics
 		gossipMetrics *gossip.Metrics
+		crashes       *crash.Tracker
+		crashMetrics  *crash.Metrics
 		storeMetrics  *store.Metrics
 		callers       *http.Server
 		servers       []*http.Server
@@ -146,15 +149,13 @@
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
+	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
 	nodes := func() int { return g.gossip.View().Known }
 	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
-	crashes := gateway.NewCrashTracker(func(fingerprint uint64, endpoint deployment.Start) {
-		g.gossip.ReportCrash(gossip.Crash{Fingerprint: fingerprint, Endpoint: endpoint.Key()})
-	}, g.log)
+	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
 	var err error
 	// The gossip may call for a reread before the follower exists.
 	follower := &atomic.Pointer[store.Follower]{}
@@ -162,7 +163,7 @@
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Power: power(c.Power), Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state, Bound: shorterBound(c.Drain, c.Apply),
 		State: g.memberState, Work: g.balancer, Metrics: g.gossipMetrics, Log: g.log,
-		OnCrash: func(k gossip.Crash) { crashes.Record(time.Now(), k.Fingerprint, k.Endpoint) },
+		Crashes: g.crashes,
 		Reread: func() {
 			if f := follower.Load(); f != nil {
 				f.Reread()
@@ -180,7 +181,7 @@
 	c.Retry.Nodes = nodes
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: crashes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
+		Crashes: g.crashes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Metrics: g.storeMetrics, Log: g.log,
@@ -272,6 +273,7 @@
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
+	g.crashes.Close()
 	g.state.Close()
 	g.pool.Close()
 	g.log.Close()
@@ -286,6 +288,7 @@
 		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "epoch": snap.Epoch, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
+		"isolated": g.crashes.List(time.Now()),
 	}
 }
 
@@ -331,6 +334,7 @@
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.Write(w)
 		g.gossipMetrics.Write(w)
+		g.crashMetrics.Write(w)
 		g.storeMetrics.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,6 +56,8 @@
 	cause   string
 	// timedOut reports that the endpoint was abandoned because it sent nothing.
 	timedOut atomic.Bool
+	// ended reports that the endpoint has ended during the run.
+	ended bool
 }
 
 // run sends the request and forwards the response.
@@ -164,6 +166,10 @@
 func (a *attempt) classify(err error) result {
 	c := a.call
 	a.cause = a.explain(err)
+	sent := !errors.Is(err, http1.ErrConnect) && !errors.Is(err, http1.ErrWithdrawn)
+	if sent {
+		a.recordBreak(err)
+	}
 	if c.callerGone() {
 		return resultCallerGone
 	}
@@ -171,14 +177,11 @@
 		a.outcome = balance.Unreachable
 		return resultNotSent
 	}
-	if errors.Is(err, http1.ErrWithdrawn) {
+	if !sent {
 		return resultWithdrawn
 	}
 	a.outcome = balance.Failed
 	c.progress.noResponse = c.progress.noResponse || a.status == 0
-	if http1.IsClosedByPeer(err) {
-		c.handler.config.Crashes.Report(time.Now(), c.print, a.choice.Endpoint.Start())
-	}
 	return resultBroken
 }
 
@@ -208,6 +211,7 @@
 	a.outcome = balance.Refused
 	if a.status == http.StatusMisdirectedRequest {
 		a.outcome = balance.Gone
+		a.call.handler.config.Crashes.Ended(a.choice.Endpoint.Start())
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxBuffered)); err == nil {
 		x.Finish()
@@ -258,9 +262,9 @@
 		}
 	} else {
 		a.outcome = balance.Served
-		c.handler.config.Crashes.Forget(c.print)
 	}
 	c.writeResponse(whole)
+	a.recordEnd(x)
 	return resultDone
 }
 
@@ -292,6 +296,7 @@
 	_, err := io.Copy(c.out, io.MultiReader(bytes.NewReader(prefix), x.Response.Body))
 	if err != nil {
 		a.cause = a.explain(err)
+		a.recordBreak(err)
 		if c.callerGone() {
 			return resultCallerGone
 		}
@@ -299,8 +304,8 @@
 	}
 	if x.Response.StatusCode < http.StatusInternalServerError {
 		a.outcome = balance.Served
-		c.handler.config.Crashes.Forget(c.print)
 	}
+	a.recordEnd(x)
 	x.Finish()
 	return resultDone
 }
@@ -356,6 +361,9 @@
 	if a.cause != "" {
 		f["cause"] = a.cause
 	}
+	if a.ended {
+		f["ended"] = true
+	}
 	if a.call.progress.events > 0 {
 		f["events"] = a.call.progress.events
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -160,3 +160,54 @@
 	require.Equal(t, before, f.arrivals())
 	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
 }
+
+// Guards against refusals of a request that many callers send alike because
+// endpoints, which run on, break off some of its answers.
+func TestBrokenAnswersOfRunningEndpointsDoNotCount(t *testing.T) {
+	for _, c := range endings() {
+		t.Run(c.name, func(t *testing.T) {
+			var list []*endpoint
+			for range fleetSize {
+				list = append(list, newEndpoint(t, c.last))
+			}
+			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, list...)
+			for range 2 * fleetSize {
+				require.NotEqual(t, 503, f.post(t, "/p/x", nil).status)
+			}
+		})
+	}
+}
+
+// Guards against a request that ends endpoints which are started again before they
+// are asked whether they have ended.
+func TestRestartedEndpointsCount(t *testing.T) {
+	var list []*endpoint
+	for range fleetSize {
+		list = append(list, newEndpoint(t, hangUp))
+	}
+	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1}, list...)
+	ran := func() (list []int) {
+		for i, e := range f.endpoints {
+			if e.count() > 0 {
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	for len(ran()) < mayEnd {
+		require.Equal(t, 502, f.post(t, "/p/x", nil).status)
+	}
+	for _, i := range ran() {
+		f.replace(i)
+	}
+	f.crashes.Recent(time.Now(), time.Now())
+	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
+}
+
+// replace lets another start of an endpoint appear at its address.
+func (f *fixture) replace(i int) {
+	old := f.snapshot.Endpoints["s"][i]
+	next := *old
+	next.Born = time.UnixMilli(1)
+	f.snapshot.Endpoints["s"][i] = &next
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -55,7 +55,7 @@
 		Balancer   *balance.Balancer
 		Pool       *http1.Pool
 		Budget     *budget.Budget
-		Crashes    *CrashTracker
+		Crashes    Crashes
 		Metrics    *Metrics
 		Log        *decision.Log
 		// Reserver reserves slots at engines; nil if they support no reservations.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -39,8 +39,8 @@
 // run tries endpoints until the caller has its response, or cannot get one.
 func (c *call) run(ctx context.Context) {
 	h := c.handler.config
-	if h.Crashes.Blocked(c.started, c.print) {
-		c.refuse(notRun(reasonCrashes, time.Second))
+	if ref := c.isolated(); ref != nil {
+		c.refuse(ref)
 		return
 	}
 	h.Budget.Request(c.started, c.service.Name)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,7 +93,7 @@
 		c.progress.started = true
 	}
 	a.outcome = balance.Served
-	c.handler.config.Crashes.Forget(c.print)
+	a.recordEnd(x)
 	x.Finish()
 	return resultDone
 }
@@ -117,6 +117,7 @@
 // interrupted returns the result of a stream that ended before it was complete.
 func (a *attempt) interrupted(err error) result {
 	a.cause = a.explain(err)
+	a.recordBreak(err)
 	if a.call.callerGone() {
 		return resultCallerGone
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/catchup"
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
@@ -87,6 +88,18 @@
 		AddReports(now time.Time, list map[uint32]int)
 	}
 
+	// Crashes are the endpoints that ended while they ran a request.
+	Crashes interface {
+		// Recent returns what this node has learned after since, and at least in
+		// the last seconds: what matters most, as a heartbeat has room for little.
+		Recent(now, since time.Time) crash.News
+		// Known returns what nodes may have missed that have just started or were
+		// unreachable.
+		Known(now time.Time) crash.News
+		// Add adds what another node reports.
+		Add(now time.Time, n crash.News, source string)
+	}
+
 	// Config is the settings of a Gossip.
 	Config struct {
 		// Self is this node; its state is given by State.
@@ -100,10 +113,9 @@
 		// for catchup.DefaultBound.
 		Bound time.Duration
 		// State returns whether this node takes callers.
-		State func() State
-		Work  Work
-		// OnCrash receives the crashes that other nodes report.
-		OnCrash func(c Crash)
+		State   func() State
+		Work    Work
+		Crashes Crashes
 		// Reread is called if the store must be reread: a pull from a peer that is
 		// ahead failed, or too many nodes report a different digest.
 		Reread func()
@@ -128,7 +140,6 @@
 		server   *server
 		view     atomic.Pointer[View]
 		inbox    chan packet
-		crashes  chan Crash
 		cancel   context.CancelFunc
 		running  sync.WaitGroup
 	}
@@ -153,8 +164,7 @@
 		loggedRelaying bool
 		sequence       uint64
 		// broadcasts counts the heartbeats sent to all nodes.
-		broadcasts    uint64
-		recentCrashes []recentCrash
+		broadcasts uint64
 		// pulling holds a value while a pull runs, which then owns the puller.
 		pulling chan struct{}
 		puller  *catchup.Puller
@@ -180,11 +190,6 @@
 
 	// sendTimes are the times of the last message of a kind and the one before.
 	sendTimes struct{ last, previous time.Time }
-
-	recentCrash struct {
-		crash Crash
-		at    time.Time
-	}
 )
 
 // New opens the sockets and starts to send heartbeats.
@@ -206,7 +211,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gossip{
 		config: c, started: time.Now(), patience: catchup.MinPatience + rand.N(catchup.MaxPatience-catchup.MinPatience), socket: socket, client: newClient(c.Port), inbox: make(chan packet, inboxLength),
-		crashes: make(chan Crash, crashesPerHeartbeat), cancel: cancel,
+		cancel: cancel,
 	}
 	g.view.Store(&View{Known: 1})
 	g.server = newServer(ctx, listener, c.Replica)
@@ -238,8 +243,6 @@
 				return
 			case p := <-g.inbox:
 				g.handle(ctx, l, p, time.Now())
-			case crash := <-g.crashes:
-				l.recentCrashes = append(l.recentCrashes, recentCrash{crash: crash, at: time.Now()})
 			case <-c.Replica.Updates():
 				g.propagate(ctx, l, time.Now())
 			case now := <-steps.C:
@@ -277,15 +280,6 @@
 // Relayed reports whether the node gets the other nodes' loads through a relay.
 func (g *Gossip) Relayed() bool { return g.View().Relayed }
 
-// ReportCrash sends a crash to the other nodes, or drops it if the queue is full.
-func (g *Gossip) ReportCrash(c Crash) {
-	select {
-	case g.crashes <- c:
-	default:
-		g.config.Log.Event("crash.untold", decision.Fields{"print": c.Fingerprint})
-	}
-}
-
 // Close stops the heartbeats and closes the sockets.
 func (g *Gossip) Close() {
 	g.cancel()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -50,11 +51,13 @@
 		Access deployment.Access `cbor:"-"`
 	}
 
-	// Crash is an endpoint that broke off while it ran a request, and the
-	// request's fingerprint.
-	Crash struct {
+	// crashReport is an endpoint that ended while it ran a request, and the request's
+	// fingerprint.
+	crashReport struct {
 		Fingerprint uint64 `cbor:"1,keyasint"`
 		Endpoint    uint32 `cbor:"2,keyasint"`
+		// Age is how long ago it ended, in seconds.
+		Age uint32 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// heartbeat is what a node sends to each other node.
@@ -82,7 +85,10 @@
 		Failures map[uint32]int `cbor:"16,keyasint,omitempty"`
 		// Contacts are the addresses of some other nodes.
 		Contacts []netip.Addr `cbor:"7,keyasint,omitempty"`
-		Crashes  []Crash      `cbor:"8,keyasint,omitempty"`
+		// Crashes are those that became known lately, and in some heartbeats all of
+		// suspected requests. Cleared are crashes that the request did not cause.
+		Crashes []crashReport `cbor:"8,keyasint,omitempty"`
+		Cleared []crashReport `cbor:"19,keyasint,omitempty"`
 		// Placements are where the node has recently sent parts of prompts.
 		Placements []balance.Placement `cbor:"9,keyasint,omitempty"`
 		// EndpointLoads are the loads that endpoints have recently reported.
@@ -152,6 +158,23 @@
 	return deployment.Position{Epoch: b.Epoch, Revision: b.Revision}
 }
 
+// news returns the crashes that the heartbeat reports.
+func (b *heartbeat) news() crash.News {
+	return crash.News{Crashes: mapSlice(b.Crashes, decodeCrash), Cleared: mapSlice(b.Cleared, decodeCrash)}
+}
+
+func (b *heartbeat) setNews(n crash.News) {
+	b.Crashes, b.Cleared = mapSlice(n.Crashes, encodeCrash), mapSlice(n.Cleared, encodeCrash)
+}
+
+func encodeCrash(k crash.Report) crashReport {
+	return crashReport{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint, Age: uint32(k.Age / time.Second)}
+}
+
+func decodeCrash(k crashReport) crash.Report {
+	return crash.Report{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint, Age: time.Duration(k.Age) * time.Second}
+}
+
 // Marshal encodes a message.
 func (codec) Marshal(msg drpc.Message) ([]byte, error) {
 	data, err := cbor.Marshal(msg)
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -100,8 +100,8 @@
 			l.table.add(addr, now)
 		}
 	}
-	for _, c := range b.Crashes {
-		g.config.OnCrash(c)
+	if len(b.Crashes)+len(b.Cleared) > 0 {
+		g.config.Crashes.Add(now, b.news(), source)
 	}
 	if len(b.Leaving) > 0 {
 		g.config.Replica.AddLeaving(b.Leaving, source)
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -151,14 +151,24 @@
 	r := relay.Report{
 		ID: shortID(b.ID), Addr: addr, Sequence: b.Sequence, Status: statusOf(b.State, b.Access), Position: b.position(),
 		Loads: b.Loads, PendingPrefill: b.PendingPrefill, Failures: b.Failures, Follows: b.Delivery == deliverFollow,
-		Updates: relay.Updates{Placements: b.Placements, EndpointLoads: b.EndpointLoads, Leaving: b.Leaving},
-	}
-	for _, c := range b.Crashes {
-		r.Crashes = append(r.Crashes, relay.Crash(c))
+		Updates: relay.Updates{
+			Placements: b.Placements, EndpointLoads: b.EndpointLoads, Leaving: b.Leaving,
+			Crashes: mapSlice(b.Crashes, relayedCrash), Cleared: mapSlice(b.Cleared, relayedCrash),
+		},
 	}
 	return r
 }
 
+// relayedCrash and receivedCrash convert a crash for relays, which pass it on within
+// seconds: its age is left out, so that repeated reports are equal.
+func relayedCrash(k crashReport) relay.Crash {
+	return relay.Crash{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint}
+}
+
+func receivedCrash(k relay.Crash) crashReport {
+	return crashReport{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint}
+}
+
 // receiveSummary decodes a summary and drops it if it is malformed.
 func (g *Gossip) receiveSummary(data []byte, from netip.Addr) {
 	var d summaryDatagram
@@ -209,9 +219,7 @@
 		}
 	})
 	b := &heartbeat{Placements: fleet.Updates.Placements, EndpointLoads: fleet.Updates.EndpointLoads, Leaving: fleet.Updates.Leaving}
-	for _, c := range fleet.Updates.Crashes {
-		b.Crashes = append(b.Crashes, Crash(c))
-	}
+	b.Crashes, b.Cleared = mapSlice(fleet.Updates.Crashes, receivedCrash), mapSlice(fleet.Updates.Cleared, receivedCrash)
 	g.applyUpdates(l, b, sourceRelay, now)
 	g.publish(l, now)
 	g.pullIfBehind(ctx, l, fleet.Position(), now)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -23,11 +23,6 @@
 	// the fraction introduceShare of them.
 	introduceFor   = 2 * time.Second
 	introduceShare = 0.125
-	// repeatCrashFor is how long heartbeats repeat a crash, and longer until two
-	// broadcasts have carried it.
-	repeatCrashFor = 2 * time.Second
-	// crashesPerHeartbeat bounds the crashes in a heartbeat.
-	crashesPerHeartbeat = 16
 	// repeatLeavingFor is how long each heartbeat names an endpoint that has
 	// announced that it leaves; afterwards only heartbeats with a digest and
 	// introductions do.
@@ -63,6 +58,7 @@
 	if l.broadcasts%digestEvery == 0 || g.usesRelays() {
 		b.Digest = g.config.Replica.Record().Digest
 		b.Leaving = g.config.Replica.Leaving(time.Time{})
+		g.addKnownCrashes(b, now)
 	}
 	l.broadcasts++
 	data := g.encode(b)
@@ -90,14 +86,22 @@
 func (g *Gossip) heartbeat(l *loop, t sendTimes, now time.Time) *heartbeat {
 	l.sequence++
 	at := g.config.Replica.Record().Position
-	return &heartbeat{
+	b := &heartbeat{
 		ID: g.config.Self.Incarnation, Sequence: l.sequence, Epoch: at.Epoch, Revision: at.Revision,
 		State: g.config.State(), Access: g.config.Replica.Access(),
-		Loads: g.config.Work.Active(), PendingPrefill: g.config.Work.PendingPrefill(), Failures: g.config.Work.Failures(now), Contacts: l.contacts(contactsPerHeartbeat), Crashes: l.crashes(now),
+		Loads: g.config.Work.Active(), PendingPrefill: g.config.Work.PendingPrefill(), Failures: g.config.Work.Failures(now), Contacts: l.contacts(contactsPerHeartbeat),
 		// Each placement is sent twice, as datagrams get lost.
 		Placements: g.config.Work.Placements(now, t.previous), EndpointLoads: g.config.Work.Reports(now, t.last),
 		Leaving: g.config.Replica.Leaving(now.Add(-repeatLeavingFor)),
 	}
+	b.setNews(g.config.Crashes.Recent(now, t.previous))
+	return b
+}
+
+// addKnownCrashes adds the crashes of suspected requests: nodes that have started or
+// were unreachable have missed the reports of them.
+func (g *Gossip) addKnownCrashes(b *heartbeat, now time.Time) {
+	b.Crashes = append(b.Crashes, mapSlice(g.config.Crashes.Known(now).Crashes, encodeCrash)...)
 }
 
 // introduction returns a heartbeat with this node's identity and many contacts.
@@ -105,6 +109,7 @@
 	b := g.heartbeat(l, l.broadcastTimes, now)
 	b.From, b.Identify, b.Contacts = &g.config.Self, identify, l.contacts(contactsPerIntroduction)
 	b.Leaving = g.config.Replica.Leaving(time.Time{})
+	g.addKnownCrashes(b, now)
 	return g.encode(b)
 }
 
@@ -129,23 +134,6 @@
 	return list[:min(len(list), most)]
 }
 
-// crashes returns the crashes to send, and forgets those repeated long enough.
-func (l *loop) crashes(now time.Time) []Crash {
-	var list []Crash
-	var pending []recentCrash
-	for _, r := range l.recentCrashes {
-		if now.Sub(r.at) > repeatCrashFor && r.at.Before(l.broadcastTimes.previous) {
-			continue
-		}
-		pending = append(pending, r)
-		if len(list) < crashesPerHeartbeat {
-			list = append(list, r.crash)
-		}
-	}
-	l.recentCrashes = pending
-	return list
-}
-
 // send sends a datagram without retry: later ones repeat the content.
 func (g *Gossip) send(to netip.Addr, data []byte) {
 	if len(data) == 0 {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -88,6 +88,20 @@
 	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
+// Refuses reports whether a connection to an address is refused: nothing listens
+// there. Any other error, such as a timeout, proves nothing.
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+	if p.config.Opened != nil {
+		p.config.Opened()
+	}
+	c, err := NewDialer(ConnectTimeout).DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 // clean reports whether the connection is open and has nothing to read. Bytes that
 // are pending on an idle connection belong to no request.
 func (c *conn) clean() bool {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -178,6 +178,10 @@
 	x.pool.put(x.peer, x.conn, x.maxIdleConns)
 }
 
+// Framed reports whether a length or a final chunk marks the response's end. Without,
+// it ends with its connection, which does not show whether it is complete.
+func (x *Exchange) Framed() bool { return x.framed }
+
 // Abort ends an exchange and closes its connection.
 func (x *Exchange) Abort() {
 	if !x.ended.CompareAndSwap(false, true) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -47,8 +47,8 @@
 		FirstSeen time.Time
 	}
 
-	// Crash is an endpoint that broke off while it ran a request, and the
-	// request's fingerprint.
+	// Crash is an endpoint that ended while it ran a request, and the request's
+	// fingerprint.
 	Crash struct {
 		Fingerprint uint64 `cbor:"1,keyasint"`
 		Endpoint    uint32 `cbor:"2,keyasint"`
@@ -63,6 +63,8 @@
 		Crashes       []Crash        `cbor:"3,keyasint,omitempty"`
 		// Leaving are endpoints that have announced that they leave.
 		Leaving []uint32 `cbor:"4,keyasint,omitempty"`
+		// Cleared are crashes that the request did not cause.
+		Cleared []Crash `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Report is what one node reports of itself to its relays.
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -45,7 +45,7 @@
 func (s *Summary) size() int {
 	return summaryBytes + nodeBytes*s.Covered.Len() + len(s.Lost) + len(s.UpToDate) +
 		loadBytes*(len(s.Loads)+len(s.Failures)+len(s.Updates.EndpointLoads)) + tokensBytes*len(s.PendingPrefill) +
-		placementBytes*len(s.Updates.Placements) + crashBytes*len(s.Updates.Crashes) + leavingBytes*len(s.Updates.Leaving)
+		placementBytes*len(s.Updates.Placements) + crashBytes*(len(s.Updates.Crashes)+len(s.Updates.Cleared)) + leavingBytes*len(s.Updates.Leaving)
 }
 
 // split returns the summary in shards that fit into a datagram each. Covered nodes and
@@ -61,7 +61,9 @@
 	}
 	first := shards[0]
 	first.UpToDate = s.UpToDate
-	first.Updates.Placements, first.Updates.Crashes, first.Updates.Leaving = s.Updates.Placements, s.Updates.Crashes, s.Updates.Leaving
+	loads := first.Updates.EndpointLoads
+	first.Updates = s.Updates
+	first.Updates.EndpointLoads = loads
 	return shards
 }
 
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -30,6 +30,7 @@
 	outbox struct {
 		placements []pending[balance.Placement]
 		crashes    []pending[Crash]
+		cleared    []pending[Crash]
 		leaving    []pending[uint32]
 		loads      map[uint32]int
 	}
@@ -44,18 +45,20 @@
 	seen struct {
 		placements map[balance.Placement]time.Time
 		crashes    map[Crash]time.Time
+		cleared    map[Crash]time.Time
 		leaving    map[uint32]time.Time
 	}
 )
 
 func newSeen() *seen {
-	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}}
+	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}}
 }
 
 // append adds updates.
 func (n *Updates) append(more Updates) {
 	n.Placements = append(n.Placements, more.Placements...)
 	n.Crashes = append(n.Crashes, more.Crashes...)
+	n.Cleared = append(n.Cleared, more.Cleared...)
 	n.Leaving = append(n.Leaving, more.Leaving...)
 	if n.EndpointLoads == nil {
 		n.EndpointLoads = map[uint32]int{}
@@ -67,7 +70,7 @@
 func (s *seen) filter(now time.Time, n Updates) Updates {
 	return Updates{
 		Placements: filterSeen(s.placements, now, n.Placements), Crashes: filterSeen(s.crashes, now, n.Crashes),
-		Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
+		Cleared: filterSeen(s.cleared, now, n.Cleared), Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
 	}
 }
 
@@ -90,6 +93,7 @@
 func (s *seen) expire(now time.Time) {
 	expireEntries(s.placements, now)
 	expireEntries(s.crashes, now)
+	expireEntries(s.cleared, now)
 	expireEntries(s.leaving, now)
 }
 
@@ -105,6 +109,7 @@
 func (o *outbox) add(n Updates) {
 	o.placements = enqueue(o.placements, n.Placements)
 	o.crashes = enqueue(o.crashes, n.Crashes)
+	o.cleared = enqueue(o.cleared, n.Cleared)
 	o.leaving = enqueue(o.leaving, n.Leaving)
 	if o.loads == nil {
 		o.loads = map[uint32]int{}
@@ -119,6 +124,7 @@
 	var n Updates
 	n.Placements, o.placements = dequeue(o.placements)
 	n.Crashes, o.crashes = dequeue(o.crashes)
+	n.Cleared, o.cleared = dequeue(o.cleared)
 	n.Leaving, o.leaving = dequeue(o.leaving)
 	n.EndpointLoads, o.loads = o.loads, nil
 	return n
