Ask again at each send whether a request has ended three endpoints

What callers saw: copies that waited for a slot, retries and resumed streams ran on after the third end was known.

Cause: the count was asked once, when a call arrived. It is now asked again whenever an endpoint is chosen and last before the request is written, after the reservation and the connection.

A response without a length is checked once it has been forwarded, before the next request of that caller, so that the count is exact for copies one after another.

--- a/gateway.go
+++ b/gateway.go
@@ -273,7 +273,6 @@
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
-	g.crashes.Close()
 	g.state.Close()
 	g.pool.Close()
 	g.log.Close()
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -30,8 +30,6 @@
 	upkeepInterval = time.Second
 	// freshFor is how old the list of endpoints may be for that.
 	freshFor = 2 * time.Second
-	// queueLength bounds the runs whose endpoints are checked later.
-	queueLength = 64
 
 	// sourceSelf is the logged source of a crash that this node saw.
 	sourceSelf = "self"
@@ -59,12 +57,8 @@
 	// Tracker counts the endpoints that ended under each request. It is safe for
 	// concurrent use.
 	Tracker struct {
-		config  Config
-		checks  checks
-		queue   chan run
-		stop    chan struct{}
-		running sync.WaitGroup
-
+		config   Config
+		checks   checks
 		mu       sync.Mutex
 		records  *Records
 		unproven *unproven
@@ -79,50 +73,31 @@
 	}
 )
 
-// NewTracker returns a Tracker without records and starts its goroutine. Close stops
-// it.
+// NewTracker returns a Tracker without records.
 func NewTracker(c Config) *Tracker {
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
-	t := &Tracker{
-		config: c, checks: checks{prober: c.Prober, by: map[deployment.Start]*check{}}, queue: make(chan run, queueLength), stop: make(chan struct{}),
+	return &Tracker{
+		config: c, checks: checks{prober: c.Prober, by: map[deployment.Start]*check{}},
 		records: NewRecords(RecordsConfig{Draw: rand.Float64}), unproven: newUnproven(),
 	}
-	t.running.Go(func() {
-		for {
-			select {
-			case r := <-t.queue:
-				t.check(r)
-			case <-t.stop:
-				return
-			}
-		}
-	})
-	return t
-}
-
-// Close stops the goroutine.
-func (t *Tracker) Close() {
-	close(t.stop)
-	t.running.Wait()
 }
 
-// Broke records that the endpoint closed the connection before its response was
-// complete, and reports whether the endpoint has ended. It asks the endpoint, for
-// checkTimeout at most.
+// Broke records that the endpoint closed the connection of a run, and reports whether
+// it has ended. It asks the endpoint, for checkTimeout at most.
 func (t *Tracker) Broke(fingerprint uint64, e *deployment.Endpoint) bool {
-	return t.check(run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr})
-}
-
-// Closed records that the endpoint closed the connection after a response whose end
-// nothing else marks: it may have ended. It does not wait.
-func (t *Tracker) Closed(fingerprint uint64, e *deployment.Endpoint) {
-	select {
-	case t.queue <- run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr}:
-	default:
-		t.Silent(fingerprint, e)
+	r := run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr}
+	ended := t.checks.ended(r.start, r.addr)
+	t.config.Metrics.checked(ended)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.unproven.add(now, r, restartTime)
+	if ended {
+		t.ended(now, r.start)
 	}
+	return ended
 }
 
 // Silent records that a run was given up at an endpoint that sent nothing more. It
@@ -203,20 +178,6 @@
 	return list
 }
 
-// check finds out whether the endpoint of a broken run has ended.
-func (t *Tracker) check(r run) bool {
-	ended := t.checks.ended(r.start, r.addr)
-	t.config.Metrics.checked(ended)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	t.unproven.add(now, r, restartTime)
-	if ended {
-		t.ended(now, r.start)
-	}
-	return ended
-}
-
 func (t *Tracker) addUnproven(r run, keep time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/crash/crash_test.go
@@ -0,0 +1,177 @@
+package crash_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/crash"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+type (
+	// fakeProber refuses connections to some addresses.
+	fakeProber struct {
+		mu      sync.Mutex
+		refuses map[netip.AddrPort]bool
+		asked   atomic.Int64
+		// wait, if it isn't nil, is closed when questions may be answered.
+		wait chan struct{}
+	}
+
+	fakeDeployment struct {
+		snapshot *deployment.Snapshot
+		age      time.Duration
+		lapsing  time.Duration
+	}
+)
+
+// Refuses implements crash.Prober.
+func (p *fakeProber) Refuses(_ context.Context, addr netip.AddrPort) bool {
+	p.asked.Add(1)
+	if p.wait != nil {
+		<-p.wait
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuses[addr]
+}
+
+// Snapshot implements crash.Deployment.
+func (d *fakeDeployment) Snapshot() *deployment.Snapshot { return d.snapshot }
+
+// Age implements crash.Deployment.
+func (d *fakeDeployment) Age() (time.Duration, bool) { return d.age, true }
+
+// Lapsing implements crash.Deployment.
+func (d *fakeDeployment) Lapsing() time.Duration { return d.lapsing }
+
+func endpoint(n int) *deployment.Endpoint {
+	return &deployment.Endpoint{
+		ID: string(rune('a' + n)), Service: "s", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+	}
+}
+
+// newTracker returns a tracker before eight endpoints, of which the first ones refuse
+// connections.
+func newTracker(refusing int) (*crash.Tracker, *fakeProber, *fakeDeployment) {
+	p := &fakeProber{refuses: map[netip.AddrPort]bool{}}
+	d := &fakeDeployment{snapshot: &deployment.Snapshot{Endpoints: map[string][]*deployment.Endpoint{}}}
+	for i := range 8 {
+		e := endpoint(i)
+		d.snapshot.Endpoints["s"] = append(d.snapshot.Endpoints["s"], e)
+		p.refuses[e.Addr] = i < refusing
+	}
+	return crash.NewTracker(crash.Config{Prober: p, Deployment: d}), p, d
+}
+
+// replace lets another start of an endpoint appear at its address.
+func (d *fakeDeployment) replace(n int) {
+	next := *d.snapshot.Endpoints["s"][n]
+	next.Born = time.UnixMilli(1)
+	d.snapshot.Endpoints["s"][n] = &next
+}
+
+func TestBrokenRunsCountIfTheEndpointHasEnded(t *testing.T) {
+	tracker, _, _ := newTracker(3)
+	for i := range 8 {
+		require.Equal(t, i < 3, tracker.Broke(request, endpoint(i)))
+		require.Equal(t, i >= 2, tracker.Isolated(request) > 0)
+	}
+	require.Equal(t, map[string]int{"7": 3}, tracker.List(time.Now()))
+	tracker.Served(request)
+	require.Zero(t, tracker.Isolated(request))
+}
+
+// Guards against a connection for each run that an endpoint's end breaks.
+func TestEndpointIsAskedOnceForAllItsRuns(t *testing.T) {
+	const runs = 50
+	tracker, p, _ := newTracker(1)
+	p.wait = make(chan struct{})
+	var running sync.WaitGroup
+	for i := range uint64(runs) {
+		running.Go(func() { tracker.Broke(i, endpoint(0)) })
+	}
+	require.Eventually(t, func() bool { return p.asked.Load() == 1 }, 5*time.Second, time.Millisecond)
+	close(p.wait)
+	running.Wait()
+	require.Less(t, p.asked.Load(), int64(runs))
+	require.Len(t, tracker.Recent(time.Now(), time.Now()).Crashes, 32, "all of the runs count")
+}
+
+// Guards against a request that ends endpoints which are not asked in time, as they
+// have started again, fell silent or were left by the caller.
+func TestRunsCountOnceTheirEndpointTurnsOutToHaveEnded(t *testing.T) {
+	broke := func(t *crash.Tracker, e *deployment.Endpoint) { t.Broke(request, e) }
+	silent := func(t *crash.Tracker, e *deployment.Endpoint) { t.Silent(request, e) }
+	abandoned := func(t *crash.Tracker, e *deployment.Endpoint) { t.Abandoned(request, e) }
+	replaced := func(_ *crash.Tracker, d *fakeDeployment, n int) { d.replace(n) }
+	misdirected := func(t *crash.Tracker, _ *fakeDeployment, n int) { t.Ended(endpoint(n).Start()) }
+	for _, c := range []struct {
+		name  string
+		ends  func(t *crash.Tracker, e *deployment.Endpoint)
+		proof func(t *crash.Tracker, d *fakeDeployment, n int)
+	}{
+		{name: "broken, started again", ends: broke, proof: replaced},
+		{name: "broken, another process responds", ends: broke, proof: misdirected},
+		{name: "silent, started again", ends: silent, proof: replaced},
+		{name: "silent, another process responds", ends: silent, proof: misdirected},
+		{name: "abandoned, another process responds", ends: abandoned, proof: misdirected},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker, _, d := newTracker(0)
+			for i := range 3 {
+				c.ends(tracker, endpoint(i))
+			}
+			require.Zero(t, tracker.Isolated(request))
+			for i := range 3 {
+				c.proof(tracker, d, i)
+			}
+			tracker.Recent(time.Now(), time.Now())
+			require.Positive(t, tracker.Isolated(request))
+		})
+	}
+}
+
+// Guards against crashes that are cleared because the platform's list is old.
+func TestOldListClearsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		age, lapsing time.Duration
+		cleared      bool
+	}{
+		{name: "fresh", cleared: true},
+		{name: "old", age: time.Minute},
+		{name: "after an outage", lapsing: time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker, _, d := newTracker(3)
+			d.age, d.lapsing = c.age, c.lapsing
+			for i := range 3 {
+				tracker.Broke(request, endpoint(i))
+			}
+			tracker.Recent(time.Now().Add(11*time.Second), time.Now())
+			require.Equal(t, c.cleared, tracker.Isolated(request) == 0)
+		})
+	}
+}
+
+// Nodes that report to each other isolate a request together, and clear it together.
+func TestNewsPasses(t *testing.T) {
+	one, _, _ := newTracker(3)
+	two, _, _ := newTracker(0)
+	now := time.Now()
+	for i := range 3 {
+		one.Broke(request, endpoint(i))
+	}
+	two.Add(now, one.Recent(now, now), "one")
+	require.Positive(t, two.Isolated(request))
+	one.Served(request)
+	two.Add(now, one.Recent(time.Now(), now), "one")
+	require.Zero(t, two.Isolated(request))
+}
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -226,7 +226,7 @@
 	for fingerprint, rec := range r.by {
 		n := rec.crashes()
 		for endpoint, e := range rec.endpoints {
-			k := ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: now.Sub(e.at)}, crashes: n, learned: e.learned}
+			k := ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: e.age(now)}, crashes: n, learned: e.learned}
 			switch {
 			case e.toldCleared && !e.cleared.Before(since):
 				cleared = append(cleared, k)
@@ -249,7 +249,7 @@
 		}
 		for endpoint, e := range rec.endpoints {
 			if e.cleared.IsZero() {
-				list = append(list, ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: now.Sub(e.at)}, crashes: n, learned: e.learned})
+				list = append(list, ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: e.age(now)}, crashes: n, learned: e.learned})
 			}
 		}
 	}
@@ -333,6 +333,10 @@
 	return found != nil
 }
 
+// age returns how long ago the endpoint ended, by a clock that may have been read
+// before that.
+func (e *entry) age(now time.Time) time.Duration { return max(now.Sub(e.at), 0) }
+
 func (e *entry) due(now time.Time) bool {
 	return !e.verified && e.cleared.IsZero() && now.Sub(e.learned) >= verifyAfter
 }
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -42,6 +42,9 @@
 
 // acquire chooses an endpoint, and waits if none has room.
 func (c *call) acquire(ctx context.Context) (*balance.Choice, *refusal) {
+	if ref := c.isolated(); ref != nil {
+		return nil, ref
+	}
 	if reason := c.blockedReason(); reason != "" {
 		return nil, c.giveUp(reason)
 	}
@@ -60,6 +63,9 @@
 		return nil, ref
 	}
 	for time.Now().Before(w.Deadline()) {
+		if ref := c.isolated(); ref != nil {
+			return nil, ref
+		}
 		select {
 		case <-w.Turn():
 			choice := c.choose(ctx, began)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,7 @@
 	}
 	x, err := pool.Do(ctx, http1.Request{
 		Addr: a.choice.Endpoint.Addr, Process: a.choice.Endpoint.Start().Key(), ID: c.id, HTTP: a.request(),
-		MaxIdle: c.maxIdle(), MaxIdleConns: c.maxIdleConns(), MaySend: func() bool { return c.available(a.choice.Endpoint) },
+		MaxIdle: c.maxIdle(), MaxIdleConns: c.maxIdleConns(), MaySend: c.maySend(a.choice.Endpoint),
 	})
 	if err != nil {
 		return a.classify(err)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -15,12 +15,9 @@
 type Crashes interface {
 	// Isolated returns for how long a request must not be sent, 0 if it may be.
 	Isolated(fingerprint uint64) time.Duration
-	// Broke records that the endpoint closed the connection before its response was
-	// complete, and reports whether the endpoint has ended.
+	// Broke records that the endpoint closed the connection of a run, and reports
+	// whether it has ended.
 	Broke(fingerprint uint64, e *deployment.Endpoint) bool
-	// Closed records that the endpoint closed the connection after a response whose
-	// end nothing else marks.
-	Closed(fingerprint uint64, e *deployment.Endpoint)
 	// Silent records that a run was given up at an endpoint that sent nothing more,
 	// and Abandoned that it was given up because its caller left.
 	Silent(fingerprint uint64, e *deployment.Endpoint)
@@ -44,6 +41,12 @@
 	return notRun(reasonCrashes, left)
 }
 
+// maySend returns the last question before a request is sent to an endpoint. Slots are
+// reserved and connections opened after the endpoint was chosen.
+func (c *call) maySend(e *deployment.Endpoint) func() bool {
+	return func() bool { return c.isolated() == nil && c.available(e) }
+}
+
 // recordBreak records a run that ended without a complete response, as the endpoint
 // may have ended with it.
 func (a *attempt) recordBreak(err error) {
@@ -58,14 +61,19 @@
 	}
 }
 
-// recordEnd records a run whose response has ended. A failure does not clear the
-// request: an endpoint may fail requests without running them.
+// recordEnd records a run whose response has ended and was forwarded. A failure does
+// not clear the request: an endpoint may fail requests without running them.
+//
+// A response that ends with its connection does not show whether the endpoint ended
+// as well, unless the endpoint is leaving anyway.
 func (a *attempt) recordEnd(x *http1.Exchange) {
 	c, crashes := a.call, a.call.handler.config.Crashes
 	switch {
-	case !x.Framed():
-		crashes.Closed(c.print, a.choice.Endpoint)
-	case x.Response.StatusCode/100 == http.StatusOK/100:
+	case x.Framed() && x.Response.StatusCode/100 == http.StatusOK/100:
 		crashes.Served(c.print)
+	case !x.Framed() && c.listed(a.choice.Endpoint):
+		// An error means that the caller has disconnected.
+		_ = http.NewResponseController(c.out).Flush()
+		a.ended = crashes.Broke(c.print, a.choice.Endpoint)
 	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -75,12 +77,16 @@
 	}
 }
 
-// end closes the endpoint's listener and all connections but one, as the kernel does
-// when its process ends.
-func (e *endpoint) end(but net.Conn) {
-	_ = e.listener.Close()
+// end ends a start of the endpoint's process, as the kernel does: it closes the
+// listener and all connections but one.
+func (e *endpoint) end(start int, but net.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.start != start {
+		return
+	}
+	e.start++
+	_ = e.listener.Close()
 	for c := range e.conns {
 		if c != but {
 			_ = c.Close()
@@ -88,19 +94,46 @@
 	}
 }
 
+// running returns the present start of the endpoint's process.
+func (e *endpoint) running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.start
+}
+
+// startAgain accepts connections at the address of an endpoint that has ended.
+func (e *endpoint) startAgain(t *testing.T) {
+	l, err := net.Listen("tcp4", e.listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.start++
+	e.listener = l
+	go e.accept(l, e.start)
+}
+
+// loopbackAddr returns an address of this machine that other tests hardly use: the
+// ports of endpoints that have ended stay free.
+func loopbackAddr() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250))
+}
+
 // newFleet returns endpoints whose processes end as they answer, but serve requests
 // with the body "sound".
 func newFleet(t *testing.T, size int, last reply) (*fleet, []*endpoint) {
 	f := &fleet{ended: map[int]bool{}}
+	addr := loopbackAddr()
 	var list []*endpoint
 	for i := range size {
-		e := newEndpoint(t, nil)
+		e := newEndpointAt(t, addr, nil)
 		e.replies[0] = func(c net.Conn, r *http.Request) bool {
 			if body, _ := io.ReadAll(r.Body); string(body) == "sound" {
 				return whole(200, "hi")(c, r)
 			}
+			start := e.running()
 			time.Sleep(runTime)
-			e.end(c)
+			e.end(start, c)
 			f.mu.Lock()
 			f.ended[i] = true
 			f.mu.Unlock()
@@ -129,9 +162,14 @@
 				f.post(t, "/p/x", nil)
 			}
 			require.LessOrEqual(t, ended.count(), mayEnd)
-			require.Equal(t, 503, f.post(t, "/p/x", nil).status)
+			a := f.post(t, "/p/x", nil)
+			require.Equal(t, 503, a.status)
+			wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.Greater(t, wait, time.Minute.Seconds(), "it is refused for longer than a minute")
 			if c.kind != deployment.Resumable && c.kind != deployment.Streaming {
-				require.Equal(t, 200, f.postBody(t.Context(), t, "/p/x", "sound", nil).status)
+				other := f.postBody(t.Context(), t, "/p/x", "sound", nil)
+				require.Equal(t, 200, other.status, other.body)
 			}
 		})
 	}
@@ -147,14 +185,12 @@
 	for range copies {
 		running.Go(func() { f.post(t, "/p/x", nil) })
 	}
-	require.Eventually(t, func() bool { return ended.count() == endpoints }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		return ended.count() == endpoints && len(f.crashes.List(time.Now())) == 1
+	}, 5*time.Second, time.Millisecond)
 	before := f.arrivals()
-	// The next starts of the endpoints at the same addresses.
 	for _, e := range list {
-		l, err := net.Listen("tcp4", e.listener.Addr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = l.Close() })
-		go e.accept(l)
+		e.startAgain(t)
 	}
 	running.Wait()
 	require.Equal(t, before, f.arrivals())
@@ -166,9 +202,10 @@
 func TestBrokenAnswersOfRunningEndpointsDoNotCount(t *testing.T) {
 	for _, c := range endings() {
 		t.Run(c.name, func(t *testing.T) {
+			addr := loopbackAddr()
 			var list []*endpoint
 			for range fleetSize {
-				list = append(list, newEndpoint(t, c.last))
+				list = append(list, newEndpointAt(t, addr, c.last))
 			}
 			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, list...)
 			for range 2 * fleetSize {
@@ -181,9 +218,10 @@
 // Guards against a request that ends endpoints which are started again before they
 // are asked whether they have ended.
 func TestRestartedEndpointsCount(t *testing.T) {
+	addr := loopbackAddr()
 	var list []*endpoint
 	for range fleetSize {
-		list = append(list, newEndpoint(t, hangUp))
+		list = append(list, newEndpointAt(t, addr, hangUp))
 	}
 	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1}, list...)
 	ran := func() (list []int) {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -82,15 +82,19 @@
 // Reserving a slot and opening a connection come between choosing the endpoint and
 // sending. Meanwhile the endpoint may leave, or its zone may be evacuated.
 func (c *call) available(e *deployment.Endpoint) bool {
-	h := c.handler.config
-	now := h.Deployment.Snapshot().Find(c.service.Name, e.Start())
-	if now == nil || !now.AcceptsRequests() {
+	if !c.listed(e) {
 		return false
 	}
-	_, rests := h.Balancer.BackingOff(time.Now(), now)
+	_, rests := c.handler.config.Balancer.BackingOff(time.Now(), e)
 	return !rests
 }
 
+// listed reports whether the platform lists an endpoint as one that takes requests.
+func (c *call) listed(e *deployment.Endpoint) bool {
+	now := c.handler.config.Deployment.Snapshot().Find(c.service.Name, e.Start())
+	return now != nil && now.AcceptsRequests()
+}
+
 // backoffRefusal returns the refusal of a call that may wait until a given time if
 // all endpoints have asked for a backoff beyond it; otherwise nil.
 func (c *call) backoffRefusal(until time.Time) *refusal {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,6 +44,8 @@
 		replies  []reply
 		requests []*http.Request
 		conns    map[net.Conn]bool
+		// start counts the ends and starts of the endpoint's process.
+		start int
 	}
 
 	// staticDeployment is a deployment that changes only by leave notices.
@@ -113,28 +115,32 @@
 }
 
 func newEndpoint(t *testing.T, replies ...reply) *endpoint {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return newEndpointAt(t, "127.0.0.1:0", replies...)
+}
+
+func newEndpointAt(t *testing.T, addr string, replies ...reply) *endpoint {
+	l, err := net.Listen("tcp4", addr)
 	require.NoError(t, err)
 	e := &endpoint{listener: l, replies: replies, conns: map[net.Conn]bool{}}
 	t.Cleanup(func() { _ = l.Close() })
-	go e.accept(l)
+	go e.accept(l, e.start)
 	return e
 }
 
-func (e *endpoint) accept(l net.Listener) {
+func (e *endpoint) accept(l net.Listener, start int) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go e.serve(c)
+		e.mu.Lock()
+		e.conns[c] = true
+		e.mu.Unlock()
+		go e.serve(c, start)
 	}
 }
 
-func (e *endpoint) serve(c net.Conn) {
-	e.mu.Lock()
-	e.conns[c] = true
-	e.mu.Unlock()
+func (e *endpoint) serve(c net.Conn, start int) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -147,15 +153,20 @@
 			return
 		}
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
-		if !e.next(r)(c, r) {
+		answer := e.next(r, start)
+		if answer == nil || !answer(c, r) {
 			return
 		}
 	}
 }
 
-func (e *endpoint) next(r *http.Request) reply {
+// next returns the reply to a request, nil if the process of this start has ended.
+func (e *endpoint) next(r *http.Request, start int) reply {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if start != e.start {
+		return nil
+	}
 	e.requests = append(e.requests, r)
 	return e.replies[min(len(e.requests), len(e.replies))-1]
 }
@@ -263,7 +274,6 @@
 	})
 	f.server = httptest.NewServer(h)
 	t.Cleanup(pool.Close)
-	t.Cleanup(f.crashes.Close)
 	t.Cleanup(f.server.Close)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,11 +38,11 @@
 
 // run tries endpoints until the caller has its response, or cannot get one.
 func (c *call) run(ctx context.Context) {
-	h := c.handler.config
 	if ref := c.isolated(); ref != nil {
 		c.refuse(ref)
 		return
 	}
+	h := c.handler.config
 	h.Budget.Request(c.started, c.service.Name)
 	c.progress.excess = c.queue().Arrived(c.started, c.admissionRequest())
 	for try := 0; ; try++ {
