Let reports of a suspected request overtake others at relays

What callers would see in a fleet of hundreds: a request that ends endpoints is sent on by nodes that have not heard of it. An endpoint that ends breaks all of its requests, and the reports of the innocent ones were queued before those that matter, 80 a summary, the oldest beyond 320 dropped for good.

Relays tell their followers only of requests that ended two endpoints, all crashes of which are then sent, the most suspected first; crashes are sent four times in place of two, as one node that misses them goes on.

--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -195,7 +195,7 @@
 	}
 	p.receivedAt, p.peer = now, from
 	n.parts[s.ID] = p
-	n.toFollowers.add(n.seen.filter(now, s.Updates))
+	n.addForFollowers(n.seen.filter(now, s.Updates))
 	return false
 }
 
@@ -223,8 +223,15 @@
 // addUpdates queues new updates of the node's own zone.
 func (n *Node) addUpdates(now time.Time, updates Updates) {
 	fresh := n.seen.filter(now, updates)
-	n.toRelays.add(fresh)
-	n.toFollowers.add(fresh)
+	n.addForFollowers(fresh)
+	fresh.Crashes = append(n.seen.suspects(fresh.Crashes), fresh.Crashes...)
+	n.toRelays.add(fresh, n.seen)
+}
+
+// addForFollowers queues new updates, but of crashes only those of suspected requests.
+func (n *Node) addForFollowers(fresh Updates) {
+	fresh.Crashes = n.seen.suspects(fresh.Crashes)
+	n.toFollowers.add(fresh, n.seen)
 }
 
 // rememberReport keeps the node's own report.
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
@@ -11,6 +13,9 @@
 	// sendsPerUpdate is how often each update is sent to one receiver, as
 	// datagrams get lost: with 2.5 % lost, both are in 0.06 % of cases.
 	sendsPerUpdate = 2
+	// sendsPerCrash is the same for crashes, which are rare: a node that misses one
+	// goes on to send a request that ends endpoints.
+	sendsPerCrash = 4
 	// updatesPerSummary bounds the placements in a summary: some 1.2 KB, 300 new
 	// ones a second. Up to maxPending more are queued, and the oldest of these
 	// dropped: a placement that arrives seconds late is of little use.
@@ -23,6 +28,9 @@
 	seenTTL = 15 * time.Second
 	// maxSeen bounds the remembered updates: some 600 KB.
 	maxSeen = 16_384
+	// suspected is the number of endpoints from which on followers hear of a request
+	// that ended them. Most requests at an endpoint that ends merely shared it.
+	suspected = 2
 )
 
 type (
@@ -47,11 +55,13 @@
 		crashes    map[Crash]time.Time
 		cleared    map[Crash]time.Time
 		leaving    map[uint32]time.Time
+		// byRequest are the crashes by fingerprint.
+		byRequest map[uint64][]Crash
 	}
 )
 
 func newSeen() *seen {
-	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}}
+	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}, byRequest: map[uint64][]Crash{}}
 }
 
 // append adds updates.
@@ -68,10 +78,28 @@
 
 // filter returns the updates that were not seen recently, and remembers them.
 func (s *seen) filter(now time.Time, n Updates) Updates {
-	return Updates{
+	fresh := Updates{
 		Placements: filterSeen(s.placements, now, n.Placements), Crashes: filterSeen(s.crashes, now, n.Crashes),
 		Cleared: filterSeen(s.cleared, now, n.Cleared), Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
 	}
+	for _, k := range fresh.Crashes {
+		s.byRequest[k.Fingerprint] = append(s.byRequest[k.Fingerprint], k)
+	}
+	return fresh
+}
+
+// suspects returns the known crashes of the suspected requests among those of which
+// there is a new one: earlier ones may have been dropped.
+func (s *seen) suspects(fresh []Crash) []Crash {
+	var list []Crash
+	added := map[uint64]bool{}
+	for _, k := range fresh {
+		if known := s.byRequest[k.Fingerprint]; len(known) >= suspected && !added[k.Fingerprint] {
+			added[k.Fingerprint] = true
+			list = append(list, known...)
+		}
+	}
+	return list
 }
 
 func filterSeen[T comparable](known map[T]time.Time, now time.Time, list []T) []T {
@@ -89,11 +117,23 @@
 	return fresh
 }
 
+// sort puts the crashes of the most suspected requests first, and of these the ones
+// that were not sent yet.
+func (s *seen) sort(list []pending[Crash]) {
+	slices.SortStableFunc(list, func(a, b pending[Crash]) int {
+		return cmp.Or(len(s.byRequest[b.update.Fingerprint])-len(s.byRequest[a.update.Fingerprint]), b.sends-a.sends)
+	})
+}
+
 // expire forgets updates older than seenTTL.
 func (s *seen) expire(now time.Time) {
 	expireEntries(s.placements, now)
 	expireEntries(s.crashes, now)
 	expireEntries(s.cleared, now)
+	clear(s.byRequest)
+	for k := range s.crashes {
+		s.byRequest[k.Fingerprint] = append(s.byRequest[k.Fingerprint], k)
+	}
 	expireEntries(s.leaving, now)
 }
 
@@ -106,9 +146,13 @@
 }
 
 // add queues updates.
-func (o *outbox) add(n Updates) {
+func (o *outbox) add(n Updates, known *seen) {
 	o.placements = enqueue(o.placements, n.Placements)
-	o.crashes = enqueue(o.crashes, n.Crashes)
+	for _, k := range n.Crashes {
+		o.crashes = append(o.crashes, pending[Crash]{update: k, sends: sendsPerCrash})
+	}
+	known.sort(o.crashes)
+	o.crashes = o.crashes[:min(len(o.crashes), maxPending)]
 	o.cleared = enqueue(o.cleared, n.Cleared)
 	o.leaving = enqueue(o.leaving, n.Leaving)
 	if o.loads == nil {
@@ -120,8 +164,9 @@
 }
 
 // take removes and returns the updates to send now.
-func (o *outbox) take() Updates {
+func (o *outbox) take(known *seen) Updates {
 	var n Updates
+	known.sort(o.crashes)
 	n.Placements, o.placements = dequeue(o.placements)
 	n.Crashes, o.crashes = dequeue(o.crashes)
 	n.Cleared, o.cleared = dequeue(o.cleared)
