Play requests that end endpoints in the soak

The stand-in endpoint ends at the start of such a request, after the head of its answer, after an event or within one. It checks that no more than three runs begin 3 s after the third end while no node is disturbed, and that at most 2 % of the popular request are refused as ending endpoints.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -44,6 +44,7 @@
 		abandoned bool
 		err       error
 		sent      time.Time
+		sentBody  string
 	}
 )
 
@@ -64,8 +65,7 @@
 	var group sync.WaitGroup
 	for n := range count {
 		group.Go(func() {
-			k := &caller{callers: c, random: rand.New(rand.NewPCG(seed, uint64(n)))}
-			k.client = &http.Client{Transport: &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: 2}}
+			k := c.caller(rand.New(rand.NewPCG(seed, uint64(n))))
 			for ctx.Err() == nil {
 				k.sendOne(ctx)
 				time.Sleep(time.Duration(k.random.ExpFloat64() * float64(thinkTime)))
@@ -75,6 +75,10 @@
 	group.Wait()
 }
 
+func (c *callers) caller(r *rand.Rand) *caller {
+	return &caller{callers: c, random: r, client: &http.Client{Transport: &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: 2}}}
+}
+
 // dial connects through the proxy in front of a node's address.
 func (c *callers) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	addr, err := netip.ParseAddrPort(address)
@@ -106,7 +110,14 @@
 	}
 	c.ledger.recordRequest(id, k)
 	c.ledger.notices.sent(id, c.soak.incarnation(addr), time.Now())
-	a := c.send(ctx, addr, route, id, timeout)
+	body := "body of " + id
+	if k == safe && c.random.IntN(2) == 0 {
+		body = popularBody
+	}
+	a := c.send(ctx, addr, route, id, body, timeout)
+	if body == popularBody {
+		c.ledger.crashes.recordPopular(a)
+	}
 	a.abandoned = a.abandoned || (abandons && a.err != nil)
 	if a.abandoned || ctx.Err() != nil {
 		a.cut = false
@@ -117,11 +128,11 @@
 	}
 }
 
-func (c *caller) send(ctx context.Context, addr netip.AddrPort, route, id string, timeout time.Duration) answer {
+func (c *caller) send(ctx context.Context, addr netip.AddrPort, route, id, body string, timeout time.Duration) answer {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a := answer{sent: time.Now()}
-	req, err := standin.NewRequest(ctx, addr, "/"+route+"/x", id, "", timeout)
+	a := answer{sent: time.Now(), sentBody: body}
+	req, err := standin.NewRequestWithBody(ctx, addr, "/"+route+"/x", id, "", body, timeout)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -134,8 +145,8 @@
 	if endpoint, leaves := standin.Leaving(resp); leaves {
 		c.ledger.notices.leaveForwarded(id, endpoint, time.Now())
 	}
-	body, err := io.ReadAll(resp.Body)
-	a.status, a.body, a.err = resp.StatusCode, string(body), err
+	got, err := io.ReadAll(resp.Body)
+	a.status, a.body, a.err = resp.StatusCode, string(got), err
 	a.cut = err != nil
 	return a
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,9 @@
 	fault struct {
 		name    string
 		planned bool
-		inject  func(ctx context.Context, s *soak, r *rand.Rand) (what string)
+		// spares says that it disturbs no node.
+		spares bool
+		inject func(ctx context.Context, s *soak, r *rand.Rand) (what string)
 	}
 )
 
@@ -102,6 +104,9 @@
 		s.recordError(s.world.crash(e))
 		return e.id
 	}},
+	{name: "request crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.callers.sendCrashing(ctx, r)
+	}},
 	{name: "endpoint leaves", planned: true, inject: func(_ context.Context, s *soak, r *rand.Rand) string {
 		e := s.world.pick(r)
 		if e == nil {
@@ -202,7 +207,7 @@
 }
 
 func (s *soak) injectOne(ctx context.Context, f fault, r *rand.Rand) {
-	end := s.ledger.recordFault(f.planned)
+	end := s.ledger.recordFault(f)
 	began := time.Now()
 	what := f.inject(ctx, s, r)
 	end()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -34,6 +34,7 @@
 		broken    []string
 		// notices are the endpoints' leave notices and backoffs.
 		notices *notices
+		crashes *crashes
 	}
 
 	// run is one execution of a request at an endpoint.
@@ -44,7 +45,11 @@
 	}
 
 	// span is the time that a fault lasts; to is zero while it does.
-	span struct{ from, to time.Time }
+	span struct {
+		from, to time.Time
+		// spares says that the fault disturbs no node.
+		spares bool
+	}
 
 	// kind says how far a request may be retried.
 	kind int
@@ -62,10 +67,17 @@
 	return &ledger{
 		timed: timed, runs: map[string][]run{}, kinds: map[string]kind{}, notRun: map[string]time.Time{},
 		seen: map[string]int{}, leaves: map[*endpoint]time.Time{}, evacuated: map[string]time.Time{}, outcomes: map[string]int{},
-		notices: newNotices(),
+		notices: newNotices(), crashes: newCrashes(),
 	}
 }
 
+// recordFailure records a failure of the stand-ins.
+func (l *ledger) recordFailure(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.violation("%v", err)
+}
+
 // violation records a violated guarantee; the mutex must be held.
 func (l *ledger) violation(format string, args ...any) {
 	l.broken = append(l.broken, fmt.Sprintf(format, args...))
@@ -140,7 +152,7 @@
 	if a.err != nil {
 		return
 	}
-	want := standin.Answer(id, []byte("body of "+id))
+	want := standin.Answer(id, []byte(a.sentBody))
 	if k := l.kinds[id]; k == resumed || k == streamOnce {
 		want = ""
 		for n := 1; n <= streamEvents; n++ {
@@ -191,15 +203,15 @@
 }
 
 // recordFault records the start of a fault or of planned work; end records its end.
-func (l *ledger) recordFault(planned bool) (end func()) {
+func (l *ledger) recordFault(f fault) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := &l.unplanned
-	if planned {
+	if f.planned {
 		list = &l.planned
 	}
 	i := len(*list)
-	*list = append(*list, span{from: time.Now()})
+	*list = append(*list, span{from: time.Now(), spares: f.spares})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -213,6 +225,12 @@
 	return !overlaps(l.unplanned, from.Add(-recoveryTime), to)
 }
 
+// nodesUndisturbed is undisturbed for faults that disturb nodes, planned ones too.
+func (l *ledger) nodesUndisturbed(from, to time.Time) bool {
+	disturbs := slices.DeleteFunc(slices.Concat(l.unplanned, l.planned), func(s span) bool { return s.spares })
+	return !overlaps(disturbs, from.Add(-recoveryTime), to)
+}
+
 func (l *ledger) onlyPlanned(from, to time.Time) bool {
 	return l.timed && l.undisturbed(from, to) && overlaps(l.planned, from, to)
 }
@@ -235,8 +253,10 @@
 			break
 		}
 	}
+	l.broken = append(l.broken, l.crashes.checkPopular()...)
 	if l.timed {
 		l.broken = append(l.broken, l.notices.check()...)
+		l.broken = append(l.broken, l.crashes.check(l.nodesUndisturbed)...)
 	}
 	return l.broken
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,13 @@
 	coldBound     = coldRate*3/2 + 5
 	budgetWindow  = 10 * time.Second
 	retrySlack    = 56
+	// isolateBound is how soon after the third endpoint that ended under a request no
+	// node may send it, but for lateCrashes more.
+	isolateBound = 3 * time.Second
+	lateCrashes  = 3
+	// mayIsolate is the share of the popular requests that may be refused like one
+	// that ends endpoints.
+	mayIsolate = 0.02
 	// drainSlack allows for the delay between the store's answer and its record here.
 	drainSlack = 100 * time.Millisecond
 )
@@ -91,12 +98,13 @@
 	}
 
 	soak struct {
-		config Config
-		faults []fault
-		world  *world
-		ledger *ledger
-		nodes  []*node
-		began  time.Time
+		config  Config
+		faults  []fault
+		world   *world
+		ledger  *ledger
+		callers *callers
+		nodes   []*node
+		began   time.Time
 		// evacuating allows one evacuation at a time.
 		evacuating sync.Mutex
 		// restoring allows one restore of the store at a time.
@@ -122,10 +130,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Length)
 	defer cancel()
-	k := &callers{soak: s, ledger: s.ledger}
+	s.callers = &callers{soak: s, ledger: s.ledger}
 	var group sync.WaitGroup
-	group.Go(func() { k.run(ctx, c.Callers, c.Seed) })
-	group.Go(func() { k.probe(ctx) })
+	group.Go(func() { s.callers.run(ctx, c.Callers, c.Seed) })
+	group.Go(func() { s.callers.probe(ctx) })
 	group.Go(func() { s.injectFaults(ctx, rand.New(rand.NewPCG(c.Seed, 1))) })
 	group.Wait()
 	return s.report()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -106,6 +106,12 @@
 		ID: e.id, Slots: slots, Events: streamEvents, Pause: workTime,
 		Ran:     func(id, _ string, after uint64) { w.ledger.recordRun(id, e, after, time.Now()) },
 		Arrived: func(id string, backoff time.Duration) { w.ledger.notices.arrived(id, e.id, backoff, time.Now()) },
+		Crash: func(name string) {
+			w.ledger.crashes.record(name, time.Now())
+			if err := w.crash(e); err != nil {
+				w.ledger.recordFailure(err)
+			}
+		},
 	})
 	listener, err := net.Listen("tcp4", w.ip+":0")
 	if err != nil {
@@ -202,10 +208,12 @@
 	e.standIn.Shed(false, 0)
 }
 
-// crash makes an endpoint crash and adds a replacement. The entry expires after
+// crash makes an endpoint crash, once, and adds a replacement. The entry expires after
 // entryTTL.
 func (w *world) crash(e *endpoint) error {
-	w.remove(e)
+	if !w.remove(e) {
+		return nil
+	}
 	e.standIn.SetFailing(true)
 	e.stop()
 	go func() {
@@ -265,15 +273,18 @@
 	return most
 }
 
-func (w *world) remove(e *endpoint) {
+// remove removes an endpoint from those that faults may pick, and reports whether it
+// was one.
+func (w *world) remove(e *endpoint) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, o := range w.endpoints {
 		if o == e {
 			w.endpoints = append(w.endpoints[:i:i], w.endpoints[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (e *endpoint) stop() {
