Let a node that has met nobody wait before it reads the store

It now waits until it has met another one, for 2 s at most; the seeds still read at once. A node that starts cut off from all others gets its state 1.7 s later than before.

--- a/internal/catchup/catchup_test.go
+++ b/internal/catchup/catchup_test.go
@@ -115,6 +115,9 @@
 		"meets others":                    {catchup.Reader{Empty: true, Age: time.Second, Met: 10 * time.Millisecond, Ahead: 1}, false},
 		"meets others for long":           {catchup.Reader{Empty: true, Age: 2 * time.Second, Met: 10 * time.Millisecond, Ahead: 1}, true},
 		"first of the nodes it has met":   {catchup.Reader{Empty: true, Age: time.Second, Met: 300 * time.Millisecond, Ahead: 1}, true},
+		"has met nobody yet":              {catchup.Reader{Empty: true, Age: time.Second, Met: time.Second, Alone: true}, false},
+		"has met nobody yet, a seed":      {catchup.Reader{Empty: true, Age: time.Second, Met: time.Second, Alone: true, Seed: true}, true},
+		"meets nobody":                    {catchup.Reader{Empty: true, Age: 2 * time.Second, Met: 2 * time.Second, Alone: true}, true},
 		"still empty, peers informed":     {catchup.Reader{Empty: true, Informed: true, Age: time.Minute, Patience: 3 * time.Second, Ahead: 9}, false},
 		"still empty, nobody informed":    {catchup.Reader{Empty: true, Age: time.Minute, Patience: 3 * time.Second, Ahead: 9}, true},
 	} {
--- a/internal/catchup/model_test.go
+++ b/internal/catchup/model_test.go
@@ -20,10 +20,12 @@
 	timeout = 800 * time.Millisecond
 	// readTime is how long a full read of the store takes.
 	readTime = 1200 * time.Millisecond
-	// meetingTime is how long after their start nodes meet others.
-	meetingTime = time.Second
-	zones       = 5
-	seeds       = 3
+	// meetingTime is how long after their start nodes meet others, and firstMeeting
+	// when, at the latest, a node meets the first.
+	meetingTime  = time.Second
+	firstMeeting = 1600 * time.Millisecond
+	zones        = 5
+	seeds        = 3
 )
 
 type (
@@ -52,6 +54,8 @@
 		puller   *catchup.Puller
 		server   catchup.Server
 		patience time.Duration
+		// meets is when it meets the first other node.
+		meets time.Duration
 		// link is the link's capacity in bytes a second, and free when it has sent
 		// everything.
 		link float64
@@ -98,6 +102,7 @@
 		n.relay = relays[n.zone] < 2
 		relays[n.zone]++
 		n.patience = catchup.MinPatience + time.Duration(m.random.Float64()*float64(catchup.MaxPatience-catchup.MinPatience))
+		n.meets = time.Duration(m.random.Float64() * float64(firstMeeting))
 		n.puller = catchup.NewPuller(catchup.Config{Zone: n.zone, Bound: 5 * time.Second, Draw: m.random.Float64})
 		m.nodes = append(m.nodes, n)
 		m.after(time.Duration(m.random.Float64()*float64(step)), func() { m.step(n) })
@@ -127,6 +132,9 @@
 	}
 	m.after(100*time.Millisecond, func() { m.checkRole(n) })
 	r := catchup.Reader{Age: m.now, Met: max(m.now-meetingTime, 0), Patience: n.patience, Empty: true, Informed: len(n.ahead) > 0, Seed: n.seed, Ahead: m.ahead(n)}
+	if m.now < n.meets {
+		r.Alone, r.Met, r.Ahead = true, r.Age, 0
+	}
 	if r.Reads() {
 		m.read(n)
 	}
--- a/internal/catchup/reader.go
+++ b/internal/catchup/reader.go
@@ -26,6 +26,8 @@
 	Age      time.Duration
 	Met      time.Duration
 	Patience time.Duration
+	// Alone reports whether it has met no other node yet; Met is then its Age.
+	Alone bool
 	// Empty reports whether it knows nothing of the store's content, and Informed
 	// whether any living peer does.
 	Empty    bool
@@ -42,7 +44,7 @@
 // Nodes that start together know nobody at first, so that each seems to be the
 // first of all readers. If all read, a fleet that restarts as a whole would make as
 // many full reads as it has nodes. The seeds read at once, and the others once they
-// have met.
+// have met, or have met nobody for as long as that may take.
 func (r Reader) Reads() bool {
 	if r.discovers() {
 		return r.Seed
@@ -55,5 +57,5 @@
 
 // discovers reports whether the node may not know the others yet.
 func (r Reader) discovers() bool {
-	return r.Age < minDiscovery || r.Age < maxDiscovery && r.Met < settleTime
+	return r.Age < minDiscovery || r.Age < maxDiscovery && (r.Alone || r.Met < settleTime)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -300,7 +300,7 @@
 	view, known := g.View(), g.config.Replica.Snapshot().Position
 	failing := g.config.Replica.Access() == deployment.Failing
 	r := catchup.Reader{
-		Age: time.Since(g.started), Met: time.Since(later(view.metAt, g.started)), Patience: g.patience, Empty: known.IsZero(), Informed: !view.newest().IsZero(), Seed: g.isSeed(),
+		Age: time.Since(g.started), Met: time.Since(later(view.metAt, g.started)), Alone: view.metAt.IsZero(), Patience: g.patience, Empty: known.IsZero(), Informed: !view.newest().IsZero(), Seed: g.isSeed(),
 	}
 	for _, m := range view.Alive {
 		if m.State != Stopping && readsBefore(m, g.config.Self) && (failing || m.Access != deployment.Failing) {
