--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -66,6 +66,8 @@
 	Records struct {
 		config RecordsConfig
 		by     map[uint64]*record
+		// changed is when something was learned last.
+		changed time.Time
 	}
 
 	record struct {
@@ -114,6 +116,7 @@
 	}
 	at := now.Add(-k.Age)
 	rec.endpoints[k.Endpoint] = &entry{at: at, learned: now, own: own}
+	r.changed = now
 	rec.last = later(rec.last, at)
 	r.isolate(rec)
 	return rec.crashes(), true
@@ -160,6 +163,7 @@
 	for _, e := range rec.endpoints {
 		if e.cleared.IsZero() {
 			e.cleared, e.toldCleared = now, true
+			r.changed = now
 			n++
 		}
 	}
@@ -222,6 +226,9 @@
 	if repeated := now.Add(-repeatTime); repeated.Before(since) {
 		since = repeated
 	}
+	if r.changed.Before(since) {
+		return News{}
+	}
 	var crashes, cleared []ranked
 	for fingerprint, rec := range r.by {
 		n := rec.crashes()
