Count a refused connection as a crash only if the node reaches another endpoint

Callers whose request many others send alike could be refused as ending endpoints: a node to which all connections were refused took each refusal for the end of an endpoint.

Cause: the check asked the endpoint that broke the run and no other, so that a broken path of the node looked like the end of every endpoint. Now another endpoint of the service has to accept a connection at the same time. A request may end all endpoints of a small service, and none is left to accept: then only a request whose runs broke at all that were asked counts.

TestRefusedNodeCountsNoCrash failed before.

--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -2,23 +2,28 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
-// checkTimeout bounds the question whether an endpoint has ended: some round trips
-// between availability zones.
-const checkTimeout = 100 * time.Millisecond
+const (
+	// checkTimeout bounds the question whether an endpoint has ended: some round
+	// trips between availability zones.
+	checkTimeout = 100 * time.Millisecond
+	// maxAsked is how many other endpoints of the service are asked at most.
+	maxAsked = 4
+)
 
 type (
 	// Prober asks endpoints whether they run.
 	Prober interface {
-		// Refuses reports whether nothing listens at an address. Any other error is
-		// no proof of that.
-		Refuses(ctx context.Context, addr netip.AddrPort) bool
+		// Probe opens a connection to an address and closes it again.
+		Probe(ctx context.Context, addr netip.AddrPort) http1.ProbeResult
 	}
 
 	// checks are the questions in progress. An endpoint that ends breaks all of its
@@ -30,33 +35,70 @@
 	}
 
 	check struct {
-		done  chan struct{}
-		ended bool
+		done   chan struct{}
+		answer answer
+	}
+
+	// answer is what a check found out.
+	answer struct {
+		// refused says that the endpoint refuses connections.
+		refused bool
+		// reached says that another endpoint of its service accepts them, and
+		// refusing are those that were asked and do not.
+		reached  bool
+		refusing []deployment.Start
 	}
 )
 
-// ended asks an endpoint of which a run has just broken whether it has ended.
-func (c *checks) ended(start deployment.Start, addr netip.AddrPort) bool {
+// ask asks an endpoint of which a run has just broken for a connection. If it refuses,
+// others of its service are asked.
+//
+// A node that is cut off from a service may be refused connections by all of its
+// endpoints at once. If that counted as their end, requests that other nodes serve
+// would be isolated at all nodes.
+func (c *checks) ask(e *deployment.Endpoint, others []*deployment.Endpoint) answer {
+	start := e.Start()
 	current, joined := c.join(start)
 	if joined {
 		<-current.done
-		if current.ended {
-			return true
+		if current.answer.refused {
+			return current.answer
 		}
 		// That question may have been asked before this run broke.
 		if current, joined = c.join(start); joined {
 			<-current.done
-			return current.ended
+			return current.answer
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	current.ended = c.prober.Refuses(ctx, addr)
+	if c.prober.Probe(ctx, e.Addr) == http1.Refused {
+		current.answer = c.askOthers(ctx, e, others)
+	}
 	c.mu.Lock()
 	delete(c.by, start)
 	c.mu.Unlock()
 	close(current.done)
-	return current.ended
+	return current.answer
+}
+
+// askOthers asks other endpoints than one that has refused a connection.
+func (c *checks) askOthers(ctx context.Context, e *deployment.Endpoint, list []*deployment.Endpoint) answer {
+	a := answer{refused: true}
+	for _, i := range rand.Perm(len(list)) {
+		other := list[i]
+		if other.Addr == e.Addr || other.Replaced {
+			continue
+		}
+		if c.prober.Probe(ctx, other.Addr) == http1.Accepted {
+			a.reached = true
+			return a
+		}
+		if a.refusing = append(a.refusing, other.Start()); len(a.refusing) == maxAsked {
+			break
+		}
+	}
+	return a
 }
 
 // join returns the endpoint's check, and whether another run has begun it.
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -8,9 +8,9 @@
 // A connection that breaks is no endpoint that ended: endpoints break off answers,
 // links are reset, nodes are cut off. If that counted, a request that many callers
 // send alike would be refused although nothing is wrong with it. So a broken run
-// counts once the endpoint refuses connections, or another process has started at its
-// address, and no longer counts when the request was served since or the platform
-// still lists the endpoint.
+// counts once the endpoint refuses connections while another one of its service
+// accepts them, or another process has started at its address, and no longer counts
+// when the request was served since or the platform still lists the endpoint.
 package crash
 
 import (
@@ -85,21 +85,40 @@
 }
 
 // Broke records that the endpoint closed the connection of a run, and reports whether
-// it has ended. It asks the endpoint, for checkTimeout at most.
+// it has ended. It asks the endpoint and others, for checkTimeout at most.
 func (t *Tracker) Broke(fingerprint uint64, e *deployment.Endpoint) bool {
-	r := run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr}
-	ended := t.checks.ended(r.start, r.addr)
-	t.config.Metrics.checked(ended)
+	start := e.Start()
+	t.addUnproven(run{fingerprint: fingerprint, start: start, addr: e.Addr}, restartTime)
+	a := t.checks.ask(e, t.config.Deployment.Snapshot().Endpoints[e.Service])
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.unproven.add(now, r, restartTime)
-	if ended {
-		t.ended(now, r.start)
+	ended := a.refused && (a.reached || t.ranAtAll(fingerprint, a.refusing))
+	t.config.Metrics.checked(ended)
+	switch {
+	case !ended:
+	case a.reached:
+		t.ended(now, start)
+	default:
+		for _, s := range append(a.refusing, start) {
+			t.add(now, Report{Fingerprint: fingerprint, Endpoint: s.Key()}, sourceSelf)
+		}
 	}
 	return ended
 }
 
+// ranAtAll reports whether runs of a request have lately broken at all of some
+// endpoints. If none of a service's endpoints accepts connections, only such a request
+// can have ended them; otherwise it is the way there that is broken.
+func (t *Tracker) ranAtAll(fingerprint uint64, starts []deployment.Start) bool {
+	for _, s := range starts {
+		if !t.unproven.has(fingerprint, s) && !t.records.Has(fingerprint, s.Key()) {
+			return false
+		}
+	}
+	return true
+}
+
 // Silent records that a run was given up at an endpoint that sent nothing more. It
 // counts if the endpoint turns out to have ended then.
 func (t *Tracker) Silent(fingerprint uint64, e *deployment.Endpoint) {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -12,6 +12,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
 type (
@@ -31,15 +32,18 @@
 	}
 )
 
-// Refuses implements crash.Prober.
-func (p *fakeProber) Refuses(_ context.Context, addr netip.AddrPort) bool {
+// Probe implements crash.Prober.
+func (p *fakeProber) Probe(_ context.Context, addr netip.AddrPort) http1.ProbeResult {
 	p.asked.Add(1)
 	if p.wait != nil {
 		<-p.wait
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.refuses[addr]
+	if p.refuses[addr] {
+		return http1.Refused
+	}
+	return http1.Accepted
 }
 
 // Snapshot implements crash.Deployment.
@@ -88,6 +92,29 @@
 	require.Zero(t, tracker.Isolated(request))
 }
 
+// Guards against a request that is isolated although its endpoints run: a node that is
+// cut off from a service is refused connections by all of them.
+func TestRefusedNodeCountsNoCrash(t *testing.T) {
+	tracker, _, _ := newTracker(8)
+	for i := range 4 {
+		require.False(t, tracker.Broke(request, endpoint(i)))
+	}
+	require.Zero(t, tracker.Isolated(request))
+	require.Empty(t, tracker.Recent(time.Now(), time.Now()).Crashes)
+}
+
+// Guards against a request that ends all endpoints of a service and is not isolated, as
+// none of them is left that accepts connections.
+func TestRequestThatEndsAWholeServiceIsIsolated(t *testing.T) {
+	tracker, _, d := newTracker(4)
+	d.snapshot.Endpoints["s"] = d.snapshot.Endpoints["s"][:4]
+	for i := range 4 {
+		tracker.Broke(request, endpoint(i))
+	}
+	require.Positive(t, tracker.Isolated(request))
+	require.Len(t, tracker.Recent(time.Now(), time.Now()).Crashes, 4)
+}
+
 // Guards against a connection for each run that an endpoint's end breaks.
 func TestEndpointIsAskedOnceForAllItsRuns(t *testing.T) {
 	const runs = 50
--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -37,6 +37,9 @@
 	// cleared is refused, and nodes tell each other what they served and compare
 	// crashes with the platform's list.
 	cleared
+	// witnessed is cleared, and a refused connection counts only if another endpoint
+	// accepts one, or if the request's runs have broken at all that were asked.
+	witnessed
 )
 
 type (
@@ -75,6 +78,9 @@
 		nodes    []*crash.Records
 		endpoint []modelEndpoint
 		third    time.Time
+		// brokeAt are the nodes and endpoints of the popular request's runs that broke
+		// as the node was cut off.
+		brokeAt map[[2]int]bool
 		errorCounts
 	}
 
@@ -120,7 +126,7 @@
 
 // play returns what a way gets wrong in a scenario.
 func play(s scenario, w way, seed uint64) errorCounts {
-	m := &model{scenario: s, way: w, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0)}
+	m := &model{scenario: s, way: w, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0), brokeAt: map[[2]int]bool{}}
 	for range s.nodes {
 		m.nodes = append(m.nodes, crash.NewRecords(crash.RecordsConfig{Draw: m.random.Float64}))
 	}
@@ -210,7 +216,7 @@
 	e := &m.endpoint[r.endpoint]
 	e.running = slices.DeleteFunc(e.running, func(o *modelRun) bool { return o == r })
 	if m.isCut(r.node) {
-		m.broken(r, e.start, true)
+		m.broken(r, e.start, m.way < witnessed || m.ranAtAll(r))
 		return
 	}
 	if r.endpoint < m.breaking && m.random.Float64() < breakShare {
@@ -218,7 +224,7 @@
 		return
 	}
 	r.over = true
-	if m.way == cleared {
+	if m.way >= cleared {
 		if n := m.nodes[r.node].Served(m.now, r.fingerprint); n > 0 {
 			m.tell(r.node)
 		}
@@ -228,6 +234,19 @@
 	m.nodes[r.node].Served(m.now, r.fingerprint)
 }
 
+// ranAtAll records a run that broke at a node that is cut off, and reports whether the
+// request's runs there have broken at all of some other endpoints.
+func (m *model) ranAtAll(r *modelRun) bool {
+	const asked = 4
+	m.brokeAt[[2]int{r.node, r.endpoint}] = true
+	for range asked {
+		if other := m.random.IntN(len(m.endpoint)); other != r.endpoint && !m.brokeAt[[2]int{r.node, other}] {
+			return false
+		}
+	}
+	return true
+}
+
 // broken handles a run whose connection broke, at an endpoint that may refuse others.
 func (m *model) broken(r *modelRun, start uint32, refuses bool) {
 	r.over = true
@@ -243,7 +262,7 @@
 // tell sends what a node has learned to all others.
 func (m *model) tell(from int) {
 	news := m.nodes[from].Recent(m.now, m.now)
-	if m.way != cleared {
+	if m.way < cleared {
 		news.Cleared = nil
 	}
 	for i := range m.nodes {
@@ -264,7 +283,7 @@
 // verify compares the nodes' records with the platform's list once a second.
 func (m *model) verify() {
 	m.after(time.Second, m.verify)
-	if m.way != cleared {
+	if m.way < cleared {
 		return
 	}
 	listed := map[uint32]bool{}
@@ -284,27 +303,30 @@
 		// mayRefuse is the share of innocent requests that may be refused.
 		mayRefuse = 0.01
 	)
-	names := []string{"each break", "refused", "refused, cleared by all"}
+	names := []string{"each break", "refused", "refused, cleared by all", "the same at nodes that reach others"}
 	for _, s := range []scenario{
 		{name: "8 nodes, a crasher", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, crashes: 4},
 		{name: "8 nodes, a crasher beside a popular request", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, crashes: 4, popular: 40},
 		{name: "8 nodes, endpoints that break off answers", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, popular: 40, breaking: 6},
 		{name: "8 nodes, both", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, crashes: 4, popular: 40, breaking: 6},
 		{name: "8 nodes, one of them refused connections", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, popular: 40, cut: 1},
+		{name: "8 nodes, three of them refused connections", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, popular: 40, cut: 3},
+		{name: "8 nodes, four of them, and a crasher", nodes: 8, endpoints: 18, newsDelay: 200 * time.Millisecond, crashes: 4, popular: 40, cut: 4},
+		{name: "330 nodes, half of them refused connections", nodes: 330, endpoints: 600, newsDelay: 2 * time.Second, popular: 60, cut: 165},
 		{name: "24 nodes, all of it", nodes: 24, endpoints: 40, newsDelay: 300 * time.Millisecond, crashes: 4, popular: 40, breaking: 10, cut: 1},
 		{name: "585 nodes, all of it", nodes: 585, endpoints: 600, newsDelay: 2 * time.Second, crashes: 4, popular: 40, breaking: 100, cut: 10},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			for w := eachBreak; w <= cleared; w++ {
+			for w := eachBreak; w <= witnessed; w++ {
 				var sum errorCounts
 				for seed := range uint64(seeds) {
 					got := play(s, w, seed)
 					sum.ended, sum.late, sum.refused, sum.sent = sum.ended+got.ended, sum.late+got.late, sum.refused+got.refused, sum.sent+got.sent
-					if w == cleared {
+					if w == witnessed {
 						require.Zero(t, got.late, "the crasher is sent nowhere once nodes could know of three")
 					}
 				}
-				if w == cleared {
+				if w == witnessed {
 					require.LessOrEqual(t, sum.refused, int(mayRefuse*float64(sum.sent)))
 				}
 				t.Logf("%s: %d endpoints ended, late %d; %d of %d innocent requests refused", names[w], sum.ended, sum.late, sum.refused, sum.sent)
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -171,6 +171,12 @@
 	return n
 }
 
+// Has reports whether a crash of a request at an endpoint is known, cleared or not.
+func (r *Records) Has(fingerprint uint64, endpoint uint32) bool {
+	rec := r.by[fingerprint]
+	return rec != nil && rec.endpoints[endpoint] != nil
+}
+
 // Isolated returns for how long a request is isolated, 0 if it is not.
 func (r *Records) Isolated(now time.Time, fingerprint uint64) time.Duration {
 	rec := r.by[fingerprint]
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -55,6 +55,12 @@
 	runs.until[r.fingerprint] = later(runs.until[r.fingerprint], now.Add(keep))
 }
 
+// has reports whether a run of a request has lately broken at an endpoint.
+func (u *unproven) has(fingerprint uint64, start deployment.Start) bool {
+	runs := u.by[start]
+	return runs != nil && !runs.until[fingerprint].IsZero()
+}
+
 // take removes the runs of an endpoint that has ended and returns the requests.
 func (u *unproven) take(now time.Time, start deployment.Start) []uint64 {
 	runs := u.by[start]
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -38,6 +38,20 @@
 	ErrWithdrawn = errors.New("http1: request withdrawn")
 )
 
+// Results of a probe.
+const (
+	// Unanswered is a connection that was not opened in time, or failed otherwise.
+	Unanswered ProbeResult = iota
+	// Refused is a connection that was refused: nothing listens at the address, or
+	// something on the way refuses connections.
+	Refused
+	// Accepted is a connection that was opened.
+	Accepted
+)
+
+// ProbeResult is what became of a probe's connection.
+type ProbeResult int
+
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
@@ -88,18 +102,20 @@
 	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
-// Refuses reports whether a connection to an address is refused: nothing listens
-// there. Any other error, such as a timeout, proves nothing.
-func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+// Probe opens a connection to an address and closes it again.
+func (p *Pool) Probe(ctx context.Context, addr netip.AddrPort) ProbeResult {
 	if p.config.Opened != nil {
 		p.config.Opened()
 	}
 	c, err := NewDialer(ConnectTimeout).DialContext(ctx, "tcp4", addr.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return Accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
 	}
-	_ = c.Close()
-	return false
+	return Unanswered
 }
 
 // clean reports whether the connection is open and has nothing to read. Bytes that
