Log the services that a node does not reach, since when and what showed it

Whether a node's own path to the endpoints of a service is broken had to be put together from not-sent lines, and no other view existed. After a failed attempt another endpoint of the service is asked for a connection, and three more if it does not accept one; events service.lost and service.reached, two metrics and lost_services in the state dump show the result. Nothing acts on it yet.

--- a/gateway.go
+++ b/gateway.go
@@ -27,6 +27,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
+	"bulrushhinge.example/bulrushhinge/internal/reach"
 	"bulrushhinge.example/bulrushhinge/internal/store"
 )
 
@@ -117,6 +118,8 @@
 		gossipMetrics *gossip.Metrics
 		crashes       *crash.Tracker
 		crashMetrics  *crash.Metrics
+		reach         *reach.Tracker
+		reachMetrics  *reach.Metrics
 		storeMetrics  *store.Metrics
 		callers       *http.Server
 		servers       []*http.Server
@@ -149,13 +152,14 @@
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
+	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), reachMetrics: reach.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
 	nodes := func() int { return g.gossip.View().Known }
 	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
 	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
+	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Metrics: g.reachMetrics, Log: g.log})
 	var err error
 	// The gossip may call for a reread before the follower exists.
 	follower := &atomic.Pointer[store.Follower]{}
@@ -181,7 +185,7 @@
 	c.Retry.Nodes = nodes
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
+		Crashes: g.crashes, Reach: g.reach, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Metrics: g.storeMetrics, Log: g.log,
@@ -273,6 +277,7 @@
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
+	g.reach.Close()
 	g.state.Close()
 	g.pool.Close()
 	g.log.Close()
@@ -287,7 +292,7 @@
 		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "epoch": snap.Epoch, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
-		"isolated": g.crashes.List(time.Now()),
+		"isolated": g.crashes.List(time.Now()), "lost_services": g.reach.Lost(),
 	}
 }
 
@@ -334,6 +339,7 @@
 		g.metrics.Write(w)
 		g.gossipMetrics.Write(w)
 		g.crashMetrics.Write(w)
+		g.reachMetrics.Write(w)
 		g.storeMetrics.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,6 +78,9 @@
 		return a.classify(err)
 	}
 	defer x.Abort()
+	if x.NewConn {
+		c.handler.config.Reach.Opened(c.service.Name)
+	}
 	a.status = x.Response.StatusCode
 	a.reportLoad(x.Response.Header)
 	a.notice = c.handler.config.Headers.Notice(a.status, x.Response.Header)
@@ -174,6 +177,7 @@
 		return resultCallerGone
 	}
 	if errors.Is(err, http1.ErrConnect) {
+		c.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
 		a.outcome = balance.Unreachable
 		return resultNotSent
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -51,9 +51,12 @@
 // may have ended with it.
 func (a *attempt) recordBreak(err error) {
 	c, crashes := a.call, a.call.handler.config.Crashes
-	switch {
-	case c.callerGone():
+	if c.callerGone() {
 		crashes.Abandoned(c.print, a.choice.Endpoint)
+		return
+	}
+	c.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
+	switch {
 	case http1.IsClosedByPeer(err), errors.Is(err, sse.ErrTruncated):
 		a.ended = crashes.Broke(c.print, a.choice.Endpoint)
 	default:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -56,8 +56,10 @@
 		Pool       *http1.Pool
 		Budget     *budget.Budget
 		Crashes    Crashes
-		Metrics    *Metrics
-		Log        *decision.Log
+		// Reach knows which services this node reaches; nil means all.
+		Reach   Reach
+		Metrics *Metrics
+		Log     *decision.Log
 		// Reserver reserves slots at engines; nil if they support no reservations.
 		Reserver Reserver
 		// Regions maps the names of availability zones to their regions.
@@ -136,6 +138,9 @@
 
 // New returns a Handler.
 func New(c Config) *Handler {
+	if c.Reach == nil {
+		c.Reach = reachesAll{}
+	}
 	return &Handler{config: c, reservations: newReservations(c.Reserver), queues: map[string]*admission.Queue{}}
 }
 
