--- a/gateway.go
+++ b/gateway.go
@@ -83,6 +83,8 @@
 		// Places returns the reserver of places at engines, which uses the
 		// pool's connections; it may be nil.
 		Places func(p *http1.Pool) gateway.Reserver
+		// Dialer opens the connections to endpoints; nil is http1.NewDialer.
+		Dialer Dialer
 		// Answers returns the handler of Directory and Ready.
 		Answers func(g *Gateway) http.Handler
 		// Retry is the retry budget; its Nodes is set by the gateway.
@@ -157,7 +159,7 @@
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
 	nodes := func() int { return g.gossip.View().Known }
 	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes})
-	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened})
+	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened, Dialer: c.Dialer})
 	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
 	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Metrics: g.reachMetrics, Log: g.log})
 	var err error
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -86,12 +86,12 @@
 	}
 }
 
-func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	c, err := NewDialer(ConnectTimeout).DialContext(ctx, "tcp4", addr.String())
+func dial(ctx context.Context, d Dialer, addr netip.AddrPort) (*conn, error) {
+	c, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrConnect, err)
 	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, fmt.Errorf("%w: not TCP", ErrConnect)
 	}
@@ -107,7 +107,7 @@
 	if p.config.Opened != nil {
 		p.config.Opened()
 	}
-	c, err := NewDialer(ConnectTimeout).DialContext(ctx, "tcp4", addr.String())
+	c, err := p.config.Dialer.DialContext(ctx, "tcp4", addr.String())
 	switch {
 	case err == nil:
 		_ = c.Close()
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -36,6 +37,13 @@
 		RequestID string
 		// Opened is called for each new connection; it may be nil.
 		Opened func()
+		// Dialer opens connections; nil is NewDialer with ConnectTimeout.
+		Dialer Dialer
+	}
+
+	// Dialer opens TCP connections.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
 	// Pool keeps idle connections to endpoints.
@@ -62,6 +70,9 @@
 
 // NewPool returns a pool without connections.
 func NewPool(c PoolConfig) *Pool {
+	if c.Dialer == nil {
+		c.Dialer = NewDialer(ConnectTimeout)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{config: c, idleConns: map[peer][]*conn{}, cancel: cancel}
 	p.running.Go(func() { periodic.Run(ctx, pruneInterval, p.prune) })
@@ -129,7 +140,7 @@
 	if p.config.Opened != nil {
 		p.config.Opened()
 	}
-	return dial(ctx, addr)
+	return dial(ctx, p.config.Dialer, addr)
 }
 
 // put returns a connection to the pool after a complete exchange, if fewer than
