Hand requests over to other nodes if their service is not reached

Callers of nodes that had lost their paths to all endpoints waited 0.9 to 3 s and got 503, although the other nodes served by the same endpoints.

Cause: a call knew endpoints only, and these were judged one by one; whether they or the node's own path had failed was never asked, and nothing led to another node. The body follows once the offer is taken, so that until then the request has certainly not run and goes elsewhere whatever its kind. The other node serves it like its own, with what was tried and run before, the caller's time left and its configuration, which is not older; its refusals come back as such, its events as they arrive, and the end of the call ends the run. Nodes tell each other at once which services they do not reach, through relays as one bit. Failures that the lost path caused are forgotten.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -93,7 +93,7 @@
 		ResponseHeaderTimeout: 0,
 	}
 	return bulrushhinge.GatewayConfig{
-		Node: s.Node, Zone: s.Zone, Regions: s.Regions, Power: s.Power, IP: s.IP, Port: s.Ports[0], Seeds: s.Seeds,
+		Node: s.Node, Zone: s.Zone, Regions: s.Regions, Power: s.Power, IP: s.IP, Port: s.Ports[0], HandoverPort: s.Ports[0] + 1, Seeds: s.Seeds,
 		Callers: s.Callers, Directory: s.Directory, Ready: s.Ready, Metrics: netip.AddrPortFrom(s.IP, c.Metrics),
 		Source: platform.NewStore(s.Store, transport), Decoder: platform.Decoder{}, Headers: platform.Headers(),
 		Places:  func(p *http1.Pool) gateway.Reserver { return platform.NewReserver(p) },
--- a/gateway.go
+++ b/gateway.go
@@ -25,6 +25,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/reach"
@@ -67,6 +68,9 @@
 		IP    netip.Addr
 		// Port is the port for datagrams and calls between nodes, the same on all.
 		Port uint16
+		// HandoverPort is the port for requests that nodes hand over, the same on
+		// all.
+		HandoverPort uint16
 		// Seeds are the addresses of some nodes.
 		Seeds []netip.Addr
 		// Callers is the listen address for requests, Directory for callers'
@@ -122,6 +126,8 @@
 		crashMetrics  *crash.Metrics
 		reach         *reach.Tracker
 		reachMetrics  *reach.Metrics
+		handovers     *handovers
+		handoverCalls *handover.Server
 		storeMetrics  *store.Metrics
 		callers       *http.Server
 		servers       []*http.Server
@@ -161,7 +167,7 @@
 	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened, Dialer: c.Dialer})
 	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
-	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Metrics: g.reachMetrics, Log: g.log})
+	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Changed: g.serviceChanged, Metrics: g.reachMetrics, Log: g.log})
 	var err error
 	// The gossip may call for a reread before the follower exists.
 	follower := &atomic.Pointer[store.Follower]{}
@@ -169,7 +175,7 @@
 		Self: gossip.Member{Name: c.Node, Zone: c.Zone, IP: c.IP, Callers: c.Callers, Power: power(c.Power), Incarnation: rand.Uint64()},
 		Port: c.Port, Seeds: func() []netip.Addr { return *g.seeds.Load() }, Replica: g.state, Bound: shorterBound(c.Drain, c.Apply),
 		State: g.memberState, Work: g.balancer, Metrics: g.gossipMetrics, Log: g.log,
-		Crashes: g.crashes,
+		Crashes: g.crashes, Lost: g.lostServices,
 		Reread: func() {
 			if f := follower.Load(); f != nil {
 				f.Reread()
@@ -185,9 +191,10 @@
 		places = c.Places(g.pool)
 	}
 	c.Retry.Nodes = nodes
+	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Reach: g.reach, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
+		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Metrics: g.storeMetrics, Log: g.log,
@@ -264,7 +271,7 @@
 	time.Sleep(time.Duration(closeShare * float64(g.config.Grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
 	defer cancel()
-	err := g.callers.Shutdown(ctx)
+	err := errors.Join(g.callers.Shutdown(ctx), g.handler.Wait(ctx))
 	g.log.Event("stopped", decision.Fields{"active": g.handler.Active(), "took_ms": time.Since(began).Milliseconds()})
 	return errors.Join(err, g.Close())
 }
@@ -276,10 +283,12 @@
 	for _, s := range g.servers {
 		errs = append(errs, s.Close())
 	}
+	g.handoverCalls.Close()
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
 	g.reach.Close()
+	errs = append(errs, g.handovers.client.Close())
 	g.state.Close()
 	g.pool.Close()
 	g.log.Close()
@@ -294,7 +303,7 @@
 		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "epoch": snap.Epoch, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
-		"isolated": g.crashes.List(time.Now()), "lost_services": g.reach.Lost(),
+		"isolated": g.crashes.List(time.Now()), "lost_services": g.reach.Lost(), "handed_over": g.handovers.chooser.Active(),
 	}
 }
 
@@ -335,6 +344,11 @@
 }
 
 func (g *Gateway) listen() error {
+	calls, err := net.Listen("tcp4", netip.AddrPortFrom(g.config.IP, g.config.HandoverPort).String())
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrStart, err)
+	}
+	g.handoverCalls = handover.NewServer(calls, g.handler)
 	directory := g.config.Answers(g)
 	operators := http.NewServeMux()
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/handover.go
@@ -0,0 +1,72 @@
+package bulrushhinge
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/gossip"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
+)
+
+// handovers hands requests over to the nodes that other nodes' heartbeats name.
+type handovers struct {
+	gateway *Gateway
+	client  *handover.Client
+	chooser *handover.Chooser
+}
+
+// Offer implements gateway.Handovers.
+func (h *handovers) Offer(ctx context.Context, o *handover.Offer, regions []string) (string, *handover.Exchange, error) {
+	p, ok := h.chooser.Choose(time.Now(), h.peers(o.Service, regions))
+	if !ok {
+		return "", nil, nil
+	}
+	o.From = h.gateway.config.Node
+	x, err := h.client.Offer(ctx, p.Addr, o)
+	if err != nil {
+		h.chooser.Release(time.Now(), p.Name, err)
+	}
+	return p.Name, x, err
+}
+
+// Done implements gateway.Handovers.
+func (h *handovers) Done(peer string, x *handover.Exchange) {
+	x.Close()
+	h.chooser.Release(time.Now(), peer, nil)
+}
+
+// peers returns the nodes that serve callers and reach a service, of those in some
+// regions if any are given.
+func (h *handovers) peers(service string, regions []string) []handover.Peer {
+	var list []handover.Peer
+	key := deployment.ServiceKey(service)
+	for _, m := range h.gateway.gossip.View().Alive {
+		if m.State != gossip.Ready || !m.Reaches(key) {
+			continue
+		}
+		if region, known := h.gateway.config.Regions[m.Zone]; len(regions) > 0 && !(known && slices.Contains(regions, region)) {
+			continue
+		}
+		list = append(list, handover.Peer{Name: m.Name, Zone: m.Zone, Addr: netip.AddrPortFrom(m.IP, h.gateway.config.HandoverPort)})
+	}
+	return list
+}
+
+// serviceChanged reacts to a service that this node no longer reaches, or again.
+func (g *Gateway) serviceChanged(service string, _ bool) {
+	g.balancer.ForgetFailures(g.state.Snapshot().Endpoints[service])
+	g.gossip.Announce()
+}
+
+// lostServices returns the services that this node does not reach, by their Keys.
+func (g *Gateway) lostServices() []uint32 {
+	var list []uint32
+	for name := range g.reach.Lost() {
+		list = append(list, deployment.ServiceKey(name))
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/rates"
 )
 
 const (
@@ -23,6 +26,19 @@
 	return b.counts(func(o *endpointState) int { return int(math.Round(o.failures.Get(now))) })
 }
 
+// ForgetFailures forgets the failures of attempts at endpoints: not they had failed but
+// this node's path to them.
+func (b *Balancer) ForgetFailures(list []*deployment.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range list {
+		if o := b.endpoints[e.Start()]; o != nil {
+			o.health = health{gone: o.health.gone}
+			o.failures = rates.Decayed{TimeConstant: failureMemory}
+		}
+	}
+}
+
 // noteFailure counts an attempt if it failed at the endpoint.
 func (s *endpointState) noteFailure(now time.Time, outcome Outcome) {
 	switch outcome {
--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -3,6 +3,7 @@
 package deployment
 
 import (
+	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -109,6 +110,14 @@
 	}
 )
 
+// ServiceKey returns a hash, never 0, that identifies a service in messages between
+// nodes.
+func ServiceKey(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return max(h.Sum32(), 1)
+}
+
 // Streams reports whether the kind's answers are events.
 func (k Kind) Streams() bool { return k == Streaming || k == Resumable }
 
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -40,7 +40,8 @@
 	return r
 }
 
-// acquire chooses an endpoint, and waits if none has room.
+// acquire chooses an endpoint, and waits if none has room. It returns neither a choice
+// nor a refusal if another node should serve the request.
 func (c *call) acquire(ctx context.Context) (*balance.Choice, *refusal) {
 	if ref := c.isolated(); ref != nil {
 		return nil, ref
@@ -66,6 +67,9 @@
 		if ref := c.isolated(); ref != nil {
 			return nil, ref
 		}
+		if c.mayHandOver() {
+			return nil, nil
+		}
 		select {
 		case <-w.Turn():
 			choice := c.choose(ctx, began)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -76,7 +76,7 @@
 		crashes.Served(c.print)
 	case !x.Framed() && c.listed(a.choice.Endpoint):
 		// An error means that the caller has disconnected.
-		_ = http.NewResponseController(c.out).Flush()
+		_ = flush(c.out)
 		a.ended = crashes.Broke(c.print, a.choice.Endpoint)
 	}
 }
--- /dev/null
+++ b/internal/gateway/handed.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/handover"
+)
+
+// maxTaken bounds the requests of other nodes that this node serves at a time. Each
+// takes some 100 KB at most, of 284 MB in the smallest installations.
+const maxTaken = 512
+
+// Reasons why a request that another node offers is not taken.
+const (
+	declineStopping = "stopping"
+	declineConfig   = "older configuration"
+	declineService  = "service not reached"
+	declineBusy     = "busy"
+	declineURI      = "malformed"
+)
+
+// handed is a request that another node has handed over.
+type handed struct {
+	// from is that node's name, and service the service that it has drawn.
+	from    string
+	service string
+	out     *handover.Writer
+}
+
+// Take implements handover.Handler. The configuration in force here must not be older
+// than the one by which the other node has admitted the request.
+func (h *Handler) Take(o *handover.Offer) (reason string) {
+	config := h.config.Deployment.Snapshot().Config
+	_, err := url.ParseRequestURI(o.URI)
+	switch {
+	case err != nil || o.Size < 0 || o.Method == "":
+		return declineURI
+	case h.config.Stopping():
+		return declineStopping
+	case config == nil || config.Version < o.Version:
+		return declineConfig
+	case !h.config.Reach.Reaches(o.Service):
+		return declineService
+	}
+	if h.taken.Add(1) > maxTaken || h.heldBytes.Load()+o.Size > maxHeldBytes {
+		h.taken.Add(-1)
+		return declineBusy
+	}
+	return ""
+}
+
+// Release implements handover.Handler.
+func (h *Handler) Release(*handover.Offer) { h.taken.Add(-1) }
+
+// Hand implements handover.Handler.
+func (h *Handler) Hand(ctx context.Context, o *handover.Offer, body []byte, w *handover.Writer) {
+	target, err := url.ParseRequestURI(o.URI)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r := &http.Request{
+		Method: o.Method, URL: target, RequestURI: o.URI, Host: o.Host, Header: o.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
+	}
+	p := o.Progress
+	h.serve(&call{
+		handler: h, out: w, in: r.WithContext(ctx), id: o.Header.Get(h.config.Headers.RequestID), started: time.Now().Add(-o.Age),
+		handed: &handed{from: o.From, service: o.Service, out: w},
+		progress: progress{
+			tried: p.Tried, sends: p.Sends, runs: p.Runs, lastEvent: p.LastEvent, events: p.Events, started: p.Started,
+			counted: p.Counted, excess: p.Excess,
+		},
+	})
+}
+
+// refuse passes a refusal to the node that has handed the request over.
+func (f *handed) refuse(c *call, r *refusal) {
+	f.out.Refuse(handover.Refusal{
+		Status: r.status, Reason: r.reason, RetryAfter: r.retryAfter, Sends: c.progress.sends, Runs: c.progress.runs,
+	})
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -29,6 +29,8 @@
 	maxHeldBytes = 64 << 20
 	// answerMargin is how long before the caller's deadline it gets a response.
 	answerMargin = 30 * time.Millisecond
+	// waitInterval is how often a stopping node looks whether requests are left.
+	waitInterval = 20 * time.Millisecond
 	// maxConfigAge is how old the configuration may be for the node to say that
 	// a route or key does not exist; the platform answers within milliseconds.
 	maxConfigAge = 25 * time.Second
@@ -57,9 +59,12 @@
 		Budget     *budget.Budget
 		Crashes    Crashes
 		// Reach knows which services this node reaches; nil means all.
-		Reach   Reach
-		Metrics *Metrics
-		Log     *decision.Log
+		Reach Reach
+		// Handovers hands requests over to nodes that reach a service; nil if there
+		// are none.
+		Handovers Handovers
+		Metrics   *Metrics
+		Log       *decision.Log
 		// Reserver reserves slots at engines; nil if they support no reservations.
 		Reserver Reserver
 		// Regions maps the names of availability zones to their regions.
@@ -80,6 +85,8 @@
 		queues       map[string]*admission.Queue
 		heldBytes    atomic.Int64
 		active       atomic.Int64
+		// taken counts the requests that other nodes have handed over.
+		taken atomic.Int64
 	}
 
 	// call is one request of a caller.
@@ -104,6 +111,8 @@
 		// deadline is when the caller must have its response.
 		deadline time.Time
 		progress progress
+		// handed is set if another node has handed the request over.
+		handed *handed
 		// fallback is an endpoint's failure, sent if no attempt gets a better
 		// response.
 		fallback *bufferedResponse
@@ -125,6 +134,11 @@
 		started   bool
 		// excess says that its account is far above its usual request rate.
 		excess bool
+		// counted says that the request was counted in the retry budget and for its
+		// account, at this node or the one that has handed it over.
+		counted bool
+		// nobodyUntil is until when no other node is offered the request.
+		nobodyUntil time.Time
 		// admitted says that it has had a slot.
 		admitted bool
 		// full counts the reservations that engines refused.
@@ -147,19 +161,37 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// Wait waits until no request is in progress, or until ctx ends.
+func (h *Handler) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for h.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("gateway: wait: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
 	if h.config.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()}
+	h.serve(&call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()})
+}
+
+// serve serves one request, of a caller or of another node.
+func (h *Handler) serve(c *call) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
 	if ref := c.admit(); ref != nil {
 		c.refuse(ref)
 		return
 	}
-	size := r.ContentLength
+	size := c.in.ContentLength
 	if size < 0 {
 		size = c.config.Limits.BodyBytes
 	}
@@ -173,7 +205,7 @@
 		c.refuse(ref)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
 	c.run(ctx)
 }
@@ -205,6 +237,9 @@
 	}
 	c.residency = residencyOf(c.route, c.account)
 	c.deadline = c.started.Add(c.timeout() - answerMargin)
+	if c.handed != nil {
+		c.deadline = c.deadline.Add(-hopMargin)
+	}
 	return nil
 }
 
@@ -264,7 +299,7 @@
 	h := c.handler.config.Headers
 	c.header = h.forEndpoint(c.in.Header, name)
 	c.print = fingerprint(c.in.RequestURI, name, body)
-	c.service = c.config.Services[c.route.Service(rand.Float64())]
+	c.service = c.config.Services[c.serviceName()]
 	if c.route.Cached {
 		c.promptKey, c.prompt = sharedPart(c.in.Header.Get(h.Model), c.in.Header.Get(h.Prompt))
 	}
@@ -273,7 +308,7 @@
 	}
 	last, err := strconv.ParseUint(c.in.Header.Get(h.LastEventID), 10, 64)
 	if err == nil {
-		c.progress.lastEvent = last
+		c.progress.lastEvent = max(c.progress.lastEvent, last)
 	}
 	return nil
 }
@@ -292,7 +327,9 @@
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
-	h.Metrics.refused(r)
+	if c.handed == nil {
+		h.Metrics.refused(r)
+	}
 	f := decision.Fields{"status": r.status, "reason": r.reason, "sends": c.progress.sends, "runs": c.progress.runs}
 	if r.retryAfter > 0 {
 		f["retry_after_ms"] = r.retryAfter.Milliseconds()
@@ -310,6 +347,10 @@
 		return
 	}
 	c.log("refused", f)
+	if c.handed != nil {
+		c.handed.refuse(c, r)
+		return
+	}
 	if c.progress.started {
 		c.abort(r)
 	}
@@ -329,6 +370,9 @@
 	if c.print != 0 {
 		f["print"] = strconv.FormatUint(c.print, 36)
 	}
+	if c.handed != nil {
+		f["from"] = c.handed.from
+	}
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
+)
+
+const (
+	// maxOffers is how many nodes are offered a request one after another.
+	maxOffers = 3
+	// nobodyTime is how long after that no other node is offered the request.
+	nobodyTime = 200 * time.Millisecond
+	// hopMargin is how much sooner the node that runs a request ends it than the one
+	// that has handed it over, so that its reason gets there.
+	hopMargin = 10 * time.Millisecond
+)
+
+type (
+	// Handovers hands requests over to other nodes.
+	Handovers interface {
+		// Offer offers a request to a node that reaches its service, of those in some
+		// regions if any are given. It returns the node's name, empty if there is
+		// none. An error means that the node has not taken the request.
+		Offer(ctx context.Context, o *handover.Offer, regions []string) (peer string, x *handover.Exchange, err error)
+		// Done ends a request that a node had taken.
+		Done(peer string, x *handover.Exchange)
+	}
+
+	// hop is a request at another node.
+	hop struct {
+		peer    string
+		started time.Time
+		// first is the time until the first part of the response.
+		first time.Duration
+		cause string
+	}
+)
+
+// mayHandOver reports whether the request should be offered to another node: this one
+// does not reach its service. What was handed over is never handed over again.
+func (c *call) mayHandOver() bool {
+	h := c.handler.config
+	return h.Handovers != nil && c.handed == nil && !h.Reach.Reaches(c.service.Name) && !time.Now().Before(c.progress.nobodyUntil)
+}
+
+// handOver has another node serve the request, and reports whether one has taken it.
+func (c *call) handOver(ctx context.Context) (res result, ref *refusal, taken bool) {
+	for range maxOffers {
+		peer, x, err := c.offer(ctx)
+		if peer == "" || err != nil && ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			continue
+		}
+		res, ref = c.follow(ctx, &hop{peer: peer, started: time.Now()}, x)
+		c.handler.config.Handovers.Done(peer, x)
+		if res == resultNotSent || ref != nil && c.mayTryOther(ref) {
+			continue
+		}
+		return res, ref, true
+	}
+	if ctx.Err() != nil {
+		return 0, c.giveUp(reasonTimeout), true
+	}
+	c.progress.nobodyUntil = time.Now().Add(nobodyTime)
+	return 0, nil, false
+}
+
+// offer offers the request to another node.
+func (c *call) offer(ctx context.Context) (peer string, x *handover.Exchange, err error) {
+	began, p := time.Now(), &c.progress
+	var regions []string
+	if c.residency.restricted {
+		regions = c.residency.regions
+	}
+	peer, x, err = c.handler.config.Handovers.Offer(ctx, &handover.Offer{
+		Method: c.in.Method, URI: c.in.RequestURI, Host: c.in.Host, Header: c.in.Header, Size: int64(len(c.body)),
+		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started),
+		Progress: handover.Progress{
+			Tried: p.tried, Sends: p.sends, Runs: p.runs, LastEvent: p.lastEvent, Events: p.events, Started: p.started,
+			Counted: p.counted, Excess: p.excess,
+		},
+	}, regions)
+	if err != nil {
+		c.logHop(&hop{peer: peer, started: began, cause: err.Error()}, resultNotSent)
+	}
+	return peer, x, err
+}
+
+// follow sends the request's body to the node that has taken it, and forwards the
+// response.
+func (c *call) follow(ctx context.Context, a *hop, x *handover.Exchange) (res result, ref *refusal) {
+	res = resultBroken
+	defer func() { c.logHop(a, res) }()
+	err := x.Send(c.body)
+	if errors.Is(err, handover.ErrNotTaken) {
+		a.cause, res = err.Error(), resultNotSent
+		return res, nil
+	}
+	c.progress.counted = true
+	for err == nil {
+		var f *handover.Frame
+		if f, err = x.Next(); err != nil {
+			break
+		}
+		if a.first == 0 {
+			a.first = time.Since(a.started)
+		}
+		if f.Refusal != nil {
+			res = resultNotRun
+			a.cause = f.Refusal.Reason
+			return res, c.received(f.Refusal)
+		}
+		if err := c.writeFrame(f); err != nil {
+			a.cause, res = err.Error(), resultCallerGone
+			return res, nil
+		}
+		if f.End && c.progress.started {
+			res = resultDone
+			return res, nil
+		}
+	}
+	a.cause = err.Error()
+	switch {
+	case c.callerGone():
+		res = resultCallerGone
+	case c.progress.started && !c.route.Kind.Streams():
+		res = resultCut
+	case ctx.Err() != nil:
+		a.cause = "deadline"
+	}
+	return res, nil
+}
+
+// writeFrame writes a part of the response to the caller.
+func (c *call) writeFrame(f *handover.Frame) error {
+	if f.Status != 0 && !c.progress.started {
+		to := c.out.Header()
+		for name, values := range f.Header {
+			to[name] = values
+		}
+		c.out.WriteHeader(f.Status)
+		c.progress.started = true
+	}
+	c.progress.lastEvent, c.progress.events = max(c.progress.lastEvent, f.LastEvent), max(c.progress.events, f.Events)
+	if len(f.Data) == 0 {
+		return nil
+	}
+	if _, err := c.out.Write(f.Data); err != nil {
+		return err
+	}
+	if f.End {
+		return nil
+	}
+	return flush(c.out)
+}
+
+// received returns the refusal of another node as this node's own.
+func (c *call) received(r *handover.Refusal) *refusal {
+	c.progress.sends, c.progress.runs = max(c.progress.sends, r.Sends), max(c.progress.runs, r.Runs)
+	return &refusal{status: r.Status, reason: r.Reason, retryAfter: r.RetryAfter}
+}
+
+// mayTryOther reports whether a further node may serve a request that one has refused:
+// it has not run, and the reason was that node's own.
+func (c *call) mayTryOther(r *refusal) bool {
+	if c.progress.started || c.progress.runs > 0 {
+		return false
+	}
+	return slices.Contains([]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}, r.reason)
+}
+
+// serviceName returns the service that the request goes to: the one that the node
+// which handed it over has drawn, or one drawn here.
+func (c *call) serviceName() string {
+	if c.handed != nil && slices.ContainsFunc(c.route.Split, func(s deployment.Share) bool { return s.Service == c.handed.service }) {
+		return c.handed.service
+	}
+	return c.route.Service(rand.Float64())
+}
+
+// logHop logs and counts a request that was offered to another node.
+func (c *call) logHop(a *hop, res result) {
+	c.handler.config.Metrics.handedOver(res, time.Since(a.started))
+	f := decision.Fields{
+		"service": c.service.Name, "peer": a.peer, "result": res.String(), "took_ms": time.Since(a.started).Milliseconds(),
+		"first_ms": a.first.Milliseconds(),
+	}
+	if a.cause != "" {
+		f["cause"] = a.cause
+	}
+	if c.progress.events > 0 {
+		f["events"] = c.progress.events
+	}
+	c.log("handover", f)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	firstEvent  *metrics.Histogram
 	attemptTime *metrics.Histogram
 	opened      *metrics.Counter
+	// handoverTime is the time that other nodes took for requests handed over.
+	handoverTime *metrics.Histogram
 }
 
 // NewMetrics returns Metrics whose counters are 0.
@@ -28,6 +30,8 @@
 		firstEvent:  s.NewHistogram(metricPrefix + "first_event_seconds"),
 		attemptTime: s.NewHistogram(metricPrefix + "attempt_seconds"),
 		opened:      s.NewCounter(metricPrefix + "connections_total"),
+
+		handoverTime: s.NewHistogram(metricPrefix + "handover_seconds"),
 	}
 }
 
@@ -68,4 +72,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`reservations_total{result=%q}`, result)).Inc()
 }
 
+// handedOver counts a request that was offered to another node.
+func (m *Metrics) handedOver(res result, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`handovers_total{result=%q}`, res)).Inc()
+	m.handoverTime.Update(took.Seconds())
+}
+
 func (m *Metrics) observeFirstEvent(c *call) { m.firstEvent.Update(time.Since(c.started).Seconds()) }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -42,27 +42,54 @@
 		c.refuse(ref)
 		return
 	}
-	h := c.handler.config
-	h.Budget.Request(c.started, c.service.Name)
-	c.progress.excess = c.queue().Arrived(c.started, c.admissionRequest())
 	for try := 0; ; try++ {
-		choice, ref := c.acquire(ctx)
+		res, ref := c.try(ctx)
+		if ref == nil {
+			if res == resultDone || res == resultCallerGone {
+				return
+			}
+			ref = c.retry(ctx, res, try)
+		}
 		if ref != nil {
 			c.refuse(ref)
 			return
 		}
-		res := c.attempt(ctx, choice)
-		if res == resultDone || res == resultCallerGone {
-			return
+	}
+}
+
+// try tries one endpoint, or has another node serve the request.
+func (c *call) try(ctx context.Context) (result, *refusal) {
+	for {
+		if c.mayHandOver() {
+			if res, ref, taken := c.handOver(ctx); taken {
+				return res, ref
+			}
 		}
-		c.progress.tried = append(c.progress.tried, choice.Endpoint.Start())
-		if ref := c.retry(ctx, res, try); ref != nil {
-			c.refuse(ref)
-			return
+		c.count()
+		choice, ref := c.acquire(ctx)
+		if ref != nil {
+			return 0, ref
+		}
+		if choice == nil {
+			// Meanwhile this node has lost the service.
+			continue
 		}
+		res := c.attempt(ctx, choice)
+		c.progress.tried = append(c.progress.tried, choice.Endpoint.Start())
+		return res, nil
 	}
 }
 
+// count counts the request in the retry budget and for its account, once.
+func (c *call) count() {
+	if c.progress.counted {
+		return
+	}
+	c.progress.counted = true
+	c.handler.config.Budget.Request(c.started, c.service.Name)
+	c.progress.excess = c.queue().Arrived(c.started, c.admissionRequest())
+}
+
 // retry returns nil if the request may be tried again, otherwise the refusal that
 // says why not.
 func (c *call) retry(ctx context.Context, res result, try int) *refusal {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,9 +81,15 @@
 		c.progress.lastEvent = ev.ID
 	}
 	c.progress.events++
-	return http.NewResponseController(c.out).Flush()
+	if c.handed != nil {
+		c.handed.out.SetEvents(c.progress.lastEvent, c.progress.events)
+	}
+	return flush(c.out)
 }
 
+// flush sends what was written to a response.
+func flush(w http.ResponseWriter) error { return http.NewResponseController(w).Flush() }
+
 // finishStream ends the caller's response after the endpoint's stream has ended.
 func (a *attempt) finishStream(x *http1.Exchange) result {
 	c := a.call
@@ -109,7 +115,7 @@
 		}
 		// An error means that the caller has disconnected.
 		_, _ = fmt.Fprintf(c.out, ": unknown: %s; %s\n\n", r.reason, advice)
-		_ = http.NewResponseController(c.out).Flush()
+		_ = flush(c.out)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -116,6 +116,9 @@
 		State   func() State
 		Work    Work
 		Crashes Crashes
+		// Lost returns the services that this node does not reach, by their Keys; nil
+		// means none.
+		Lost func() []uint32
 		// Reread is called if the store must be reread: a pull from a peer that is
 		// ahead failed, or too many nodes report a different digest.
 		Reread func()
@@ -140,8 +143,10 @@
 		server   *server
 		view     atomic.Pointer[View]
 		inbox    chan packet
-		cancel   context.CancelFunc
-		running  sync.WaitGroup
+		// announced holds a value if this node's state has changed.
+		announced chan struct{}
+		cancel    context.CancelFunc
+		running   sync.WaitGroup
 	}
 
 	// packet is a received heartbeat or summary and its sender's address.
@@ -197,6 +202,9 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
+	if c.Lost == nil {
+		c.Lost = func() []uint32 { return nil }
+	}
 	c.MaxDirect = cmp.Or(c.MaxDirect, relay.MaxDirect)
 	own := netip.AddrPortFrom(c.Self.IP, c.Port)
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
@@ -210,7 +218,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gossip{
-		config: c, started: time.Now(), patience: catchup.MinPatience + rand.N(catchup.MaxPatience-catchup.MinPatience), socket: socket, client: newClient(c.Port), inbox: make(chan packet, inboxLength),
+		config: c, started: time.Now(), patience: catchup.MinPatience + rand.N(catchup.MaxPatience-catchup.MinPatience), socket: socket, client: newClient(c.Port), inbox: make(chan packet, inboxLength), announced: make(chan struct{}, 1),
 		cancel: cancel,
 	}
 	g.view.Store(&View{Known: 1})
@@ -245,6 +253,8 @@
 				g.handle(ctx, l, p, time.Now())
 			case <-c.Replica.Updates():
 				g.propagate(ctx, l, time.Now())
+			case <-g.announced:
+				g.propagate(ctx, l, time.Now())
 			case now := <-steps.C:
 				g.step(ctx, l, now)
 				steps.Reset(g.stepInterval())
@@ -260,6 +270,14 @@
 // record notes that a message was sent.
 func (t *sendTimes) record(now time.Time) { t.previous, t.last = t.last, now }
 
+// Announce sends a changed state of this node without waiting for the next heartbeat.
+func (g *Gossip) Announce() {
+	select {
+	case g.announced <- struct{}{}:
+	default:
+	}
+}
+
 // View returns the newest view, never nil.
 func (g *Gossip) View() *View { return g.view.Load() }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,9 @@
 	Stopping
 )
 
+// someService stands for a service of which only is known that a node does not reach it.
+const someService = 0
+
 // ErrMessage is returned for a message that cannot be encoded or decoded.
 var ErrMessage = errors.New("gossip: bad message")
 
@@ -49,6 +53,8 @@
 		State       State  `cbor:"-"`
 		// Access says whether the node reads the store, and whether that works.
 		Access deployment.Access `cbor:"-"`
+		// Lost are the services that the node does not reach.
+		Lost []uint32 `cbor:"-"`
 	}
 
 	// crashReport is an endpoint that ended while it ran a request, and the request's
@@ -96,6 +102,8 @@
 		// Leaving are endpoints that have announced that they leave: all of them in
 		// some heartbeats, the newest in others.
 		Leaving []uint32 `cbor:"18,keyasint,omitempty"`
+		// Lost are the services that the node does not reach, by their Keys.
+		Lost []uint32 `cbor:"20,keyasint,omitempty"`
 		// From is the sender's identity.
 		From *Member `cbor:"10,keyasint,omitempty"`
 		// Digest is that of the node's record; only some heartbeats carry it.
@@ -153,6 +161,11 @@
 	codec struct{}
 )
 
+// Reaches reports whether the node reaches a service, as far as known.
+func (m *Member) Reaches(service uint32) bool {
+	return !slices.Contains(m.Lost, service) && !slices.Contains(m.Lost, someService)
+}
+
 // position is the store's position up to which the sender is up to date.
 func (b *heartbeat) position() deployment.Position {
 	return deployment.Position{Epoch: b.Epoch, Revision: b.Revision}
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -21,7 +21,10 @@
 	// relayCheckInterval is how often a node of a small fleet checks whether it
 	// needs relays.
 	relayCheckInterval = time.Second
-	// accessShift is the offset of the store access in a status byte.
+	// A status byte holds the state, a flag for nodes that do not reach some service,
+	// and from accessShift on the store access.
+	stateMask   = 7
+	lostFlag    = 8
 	accessShift = 4
 	// sourceRelay is the logged source of updates that come through relays.
 	sourceRelay = "relay"
@@ -51,12 +54,23 @@
 
 func shortID(incarnation uint64) relay.ID { return relay.ID(incarnation) }
 
-func statusOf(s State, a deployment.Access) relay.Status {
-	return relay.Status(uint8(s) | uint8(a)<<accessShift)
+func statusOf(b *heartbeat) relay.Status {
+	status := uint8(b.State) | uint8(b.Access)<<accessShift
+	if len(b.Lost) > 0 {
+		status |= lostFlag
+	}
+	return relay.Status(status)
 }
 
-// state and access return the parts of a status byte.
-func state(status byte) State { return State(status & (1<<accessShift - 1)) }
+// state, access and lost return the parts of a status byte.
+func state(status byte) State { return State(status & stateMask) }
+
+func lost(status byte) []uint32 {
+	if status&lostFlag == 0 {
+		return nil
+	}
+	return []uint32{someService}
+}
 
 func access(status byte) deployment.Access { return deployment.Access(status >> accessShift) }
 
@@ -149,7 +163,7 @@
 // newReport returns a heartbeat's content as a report to a relay.
 func newReport(b *heartbeat, addr netip.Addr) relay.Report {
 	r := relay.Report{
-		ID: shortID(b.ID), Addr: addr, Sequence: b.Sequence, Status: statusOf(b.State, b.Access), Position: b.position(),
+		ID: shortID(b.ID), Addr: addr, Sequence: b.Sequence, Status: statusOf(b), Position: b.position(),
 		Loads: b.Loads, PendingPrefill: b.PendingPrefill, Failures: b.Failures, Follows: b.Delivery == deliverFollow,
 		Updates: relay.Updates{
 			Placements: b.Placements, EndpointLoads: b.EndpointLoads, Leaving: b.Leaving,
@@ -236,7 +250,7 @@
 	// may have arrived before the relayed status.
 	n.member.State = max(n.member.State, state(status))
 	if now.Sub(n.lastSeen) > silence {
-		n.member.Access = access(status)
+		n.member.Access, n.member.Lost = access(status), lost(status)
 	}
 	if access(status) == deployment.Failing {
 		g.config.Replica.ReaderFailed()
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -196,10 +196,10 @@
 	switch {
 	case !n.alive:
 		res = resultRecovered
-	case n.member.State != b.State || n.member.Access != b.Access || n.position != b.position():
+	case n.member.State != b.State || n.member.Access != b.Access || n.position != b.position() || !slices.Equal(n.member.Lost, b.Lost):
 		res = resultChanged
 	}
-	n.member.State, n.member.Access = b.State, b.Access
+	n.member.State, n.member.Access, n.member.Lost = b.State, b.Access, b.Lost
 	n.sequence, n.position, n.loads, n.reading, n.failures = b.Sequence, b.position(), b.Loads, b.PendingPrefill, b.Failures
 	n.lastSeen, n.alive = now, true
 	if b.Digest != 0 {
