--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -66,6 +66,7 @@
 		mu      sync.Mutex
 		state   gossip.State
 		crashes *fakeCrashes
+		lost    []uint32
 		rereads int
 	}
 
@@ -242,6 +243,11 @@
 			return nd.state
 		},
 		Crashes: nd.crashes,
+		Lost: func() []uint32 {
+			nd.mu.Lock()
+			defer nd.mu.Unlock()
+			return nd.lost
+		},
 		Reread: func() {
 			nd.mu.Lock()
 			defer nd.mu.Unlock()
