--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -207,7 +207,7 @@
 		return write(c, "0\r\n\r\n")
 	})
 	h := newHops(t, 1, deployment.Route{Kind: deployment.Streaming, Objective: time.Second}, e)
-	resp := h.open(t, t.Context())
+	resp := h.open(t.Context(), t)
 	defer func() { _ = resp.Body.Close() }()
 	for n := 1; n <= 3; n++ {
 		buffer := make([]byte, len(event(n)))
@@ -222,7 +222,7 @@
 }
 
 // open sends a request and returns the response once its header is there.
-func (h *hops) open(t *testing.T, ctx context.Context) *http.Response {
+func (h *hops) open(ctx context.Context, t *testing.T) *http.Response {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/p/x", strings.NewReader("body"))
 	require.NoError(t, err)
 	req.Host = "h"
@@ -244,7 +244,7 @@
 	})
 	h := newHops(t, 1, deployment.Route{Kind: deployment.Streaming, Objective: time.Second}, e)
 	ctx, cancel := context.WithCancel(t.Context())
-	resp := h.open(t, ctx)
+	resp := h.open(ctx, t)
 	cancel()
 	_ = resp.Body.Close()
 	select {
