Keep connections to endpoints that are silent for under two seconds

A sound endpoint may send nothing for a second or so and go on. Its connections were given up, and at-most-once runs on them lost: TCP_USER_TIMEOUT of 1.5 s decides when keep-alive probes give up, whatever their count, so that one lost probe was enough, also on a lossy link. Unacknowledged data had 1.5 s as well.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -24,6 +24,9 @@
 	memoryShare = 0.7
 	// storeDialTimeout is the timeout for a new connection to the store.
 	storeDialTimeout = 700 * time.Millisecond
+	// storeSilence is after how long without a packet a connection to the store is
+	// given up: a new one costs little, and changes have to be in force in time.
+	storeSilence = 1500 * time.Millisecond
 	// pollInterval is how often the settings file is read again; a read takes
 	// about 50 microseconds.
 	pollInterval = 5 * time.Second
@@ -87,7 +90,7 @@
 
 func (c *serveCommand) config(s platform.Settings) bulrushhinge.GatewayConfig {
 	transport := &http.Transport{
-		DialContext:           http1.NewDialer(storeDialTimeout).DialContext,
+		DialContext:           http1.NewDialer(http1.DialerConfig{Timeout: storeDialTimeout, Silence: storeSilence}).DialContext,
 		MaxIdleConnsPerHost:   1,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: 0,
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,9 +21,15 @@
 	// ConnectTimeout bounds opening a connection: an endpoint accepts one within a
 	// millisecond or two, and drops the SYN packet while its queue is full.
 	ConnectTimeout = 400 * time.Millisecond
-	// unackedTimeout is after how long without acknowledgement a connection is
-	// considered dead.
-	unackedTimeout = 1500 * time.Millisecond
+	// defaultSilence is DialerConfig.Silence for endpoints, which may be silent for a
+	// second or two and go on. Beyond the fourth second callers leave.
+	defaultSilence = 3500 * time.Millisecond
+	// probeInterval is the time without a packet after which a peer is probed, and
+	// between two probes.
+	probeInterval = time.Second
+	// probes is the number of unanswered probes after which a connection is given up,
+	// on systems where Silence does not decide.
+	probes = 3
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 18
 )
@@ -38,6 +45,15 @@
 	ErrWithdrawn = errors.New("http1: request withdrawn")
 )
 
+// DialerConfig configures a dialer.
+type DialerConfig struct {
+	// Timeout bounds opening a connection.
+	Timeout time.Duration
+	// Silence is after how long without a packet from the peer a connection is
+	// considered dead; 0 means three to four seconds.
+	Silence time.Duration
+}
+
 // Results of a probe.
 const (
 	// Unanswered is a connection that was not opened in time, or failed otherwise.
@@ -68,16 +84,18 @@
 
 // NewDialer returns a dialer whose connections detect a dead peer within seconds.
 //
-// A peer may become unreachable without a reset. Keep-alive probes detect it within
-// three seconds, unacknowledged data earlier.
-func NewDialer(timeout time.Duration) *net.Dialer {
+// A peer may become unreachable without a reset. Linux gives a connection up after the
+// user timeout, if data is unacknowledged, or at the first probe after it that follows
+// an unanswered one, whatever the number of probes.
+func NewDialer(d DialerConfig) *net.Dialer {
+	silence := cmp.Or(d.Silence, defaultSilence)
 	return &net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Timeout:         d.Timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			if e := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
 			}); e != nil {
 				return e
 			}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -71,7 +71,7 @@
 // NewPool returns a pool without connections.
 func NewPool(c PoolConfig) *Pool {
 	if c.Dialer == nil {
-		c.Dialer = NewDialer(ConnectTimeout)
+		c.Dialer = NewDialer(DialerConfig{Timeout: ConnectTimeout})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{config: c, idleConns: map[peer][]*conn{}, cancel: cancel}
