Send brittle endpoints no more than they rarely turn away

Endpoints of a service may say in all answers that they fall over if they have to turn away more than a few requests within a second. Nothing bounded rejections, as they cost nothing else: nodes that see the same free slot all send to it, at four times the slots of a plain endpoint.

While a service says so, all nodes together use as many slots of a plain service as a random spread rarely exceeds, each node an even share, by turns where there are more nodes than slots; engines get nothing beyond their slots. An endpoint that turns a request away is left alone for a second, and all nodes hear of it at once. Nodes tell each other which services are brittle.

--- a/gateway.go
+++ b/gateway.go
@@ -164,7 +164,7 @@
 	g.SetSeeds(c.Seeds)
 	g.state = deployment.NewState(deployment.StateConfig{Decoder: c.Decoder, Drain: c.Drain, Regions: slices.Sorted(maps.Values(c.Regions)), Log: g.log})
 	nodes := func() int { return g.gossip.View().Known }
-	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes})
+	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes, Announce: func() { g.gossip.Announce() }})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened, Dialer: c.Dialer})
 	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
 	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Changed: g.serviceChanged, Metrics: g.reachMetrics, Log: g.log})
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -81,6 +81,9 @@
 		// Nodes returns the number of nodes, including those that are unreachable;
 		// nil means that this is the only one.
 		Nodes func() int
+		// Announce is called when the other nodes should hear at once of what has
+		// changed; it may be nil.
+		Announce func()
 		// Draw returns uniformly distributed numbers in [0, 1); nil means math/rand.
 		Draw func() float64
 	}
@@ -98,6 +101,12 @@
 		prefillPerToken time.Duration
 		// requests counts the requests for each service, over failureMemory.
 		requests map[string]*rates.Decayed
+		// brittle are the services that were brittle lately, by their Keys.
+		brittle map[uint32]brittle
+		// rounding decides whether this node rounds its shares of brittle services up:
+		// as many nodes do as make the sum right. It was drawn at roundedAt.
+		rounding  float64
+		roundedAt time.Time
 		// started is when the node started.
 		started time.Time
 	}
@@ -123,6 +132,9 @@
 		Objective time.Duration
 		// Prompt is the size of the prompt that an engine may have to process.
 		Prompt Prompt
+
+		// brittle reports whether the service is brittle.
+		brittle bool
 	}
 
 	// Choice is the chosen endpoint and the reasons for the choice.
@@ -162,8 +174,12 @@
 	// endpointState is what this node knows of an endpoint.
 	endpointState struct {
 		// key is the Key of the endpoint's Start.
-		key    uint32
-		active int
+		key uint32
+		// service is the name of its service, and slots how many requests it runs at
+		// once, since it was chosen.
+		service string
+		slots   int
+		active  int
 		// prefill is the number of tokens that it still has to process for this
 		// node's requests.
 		prefill  int
@@ -189,7 +205,7 @@
 	if c.Nodes == nil {
 		c.Nodes = func() int { return 1 }
 	}
-	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, started: time.Now()}
+	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, brittle: map[uint32]brittle{}, started: time.Now()}
 }
 
 // Choose chooses an endpoint and counts the request there until Release. It returns
@@ -209,6 +225,7 @@
 	}
 	o := b.endpoints[c.endpoint.Start()]
 	o.active++
+	o.service, o.slots = c.endpoint.Service, c.slots
 	o.backoff.lastSent = now
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
 	if r.Key != "" {
@@ -255,6 +272,9 @@
 	}
 	e.health.record(o, now)
 	e.noteFailure(now, o)
+	if (o == Refused || o == ReservationRefused) && b.isBrittle(now, e.service) {
+		b.turnedAway(now, e)
+	}
 }
 
 // Active returns the number of this node's requests in progress, by the Key of the
@@ -299,6 +319,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reports.forget(now)
+	maps.DeleteFunc(b.brittle, func(_ uint32, s brittle) bool { return now.After(s.until) })
 	maps.DeleteFunc(b.requests, func(_ string, count *rates.Decayed) bool { return count.Get(now) < negligibleRequests })
 	for s, o := range b.endpoints {
 		if o.active == 0 && now.Sub(o.lastUsed) > after && !o.backoff.active(now) {
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -36,15 +36,33 @@
 func (b *Balancer) HasRoom(now time.Time, list []*deployment.Endpoint, r Request) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	r.brittle = b.isBrittle(now, r.Service.Name)
 	return slices.ContainsFunc(list, func(e *deployment.Endpoint) bool {
 		o := b.state(e.Start(), now)
 		if !e.AcceptsRequests() || b.cold(e, o, r.Service, now) || slices.Contains(r.Tried, e.Start()) {
 			return false
 		}
-		return !r.blocked(now, e, o, b.inProgress(o))
+		return !r.blocked(now, e, o, b.load(now, o, len(list), r))
 	})
 }
 
+// load returns the load of an endpoint that decides whether it has room.
+//
+// An endpoint of a brittle service must not have to turn requests away. What it reports
+// counts as well, and at an engine, whose requests are long, what other nodes have
+// probably sent since they last reported.
+func (b *Balancer) load(now time.Time, o *endpointState, endpoints int, r Request) float64 {
+	sent := float64(b.inProgress(o))
+	if !b.isBrittle(now, r.Service.Name) {
+		return sent
+	}
+	sent = max(sent, float64(b.reports.load(o.key, now)))
+	if r.Key != "" {
+		sent += b.unseen(now, r.Service.Name, endpoints)
+	}
+	return sent
+}
+
 // inProgress returns the number of requests of all nodes in progress at an endpoint,
 // as far as known.
 func (b *Balancer) inProgress(o *endpointState) int { return o.active + b.config.Loads.Others(o.key) }
@@ -54,13 +72,13 @@
 // many requests of all nodes as it may have. The load that it reports itself does not
 // block it: that may be older than it seems, and the endpoint refuses excess requests
 // itself.
-func (r Request) blocked(now time.Time, e *deployment.Endpoint, o *endpointState, sent int) bool {
+func (r Request) blocked(now time.Time, e *deployment.Endpoint, o *endpointState, load float64) bool {
 	depth := plainDepth
-	if r.Key != "" {
+	if r.Key != "" || r.brittle {
 		depth = modelDepth
 	}
 	return o.health.gone || o.backoff.blocks(now) || now.Before(o.health.unreachableUntil) || now.Before(o.health.refusedUntil) || now.Before(o.health.noPlaceUntil) ||
-		float64(sent) >= depth*float64(slots(e, r.Service))
+		load >= depth*float64(slots(e, r.Service))
 }
 
 // means are the mean loads of a service's endpoints.
@@ -73,7 +91,9 @@
 // candidates returns the endpoints that may be chosen, and the mean loads.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, means) {
 	states, failures := b.states(now, list)
+	r.brittle = b.isBrittle(now, r.Service.Name)
 	failing := b.failing(now, states, r.Service.Name)
+	full := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
 	part := xxhash.Sum64String(r.Key)
 	all := make([]candidate, 0, len(list))
@@ -97,7 +117,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
-		c.blocked, c.cold = r.blocked(now, e, o, sent), b.cold(e, o, r.Service, now)
+		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
 			c.prefill = o.prefill + b.config.Loads.OthersPrefill(key)
 			c.score, c.holds = score(part, e), b.holders.has(part, key, now) && !o.backoff.active(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -344,6 +344,9 @@
 	if a.notice.Leaving {
 		f["leaving"] = true
 	}
+	if a.notice.Brittle {
+		f["brittle"] = true
+	}
 	if a.notice.Backoff > 0 {
 		f["rest_ms"] = a.notice.Backoff.Milliseconds()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -110,7 +110,7 @@
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", ExpectEndpoint: "Expect-Endpoint",
 		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
-		Leaving: leaving, RetryAfter: retryAfter, Model: "Model", Priority: "Priority", LastEventID: "Last-Event-Id", FetchFrom: "Fetch", Reservation: reserved, Internal: []string{"Fetch", "Account"},
+		Leaving: leaving, RetryAfter: retryAfter, Brittle: brittle, Model: "Model", Priority: "Priority", LastEventID: "Last-Event-Id", FetchFrom: "Fetch", Reservation: reserved, Internal: []string{"Fetch", "Account"},
 	}
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -26,6 +26,9 @@
 		NotRun string
 		// Leaving marks a response of an endpoint that is leaving.
 		Leaving string
+		// Brittle marks a response of an endpoint that falls over if it has to turn
+		// away more requests in a second than the header says.
+		Brittle string
 		// RetryAfter is, in a refusal, for how many seconds the endpoint wants no
 		// requests from the node.
 		RetryAfter string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,9 @@
 	if n.Leaving {
 		m.set.GetOrCreateCounter(metricPrefix + `notices_total{notice="leaving"}`).Inc()
 	}
+	if n.Brittle {
+		m.set.GetOrCreateCounter(metricPrefix + `notices_total{notice="brittle"}`).Inc()
+	}
 	if n.Backoff > 0 {
 		m.set.GetOrCreateCounter(metricPrefix + `notices_total{notice="rest"}`).Inc()
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,9 @@
 	Leaving bool
 	// Backoff is the backoff that it asks of this node, 0 if it asks for none.
 	Backoff time.Duration
+	// Brittle says that it falls over if it has to turn away more than a few requests
+	// in a second.
+	Brittle bool
 }
 
 // Notice reads an endpoint's notice from a response.
@@ -33,7 +37,8 @@
 	if status == http.StatusMisdirectedRequest {
 		return Notice{}
 	}
-	n := Notice{Leaving: slices.ContainsFunc(header[h.Leaving], func(v string) bool { return strings.TrimSpace(v) == leavingValue })}
+	limit, err := strconv.Atoi(header.Get(h.Brittle))
+	n := Notice{Brittle: err == nil && limit >= 0, Leaving: slices.ContainsFunc(header[h.Leaving], func(v string) bool { return strings.TrimSpace(v) == leavingValue })}
 	if http1.IsOverload(status) {
 		n.Backoff = http1.RetryAfter(header[h.RetryAfter])
 	}
@@ -46,6 +51,9 @@
 	if n.Leaving {
 		h.Deployment.RecordLeave(e.Start(), sourceAnswer)
 	}
+	if n.Brittle {
+		h.Balancer.SetBrittle(time.Now(), c.service.Name)
+	}
 	if n.Backoff > 0 {
 		h.Balancer.Backoff(time.Now(), e.Start(), n.Backoff)
 	}
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -16,6 +16,7 @@
 const (
 	leaving    = "Leaving"
 	retryAfter = "Retry-After"
+	brittle    = "Brittle"
 	// leaveLine is the header line of a leave notice.
 	leaveLine = leaving + ": 1\r\n"
 )
@@ -28,6 +29,7 @@
 		status  int
 		leaving []string
 		rest    []string
+		brittle []string
 		want    gateway.Notice
 	}{
 		"none":                            {status: http.StatusOK},
@@ -45,10 +47,14 @@
 		"asks without a refusal":          {status: http.StatusOK, rest: []string{"3"}},
 		"a date":                          {status: refused, rest: []string{"Wed, 21 Oct 2015 07:28:00 GMT"}},
 		"asks for none":                   {status: refused, rest: []string{"0"}},
+		"is brittle":                      {status: http.StatusOK, brittle: []string{"4"}, want: gateway.Notice{Brittle: true}},
+		"is brittle, in a refusal":        {status: refused, brittle: []string{"0"}, want: gateway.Notice{Brittle: true}},
+		"is brittle in unknown words":     {status: http.StatusOK, brittle: []string{"very"}},
+		"another process is brittle":      {status: other, brittle: []string{"4"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			header := http.Header{leaving: c.leaving, retryAfter: c.rest}
+			header := http.Header{leaving: c.leaving, retryAfter: c.rest, brittle: c.brittle}
 			require.Equal(t, c.want, headers().Notice(c.status, header))
 		})
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -86,6 +86,10 @@
 		// since. AddReports adds those reported by another node.
 		Reports(now, since time.Time) map[uint32]int
 		AddReports(now time.Time, list map[uint32]int)
+		// Brittle returns the services that have told this node that they are brittle,
+		// by their Keys. AddBrittle adds those that have told another node.
+		Brittle(now time.Time) []uint32
+		AddBrittle(now time.Time, list []uint32)
 	}
 
 	// Crashes are the endpoints that ended while they ran a request.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,6 +57,10 @@
 		// other nodes sent.
 		reports         map[uint32]int
 		receivedReports map[uint32]int
+		// brittle are services that have told this node that they are brittle,
+		// receivedBrittle those that other nodes sent.
+		brittle         []uint32
+		receivedBrittle []uint32
 	}
 
 	node struct {
@@ -204,6 +208,20 @@
 	return maps.Clone(w.reports)
 }
 
+// Brittle implements gossip.Work.
+func (w *fakeWork) Brittle(time.Time) []uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.brittle
+}
+
+// AddBrittle implements gossip.Work.
+func (w *fakeWork) AddBrittle(_ time.Time, list []uint32) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.receivedBrittle = append(w.receivedBrittle, list...)
+}
+
 func (w *fakeWork) AddReports(_ time.Time, list map[uint32]int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gossip/lost_test.go
+++ b/internal/gossip/lost_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"slices"
 	"testing"
 
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
@@ -24,6 +25,21 @@
 	return false
 }
 
+// Guards against a node that sends a brittle service too much because it has had no
+// answer of its own yet.
+func TestNodesTellEachOtherOfBrittleServices(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(1, &fakeReplica{}), f.start(2, &fakeReplica{})
+	one.work.mu.Lock()
+	one.work.brittle = []uint32{5}
+	one.work.mu.Unlock()
+	f.eventually(func() bool {
+		two.work.mu.Lock()
+		defer two.work.mu.Unlock()
+		return slices.Contains(two.work.receivedBrittle, 5)
+	}, "the other node hears of it")
+}
+
 // Guards against requests that are handed over to nodes that do not reach their service
 // either, and against nodes that are left out after their paths are back.
 func TestNodesKnowWhatOthersReach(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -53,6 +53,9 @@
 		State       State  `cbor:"-"`
 		// Access says whether the node reads the store, and whether that works.
 		Access deployment.Access `cbor:"-"`
+		// Brittle are the services that have told the sender that they are brittle, by
+		// their Keys.
+		Brittle []uint32 `cbor:"21,keyasint,omitempty"`
 		// Lost are the services that the node does not reach.
 		Lost []uint32 `cbor:"-"`
 	}
@@ -104,6 +107,9 @@
 		Leaving []uint32 `cbor:"18,keyasint,omitempty"`
 		// Lost are the services that the node does not reach, by their Keys.
 		Lost []uint32 `cbor:"20,keyasint,omitempty"`
+		// Brittle are the services that have told the sender that they are brittle, by
+		// their Keys.
+		Brittle []uint32 `cbor:"21,keyasint,omitempty"`
 		// From is the sender's identity.
 		From *Member `cbor:"10,keyasint,omitempty"`
 		// Digest is that of the node's record; only some heartbeats carry it.
