Cut nodes off from all endpoints in the soak

Nothing in the soak cut a node's own paths: its proxies stand before endpoints, which all nodes share. At most 10 and 2 % of the tries at them may fail later than three seconds after.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -34,6 +34,7 @@
 
 type serveCommand struct {
 	Metrics uint16 `help:"Port at which metrics and state are served." default:"9464"`
+	Egress  string `help:"Address of an HTTP proxy through which endpoints are reached, with CONNECT; empty for none."`
 	Check   bool   `help:"Check the platform's settings and end."`
 }
 
@@ -46,10 +47,14 @@
 	if c.Check {
 		return nil
 	}
+	dialer, err := c.dialer()
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	g, err := bulrushhinge.NewGateway(c.config(s))
+	g, err := bulrushhinge.NewGateway(c.config(s, dialer))
 	if err != nil {
 		return err
 	}
@@ -88,7 +93,19 @@
 	}
 }
 
-func (c *serveCommand) config(s platform.Settings) bulrushhinge.GatewayConfig {
+// dialer returns the dialer for endpoints, nil for the default.
+func (c *serveCommand) dialer() (bulrushhinge.Dialer, error) {
+	if c.Egress == "" {
+		return nil, nil
+	}
+	proxy, err := netip.ParseAddrPort(c.Egress)
+	if err != nil {
+		return nil, fmt.Errorf("egress: %w", err)
+	}
+	return &http1.Egress{Proxy: proxy, Timeout: http1.ConnectTimeout}, nil
+}
+
+func (c *serveCommand) config(s platform.Settings, dialer bulrushhinge.Dialer) bulrushhinge.GatewayConfig {
 	transport := &http.Transport{
 		DialContext:           http1.NewDialer(http1.DialerConfig{Timeout: storeDialTimeout, Silence: storeSilence}).DialContext,
 		MaxIdleConnsPerHost:   1,
@@ -96,7 +113,8 @@
 		ResponseHeaderTimeout: 0,
 	}
 	return bulrushhinge.GatewayConfig{
-		Node: s.Node, Zone: s.Zone, Regions: s.Regions, Power: s.Power, IP: s.IP, Port: s.Ports[0], HandoverPort: s.Ports[0] + 1, Seeds: s.Seeds,
+		Dialer: dialer,
+		Node:   s.Node, Zone: s.Zone, Regions: s.Regions, Power: s.Power, IP: s.IP, Port: s.Ports[0], HandoverPort: s.Ports[0] + 1, Seeds: s.Seeds,
 		Callers: s.Callers, Directory: s.Directory, Ready: s.Ready, Metrics: netip.AddrPortFrom(s.IP, c.Metrics),
 		Source: platform.NewStore(s.Store, transport), Decoder: platform.Decoder{}, Headers: platform.Headers(),
 		Places:  func(p *http1.Pool) gateway.Reserver { return platform.NewReserver(p) },
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -21,6 +21,8 @@
 	// Program is the program's path, and Folder receives settings and logs.
 	Program string
 	Folder  string
+	// Args are further arguments of the program.
+	Args []string
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -42,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("fleet: %s: %w", p.Node, err)
 	}
-	cmd := exec.Command(p.Program, "serve")
+	cmd := exec.Command(p.Program, append([]string{"serve"}, p.Args...)...)
 	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -114,6 +114,7 @@
 	if k == safe && c.random.IntN(2) == 0 {
 		body = popularBody
 	}
+	cutSince := c.ledger.cuts.cutSince(addr)
 	a := c.send(ctx, addr, route, id, body, timeout)
 	if body == popularBody {
 		c.ledger.crashes.recordPopular(a)
@@ -123,6 +124,9 @@
 		a.cut = false
 	}
 	c.ledger.recordAnswer(id, a)
+	if ctx.Err() == nil && c.ledger.cuts.cutSince(addr).Equal(cutSince) {
+		c.ledger.recordCutTry(cutSince, a)
+	}
 	if a.status == 0 {
 		c.expires = time.Time{}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,8 +16,10 @@
 	fault struct {
 		name    string
 		planned bool
-		// spares says that it disturbs no node.
+		// spares says that it disturbs no node, cuts that it cuts nodes off from
+		// endpoints.
 		spares bool
+		cuts   bool
 		inject func(ctx context.Context, s *soak, r *rand.Rand) (what string)
 	}
 )
@@ -77,6 +80,15 @@
 		n := s.node(r)
 		return n.Node + " " + disrupt(ctx, r, n.callerProxy)
 	}},
+	{name: "endpoints cut", cuts: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		var cut []*node
+		for _, n := range s.nodes[1:] {
+			if r.IntN(2) == 0 {
+				cut = append(cut, n)
+			}
+		}
+		return s.cutEndpoints(ctx, r, cut)
+	}},
 	{name: "endpoint cut", inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		e := s.world.pick(r)
 		if e == nil {
@@ -165,6 +177,27 @@
 	return list, nil
 }
 
+// cutEndpoints cuts nodes off from all endpoints for some seconds.
+func (s *soak) cutEndpoints(ctx context.Context, r *rand.Rand, nodes []*node) string {
+	m := cutModes[r.IntN(len(cutModes))]
+	names := []string{m.String()}
+	for _, n := range nodes {
+		n.egress.set(m)
+		s.ledger.cuts.set(n.Callers(), time.Now())
+		names = append(names, n.Node)
+	}
+	wait(ctx, r, 2*time.Second)
+	select {
+	case <-time.After(recoveryTime + 2*time.Second):
+	case <-ctx.Done():
+	}
+	for _, n := range nodes {
+		s.ledger.cuts.set(n.Callers(), time.Time{})
+		n.egress.set(modePass)
+	}
+	return strings.Join(names, " ")
+}
+
 // disrupt sets a random failure mode on a proxy for a random time.
 func disrupt(ctx context.Context, r *rand.Rand, p *proxy) string {
 	m := mode(1 + r.IntN(int(modeReset)))
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,6 +35,7 @@
 		// notices are the endpoints' leave notices and backoffs.
 		notices *notices
 		crashes *crashes
+		cuts    *cuts
 	}
 
 	// run is one execution of a request at an endpoint.
@@ -49,6 +50,7 @@
 		from, to time.Time
 		// spares says that the fault disturbs no node.
 		spares bool
+		cuts   bool
 	}
 
 	// kind says how far a request may be retried.
@@ -67,7 +69,7 @@
 	return &ledger{
 		timed: timed, runs: map[string][]run{}, kinds: map[string]kind{}, notRun: map[string]time.Time{},
 		seen: map[string]int{}, leaves: map[*endpoint]time.Time{}, evacuated: map[string]time.Time{}, outcomes: map[string]int{},
-		notices: newNotices(), crashes: newCrashes(),
+		notices: newNotices(), crashes: newCrashes(), cuts: newCuts(),
 	}
 }
 
@@ -211,7 +213,7 @@
 		list = &l.planned
 	}
 	i := len(*list)
-	*list = append(*list, span{from: time.Now(), spares: f.spares})
+	*list = append(*list, span{from: time.Now(), spares: f.spares, cuts: f.cuts})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -231,6 +233,22 @@
 	return !overlaps(disturbs, from.Add(-recoveryTime), to)
 }
 
+// recordCutTry records a try at a node that was cut off from the endpoints some time
+// before, unless there were other faults.
+func (l *ledger) recordCutTry(cutSince time.Time, a answer) {
+	now := time.Now()
+	if cutSince.IsZero() || a.abandoned || a.sent.Sub(cutSince) < recoveryTime {
+		return
+	}
+	l.mu.Lock()
+	others := slices.DeleteFunc(slices.Concat(l.unplanned, l.planned), func(s span) bool { return s.cuts })
+	calm := !overlaps(others, a.sent.Add(-recoveryTime), now)
+	l.mu.Unlock()
+	if calm {
+		l.cuts.record(a.status == 200 && a.err == nil)
+	}
+}
+
 func (l *ledger) onlyPlanned(from, to time.Time) bool {
 	return l.timed && l.undisturbed(from, to) && overlaps(l.planned, from, to)
 }
@@ -257,6 +275,7 @@
 	if l.timed {
 		l.broken = append(l.broken, l.notices.check()...)
 		l.broken = append(l.broken, l.crashes.check(l.nodesUndisturbed)...)
+		l.broken = append(l.broken, l.cuts.check()...)
 	}
 	return l.broken
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -11,6 +11,8 @@
 	*fleet.Process
 	// storeProxy is between the node and the store.
 	storeProxy *proxy
+	// egress is between the node and the endpoints.
+	egress *egress
 	// callerProxy is between callers and the node.
 	callerProxy *proxy
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -20,6 +20,8 @@
 	modeDropReplies
 	// modeReset resets all connections, new ones immediately.
 	modeReset
+	// modeRefuse refuses new connections; open ones live on.
+	modeRefuse
 )
 
 // proxyDelay is how long modeDelay delays bytes.
@@ -39,7 +41,7 @@
 )
 
 func (m mode) String() string {
-	return [...]string{"pass", "delay", "silence", "deafen", "reset"}[m]
+	return [...]string{"pass", "delay", "silence", "deafen", "reset", "refuse"}[m]
 }
 
 // newProxy starts a proxy on a free port of ip.
@@ -49,16 +51,21 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: to, open: map[net.Conn]bool{}}
+	p.accept(p.serve)
+	return p, nil
+}
+
+// accept lets a function serve each connection.
+func (p *proxy) accept(serve func(net.Conn)) {
 	go func() {
 		for {
-			c, err := l.Accept()
+			c, err := p.listener.Accept()
 			if err != nil {
 				return
 			}
-			go p.serve(c)
+			go serve(c)
 		}
 	}()
-	return p, nil
 }
 
 func (p *proxy) addr() netip.AddrPort {
@@ -119,6 +126,11 @@
 		_ = in.(*net.TCPConn).SetLinger(0)
 		return
 	}
+	p.join(in, out)
+}
+
+// join forwards bytes between two connections until one of them ends.
+func (p *proxy) join(in, out net.Conn) {
 	defer func() { _ = out.Close() }()
 	p.track(in, true)
 	p.track(out, true)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,6 +63,10 @@
 	// mayIsolate is the share of the popular requests that may be refused like one
 	// that ends endpoints.
 	mayIsolate = 0.02
+	// cutShare and cutSlack bound the first tries at nodes that reach no endpoint
+	// which may fail later than recoveryTime after the cut began.
+	cutShare = 0.02
+	cutSlack = 10
 	// drainSlack allows for the delay between the store's answer and its record here.
 	drainSlack = 100 * time.Millisecond
 )
@@ -161,6 +165,10 @@
 			Node: fmt.Sprint("n", i+1), IP: netip.MustParseAddr(fmt.Sprint(network, i+1)), Port: port,
 			Seeds: seeds(network, s.config.Nodes), Store: n.storeProxy.addr(), Drain: drainBound, Grace: grace, RetrySlack: retrySlack,
 		}
+		if n.egress, err = newEgress(world); err != nil {
+			return err
+		}
+		n.Args = []string{"--egress", n.egress.addr().String()}
 		if n.callerProxy, err = newProxy(world, func() netip.AddrPort { return n.Callers() }); err != nil {
 			return err
 		}
@@ -203,6 +211,7 @@
 		n.Signal(syscall.SIGKILL)
 		n.storeProxy.close()
 		n.callerProxy.close()
+		n.egress.close()
 	}
 }
 
@@ -233,6 +242,9 @@
 		outcomes = append(outcomes, fmt.Sprintf("%s: %d", outcome, n))
 	}
 	slices.Sort(outcomes)
+	if tries, failed := s.ledger.cuts.count(); tries > 0 {
+		outcomes = append(outcomes, fmt.Sprintf("at cut nodes: %d, %d failed", tries, failed))
+	}
 	fmt.Fprintf(s.config.Out, "seed %d: %d faults, %v\n", s.config.Seed, len(s.events), outcomes)
 	if err := errors.Join(s.errs...); err != nil {
 		return err
