Lead callers to the nodes that reach all services

Nodes that do not reach a service were still named to callers, whose requests they then handed over: work at two nodes and bytes between zones. They are left out of the addresses while the others are at least half of all; beyond that a service may be down, and the nodes that have not found out would get all callers.

--- a/gateway.go
+++ b/gateway.go
@@ -247,16 +247,7 @@
 	if config := g.state.Snapshot().Config; config != nil {
 		regions = config.Regions(c.Host)
 	}
-	var ready []gateway.Node
-	if g.Ready() {
-		ready = append(ready, gateway.Node{Zone: g.config.Zone, Callers: g.config.Callers})
-	}
-	for _, m := range g.gossip.View().Alive {
-		if m.State == gossip.Ready {
-			ready = append(ready, gateway.Node{Zone: m.Zone, Callers: m.Callers})
-		}
-	}
-	all := gateway.Nearest(c, ready, g.config.Regions, regions)
+	all := gateway.Nearest(c, g.callerNodes(), g.config.Regions, regions)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxAddresses)], min(addressTTL, cmp.Or(g.config.AddressTTL, addressTTL))
 }
--- a/handover.go
+++ b/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/gateway"
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
@@ -55,6 +56,31 @@
 	return list
 }
 
+// callerNodes returns the nodes that callers should use: those that reach all services,
+// if these are at least half of all. Otherwise a service may be down, and the nodes
+// that have not found out yet must not get all callers.
+func (g *Gateway) callerNodes() []gateway.Node {
+	var reaching, all []gateway.Node
+	add := func(n gateway.Node, reaches bool) {
+		all = append(all, n)
+		if reaches {
+			reaching = append(reaching, n)
+		}
+	}
+	if g.Ready() {
+		add(gateway.Node{Zone: g.config.Zone, Callers: g.config.Callers}, len(g.reach.Lost()) == 0)
+	}
+	for _, m := range g.gossip.View().Alive {
+		if m.State == gossip.Ready {
+			add(gateway.Node{Zone: m.Zone, Callers: m.Callers}, len(m.Lost) == 0)
+		}
+	}
+	if 2*len(reaching) < len(all) {
+		return all
+	}
+	return reaching
+}
+
 // serviceChanged reacts to a service that this node no longer reaches, or again.
 func (g *Gateway) serviceChanged(service string, _ bool) {
 	g.balancer.ForgetFailures(g.state.Snapshot().Endpoints[service])
