Let the soak rush to brittle endpoints

A service of three endpoints with six slots says that they are brittle; after three seconds they let one request wait, and 48 callers rush to them. Two of them may fall over while no node is disturbed.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -116,6 +116,9 @@
 		s.recordError(s.world.crash(e))
 		return e.id
 	}},
+	{name: "endpoints brittle", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.rushBrittle(ctx, r)
+	}},
 	{name: "request crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		return s.callers.sendCrashing(ctx, r)
 	}},
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -36,6 +36,8 @@
 		notices *notices
 		crashes *crashes
 		cuts    *cuts
+		// brittles are the falls of brittle endpoints.
+		brittles brittles
 	}
 
 	// run is one execution of a request at an endpoint.
@@ -276,6 +278,7 @@
 		l.broken = append(l.broken, l.notices.check()...)
 		l.broken = append(l.broken, l.crashes.check(l.nodesUndisturbed)...)
 		l.broken = append(l.broken, l.cuts.check()...)
+		l.broken = append(l.broken, l.brittles.check()...)
 	}
 	return l.broken
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,8 +22,13 @@
 
 // Sizes and timing of the fleet's environment.
 const (
-	servicePlain    = "plain"
-	serviceEngine   = "engine"
+	servicePlain  = "plain"
+	serviceEngine = "engine"
+	// serviceSmall has few slots, so that a rush fills them.
+	serviceSmall    = "small"
+	smallEndpoints  = 3
+	smallSlots      = 6
+	smallQueue      = 20
 	plainEndpoints  = 4
 	engineEndpoints = 6
 	slots           = 32
@@ -113,6 +118,8 @@
 		evacuating sync.Mutex
 		// restoring allows one restore of the store at a time.
 		restoring sync.Mutex
+		// rushing allows one rush to brittle endpoints at a time.
+		rushing sync.Mutex
 
 		mu     sync.Mutex
 		errs   []error
@@ -245,6 +252,9 @@
 	if tries, failed := s.ledger.cuts.count(); tries > 0 {
 		outcomes = append(outcomes, fmt.Sprintf("at cut nodes: %d, %d failed", tries, failed))
 	}
+	if rushes, falls := s.ledger.brittles.count(); rushes > 0 {
+		outcomes = append(outcomes, fmt.Sprintf("rushes: %d, %d endpoints fell over", rushes, falls))
+	}
 	fmt.Fprintf(s.config.Out, "seed %d: %d faults, %v\n", s.config.Seed, len(s.events), outcomes)
 	if err := errors.Join(s.errs...); err != nil {
 		return err
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -58,6 +58,11 @@
 			return nil, err
 		}
 	}
+	for range smallEndpoints {
+		if err := w.addEndpoint(serviceSmall); err != nil {
+			return nil, err
+		}
+	}
 	for range engineEndpoints {
 		if err := w.addEndpoint(serviceEngine); err != nil {
 			return nil, err
@@ -76,10 +81,11 @@
 		Version: uint64(w.version),
 		Routes: append([]deployment.Route{
 			route("safe", deployment.Idempotent, servicePlain, 2), route("once", deployment.AtMostOnce, servicePlain, 1),
+			route("small", deployment.Idempotent, serviceSmall, 2),
 			route("stream/resume", deployment.Resumable, serviceEngine, 2), route("stream/once", deployment.Streaming, serviceEngine, 1),
 		}, w.routes...),
 		Services: map[string]deployment.Service{
-			servicePlain: {Name: servicePlain, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
+			servicePlain: {Name: servicePlain, Connections: 200}, serviceSmall: {Name: serviceSmall, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
 		},
 		Limits: deployment.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
@@ -101,9 +107,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
+	width, queue := slotsOf(service)
 	e := &endpoint{id: fmt.Sprintf("%s-%d", service, w.started), service: service, unannounced: w.started%2 == 1, zone: zones[w.started/2%len(zones)]}
 	e.standIn = standin.NewEndpoint(standin.EndpointConfig{
-		ID: e.id, Slots: slots, Events: streamEvents, Pause: workTime,
+		ID: e.id, Slots: width, Queue: queue, Events: streamEvents, Pause: workTime,
 		Ran:     func(id, _ string, after uint64) { w.ledger.recordRun(id, e, after, time.Now()) },
 		Arrived: func(id string, backoff time.Duration) { w.ledger.notices.arrived(id, e.id, backoff, time.Now()) },
 		Crash: func(name string) {
@@ -129,8 +136,9 @@
 }
 
 func (w *world) register(e *endpoint, draining bool) error {
+	width, _ := slotsOf(e.service)
 	err := w.store.Register(deployment.Endpoint{
-		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: e.zone, Slots: slots, Draining: draining,
+		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: e.zone, Slots: width, Draining: draining,
 	})
 	if err != nil {
 		return fmt.Errorf("soak: register: %w", err)
@@ -138,6 +146,14 @@
 	return nil
 }
 
+// slotsOf returns the slots of a service's endpoints, and how many requests wait there.
+func slotsOf(service string) (width, queue int) {
+	if service == serviceSmall {
+		return smallSlots, smallQueue
+	}
+	return slots, 0
+}
+
 // pick returns a random endpoint that is not leaving, or nil if its service has no
 // other.
 func (w *world) pick(r *rand.Rand) *endpoint {
