Send events whole between nodes, and notice nodes that fall silent

Found by reading, before it was seen: a stream's event of over 32 KB went out in several frames, so that a call between nodes which broke there left the caller with a part of an event that the resumed stream sends again. What is written at once is sent at once now, with the event that it completes.

A node whose peer vanished in silence held its requests for minutes, as accepted connections had the system's keep-alive: they now detect it like the connections that a node opens.

TestBrokenHandoverOfAStreamResumes plays the break.

--- a/gateway.go
+++ b/gateway.go
@@ -201,7 +201,7 @@
 		Reads: g.gossip.Reads, Bound: shorterBound(c.Drain, c.Apply),
 	})
 	follower.Store(g.follower)
-	if err := g.listen(); err != nil {
+	if err := g.listen(ctx); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -334,8 +334,8 @@
 	return b
 }
 
-func (g *Gateway) listen() error {
-	calls, err := net.Listen("tcp4", netip.AddrPortFrom(g.config.IP, g.config.HandoverPort).String())
+func (g *Gateway) listen(ctx context.Context) error {
+	calls, err := http1.NewListenConfig(handover.MaxSilence).Listen(ctx, "tcp4", netip.AddrPortFrom(g.config.IP, g.config.HandoverPort).String())
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -326,6 +326,32 @@
 	}
 }
 
+// Guards against events that a caller gets twice, or in part, if the call between the
+// nodes breaks within a stream that resumes: large ones are sent in frames of their own.
+func TestBrokenHandoverOfAStreamResumes(t *testing.T) {
+	large := func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 60<<10)) }
+	var h *hops
+	e := newEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		write(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.Header.Get(id), seal)
+		for n := after + 1; n <= 4; n++ {
+			write(c, "%x\r\n%s\r\n", len(large(n)), large(n))
+			if n == 2 && after == 0 {
+				time.Sleep(50 * time.Millisecond)
+				_ = (<-h.team.members[0].conns.accepted).Close()
+				_, _ = io.Copy(io.Discard, c)
+				return false
+			}
+		}
+		return write(c, "0\r\n\r\n")
+	})
+	h = newHops(t, 2, deployment.Route{Kind: deployment.Resumable, Attempts: 2, Objective: 4 * time.Second}, e)
+	r := h.post(t, "/p/x", nil)
+	require.Equal(t, 200, r.status)
+	require.True(t, r.complete)
+	require.True(t, r.body == large(1)+large(2)+large(3)+large(4), "each event once and whole")
+}
+
 // Guards against a retry budget that grows by requests which two nodes count, and
 // against an endpoint that is handed more time than the caller has left.
 func TestHandedOverRequestCountsOnceAndKeepsItsTime(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,16 +74,17 @@
 		c.progress.started = true
 		c.handler.config.Metrics.observeFirstEvent(c)
 	}
-	if _, err := c.out.Write(ev.Raw); err != nil {
-		return err
-	}
 	if ev.HasID {
 		c.progress.lastEvent = ev.ID
 	}
 	c.progress.events++
 	if c.handed != nil {
+		// Large events are sent by Write.
 		c.handed.out.SetEvents(c.progress.lastEvent, c.progress.events)
 	}
+	if _, err := c.out.Write(ev.Raw); err != nil {
+		return err
+	}
 	return flush(c.out)
 }
 
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -17,9 +17,9 @@
 	// offerTimeout bounds the time until a node has taken an offer, a new connection
 	// included: some round trips between availability zones.
 	offerTimeout = 250 * time.Millisecond
-	// maxSilence is after how long without a packet a connection to a node is
+	// MaxSilence is after how long without a packet a connection to a node is
 	// considered dead: two probes lost.
-	maxSilence = 2500 * time.Millisecond
+	MaxSilence = 2500 * time.Millisecond
 	// idleTimeout is how long an unused connection to a node is kept, and maxIdle how
 	// many of them.
 	idleTimeout = 10 * time.Second
@@ -43,7 +43,7 @@
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	return &Client{
-		dialer: http1.NewDialer(http1.DialerConfig{Timeout: offerTimeout, Silence: maxSilence}),
+		dialer: http1.NewDialer(http1.DialerConfig{Timeout: offerTimeout, Silence: MaxSilence}),
 		conns:  drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleTimeout, Capacity: maxIdle}),
 	}
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -104,6 +104,29 @@
 	require.Empty(t, h.hands)
 }
 
+// Guards against an event that is cut where a part of the response ends: what is
+// written at once arrives at once, with the newest event that it holds.
+func TestEventsAreNotCut(t *testing.T) {
+	large := strings.Repeat("x", 100<<10)
+	c, addr := newPair(t, &fakeHandler{hand: func(_ context.Context, _ *handover.Offer, _ []byte, w *handover.Writer) {
+		for n := 1; n <= 3; n++ {
+			w.SetEvents(uint64(n), n)
+			_, _ = w.Write([]byte(large))
+			_ = w.FlushError()
+		}
+	}})
+	x, err := c.Offer(t.Context(), addr, &handover.Offer{})
+	require.NoError(t, err)
+	defer x.Close()
+	require.NoError(t, x.Send(nil))
+	for n := 1; n <= 3; n++ {
+		f, err := x.Next()
+		require.NoError(t, err)
+		require.Equal(t, large, string(f.Data))
+		require.Equal(t, uint64(n), f.LastEvent)
+	}
+}
+
 // Guards against a response that is broken off and looks complete.
 func TestAbortedResponseIsBroken(t *testing.T) {
 	c, addr := newPair(t, &fakeHandler{hand: func(_ context.Context, _ *handover.Offer, _ []byte, w *handover.Writer) {
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -21,7 +21,8 @@
 const (
 	// handRPC is the only call.
 	handRPC = "/bulrushhinge.Handover/Hand"
-	// partBytes is the size of the parts in which bodies are sent.
+	// partBytes is the size of the parts in which requests' bodies are sent, and from
+	// which on those of responses are.
 	partBytes = 32 << 10
 )
 
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -124,22 +124,17 @@
 	}
 }
 
-// Write implements http.ResponseWriter. What is written is sent once there is enough
-// of it, or with Flush.
+// Write implements http.ResponseWriter. What is written at once is sent as a whole, so
+// that a stream's events are never cut: once there is enough of it, or with Flush.
 func (w *Writer) Write(data []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
-	total := len(data)
-	for len(data) > 0 {
-		n := min(len(data), partBytes-len(w.frame.Data))
-		w.frame.Data = append(w.frame.Data, data[:n]...)
-		data = data[n:]
-		if len(w.frame.Data) >= partBytes {
-			if err := w.send(); err != nil {
-				return total - len(data), err
-			}
+	w.frame.Data = append(w.frame.Data, data...)
+	if len(w.frame.Data) >= partBytes {
+		if err := w.send(); err != nil {
+			return 0, err
 		}
 	}
-	return total, w.err
+	return len(data), w.err
 }
 
 // FlushError sends what was written.
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -35,6 +35,8 @@
 )
 
 var (
+	// keepAliveConfig probes a peer that has sent nothing.
+	keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probes}
 	// ErrConnect is returned if no connection was opened: nothing was sent.
 	ErrConnect = errors.New("http1: no connection")
 	// ErrBroken is returned if a connection broke, or received bytes that are not
@@ -88,19 +90,26 @@
 // user timeout, if data is unacknowledged, or at the first probe after it that follows
 // an unanswered one, whatever the number of probes.
 func NewDialer(d DialerConfig) *net.Dialer {
-	silence := cmp.Or(d.Silence, defaultSilence)
-	return &net.Dialer{
-		Timeout:         d.Timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probes},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			if e := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
-			}); e != nil {
-				return e
-			}
-			return err
-		},
+	return &net.Dialer{Timeout: d.Timeout, KeepAliveConfig: keepAliveConfig, Control: setUserTimeout(cmp.Or(d.Silence, defaultSilence))}
+}
+
+// NewListenConfig returns the settings of a listener whose connections detect a dead
+// peer like those of NewDialer.
+func NewListenConfig(silence time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: setUserTimeout(silence)}
+}
+
+// setUserTimeout returns a function that sets a socket's TCP_USER_TIMEOUT, which
+// accepted connections inherit from their listener.
+func setUserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if e := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		}); e != nil {
+			return e
+		}
+		return err
 	}
 }
 
