Share the encoding of calls between nodes, and name a hop's result truly

gossip and handover had the same codec; it is a package of its own now. A refusal of another node whose run is unknown was logged as not run; it is broken.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -115,7 +115,9 @@
 			a.first = time.Since(a.started)
 		}
 		if f.Refusal != nil {
-			res = resultNotRun
+			if f.Refusal.Runs == 0 {
+				res = resultNotRun
+			}
 			a.cause = f.Refusal.Reason
 			return res, c.received(f.Refusal)
 		}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,14 +5,10 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"storj.io/drpc"
-
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
@@ -53,9 +49,6 @@
 		State       State  `cbor:"-"`
 		// Access says whether the node reads the store, and whether that works.
 		Access deployment.Access `cbor:"-"`
-		// Brittle are the services that have told the sender that they are brittle, by
-		// their Keys.
-		Brittle []uint32 `cbor:"21,keyasint,omitempty"`
 		// Lost are the services that the node does not reach.
 		Lost []uint32 `cbor:"-"`
 	}
@@ -162,9 +155,6 @@
 		Revision uint64 `cbor:"3,keyasint"`
 		Removed  bool   `cbor:"4,keyasint,omitempty"`
 	}
-
-	// codec is the encoding of RPCs between nodes.
-	codec struct{}
 )
 
 // Reaches reports whether the node reaches a service, as far as known.
@@ -194,23 +184,6 @@
 	return crash.Report{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint, Age: time.Duration(k.Age) * time.Second}
 }
 
-// Marshal encodes a message.
-func (codec) Marshal(msg drpc.Message) ([]byte, error) {
-	data, err := cbor.Marshal(msg)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrMessage, err)
-	}
-	return data, nil
-}
-
-// Unmarshal decodes a message.
-func (codec) Unmarshal(data []byte, msg drpc.Message) error {
-	if err := cbor.Unmarshal(data, msg); err != nil {
-		return fmt.Errorf("%w: %v", ErrMessage, err)
-	}
-	return nil
-}
-
 func encodeItem(i deployment.Item) item {
 	return item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed}
 }
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"bulrushhinge.example/bulrushhinge/internal/catchup"
+	"bulrushhinge.example/bulrushhinge/internal/cborcodec"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
@@ -83,7 +84,7 @@
 		return errUnknownRPC
 	}
 	var req itemsRequest
-	if err := stream.MsgRecv(&req, codec{}); err != nil {
+	if err := stream.MsgRecv(&req, cborcodec.Codec{}); err != nil {
 		return err
 	}
 	packed, err := h.packer.reply(req)
@@ -97,7 +98,7 @@
 		reply = *packed
 		reply.Lapsing, reply.Settling = h.replica.Lapsing(), h.replica.Settling()
 	}
-	if err := stream.MsgSend(&reply, codec{}); err != nil {
+	if err := stream.MsgSend(&reply, cborcodec.Codec{}); err != nil {
 		return err
 	}
 	return stream.CloseSend()
@@ -113,7 +114,7 @@
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }()
 	var reply itemsReply
-	if err := conn.Invoke(ctx, itemsRPC, codec{}, &req, &reply); err != nil {
+	if err := conn.Invoke(ctx, itemsRPC, cborcodec.Codec{}, &req, &reply); err != nil {
 		return nil, fmt.Errorf("gossip: items: %w", err)
 	}
 	if reply.Busy {
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"bulrushhinge.example/bulrushhinge/internal/cborcodec"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
@@ -82,15 +83,15 @@
 }
 
 func (c *Client) offer(ctx context.Context, to netip.AddrPort, o *Offer) (*Exchange, error) {
-	stream, err := c.conns.Get(ctx, to, c.dial).NewStream(ctx, handRPC, codec{})
+	stream, err := c.conns.Get(ctx, to, c.dial).NewStream(ctx, handRPC, cborcodec.Codec{})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotTaken, err)
 	}
-	if err := stream.MsgSend(o, codec{}); err != nil {
+	if err := stream.MsgSend(o, cborcodec.Codec{}); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotTaken, err)
 	}
 	var a answer
-	if err := stream.MsgRecv(&a, codec{}); err != nil {
+	if err := stream.MsgRecv(&a, cborcodec.Codec{}); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotTaken, err)
 	}
 	if a.Reason != "" {
@@ -105,12 +106,12 @@
 // not.
 func (x *Exchange) Send(body []byte) error {
 	for len(body) > partBytes {
-		if err := x.stream.MsgSend(&part{Data: body[:partBytes]}, codec{}); err != nil {
+		if err := x.stream.MsgSend(&part{Data: body[:partBytes]}, cborcodec.Codec{}); err != nil {
 			return fmt.Errorf("%w: %w", ErrNotTaken, err)
 		}
 		body = body[partBytes:]
 	}
-	if err := x.stream.MsgSend(&part{Data: body, Last: true}, codec{}); err != nil {
+	if err := x.stream.MsgSend(&part{Data: body, Last: true}, cborcodec.Codec{}); err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	return nil
@@ -120,7 +121,7 @@
 // follow.
 func (x *Exchange) Next() (*Frame, error) {
 	f := &Frame{}
-	if err := x.stream.MsgRecv(f, codec{}); err != nil {
+	if err := x.stream.MsgRecv(f, cborcodec.Codec{}); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	return f, nil
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -12,9 +12,6 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"storj.io/drpc"
-
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -27,8 +24,7 @@
 )
 
 var (
-	// ErrMessage is returned for a message that cannot be encoded or decoded, or that
-	// is out of order.
+	// ErrMessage is returned for a message that does not fit the call.
 	ErrMessage = errors.New("handover: bad message")
 	// ErrNotTaken is returned if the other node has not taken the request, and so
 	// never runs it.
@@ -112,24 +108,4 @@
 		Data []byte `cbor:"1,keyasint,omitempty"`
 		Last bool   `cbor:"2,keyasint,omitempty"`
 	}
-
-	// codec is the encoding of messages.
-	codec struct{}
 )
-
-// Marshal implements drpc.Encoding.
-func (codec) Marshal(msg drpc.Message) ([]byte, error) {
-	data, err := cbor.Marshal(msg)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrMessage, err)
-	}
-	return data, nil
-}
-
-// Unmarshal implements drpc.Encoding.
-func (codec) Unmarshal(data []byte, msg drpc.Message) error {
-	if err := cbor.Unmarshal(data, msg); err != nil {
-		return fmt.Errorf("%w: %v", ErrMessage, err)
-	}
-	return nil
-}
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -9,6 +9,8 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
+
+	"bulrushhinge.example/bulrushhinge/internal/cborcodec"
 )
 
 type (
@@ -64,14 +66,14 @@
 		return fmt.Errorf("%w: call %q", ErrMessage, rpc)
 	}
 	o := &Offer{}
-	if err := stream.MsgRecv(o, codec{}); err != nil {
+	if err := stream.MsgRecv(o, cborcodec.Codec{}); err != nil {
 		return err
 	}
 	reason := s.handler.Take(o)
 	if reason == "" {
 		defer s.handler.Release(o)
 	}
-	if err := stream.MsgSend(&answer{Reason: reason}, codec{}); err != nil || reason != "" {
+	if err := stream.MsgSend(&answer{Reason: reason}, cborcodec.Codec{}); err != nil || reason != "" {
 		return err
 	}
 	body, err := readBody(stream, o.Size)
@@ -86,7 +88,7 @@
 	var body []byte
 	for {
 		var p part
-		if err := stream.MsgRecv(&p, codec{}); err != nil {
+		if err := stream.MsgRecv(&p, cborcodec.Codec{}); err != nil {
 			return nil, err
 		}
 		body = append(body, p.Data...)
@@ -153,7 +155,7 @@
 
 func (w *Writer) send() error {
 	if w.err == nil {
-		w.err = w.stream.MsgSend(&w.frame, codec{})
+		w.err = w.stream.MsgSend(&w.frame, cborcodec.Codec{})
 	}
 	w.frame = Frame{LastEvent: w.frame.LastEvent, Events: w.frame.Events, Data: w.frame.Data[:0]}
 	return w.err
