Log all parts of the prompts of runs that an ended endpoint broke

An attempt named only the deepest shared part of its prompt, so that the logs could not tell a request that ends endpoints from a part that unlike requests share, nor which part it is. A line of a run whose endpoint has ended now has the prints of all parts that other requests may share.

The prompt's format moves to the adapter; the gateway gets its parts and looks at 64 shared ones at most.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"iter"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -109,11 +110,24 @@
 func headers() gateway.Headers {
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", ExpectEndpoint: "Expect-Endpoint",
-		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", Tokens: "Tokens",
+		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", PromptParts: promptParts, Tokens: "Tokens",
 		Leaving: leaving, RetryAfter: retryAfter, Brittle: brittle, Model: "Model", Priority: "Priority", LastEventID: "Last-Event-Id", FetchFrom: "Fetch", Reservation: reserved, Internal: []string{"Fetch", "Account"},
 	}
 }
 
+// promptParts reads parts that are written as ID:TOKENS.
+func promptParts(prompt string) iter.Seq[gateway.Part] {
+	return func(yield func(gateway.Part) bool) {
+		for text := range strings.FieldsFuncSeq(prompt, func(r rune) bool { return r == ',' }) {
+			name, size, _ := strings.Cut(text, ":")
+			tokens, _ := strconv.Atoi(size)
+			if !yield(gateway.Part{ID: name, Tokens: tokens}) {
+				return
+			}
+		}
+	}
+}
+
 func newEndpoint(t *testing.T, replies ...reply) *endpoint {
 	return newEndpointAt(t, "127.0.0.1:0", replies...)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -105,6 +105,8 @@
 		// promptKey names the part of the prompt that requests share.
 		promptKey string
 		prompt    balance.Prompt
+		// parts are the parts of its prompt that other requests may share.
+		parts []string
 		// print is the request's fingerprint.
 		print   uint64
 		started time.Time
@@ -300,8 +302,10 @@
 	c.header = h.forEndpoint(c.in.Header, name)
 	c.print = fingerprint(c.in.RequestURI, name, body)
 	c.service = c.config.Services[c.serviceName()]
+	parts := readPrompt(h.PromptParts(c.in.Header.Get(h.Prompt)))
+	c.parts = parts.shared
 	if c.route.Cached {
-		c.promptKey, c.prompt = sharedPart(c.in.Header.Get(h.Model), c.in.Header.Get(h.Prompt))
+		c.promptKey, c.prompt = parts.placement(c.in.Header.Get(h.Model))
 	}
 	if c.service.Model {
 		c.header.Set(h.Priority, strconv.Itoa(c.enginePriority()))
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"iter"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -34,11 +35,12 @@
 		RetryAfter string
 		// Seal marks an endpoint's response.
 		Seal string
-		// Prompt lists the parts of a prompt, Tokens their count, and Model
-		// the model that is requested.
-		Prompt string
-		Tokens string
-		Model  string
+		// Prompt lists the parts of a prompt, which PromptParts reads; Tokens is their
+		// count, and Model the model that is requested.
+		Prompt      string
+		PromptParts func(prompt string) iter.Seq[Part]
+		Tokens      string
+		Model       string
 		// Priority is a request's priority at an engine.
 		Priority string
 		// LastEventID is the ID of the last event that was received.
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -1,44 +1,80 @@
 package gateway
 
 import (
+	"iter"
 	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 )
 
-// maxPartTokens is the largest size of a part that is accepted: ten times the
-// longest prompts that engines take today.
-const maxPartTokens = 1_000_000
+const (
+	// maxPartTokens is the largest size of a part that is accepted: ten times the
+	// longest prompts that engines take today.
+	maxPartTokens = 1_000_000
+	// maxSharedParts bounds the shared parts of a prompt that are looked at.
+	maxSharedParts = 64
+)
 
-// sharedPart returns the name of the deepest part of a prompt that other requests
-// share, and the prompt's size. It is the last part but one, as the last belongs
-// to the request or its session; a prompt of one part is shared as a whole.
-func sharedPart(model, prompt string) (string, balance.Prompt) {
-	if prompt == "" {
-		return "", balance.Prompt{}
+type (
+	// Part is one part of a prompt, as its caller names it.
+	Part struct {
+		ID string
+		// Tokens is its size, 0 if it is unknown.
+		Tokens int
+	}
+
+	// promptParts are the parts of a request's prompt.
+	promptParts struct {
+		// shared are the IDs of the parts that other requests may share, in order: all
+		// but the last one, which belongs to the request or its session.
+		shared []string
+		// deepest is the last part but one, or the only part, and own the last one of
+		// several.
+		deepest Part
+		own     Part
+		count   int
+	}
+)
+
+// readPrompt reads the parts of a prompt, of which callers may send any number.
+func readPrompt(parts iter.Seq[Part]) promptParts {
+	var p promptParts
+	var last Part
+	for part := range parts {
+		if p.count > 0 {
+			p.deepest = last
+			if last.ID != "" && len(p.shared) < maxSharedParts {
+				p.shared = append(p.shared, last.ID)
+			}
+		}
+		last = part
+		p.count++
 	}
-	parts := strings.Split(prompt, ",")
-	last := len(parts) - 1
-	id, shared := parsePart(parts[max(last-1, 0)])
-	if last == 0 {
-		return model + "/" + id, balance.Prompt{Shared: shared}
+	if p.count < 2 {
+		p.deepest = last
+		return p
 	}
-	_, own := parsePart(parts[last])
-	return model + "/" + id, balance.Prompt{Own: own, Shared: shared}
+	p.own = last
+	return p
 }
 
-// parsePart returns a part's name and number of tokens, 0 if that is no plausible
-// number, as callers may send anything.
-func parsePart(text string) (string, int) {
-	id, size, _ := strings.Cut(strings.TrimSpace(text), ":")
-	tokens, err := strconv.Atoi(size)
-	if err != nil || tokens < 0 || tokens > maxPartTokens {
-		tokens = 0
+// placement returns the name of the deepest part that other requests share, and the
+// prompt's size. A prompt of one part is shared as a whole.
+func (p promptParts) placement(model string) (string, balance.Prompt) {
+	if p.count == 0 {
+		return "", balance.Prompt{}
+	}
+	return model + "/" + p.deepest.ID, balance.Prompt{Own: plausible(p.own.Tokens), Shared: plausible(p.deepest.Tokens)}
+}
+
+// plausible returns a part's size, 0 if it is none that a prompt can have.
+func plausible(tokens int) int {
+	if tokens < 0 || tokens > maxPartTokens {
+		return 0
 	}
-	return id, tokens
+	return tokens
 }
 
 // fingerprint returns a hash of a request's path, account and body, which is the
@@ -50,3 +86,12 @@
 	_, _ = d.Write(body)
 	return d.Sum64()
 }
+
+// partPrints returns the parts of a prompt as logs show them.
+func partPrints(ids []string) []string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = strconv.FormatUint(xxhash.Sum64String(id), 36)
+	}
+	return list
+}
