Add failing tests of a part of prompts that ends endpoints

Requests, no two of them alike, share one part of their prompts, in the first place, in the middle or below parts that all share; each endpoint that answers one ends. The bound is 5.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -122,14 +122,25 @@
 // newFleet returns endpoints whose processes end as they answer, but serve requests
 // with the body "sound".
 func newFleet(t *testing.T, size int, last reply) (*fleet, []*endpoint) {
+	return newFleetBy(t, size, last, func(c net.Conn, r *http.Request) (handled, open bool) {
+		if body, _ := io.ReadAll(r.Body); string(body) == "sound" {
+			return true, whole(200, "hi")(c, r)
+		}
+		return false, false
+	})
+}
+
+// newFleetBy returns endpoints whose processes end as they answer, unless serve handles
+// the request.
+func newFleetBy(t *testing.T, size int, last reply, serve func(c net.Conn, r *http.Request) (handled, open bool)) (*fleet, []*endpoint) {
 	f := &fleet{ended: map[int]bool{}}
 	addr := loopbackAddr()
 	var list []*endpoint
 	for i := range size {
 		e := newEndpointAt(t, addr, nil)
 		e.replies[0] = func(c net.Conn, r *http.Request) bool {
-			if body, _ := io.ReadAll(r.Body); string(body) == "sound" {
-				return whole(200, "hi")(c, r)
+			if handled, open := serve(c, r); handled {
+				return open
 			}
 			start := e.running()
 			time.Sleep(runTime)
--- /dev/null
+++ b/internal/gateway/part_test.go
@@ -0,0 +1,148 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// deadly is the part of a prompt that ends endpoints, and mayEndByPart how many
+	// it may end.
+	deadly       = "deadly"
+	mayEndByPart = 5
+	// soundTime is how long sound requests run.
+	soundTime = 20 * time.Millisecond
+)
+
+// prompts returns the prompts of request n, one with the deadly part and a sound one
+// that shares all other parts.
+type prompts struct {
+	name   string
+	deadly func(n int) string
+	sound  func(n int) string
+}
+
+func placesOfPart() []prompts {
+	return []prompts{
+		{
+			name:   "first",
+			deadly: func(n int) string { return fmt.Sprintf("deadly:9,doc:5,own%d:1", n) },
+			sound:  func(n int) string { return fmt.Sprintf("system:9,doc:5,own%d:1", n) },
+		},
+		{
+			name:   "first, all others differ",
+			deadly: func(n int) string { return fmt.Sprintf("deadly:9,doc%d:5,own%d:1", n, n) },
+			sound:  func(n int) string { return fmt.Sprintf("system:9,doc%d:5,own%d:1", n%3, n) },
+		},
+		{
+			name:   "in the middle, below a part that all share",
+			deadly: func(n int) string { return fmt.Sprintf("system:9,deadly:5,doc:5,own%d:1", n) },
+			sound:  func(n int) string { return fmt.Sprintf("system:9,other%d:5,doc:5,own%d:1", n%5, n) },
+		},
+		{
+			name:   "the deepest shared one",
+			deadly: func(n int) string { return fmt.Sprintf("system:9,doc:5,deadly:5,own%d:1", n) },
+			sound:  func(n int) string { return fmt.Sprintf("system:9,doc:5,own%d:1", n) },
+		},
+		{
+			name:   "beside parts that are malformed",
+			deadly: func(n int) string { return fmt.Sprintf(",system:x,,deadly,%s:-1,own%d:1", strings.Repeat("z", n), n) },
+			sound:  func(n int) string { return fmt.Sprintf(",system:x,,doc,%s:-1,own%d:1", strings.Repeat("z", n), n) },
+		},
+	}
+}
+
+// newPartFleet returns endpoints whose processes end as they answer a prompt with the
+// deadly part.
+func newPartFleet(t *testing.T, size int, last, sound reply) (*fleet, []*endpoint) {
+	return newFleetBy(t, size, last, func(c net.Conn, r *http.Request) (handled, open bool) {
+		if strings.Contains(r.Header.Get("Prompt"), deadly) {
+			return false, false
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(soundTime)
+		return true, sound(c, r)
+	})
+}
+
+// Guards against requests, no two of them alike, that end one endpoint after another by
+// a part of their prompts, and against refusals of sound ones that share all else.
+func TestPartThatEndsEndpointsIsIsolated(t *testing.T) {
+	const requests = 90
+	kinds := map[string]struct {
+		kind  deployment.Kind
+		last  reply
+		sound reply
+	}{
+		"plain, before the head": {deployment.Idempotent, hangUp, whole(200, "hi")},
+		"stream, after the head": {deployment.Streaming, raw(headOf("Transfer-Encoding: chunked")), stream(3, "", true)},
+		"resumable, in an event": {deployment.Resumable, raw(headOf("Transfer-Encoding: chunked") + "10\r\nid: 1\nda"), stream(3, "", true)},
+		"stream without framing": {deployment.Streaming, raw(headOf("X: y") + event(1)), raw(headOf("X: y") + events(1, 3))},
+	}
+	for _, place := range placesOfPart() {
+		for name, k := range kinds {
+			t.Run(place.name+"/"+name, func(t *testing.T) {
+				ended, list := newPartFleet(t, 40, k.last, k.sound)
+				f := newFixture(t, deployment.Route{Kind: k.kind, Attempts: 2, Objective: time.Second, Cached: true}, list...)
+				send := func(n int, prompt string) response {
+					return f.postBody(t.Context(), t, "/k/x", fmt.Sprint("body ", n), map[string]string{"Prompt": prompt, "Model": "m", "Api-Key": "key"})
+				}
+				for n := range requests {
+					if n%3 == 0 {
+						send(n, place.deadly(n))
+						continue
+					}
+					a := send(n, place.sound(n))
+					require.Equal(t, 200, a.status, a.body)
+					require.True(t, a.complete)
+				}
+				require.LessOrEqual(t, ended.count(), mayEndByPart)
+				a := send(requests, place.deadly(requests))
+				require.Equal(t, 503, a.status)
+				wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.Greater(t, wait, time.Minute.Seconds(), "it is refused for longer than a minute")
+			})
+		}
+	}
+}
+
+// Guards against refusals of sound requests whose runs were broken several times as
+// others ended their endpoints.
+func TestSoundRequestsGoOnBesideAPartThatEndsEndpoints(t *testing.T) {
+	const callers, each = 6, 20
+	place := placesOfPart()[3]
+	ended, list := newPartFleet(t, 40, hangUp, whole(200, "hi"))
+	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: time.Second, Cached: true}, list...)
+	var running sync.WaitGroup
+	var refused atomic.Int64
+	for caller := range callers {
+		running.Go(func() {
+			for i := range each {
+				n, prompt := caller*each+i, place.sound(caller*each+i)
+				if caller == 0 {
+					prompt = place.deadly(n)
+				}
+				a := f.postBody(t.Context(), t, "/k/x", fmt.Sprint("body ", n), map[string]string{"Prompt": prompt, "Model": "m", "Api-Key": "key"})
+				if caller > 0 && strings.TrimSpace(a.body) == "crashes-endpoints" {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	require.LessOrEqual(t, ended.count(), mayEndByPart)
+	require.Zero(t, refused.Load())
+}
