--- a/internal/crash/bench_test.go
+++ b/internal/crash/bench_test.go
@@ -11,7 +11,7 @@
 func fullRecords() *crash.Records {
 	r := newRecords()
 	for i := range uint64(4000) {
-		r.Add(began, crash.Report{Fingerprint: i, Endpoint: uint32(i % 3)}, true)
+		r.Add(began, crash.Report{Feature: crash.Feature{ID: i}, Endpoint: uint32(i % 3)}, true)
 	}
 	return r
 }
@@ -34,7 +34,7 @@
 func BenchmarkIsolated(b *testing.B) {
 	r := fullRecords()
 	for b.Loop() {
-		r.Isolated(began, 7)
+		r.Isolated(began, crash.Feature{ID: 7})
 	}
 }
 
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,22 +1,26 @@
 // Package crash finds requests that end the endpoints that run them.
 //
 // Such a request is sent again by its caller and by nodes that retry it, and ends one
-// endpoint after another. Nodes count by request the endpoints that ended while they
-// ran it, and report them to each other; after three the request is isolated: no node
-// sends it.
+// endpoint after another. Or it is a part of prompts that does, in requests no two of
+// which are alike. So nodes count, by each of these features, the endpoints that ended
+// while they ran such a request, and report them to each other; after three the feature
+// is isolated: no node sends a request that has it. If several features have the same
+// crashes, only one of them is blamed.
 //
 // A connection that breaks is no endpoint that ended: endpoints break off answers,
 // links are reset, nodes are cut off. If that counted, a request that many callers
 // send alike would be refused although nothing is wrong with it. So a broken run
 // counts once the endpoint refuses connections while another one of its service
 // accepts them, or another process has started at its address, and no longer counts
-// when the request was served since or the platform still lists the endpoint.
+// when a request with the feature was served since or the platform still lists the
+// endpoint.
 package crash
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +58,7 @@
 		Log        *decision.Log
 	}
 
-	// Tracker counts the endpoints that ended under each request. It is safe for
+	// Tracker counts the endpoints that ended under each feature. It is safe for
 	// concurrent use.
 	Tracker struct {
 		config   Config
@@ -67,9 +71,10 @@
 
 	// run is a request's run at an endpoint.
 	run struct {
-		fingerprint uint64
-		start       deployment.Start
-		addr        netip.AddrPort
+		// features are those of its request, the whole request first.
+		features []Feature
+		start    deployment.Start
+		addr     netip.AddrPort
 	}
 )
 
@@ -84,51 +89,57 @@
 	}
 }
 
-// Broke records that the endpoint closed the connection of a run, and reports whether
-// it has ended. It asks the endpoint and others, for checkTimeout at most.
-func (t *Tracker) Broke(fingerprint uint64, e *deployment.Endpoint) bool {
+// Broke records that the endpoint closed the connection of a run, and returns whether
+// it has ended. It asks the endpoint and others, for checkTimeout at most. The features
+// are those of the run's request, the whole request first.
+func (t *Tracker) Broke(features []Feature, e *deployment.Endpoint) bool {
 	start := e.Start()
-	t.addUnproven(run{fingerprint: fingerprint, start: start, addr: e.Addr}, restartTime)
+	t.addUnproven(run{features: features, start: start, addr: e.Addr}, restartTime)
 	a := t.checks.ask(e, t.config.Deployment.Snapshot().Endpoints[e.Service])
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	ended := a.refused && (a.reached || t.ranAtAll(fingerprint, a.refusing))
-	t.config.Metrics.checked(ended)
-	switch {
-	case !ended:
-	case a.reached:
+	if a.refused && a.reached {
+		t.config.Metrics.checked(true)
 		t.ended(now, start)
-	default:
-		for _, s := range append(a.refusing, start) {
-			t.add(now, Report{Fingerprint: fingerprint, Endpoint: s.Key()}, sourceSelf)
-		}
+		return true
+	}
+	ended := false
+	if a.refused {
+		ended = t.endedAll(now, features, append(a.refusing, start))
 	}
+	t.config.Metrics.checked(ended)
 	return ended
 }
 
-// ranAtAll reports whether runs of a request have lately broken at all of some
-// endpoints. If none of a service's endpoints accepts connections, only such a request
-// can have ended them; otherwise it is the way there that is broken.
-func (t *Tracker) ranAtAll(fingerprint uint64, starts []deployment.Start) bool {
-	for _, s := range starts {
-		if !t.unproven.has(fingerprint, s) && !t.records.Has(fingerprint, s.Key()) {
-			return false
+// endedAll counts the features of which runs have recently broken at all of some
+// endpoints, and reports whether there are any. If none of a service's endpoints accepts
+// connections, only such a feature can have ended them; otherwise it is the way there
+// that is broken.
+func (t *Tracker) endedAll(now time.Time, features []Feature, starts []deployment.Start) bool {
+	found := false
+	for _, f := range features {
+		if slices.ContainsFunc(starts, func(s deployment.Start) bool { return !t.unproven.has(f, s) && !t.records.Has(f.ID, s.Key()) }) {
+			continue
+		}
+		found = true
+		for _, s := range starts {
+			t.add(now, Report{Feature: f, Endpoint: s.Key()}, sourceSelf)
 		}
 	}
-	return true
+	return found
 }
 
 // Silent records that a run was given up at an endpoint that sent nothing more. It
 // counts if the endpoint turns out to have ended then.
-func (t *Tracker) Silent(fingerprint uint64, e *deployment.Endpoint) {
-	t.addUnproven(run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr}, restartTime)
+func (t *Tracker) Silent(features []Feature, e *deployment.Endpoint) {
+	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, restartTime)
 }
 
 // Abandoned records that a run was given up because its caller left. It counts if
 // the endpoint ends just then.
-func (t *Tracker) Abandoned(fingerprint uint64, e *deployment.Endpoint) {
-	t.addUnproven(run{fingerprint: fingerprint, start: e.Start(), addr: e.Addr}, abandonedTime)
+func (t *Tracker) Abandoned(features []Feature, e *deployment.Endpoint) {
+	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, abandonedTime)
 }
 
 // Ended records that an endpoint's process is no longer there.
@@ -138,20 +149,24 @@
 	t.ended(time.Now(), start)
 }
 
-// Served records that a request was served whole: it crashes nothing.
-func (t *Tracker) Served(fingerprint uint64) {
+// Served records that a request was served whole: none of its features crashes
+// anything.
+func (t *Tracker) Served(features []Feature) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n := t.records.Served(time.Now(), fingerprint); n > 0 {
-		t.config.Log.Event("crash.cleared", decision.Fields{"print": printText(fingerprint), "crashes": n})
+	now := time.Now()
+	for _, f := range features {
+		if n := t.records.Served(now, f.ID); n > 0 {
+			t.config.Log.Event("crash.cleared", decision.Fields{"print": f.Print(), "kind": f.Scope.String(), "crashes": n})
+		}
 	}
 }
 
-// Isolated returns for how long a request is isolated, 0 if it is not.
-func (t *Tracker) Isolated(fingerprint uint64) time.Duration {
+// Isolated returns the isolation of a request; its Left is 0 if it may be sent.
+func (t *Tracker) Isolated(features []Feature) Isolation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.records.Isolated(time.Now(), fingerprint)
+	return t.records.Isolated(time.Now(), features...)
 }
 
 // Recent returns what this node has learned after since, for the other nodes. It is
@@ -186,15 +201,11 @@
 	}
 }
 
-// List returns the number of crashes of each isolated request, for operators.
-func (t *Tracker) List(now time.Time) map[string]int {
+// List returns the isolations in force, for operators.
+func (t *Tracker) List(now time.Time) []Isolation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := map[string]int{}
-	for fingerprint, n := range t.records.List(now) {
-		list[printText(fingerprint)] = n
-	}
-	return list
+	return t.records.List(now)
 }
 
 func (t *Tracker) addUnproven(r run, keep time.Duration) {
@@ -206,8 +217,8 @@
 // ended counts the runs that broke shortly before their endpoint was found to have
 // ended.
 func (t *Tracker) ended(now time.Time, start deployment.Start) {
-	for _, fingerprint := range t.unproven.take(now, start) {
-		t.add(now, Report{Fingerprint: fingerprint, Endpoint: start.Key()}, sourceSelf)
+	for _, f := range t.unproven.take(now, start) {
+		t.add(now, Report{Feature: f, Endpoint: start.Key()}, sourceSelf)
 	}
 }
 
@@ -216,13 +227,15 @@
 	if !added {
 		return
 	}
-	t.config.Metrics.crashed(source == sourceSelf)
-	if source != sourceSelf && crashes < suspected {
+	t.config.Metrics.crashed(source == sourceSelf, k.Scope)
+	if (source != sourceSelf || k.Scope != WholeRequest) && crashes < suspected {
 		return
 	}
-	f := decision.Fields{"print": printText(k.Fingerprint), "endpoint": k.Endpoint, "crashes": crashes, "source": source, "age_ms": k.Age.Milliseconds()}
-	if isolated := t.records.Isolated(now, k.Fingerprint); isolated > 0 {
-		f["isolated_ms"] = isolated.Milliseconds()
+	f := decision.Fields{
+		"print": k.Print(), "kind": k.Scope.String(), "endpoint": k.Endpoint, "crashes": crashes, "source": source, "age_ms": k.Age.Milliseconds(),
+	}
+	if i := t.records.Isolated(now, k.Feature); i.Left > 0 {
+		f["isolated_ms"] = i.Left.Milliseconds()
 	}
 	t.config.Log.Event("crash", f)
 }
@@ -246,5 +259,7 @@
 	t.records.Verify(now, func(endpoint uint32) bool { return listed[endpoint] })
 }
 
-// printText returns a request's fingerprint as logs show it.
-func printText(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 36) }
+// MarshalJSON implements json.Marshaler for state dumps.
+func (i Isolation) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{"print": i.Print(), "kind": i.Scope.String(), "crashes": i.Crashes, "left": i.Left.String()})
+}
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -55,6 +55,9 @@
 // Lapsing implements crash.Deployment.
 func (d *fakeDeployment) Lapsing() time.Duration { return d.lapsing }
 
+// whole returns the features of a request without a prompt.
+func whole(id uint64) []crash.Feature { return []crash.Feature{{ID: id}} }
+
 func endpoint(n int) *deployment.Endpoint {
 	return &deployment.Endpoint{
 		ID: string(rune('a' + n)), Service: "s", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
@@ -84,12 +87,15 @@
 func TestBrokenRunsCountIfTheEndpointHasEnded(t *testing.T) {
 	tracker, _, _ := newTracker(3)
 	for i := range 8 {
-		require.Equal(t, i < 3, tracker.Broke(request, endpoint(i)))
-		require.Equal(t, i >= 2, tracker.Isolated(request) > 0)
+		require.Equal(t, i < 3, tracker.Broke(whole(request), endpoint(i)))
+		require.Equal(t, i >= 2, tracker.Isolated(whole(request)).Left > 0)
 	}
-	require.Equal(t, map[string]int{"7": 3}, tracker.List(time.Now()))
-	tracker.Served(request)
-	require.Zero(t, tracker.Isolated(request))
+	list := tracker.List(time.Now())
+	require.Len(t, list, 1)
+	require.Equal(t, "7", list[0].Print())
+	require.Equal(t, 3, list[0].Crashes)
+	tracker.Served(whole(request))
+	require.Zero(t, tracker.Isolated(whole(request)).Left)
 }
 
 // Guards against a request that is isolated although its endpoints run: a node that is
@@ -97,9 +103,9 @@
 func TestRefusedNodeCountsNoCrash(t *testing.T) {
 	tracker, _, _ := newTracker(8)
 	for i := range 4 {
-		require.False(t, tracker.Broke(request, endpoint(i)))
+		require.False(t, tracker.Broke(whole(request), endpoint(i)))
 	}
-	require.Zero(t, tracker.Isolated(request))
+	require.Zero(t, tracker.Isolated(whole(request)).Left)
 	require.Empty(t, tracker.Recent(time.Now(), time.Now()).Crashes)
 }
 
@@ -109,9 +115,9 @@
 	tracker, _, d := newTracker(4)
 	d.snapshot.Endpoints["s"] = d.snapshot.Endpoints["s"][:4]
 	for i := range 4 {
-		tracker.Broke(request, endpoint(i))
+		tracker.Broke(whole(request), endpoint(i))
 	}
-	require.Positive(t, tracker.Isolated(request))
+	require.Positive(t, tracker.Isolated(whole(request)).Left)
 	require.Len(t, tracker.Recent(time.Now(), time.Now()).Crashes, 4)
 }
 
@@ -122,7 +128,7 @@
 	p.wait = make(chan struct{})
 	var running sync.WaitGroup
 	for i := range uint64(runs) {
-		running.Go(func() { tracker.Broke(i, endpoint(0)) })
+		running.Go(func() { tracker.Broke(whole(i), endpoint(0)) })
 	}
 	require.Eventually(t, func() bool { return p.asked.Load() == 1 }, 5*time.Second, time.Millisecond)
 	close(p.wait)
@@ -134,9 +140,9 @@
 // Guards against a request that ends endpoints which are not asked in time, as they
 // have started again, fell silent or were left by the caller.
 func TestRunsCountOnceTheirEndpointTurnsOutToHaveEnded(t *testing.T) {
-	broke := func(t *crash.Tracker, e *deployment.Endpoint) { t.Broke(request, e) }
-	silent := func(t *crash.Tracker, e *deployment.Endpoint) { t.Silent(request, e) }
-	abandoned := func(t *crash.Tracker, e *deployment.Endpoint) { t.Abandoned(request, e) }
+	broke := func(t *crash.Tracker, e *deployment.Endpoint) { t.Broke(whole(request), e) }
+	silent := func(t *crash.Tracker, e *deployment.Endpoint) { t.Silent(whole(request), e) }
+	abandoned := func(t *crash.Tracker, e *deployment.Endpoint) { t.Abandoned(whole(request), e) }
 	replaced := func(_ *crash.Tracker, d *fakeDeployment, n int) { d.replace(n) }
 	misdirected := func(t *crash.Tracker, _ *fakeDeployment, n int) { t.Ended(endpoint(n).Start()) }
 	for _, c := range []struct {
@@ -155,12 +161,12 @@
 			for i := range 3 {
 				c.ends(tracker, endpoint(i))
 			}
-			require.Zero(t, tracker.Isolated(request))
+			require.Zero(t, tracker.Isolated(whole(request)).Left)
 			for i := range 3 {
 				c.proof(tracker, d, i)
 			}
 			tracker.Recent(time.Now(), time.Now())
-			require.Positive(t, tracker.Isolated(request))
+			require.Positive(t, tracker.Isolated(whole(request)).Left)
 		})
 	}
 }
@@ -180,10 +186,10 @@
 			tracker, _, d := newTracker(3)
 			d.age, d.lapsing = c.age, c.lapsing
 			for i := range 3 {
-				tracker.Broke(request, endpoint(i))
+				tracker.Broke(whole(request), endpoint(i))
 			}
 			tracker.Recent(time.Now().Add(11*time.Second), time.Now())
-			require.Equal(t, c.cleared, tracker.Isolated(request) == 0)
+			require.Equal(t, c.cleared, tracker.Isolated(whole(request)).Left == 0)
 		})
 	}
 }
@@ -194,11 +200,11 @@
 	two, _, _ := newTracker(0)
 	now := time.Now()
 	for i := range 3 {
-		one.Broke(request, endpoint(i))
+		one.Broke(whole(request), endpoint(i))
 	}
 	two.Add(now, one.Recent(now, now), "one")
-	require.Positive(t, two.Isolated(request))
-	one.Served(request)
+	require.Positive(t, two.Isolated(whole(request)).Left)
+	one.Served(whole(request))
 	two.Add(now, one.Recent(time.Now(), now), "one")
-	require.Zero(t, two.Isolated(request))
+	require.Zero(t, two.Isolated(whole(request)).Left)
 }
--- a/internal/crash/metrics.go
+++ b/internal/crash/metrics.go
@@ -24,7 +24,7 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`checks_total{ended="%t"}`, ended)).Inc()
 }
 
-// crashed counts a new crash by whether this node saw it.
-func (m *Metrics) crashed(own bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`crashes_total{own="%t"}`, own)).Inc()
+// crashed counts a new crash by whether this node saw it and the kind of feature.
+func (m *Metrics) crashed(own bool, s Scope) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`crashes_total{own="%t",kind=%q}`, own, s)).Inc()
 }
--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -166,7 +166,7 @@
 	if r.fingerprint == popular && r.try == 0 {
 		m.sent++
 	}
-	if m.nodes[r.node].Isolated(m.now, r.fingerprint) > 0 {
+	if m.nodes[r.node].Isolated(m.now, crash.Feature{ID: r.fingerprint}).Left > 0 {
 		if r.fingerprint == popular {
 			m.errorCounts.refused++
 		}
@@ -251,7 +251,7 @@
 func (m *model) broken(r *modelRun, start uint32, refuses bool) {
 	r.over = true
 	if refuses || m.way == eachBreak {
-		m.nodes[r.node].Add(m.now, crash.Report{Fingerprint: r.fingerprint, Endpoint: start}, true)
+		m.nodes[r.node].Add(m.now, crash.Report{Feature: crash.Feature{ID: r.fingerprint}, Endpoint: start}, true)
 		m.tell(r.node)
 	}
 	if r.try+1 < attempts {
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -7,20 +7,20 @@
 )
 
 const (
-	// maxCrashes is how many endpoints may end under a request before it is isolated.
+	// maxCrashes is how many endpoints may end under a feature before it is isolated.
 	maxCrashes = 3
-	// isolationTime is how long a request is isolated after its third crash. Each
+	// isolationTime is how long a feature is isolated after its third crash. Each
 	// further crash doubles it, maxDoublings times at most.
 	isolationTime = 2 * time.Minute
 	maxDoublings  = 5
 	// recordTTL is how long crashes are remembered after the latest one, beyond the
 	// isolation.
 	recordTTL = 10 * time.Minute
-	// maxRecords bounds the requests remembered. A full table drops the fraction
+	// maxRecords bounds the features remembered. A full table drops the fraction
 	// evictShare of them.
 	maxRecords = 4096
 	evictShare = 0.25
-	// maxEndpoints bounds the endpoints remembered of one request.
+	// maxEndpoints bounds the endpoints remembered of one feature.
 	maxEndpoints = 16
 	// repeatTime is how long a node repeats what it has learned, as messages get lost.
 	repeatTime = 2 * time.Second
@@ -28,7 +28,7 @@
 	maxRecent = 32
 	maxKnown  = 64
 	// suspected is the number of crashes from which on every node passes on what it
-	// learns of a request. Of fewer only the nodes that saw them report: most
+	// learns of a feature. Of fewer only the nodes that saw them report: most
 	// requests at an endpoint that ends merely shared it.
 	suspected = 2
 	// verifyAfter is when a crash is compared with the platform's list of endpoints,
@@ -37,12 +37,11 @@
 )
 
 type (
-	// Report is an endpoint that ended while it ran a request.
+	// Report is an endpoint that ended while it ran a request with a feature.
 	Report struct {
-		// Fingerprint identifies the request, Endpoint the start of the endpoint's
-		// process by its Key.
-		Fingerprint uint64
-		Endpoint    uint32
+		Feature
+		// Endpoint is the start of the endpoint's process by its Key.
+		Endpoint uint32
 		// Age is how long ago the endpoint ended.
 		Age time.Duration
 	}
@@ -50,7 +49,8 @@
 	// News is what nodes report to each other.
 	News struct {
 		Crashes []Report
-		// Cleared are crashes that the request did not cause: it was served since.
+		// Cleared are crashes that the feature did not cause: a request with it was
+		// served since, or shortly before.
 		Cleared []Report
 	}
 
@@ -60,29 +60,46 @@
 		Draw func() float64
 	}
 
-	// Records are the crashes of the fleet by request. A set of crashes and a set of
+	// Isolation is why and for how long a request must not be sent.
+	Isolation struct {
+		Feature
+		// Crashes is how many endpoints ended under the feature.
+		Crashes int
+		// Left is how long the isolation lasts, 0 if there is none.
+		Left time.Duration
+	}
+
+	// Records are the crashes of the fleet by feature. A set of crashes and a set of
 	// cleared ones only grow, so that nodes may receive reports in any order and any
 	// number of times. Records are not safe for concurrent use.
 	Records struct {
 		config RecordsConfig
 		by     map[uint64]*record
+		// suspects are the features with maxCrashes or more.
+		suspects map[uint64]bool
+		// served and established are the features of requests that were answered.
+		served, established answered
 		// changed is when something was learned last.
 		changed time.Time
 	}
 
 	record struct {
+		scope     Scope
 		endpoints map[uint32]*entry
 		// last is when the latest endpoint ended, and until when the isolation ends.
 		last  time.Time
 		until time.Time
+		// blamed says that no other feature explains its crashes.
+		blamed bool
 	}
 
 	entry struct {
 		// at is when the endpoint ended, and learned when this node learned it.
 		at      time.Time
 		learned time.Time
-		// own says that this node saw it.
-		own bool
+		// own says that this node saw it, and sent how often it has reported it.
+		own  bool
+		sent int
 		// cleared is when it was cleared, zero if it was not.
 		cleared time.Time
 		// toldCleared says that this node cleared it, and so reports that.
@@ -96,42 +113,65 @@
 		report  Report
 		crashes int
 		learned time.Time
+		entry   *entry
 	}
 )
 
 // NewRecords returns empty Records.
 func NewRecords(c RecordsConfig) *Records {
-	return &Records{config: c, by: map[uint64]*record{}}
+	return &Records{
+		config: c, by: map[uint64]*record{}, suspects: map[uint64]bool{},
+		served: answered{span: servedTime}, established: answered{span: establishedTime},
+	}
 }
 
-// Add adds a crash and returns the number of the request's crashes, and whether the
+// Add adds a crash and returns the number of the feature's crashes, and whether the
 // crash was new. The bool own says that this node saw it.
 func (r *Records) Add(now time.Time, k Report, own bool) (crashes int, added bool) {
-	if k.Age < 0 || k.Age >= recordTTL {
-		return r.Crashes(k.Fingerprint), false
+	innocent := r.served.has(now, k.ID)
+	if k.Age < 0 || k.Age >= recordTTL || own && innocent {
+		return r.Crashes(k.ID), false
 	}
-	rec := r.record(now, k.Fingerprint)
+	rec := r.record(now, k.Feature)
 	if rec.endpoints[k.Endpoint] != nil || !rec.hasRoom() {
 		return rec.crashes(), false
 	}
 	at := now.Add(-k.Age)
-	rec.endpoints[k.Endpoint] = &entry{at: at, learned: now, own: own}
+	e := &entry{at: at, learned: now, own: own}
+	if innocent {
+		e.cleared, e.toldCleared = now, true
+	}
+	rec.endpoints[k.Endpoint] = e
 	r.changed = now
 	rec.last = later(rec.last, at)
-	r.isolate(rec)
+	r.isolate(now, k.ID, rec)
 	return rec.crashes(), true
 }
 
-// isolate sets the end of a request's isolation. Nodes differ in it: when it ends,
-// the first one to run the request again shows the others whether it still crashes.
-func (r *Records) isolate(rec *record) {
+// isolate sets the end of a feature's isolation. Nodes differ in it: when it ends, the
+// first one to run such a request again shows the others whether it still crashes.
+func (r *Records) isolate(now time.Time, id uint64, rec *record) {
 	n := rec.crashes()
 	if n < maxCrashes {
 		rec.until = time.Time{}
+	} else {
+		isolation := isolationTime << min(n-maxCrashes, maxDoublings)
+		rec.until = rec.last.Add(isolation + time.Duration(r.config.Draw()*float64(isolation)))
+	}
+	r.suspect(now, id, n >= maxCrashes)
+}
+
+// suspect records whether a feature has maxCrashes or more, after a change of them.
+func (r *Records) suspect(now time.Time, id uint64, on bool) {
+	if !on && !r.suspects[id] {
 		return
 	}
-	isolation := isolationTime << min(n-maxCrashes, maxDoublings)
-	rec.until = rec.last.Add(isolation + time.Duration(r.config.Draw()*float64(isolation)))
+	if on {
+		r.suspects[id] = true
+	} else {
+		delete(r.suspects, id)
+	}
+	r.judge(now)
 }
 
 // AddCleared adds a crash that another node has cleared.
@@ -139,7 +179,7 @@
 	if k.Age < 0 || k.Age >= recordTTL {
 		return
 	}
-	rec := r.record(now, k.Fingerprint)
+	rec := r.record(now, k.Feature)
 	e := rec.endpoints[k.Endpoint]
 	if e == nil && rec.hasRoom() {
 		e = &entry{at: now.Add(-k.Age), learned: now}
@@ -148,14 +188,16 @@
 	}
 	if e != nil && e.cleared.IsZero() {
 		e.cleared = now
-		r.isolate(rec)
+		r.isolate(now, k.ID, rec)
 	}
 }
 
-// Served clears the crashes of a request that was served, as it crashes nothing, and
-// returns how many these were.
-func (r *Records) Served(now time.Time, fingerprint uint64) int {
-	rec := r.by[fingerprint]
+// Served clears the crashes of a feature, as a request with it was served, and returns
+// how many these were.
+func (r *Records) Served(now time.Time, id uint64) int {
+	r.served.add(now, id)
+	r.established.add(now, id)
+	rec := r.by[id]
 	if rec == nil {
 		return 0
 	}
@@ -167,23 +209,35 @@
 			n++
 		}
 	}
-	r.isolate(rec)
+	if n > 0 {
+		r.isolate(now, id, rec)
+	}
 	return n
 }
 
-// Has reports whether a crash of a request at an endpoint is known, cleared or not.
-func (r *Records) Has(fingerprint uint64, endpoint uint32) bool {
-	rec := r.by[fingerprint]
+// Has reports whether a crash of a feature at an endpoint is known, cleared or not.
+func (r *Records) Has(id uint64, endpoint uint32) bool {
+	rec := r.by[id]
 	return rec != nil && rec.endpoints[endpoint] != nil
 }
 
-// Isolated returns for how long a request is isolated, 0 if it is not.
-func (r *Records) Isolated(now time.Time, fingerprint uint64) time.Duration {
-	rec := r.by[fingerprint]
-	if rec == nil {
-		return 0
+// Isolated returns the longest isolation of a request with some features; its Left is 0
+// if there is none.
+func (r *Records) Isolated(now time.Time, features ...Feature) Isolation {
+	var longest Isolation
+	if len(r.suspects) == 0 {
+		return longest
+	}
+	for _, f := range features {
+		if !r.suspects[f.ID] {
+			continue
+		}
+		rec := r.by[f.ID]
+		if left := rec.until.Sub(now); rec.blamed && left > longest.Left {
+			longest = Isolation{Feature: Feature{ID: f.ID, Scope: rec.scope}, Crashes: rec.crashes(), Left: left}
+		}
 	}
-	return max(rec.until.Sub(now), 0)
+	return longest
 }
 
 // Verify compares crashes with the endpoints that the platform lists, and clears those
@@ -191,7 +245,7 @@
 //
 // A node that is cut off may be refused connections by endpoints that run on.
 func (r *Records) Verify(now time.Time, listed func(endpoint uint32) bool) {
-	for _, rec := range r.by {
+	for id, rec := range r.by {
 		for endpoint, e := range rec.endpoints {
 			if !e.due(now) {
 				continue
@@ -199,7 +253,7 @@
 			e.verified = true
 			if listed(endpoint) {
 				e.cleared = now
-				r.isolate(rec)
+				r.isolate(now, id, rec)
 			}
 		}
 	}
@@ -217,17 +271,23 @@
 	return false
 }
 
-// Expire forgets requests whose latest crash is long ago.
+// Expire forgets features whose latest crash is long ago.
 func (r *Records) Expire(now time.Time) {
-	for fingerprint, rec := range r.by {
+	for id, rec := range r.by {
 		if now.Sub(later(rec.last, rec.until)) > recordTTL {
-			delete(r.by, fingerprint)
+			r.forget(now, id)
 		}
 	}
 }
 
+func (r *Records) forget(now time.Time, id uint64) {
+	delete(r.by, id)
+	r.suspect(now, id, false)
+}
+
 // Recent returns what this node has learned after since, and at least within the
-// repeat time: the crashes of the most suspected requests first.
+// repeat time: the crashes of the most suspected features first, and of those the ones
+// that it has reported least often.
 func (r *Records) Recent(now, since time.Time) News {
 	if repeated := now.Add(-repeatTime); repeated.Before(since) {
 		since = repeated
@@ -236,10 +296,10 @@
 		return News{}
 	}
 	var crashes, cleared []ranked
-	for fingerprint, rec := range r.by {
+	for id, rec := range r.by {
 		n := rec.crashes()
 		for endpoint, e := range rec.endpoints {
-			k := ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: e.age(now)}, crashes: n, learned: e.learned}
+			k := rec.ranked(now, id, endpoint, n)
 			switch {
 			case e.toldCleared && !e.cleared.Before(since):
 				cleared = append(cleared, k)
@@ -251,47 +311,48 @@
 	return News{Crashes: first(crashes, maxRecent), Cleared: first(cleared, maxRecent)}
 }
 
-// Known returns the crashes of suspected requests, for nodes that may have missed
+// Known returns the crashes of suspected features, for nodes that may have missed
 // them: the most suspected first.
 func (r *Records) Known(now time.Time) News {
 	var list []ranked
-	for fingerprint, rec := range r.by {
+	for id, rec := range r.by {
 		n := rec.crashes()
 		if n < suspected {
 			continue
 		}
 		for endpoint, e := range rec.endpoints {
 			if e.cleared.IsZero() {
-				list = append(list, ranked{report: Report{Fingerprint: fingerprint, Endpoint: endpoint, Age: e.age(now)}, crashes: n, learned: e.learned})
+				list = append(list, rec.ranked(now, id, endpoint, n))
 			}
 		}
 	}
 	return News{Crashes: first(list, maxKnown)}
 }
 
-// List returns the crashes of all isolated requests, by request.
-func (r *Records) List(now time.Time) map[uint64]int {
-	list := map[uint64]int{}
-	for fingerprint, rec := range r.by {
-		if rec.until.After(now) {
-			list[fingerprint] = rec.crashes()
+// List returns the isolations in force.
+func (r *Records) List(now time.Time) []Isolation {
+	var list []Isolation
+	for id := range r.suspects {
+		if i := r.Isolated(now, Feature{ID: id}); i.Left > 0 {
+			list = append(list, i)
 		}
 	}
+	slices.SortFunc(list, func(a, b Isolation) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// record returns the record of a request, which may be new.
-func (r *Records) record(now time.Time, fingerprint uint64) *record {
-	rec := r.by[fingerprint]
+// record returns the record of a feature, which may be new.
+func (r *Records) record(now time.Time, f Feature) *record {
+	rec := r.by[f.ID]
 	if rec == nil {
 		r.evict(now)
-		rec = &record{endpoints: map[uint32]*entry{}}
-		r.by[fingerprint] = rec
+		rec = &record{scope: f.Scope, endpoints: map[uint32]*entry{}}
+		r.by[f.ID] = rec
 	}
 	return rec
 }
 
-// evict makes room in a full table: it drops the least suspected requests, and of
+// evict makes room in a full table: it drops the least suspected features, and of
 // those the ones whose latest crash is longest ago.
 func (r *Records) evict(now time.Time) {
 	if len(r.by) < maxRecords {
@@ -299,18 +360,18 @@
 	}
 	r.Expire(now)
 	list := make([]ranked, 0, len(r.by))
-	for fingerprint, rec := range r.by {
-		list = append(list, ranked{report: Report{Fingerprint: fingerprint}, crashes: rec.crashes(), learned: rec.last})
+	for id, rec := range r.by {
+		list = append(list, ranked{report: Report{Feature: Feature{ID: id}}, crashes: rec.crashes(), learned: rec.last, entry: &entry{}})
 	}
 	slices.SortFunc(list, compareRanked)
 	for _, k := range list[min(len(list), int((1-evictShare)*maxRecords)):] {
-		delete(r.by, k.report.Fingerprint)
+		r.forget(now, k.report.ID)
 	}
 }
 
-// Crashes returns the number of a request's crashes that were not cleared.
-func (r *Records) Crashes(fingerprint uint64) int {
-	if rec := r.by[fingerprint]; rec != nil {
+// Crashes returns the number of a feature's crashes that were not cleared.
+func (r *Records) Crashes(id uint64) int {
+	if rec := r.by[id]; rec != nil {
 		return rec.crashes()
 	}
 	return 0
@@ -354,12 +415,22 @@
 	return !e.verified && e.cleared.IsZero() && now.Sub(e.learned) >= verifyAfter
 }
 
-// first returns up to most reports: of the most suspected requests first, then the
-// newest.
+// ranked returns a report of the feature's crash at an endpoint with its rank.
+func (r *record) ranked(now time.Time, id uint64, endpoint uint32, crashes int) ranked {
+	e := r.endpoints[endpoint]
+	return ranked{
+		report:  Report{Feature: Feature{ID: id, Scope: r.scope}, Endpoint: endpoint, Age: e.age(now)},
+		crashes: crashes, learned: e.learned, entry: e,
+	}
+}
+
+// first returns up to most reports: of the most suspected features first, then those
+// that were reported least often, then the newest.
 func first(list []ranked, most int) []Report {
 	slices.SortFunc(list, compareRanked)
 	var reports []Report
 	for _, k := range list[:min(len(list), most)] {
+		k.entry.sent++
 		reports = append(reports, k.report)
 	}
 	return reports
@@ -367,8 +438,8 @@
 
 func compareRanked(a, b ranked) int {
 	return cmp.Or(
-		b.crashes-a.crashes, b.learned.Compare(a.learned),
-		cmp.Compare(a.report.Fingerprint, b.report.Fingerprint), cmp.Compare(a.report.Endpoint, b.report.Endpoint),
+		b.crashes-a.crashes, a.entry.sent-b.entry.sent, b.learned.Compare(a.learned),
+		cmp.Compare(a.report.ID, b.report.ID), cmp.Compare(a.report.Endpoint, b.report.Endpoint),
 	)
 }
 
--- a/internal/crash/records_test.go
+++ b/internal/crash/records_test.go
@@ -11,7 +11,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 )
 
-// request is a fingerprint.
+// request is the ID of a whole request.
 const request = 7
 
 var began = time.Unix(1000, 0)
@@ -20,8 +20,13 @@
 	return crash.NewRecords(crash.RecordsConfig{Draw: func() float64 { return 0 }})
 }
 
+// isolation returns for how long the request is isolated.
+func isolation(r *crash.Records, now time.Time) time.Duration {
+	return r.Isolated(now, crash.Feature{ID: request}).Left
+}
+
 func report(endpoint uint32) crash.Report {
-	return crash.Report{Fingerprint: request, Endpoint: endpoint}
+	return crash.Report{Feature: crash.Feature{ID: request}, Endpoint: endpoint}
 }
 
 // A request is isolated after three crashes, and no longer once it was served.
@@ -30,9 +35,9 @@
 	for endpoint := range uint32(3) {
 		r.Add(began, report(endpoint), true)
 	}
-	fmt.Println(r.Isolated(began, request))
+	fmt.Println(isolation(r, began))
 	r.Served(began, request)
-	fmt.Println(r.Isolated(began, request))
+	fmt.Println(isolation(r, began))
 	// Output:
 	// 2m0s
 	// 0s
@@ -50,12 +55,12 @@
 		{name: "each further crash doubles the time", reports: []crash.Report{report(1), report(2), report(3), report(4), report(5)}, want: 8 * time.Minute},
 		{
 			name:    "the isolation begins when the last endpoint ended, not when that became known",
-			reports: []crash.Report{{Fingerprint: request, Endpoint: 1, Age: time.Minute}, {Fingerprint: request, Endpoint: 2, Age: 30 * time.Second}, {Fingerprint: request, Endpoint: 3, Age: 40 * time.Second}},
+			reports: []crash.Report{{Feature: crash.Feature{ID: request}, Endpoint: 1, Age: time.Minute}, {Feature: crash.Feature{ID: request}, Endpoint: 2, Age: 30 * time.Second}, {Feature: crash.Feature{ID: request}, Endpoint: 3, Age: 40 * time.Second}},
 			want:    90 * time.Second,
 		},
 		{
 			name:    "an old report does not count",
-			reports: []crash.Report{report(1), report(2), {Fingerprint: request, Endpoint: 3, Age: time.Hour}},
+			reports: []crash.Report{report(1), report(2), {Feature: crash.Feature{ID: request}, Endpoint: 3, Age: time.Hour}},
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -63,7 +68,7 @@
 			for _, k := range c.reports {
 				r.Add(began, k, false)
 			}
-			require.Equal(t, c.want, r.Isolated(began, request))
+			require.Equal(t, c.want, isolation(r, began))
 		})
 	}
 }
@@ -95,7 +100,7 @@
 			r.Add(began, m.Report, false)
 		}
 		require.Equal(t, 3, r.Crashes(request))
-		require.Equal(t, 2*time.Minute, r.Isolated(began, request))
+		require.Equal(t, 2*time.Minute, isolation(r, began))
 	}
 }
 
@@ -107,10 +112,10 @@
 		r.Add(began, report(endpoint), true)
 	}
 	for i := range uint64(20_000) {
-		r.Add(began.Add(time.Second), crash.Report{Fingerprint: 100 + i, Endpoint: uint32(i % 3)}, false)
+		r.Add(began.Add(time.Second), crash.Report{Feature: crash.Feature{ID: 100 + i}, Endpoint: uint32(i % 3)}, false)
 	}
 	require.Equal(t, 3, r.Crashes(request))
-	require.Positive(t, r.Isolated(began, request))
+	require.Positive(t, isolation(r, began))
 }
 
 // Guards against a request that callers keep sending and that is forgotten while it is
@@ -122,9 +127,9 @@
 	}
 	lapsed := began.Add(2*time.Minute + time.Second)
 	r.Expire(lapsed)
-	require.Zero(t, r.Isolated(lapsed, request))
+	require.Zero(t, isolation(r, lapsed))
 	r.Add(lapsed, report(4), true)
-	require.Equal(t, 4*time.Minute, r.Isolated(lapsed, request), "the next crash isolates it again")
+	require.Equal(t, 4*time.Minute, isolation(r, lapsed), "the next crash isolates it again")
 	r.Expire(lapsed.Add(time.Hour))
 	require.Zero(t, r.Crashes(request))
 }
@@ -157,15 +162,15 @@
 		r.Add(began, report(endpoint), true)
 	}
 	for i := range uint64(200) {
-		r.Add(began.Add(time.Millisecond), crash.Report{Fingerprint: 100 + i, Endpoint: 1}, true)
-		r.Add(began.Add(time.Millisecond), crash.Report{Fingerprint: 1000 + i, Endpoint: 1}, false)
+		r.Add(began.Add(time.Millisecond), crash.Report{Feature: crash.Feature{ID: 100 + i}, Endpoint: 1}, true)
+		r.Add(began.Add(time.Millisecond), crash.Report{Feature: crash.Feature{ID: 1000 + i}, Endpoint: 1}, false)
 	}
 	recent := r.Recent(began.Add(time.Second), began.Add(time.Second)).Crashes
 	require.Len(t, recent, 32)
-	require.EqualValues(t, request, recent[0].Fingerprint)
-	require.EqualValues(t, request, recent[1].Fingerprint)
+	require.EqualValues(t, request, recent[0].ID)
+	require.EqualValues(t, request, recent[1].ID)
 	for _, k := range recent {
-		require.Less(t, k.Fingerprint, uint64(1000), "one crash is reported by the nodes that saw it")
+		require.Less(t, k.ID, uint64(1000), "one crash is reported by the nodes that saw it")
 	}
 	require.Empty(t, r.Recent(began.Add(time.Minute), began.Add(time.Minute)).Crashes)
 	require.NotEmpty(t, r.Recent(began.Add(time.Minute), began).Crashes, "as far as no broadcast has carried them")
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
@@ -29,8 +30,14 @@
 
 	brokenRuns struct {
 		addr netip.AddrPort
-		// until is how long each request's latest run is kept, by fingerprint.
-		until map[uint64]time.Time
+		// latest is each request's latest run, by the ID of the whole request.
+		latest map[uint64]brokenRun
+	}
+
+	// brokenRun is a run that is kept until a time.
+	brokenRun struct {
+		features []Feature
+		until    time.Time
 	}
 )
 
@@ -46,34 +53,43 @@
 	}
 	runs := u.by[r.start]
 	if runs == nil {
-		runs = &brokenRuns{addr: r.addr, until: map[uint64]time.Time{}}
+		runs = &brokenRuns{addr: r.addr, latest: map[uint64]brokenRun{}}
 		u.by[r.start] = runs
 	}
-	if runs.until[r.fingerprint].IsZero() {
+	request := r.features[0].ID
+	if _, known := runs.latest[request]; !known {
 		u.count++
 	}
-	runs.until[r.fingerprint] = later(runs.until[r.fingerprint], now.Add(keep))
+	runs.latest[request] = brokenRun{features: r.features, until: later(runs.latest[request].until, now.Add(keep))}
 }
 
-// has reports whether a run of a request has lately broken at an endpoint.
-func (u *unproven) has(fingerprint uint64, start deployment.Start) bool {
+// has reports whether a run with a feature has recently broken at an endpoint.
+func (u *unproven) has(f Feature, start deployment.Start) bool {
 	runs := u.by[start]
-	return runs != nil && !runs.until[fingerprint].IsZero()
+	if runs == nil {
+		return false
+	}
+	for _, run := range runs.latest {
+		if slices.Contains(run.features, f) {
+			return true
+		}
+	}
+	return false
 }
 
-// take removes the runs of an endpoint that has ended and returns the requests.
-func (u *unproven) take(now time.Time, start deployment.Start) []uint64 {
+// take removes the runs of an endpoint that has ended and returns their features.
+func (u *unproven) take(now time.Time, start deployment.Start) []Feature {
 	runs := u.by[start]
 	if runs == nil {
 		return nil
 	}
-	var list []uint64
-	for fingerprint, until := range runs.until {
-		if now.Before(until) {
-			list = append(list, fingerprint)
+	var list []Feature
+	for _, run := range runs.latest {
+		if now.Before(run.until) {
+			list = append(list, run.features...)
 		}
 	}
-	u.count -= len(runs.until)
+	u.count -= len(runs.latest)
 	delete(u.by, start)
 	return list
 }
@@ -104,13 +120,13 @@
 
 func (u *unproven) expire(now time.Time) {
 	for start, runs := range u.by {
-		for fingerprint, until := range runs.until {
-			if !now.Before(until) {
-				delete(runs.until, fingerprint)
+		for request, run := range runs.latest {
+			if !now.Before(run.until) {
+				delete(runs.latest, request)
 				u.count--
 			}
 		}
-		if len(runs.until) == 0 {
+		if len(runs.latest) == 0 {
 			delete(u.by, start)
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -370,7 +370,7 @@
 	}
 	if a.ended {
 		f["ended"] = true
-		f["parts"] = partPrints(a.call.parts)
+		f["parts"] = partPrints(a.call.features)
 	}
 	if a.call.progress.events > 0 {
 		f["events"] = a.call.progress.events
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,42 +3,44 @@
 import (
 	"errors"
 	"net/http"
-	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
 	"bulrushhinge.example/bulrushhinge/internal/sse"
 )
 
-// Crashes counts the endpoints that ended under each request, given by its
-// fingerprint.
+// Crashes counts the endpoints that ended under each feature of requests.
 type Crashes interface {
-	// Isolated returns for how long a request must not be sent, 0 if it may be.
-	Isolated(fingerprint uint64) time.Duration
+	// Isolated returns why and for how long a request with some features must not be
+	// sent.
+	Isolated(features []crash.Feature) crash.Isolation
 	// Broke records that the endpoint closed the connection of a run, and reports
 	// whether it has ended.
-	Broke(fingerprint uint64, e *deployment.Endpoint) bool
+	Broke(features []crash.Feature, e *deployment.Endpoint) bool
 	// Silent records that a run was given up at an endpoint that sent nothing more,
 	// and Abandoned that it was given up because its caller left.
-	Silent(fingerprint uint64, e *deployment.Endpoint)
-	Abandoned(fingerprint uint64, e *deployment.Endpoint)
+	Silent(features []crash.Feature, e *deployment.Endpoint)
+	Abandoned(features []crash.Feature, e *deployment.Endpoint)
 	// Ended records that another process has responded at an endpoint's address.
 	Ended(start deployment.Start)
 	// Served records that a request was served whole.
-	Served(fingerprint uint64)
+	Served(features []crash.Feature)
 }
 
-// isolated returns the refusal of a request that has ended too many endpoints,
-// otherwise nil.
+// isolated returns the refusal of a request of which a feature has ended too many
+// endpoints, otherwise nil.
 func (c *call) isolated() *refusal {
-	left := c.handler.config.Crashes.Isolated(c.print)
-	if left == 0 {
+	i := c.handler.config.Crashes.Isolated(c.features)
+	if i.Left == 0 {
 		return nil
 	}
+	ref := notRun(reasonCrashes, i.Left)
 	if c.progress.runs > 0 {
-		return unknown(reasonCrashes)
+		ref = unknown(reasonCrashes)
 	}
-	return notRun(reasonCrashes, left)
+	ref.isolation = i
+	return ref
 }
 
 // maySend returns the last question before a request is sent to an endpoint. Slots are
@@ -52,15 +54,15 @@
 func (a *attempt) recordBreak(err error) {
 	c, crashes := a.call, a.call.handler.config.Crashes
 	if c.callerGone() {
-		crashes.Abandoned(c.print, a.choice.Endpoint)
+		crashes.Abandoned(c.features, a.choice.Endpoint)
 		return
 	}
 	c.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
 	switch {
 	case http1.IsClosedByPeer(err), errors.Is(err, sse.ErrTruncated):
-		a.ended = crashes.Broke(c.print, a.choice.Endpoint)
+		a.ended = crashes.Broke(c.features, a.choice.Endpoint)
 	default:
-		crashes.Silent(c.print, a.choice.Endpoint)
+		crashes.Silent(c.features, a.choice.Endpoint)
 	}
 }
 
@@ -73,10 +75,10 @@
 	c, crashes := a.call, a.call.handler.config.Crashes
 	switch {
 	case x.Framed() && x.Response.StatusCode/100 == http.StatusOK/100:
-		crashes.Served(c.print)
+		crashes.Served(c.features)
 	case !x.Framed() && c.listed(a.choice.Endpoint):
 		// An error means that the caller has disconnected.
 		_ = flush(c.out)
-		a.ended = crashes.Broke(c.print, a.choice.Endpoint)
+		a.ended = crashes.Broke(c.features, a.choice.Endpoint)
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/admission"
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/budget"
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
@@ -105,11 +106,9 @@
 		// promptKey names the part of the prompt that requests share.
 		promptKey string
 		prompt    balance.Prompt
-		// parts are the parts of its prompt that other requests may share.
-		parts []string
-		// print is the request's fingerprint.
-		print   uint64
-		started time.Time
+		// features are the request's, the whole request first.
+		features []crash.Feature
+		started  time.Time
 		// deadline is when the caller must have its response.
 		deadline time.Time
 		progress progress
@@ -300,10 +299,9 @@
 	}
 	h := c.handler.config.Headers
 	c.header = h.forEndpoint(c.in.Header, name)
-	c.print = fingerprint(c.in.RequestURI, name, body)
 	c.service = c.config.Services[c.serviceName()]
 	parts := readPrompt(h.PromptParts(c.in.Header.Get(h.Prompt)))
-	c.parts = parts.shared
+	c.features = features(c.in.RequestURI, name, body, parts.shared)
 	if c.route.Cached {
 		c.promptKey, c.prompt = parts.placement(c.in.Header.Get(h.Model))
 	}
@@ -338,6 +336,9 @@
 	if r.retryAfter > 0 {
 		f["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
+	if i := r.isolation; i.Left > 0 {
+		f["feature"], f["kind"], f["crashes"] = i.Print(), i.Scope.String(), i.Crashes
+	}
 	if c.progress.started {
 		f["cut"] = true
 	}
@@ -371,8 +372,8 @@
 	if c.route != nil {
 		f["route"], f["due_ms"] = c.route.Name, c.route.Objective.Milliseconds()
 	}
-	if c.print != 0 {
-		f["print"] = strconv.FormatUint(c.print, 36)
+	if len(c.features) > 0 {
+		f["print"] = c.features[0].Print()
 	}
 	if c.handed != nil {
 		f["from"] = c.handed.from
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -416,7 +416,7 @@
 	require.Equal(t, 503, h.post(t, "/p/x", nil).status)
 	require.Empty(t, h.near.crashes.List(time.Now()))
 	for _, n := range h.team.members[0].crashes.List(time.Now()) {
-		require.Equal(t, ended.count(), n)
+		require.Equal(t, ended.count(), n.Crashes)
 	}
 }
 
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -2,9 +2,6 @@
 
 import (
 	"iter"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 )
@@ -76,22 +73,3 @@
 	}
 	return tokens
 }
-
-// fingerprint returns a hash of a request's path, account and body, which is the
-// same when the request is sent again.
-func fingerprint(path, account string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(path)
-	_, _ = d.WriteString("\x00" + account + "\x00")
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
-// partPrints returns the parts of a prompt as logs show them.
-func partPrints(ids []string) []string {
-	list := make([]string, len(ids))
-	for i, id := range ids {
-		list[i] = strconv.FormatUint(xxhash.Sum64String(id), 36)
-	}
-	return list
-}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 )
 
 // Reasons of refusals and failures, as they appear in responses, logs and metrics.
@@ -58,6 +60,8 @@
 	reason string
 	// retryAfter is the retry delay, for requests that did not run.
 	retryAfter time.Duration
+	// isolation is why a request that ends endpoints is refused.
+	isolation crash.Isolation
 }
 
 func (r *refusal) write(w http.ResponseWriter) {
--- a/internal/gossip/crash_test.go
+++ b/internal/gossip/crash_test.go
@@ -48,7 +48,7 @@
 func (c *fakeCrashes) saw(fingerprint uint64, endpoint uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.records.Add(time.Now(), crash.Report{Fingerprint: fingerprint, Endpoint: endpoint}, true)
+	c.records.Add(time.Now(), crash.Report{Feature: crash.Feature{ID: fingerprint}, Endpoint: endpoint}, true)
 }
 
 func (c *fakeCrashes) served(fingerprint uint64) {
@@ -74,9 +74,9 @@
 	one.crashes.mu.Lock()
 	now := time.Now()
 	for i := range uint64(innocent) {
-		one.crashes.records.Add(now, crash.Report{Fingerprint: i, Endpoint: uint32(i % 3)}, true)
+		one.crashes.records.Add(now, crash.Report{Feature: crash.Feature{ID: i}, Endpoint: uint32(i % 3)}, true)
 		if i%(innocent/3) == 1 {
-			one.crashes.records.Add(now, crash.Report{Fingerprint: suspect, Endpoint: uint32(i)}, true)
+			one.crashes.records.Add(now, crash.Report{Feature: crash.Feature{ID: suspect}, Endpoint: uint32(i)}, true)
 		}
 	}
 	one.crashes.mu.Unlock()
@@ -90,7 +90,7 @@
 	one := f.start(1, &fakeReplica{})
 	one.crashes.mu.Lock()
 	for endpoint := range uint32(3) {
-		one.crashes.records.Add(time.Now().Add(-time.Minute), crash.Report{Fingerprint: 9, Endpoint: endpoint}, true)
+		one.crashes.records.Add(time.Now().Add(-time.Minute), crash.Report{Feature: crash.Feature{ID: 9}, Endpoint: endpoint}, true)
 	}
 	one.crashes.mu.Unlock()
 	two := f.start(2, &fakeReplica{})
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -53,13 +53,13 @@
 		Lost []uint32 `cbor:"-"`
 	}
 
-	// crashReport is an endpoint that ended while it ran a request, and the request's
-	// fingerprint.
+	// crashReport is an endpoint that ended while it ran a request with a feature.
 	crashReport struct {
-		Fingerprint uint64 `cbor:"1,keyasint"`
-		Endpoint    uint32 `cbor:"2,keyasint"`
+		Feature  uint64 `cbor:"1,keyasint"`
+		Endpoint uint32 `cbor:"2,keyasint"`
 		// Age is how long ago it ended, in seconds.
-		Age uint32 `cbor:"3,keyasint,omitempty"`
+		Age   uint32      `cbor:"3,keyasint,omitempty"`
+		Scope crash.Scope `cbor:"4,keyasint,omitempty"`
 	}
 
 	// heartbeat is what a node sends to each other node.
@@ -88,7 +88,7 @@
 		// Contacts are the addresses of some other nodes.
 		Contacts []netip.Addr `cbor:"7,keyasint,omitempty"`
 		// Crashes are those that became known lately, and in some heartbeats all of
-		// suspected requests. Cleared are crashes that the request did not cause.
+		// suspected features. Cleared are crashes that the feature did not cause.
 		Crashes []crashReport `cbor:"8,keyasint,omitempty"`
 		Cleared []crashReport `cbor:"19,keyasint,omitempty"`
 		// Placements are where the node has recently sent parts of prompts.
@@ -177,11 +177,11 @@
 }
 
 func encodeCrash(k crash.Report) crashReport {
-	return crashReport{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint, Age: uint32(k.Age / time.Second)}
+	return crashReport{Feature: k.ID, Endpoint: k.Endpoint, Age: uint32(k.Age / time.Second), Scope: k.Scope}
 }
 
 func decodeCrash(k crashReport) crash.Report {
-	return crash.Report{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint, Age: time.Duration(k.Age) * time.Second}
+	return crash.Report{Feature: crash.Feature{ID: k.Feature, Scope: k.Scope}, Endpoint: k.Endpoint, Age: time.Duration(k.Age) * time.Second}
 }
 
 func encodeItem(i deployment.Item) item {
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/relay"
@@ -176,11 +177,11 @@
 // relayedCrash and receivedCrash convert a crash for relays, which pass it on within
 // seconds: its age is left out, so that repeated reports are equal.
 func relayedCrash(k crashReport) relay.Crash {
-	return relay.Crash{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint}
+	return relay.Crash{Feature: k.Feature, Endpoint: k.Endpoint, Scope: uint8(k.Scope)}
 }
 
 func receivedCrash(k relay.Crash) crashReport {
-	return crashReport{Fingerprint: k.Fingerprint, Endpoint: k.Endpoint}
+	return crashReport{Feature: k.Feature, Endpoint: k.Endpoint, Scope: crash.Scope(k.Scope)}
 }
 
 // receiveSummary decodes a summary and drops it if it is malformed.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -98,7 +98,7 @@
 	return b
 }
 
-// addKnownCrashes adds the crashes of suspected requests: nodes that have started or
+// addKnownCrashes adds the crashes of suspected features: nodes that have started or
 // were unreachable have missed the reports of them.
 func (g *Gossip) addKnownCrashes(b *heartbeat, now time.Time) {
 	b.Crashes = append(b.Crashes, mapSlice(g.config.Crashes.Known(now).Crashes, encodeCrash)...)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -30,7 +30,7 @@
 		known[i] = map[relay.Crash]bool{}
 		a.onFleet = func(s *relay.Summary) {
 			for _, k := range s.Updates.Crashes {
-				if k.Fingerprint == suspect {
+				if k.Feature == suspect {
 					known[i][k] = true
 				}
 			}
@@ -39,12 +39,12 @@
 	for i, a := range m.nodes[:reporters] {
 		a.updates = relay.Updates{}
 		for n := range endpoints * slots / reporters {
-			a.updates.Crashes = append(a.updates.Crashes, relay.Crash{Fingerprint: uint64(1000*(i+1) + n), Endpoint: uint32(n)})
+			a.updates.Crashes = append(a.updates.Crashes, relay.Crash{Feature: uint64(1000*(i+1) + n), Endpoint: uint32(n)})
 		}
 	}
 	for endpoint := range uint32(endpoints) {
 		a := m.nodes[7*endpoint+3]
-		a.updates.Crashes = append(a.updates.Crashes, relay.Crash{Fingerprint: suspect, Endpoint: endpoint})
+		a.updates.Crashes = append(a.updates.Crashes, relay.Crash{Feature: suspect, Endpoint: endpoint})
 	}
 	took := time.Duration(0)
 	missing := func() (n int) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -47,11 +47,12 @@
 		FirstSeen time.Time
 	}
 
-	// Crash is an endpoint that ended while it ran a request, and the request's
-	// fingerprint.
+	// Crash is an endpoint that ended while it ran a request with a feature, such as a
+	// part of its prompt. Relays do not interpret the scope.
 	Crash struct {
-		Fingerprint uint64 `cbor:"1,keyasint"`
-		Endpoint    uint32 `cbor:"2,keyasint"`
+		Feature  uint64 `cbor:"1,keyasint"`
+		Endpoint uint32 `cbor:"2,keyasint"`
+		Scope    uint8  `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Updates are sent only when they are new, unlike the rest of a report.
@@ -63,7 +64,7 @@
 		Crashes       []Crash        `cbor:"3,keyasint,omitempty"`
 		// Leaving are endpoints that have announced that they leave.
 		Leaving []uint32 `cbor:"4,keyasint,omitempty"`
-		// Cleared are crashes that the request did not cause.
+		// Cleared are crashes that the feature did not cause.
 		Cleared []Crash `cbor:"5,keyasint,omitempty"`
 	}
 
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -23,7 +23,7 @@
 	loadBytes      = 8
 	tokensBytes    = 10
 	placementBytes = 18
-	crashBytes     = 18
+	crashBytes     = 21
 	leavingBytes   = 5
 )
 
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -28,8 +28,8 @@
 	seenTTL = 15 * time.Second
 	// maxSeen bounds the remembered updates: some 600 KB.
 	maxSeen = 16_384
-	// suspected is the number of endpoints from which on followers hear of a request
-	// that ended them. Most requests at an endpoint that ends merely shared it.
+	// suspected is the number of crashes of a feature from which on followers receive
+	// them. Most requests at an endpoint that ends merely shared it.
 	suspected = 2
 )
 
@@ -55,13 +55,13 @@
 		crashes    map[Crash]time.Time
 		cleared    map[Crash]time.Time
 		leaving    map[uint32]time.Time
-		// byRequest are the crashes by fingerprint.
-		byRequest map[uint64][]Crash
+		// byFeature are the crashes by feature.
+		byFeature map[uint64][]Crash
 	}
 )
 
 func newSeen() *seen {
-	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}, byRequest: map[uint64][]Crash{}}
+	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}, byFeature: map[uint64][]Crash{}}
 }
 
 // append adds updates.
@@ -83,19 +83,19 @@
 		Cleared: filterSeen(s.cleared, now, n.Cleared), Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
 	}
 	for _, k := range fresh.Crashes {
-		s.byRequest[k.Fingerprint] = append(s.byRequest[k.Fingerprint], k)
+		s.byFeature[k.Feature] = append(s.byFeature[k.Feature], k)
 	}
 	return fresh
 }
 
-// suspects returns the known crashes of the suspected requests among those of which
+// suspects returns the known crashes of the suspected features among those of which
 // there is a new one: earlier ones may have been dropped.
 func (s *seen) suspects(fresh []Crash) []Crash {
 	var list []Crash
 	added := map[uint64]bool{}
 	for _, k := range fresh {
-		if known := s.byRequest[k.Fingerprint]; len(known) >= suspected && !added[k.Fingerprint] {
-			added[k.Fingerprint] = true
+		if known := s.byFeature[k.Feature]; len(known) >= suspected && !added[k.Feature] {
+			added[k.Feature] = true
 			list = append(list, known...)
 		}
 	}
@@ -117,11 +117,11 @@
 	return fresh
 }
 
-// sort puts the crashes of the most suspected requests first, and of these the ones
+// sort puts the crashes of the most suspected features first, and of these the ones
 // that were not sent yet.
 func (s *seen) sort(list []pending[Crash]) {
 	slices.SortStableFunc(list, func(a, b pending[Crash]) int {
-		return cmp.Or(len(s.byRequest[b.update.Fingerprint])-len(s.byRequest[a.update.Fingerprint]), b.sends-a.sends)
+		return cmp.Or(len(s.byFeature[b.update.Feature])-len(s.byFeature[a.update.Feature]), b.sends-a.sends)
 	})
 }
 
@@ -130,9 +130,9 @@
 	expireEntries(s.placements, now)
 	expireEntries(s.crashes, now)
 	expireEntries(s.cleared, now)
-	clear(s.byRequest)
+	clear(s.byFeature)
 	for k := range s.crashes {
-		s.byRequest[k.Fingerprint] = append(s.byRequest[k.Fingerprint], k)
+		s.byFeature[k.Feature] = append(s.byFeature[k.Feature], k)
 	}
 	expireEntries(s.leaving, now)
 }
