Ask whether an endpoint has ended before an answer without framing counts as whole

Callers got an answer that ends with its connection as whole although its endpoint had ended in the middle of it: a plain body cut short, and a stream cut between two events. On the other side such answers never cleared anything, so that with endpoints that answer without length and chunks each part that sound requests share was isolated beside the one that ends endpoints.

Cause: a response without framing was forwarded as complete first, and the endpoint asked afterwards, for the count of crashes only; the question's other result, that the endpoint runs, was dropped.

The endpoint is now asked before the response counts. If it has ended, a plain request or a resumable stream goes on at another endpoint, and what cannot is cut. If it runs, the request was served and its features are cleared.

--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -41,8 +41,9 @@
 
 	// answer is what a check found out.
 	answer struct {
-		// refused says that the endpoint refuses connections.
-		refused bool
+		// refused says that the endpoint refuses connections, accepted that it accepts
+		// them.
+		refused, accepted bool
 		// reached says that another endpoint of its service accepts them, and
 		// refusing are those that were asked and do not.
 		reached  bool
@@ -72,8 +73,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	if c.prober.Probe(ctx, e.Addr) == http1.Refused {
+	switch c.prober.Probe(ctx, e.Addr) {
+	case http1.Refused:
 		current.answer = c.askOthers(ctx, e, others)
+	case http1.Accepted:
+		current.answer.accepted = true
 	}
 	c.mu.Lock()
 	delete(c.by, start)
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -93,6 +93,27 @@
 // it has ended. It asks the endpoint and others, for checkTimeout at most. The features
 // are those of the run's request, the whole request first.
 func (t *Tracker) Broke(features []Feature, e *deployment.Endpoint) bool {
+	ended, _ := t.broke(features, e)
+	return ended
+}
+
+// Closed records a response that ended with its connection, which does not show whether
+// it is complete, and reports whether the endpoint has ended. If the endpoint accepts
+// connections, the request was served whole.
+func (t *Tracker) Closed(features []Feature, e *deployment.Endpoint) bool {
+	ended, accepts := t.broke(features, e)
+	if accepts {
+		t.Served(features)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.unproven.remove(features[0], e.Start())
+	}
+	return ended
+}
+
+// broke records a run whose connection the endpoint has closed, and returns whether the
+// endpoint has ended and whether it accepts connections.
+func (t *Tracker) broke(features []Feature, e *deployment.Endpoint) (ended, accepts bool) {
 	start := e.Start()
 	t.addUnproven(run{features: features, start: start, addr: e.Addr}, restartTime)
 	a := t.checks.ask(e, t.config.Deployment.Snapshot().Endpoints[e.Service])
@@ -102,14 +123,13 @@
 	if a.refused && a.reached {
 		t.config.Metrics.checked(true)
 		t.ended(now, start)
-		return true
+		return true, false
 	}
-	ended := false
 	if a.refused {
 		ended = t.endedAll(now, features, append(a.refusing, start))
 	}
 	t.config.Metrics.checked(ended)
-	return ended
+	return ended, a.accepted
 }
 
 // endedAll counts the features of which runs have recently broken at all of some
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -77,6 +77,18 @@
 	return false
 }
 
+// remove forgets a request's run at an endpoint.
+func (u *unproven) remove(request Feature, start deployment.Start) {
+	runs := u.by[start]
+	if runs == nil {
+		return
+	}
+	if _, known := runs.latest[request.ID]; known {
+		delete(runs.latest, request.ID)
+		u.count--
+	}
+}
+
 // take removes the runs of an endpoint that has ended and returns their features.
 func (u *unproven) take(now time.Time, start deployment.Start) []Feature {
 	runs := u.by[start]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -257,6 +257,9 @@
 		return a.forwardLarge(x, body)
 	}
 	x.Finish()
+	if a.endedWithResponse(x) {
+		return resultBroken
+	}
 	whole := &bufferedResponse{head: x.Response, body: body}
 	if x.Response.StatusCode >= http.StatusInternalServerError {
 		a.outcome = balance.Failed
@@ -306,6 +309,9 @@
 		}
 		return resultCut
 	}
+	if a.endedWithResponse(x) {
+		return resultCut
+	}
 	if x.Response.StatusCode < http.StatusInternalServerError {
 		a.outcome = balance.Served
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
@@ -18,6 +19,9 @@
 	// Broke records that the endpoint closed the connection of a run, and reports
 	// whether it has ended.
 	Broke(features []crash.Feature, e *deployment.Endpoint) bool
+	// Closed records a response that ended with its connection, and reports whether
+	// the endpoint has ended. If it runs, the request was served whole.
+	Closed(features []crash.Feature, e *deployment.Endpoint) bool
 	// Silent records that a run was given up at an endpoint that sent nothing more,
 	// and Abandoned that it was given up because its caller left.
 	Silent(features []crash.Feature, e *deployment.Endpoint)
@@ -66,19 +70,28 @@
 	}
 }
 
-// recordEnd records a run whose response has ended and was forwarded. A failure does
-// not clear the request: an endpoint may fail requests without running them.
-//
-// A response that ends with its connection does not show whether the endpoint ended
-// as well, unless the endpoint is leaving anyway.
+// recordEnd records a run whose response has ended. A failure does not clear the
+// request: an endpoint may fail requests without running them.
 func (a *attempt) recordEnd(x *http1.Exchange) {
-	c, crashes := a.call, a.call.handler.config.Crashes
-	switch {
-	case x.Framed() && x.Response.StatusCode/100 == http.StatusOK/100:
-		crashes.Served(c.features)
-	case !x.Framed() && c.listed(a.choice.Endpoint):
+	if x.Framed() && x.Response.StatusCode/100 == http.StatusOK/100 {
+		a.call.handler.config.Crashes.Served(a.call.features)
+	}
+}
+
+// endedWithResponse reports whether a response that ended with its connection did so
+// because the endpoint ended: the response then is not complete. Other responses, and
+// those of endpoints that are leaving anyway, end by themselves.
+func (a *attempt) endedWithResponse(x *http1.Exchange) bool {
+	c := a.call
+	if x.Framed() || !c.listed(a.choice.Endpoint) {
+		return false
+	}
+	if c.progress.started {
 		// An error means that the caller has disconnected.
 		_ = flush(c.out)
-		a.ended = crashes.Broke(c.features, a.choice.Endpoint)
 	}
+	if a.ended = c.handler.config.Crashes.Closed(c.features, a.choice.Endpoint); a.ended {
+		a.outcome, a.cause = balance.Failed, "endpoint ended with its response"
+	}
+	return a.ended
 }
--- a/internal/gateway/part_test.go
+++ b/internal/gateway/part_test.go
@@ -146,3 +146,42 @@
 	require.LessOrEqual(t, ended.count(), mayEndByPart)
 	require.Zero(t, refused.Load())
 }
+
+// Guards against an answer without framing that looks complete although its endpoint
+// ended in the middle of it.
+func TestUnframedAnswersOfEndedEndpointsAreNotComplete(t *testing.T) {
+	unframed := headOf("X: y")
+	for _, c := range []struct {
+		name        string
+		kind        deployment.Kind
+		last, sound reply
+		status      int
+		complete    bool
+		body        string
+	}{
+		{name: "a plain one is sent again", kind: deployment.Idempotent, last: raw(unframed + "h"), sound: raw(unframed + "hi"), status: 200, complete: true, body: "hi"},
+		{name: "an at-most-once one is unknown", kind: deployment.AtMostOnce, last: raw(unframed + "h"), sound: raw(unframed + "hi"), status: 502, complete: true, body: "endpoint-broke-off\n"},
+		{name: "a resumable stream is resumed", kind: deployment.Resumable, last: raw(unframed + event(1)), sound: stream(3, "", true), status: 200, complete: true, body: events(1, 3)},
+		{name: "another stream is cut", kind: deployment.Streaming, last: raw(unframed + event(1)), sound: stream(3, "", true), status: 200},
+		{name: "a large one is cut", kind: deployment.Idempotent, last: raw(unframed + strings.Repeat("x", 2<<20)), sound: raw(unframed + "hi"), status: 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var once sync.Once
+			_, list := newFleetBy(t, 4, c.last, func(conn net.Conn, r *http.Request) (handled, open bool) {
+				handled = true
+				once.Do(func() { handled = false })
+				if !handled {
+					return false, false
+				}
+				return true, c.sound(conn, r)
+			})
+			f := newFixture(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: time.Second}, list...)
+			a := f.post(t, "/p/x", nil)
+			require.Equal(t, c.status, a.status)
+			require.Equal(t, c.complete, a.complete)
+			if c.complete {
+				require.Equal(t, c.body, a.body)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,9 @@
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if a.endedWithResponse(x) {
+				return resultBroken
+			}
 			return a.finishStream(x)
 		}
 		if err == nil {
