Release what several crashing parts have in common

In the soak, with four parts that end endpoints at once, 5 of 63 sound requests were refused: all requests shared one part, which so had a crash at each end before any of the four had three, and stayed blamed although later ends showed the four.

Cause: features were blamed in the order of their crashes only, and never looked at again. Established features, of which a request was answered shortly before, now come last, and in the end those are released whose crashes the other blamed ones explain, the broadest first.

--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -2,11 +2,18 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
 
+// suspect is a feature with maxCrashes or more.
+type suspect struct {
+	id  uint64
+	rec *record
+	// established says that a request with it was answered not long before.
+	established bool
+}
+
 // judge decides which features with maxCrashes or more are to blame.
 //
 // A run at an endpoint that ends has several features, and other runs share the
@@ -16,33 +23,62 @@
 // So a part of prompts is isolated rather than the part above it, or the requests that
 // shared its endpoints; if it was not the cause, the next crash shows it.
 //
-// A feature that was answered not long before is blamed only once its crashes have gone
-// on for settleTime.
+// Established features come last, and are blamed only once their crashes have gone on
+// for settleTime. In the end those are released whose crashes the others explain: what
+// several causes have in common has the most crashes at first.
 func (r *Records) judge(now time.Time) {
-	list := slices.Collect(maps.Keys(r.suspects))
-	slices.SortFunc(list, func(a, b uint64) int {
-		x, y := r.by[a], r.by[b]
-		return cmp.Or(y.crashes()-x.crashes(), cmp.Compare(x.scope, y.scope), cmp.Compare(a, b))
-	})
-	explained := map[uint32]bool{}
-	for _, id := range list {
-		rec := r.by[id]
-		rec.blamed = false
-		if r.established.has(now, id) && rec.span() < settleTime {
+	var blamed []suspect
+	for _, s := range r.ranking(now) {
+		s.rec.blamed = false
+		if s.established && s.rec.span() < settleTime || explained(s, blamed) {
 			continue
 		}
-		for endpoint, e := range rec.endpoints {
-			rec.blamed = rec.blamed || e.cleared.IsZero() && !explained[endpoint]
-		}
-		if !rec.blamed {
+		blamed = append(blamed, s)
+	}
+	slices.SortStableFunc(blamed, func(a, b suspect) int { return cmp.Compare(b.rec.scope, a.rec.scope) })
+	for i := 0; i < len(blamed); {
+		if others := slices.Delete(slices.Clone(blamed), i, i+1); explained(blamed[i], others) {
+			blamed = others
 			continue
 		}
-		for endpoint, e := range rec.endpoints {
-			if e.cleared.IsZero() {
-				explained[endpoint] = true
+		blamed[i].rec.blamed = true
+		i++
+	}
+}
+
+// ranking returns the features with maxCrashes or more, in the order in which they are
+// blamed.
+func (r *Records) ranking(now time.Time) []suspect {
+	list := make([]suspect, 0, len(r.suspects))
+	for id := range r.suspects {
+		list = append(list, suspect{id: id, rec: r.by[id], established: r.established.has(now, id)})
+	}
+	slices.SortFunc(list, func(a, b suspect) int {
+		if a.established != b.established {
+			if b.established {
+				return -1
 			}
+			return 1
+		}
+		return cmp.Or(b.rec.crashes()-a.rec.crashes(), cmp.Compare(a.rec.scope, b.rec.scope), cmp.Compare(a.id, b.id))
+	})
+	return list
+}
+
+// explained reports whether each crash of a feature is also one of some others.
+func explained(s suspect, others []suspect) bool {
+	for endpoint, e := range s.rec.endpoints {
+		if e.cleared.IsZero() && !slices.ContainsFunc(others, func(o suspect) bool { return o.rec.has(endpoint) }) {
+			return false
 		}
 	}
+	return true
+}
+
+// has reports whether the feature has a crash at an endpoint that was not cleared.
+func (r *record) has(endpoint uint32) bool {
+	e := r.endpoints[endpoint]
+	return e != nil && e.cleared.IsZero()
 }
 
 // span returns the time between the first and the last of the feature's crashes that
