Let the soak send parts of prompts that end endpoints, and answer without framing

Two faults: requests, no two of them alike, with a part in the first place, in the middle or deepest that ends its endpoints after the head, after or within an event, beside sound ones that share all other parts; and endpoints whose answers end with their connections. All requests now have prompts that share parts. Checked: five ends, three more sends later than 3 s after the fifth, at most 2 % of the sound ones refused for it.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -115,7 +115,7 @@
 		body = popularBody
 	}
 	cutSince := c.ledger.cuts.cutSince(addr)
-	a := c.send(ctx, addr, route, id, body, timeout)
+	a := c.sendPrompt(ctx, addr, route, id, body, append(sharedParts(), id), timeout)
 	if body == popularBody {
 		c.ledger.crashes.recordPopular(a)
 	}
@@ -133,6 +133,11 @@
 }
 
 func (c *caller) send(ctx context.Context, addr netip.AddrPort, route, id, body string, timeout time.Duration) answer {
+	return c.sendPrompt(ctx, addr, route, id, body, nil, timeout)
+}
+
+// sendPrompt sends a request with the parts of its prompt, if there are any.
+func (c *caller) sendPrompt(ctx context.Context, addr netip.AddrPort, route, id, body string, parts []string, timeout time.Duration) answer {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a := answer{sent: time.Now(), sentBody: body}
@@ -140,6 +145,9 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	if len(parts) > 0 {
+		standin.SetPrompt(req, parts...)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		a.err, a.abandoned = err, ctx.Err() != nil
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -20,14 +20,42 @@
 	// most, and crashingPause the time between two of them.
 	crashingTime  = 12 * time.Second
 	crashingPause = 150 * time.Millisecond
+	// mayEnd is how many endpoints may end under a request, and mayEndByPart under a
+	// part of prompts.
+	mayEnd       = 3
+	mayEndByPart = 5
+	// partMark begins the name of a part that ends endpoints.
+	partMark = "part "
+	// soundPerCrashing is how many sound requests come beside each that has such a
+	// part.
+	soundPerCrashing = 2
 )
 
-// crashes records which requests ended endpoints, and refusals of the popular request.
+// crashes records which requests and parts of prompts ended endpoints, and refusals of
+// the popular request and of sound ones beside such parts.
 type crashes struct {
 	mu      sync.Mutex
 	ends    map[string][]time.Time
-	popular int
-	refused int
+	popular refusals
+	sound   refusals
+}
+
+// refusals counts requests, and those that were refused like one that ends endpoints.
+type refusals struct{ sent, refused int }
+
+func (r *refusals) record(a answer) {
+	r.sent++
+	if a.status == 503 && strings.TrimSpace(a.body) == isolatedReason {
+		r.refused++
+	}
+}
+
+// check returns a violation if too many were refused.
+func (r *refusals) check(what string) []string {
+	if float64(r.refused) <= max(mayIsolate*float64(r.sent), 1) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d of %d %s requests were refused as ending endpoints", r.refused, r.sent, what)}
 }
 
 func newCrashes() *crashes { return &crashes{ends: map[string][]time.Time{}} }
@@ -42,31 +70,34 @@
 func (c *crashes) recordPopular(a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.popular++
-	if a.status == 503 && strings.TrimSpace(a.body) == isolatedReason {
-		c.refused++
-	}
+	c.popular.record(a)
 }
 
-// checkPopular returns a violation if the popular request was refused too often.
-func (c *crashes) checkPopular() []string {
+func (c *crashes) recordSound(a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if float64(c.refused) <= max(mayIsolate*float64(c.popular), 1) {
-		return nil
-	}
-	return []string{fmt.Sprintf("%d of %d popular requests were refused as ending endpoints", c.refused, c.popular)}
+	c.sound.record(a)
+}
+
+// checkRefusals returns a violation if requests that end nothing were refused too often.
+func (c *crashes) checkRefusals() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(c.popular.check("popular"), c.sound.check("sound")...)
 }
 
-// check returns a violation for each request that ran too often after the third
-// endpoint had ended under it, while no node was disturbed.
+// check returns a violation for each request or part that ran too often after as many
+// endpoints as may had ended under it, while no node was disturbed.
 func (c *crashes) check(undisturbed func(from, to time.Time) bool) (broken []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, ends := range c.ends {
-		late := 0
+		may, late := mayEnd, 0
+		if strings.HasPrefix(name, partMark) {
+			may = mayEndByPart
+		}
 		for i, at := range ends {
-			if i > 2 && at.Sub(ends[2]) > isolateBound && undisturbed(ends[2], at) {
+			if i >= may && at.Sub(ends[may-1]) > isolateBound && undisturbed(ends[may-1], at) {
 				late++
 			}
 		}
@@ -77,6 +108,9 @@
 	return broken
 }
 
+// sharedParts returns the parts of prompts that all callers' requests share.
+func sharedParts() []string { return []string{"system", "subject", "document"} }
+
 // sendCrashing sends copies of a request that ends the endpoints that run it, to any
 // node, and returns its name.
 func (c *callers) sendCrashing(ctx context.Context, r *rand.Rand) string {
@@ -101,3 +135,38 @@
 	}
 	return name + " by " + body
 }
+
+// sendCrashingPart sends requests, no two of them alike, that have a part in their
+// prompts which ends the endpoints that answer it, beside sound ones that share all
+// other parts. It returns the part's name.
+func (c *callers) sendCrashingPart(ctx context.Context, r *rand.Rand) string {
+	points := standin.CrashPoints()[1:]
+	name := fmt.Sprintf("%s%d", partMark, c.next.Add(1))
+	part := standin.CrashPart(points[r.IntN(len(points))], name)
+	place, sender := r.IntN(3), c.caller(r)
+	k := []kind{resumed, streamOnce}[r.IntN(2)]
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Int64N(int64(crashingTime))))
+	defer cancel()
+	for n := 0; ctx.Err() == nil; n++ {
+		parts := sharedParts()
+		crashes := n%(1+soundPerCrashing) == 0
+		if crashes {
+			parts[place] = part
+		}
+		if addr, ok := sender.address(); ok {
+			id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), c.next.Add(1))
+			c.ledger.recordRequest(id, k)
+			c.ledger.notices.sent(id, c.soak.incarnation(addr), time.Now())
+			a := sender.sendPrompt(ctx, addr, [...]string{resumed: "stream/resume", streamOnce: "stream/once"}[k], id, "body of "+id, append(parts, id), callerTimeout)
+			if crashes || ctx.Err() != nil {
+				a.cut = false
+			}
+			c.ledger.recordAnswer(id, a)
+			if !crashes {
+				c.ledger.crashes.recordSound(a)
+			}
+		}
+		wait(ctx, r, crashingPause)
+	}
+	return fmt.Sprintf("%s in place %d", part, place+1)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,6 +122,19 @@
 	{name: "request crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		return s.callers.sendCrashing(ctx, r)
 	}},
+	{name: "part crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.callers.sendCrashingPart(ctx, r)
+	}},
+	{name: "endpoint answers without framing", inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		e := s.world.pick(r)
+		if e == nil {
+			return ""
+		}
+		e.standIn.SetUnframed(true)
+		wait(ctx, r, 4*time.Second)
+		e.standIn.SetUnframed(false)
+		return e.id
+	}},
 	{name: "endpoint leaves", planned: true, inject: func(_ context.Context, s *soak, r *rand.Rand) string {
 		e := s.world.pick(r)
 		if e == nil {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -273,7 +273,7 @@
 			break
 		}
 	}
-	l.broken = append(l.broken, l.crashes.checkPopular()...)
+	l.broken = append(l.broken, l.crashes.checkRefusals()...)
 	if l.timed {
 		l.broken = append(l.broken, l.notices.check()...)
 		l.broken = append(l.broken, l.crashes.check(l.nodesUndisturbed)...)
