Hold the body of a handed-over request from its offer on

A node that is offered requests by others only looked at the bytes held and counted a body once it had been read, so that many large bodies offered at once could take more than the 64 MiB that a node may hold, and a size near the largest integer passed as well. The size is now reserved as the offer is taken, and given back with it. TestBodiesOfHandedOverRequestsAreHeldFromTheirOffer fails on the code before. Found by reading; no run had shown it.

--- a/internal/gateway/handed.go
+++ b/internal/gateway/handed.go
@@ -49,15 +49,21 @@
 	case !h.config.Reach.Reaches(o.Service):
 		return declineService
 	}
-	if h.taken.Add(1) > maxTaken || h.heldBytes.Load()+o.Size > maxHeldBytes {
-		h.taken.Add(-1)
+	if !h.hold(o.Size) {
+		return declineBusy
+	}
+	if h.taken.Add(1) > maxTaken {
+		h.Release(o)
 		return declineBusy
 	}
 	return ""
 }
 
 // Release implements handover.Handler.
-func (h *Handler) Release(*handover.Offer) { h.taken.Add(-1) }
+func (h *Handler) Release(o *handover.Offer) {
+	h.taken.Add(-1)
+	h.heldBytes.Add(-o.Size)
+}
 
 // Hand implements handover.Handler.
 func (h *Handler) Hand(ctx context.Context, o *handover.Offer, body []byte, w *handover.Writer) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -192,16 +192,18 @@
 		c.refuse(ref)
 		return
 	}
-	size := c.in.ContentLength
-	if size < 0 {
-		size = c.config.Limits.BodyBytes
-	}
-	if h.heldBytes.Add(size) > maxHeldBytes {
-		h.heldBytes.Add(-size)
-		c.refuse(notRun(reasonBodiesHeld, retrySoon))
-		return
+	if c.handed == nil {
+		// The body of what another node has handed over is held since it was taken.
+		size := c.in.ContentLength
+		if size < 0 {
+			size = c.config.Limits.BodyBytes
+		}
+		if !h.hold(size) {
+			c.refuse(notRun(reasonBodiesHeld, retrySoon))
+			return
+		}
+		defer h.heldBytes.Add(-size)
 	}
-	defer h.heldBytes.Add(-size)
 	if ref := c.read(); ref != nil {
 		c.refuse(ref)
 		return
@@ -211,6 +213,18 @@
 	c.run(ctx)
 }
 
+// hold reserves memory for a body, and reports whether there is enough.
+func (h *Handler) hold(size int64) bool {
+	if size > maxHeldBytes {
+		return false
+	}
+	if h.heldBytes.Add(size) > maxHeldBytes {
+		h.heldBytes.Add(-size)
+		return false
+	}
+	return true
+}
+
 // admit finds the request's route and account.
 func (c *call) admit() *refusal {
 	h := c.handler
