Report what a node vouches for only once others may suspect it

A node that had just answered a request with a feature reported so at the first crash that another node had counted for it. Each end of an endpoint so made all nodes send up to 32 reports a heartbeat for two seconds, for parts that nobody suspected. Now it does from the second crash on, one before the feature could be isolated. The model's bounds and TestNodeThatServesAPartClearsItForOthers hold; the bytes were worked out, not measured.

--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -117,16 +117,30 @@
 	}
 	at := now.Add(-k.Age)
 	e := &entry{at: at, learned: now, own: own}
+	rec.endpoints[k.Endpoint] = e
 	if innocent {
-		e.cleared, e.toldCleared = now, true
+		rec.vouch(now, e)
 	}
-	rec.endpoints[k.Endpoint] = e
 	r.changed = now
 	rec.last = later(rec.last, at)
 	r.isolate(now, k.ID, rec)
 	return rec.crashes(), true
 }
 
+// vouch clears a crash of a feature that was answered here just before. Others need to
+// know once they suspect the feature.
+func (r *record) vouch(now time.Time, e *entry) {
+	e.cleared = now
+	if len(r.endpoints) < suspected {
+		return
+	}
+	for _, e := range r.endpoints {
+		if !e.cleared.IsZero() {
+			e.cleared, e.toldCleared = now, true
+		}
+	}
+}
+
 // isolate sets the end of a feature's isolation. Nodes differ in it: when it ends, the
 // first one to run such a request again shows the others whether it still crashes.
 func (r *Records) isolate(now time.Time, id uint64, rec *record) {
