Let failures without framing clear nothing

An endpoint may fail requests without running them, so that a failure shows nothing of what its request crashes. Of answers without framing any cleared the features of its request if the endpoint ran on, failures as well: a request could end three endpoints more after each. Found in reading the change that brought it; TestUnframedFailuresClearNothing fails on the code before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -90,7 +90,12 @@
 		// An error means that the caller has disconnected.
 		_ = flush(c.out)
 	}
-	if a.ended = c.handler.config.Crashes.Closed(c.features, a.choice.Endpoint); a.ended {
+	ask := c.handler.config.Crashes.Closed
+	if x.Response.StatusCode/100 != http.StatusOK/100 {
+		// A failure clears nothing.
+		ask = c.handler.config.Crashes.Broke
+	}
+	if a.ended = ask(c.features, a.choice.Endpoint); a.ended {
 		a.outcome, a.cause = balance.Failed, "endpoint ended with its response"
 	}
 	return a.ended
--- a/internal/gateway/part_test.go
+++ b/internal/gateway/part_test.go
@@ -185,3 +185,25 @@
 		})
 	}
 }
+
+// Guards against a part that is cleared by failures, which endpoints may send without
+// running the request.
+func TestUnframedFailuresClearNothing(t *testing.T) {
+	var failing atomic.Bool
+	failure := raw("HTTP/1.1 500 No\r\n" + id + ": {id}\r\n" + seal + ": s\r\nX: y\r\n\r\nno")
+	ended, list := newFleetBy(t, fleetSize, hangUp, func(c net.Conn, r *http.Request) (handled, open bool) {
+		if failing.Load() {
+			return true, failure(c, r)
+		}
+		return false, false
+	})
+	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1}, list...)
+	for ended.count() < mayEnd-1 {
+		require.Equal(t, 502, f.post(t, "/p/x", nil).status)
+	}
+	failing.Store(true)
+	require.Equal(t, 500, f.post(t, "/p/x", nil).status)
+	failing.Store(false)
+	require.Equal(t, 502, f.post(t, "/p/x", nil).status)
+	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
+}
