Test isolated parts in requests that wait or were handed over

Both hold on the code as it is: the question is asked at each choice and before the write, at the node that runs the request, also where all endpoints of the service have ended.

--- a/internal/gateway/part_test.go
+++ b/internal/gateway/part_test.go
@@ -207,3 +207,46 @@
 	require.Equal(t, 502, f.post(t, "/p/x", nil).status)
 	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
 }
+
+// Guards against requests that were handed over and end endpoints by a part of their
+// prompts, as the node that runs them does not look at it.
+func TestPartOfHandedOverRequestsIsIsolated(t *testing.T) {
+	place := placesOfPart()[2]
+	ended, list := newPartFleet(t, 20, hangUp, whole(200, "hi"))
+	h := newHops(t, 1, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: time.Second}, list...)
+	send := func(n int, prompt string) response {
+		return h.postBody(t.Context(), t, "/p/x", fmt.Sprint("body ", n), map[string]string{"Prompt": prompt})
+	}
+	for n := range 30 {
+		send(n, place.deadly(n))
+		require.Equal(t, 200, send(100+n, place.sound(n)).status)
+	}
+	require.LessOrEqual(t, ended.count(), mayEndByPart)
+	require.Equal(t, 503, send(30, place.deadly(30)).status)
+}
+
+// Guards against requests that wait for a slot and run although a part of their prompts
+// has been isolated since.
+func TestWaitingRequestsWithAnIsolatedPartAreRefused(t *testing.T) {
+	const endpoints, requests = 4, 80
+	place := placesOfPart()[2]
+	ended, list := newPartFleet(t, endpoints, hangUp, whole(200, "hi"))
+	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 3, Objective: 10 * time.Second, Timeout: 10 * time.Second}, list...)
+	send := func(n int) response {
+		return f.postBody(t.Context(), t, "/p/x", fmt.Sprint("body ", n), map[string]string{"Prompt": place.deadly(n)})
+	}
+	var running sync.WaitGroup
+	for n := range requests {
+		running.Go(func() { send(n) })
+	}
+	require.Eventually(t, func() bool {
+		return ended.count() == endpoints && len(f.crashes.List(time.Now())) > 0
+	}, 5*time.Second, time.Millisecond)
+	before := f.arrivals()
+	for _, e := range list {
+		e.startAgain(t)
+	}
+	running.Wait()
+	require.Equal(t, before, f.arrivals())
+	require.Equal(t, 503, send(requests).status)
+}
