Let answers clear only the crashes before they began

Answers that had begun before and ended afterwards cleared the crashes, again and again for some seconds, and a part that was established was blamed two seconds after that.

An answer shows that its features ended nothing when it began.

--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -51,7 +51,7 @@
 func (r *Records) ranking(now time.Time) []suspect {
 	list := make([]suspect, 0, len(r.suspects))
 	for id := range r.suspects {
-		list = append(list, suspect{id: id, rec: r.by[id], established: r.established.has(now, id)})
+		list = append(list, suspect{id: id, rec: r.by[id], established: !r.answered.latest(now, id).IsZero()})
 	}
 	slices.SortFunc(list, func(a, b suspect) int {
 		if a.established != b.established {
--- a/internal/crash/clear.go
+++ b/internal/crash/clear.go
@@ -16,7 +16,8 @@
 func (t *Tracker) Clear(id uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := t.records.Served(time.Now(), id)
+	now := time.Now()
+	n := t.records.Served(now, now, id)
 	if n > 0 {
 		t.config.Log.Event("crash.cleared", decision.Fields{"print": printText(id), "crashes": n, "source": "operator"})
 	}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -99,11 +99,11 @@
 
 // Closed records a response that ended with its connection, which does not show whether
 // it is complete, and reports whether the endpoint has ended. If the endpoint accepts
-// connections, the request was served whole.
-func (t *Tracker) Closed(features []Feature, e *deployment.Endpoint) bool {
+// connections, the response was whole; it began at a time.
+func (t *Tracker) Closed(features []Feature, e *deployment.Endpoint, began time.Time) bool {
 	ended, accepts := t.broke(features, e)
 	if accepts {
-		t.Served(features)
+		t.Served(features, began)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.unproven.remove(features[0], e.Start())
@@ -169,14 +169,14 @@
 	t.ended(time.Now(), start)
 }
 
-// Served records that a request was served whole: none of its features crashes
-// anything.
-func (t *Tracker) Served(features []Feature) {
+// Served records an answer that began at a time and was whole: until then none of its
+// request's features crashed anything.
+func (t *Tracker) Served(features []Feature, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, f := range features {
-		if n := t.records.Served(now, f.ID); n > 0 {
+		if n := t.records.Served(now, began, f.ID); n > 0 {
 			t.config.Log.Event("crash.cleared", decision.Fields{"print": f.Print(), "kind": f.Scope.String(), "crashes": n})
 		}
 	}
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -64,8 +64,8 @@
 		by     map[uint64]*record
 		// suspects are the features with maxCrashes or more.
 		suspects map[uint64]bool
-		// served and established are the features of requests that were answered.
-		served, established answered
+		// answered are the features of requests that were answered.
+		answered answered
 		// changed is when something was learned last.
 		changed time.Time
 	}
@@ -98,16 +98,13 @@
 
 // NewRecords returns empty Records.
 func NewRecords(c RecordsConfig) *Records {
-	return &Records{
-		config: c, by: map[uint64]*record{}, suspects: map[uint64]bool{},
-		served: answered{span: servedTime}, established: answered{span: establishedTime},
-	}
+	return &Records{config: c, by: map[uint64]*record{}, suspects: map[uint64]bool{}}
 }
 
 // Add adds a crash and returns the number of the feature's crashes, and whether the
 // crash was new. The bool own says that this node saw it.
 func (r *Records) Add(now time.Time, k Report, own bool) (crashes int, added bool) {
-	innocent := r.served.has(now, k.ID)
+	innocent := now.Add(-k.Age).Sub(r.answered.latest(now, k.ID)) < servedTime
 	if k.Age < 0 || k.Age >= recordTTL || own && innocent {
 		return r.Crashes(k.ID), false
 	}
@@ -185,18 +182,17 @@
 	}
 }
 
-// Served clears the crashes of a feature, as a request with it was served, and returns
-// how many these were.
-func (r *Records) Served(now time.Time, id uint64) int {
-	r.served.add(now, id)
-	r.established.add(now, id)
+// Served clears the crashes of a feature before a time, as an answer to a request with
+// it began then and was whole. It returns how many these were.
+func (r *Records) Served(now, began time.Time, id uint64) int {
+	r.answered.add(now, began, id)
 	rec := r.by[id]
 	if rec == nil {
 		return 0
 	}
 	n := 0
 	for _, e := range rec.endpoints {
-		if e.cleared.IsZero() {
+		if e.cleared.IsZero() && !e.at.After(began) {
 			e.cleared, e.toldCleared = now, true
 			r.changed = now
 			n++
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
@@ -20,16 +21,16 @@
 	// whether it has ended.
 	Broke(features []crash.Feature, e *deployment.Endpoint) bool
 	// Closed records a response that ended with its connection, and reports whether
-	// the endpoint has ended. If it runs, the request was served whole.
-	Closed(features []crash.Feature, e *deployment.Endpoint) bool
+	// the endpoint has ended. If it runs, the response was whole; it began at a time.
+	Closed(features []crash.Feature, e *deployment.Endpoint, began time.Time) bool
 	// Silent records that a run was given up at an endpoint that sent nothing more,
 	// and Abandoned that it was given up because its caller left.
 	Silent(features []crash.Feature, e *deployment.Endpoint)
 	Abandoned(features []crash.Feature, e *deployment.Endpoint)
 	// Ended records that another process has responded at an endpoint's address.
 	Ended(start deployment.Start)
-	// Served records that a request was served whole.
-	Served(features []crash.Feature)
+	// Served records that a response that began at a time was whole.
+	Served(features []crash.Feature, began time.Time)
 }
 
 // isolated returns the refusal of a request of which a feature has ended too many
@@ -74,7 +75,7 @@
 // request: an endpoint may fail requests without running them.
 func (a *attempt) recordEnd(x *http1.Exchange) {
 	if x.Framed() && x.Response.StatusCode/100 == http.StatusOK/100 {
-		a.call.handler.config.Crashes.Served(a.call.features)
+		a.call.handler.config.Crashes.Served(a.call.features, a.started.Add(a.latency))
 	}
 }
 
@@ -90,12 +91,14 @@
 		// An error means that the caller has disconnected.
 		_ = flush(c.out)
 	}
-	ask := c.handler.config.Crashes.Closed
-	if x.Response.StatusCode/100 != http.StatusOK/100 {
+	crashes := c.handler.config.Crashes
+	if x.Response.StatusCode/100 == http.StatusOK/100 {
+		a.ended = crashes.Closed(c.features, a.choice.Endpoint, a.started.Add(a.latency))
+	} else {
 		// A failure clears nothing.
-		ask = c.handler.config.Crashes.Broke
+		a.ended = crashes.Broke(c.features, a.choice.Endpoint)
 	}
-	if a.ended = ask(c.features, a.choice.Endpoint); a.ended {
+	if a.ended {
 		a.outcome, a.cause = balance.Failed, "endpoint ended with its response"
 	}
 	return a.ended
