--- a/internal/crash/part_model_test.go
+++ b/internal/crash/part_model_test.go
@@ -296,7 +296,7 @@
 	}
 	for node := range m.nodes {
 		if saw[node] {
-			m.tell(node)
+			m.broadcast(node)
 		}
 	}
 	for _, r := range broken {
@@ -322,12 +322,12 @@
 		cleared += m.nodes[r.node].Served(m.now, r.began, f.ID)
 	}
 	if cleared > 0 {
-		m.tell(r.node)
+		m.broadcast(r.node)
 	}
 }
 
-// tell sends what a node has learned to all others, in as many messages as that takes.
-func (m *partModel) tell(from int) {
+// broadcast sends what a node has learned to all others, in as many messages as that takes.
+func (m *partModel) broadcast(from int) {
 	for range 3 {
 		news := m.nodes[from].Recent(m.now, m.now)
 		if m.partScenario.nodes > relays {
@@ -382,7 +382,7 @@
 		}
 	}
 	if vouched {
-		m.tell(node)
+		m.broadcast(node)
 	}
 }
 
