Blame established features by time, not by the span of their crashes

A part of prompts that requests were answered with before, and that begins to end endpoints, was found late or never: an established feature was blamed once two seconds lay between the first and the last of its crashes on record. A record holds 16 crashes; if these come within two seconds, the span never grows and the part is never blamed. Meanwhile it ends so many endpoints that what merely shared them, and is rarely answered, has three crashes of its own and is isolated.

An established feature now is blamed two seconds after the first crash that no answer has cleared, and is judged again by then. TestBlame has the case and failed before.

--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -27,10 +27,11 @@
 // for settleTime. In the end those are released whose crashes the others explain: what
 // several causes have in common has the most crashes at first.
 func (r *Records) judge(now time.Time) {
+	r.judgeAt = time.Time{}
 	var blamed []suspect
 	for _, s := range r.ranking(now) {
 		s.rec.blamed = false
-		if s.established && s.rec.span() < settleTime || explained(s, blamed) {
+		if s.established && r.settles(now, s.rec) || explained(s, blamed) {
 			continue
 		}
 		blamed = append(blamed, s)
@@ -81,18 +82,26 @@
 	return e != nil && e.cleared.IsZero()
 }
 
-// span returns the time between the first and the last of the feature's crashes that
-// this node has learned of.
-func (r *record) span() time.Duration {
-	var from, to time.Time
+// settles reports whether the crashes of an established feature have not gone on for
+// settleTime, and makes sure that it is judged again by then.
+func (r *Records) settles(now time.Time, rec *record) bool {
+	due := rec.since().Add(settleTime)
+	if !now.Before(due) {
+		return false
+	}
+	if r.judgeAt.IsZero() || due.Before(r.judgeAt) {
+		r.judgeAt = due
+	}
+	return true
+}
+
+// since returns when this node learned of the first of the feature's crashes.
+func (r *record) since() time.Time {
+	var first time.Time
 	for _, e := range r.endpoints {
-		if !e.cleared.IsZero() {
-			continue
-		}
-		if from.IsZero() || e.learned.Before(from) {
-			from = e.learned
+		if e.cleared.IsZero() && (first.IsZero() || e.learned.Before(first)) {
+			first = e.learned
 		}
-		to = later(to, e.learned)
 	}
-	return to.Sub(from)
+	return first
 }
--- a/internal/crash/blame_test.go
+++ b/internal/crash/blame_test.go
@@ -30,9 +30,11 @@
 		crashes [][]crash.Feature
 		// served are features of requests that were served before.
 		served []crash.Feature
-		// pause is the time before the first end, and every that between two.
+		// pause is the time before the first end, every that between two, and after that
+		// from the last end to the question.
 		pause  time.Duration
 		every  time.Duration
+		after  time.Duration
 		blamed []string
 	}{
 		{name: "two ends", crashes: [][]crash.Feature{{deadly}, {deadly}}},
@@ -77,6 +79,11 @@
 			name:   "what was served before, if it goes on",
 			served: []crash.Feature{above}, pause: 10 * time.Second, every: 600 * time.Millisecond, crashes: [][]crash.Feature{{above}, {above}, {above}, {above}, {above}}, blamed: []string{"above"},
 		},
+		{
+			name:   "what was served before, some time after many ends at once",
+			served: []crash.Feature{above}, pause: 10 * time.Second, after: 2500 * time.Millisecond,
+			crashes: slices.Repeat([][]crash.Feature{{above}}, 40), blamed: []string{"above"},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r, now := newRecords(), began
@@ -90,6 +97,7 @@
 					r.Add(now, crash.Report{Feature: f, Endpoint: uint32(endpoint)}, true)
 				}
 			}
+			now = now.Add(c.after)
 			for name, f := range features {
 				blamed := r.Isolated(now, f).Left > 0
 				require.Equal(t, slices.Contains(c.blamed, name), blamed, name)
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -64,6 +64,8 @@
 		by     map[uint64]*record
 		// suspects are the features with maxCrashes or more.
 		suspects map[uint64]bool
+		// judgeAt is when an established feature is to be judged again, zero if none is.
+		judgeAt time.Time
 		// answered are the features of requests that were answered.
 		answered answered
 		// changed is when something was learned last.
@@ -217,6 +219,9 @@
 	if len(r.suspects) == 0 {
 		return longest
 	}
+	if !r.judgeAt.IsZero() && !now.Before(r.judgeAt) {
+		r.judge(now)
+	}
 	for _, f := range features {
 		if !r.suspects[f.ID] {
 			continue
