Remember cleared crashes that have made room for others

A record holds the crashes of 16 endpoints. If it is full, the crash that was cleared first makes room; nodes repeat their reports for two seconds, and one of a crash that had made room counted as a new one, so that a feature which answers had cleared came back with three crashes.

--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -68,6 +68,8 @@
 		judgeAt time.Time
 		// answered are the features of requests that were answered.
 		answered answered
+		// forgotten are cleared crashes that are no longer in the records.
+		forgotten forgotten
 		// changed is when something was learned last.
 		changed time.Time
 	}
@@ -110,8 +112,11 @@
 	if k.Age < 0 || k.Age >= recordTTL || own && innocent {
 		return r.Crashes(k.ID), false
 	}
+	if r.forgotten.has(sighting{k.ID, k.Endpoint}) {
+		return r.Crashes(k.ID), false
+	}
 	rec := r.record(now, k.Feature)
-	if rec.endpoints[k.Endpoint] != nil || !rec.hasRoom() {
+	if rec.endpoints[k.Endpoint] != nil || !r.makeRoom(k.ID, rec) {
 		return rec.crashes(), false
 	}
 	at := now.Add(-k.Age)
@@ -168,12 +173,12 @@
 
 // AddCleared adds a crash that another node has cleared.
 func (r *Records) AddCleared(now time.Time, k Report) {
-	if k.Age < 0 || k.Age >= recordTTL {
+	if k.Age < 0 || k.Age >= recordTTL || r.forgotten.has(sighting{k.ID, k.Endpoint}) {
 		return
 	}
 	rec := r.record(now, k.Feature)
 	e := rec.endpoints[k.Endpoint]
-	if e == nil && rec.hasRoom() {
+	if e == nil && r.makeRoom(k.ID, rec) {
 		e = &entry{at: now.Add(-k.Age), learned: now}
 		rec.endpoints[k.Endpoint] = e
 		rec.last = later(rec.last, e.at)
@@ -338,21 +343,25 @@
 	return n
 }
 
-// hasRoom reports whether there is room for another endpoint, after the one that was
-// cleared first has made room for it.
-func (r *record) hasRoom() bool {
-	if len(r.endpoints) < maxEndpoints {
+// makeRoom reports whether a feature's record has room for another endpoint, after the
+// one that was cleared first has been forgotten if need be.
+func (r *Records) makeRoom(id uint64, rec *record) bool {
+	if len(rec.endpoints) < maxEndpoints {
 		return true
 	}
 	var oldest uint32
 	var found *entry
-	for endpoint, e := range r.endpoints {
-		if !e.cleared.IsZero() && (found == nil || e.cleared.Before(found.cleared)) {
+	for endpoint, e := range rec.endpoints {
+		if e.cleared.IsZero() {
+			continue
+		}
+		if found == nil || cmp.Or(e.cleared.Compare(found.cleared), cmp.Compare(endpoint, oldest)) < 0 {
 			oldest, found = endpoint, e
 		}
 	}
 	if found != nil {
-		delete(r.endpoints, oldest)
+		delete(rec.endpoints, oldest)
+		r.forgotten.add(sighting{id, oldest})
 	}
 	return found != nil
 }
--- a/internal/crash/records_test.go
+++ b/internal/crash/records_test.go
@@ -194,3 +194,20 @@
 	r.Add(later, report(1), false)
 	require.Equal(t, 2, r.Crashes(request), "a repeated report does not count again")
 }
+
+// Guards against a request that is isolated by repeated reports of crashes that were
+// cleared, once these have made room for others.
+func TestRepeatedReportOfForgottenCrashDoesNotCount(t *testing.T) {
+	const endpoints = 40
+	r := newRecords()
+	for endpoint := range uint32(endpoints) {
+		r.Add(began, report(endpoint), false)
+		r.Served(began, began, request)
+	}
+	later := began.Add(2 * time.Second)
+	for endpoint := range uint32(endpoints) {
+		r.Add(later, report(endpoint), false)
+	}
+	require.Zero(t, r.Crashes(request))
+	require.Zero(t, isolation(r, later))
+}
