--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -115,7 +115,7 @@
 // endpoint has ended and whether it accepts connections.
 func (t *Tracker) broke(features []Feature, e *deployment.Endpoint) (ended, accepts bool) {
 	start := e.Start()
-	t.addUnproven(run{features: features, start: start, addr: e.Addr}, restartTime)
+	t.addUnproven(run{features: features, start: start, addr: e.Addr}, causeUnanswered, restartTime)
 	a := t.checks.ask(e, t.config.Deployment.Snapshot().Endpoints[e.Service])
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -125,8 +125,12 @@
 		t.ended(now, start)
 		return true, false
 	}
-	if a.refused {
+	switch {
+	case a.refused:
+		t.unproven.explain(features[0], start, causeNoWitness)
 		ended = t.endedAll(now, features, append(a.refusing, start))
+	case a.accepted:
+		t.unproven.explain(features[0], start, causeAccepted)
 	}
 	t.config.Metrics.checked(ended)
 	return ended, a.accepted
@@ -153,13 +157,13 @@
 // Silent records that a run was given up at an endpoint that sent nothing more. It
 // counts if the endpoint turns out to have ended then.
 func (t *Tracker) Silent(features []Feature, e *deployment.Endpoint) {
-	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, restartTime)
+	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, causeSilent, restartTime)
 }
 
 // Abandoned records that a run was given up because its caller left. It counts if
 // the endpoint ends just then.
 func (t *Tracker) Abandoned(features []Feature, e *deployment.Endpoint) {
-	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, abandonedTime)
+	t.addUnproven(run{features: features, start: e.Start(), addr: e.Addr}, causeCallerGone, abandonedTime)
 }
 
 // Ended records that an endpoint's process is no longer there.
@@ -228,18 +232,22 @@
 	return t.records.List(now)
 }
 
-func (t *Tracker) addUnproven(r run, keep time.Duration) {
+func (t *Tracker) addUnproven(r run, c cause, keep time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unproven.add(time.Now(), r, keep)
+	t.unproven.add(time.Now(), r, c, keep)
 }
 
 // ended counts the runs that broke shortly before their endpoint was found to have
 // ended.
 func (t *Tracker) ended(now time.Time, start deployment.Start) {
-	for _, f := range t.unproven.take(now, start) {
-		t.add(now, Report{Feature: f, Endpoint: start.Key()}, sourceSelf)
+	runs := t.unproven.take(now, start)
+	for _, r := range runs {
+		for _, f := range r.features {
+			t.add(now, Report{Feature: f, Endpoint: start.Key()}, sourceSelf)
+		}
 	}
+	t.resolved(now, start, runs, outcomeEnded)
 }
 
 func (t *Tracker) add(now time.Time, k Report, source string) {
@@ -264,7 +272,10 @@
 func (t *Tracker) upkeep(now time.Time) {
 	t.records.Expire(now)
 	snap := t.config.Deployment.Snapshot()
-	for _, start := range t.unproven.replaced(now, snap) {
+	for start, runs := range t.unproven.expire(now) {
+		t.resolved(now, start, runs, outcomeExpired)
+	}
+	for _, start := range t.unproven.replaced(snap) {
 		t.ended(now, start)
 	}
 	if age, known := t.config.Deployment.Age(); !known || age > freshFor || t.config.Deployment.Lapsing() > 0 || !t.records.Unverified(now) {
--- a/internal/crash/metrics.go
+++ b/internal/crash/metrics.go
@@ -28,3 +28,9 @@
 func (m *Metrics) crashed(own bool, s Scope) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`crashes_total{own="%t",kind=%q}`, own, s)).Inc()
 }
+
+// resolved counts a run whose endpoint's end was not proven at once, by the cause and by
+// what became of it.
+func (m *Metrics) resolved(c cause, o outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`unproven_runs_total{cause=%q,outcome=%q}`, c, o)).Inc()
+}
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -8,6 +8,21 @@
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
+// Causes why the end of a run's endpoint is not proven.
+const (
+	// causeAccepted means that the endpoint accepted a connection when it was asked: it
+	// runs, or another process has started at its address.
+	causeAccepted cause = "accepted"
+	// causeUnanswered means that the endpoint did not answer in time.
+	causeUnanswered cause = "unanswered"
+	// causeNoWitness means that the endpoint refused a connection, and that no other of
+	// its service accepted one.
+	causeNoWitness cause = "no-witness"
+	// causeCallerGone and causeSilent mean that the run was given up.
+	causeCallerGone cause = "caller-gone"
+	causeSilent     cause = "silent"
+)
+
 const (
 	// restartTime is how long after a broken run the endpoint's next start may
 	// appear.
@@ -20,6 +35,9 @@
 )
 
 type (
+	// cause is why the end of a run's endpoint is not proven.
+	cause string
+
 	// unproven are runs that broke or were given up, of endpoints that may have
 	// ended. A process may be restarted before it is asked, and a node that stood
 	// still asks late: the next start then accepts connections at the same address.
@@ -37,14 +55,16 @@
 	// brokenRun is a run that is kept until a time.
 	brokenRun struct {
 		features []Feature
+		broke    time.Time
 		until    time.Time
+		cause    cause
 	}
 )
 
 func newUnproven() *unproven { return &unproven{by: map[deployment.Start]*brokenRuns{}} }
 
 // add adds a run that broke now, unless there are too many.
-func (u *unproven) add(now time.Time, r run, keep time.Duration) {
+func (u *unproven) add(now time.Time, r run, c cause, keep time.Duration) {
 	if u.count >= maxUnproven {
 		u.expire(now)
 	}
@@ -60,7 +80,19 @@
 	if _, known := runs.latest[request]; !known {
 		u.count++
 	}
-	runs.latest[request] = brokenRun{features: r.features, until: later(runs.latest[request].until, now.Add(keep))}
+	runs.latest[request] = brokenRun{features: r.features, broke: now, until: later(runs.latest[request].until, now.Add(keep)), cause: c}
+}
+
+// explain records why the end of the endpoint of a request's run is not proven.
+func (u *unproven) explain(request Feature, start deployment.Start, c cause) {
+	runs := u.by[start]
+	if runs == nil {
+		return
+	}
+	if run, known := runs.latest[request.ID]; known {
+		run.cause = c
+		runs.latest[request.ID] = run
+	}
 }
 
 // has reports whether a run with a feature has recently broken at an endpoint.
@@ -89,16 +121,16 @@
 	}
 }
 
-// take removes the runs of an endpoint that has ended and returns their features.
-func (u *unproven) take(now time.Time, start deployment.Start) []Feature {
+// take removes the runs of an endpoint that has ended and returns them.
+func (u *unproven) take(now time.Time, start deployment.Start) []brokenRun {
 	runs := u.by[start]
 	if runs == nil {
 		return nil
 	}
-	var list []Feature
+	var list []brokenRun
 	for _, run := range runs.latest {
 		if now.Before(run.until) {
-			list = append(list, run.features...)
+			list = append(list, run)
 		}
 	}
 	u.count -= len(runs.latest)
@@ -106,10 +138,8 @@
 	return list
 }
 
-// replaced forgets old runs and returns the endpoints at whose addresses another
-// process has started.
-func (u *unproven) replaced(now time.Time, snap *deployment.Snapshot) []deployment.Start {
-	u.expire(now)
+// replaced returns the endpoints at whose addresses another process has started.
+func (u *unproven) replaced(snap *deployment.Snapshot) []deployment.Start {
 	if len(u.by) == 0 {
 		return nil
 	}
@@ -130,16 +160,20 @@
 	return list
 }
 
-func (u *unproven) expire(now time.Time) {
+// expire forgets old runs and returns them.
+func (u *unproven) expire(now time.Time) map[deployment.Start][]brokenRun {
+	expired := map[deployment.Start][]brokenRun{}
 	for start, runs := range u.by {
 		for request, run := range runs.latest {
 			if !now.Before(run.until) {
 				delete(runs.latest, request)
 				u.count--
+				expired[start] = append(expired[start], run)
 			}
 		}
 		if len(runs.latest) == 0 {
 			delete(u.by, start)
 		}
 	}
+	return expired
 }
