--- /dev/null
+++ b/internal/crash/unproven_test.go
@@ -0,0 +1,164 @@
+package crash_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bulrushhinge.example/bulrushhinge/internal/crash"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
+)
+
+type (
+	// paths are what a node finds at each address: endpoints accept connections unless
+	// they have ended or are silent.
+	paths struct{ ended, silent map[netip.AddrPort]bool }
+
+	// peers are nodes before one service, and report all that they learn to each other.
+	peers struct {
+		paths
+		deployment *fakeDeployment
+		trackers   []*crash.Tracker
+	}
+)
+
+// Probe implements crash.Prober.
+func (p *paths) Probe(ctx context.Context, addr netip.AddrPort) http1.ProbeResult {
+	switch {
+	case p.silent[addr]:
+		<-ctx.Done()
+		return http1.Unanswered
+	case p.ended[addr]:
+		return http1.Refused
+	}
+	return http1.Accepted
+}
+
+func newPeers(nodes, endpoints, silent int) *peers {
+	p := &peers{
+		paths:      paths{ended: map[netip.AddrPort]bool{}, silent: map[netip.AddrPort]bool{}},
+		deployment: &fakeDeployment{snapshot: &deployment.Snapshot{Endpoints: map[string][]*deployment.Endpoint{}}},
+	}
+	for i := range endpoints {
+		e := endpoint(i)
+		p.deployment.snapshot.Endpoints["s"] = append(p.deployment.snapshot.Endpoints["s"], e)
+		p.silent[e.Addr] = i >= endpoints-silent
+	}
+	for range nodes {
+		p.trackers = append(p.trackers, crash.NewTracker(crash.Config{Prober: &p.paths, Deployment: p.deployment}))
+	}
+	return p
+}
+
+// end ends endpoints at the same time.
+func (p *peers) end(list ...int) {
+	for _, n := range list {
+		p.ended[endpoint(n).Addr] = true
+	}
+}
+
+// exchange lets all nodes learn what the others know.
+func (p *peers) exchange() {
+	for range 2 {
+		for i, from := range p.trackers {
+			news := from.Recent(time.Now(), time.Time{})
+			for j, to := range p.trackers {
+				if i != j {
+					to.Add(time.Now(), news, "peer")
+				}
+			}
+		}
+	}
+}
+
+// isolated reports at how many nodes a request may not be sent.
+func (p *peers) isolated(id uint64) (n int) {
+	for _, t := range p.trackers {
+		if t.Isolated(whole(id)).Left > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a request that ends endpoints whose ends no single node can prove.
+func TestEndsThatNoNodeProvesByItself(t *testing.T) {
+	for _, c := range []struct {
+		name                     string
+		nodes, endpoints, silent int
+		do                       func(p *peers)
+	}{
+		{
+			name: "all of a service, runs at one node", nodes: 1, endpoints: 4,
+			do: func(p *peers) {
+				p.end(0, 1, 2, 3)
+				for i := range 4 {
+					p.trackers[0].Broke(whole(request), endpoint(i))
+				}
+			},
+		},
+		{
+			name: "all of a service, runs at two nodes", nodes: 2, endpoints: 4,
+			do: func(p *peers) {
+				p.end(0, 1, 2, 3)
+				for i := range 4 {
+					p.trackers[i/2].Broke(whole(request), endpoint(i))
+				}
+			},
+		},
+		{
+			name: "all of a service, one run at each of four nodes", nodes: 5, endpoints: 4,
+			do: func(p *peers) {
+				p.end(0, 1, 2, 3)
+				for i := range 4 {
+					p.trackers[i].Broke(whole(request), endpoint(i))
+				}
+			},
+		},
+		{
+			name: "most of a service silent, one endpoint accepts", nodes: 1, endpoints: 12, silent: 8,
+			do: func(p *peers) {
+				for i := range 3 {
+					p.end(i)
+					p.trackers[0].Broke(whole(request), endpoint(i))
+				}
+			},
+		},
+		{
+			name: "most of a service silent, all others end", nodes: 2, endpoints: 12, silent: 8,
+			do: func(p *peers) {
+				for i := range 4 {
+					p.end(i)
+					p.trackers[i%2].Broke(whole(request), endpoint(i))
+				}
+			},
+		},
+		{
+			name: "answered five seconds before, all but one end at once", nodes: 2, endpoints: 5,
+			do: func(p *peers) {
+				p.trackers[0].Served(whole(request), time.Now())
+				time.Sleep(5 * time.Second)
+				p.end(0, 1, 2, 3)
+				for i := range 4 {
+					p.trackers[0].Broke(whole(request), endpoint(i))
+				}
+				p.exchange()
+				time.Sleep(2500 * time.Millisecond)
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPeers(c.nodes, c.endpoints, c.silent)
+				c.do(p)
+				p.exchange()
+				require.Equal(t, c.nodes, p.isolated(request))
+			})
+		})
+	}
+}
