Compare broken runs with the endpoint list before each send

A next start in the platform's list proves that the endpoint before it has ended, which nodes looked for once a second: up to a second after they had sent the first request to the next start. In the record the four endpoints of a service end again within 0.5 s of their starts.

The runs are now compared whenever the list has changed, before the question whether a request may be sent is answered. TestNextStartCountsBeforeItsFirstRequest failed before.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -67,6 +67,8 @@
 		records  *Records
 		unproven *unproven
 		upkeepAt time.Time
+		// compared is the snapshot with which the broken runs were last compared.
+		compared *deployment.Snapshot
 	}
 
 	// run is a request's run at an endpoint.
@@ -190,7 +192,12 @@
 func (t *Tracker) Isolated(features []Feature) Isolation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.records.Isolated(time.Now(), features...)
+	now := time.Now()
+	// A next start must get no request before it has proven the end of the one before.
+	if snap := t.config.Deployment.Snapshot(); snap != t.compared {
+		t.compare(now, snap)
+	}
+	return t.records.Isolated(now, features...)
 }
 
 // Recent returns what this node has learned after since, for the other nodes. It is
@@ -275,9 +282,7 @@
 	for start, runs := range t.unproven.expire(now) {
 		t.resolved(now, start, runs, outcomeExpired)
 	}
-	for _, start := range t.unproven.replaced(snap) {
-		t.ended(now, start)
-	}
+	t.compare(now, snap)
 	if age, known := t.config.Deployment.Age(); !known || age > freshFor || t.config.Deployment.Lapsing() > 0 || !t.records.Unverified(now) {
 		return
 	}
@@ -290,6 +295,14 @@
 	t.records.Verify(now, func(endpoint uint32) bool { return listed[endpoint] })
 }
 
+// compare counts the runs that broke at endpoints which another process has replaced.
+func (t *Tracker) compare(now time.Time, snap *deployment.Snapshot) {
+	t.compared = snap
+	for _, start := range t.unproven.replaced(snap) {
+		t.ended(now, start)
+	}
+}
+
 // MarshalJSON implements json.Marshaler for state dumps.
 func (i Isolation) MarshalJSON() ([]byte, error) {
 	return json.Marshal(map[string]any{"print": i.Print(), "kind": i.Scope.String(), "crashes": i.Crashes, "left": i.Left.String()})
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -171,6 +172,22 @@
 	}
 }
 
+// Guards against a request that is sent to the next start of an endpoint before that
+// start has proven the end of the one before.
+func TestNextStartCountsBeforeItsFirstRequest(t *testing.T) {
+	tracker, _, d := newTracker(0)
+	for i := range 3 {
+		tracker.Broke(whole(request), endpoint(i))
+	}
+	tracker.Recent(time.Now(), time.Now())
+	next := &deployment.Snapshot{Endpoints: map[string][]*deployment.Endpoint{"s": slices.Clone(d.snapshot.Endpoints["s"])}}
+	d.snapshot = next
+	for i := range 3 {
+		d.replace(i)
+	}
+	require.Positive(t, tracker.Isolated(whole(request)).Left)
+}
+
 // Guards against crashes that are cleared because the platform's list is old.
 func TestOldListClearsNothing(t *testing.T) {
 	for _, c := range []struct {
