Ask all witnesses of an end side by side, each with its own time

After a run broke, the endpoint is asked for a connection, and if it refuses others of its service are, one after another within one timeout of 100 ms.

Two others are asked first, and if neither accepts a connection up to 14 more, side by side. A check takes 300 ms at most; usually the first witness accepts within a round trip.

--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -12,11 +12,14 @@
 )
 
 const (
-	// checkTimeout bounds the question whether an endpoint has ended: some round
-	// trips between availability zones.
+	// checkTimeout bounds each question whether an endpoint accepts connections: some
+	// round trips between availability zones.
 	checkTimeout = 100 * time.Millisecond
-	// maxAsked is how many other endpoints of the service are asked at most.
-	maxAsked = 4
+	// firstAsked is how many other endpoints of the service are asked first, and
+	// maxAsked how many in all if none of these accepts a connection: most of a service
+	// may be silent.
+	firstAsked = 2
+	maxAsked   = 16
 )
 
 type (
@@ -75,7 +78,7 @@
 	defer cancel()
 	switch c.prober.Probe(ctx, e.Addr) {
 	case http1.Refused:
-		current.answer = c.askOthers(ctx, e, others)
+		current.answer = c.askOthers(e, others)
 	case http1.Accepted:
 		current.answer.accepted = true
 	}
@@ -87,24 +90,40 @@
 }
 
 // askOthers asks other endpoints than one that has refused a connection.
-func (c *checks) askOthers(ctx context.Context, e *deployment.Endpoint, list []*deployment.Endpoint) answer {
-	a := answer{refused: true}
+func (c *checks) askOthers(e *deployment.Endpoint, list []*deployment.Endpoint) answer {
+	var others []*deployment.Endpoint
 	for _, i := range rand.Perm(len(list)) {
-		other := list[i]
-		if other.Addr == e.Addr || other.Replaced {
-			continue
-		}
-		if c.prober.Probe(ctx, other.Addr) == http1.Accepted {
-			a.reached = true
-			return a
+		if other := list[i]; other.Addr != e.Addr && !other.Replaced && len(others) < maxAsked {
+			others = append(others, other)
 		}
-		if a.refusing = append(a.refusing, other.Start()); len(a.refusing) == maxAsked {
-			break
+	}
+	first := min(len(others), firstAsked)
+	a := answer{refused: true}
+	a.reached = c.anyAccepts(others[:first]) || c.anyAccepts(others[first:])
+	if !a.reached {
+		for _, other := range others {
+			a.refusing = append(a.refusing, other.Start())
 		}
 	}
 	return a
 }
 
+// anyAccepts asks endpoints side by side, and reports whether one accepts a connection.
+func (c *checks) anyAccepts(list []*deployment.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	results := make(chan http1.ProbeResult, len(list))
+	for _, e := range list {
+		go func() { results <- c.prober.Probe(ctx, e.Addr) }()
+	}
+	for range list {
+		if <-results == http1.Accepted {
+			return true
+		}
+	}
+	return false
+}
+
 // join returns the endpoint's check, and whether another run has begun it.
 func (c *checks) join(start deployment.Start) (current *check, joined bool) {
 	c.mu.Lock()
--- a/internal/crash/unproven_test.go
+++ b/internal/crash/unproven_test.go
@@ -157,6 +157,7 @@
 				p := newPeers(c.nodes, c.endpoints, c.silent)
 				c.do(p)
 				p.exchange()
+				synctest.Wait()
 				require.Equal(t, c.nodes, p.isolated(request))
 			})
 		})
