Report ends that are not proven, and hold what three of them accuse

Callers sent a request to the next starts of a small service although it had ended all of them three seconds before. While all endpoints of a service refuse connections no node has a witness, and each one knows only the runs that broke at itself: it dropped what it could not prove, and asked once.

A feature with three ends, proven or such, is held after 0.3 s for ten seconds at most: no node sends it, until the next starts in the list prove the ends (it is isolated), or a node is connected to the endpoint after the report (it is released at all nodes). Some of the nodes ask the endpoint for that. Features that are answered somewhere are cleared as before. In the waiting time nothing is lost: a service of which no endpoint accepts connections serves nobody.

--- a/gateway.go
+++ b/gateway.go
@@ -166,7 +166,7 @@
 	nodes := func() int { return g.gossip.View().Known }
 	g.balancer = balance.New(balance.Config{Loads: peerLoads{gateway: g}, Zone: c.Zone, LoadFactor: c.LoadCap, Nodes: nodes, Announce: func() { g.gossip.Announce() }})
 	g.pool = http1.NewPool(http1.PoolConfig{RequestID: c.Headers.RequestID, Opened: g.metrics.Opened, Dialer: c.Dialer})
-	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Metrics: g.crashMetrics, Log: g.log})
+	g.crashes = crash.NewTracker(crash.Config{Prober: g.pool, Deployment: g.state, Nodes: nodes, Metrics: g.crashMetrics, Log: g.log})
 	g.reach = reach.NewTracker(reach.Config{Prober: g.pool, Deployment: g.state, Changed: g.serviceChanged, Metrics: g.reachMetrics, Log: g.log})
 	var err error
 	// The gossip may call for a reread before the follower exists.
@@ -279,6 +279,7 @@
 	g.gossip.Close()
 	g.running.Wait()
 	g.reach.Close()
+	g.crashes.Close()
 	errs = append(errs, g.handovers.client.Close())
 	g.state.Close()
 	g.pool.Close()
--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// suspect is a feature with maxCrashes or more.
+// suspect is a feature with maxCrashes ends or more.
 type suspect struct {
 	id  uint64
 	rec *record
@@ -31,7 +31,7 @@
 	var blamed []suspect
 	for _, s := range r.ranking(now) {
 		s.rec.blamed = false
-		if s.established && r.settles(now, s.rec) || explained(s, blamed) {
+		if r.settles(now, s) || explained(s, blamed) {
 			continue
 		}
 		blamed = append(blamed, s)
@@ -61,7 +61,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(b.rec.crashes()-a.rec.crashes(), cmp.Compare(a.rec.scope, b.rec.scope), cmp.Compare(a.id, b.id))
+		return cmp.Or(b.rec.ends()-a.rec.ends(), cmp.Compare(a.rec.scope, b.rec.scope), cmp.Compare(a.id, b.id))
 	})
 	return list
 }
@@ -69,7 +69,7 @@
 // explained reports whether each crash of a feature is also one of some others.
 func explained(s suspect, others []suspect) bool {
 	for endpoint, e := range s.rec.endpoints {
-		if e.cleared.IsZero() && !slices.ContainsFunc(others, func(o suspect) bool { return o.rec.has(endpoint) }) {
+		if e.counts() && !slices.ContainsFunc(others, func(o suspect) bool { return o.rec.has(endpoint) }) {
 			return false
 		}
 	}
@@ -79,13 +79,22 @@
 // has reports whether the feature has a crash at an endpoint that was not cleared.
 func (r *record) has(endpoint uint32) bool {
 	e := r.endpoints[endpoint]
-	return e != nil && e.cleared.IsZero()
+	return e != nil && e.counts()
 }
 
-// settles reports whether the crashes of an established feature have not gone on for
-// settleTime, and makes sure that it is judged again by then.
-func (r *Records) settles(now time.Time, rec *record) bool {
-	due := rec.since().Add(settleTime)
+// settles reports whether it is too early to blame a feature, and makes sure that it is
+// judged again in time. The crashes of an established feature have to go on for
+// settleTime. Ends that are not proven have to be known for holdDelay: a node that is
+// connected to the endpoint has as much time to report that.
+func (r *Records) settles(now time.Time, s suspect) bool {
+	var delay time.Duration
+	switch {
+	case s.established:
+		delay = settleTime
+	case s.rec.crashes() < maxCrashes:
+		delay = holdDelay
+	}
+	due := s.rec.since().Add(delay)
 	if !now.Before(due) {
 		return false
 	}
@@ -99,7 +108,7 @@
 func (r *record) since() time.Time {
 	var first time.Time
 	for _, e := range r.endpoints {
-		if e.cleared.IsZero() && (first.IsZero() || e.learned.Before(first)) {
+		if e.counts() && (first.IsZero() || e.learned.Before(first)) {
 			first = e.learned
 		}
 	}
--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -47,10 +47,10 @@
 		// refused says that the endpoint refuses connections, accepted that it accepts
 		// them.
 		refused, accepted bool
-		// reached says that another endpoint of its service accepts them, and
-		// refusing are those that were asked and do not.
-		reached  bool
-		refusing []deployment.Start
+		// reached says that another endpoint of its service accepts them. Otherwise
+		// unreached are those that were asked, and refusing those of them that refused.
+		reached             bool
+		unreached, refusing []deployment.Start
 	}
 )
 
@@ -99,27 +99,31 @@
 	}
 	first := min(len(others), firstAsked)
 	a := answer{refused: true}
-	a.reached = c.anyAccepts(others[:first]) || c.anyAccepts(others[first:])
-	if !a.reached {
-		for _, other := range others {
-			a.refusing = append(a.refusing, other.Start())
-		}
-	}
+	a.reached = c.anyAccepts(&a, others[:first]) || c.anyAccepts(&a, others[first:])
 	return a
 }
 
 // anyAccepts asks endpoints side by side, and reports whether one accepts a connection.
-func (c *checks) anyAccepts(list []*deployment.Endpoint) bool {
+func (c *checks) anyAccepts(a *answer, list []*deployment.Endpoint) bool {
+	type asked struct {
+		start  deployment.Start
+		result http1.ProbeResult
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	results := make(chan http1.ProbeResult, len(list))
+	results := make(chan asked, len(list))
 	for _, e := range list {
-		go func() { results <- c.prober.Probe(ctx, e.Addr) }()
+		go func() { results <- asked{start: e.Start(), result: c.prober.Probe(ctx, e.Addr)} }()
 	}
 	for range list {
-		if <-results == http1.Accepted {
+		r := <-results
+		if r.result == http1.Accepted {
 			return true
 		}
+		a.unreached = append(a.unreached, r.start)
+		if r.result == http1.Refused {
+			a.refusing = append(a.refusing, r.start)
+		}
 	}
 	return false
 }
--- /dev/null
+++ b/internal/crash/contact.go
@@ -0,0 +1,208 @@
+package crash
+
+import (
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// contactTTL is how long it is remembered that an endpoint refused connections or
+	// accepted one.
+	contactTTL = 30 * time.Second
+	// lateReports is how long reports of an end that is not proven are ignored after a
+	// node was connected to the endpoint: they are repeated for repeatTime.
+	lateReports = repeatTime + time.Second
+)
+
+type (
+	// contacts are the endpoints that refuse connections to nodes, by the Key of their
+	// start, and those to which one was connected since.
+	contacts struct{ by map[uint32]*contact }
+
+	contact struct {
+		// refusedAt is when this node learned that the endpoint refuses connections, zero
+		// if a node was connected to it since.
+		refusedAt time.Time
+		// here and elsewhere say that it refuses them to this node and to another one,
+		// and confirmedAt is since when two nodes are known.
+		here, elsewhere bool
+		confirmedAt     time.Time
+		// asked says that it was to be asked at some of the nodes.
+		asked bool
+		// reachedAt is when this node learned that one was connected to it, and own says
+		// that it was this one.
+		reachedAt time.Time
+		own       bool
+	}
+)
+
+// Features of reports on an endpoint, whatever it ran.
+var (
+	noFeature = Feature{}
+	// confirmation says that the endpoint refuses connections to two nodes.
+	confirmation = Feature{Scope: confirmedScope}
+)
+
+func newContacts() *contacts { return &contacts{by: map[uint32]*contact{}} }
+
+// mayRefuse reports whether another node's report that an endpoint refuses connections
+// counts: not if a node was connected to it just before.
+func (c *contacts) mayRefuse(now time.Time, endpoint uint32) bool {
+	k := c.by[endpoint]
+	return k == nil || now.Sub(k.reachedAt) >= lateReports
+}
+
+// refused records that an endpoint refuses connections to this node or to another one,
+// and reports whether two are known now and were not before.
+func (c *contacts) refused(now time.Time, endpoint uint32, here bool) (confirmed bool) {
+	k := c.by[endpoint]
+	if k == nil {
+		k = &contact{}
+		c.by[endpoint] = k
+	}
+	if k.refusedAt.IsZero() {
+		k.refusedAt = now
+	}
+	k.here, k.elsewhere = k.here || here, k.elsewhere || !here
+	return k.here && k.elsewhere && c.confirm(now, endpoint)
+}
+
+// confirm records that an endpoint refuses connections to two nodes, and reports whether
+// that is new.
+func (c *contacts) confirm(now time.Time, endpoint uint32) bool {
+	k := c.by[endpoint]
+	if k == nil || !k.confirmedAt.IsZero() {
+		return false
+	}
+	k.confirmedAt = now
+	return true
+}
+
+// mayAsk reports whether an endpoint is to be asked, once after it has begun to refuse
+// connections.
+func (c *contacts) mayAsk(endpoint uint32) bool {
+	k := c.by[endpoint]
+	if k == nil || k.asked {
+		return false
+	}
+	k.asked = true
+	return true
+}
+
+// reached records that a node was connected to an endpoint that refused connections.
+func (c *contacts) reached(now time.Time, endpoint uint32, own bool) {
+	if c.by[endpoint] != nil {
+		c.by[endpoint] = &contact{reachedAt: now, own: own}
+	}
+}
+
+// refusing reports whether an endpoint has refused connections since before a time, and
+// no node was connected to it since.
+func (c *contacts) refusing(endpoint uint32, before time.Time) bool {
+	k := c.by[endpoint]
+	return k != nil && !k.refusedAt.IsZero() && k.refusedAt.Before(before)
+}
+
+// addRecent adds the reports of the endpoints that refuse connections to this node, and
+// of those to which it was connected since.
+func (c *contacts) addRecent(now time.Time, n *News) {
+	for endpoint, k := range c.by {
+		if k.here && now.Sub(k.refusedAt) < repeatTime && len(n.Unproven) < 2*maxRecent {
+			n.Unproven = append(n.Unproven, Report{Endpoint: endpoint, Unproven: true})
+		}
+		if k.here && k.elsewhere && now.Sub(k.confirmedAt) < repeatTime && len(n.Unproven) < 2*maxRecent {
+			n.Unproven = append(n.Unproven, Report{Feature: confirmation, Endpoint: endpoint, Unproven: true})
+		}
+		if k.own && now.Sub(k.reachedAt) < repeatTime && len(n.Cleared) < 2*maxRecent {
+			n.Cleared = append(n.Cleared, Report{Endpoint: endpoint})
+		}
+	}
+}
+
+// expire forgets what is long ago.
+func (c *contacts) expire(now time.Time) {
+	for endpoint, k := range c.by {
+		if now.Sub(later(later(k.refusedAt, k.confirmedAt), k.reachedAt)) >= contactTTL {
+			delete(c.by, endpoint)
+		}
+	}
+}
+
+// Reached records that an endpoint has answered a request that was sent to it at a time.
+// If it was reported since before then to refuse connections, it has not ended.
+func (t *Tracker) Reached(e *deployment.Endpoint, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if key := e.Start().Key(); t.contacts.refusing(key, sent) {
+		t.reached(time.Now(), key, sourceSelf)
+	}
+}
+
+// reached records that a node was connected to an endpoint.
+func (t *Tracker) reached(now time.Time, endpoint uint32, source string) {
+	t.contacts.reached(now, endpoint, source == sourceSelf)
+	if n := t.records.Reached(now, endpoint); n > 0 {
+		t.config.Log.Event("crash.refuted", decision.Fields{"endpoint": endpoint, "features": n, "source": source})
+	}
+}
+
+// Refused records that an endpoint has refused a connection. Runs that broke or were
+// given up there shortly before may have ended it.
+func (t *Tracker) Refused(e *deployment.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refused(time.Now(), e.Start().Key(), true)
+}
+
+// refused records that an endpoint refuses connections to this node or to another one,
+// and reports the runs that broke there.
+func (t *Tracker) refused(now time.Time, endpoint uint32, here bool) {
+	if t.contacts.refused(now, endpoint, here) {
+		t.records.Confirm(now, endpoint)
+	}
+	t.reportRuns(now, endpoint)
+}
+
+// reportRuns reports the runs that broke at an endpoint that refuses connections.
+func (t *Tracker) reportRuns(now time.Time, endpoint uint32) {
+	for _, r := range t.unproven.renew(now, endpoint) {
+		for _, f := range r.features {
+			t.add(now, Report{Feature: f, Endpoint: endpoint, Age: now.Sub(r.broke), Unproven: true}, sourceSelf)
+		}
+	}
+}
+
+// addUnprovenEnd adds another node's report that an endpoint refuses connections.
+func (t *Tracker) addUnprovenEnd(now time.Time, k Report, source string) {
+	if !t.contacts.mayRefuse(now, k.Endpoint) {
+		return
+	}
+	t.refused(now, k.Endpoint, false)
+	switch k.Feature {
+	case noFeature:
+	case confirmation:
+		if t.contacts.confirm(now, k.Endpoint) {
+			t.records.Confirm(now, k.Endpoint)
+		}
+	default:
+		if t.contacts.mayAsk(k.Endpoint) {
+			t.ask(k.Endpoint)
+		}
+		k.Unproven = true
+		t.add(now, k, source)
+	}
+}
+
+// logHeld logs an end that is not proven.
+func (t *Tracker) logHeld(now time.Time, k Report, source string) {
+	i := t.records.Isolated(now, k.Feature)
+	if i.Left == 0 && (source != sourceSelf || k.Scope != WholeRequest) {
+		return
+	}
+	t.config.Log.Event("crash.suspected", decision.Fields{
+		"print": k.Print(), "kind": k.Scope.String(), "endpoint": k.Endpoint, "crashes": i.Crashes, "source": source, "age_ms": k.Age.Milliseconds(),
+		"held_ms": i.Left.Milliseconds(),
+	})
+}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -54,8 +54,11 @@
 	Config struct {
 		Prober     Prober
 		Deployment Deployment
-		Metrics    *Metrics
-		Log        *decision.Log
+		// Nodes returns how many nodes there are; nil means that this one does not ask
+		// endpoints of which others report ends that are not proven.
+		Nodes   func() int
+		Metrics *Metrics
+		Log     *decision.Log
 	}
 
 	// Tracker counts the endpoints that ended under each feature. It is safe for
@@ -66,6 +69,8 @@
 		mu       sync.Mutex
 		records  *Records
 		unproven *unproven
+		contacts *contacts
+		witness  witness
 		upkeepAt time.Time
 		// compared is the snapshot with which the broken runs were last compared.
 		compared *deployment.Snapshot
@@ -85,10 +90,14 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
-	return &Tracker{
+	t := &Tracker{
 		config: c, checks: checks{prober: c.Prober, by: map[deployment.Start]*check{}},
-		records: NewRecords(RecordsConfig{Draw: rand.Float64}), unproven: newUnproven(),
+		records: NewRecords(RecordsConfig{Draw: rand.Float64}), unproven: newUnproven(), contacts: newContacts(),
 	}
+	if c.Nodes != nil {
+		t.startWitness()
+	}
+	return t
 }
 
 // Broke records that the endpoint closed the connection of a run, and returns whether
@@ -130,7 +139,11 @@
 	switch {
 	case a.refused:
 		t.unproven.explain(features[0], start, causeNoWitness)
-		ended = t.endedAll(now, features, append(a.refusing, start))
+		for _, other := range a.refusing {
+			t.refused(now, other.Key(), true)
+		}
+		ended = t.endedAll(now, features, append(slices.Clone(a.unreached), start))
+		t.refused(now, start.Key(), true)
 	case a.accepted:
 		t.unproven.explain(features[0], start, causeAccepted)
 	}
@@ -209,7 +222,9 @@
 		t.upkeepAt = now
 		t.upkeep(now)
 	}
-	return t.records.Recent(now, since)
+	news := t.records.Recent(now, since)
+	t.contacts.addRecent(now, &news)
+	return news
 }
 
 // Known returns the crashes of suspected requests, for nodes that may have missed
@@ -225,11 +240,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, k := range n.Cleared {
+		if k.Feature == noFeature {
+			t.reached(now, k.Endpoint, source)
+			continue
+		}
 		t.records.AddCleared(now, k)
 	}
 	for _, k := range n.Crashes {
 		t.add(now, k, source)
 	}
+	for _, k := range n.Unproven {
+		t.addUnprovenEnd(now, k, source)
+	}
 }
 
 // List returns the isolations in force, for operators.
@@ -242,7 +264,11 @@
 func (t *Tracker) addUnproven(r run, c cause, keep time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unproven.add(time.Now(), r, c, keep)
+	now := time.Now()
+	t.unproven.add(now, r, c, keep)
+	if key := r.start.Key(); t.contacts.refusing(key, now) {
+		t.reportRuns(now, key)
+	}
 }
 
 // ended counts the runs that broke shortly before their endpoint was found to have
@@ -262,6 +288,10 @@
 	if !added {
 		return
 	}
+	if k.Unproven {
+		t.logHeld(now, k, source)
+		return
+	}
 	t.config.Metrics.crashed(source == sourceSelf, k.Scope)
 	if (source != sourceSelf || k.Scope != WholeRequest) && crashes < suspected {
 		return
@@ -278,6 +308,7 @@
 // upkeep forgets old records, and compares newer ones with the list of endpoints.
 func (t *Tracker) upkeep(now time.Time) {
 	t.records.Expire(now)
+	t.contacts.expire(now)
 	snap := t.config.Deployment.Snapshot()
 	for start, runs := range t.unproven.expire(now) {
 		t.resolved(now, start, runs, outcomeExpired)
--- a/internal/crash/feature.go
+++ b/internal/crash/feature.go
@@ -6,6 +6,10 @@
 	// WholeRequest is the Scope of a whole request, of which callers send copies.
 	WholeRequest Scope = 0
 
+	// confirmedScope marks the report without a feature of an endpoint that refuses
+	// connections to two nodes.
+	confirmedScope Scope = 1
+
 	// maxDepth is the depth from which on parts count as equally deep.
 	maxDepth = 126
 	// firstAccountPart and firstPart are the Scopes of the first part of a prompt,
--- a/internal/crash/news.go
+++ b/internal/crash/news.go
@@ -19,15 +19,20 @@
 	News struct {
 		Crashes []Report
 		// Cleared are crashes that the feature did not cause: a request with it was
-		// served since, or shortly before.
+		// served since, or shortly before. One without a feature says that a node is
+		// connected to the endpoint, so that ends of it that are not proven did not
+		// happen.
 		Cleared []Report
+		// Unproven are ends that are not proven. One without a feature says that the
+		// endpoint refuses connections to a node, whatever it ran, or to two nodes.
+		Unproven []Report
 	}
 
 	// ranked is a report with what its order depends on.
 	ranked struct {
 		report  Report
-		crashes int
-		learned time.Time
+		ends    int
+		changed time.Time
 		entry   *entry
 	}
 )
@@ -42,20 +47,23 @@
 	if r.changed.Before(since) {
 		return News{}
 	}
-	var crashes, cleared []ranked
+	var crashes, cleared, unproven []ranked
 	for id, rec := range r.by {
-		n := rec.crashes()
+		n := rec.ends()
 		for endpoint, e := range rec.endpoints {
 			k := rec.ranked(now, id, endpoint, n)
 			switch {
 			case e.toldCleared && !e.cleared.Before(since):
 				cleared = append(cleared, k)
-			case e.cleared.IsZero() && !e.learned.Before(since) && (e.own || n >= suspected):
+			case !e.cleared.IsZero() || e.changed.Before(since) || !e.own && n < suspected:
+			case e.unproven:
+				unproven = append(unproven, k)
+			default:
 				crashes = append(crashes, k)
 			}
 		}
 	}
-	return News{Crashes: first(crashes, maxRecent), Cleared: first(cleared, maxRecent)}
+	return News{Crashes: first(crashes, maxRecent), Cleared: first(cleared, maxRecent), Unproven: first(unproven, maxRecent)}
 }
 
 // Known returns the crashes of suspected features, for nodes that may have missed
@@ -63,12 +71,12 @@
 func (r *Records) Known(now time.Time) News {
 	var list []ranked
 	for id, rec := range r.by {
-		n := rec.crashes()
+		n := rec.ends()
 		if n < suspected {
 			continue
 		}
 		for endpoint, e := range rec.endpoints {
-			if e.cleared.IsZero() {
+			if e.cleared.IsZero() && !e.unproven {
 				list = append(list, rec.ranked(now, id, endpoint, n))
 			}
 		}
@@ -77,11 +85,11 @@
 }
 
 // ranked returns a report of the feature's crash at an endpoint with its rank.
-func (r *record) ranked(now time.Time, id uint64, endpoint uint32, crashes int) ranked {
+func (r *record) ranked(now time.Time, id uint64, endpoint uint32, ends int) ranked {
 	e := r.endpoints[endpoint]
 	return ranked{
-		report:  Report{Feature: Feature{ID: id, Scope: r.scope}, Endpoint: endpoint, Age: e.age(now)},
-		crashes: crashes, learned: e.learned, entry: e,
+		report: Report{Feature: Feature{ID: id, Scope: r.scope}, Endpoint: endpoint, Age: e.age(now), Unproven: e.unproven},
+		ends:   ends, changed: e.changed, entry: e,
 	}
 }
 
@@ -99,7 +107,7 @@
 
 func compareRanked(a, b ranked) int {
 	return cmp.Or(
-		b.crashes-a.crashes, a.entry.sent-b.entry.sent, b.learned.Compare(a.learned),
+		b.ends-a.ends, a.entry.sent-b.entry.sent, b.changed.Compare(a.changed),
 		cmp.Compare(a.report.ID, b.report.ID), cmp.Compare(a.report.Endpoint, b.report.Endpoint),
 	)
 }
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -26,6 +27,13 @@
 	// learns of a feature. Of fewer only the nodes that saw them report: most
 	// requests at an endpoint that ends merely shared it.
 	suspected = 2
+	// holdTime is how long a feature is held after an end that is not proven: as long as
+	// it may take the platform to list the endpoint's next start, and more.
+	holdTime = 2 * restartTime
+	// holdDelay is how long three ends that are not proven must be known before that.
+	holdDelay = 300 * time.Millisecond
+	// renewInterval is how often at most the report of such an end is renewed.
+	renewInterval = time.Second
 	// verifyAfter is when a crash is compared with the platform's list of endpoints,
 	// which by then no longer has a process that has ended.
 	verifyAfter = 10 * time.Second
@@ -39,6 +47,9 @@
 		Endpoint uint32
 		// Age is how long ago the endpoint ended.
 		Age time.Duration
+		// Unproven says that the endpoint refuses connections to a node, which does not
+		// prove that it ended.
+		Unproven bool
 	}
 
 	// RecordsConfig configures Records.
@@ -52,6 +63,8 @@
 		Feature
 		// Crashes is how many endpoints ended under the feature.
 		Crashes int
+		// Held says that it takes ends which are not proven to make them maxCrashes.
+		Held bool
 		// Left is how long the isolation lasts, 0 if there is none.
 		Left time.Duration
 	}
@@ -62,12 +75,15 @@
 	Records struct {
 		config RecordsConfig
 		by     map[uint64]*record
-		// suspects are the features with maxCrashes or more.
+		// suspects are the features with maxCrashes ends or more.
 		suspects map[uint64]bool
 		// judgeAt is when an established feature is to be judged again, zero if none is.
 		judgeAt time.Time
 		// answered are the features of requests that were answered.
 		answered answered
+		// confirmed is since when two nodes are known to be refused connections by each
+		// endpoint.
+		confirmed map[uint32]time.Time
 		// forgotten are cleared crashes that are no longer in the records.
 		forgotten forgotten
 		// changed is when something was learned last.
@@ -85,9 +101,17 @@
 	}
 
 	entry struct {
-		// at is when the endpoint ended, and learned when this node learned it.
+		// at is when the endpoint ended, learned when this node learned it, and changed
+		// when it learned what others should know as well.
 		at      time.Time
 		learned time.Time
+		changed time.Time
+		// unproven says that the end is not proven, and renewed when that was last
+		// reported.
+		unproven bool
+		renewed  time.Time
+		// confirmed says that two nodes are refused connections by the endpoint.
+		confirmed bool
 		// own says that this node saw it, and sent how often it has reported it.
 		own  bool
 		sent int
@@ -102,7 +126,7 @@
 
 // NewRecords returns empty Records.
 func NewRecords(c RecordsConfig) *Records {
-	return &Records{config: c, by: map[uint64]*record{}, suspects: map[uint64]bool{}}
+	return &Records{config: c, by: map[uint64]*record{}, suspects: map[uint64]bool{}, confirmed: map[uint32]time.Time{}}
 }
 
 // Add adds a crash and returns the number of the feature's crashes, and whether the
@@ -116,11 +140,15 @@
 		return r.Crashes(k.ID), false
 	}
 	rec := r.record(now, k.Feature)
-	if rec.endpoints[k.Endpoint] != nil || !r.makeRoom(k.ID, rec) {
+	if e := rec.endpoints[k.Endpoint]; e != nil {
+		proven := r.update(now, k, own, rec, e)
+		return rec.crashes(), proven
+	}
+	if !r.makeRoom(k.ID, rec) {
 		return rec.crashes(), false
 	}
 	at := now.Add(-k.Age)
-	e := &entry{at: at, learned: now, own: own}
+	e := &entry{at: at, learned: now, changed: now, own: own, unproven: k.Unproven, renewed: now, confirmed: r.isConfirmed(k.Endpoint)}
 	rec.endpoints[k.Endpoint] = e
 	if innocent {
 		rec.vouch(now, e)
@@ -131,6 +159,24 @@
 	return rec.crashes(), true
 }
 
+// update records another report of a known end, and returns whether it proves it.
+func (r *Records) update(now time.Time, k Report, own bool, rec *record, e *entry) (proven bool) {
+	switch {
+	case !e.unproven, k.Unproven && now.Sub(e.renewed) < renewInterval:
+		return false
+	case !k.Unproven:
+		e.unproven, e.own, e.changed, e.sent = false, e.own || own, now, 0
+	default:
+		e.renewed = now
+		if own {
+			e.own, e.changed, e.sent = true, now, 0
+		}
+	}
+	r.changed = now
+	r.isolate(now, k.ID, rec)
+	return !e.unproven
+}
+
 // vouch clears a crash of a feature that was answered here just before. Others need to
 // know once they suspect the feature.
 func (r *record) vouch(now time.Time, e *entry) {
@@ -150,15 +196,15 @@
 func (r *Records) isolate(now time.Time, id uint64, rec *record) {
 	n := rec.crashes()
 	if n < maxCrashes {
-		rec.until = time.Time{}
+		rec.until = rec.renewed().Add(holdTime)
 	} else {
 		isolation := isolationTime << min(n-maxCrashes, maxDoublings)
 		rec.until = rec.last.Add(isolation + time.Duration(r.config.Draw()*float64(isolation)))
 	}
-	r.suspect(now, id, n >= maxCrashes)
+	r.suspect(now, id, rec.ends() >= maxCrashes)
 }
 
-// suspect records whether a feature has maxCrashes or more, after a change of them.
+// suspect records whether a feature has maxCrashes ends or more, after a change of them.
 func (r *Records) suspect(now time.Time, id uint64, on bool) {
 	if !on && !r.suspects[id] {
 		return
@@ -179,7 +225,7 @@
 	rec := r.record(now, k.Feature)
 	e := rec.endpoints[k.Endpoint]
 	if e == nil && r.makeRoom(k.ID, rec) {
-		e = &entry{at: now.Add(-k.Age), learned: now}
+		e = &entry{at: now.Add(-k.Age), learned: now, changed: now}
 		rec.endpoints[k.Endpoint] = e
 		rec.last = later(rec.last, e.at)
 	}
@@ -233,7 +279,8 @@
 		}
 		rec := r.by[f.ID]
 		if left := rec.until.Sub(now); rec.blamed && left > longest.Left {
-			longest = Isolation{Feature: Feature{ID: f.ID, Scope: rec.scope}, Crashes: rec.crashes(), Left: left}
+			n := rec.crashes()
+			longest = Isolation{Feature: Feature{ID: f.ID, Scope: rec.scope}, Crashes: n, Held: n < maxCrashes, Left: left}
 		}
 	}
 	return longest
@@ -270,9 +317,46 @@
 	return false
 }
 
-// Expire forgets features whose latest crash is long ago.
+// Confirm records that two nodes are refused connections by an endpoint: ends of it that
+// are not proven count from now on.
+func (r *Records) Confirm(now time.Time, endpoint uint32) {
+	r.confirmed[endpoint] = now
+	for id, rec := range r.by {
+		if e := rec.endpoints[endpoint]; e != nil && e.unproven && !e.confirmed {
+			e.confirmed, e.learned = true, now
+			r.isolate(now, id, rec)
+		}
+	}
+}
+
+func (r *Records) isConfirmed(endpoint uint32) bool {
+	_, known := r.confirmed[endpoint]
+	return known
+}
+
+// Reached forgets the ends of an endpoint that are not proven: a node was connected to
+// it since they were reported. It returns how many features had one.
+func (r *Records) Reached(now time.Time, endpoint uint32) int {
+	n := 0
+	delete(r.confirmed, endpoint)
+	for id, rec := range r.by {
+		if e := rec.endpoints[endpoint]; e != nil && e.unproven {
+			delete(rec.endpoints, endpoint)
+			r.isolate(now, id, rec)
+			n++
+		}
+	}
+	return n
+}
+
+// Expire forgets features whose latest crash is long ago, and ends that were never
+// proven.
 func (r *Records) Expire(now time.Time) {
+	maps.DeleteFunc(r.confirmed, func(_ uint32, at time.Time) bool { return now.Sub(at) >= contactTTL })
 	for id, rec := range r.by {
+		if rec.expireUnproven(now) {
+			r.isolate(now, id, rec)
+		}
 		if now.Sub(later(rec.last, rec.until)) > recordTTL {
 			r.forget(now, id)
 		}
@@ -316,7 +400,7 @@
 	r.Expire(now)
 	list := make([]ranked, 0, len(r.by))
 	for id, rec := range r.by {
-		list = append(list, ranked{report: Report{Feature: Feature{ID: id}}, crashes: rec.crashes(), learned: rec.last, entry: &entry{}})
+		list = append(list, ranked{report: Report{Feature: Feature{ID: id}}, ends: rec.ends(), changed: rec.last, entry: &entry{}})
 	}
 	slices.SortFunc(list, compareRanked)
 	for _, k := range list[min(len(list), int((1-evictShare)*maxRecords)):] {
@@ -332,17 +416,47 @@
 	return 0
 }
 
-// crashes returns the number of crashes that were not cleared.
+// crashes returns the number of proven crashes that were not cleared.
 func (r *record) crashes() int {
 	n := 0
 	for _, e := range r.endpoints {
-		if e.cleared.IsZero() {
+		if e.cleared.IsZero() && !e.unproven {
+			n++
+		}
+	}
+	return n
+}
+
+// ends returns the number of ends that were not cleared, proven or confirmed.
+func (r *record) ends() int {
+	n := 0
+	for _, e := range r.endpoints {
+		if e.counts() {
 			n++
 		}
 	}
 	return n
 }
 
+// renewed returns when an end that is not proven was last reported.
+func (r *record) renewed() time.Time {
+	var last time.Time
+	for _, e := range r.endpoints {
+		if e.unproven {
+			last = later(last, e.renewed)
+		}
+	}
+	return last
+}
+
+// expireUnproven forgets ends that were not proven in time, and reports whether there
+// were any.
+func (r *record) expireUnproven(now time.Time) bool {
+	n := len(r.endpoints)
+	maps.DeleteFunc(r.endpoints, func(_ uint32, e *entry) bool { return e.unproven && now.Sub(e.renewed) >= holdTime })
+	return len(r.endpoints) < n
+}
+
 // makeRoom reports whether a feature's record has room for another endpoint, after the
 // one that was cleared first has been forgotten if need be.
 func (r *Records) makeRoom(id uint64, rec *record) bool {
@@ -370,8 +484,11 @@
 // before that.
 func (e *entry) age(now time.Time) time.Duration { return max(now.Sub(e.at), 0) }
 
+// counts reports whether the end was not cleared and is proven, or confirmed at least.
+func (e *entry) counts() bool { return e.cleared.IsZero() && (!e.unproven || e.confirmed) }
+
 func (e *entry) due(now time.Time) bool {
-	return !e.verified && e.cleared.IsZero() && now.Sub(e.learned) >= verifyAfter
+	return !e.verified && !e.unproven && e.cleared.IsZero() && now.Sub(e.learned) >= verifyAfter
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -27,6 +27,8 @@
 	// restartTime is how long after a broken run the endpoint's next start may
 	// appear.
 	restartTime = 5 * time.Second
+	// maxRestartTime is the same for an endpoint that goes on to refuse connections.
+	maxRestartTime = 30 * time.Second
 	// abandonedTime is how long an endpoint may work on a request whose caller has
 	// left.
 	abandonedTime = 500 * time.Millisecond
@@ -42,12 +44,14 @@
 	// ended. A process may be restarted before it is asked, and a node that stood
 	// still asks late: the next start then accepts connections at the same address.
 	unproven struct {
-		by    map[deployment.Start]*brokenRuns
+		// by are the runs by the Key of their endpoint's start.
+		by    map[uint32]*brokenRuns
 		count int
 	}
 
 	brokenRuns struct {
-		addr netip.AddrPort
+		start deployment.Start
+		addr  netip.AddrPort
 		// latest is each request's latest run, by the ID of the whole request.
 		latest map[uint64]brokenRun
 	}
@@ -61,7 +65,7 @@
 	}
 )
 
-func newUnproven() *unproven { return &unproven{by: map[deployment.Start]*brokenRuns{}} }
+func newUnproven() *unproven { return &unproven{by: map[uint32]*brokenRuns{}} }
 
 // add adds a run that broke now, unless there are too many.
 func (u *unproven) add(now time.Time, r run, c cause, keep time.Duration) {
@@ -71,10 +75,10 @@
 	if u.count >= maxUnproven {
 		return
 	}
-	runs := u.by[r.start]
+	runs := u.by[r.start.Key()]
 	if runs == nil {
-		runs = &brokenRuns{addr: r.addr, latest: map[uint64]brokenRun{}}
-		u.by[r.start] = runs
+		runs = &brokenRuns{start: r.start, addr: r.addr, latest: map[uint64]brokenRun{}}
+		u.by[r.start.Key()] = runs
 	}
 	request := r.features[0].ID
 	if _, known := runs.latest[request]; !known {
@@ -85,7 +89,7 @@
 
 // explain records why the end of the endpoint of a request's run is not proven.
 func (u *unproven) explain(request Feature, start deployment.Start, c cause) {
-	runs := u.by[start]
+	runs := u.by[start.Key()]
 	if runs == nil {
 		return
 	}
@@ -97,7 +101,7 @@
 
 // has reports whether a run with a feature has recently broken at an endpoint.
 func (u *unproven) has(f Feature, start deployment.Start) bool {
-	runs := u.by[start]
+	runs := u.by[start.Key()]
 	if runs == nil {
 		return false
 	}
@@ -109,9 +113,26 @@
 	return false
 }
 
+// renew returns the runs that broke at an endpoint which refuses connections, and keeps them longer: its next start is yet to come.
+func (u *unproven) renew(now time.Time, endpoint uint32) []brokenRun {
+	runs := u.by[endpoint]
+	if runs == nil {
+		return nil
+	}
+	var list []brokenRun
+	for request, run := range runs.latest {
+		if run.cause != causeCallerGone && run.cause != causeSilent && now.Before(run.until) && now.Sub(run.broke) < maxRestartTime {
+			run.until = later(run.until, now.Add(restartTime))
+			runs.latest[request] = run
+			list = append(list, run)
+		}
+	}
+	return list
+}
+
 // remove forgets a request's run at an endpoint.
 func (u *unproven) remove(request Feature, start deployment.Start) {
-	runs := u.by[start]
+	runs := u.by[start.Key()]
 	if runs == nil {
 		return
 	}
@@ -123,7 +144,7 @@
 
 // take removes the runs of an endpoint that has ended and returns them.
 func (u *unproven) take(now time.Time, start deployment.Start) []brokenRun {
-	runs := u.by[start]
+	runs := u.by[start.Key()]
 	if runs == nil {
 		return nil
 	}
@@ -134,7 +155,7 @@
 		}
 	}
 	u.count -= len(runs.latest)
-	delete(u.by, start)
+	delete(u.by, start.Key())
 	return list
 }
 
@@ -152,9 +173,9 @@
 		}
 	}
 	var list []deployment.Start
-	for start, runs := range u.by {
-		if next, known := newest[runs.addr]; known && next != start {
-			list = append(list, start)
+	for _, runs := range u.by {
+		if next, known := newest[runs.addr]; known && next != runs.start {
+			list = append(list, runs.start)
 		}
 	}
 	return list
@@ -163,16 +184,16 @@
 // expire forgets old runs and returns them.
 func (u *unproven) expire(now time.Time) map[deployment.Start][]brokenRun {
 	expired := map[deployment.Start][]brokenRun{}
-	for start, runs := range u.by {
+	for key, runs := range u.by {
 		for request, run := range runs.latest {
 			if !now.Before(run.until) {
 				delete(runs.latest, request)
 				u.count--
-				expired[start] = append(expired[start], run)
+				expired[runs.start] = append(expired[runs.start], run)
 			}
 		}
 		if len(runs.latest) == 0 {
-			delete(u.by, start)
+			delete(u.by, key)
 		}
 	}
 	return expired
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,6 +89,7 @@
 	if x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest {
 		return a.notRun(x)
 	}
+	c.handler.config.Crashes.Reached(a.choice.Endpoint, a.started)
 	if !http1.IsOverload(a.status) {
 		c.handler.config.Balancer.Accepted(time.Now(), a.choice.Endpoint.Start())
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -27,6 +27,9 @@
 	// and Abandoned that it was given up because its caller left.
 	Silent(features []crash.Feature, e *deployment.Endpoint)
 	Abandoned(features []crash.Feature, e *deployment.Endpoint)
+	// Reached records that an endpoint has responded to a request that was sent to it at
+	// a time.
+	Reached(e *deployment.Endpoint, sent time.Time)
 	// Ended records that another process has responded at an endpoint's address.
 	Ended(start deployment.Start)
 	// Served records that a response that began at a time was whole.
--- a/internal/gossip/crash_test.go
+++ b/internal/gossip/crash_test.go
@@ -42,6 +42,11 @@
 	for _, k := range n.Crashes {
 		c.records.Add(now, k, false)
 	}
+	for _, k := range n.Unproven {
+		k.Unproven = true
+		c.records.Add(now, k, false)
+		c.records.Confirm(now, k.Endpoint)
+	}
 }
 
 // saw records a crash that the node itself saw.
@@ -96,3 +101,24 @@
 	two := f.start(2, &fakeReplica{})
 	f.eventually(func() bool { return two.crashes.of(9) == 3 }, "the crashes from before its start")
 }
+
+// Guards against ends that are not proven and that other nodes do not learn of, or take
+// for proven ones.
+func TestUnprovenEndsPropagate(t *testing.T) {
+	f := newFleet(t)
+	one, two := f.start(1, &fakeReplica{}), f.start(2, &fakeReplica{})
+	f.eventually(func() bool { return len(one.gossip.View().Alive) == 1 }, "the nodes know each other")
+	one.crashes.mu.Lock()
+	for endpoint := range uint32(3) {
+		one.crashes.records.Add(time.Now(), crash.Report{Feature: crash.Feature{ID: 9}, Endpoint: endpoint, Unproven: true}, true)
+	}
+	one.crashes.mu.Unlock()
+	f.eventually(func() bool {
+		two.crashes.mu.Lock()
+		defer two.crashes.mu.Unlock()
+		return two.crashes.records.Isolated(time.Now(), crash.Feature{ID: 9}).Held
+	}, "the request is held")
+	if n := two.crashes.of(9); n != 0 {
+		t.Errorf("%d ends count as proven", n)
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -91,6 +91,8 @@
 		// suspected features. Cleared are crashes that the feature did not cause.
 		Crashes []crashReport `cbor:"8,keyasint,omitempty"`
 		Cleared []crashReport `cbor:"19,keyasint,omitempty"`
+		// Unproven are ends that are not proven.
+		Unproven []crashReport `cbor:"22,keyasint,omitempty"`
 		// Placements are where the node has recently sent parts of prompts.
 		Placements []balance.Placement `cbor:"9,keyasint,omitempty"`
 		// EndpointLoads are the loads that endpoints have recently reported.
@@ -169,11 +171,11 @@
 
 // news returns the crashes that the heartbeat reports.
 func (b *heartbeat) news() crash.News {
-	return crash.News{Crashes: mapSlice(b.Crashes, decodeCrash), Cleared: mapSlice(b.Cleared, decodeCrash)}
+	return crash.News{Crashes: mapSlice(b.Crashes, decodeCrash), Cleared: mapSlice(b.Cleared, decodeCrash), Unproven: mapSlice(b.Unproven, decodeCrash)}
 }
 
 func (b *heartbeat) setNews(n crash.News) {
-	b.Crashes, b.Cleared = mapSlice(n.Crashes, encodeCrash), mapSlice(n.Cleared, encodeCrash)
+	b.Crashes, b.Cleared, b.Unproven = mapSlice(n.Crashes, encodeCrash), mapSlice(n.Cleared, encodeCrash), mapSlice(n.Unproven, encodeCrash)
 }
 
 func encodeCrash(k crash.Report) crashReport {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -100,7 +100,7 @@
 			l.table.add(addr, now)
 		}
 	}
-	if len(b.Crashes)+len(b.Cleared) > 0 {
+	if len(b.Crashes)+len(b.Cleared)+len(b.Unproven) > 0 {
 		g.config.Crashes.Add(now, b.news(), source)
 	}
 	if len(b.Leaving) > 0 {
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -168,7 +168,7 @@
 		Loads: b.Loads, PendingPrefill: b.PendingPrefill, Failures: b.Failures, Follows: b.Delivery == deliverFollow,
 		Updates: relay.Updates{
 			Placements: b.Placements, EndpointLoads: b.EndpointLoads, Leaving: b.Leaving,
-			Crashes: mapSlice(b.Crashes, relayedCrash), Cleared: mapSlice(b.Cleared, relayedCrash),
+			Crashes: mapSlice(b.Crashes, relayedCrash), Cleared: mapSlice(b.Cleared, relayedCrash), Unproven: mapSlice(b.Unproven, relayedCrash),
 		},
 	}
 	return r
@@ -235,6 +235,7 @@
 	})
 	b := &heartbeat{Placements: fleet.Updates.Placements, EndpointLoads: fleet.Updates.EndpointLoads, Leaving: fleet.Updates.Leaving}
 	b.Crashes, b.Cleared = mapSlice(fleet.Updates.Crashes, receivedCrash), mapSlice(fleet.Updates.Cleared, receivedCrash)
+	b.Unproven = mapSlice(fleet.Updates.Unproven, receivedCrash)
 	g.applyUpdates(l, b, sourceRelay, now)
 	g.publish(l, now)
 	g.pullIfBehind(ctx, l, fleet.Position(), now)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -66,6 +66,9 @@
 		Leaving []uint32 `cbor:"4,keyasint,omitempty"`
 		// Cleared are crashes that the feature did not cause.
 		Cleared []Crash `cbor:"5,keyasint,omitempty"`
+		// Unproven are ends that are not proven; those without a feature are of an
+		// endpoint that refuses connections, whatever it ran.
+		Unproven []Crash `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Report is what one node reports of itself to its relays.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -224,13 +224,15 @@
 func (n *Node) addUpdates(now time.Time, updates Updates) {
 	fresh := n.seen.filter(now, updates)
 	n.addForFollowers(fresh)
-	fresh.Crashes = append(n.seen.suspects(fresh.Crashes), fresh.Crashes...)
+	fresh.Crashes = append(n.seen.crashes.suspects(fresh.Crashes), fresh.Crashes...)
+	fresh.Unproven = append(n.seen.unproven.suspects(fresh.Unproven), fresh.Unproven...)
 	n.toRelays.add(fresh, n.seen)
 }
 
 // addForFollowers queues new updates, but of crashes only those of suspected requests.
 func (n *Node) addForFollowers(fresh Updates) {
-	fresh.Crashes = n.seen.suspects(fresh.Crashes)
+	fresh.Crashes = n.seen.crashes.suspects(fresh.Crashes)
+	fresh.Unproven = n.seen.unproven.suspects(fresh.Unproven)
 	n.toFollowers.add(fresh, n.seen)
 }
 
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -45,7 +45,7 @@
 func (s *Summary) size() int {
 	return summaryBytes + nodeBytes*s.Covered.Len() + len(s.Lost) + len(s.UpToDate) +
 		loadBytes*(len(s.Loads)+len(s.Failures)+len(s.Updates.EndpointLoads)) + tokensBytes*len(s.PendingPrefill) +
-		placementBytes*len(s.Updates.Placements) + crashBytes*(len(s.Updates.Crashes)+len(s.Updates.Cleared)) + leavingBytes*len(s.Updates.Leaving)
+		placementBytes*len(s.Updates.Placements) + crashBytes*(len(s.Updates.Crashes)+len(s.Updates.Cleared)+len(s.Updates.Unproven)) + leavingBytes*len(s.Updates.Leaving)
 }
 
 // split returns the summary in shards that fit into a datagram each. Covered nodes and
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -39,6 +39,7 @@
 		placements []pending[balance.Placement]
 		crashes    []pending[Crash]
 		cleared    []pending[Crash]
+		unproven   []pending[Crash]
 		leaving    []pending[uint32]
 		loads      map[uint32]int
 	}
@@ -52,16 +53,25 @@
 	// seen remembers which updates were passed on recently.
 	seen struct {
 		placements map[balance.Placement]time.Time
-		crashes    map[Crash]time.Time
+		crashes    seenCrashes
 		cleared    map[Crash]time.Time
+		unproven   seenCrashes
 		leaving    map[uint32]time.Time
-		// byFeature are the crashes by feature.
+	}
+
+	// seenCrashes are crashes that were passed on recently.
+	seenCrashes struct {
+		at        map[Crash]time.Time
 		byFeature map[uint64][]Crash
 	}
 )
 
 func newSeen() *seen {
-	return &seen{placements: map[balance.Placement]time.Time{}, crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, leaving: map[uint32]time.Time{}, byFeature: map[uint64][]Crash{}}
+	return &seen{placements: map[balance.Placement]time.Time{}, crashes: newSeenCrashes(), cleared: map[Crash]time.Time{}, unproven: newSeenCrashes(), leaving: map[uint32]time.Time{}}
+}
+
+func newSeenCrashes() seenCrashes {
+	return seenCrashes{at: map[Crash]time.Time{}, byFeature: map[uint64][]Crash{}}
 }
 
 // append adds updates.
@@ -69,6 +79,7 @@
 	n.Placements = append(n.Placements, more.Placements...)
 	n.Crashes = append(n.Crashes, more.Crashes...)
 	n.Cleared = append(n.Cleared, more.Cleared...)
+	n.Unproven = append(n.Unproven, more.Unproven...)
 	n.Leaving = append(n.Leaving, more.Leaving...)
 	if n.EndpointLoads == nil {
 		n.EndpointLoads = map[uint32]int{}
@@ -78,22 +89,32 @@
 
 // filter returns the updates that were not seen recently, and remembers them.
 func (s *seen) filter(now time.Time, n Updates) Updates {
-	fresh := Updates{
-		Placements: filterSeen(s.placements, now, n.Placements), Crashes: filterSeen(s.crashes, now, n.Crashes),
-		Cleared: filterSeen(s.cleared, now, n.Cleared), Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
+	return Updates{
+		Placements: filterSeen(s.placements, now, n.Placements), Crashes: s.crashes.filter(now, n.Crashes),
+		Cleared: filterSeen(s.cleared, now, n.Cleared), Unproven: s.unproven.filter(now, n.Unproven),
+		Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
 	}
-	for _, k := range fresh.Crashes {
+}
+
+// filter returns the crashes that were not seen recently, and remembers them.
+func (s seenCrashes) filter(now time.Time, list []Crash) []Crash {
+	fresh := filterSeen(s.at, now, list)
+	for _, k := range fresh {
 		s.byFeature[k.Feature] = append(s.byFeature[k.Feature], k)
 	}
 	return fresh
 }
 
 // suspects returns the known crashes of the suspected features among those of which
-// there is a new one: earlier ones may have been dropped.
-func (s *seen) suspects(fresh []Crash) []Crash {
+// there is a new one: earlier ones may have been dropped. What has no feature is always
+// among them, but only once.
+func (s seenCrashes) suspects(fresh []Crash) []Crash {
 	var list []Crash
-	added := map[uint64]bool{}
+	added := map[uint64]bool{0: true}
 	for _, k := range fresh {
+		if k.Feature == 0 {
+			list = append(list, k)
+		}
 		if known := s.byFeature[k.Feature]; len(known) >= suspected && !added[k.Feature] {
 			added[k.Feature] = true
 			list = append(list, known...)
@@ -119,7 +140,7 @@
 
 // sort puts the crashes of the most suspected features first, and of these the ones
 // that were not sent yet.
-func (s *seen) sort(list []pending[Crash]) {
+func (s seenCrashes) sort(list []pending[Crash]) {
 	slices.SortStableFunc(list, func(a, b pending[Crash]) int {
 		return cmp.Or(len(s.byFeature[b.update.Feature])-len(s.byFeature[a.update.Feature]), b.sends-a.sends)
 	})
@@ -128,13 +149,18 @@
 // expire forgets updates older than seenTTL.
 func (s *seen) expire(now time.Time) {
 	expireEntries(s.placements, now)
-	expireEntries(s.crashes, now)
+	s.crashes.expire(now)
 	expireEntries(s.cleared, now)
+	s.unproven.expire(now)
+	expireEntries(s.leaving, now)
+}
+
+func (s seenCrashes) expire(now time.Time) {
+	expireEntries(s.at, now)
 	clear(s.byFeature)
-	for k := range s.crashes {
+	for k := range s.at {
 		s.byFeature[k.Feature] = append(s.byFeature[k.Feature], k)
 	}
-	expireEntries(s.leaving, now)
 }
 
 func expireEntries[T comparable](known map[T]time.Time, now time.Time) {
@@ -148,11 +174,8 @@
 // add queues updates.
 func (o *outbox) add(n Updates, known *seen) {
 	o.placements = enqueue(o.placements, n.Placements)
-	for _, k := range n.Crashes {
-		o.crashes = append(o.crashes, pending[Crash]{update: k, sends: sendsPerCrash})
-	}
-	known.sort(o.crashes)
-	o.crashes = o.crashes[:min(len(o.crashes), maxPending)]
+	o.crashes = known.crashes.enqueue(o.crashes, n.Crashes)
+	o.unproven = known.unproven.enqueue(o.unproven, n.Unproven)
 	o.cleared = enqueue(o.cleared, n.Cleared)
 	o.leaving = enqueue(o.leaving, n.Leaving)
 	if o.loads == nil {
@@ -163,13 +186,25 @@
 	}
 }
 
+// enqueue adds crashes to a queue, and drops those of the least suspected features beyond
+// maxPending.
+func (s seenCrashes) enqueue(out []pending[Crash], list []Crash) []pending[Crash] {
+	for _, k := range list {
+		out = append(out, pending[Crash]{update: k, sends: sendsPerCrash})
+	}
+	s.sort(out)
+	return out[:min(len(out), maxPending)]
+}
+
 // take removes and returns the updates to send now.
 func (o *outbox) take(known *seen) Updates {
 	var n Updates
-	known.sort(o.crashes)
+	known.crashes.sort(o.crashes)
+	known.unproven.sort(o.unproven)
 	n.Placements, o.placements = dequeue(o.placements)
 	n.Crashes, o.crashes = dequeue(o.crashes)
 	n.Cleared, o.cleared = dequeue(o.cleared)
+	n.Unproven, o.unproven = dequeue(o.unproven)
 	n.Leaving, o.leaving = dequeue(o.leaving)
 	n.EndpointLoads, o.loads = o.loads, nil
 	return n
