Count runs that were given up at endpoints that then refuse connections

A request that ends endpoints was found late, or never, where its callers leave before the endpoint ends: such a run asked nothing, and counted only if the same node proved the end within half a second by another run.

Each refused connection is now evidence, also that of an attempt of another request, and nodes report it to each other. Runs that were given up at the endpoint less than half a second before (a second more for another node's report) are reported like those that broke there, and kept until its next start proves the end.

--- a/internal/crash/contact.go
+++ b/internal/crash/contact.go
@@ -14,6 +14,9 @@
 	// lateReports is how long reports of an end that is not proven are ignored after a
 	// node was connected to the endpoint: they are repeated for repeatTime.
 	lateReports = repeatTime + time.Second
+	// reportDelay is how late nodes learn that an endpoint refuses connections to
+	// another one, in fleets with relays.
+	reportDelay = time.Second
 )
 
 type (
@@ -157,17 +160,22 @@
 }
 
 // refused records that an endpoint refuses connections to this node or to another one,
-// and reports the runs that broke there.
+// and reports the runs that broke or were given up there shortly before.
 func (t *Tracker) refused(now time.Time, endpoint uint32, here bool) {
 	if t.contacts.refused(now, endpoint, here) {
 		t.records.Confirm(now, endpoint)
 	}
-	t.reportRuns(now, endpoint)
+	delay := time.Duration(0)
+	if !here {
+		delay = reportDelay
+	}
+	t.reportRuns(now, endpoint, delay)
 }
 
-// reportRuns reports the runs that broke at an endpoint that refuses connections.
-func (t *Tracker) reportRuns(now time.Time, endpoint uint32) {
-	for _, r := range t.unproven.renew(now, endpoint) {
+// reportRuns reports the runs that broke or were given up at an endpoint that refuses
+// connections since some time.
+func (t *Tracker) reportRuns(now time.Time, endpoint uint32, delay time.Duration) {
+	for _, r := range t.unproven.renew(now, endpoint, delay) {
 		for _, f := range r.features {
 			t.add(now, Report{Feature: f, Endpoint: endpoint, Age: now.Sub(r.broke), Unproven: true}, sourceSelf)
 		}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -267,7 +267,7 @@
 	now := time.Now()
 	t.unproven.add(now, r, c, keep)
 	if key := r.start.Key(); t.contacts.refusing(key, now) {
-		t.reportRuns(now, key)
+		t.reportRuns(now, key, 0)
 	}
 }
 
--- a/internal/crash/service_model_test.go
+++ b/internal/crash/service_model_test.go
@@ -238,6 +238,7 @@
 		}
 		if n.refusedBy(e) {
 			n.backoff[e.entry.Start()] = time.Now().Add(backoff)
+			n.tracker.Refused(e.entry)
 			continue
 		}
 		n.run(id, e)
--- a/internal/crash/unproven.go
+++ b/internal/crash/unproven.go
@@ -113,15 +113,16 @@
 	return false
 }
 
-// renew returns the runs that broke at an endpoint which refuses connections, and keeps them longer: its next start is yet to come.
-func (u *unproven) renew(now time.Time, endpoint uint32) []brokenRun {
+// renew returns the runs that broke or were given up at an endpoint which refuses
+// connections since some time, and keeps them longer: its next start is yet to come.
+func (u *unproven) renew(now time.Time, endpoint uint32, delay time.Duration) []brokenRun {
 	runs := u.by[endpoint]
 	if runs == nil {
 		return nil
 	}
 	var list []brokenRun
 	for request, run := range runs.latest {
-		if run.cause != causeCallerGone && run.cause != causeSilent && now.Before(run.until) && now.Sub(run.broke) < maxRestartTime {
+		if now.Add(-delay).Before(run.until) && now.Sub(run.broke) < maxRestartTime {
 			run.until = later(run.until, now.Add(restartTime))
 			runs.latest[request] = run
 			list = append(list, run)
@@ -186,7 +187,7 @@
 	expired := map[deployment.Start][]brokenRun{}
 	for key, runs := range u.by {
 		for request, run := range runs.latest {
-			if !now.Before(run.until) {
+			if !now.Before(run.until.Add(reportDelay)) {
 				delete(runs.latest, request)
 				u.count--
 				expired[runs.start] = append(expired[runs.start], run)
--- a/internal/crash/unproven_test.go
+++ b/internal/crash/unproven_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,6 +165,55 @@
 	}
 }
 
+// Guards against runs that were given up and count nowhere, although their endpoint has
+// ended just then.
+func TestRunsThatWereGivenUpCountIfTheirEndpointRefuses(t *testing.T) {
+	abandoned := func(t *crash.Tracker, e *deployment.Endpoint) { t.Abandoned(whole(request), e) }
+	silent := func(t *crash.Tracker, e *deployment.Endpoint) { t.Silent(whole(request), e) }
+	for _, c := range []struct {
+		name string
+		give func(t *crash.Tracker, e *deployment.Endpoint)
+		// refused is how long after that the endpoint refuses a connection, and here
+		// says that it is this node's.
+		refused time.Duration
+		here    bool
+		counts  bool
+	}{
+		{name: "caller left", give: abandoned, refused: 200 * time.Millisecond, here: true, counts: true},
+		{name: "caller left, another node is refused", give: abandoned, refused: 200 * time.Millisecond, counts: true},
+		{name: "caller left, another node is refused, reported late", give: abandoned, refused: 1200 * time.Millisecond, counts: true},
+		{name: "caller left long before", give: abandoned, refused: 700 * time.Millisecond, here: true},
+		{name: "caller left long before, another node is refused", give: abandoned, refused: 2 * time.Second},
+		{name: "silent", give: silent, refused: 3 * time.Second, here: true, counts: true},
+		{name: "refused before", give: abandoned, refused: -100 * time.Millisecond, here: true, counts: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPeers(1, 4, 0)
+				tracker, e := p.trackers[0], endpoint(0)
+				refuse := func() {
+					if c.here {
+						tracker.Refused(e)
+						return
+					}
+					tracker.Add(time.Now(), crash.News{Unproven: []crash.Report{{Endpoint: e.Start().Key()}}}, "peer")
+				}
+				if c.refused < 0 {
+					refuse()
+					time.Sleep(-c.refused)
+					c.give(tracker, e)
+				} else {
+					c.give(tracker, e)
+					time.Sleep(c.refused)
+					refuse()
+				}
+				news := tracker.Recent(time.Now(), time.Now()).Unproven
+				require.Equal(t, c.counts, slices.ContainsFunc(news, func(k crash.Report) bool { return k.ID == request }))
+			})
+		})
+	}
+}
+
 // unprovenNews reports ends of some endpoints that are not proven, but which two nodes
 // are refused connections by.
 func unprovenNews(endpoints int) crash.News {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -179,6 +179,9 @@
 	}
 	if errors.Is(err, http1.ErrConnect) {
 		c.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
+		if http1.IsRefused(err) {
+			c.handler.config.Crashes.Refused(a.choice.Endpoint)
+		}
 		a.outcome = balance.Unreachable
 		return resultNotSent
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -27,6 +27,8 @@
 	// and Abandoned that it was given up because its caller left.
 	Silent(features []crash.Feature, e *deployment.Endpoint)
 	Abandoned(features []crash.Feature, e *deployment.Endpoint)
+	// Refused records that an endpoint has refused a connection.
+	Refused(e *deployment.Endpoint)
 	// Reached records that an endpoint has responded to a request that was sent to it at
 	// a time.
 	Reached(e *deployment.Endpoint, sent time.Time)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
@@ -253,6 +256,47 @@
 	require.Equal(t, 503, f.post(t, "/p/x", nil).status)
 }
 
+// Guards against a request that ends endpoints after its callers have left, which no
+// run proves.
+func TestRunsThatCallersLeftAreReported(t *testing.T) {
+	const endpoints = 4
+	addr := loopbackAddr()
+	arrived, leave := make(chan int, 1), make(chan struct{})
+	var list []*endpoint
+	for i := range endpoints {
+		e := newEndpointAt(t, addr, nil)
+		e.replies[0] = func(c net.Conn, r *http.Request) bool {
+			if body, _ := io.ReadAll(r.Body); string(body) != "body" {
+				return whole(200, "hi")(c, r)
+			}
+			start := e.running()
+			arrived <- i
+			<-leave
+			e.end(start, c)
+			return false
+		}
+		list = append(list, e)
+	}
+	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1, Objective: time.Second}, list...)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.postContext(ctx, t, "/p/x", nil) })
+	ran := f.snapshot.Endpoints["s"][<-arrived]
+	cancel()
+	running.Wait()
+	reported := func() bool {
+		return slices.ContainsFunc(f.crashes.Recent(time.Now(), time.Now()).Unproven, func(k crash.Report) bool {
+			return k.Endpoint == ran.Start().Key() && k.ID != 0
+		})
+	}
+	require.False(t, reported(), "the endpoint runs")
+	close(leave)
+	require.Eventually(t, func() bool {
+		f.postBody(t.Context(), t, "/p/x", "another", nil)
+		return reported()
+	}, 5*time.Second, time.Millisecond)
+}
+
 // replace lets another start of an endpoint appear at its address.
 func (f *fixture) replace(i int) {
 	old := f.snapshot.Endpoints["s"][i]
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -116,7 +116,7 @@
 func dial(ctx context.Context, d Dialer, addr netip.AddrPort) (*conn, error) {
 	c, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrConnect, err)
+		return nil, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
 	tcp, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -213,6 +213,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// IsRefused reports whether an error says that the peer refused the connection.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // IsTimeout reports whether an error is a timeout, such as of a read deadline.
 func IsTimeout(err error) bool {
 	var n net.Error
