Ask an endpoint that was proven to have ended no more

The proof is remembered until a node is connected to the endpoint again, and such runs count without a question. 50 runs of the test under the race detector pass; TestEndpointThatHasEndedIsNotAskedAgain failed before.

--- a/internal/crash/contact.go
+++ b/internal/crash/contact.go
@@ -32,6 +32,8 @@
 		// and confirmedAt is since when two nodes are known.
 		here, elsewhere bool
 		confirmedAt     time.Time
+		// ended says that it was proven to have ended.
+		ended bool
 		// asked says that it was to be asked at some of the nodes.
 		asked bool
 		// reachedAt is when this node learned that one was connected to it, and own says
@@ -60,6 +62,13 @@
 // refused records that an endpoint refuses connections to this node or to another one,
 // and reports whether two are known now and were not before.
 func (c *contacts) refused(now time.Time, endpoint uint32, here bool) (confirmed bool) {
+	k := c.begin(now, endpoint)
+	k.here, k.elsewhere = k.here || here, k.elsewhere || !here
+	return k.here && k.elsewhere && c.confirm(now, endpoint)
+}
+
+// begin returns the contact of an endpoint that refuses connections, which may be new.
+func (c *contacts) begin(now time.Time, endpoint uint32) *contact {
 	k := c.by[endpoint]
 	if k == nil {
 		k = &contact{}
@@ -68,8 +77,13 @@
 	if k.refusedAt.IsZero() {
 		k.refusedAt = now
 	}
-	k.here, k.elsewhere = k.here || here, k.elsewhere || !here
-	return k.here && k.elsewhere && c.confirm(now, endpoint)
+	return k
+}
+
+// hasEnded reports whether an endpoint was proven to have ended.
+func (c *contacts) hasEnded(endpoint uint32) bool {
+	k := c.by[endpoint]
+	return k != nil && k.ended
 }
 
 // confirm records that an endpoint refuses connections to two nodes, and reports whether
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -126,7 +126,9 @@
 // endpoint has ended and whether it accepts connections.
 func (t *Tracker) broke(features []Feature, e *deployment.Endpoint) (ended, accepts bool) {
 	start := e.Start()
-	t.addUnproven(run{features: features, start: start, addr: e.Addr}, causeUnanswered, restartTime)
+	if t.addUnproven(run{features: features, start: start, addr: e.Addr}, causeUnanswered, restartTime) {
+		return true, false
+	}
 	a := t.checks.ask(e, t.config.Deployment.Snapshot().Endpoints[e.Service])
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -261,19 +263,27 @@
 	return t.records.List(now)
 }
 
-func (t *Tracker) addUnproven(r run, c cause, keep time.Duration) {
+// addUnproven records a run that broke or was given up, and reports whether its endpoint
+// is known to have ended: then it counts.
+func (t *Tracker) addUnproven(r run, c cause, keep time.Duration) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now, key := time.Now(), r.start.Key()
 	t.unproven.add(now, r, c, keep)
-	if key := r.start.Key(); t.contacts.refusing(key, now) {
+	switch {
+	case t.contacts.hasEnded(key):
+		t.ended(now, r.start)
+		return true
+	case t.contacts.refusing(key, now):
 		t.reportRuns(now, key, 0)
 	}
+	return false
 }
 
 // ended counts the runs that broke shortly before their endpoint was found to have
 // ended.
 func (t *Tracker) ended(now time.Time, start deployment.Start) {
+	t.contacts.begin(now, start.Key()).ended = true
 	runs := t.unproven.take(now, start)
 	for _, r := range runs {
 		for _, f := range r.features {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -138,6 +138,21 @@
 	require.Len(t, tracker.Recent(time.Now(), time.Now()).Crashes, 32, "all of the runs count")
 }
 
+// Guards against connections for runs that break after their endpoint was found to have
+// ended.
+func TestEndpointThatHasEndedIsNotAskedAgain(t *testing.T) {
+	tracker, p, _ := newTracker(1)
+	require.True(t, tracker.Broke(whole(1), endpoint(0)))
+	asked := p.asked.Load()
+	require.True(t, tracker.Broke(whole(2), endpoint(0)))
+	tracker.Abandoned(whole(3), endpoint(0))
+	require.Equal(t, asked, p.asked.Load())
+	require.Len(t, tracker.Recent(time.Now(), time.Now()).Crashes, 3)
+	tracker.Reached(endpoint(0), time.Now())
+	tracker.Broke(whole(4), endpoint(0))
+	require.Greater(t, p.asked.Load(), asked, "another request was answered since")
+}
+
 // Guards against a request that ends endpoints which are not asked in time, as they
 // have started again, fell silent or were left by the caller.
 func TestRunsCountOnceTheirEndpointTurnsOutToHaveEnded(t *testing.T) {
