Let whole requests not explain each other's crashes

Several requests that end endpoints, sent at the same time to a service of few endpoints, are at the same ends. Of features with the same crashes only one is blamed, and a feature whose crashes the others explain together is released: so each took its turn while the others went on to end endpoints.

A whole request is now explained by parts of prompts only, as in the record of the stream that lost three runs to a crashing part.

--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -66,10 +66,14 @@
 	return list
 }
 
-// explained reports whether each crash of a feature is also one of some others.
+// explained reports whether each crash of a feature is also one of some others. Whole
+// requests do not explain each other: several that end endpoints may come at the same
+// time, and share all ends of a small service.
 func explained(s suspect, others []suspect) bool {
 	for endpoint, e := range s.rec.endpoints {
-		if e.counts() && !slices.ContainsFunc(others, func(o suspect) bool { return o.rec.has(endpoint) }) {
+		if e.counts() && !slices.ContainsFunc(others, func(o suspect) bool {
+			return o.rec.has(endpoint) && (s.rec.scope != WholeRequest || o.rec.scope != WholeRequest)
+		}) {
 			return false
 		}
 	}
