Let the soak end all endpoints of a small service, with callers that leave

A fault "request crashes a service": six callers send copies of a request that ends its endpoints to a service of four, half of them leave within 60 ms, and each endpoint is back at its address after three seconds.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -20,6 +20,10 @@
 	// most, and crashingPause the time between two of them.
 	crashingTime  = 12 * time.Second
 	crashingPause = 150 * time.Millisecond
+	// impatience is after how long some callers of a small service leave, at most, and
+	// impatient how many send to it.
+	impatience = 60 * time.Millisecond
+	impatient  = 6
 	// mayEnd is how many endpoints may end under a request, and mayEndByPart under a
 	// part of prompts.
 	mayEnd       = 3
@@ -136,6 +140,42 @@
 	return name + " by " + body
 }
 
+// sendCrashingService sends copies of a request that ends the endpoints that run it from
+// several callers at a time, to a service of few endpoints. Half of them leave early.
+func (c *callers) sendCrashingService(ctx context.Context, r *rand.Rand) string {
+	points := standin.CrashPoints()
+	name := fmt.Sprintf("crash %d", c.next.Add(1))
+	body := standin.CrashBody(points[r.IntN(len(points))], name)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Int64N(int64(crashingTime))))
+	defer cancel()
+	var group sync.WaitGroup
+	for range impatient {
+		sender := c.caller(rand.New(rand.NewPCG(r.Uint64(), 0)))
+		group.Go(func() { c.sendCopies(ctx, sender, name, body) })
+	}
+	group.Wait()
+	return name + " by " + body
+}
+
+// sendCopies sends copies of a request to a service of few endpoints.
+func (c *callers) sendCopies(ctx context.Context, sender *caller, name, body string) {
+	for ctx.Err() == nil {
+		timeout := callerTimeout
+		if sender.random.IntN(2) == 0 {
+			timeout = time.Duration(sender.random.Int64N(int64(impatience)))
+		}
+		if addr, ok := sender.address(); ok {
+			id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), c.next.Add(1))
+			c.ledger.recordRequest(id, safe)
+			c.ledger.notices.sent(id, c.soak.incarnation(addr), time.Now())
+			a := sender.send(ctx, addr, "tiny", id, body, timeout)
+			a.cut = false
+			c.ledger.recordAnswer(id, a)
+		}
+		wait(ctx, sender.random, crashingPause)
+	}
+}
+
 // sendCrashingPart sends requests, no two of them alike, that have a part in their
 // prompts which ends the endpoints that answer it, beside sound ones that share all
 // other parts. It returns the part's name.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,6 +122,9 @@
 	{name: "request crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		return s.callers.sendCrashing(ctx, r)
 	}},
+	{name: "request crashes a service", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.callers.sendCrashingService(ctx, r)
+	}},
 	{name: "part crashes endpoints", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		return s.callers.sendCrashingPart(ctx, r)
 	}},
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -46,7 +46,12 @@
 
 // newProxy starts a proxy on a free port of ip.
 func newProxy(ip string, to func() netip.AddrPort) (*proxy, error) {
-	l, err := net.Listen("tcp4", ip+":0")
+	return newProxyAt(ip+":0", to)
+}
+
+// newProxyAt starts a proxy at an address.
+func newProxyAt(addr string, to func() netip.AddrPort) (*proxy, error) {
+	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,7 +25,11 @@
 	servicePlain  = "plain"
 	serviceEngine = "engine"
 	// serviceSmall has few slots, so that a rush fills them.
-	serviceSmall    = "small"
+	serviceSmall = "small"
+	// serviceTiny has endpoints that start again at their address after restartTime.
+	serviceTiny     = "tiny"
+	tinyEndpoints   = 4
+	restartTime     = 3 * time.Second
 	smallEndpoints  = 3
 	smallSlots      = 6
 	smallQueue      = 20
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -63,6 +63,11 @@
 			return nil, err
 		}
 	}
+	for range tinyEndpoints {
+		if err := w.addEndpoint(serviceTiny); err != nil {
+			return nil, err
+		}
+	}
 	for range engineEndpoints {
 		if err := w.addEndpoint(serviceEngine); err != nil {
 			return nil, err
@@ -81,11 +86,11 @@
 		Version: uint64(w.version),
 		Routes: append([]deployment.Route{
 			route("safe", deployment.Idempotent, servicePlain, 2), route("once", deployment.AtMostOnce, servicePlain, 1),
-			route("small", deployment.Idempotent, serviceSmall, 2),
+			route("small", deployment.Idempotent, serviceSmall, 2), route("tiny", deployment.Idempotent, serviceTiny, 2),
 			route("stream/resume", deployment.Resumable, serviceEngine, 2), route("stream/once", deployment.Streaming, serviceEngine, 1),
 		}, w.routes...),
 		Services: map[string]deployment.Service{
-			servicePlain: {Name: servicePlain, Connections: 200}, serviceSmall: {Name: serviceSmall, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
+			servicePlain: {Name: servicePlain, Connections: 200}, serviceSmall: {Name: serviceSmall, Connections: 200}, serviceTiny: {Name: serviceTiny, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
 		},
 		Limits: deployment.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
@@ -103,7 +108,10 @@
 	}
 }
 
-func (w *world) addEndpoint(service string) error {
+func (w *world) addEndpoint(service string) error { return w.addEndpointAt(service, w.ip+":0") }
+
+// addEndpointAt adds an endpoint whose proxy listens at an address.
+func (w *world) addEndpointAt(service, addr string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
@@ -128,7 +136,7 @@
 	e.server = &http.Server{Handler: e.standIn}
 	go func() { _ = e.server.Serve(listener) }()
 	to := netip.MustParseAddrPort(listener.Addr().String())
-	if e.proxy, err = newProxy(w.ip, func() netip.AddrPort { return to }); err != nil {
+	if e.proxy, err = newProxyAt(addr, func() netip.AddrPort { return to }); err != nil {
 		return fmt.Errorf("soak: endpoint: %w", err)
 	}
 	w.endpoints = append(w.endpoints, e)
@@ -232,6 +240,10 @@
 	}
 	e.standIn.SetFailing(true)
 	e.stop()
+	if e.service == serviceTiny {
+		go w.startAgain(e)
+		return nil
+	}
 	go func() {
 		time.Sleep(entryTTL)
 		w.store.Unregister(e.id)
@@ -289,6 +301,15 @@
 	return most
 }
 
+// startAgain starts an endpoint that has crashed at its address, after restartTime.
+func (w *world) startAgain(e *endpoint) {
+	time.Sleep(restartTime)
+	if err := w.addEndpointAt(e.service, e.proxy.addr().String()); err != nil {
+		w.ledger.recordFailure(err)
+	}
+	w.store.Unregister(e.id)
+}
+
 // remove removes an endpoint from those that faults may pick, and reports whether it
 // was one.
 func (w *world) remove(e *endpoint) bool {
