Count a soak's late runs from the third different endpoint on

The soak counted a request's late runs from its third run that ended an endpoint, or was to end it once more: four callers whose runs share an endpoint were three ends.

The bound, and that each late run counts, stay.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -39,11 +39,17 @@
 // the popular request and of sound ones beside such parts.
 type crashes struct {
 	mu      sync.Mutex
-	ends    map[string][]time.Time
+	ends    map[string][]crashEnd
 	popular refusals
 	sound   refusals
 }
 
+// crashEnd is a run that ended its endpoint, or was to end it once more.
+type crashEnd struct {
+	endpoint string
+	at       time.Time
+}
+
 // refusals counts requests, and those that were refused like one that ends endpoints.
 type refusals struct{ sent, refused int }
 
@@ -62,13 +68,25 @@
 	return []string{fmt.Sprintf("%d of %d %s requests were refused as ending endpoints", r.refused, r.sent, what)}
 }
 
-func newCrashes() *crashes { return &crashes{ends: map[string][]time.Time{}} }
+func newCrashes() *crashes { return &crashes{ends: map[string][]crashEnd{}} }
 
 // record records that an endpoint ended, or was to end again, under a request.
-func (c *crashes) record(name string, at time.Time) {
+func (c *crashes) record(name, endpoint string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ends[name] = append(c.ends[name], at)
+	c.ends[name] = append(c.ends[name], crashEnd{endpoint: endpoint, at: at})
+}
+
+// nth returns when as many different endpoints had ended under a request, zero if they
+// have not.
+func nth(ends []crashEnd, n int) time.Time {
+	seen := map[string]bool{}
+	for _, e := range ends {
+		if seen[e.endpoint] = true; len(seen) == n {
+			return e.at
+		}
+	}
+	return time.Time{}
 }
 
 func (c *crashes) recordPopular(a answer) {
@@ -100,13 +118,14 @@
 		if strings.HasPrefix(name, partMark) {
 			may = mayEndByPart
 		}
-		for i, at := range ends {
-			if i >= may && at.Sub(ends[may-1]) > isolateBound && undisturbed(ends[may-1], at) {
+		known := nth(ends, may)
+		for _, e := range ends {
+			if !known.IsZero() && e.at.Sub(known) > isolateBound && undisturbed(known, e.at) {
 				late++
 			}
 		}
 		if late > lateCrashes {
-			broken = append(broken, fmt.Sprintf("%s ended %d endpoints, %d of them late", name, len(ends), late))
+			broken = append(broken, fmt.Sprintf("%s ended endpoints in %d runs, %d of them late", name, len(ends), late))
 		}
 	}
 	return broken
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -122,7 +122,7 @@
 		Ran:     func(id, _ string, after uint64) { w.ledger.recordRun(id, e, after, time.Now()) },
 		Arrived: func(id string, backoff time.Duration) { w.ledger.notices.arrived(id, e.id, backoff, time.Now()) },
 		Crash: func(name string) {
-			w.ledger.crashes.record(name, time.Now())
+			w.ledger.crashes.record(name, e.id, time.Now())
 			if err := w.crash(e); err != nil {
 				w.ledger.recordFailure(err)
 			}
