Do not count an operator's call as an answer

DELETE /crashes/PRINT cleared a feature as an answer to it does, so that for 1.5 s no crash counted, and for up to a minute the feature was established, even if the print was not known (404). It now clears the crashes that are known, at all nodes. TestCrashesAfterAnOperatorsCallCount failed before.

--- a/internal/crash/clear.go
+++ b/internal/crash/clear.go
@@ -17,7 +17,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	n := t.records.Served(now, now, id)
+	n := t.records.Clear(now, now, id)
 	if n > 0 {
 		t.config.Log.Event("crash.cleared", decision.Fields{"print": printText(id), "crashes": n, "source": "operator"})
 	}
--- a/internal/crash/clear_test.go
+++ b/internal/crash/clear_test.go
@@ -40,3 +40,14 @@
 		})
 	}
 }
+
+// Guards against a call of an operator that counts as an answer: crashes that follow it
+// would not be counted.
+func TestCrashesAfterAnOperatorsCallCount(t *testing.T) {
+	tracker, _, _ := newTracker(3)
+	require.Zero(t, tracker.Clear(request))
+	for i := range 3 {
+		tracker.Broke(whole(request), endpoint(i))
+	}
+	require.Positive(t, tracker.Isolated(whole(request)).Left)
+}
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -239,13 +239,18 @@
 // it began then and was whole. It returns how many these were.
 func (r *Records) Served(now, began time.Time, id uint64) int {
 	r.answered.add(now, began, id)
+	return r.Clear(now, began, id)
+}
+
+// Clear clears the crashes of a feature up to a time, and returns how many these were.
+func (r *Records) Clear(now, until time.Time, id uint64) int {
 	rec := r.by[id]
 	if rec == nil {
 		return 0
 	}
 	n := 0
 	for _, e := range rec.endpoints {
-		if e.cleared.IsZero() && !e.at.After(began) {
+		if e.cleared.IsZero() && !e.at.After(until) {
 			e.cleared, e.toldCleared = now, true
 			r.changed = now
 			n++
