--- a/internal/crash/contact.go
+++ b/internal/crash/contact.go
@@ -173,6 +173,19 @@
 	t.refused(time.Now(), e.Start().Key(), true)
 }
 
+// Refusing returns for how long endpoints have refused connections, for state dumps.
+func (t *Tracker) Refusing(now time.Time) map[uint32]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := map[uint32]string{}
+	for endpoint, k := range t.contacts.by {
+		if !k.refusedAt.IsZero() {
+			list[endpoint] = now.Sub(k.refusedAt).String()
+		}
+	}
+	return list
+}
+
 // refused records that an endpoint refuses connections to this node or to another one,
 // and reports the runs that broke or were given up there shortly before.
 func (t *Tracker) refused(now time.Time, endpoint uint32, here bool) {
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -346,5 +346,5 @@
 
 // MarshalJSON implements json.Marshaler for state dumps.
 func (i Isolation) MarshalJSON() ([]byte, error) {
-	return json.Marshal(map[string]any{"print": i.Print(), "kind": i.Scope.String(), "crashes": i.Crashes, "left": i.Left.String()})
+	return json.Marshal(map[string]any{"print": i.Print(), "kind": i.Scope.String(), "crashes": i.Crashes, "held": i.Held, "left": i.Left.String()})
 }
