--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -26,6 +26,10 @@
 	const (
 		suspect   = 1
 		endpoints = 3
+		// unproven is the feature of ends that are not proven; nodes are refused
+		// connections by the same endpoints.
+		unproven = 2
+		reports  = 3 * endpoints
 		// Three full endpoints break the requests of many nodes.
 		slots     = 128
 		reporters = 128
@@ -44,6 +48,11 @@
 					known[i][k] = true
 				}
 			}
+			for _, k := range s.Updates.Unproven {
+				if k.Feature == unproven || k.Feature == 0 {
+					known[i][k] = true
+				}
+			}
 		}
 	}
 	for i, a := range m.nodes[:reporters] {
@@ -55,17 +64,18 @@
 	for endpoint := range uint32(endpoints) {
 		a := m.nodes[7*endpoint+3]
 		a.updates.Crashes = append(a.updates.Crashes, relay.Crash{Feature: suspect, Endpoint: endpoint})
+		a.updates.Unproven = append(a.updates.Unproven, relay.Crash{Feature: unproven, Endpoint: endpoint}, relay.Crash{Endpoint: endpoint})
 	}
 	took := time.Duration(0)
 	missing := func() (n int) {
 		for _, k := range known {
-			n += endpoints - len(k)
+			n += reports - len(k)
 		}
 		return n
 	}
 	for ; missing() > 0 && took < bound; took += m.timing.Step {
 		m.run(m.timing.Step)
 	}
-	t.Logf("%d of %d reports missing after %v", missing(), endpoints*len(m.nodes), took)
+	t.Logf("%d of %d reports missing after %v", missing(), reports*len(m.nodes), took)
 	require.Zero(t, missing())
 }
