Report the runs at an endpoint that refuses connections once a second at most

Each refused attempt went through all runs that are remembered at the endpoint, 64 with eleven features each at a full engine, and each run that broke there went through all others. A run is now reported as it is added, and all of them at most once a second, which renews what others hold. The tests of unproven ends pass as they were.

TestRunsThatCallersLeftAreReported failed 74 of 216 times in six copies at once: it ended the endpoint before the gateway had seen its caller leave, or sent the next request before the endpoint had ended. It now waits for both; 540 of 540 pass in six copies at once.

--- a/internal/crash/contact.go
+++ b/internal/crash/contact.go
@@ -34,6 +34,8 @@
 		confirmedAt     time.Time
 		// ended says that it was proven to have ended.
 		ended bool
+		// reportedAt is when the runs there were last reported.
+		reportedAt time.Time
 		// asked says that it was to be asked at some of the nodes.
 		asked bool
 		// reachedAt is when this node learned that one was connected to it, and own says
@@ -97,6 +99,17 @@
 	return true
 }
 
+// mayReport reports whether the runs at an endpoint that refuses connections are to be
+// reported, at most once in renewInterval.
+func (c *contacts) mayReport(now time.Time, endpoint uint32) bool {
+	k := c.by[endpoint]
+	if now.Sub(k.reportedAt) < renewInterval {
+		return false
+	}
+	k.reportedAt = now
+	return true
+}
+
 // mayAsk reports whether an endpoint is to be asked, once after it has begun to refuse
 // connections.
 func (c *contacts) mayAsk(endpoint uint32) bool {
@@ -115,11 +128,14 @@
 	}
 }
 
-// refusing reports whether an endpoint has refused connections since before a time, and
-// no node was connected to it since.
-func (c *contacts) refusing(endpoint uint32, before time.Time) bool {
+// refusing returns since when an endpoint is known to refuse connections, and whether it
+// is: not if a node was connected to it since.
+func (c *contacts) refusing(endpoint uint32) (since time.Time, known bool) {
 	k := c.by[endpoint]
-	return k != nil && !k.refusedAt.IsZero() && k.refusedAt.Before(before)
+	if k == nil || k.refusedAt.IsZero() {
+		return time.Time{}, false
+	}
+	return k.refusedAt, true
 }
 
 // addRecent adds the reports of the endpoints that refuse connections to this node, and
@@ -152,7 +168,8 @@
 func (t *Tracker) Reached(e *deployment.Endpoint, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if key := e.Start().Key(); t.contacts.refusing(key, sent) {
+	key := e.Start().Key()
+	if since, known := t.contacts.refusing(key); known && since.Before(sent) {
 		t.reached(time.Now(), key, sourceSelf)
 	}
 }
@@ -192,20 +209,23 @@
 	if t.contacts.refused(now, endpoint, here) {
 		t.records.Confirm(now, endpoint)
 	}
+	if !t.contacts.mayReport(now, endpoint) {
+		return
+	}
 	delay := time.Duration(0)
 	if !here {
 		delay = reportDelay
 	}
-	t.reportRuns(now, endpoint, delay)
+	for _, r := range t.unproven.renew(now, endpoint, delay) {
+		t.reportRun(now, endpoint, r)
+	}
 }
 
-// reportRuns reports the runs that broke or were given up at an endpoint that refuses
-// connections since some time.
-func (t *Tracker) reportRuns(now time.Time, endpoint uint32, delay time.Duration) {
-	for _, r := range t.unproven.renew(now, endpoint, delay) {
-		for _, f := range r.features {
-			t.add(now, Report{Feature: f, Endpoint: endpoint, Age: now.Sub(r.broke), Unproven: true}, sourceSelf)
-		}
+// reportRun reports a run that broke or was given up at an endpoint that refuses
+// connections.
+func (t *Tracker) reportRun(now time.Time, endpoint uint32, r brokenRun) {
+	for _, f := range r.features {
+		t.add(now, Report{Feature: f, Endpoint: endpoint, Age: now.Sub(r.broke), Unproven: true}, sourceSelf)
 	}
 }
 
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -269,13 +269,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, key := time.Now(), r.start.Key()
+	_, refusing := t.contacts.refusing(key)
+	if refusing {
+		keep = restartTime
+	}
 	t.unproven.add(now, r, c, keep)
 	switch {
 	case t.contacts.hasEnded(key):
 		t.ended(now, r.start)
 		return true
-	case t.contacts.refusing(key, now):
-		t.reportRuns(now, key, 0)
+	case refusing:
+		t.reportRun(now, key, brokenRun{features: r.features, broke: now})
 	}
 	return false
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -261,7 +261,8 @@
 func TestRunsThatCallersLeftAreReported(t *testing.T) {
 	const endpoints = 4
 	addr := loopbackAddr()
-	arrived, leave := make(chan int, 1), make(chan struct{})
+	arrived := make(chan int, 1)
+	left, leave, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	var list []*endpoint
 	for i := range endpoints {
 		e := newEndpointAt(t, addr, nil)
@@ -271,8 +272,12 @@
 			}
 			start := e.running()
 			arrived <- i
+			// The gateway closes the connection as the caller leaves.
+			_, _ = c.Read(make([]byte, 1))
+			close(left)
 			<-leave
 			e.end(start, c)
+			close(ended)
 			return false
 		}
 		list = append(list, e)
@@ -284,6 +289,7 @@
 	ran := f.snapshot.Endpoints["s"][<-arrived]
 	cancel()
 	running.Wait()
+	<-left
 	reported := func() bool {
 		return slices.ContainsFunc(f.crashes.Recent(time.Now(), time.Now()).Unproven, func(k crash.Report) bool {
 			return k.Endpoint == ran.Start().Key() && k.ID != 0
@@ -291,6 +297,7 @@
 	}
 	require.False(t, reported(), "the endpoint runs")
 	close(leave)
+	<-ended
 	require.Eventually(t, func() bool {
 		f.postBody(t.Context(), t, "/p/x", "another", nil)
 		return reported()
