Apply a report of a connection once, and withdraw it once it is refused

A node that is connected to an endpoint reports that for two seconds, to release what a cut-off node has accused. An endpoint that ended within these seconds was released again with each repetition: the refused connections and unproven ends of that time were dropped, and the node went on to report its connection although it was refused since.

Repetitions change nothing now, a refused connection withdraws the node's own report, and others' reports count again at a node that is refused itself. TestRepeatedReportOfAConnectionHidesNoLaterEnd failed before.

--- a/internal/crash/contact.go
+++ b/internal/crash/contact.go
@@ -55,10 +55,10 @@
 func newContacts() *contacts { return &contacts{by: map[uint32]*contact{}} }
 
 // mayRefuse reports whether another node's report that an endpoint refuses connections
-// counts: not if a node was connected to it just before.
+// counts: not if a node was connected to it just before, unless it refuses them here.
 func (c *contacts) mayRefuse(now time.Time, endpoint uint32) bool {
 	k := c.by[endpoint]
-	return k == nil || now.Sub(k.reachedAt) >= lateReports
+	return k == nil || k.here || now.Sub(k.reachedAt) >= lateReports
 }
 
 // refused records that an endpoint refuses connections to this node or to another one,
@@ -66,6 +66,7 @@
 func (c *contacts) refused(now time.Time, endpoint uint32, here bool) (confirmed bool) {
 	k := c.begin(now, endpoint)
 	k.here, k.elsewhere = k.here || here, k.elsewhere || !here
+	k.own = k.own && !here
 	return k.here && k.elsewhere && c.confirm(now, endpoint)
 }
 
@@ -121,11 +122,16 @@
 	return true
 }
 
-// reached records that a node was connected to an endpoint that refused connections.
-func (c *contacts) reached(now time.Time, endpoint uint32, own bool) {
-	if c.by[endpoint] != nil {
-		c.by[endpoint] = &contact{reachedAt: now, own: own}
+// reached records that a node was connected to an endpoint that refused connections, and
+// reports whether that is new: other nodes repeat their reports, and the endpoint may
+// have ended since.
+func (c *contacts) reached(now time.Time, endpoint uint32, own bool) bool {
+	k := c.by[endpoint]
+	if k == nil || !own && now.Sub(k.reachedAt) < lateReports {
+		return false
 	}
+	c.by[endpoint] = &contact{reachedAt: now, own: own}
+	return true
 }
 
 // refusing returns since when an endpoint is known to refuse connections, and whether it
@@ -143,10 +149,10 @@
 func (c *contacts) addRecent(now time.Time, n *News) {
 	for endpoint, k := range c.by {
 		if k.here && now.Sub(k.refusedAt) < repeatTime && len(n.Unproven) < 2*maxRecent {
-			n.Unproven = append(n.Unproven, Report{Endpoint: endpoint, Unproven: true})
+			n.Unproven = append(n.Unproven, Report{Endpoint: endpoint})
 		}
 		if k.here && k.elsewhere && now.Sub(k.confirmedAt) < repeatTime && len(n.Unproven) < 2*maxRecent {
-			n.Unproven = append(n.Unproven, Report{Feature: confirmation, Endpoint: endpoint, Unproven: true})
+			n.Unproven = append(n.Unproven, Report{Feature: confirmation, Endpoint: endpoint})
 		}
 		if k.own && now.Sub(k.reachedAt) < repeatTime && len(n.Cleared) < 2*maxRecent {
 			n.Cleared = append(n.Cleared, Report{Endpoint: endpoint})
@@ -176,7 +182,9 @@
 
 // reached records that a node was connected to an endpoint.
 func (t *Tracker) reached(now time.Time, endpoint uint32, source string) {
-	t.contacts.reached(now, endpoint, source == sourceSelf)
+	if !t.contacts.reached(now, endpoint, source == sourceSelf) {
+		return
+	}
 	if n := t.records.Reached(now, endpoint); n > 0 {
 		t.config.Log.Event("crash.refuted", decision.Fields{"endpoint": endpoint, "features": n, "source": source})
 	}
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -101,8 +101,8 @@
 }
 
 // Broke records that the endpoint closed the connection of a run, and returns whether
-// it has ended. It asks the endpoint and others, for checkTimeout at most. The features
-// are those of the run's request, the whole request first.
+// it has ended. It asks the endpoint and others, for three times checkTimeout at most.
+// The features are those of the run's request, the whole request first.
 func (t *Tracker) Broke(features []Feature, e *deployment.Endpoint) bool {
 	ended, _ := t.broke(features, e)
 	return ended
--- a/internal/crash/unproven_test.go
+++ b/internal/crash/unproven_test.go
@@ -302,3 +302,28 @@
 	require.Equal(t, 3, i.Crashes)
 	require.Greater(t, i.Left, time.Minute)
 }
+
+// Guards against ends that do not count because other nodes repeat that they were
+// connected to the endpoints shortly before.
+func TestRepeatedReportOfAConnectionHidesNoLaterEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPeers(1, 4, 0)
+		var connected crash.News
+		for i := range 4 {
+			connected.Cleared = append(connected.Cleared, crash.Report{Endpoint: endpoint(i).Start().Key()})
+		}
+		p.trackers[0].Add(time.Now(), unprovenNews(3), "cut")
+		time.Sleep(time.Second)
+		p.trackers[0].Add(time.Now(), connected, "reaches")
+		require.Zero(t, p.isolated(request))
+		time.Sleep(time.Second)
+		p.end(0, 1, 2, 3)
+		for i := range 3 {
+			p.trackers[0].Broke(whole(request), endpoint(i))
+		}
+		p.trackers[0].Add(time.Now(), unprovenNews(3), "peer")
+		p.trackers[0].Add(time.Now(), connected, "reaches")
+		time.Sleep(time.Second)
+		require.Equal(t, 1, p.isolated(request))
+	})
+}
