--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -317,6 +317,7 @@
 		{name: "585 nodes, all of it", nodes: 585, endpoints: 600, newsDelay: 2 * time.Second, crashes: 4, popular: 40, breaking: 100, cut: 10},
 	} {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			for w := eachBreak; w <= witnessed; w++ {
 				var sum errorCounts
 				for seed := range uint64(seeds) {
--- a/internal/crash/part_model_test.go
+++ b/internal/crash/part_model_test.go
@@ -450,6 +450,7 @@
 	names := []string{"by request", "by part", "blamed", "blamed, suspects not retried"}
 	for _, s := range list {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			for w := byRequest; w <= withoutRetry; w++ {
 				if w != blaming && s.nodes > 8 {
 					// The plays of many nodes take long.
--- a/internal/crash/service_model_test.go
+++ b/internal/crash/service_model_test.go
@@ -425,6 +425,7 @@
 				s.endpoints, s.leave, s.kinds, s.deadly, s.popular, s.unique = endpoints, c.leave, c.kinds, 40/c.kinds, 30, 10
 				s.name = fmt.Sprintf("%d nodes, %d endpoints, %.1f leave, %d requests", s.nodes, endpoints, c.leave, c.kinds)
 				t.Run(s.name, func(t *testing.T) {
+					t.Parallel()
 					for seed := range fleet.seeds {
 						got := playService(t, s, seed)
 						t.Logf("%+v", got)
@@ -461,6 +462,7 @@
 				s.endpoints, s.popular, s.unique = endpoints, 60, 60
 				c.change(&s)
 				t.Run(fmt.Sprintf("%d nodes, %d endpoints, %s", s.nodes, endpoints, c.name), func(t *testing.T) {
+					t.Parallel()
 					for seed := range fleet.seeds {
 						got := playService(t, s, seed)
 						t.Logf("%+v", got)
