Say in comments and pages when a held feature is judged and released

The package's overview did not name unproven ends, judgeAt and judge spoke of established features only, and two pages said that a feature is held until one more end is proven: it is until three are.

--- a/internal/crash/blame.go
+++ b/internal/crash/blame.go
@@ -23,8 +23,8 @@
 // So a part of prompts is isolated rather than the part above it, or the requests that
 // shared its endpoints; if it was not the cause, the next crash shows it.
 //
-// Established features come last, and are blamed only once their crashes have gone on
-// for settleTime. In the end those are released whose crashes the others explain: what
+// Established features come last, and are blamed only settleTime after the first of
+// their crashes; what is held for ends that are not proven waits for holdDelay. In the end those are released whose crashes the others explain: what
 // several causes have in common has the most crashes at first.
 func (r *Records) judge(now time.Time) {
 	r.judgeAt = time.Time{}
@@ -87,8 +87,8 @@
 }
 
 // settles reports whether it is too early to blame a feature, and makes sure that it is
-// judged again in time. The crashes of an established feature have to go on for
-// settleTime. Ends that are not proven have to be known for holdDelay: a node that is
+// judged again in time. The crashes of an established feature have to be known for
+// settleTime, so that answers elsewhere can clear them. Ends that are not proven have to be known for holdDelay: a node that is
 // connected to the endpoint has as much time to report that.
 func (r *Records) settles(now time.Time, s suspect) bool {
 	var delay time.Duration
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -14,6 +14,11 @@
 // accepts them, or another process has started at its address, and no longer counts
 // when a request with the feature was served since or the platform still lists the
 // endpoint.
+//
+// If all endpoints of a service refuse connections, no node can prove that. Runs that
+// broke or were given up there are reported as unproven ends, which count once a second
+// node is refused: three ends hold a feature until they are proven, or until a node is
+// connected to the endpoint.
 package crash
 
 import (
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -30,7 +30,7 @@
 	// holdTime is how long a feature is held after an end that is not proven: as long as
 	// it may take the platform to list the endpoint's next start, and more.
 	holdTime = 2 * restartTime
-	// holdDelay is how long three ends that are not proven must be known before that.
+	// holdDelay is how long the ends must be known before a feature is held.
 	holdDelay = 300 * time.Millisecond
 	// renewInterval is how often at most the report of such an end is renewed.
 	renewInterval = time.Second
@@ -77,7 +77,8 @@
 		by     map[uint64]*record
 		// suspects are the features with maxCrashes ends or more.
 		suspects map[uint64]bool
-		// judgeAt is when an established feature is to be judged again, zero if none is.
+		// judgeAt is when a feature that it was too early to blame is to be judged again,
+		// zero if there is none.
 		judgeAt time.Time
 		// answered are the features of requests that were answered.
 		answered answered
