--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -171,6 +171,13 @@
 		prefill, backlog int
 	}
 
+	// decision is the candidate that was picked, if any, and what it was picked from.
+	decision struct {
+		chosen *candidate
+		all    []candidate
+		mean   means
+	}
+
 	// endpointState is what this node knows of an endpoint.
 	endpointState struct {
 		// key is the Key of the endpoint's Start.
@@ -213,21 +220,34 @@
 func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all, mean := b.candidates(now, list, r)
-	c := b.pickWarmFirst(all, mean, r, now)
-	if c == nil && r.AllowTried {
-		r.Tried = nil
-		all, mean = b.candidates(now, list, r)
-		c = b.pickWarmFirst(all, mean, r, now)
-	}
-	if c == nil {
+	d := b.decide(now, list, r)
+	if d.chosen == nil {
 		return nil
 	}
-	o := b.endpoints[c.endpoint.Start()]
+	o := b.endpoints[d.chosen.endpoint.Start()]
 	o.active++
-	o.service, o.slots = c.endpoint.Service, c.slots
+	o.service, o.slots = d.chosen.endpoint.Service, d.chosen.slots
 	o.backoff.lastSent = now
-	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
+	return b.choice(now, list, r, d)
+}
+
+// decide picks an endpoint among the candidates, or none if none has room.
+func (b *Balancer) decide(now time.Time, list []*deployment.Endpoint, r Request) decision {
+	d := decision{}
+	d.all, d.mean = b.candidates(now, list, r)
+	d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	if d.chosen == nil && r.AllowTried {
+		r.Tried = nil
+		d.all, d.mean = b.candidates(now, list, r)
+		d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	}
+	return d
+}
+
+// choice returns the chosen endpoint and the reasons for the choice.
+func (b *Balancer) choice(now time.Time, list []*deployment.Endpoint, r Request, d decision) *Choice {
+	c := d.chosen
+	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: d.mean.usable, Ready: len(d.all), Cold: c.cold, Age: b.config.Loads.Age(now)}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -36,7 +36,7 @@
 		if c.suspect {
 			continue
 		}
-		c.preferred = c.holds && float64(c.load) < affinityRatio*m.usable+affinitySlack
+		c.preferred = c.prefers(m)
 		if float64(c.load) < bound && c.precedes(best) {
 			best = c
 		}
@@ -69,6 +69,12 @@
 // nearlyFull reports whether the engine may be full by now.
 func (c *candidate) nearlyFull() bool { return float64(c.load) >= nearlyFullShare*float64(c.slots) }
 
+// prefers reports whether the endpoint precedes those that do not hold the prompt's
+// part.
+func (c *candidate) prefers(m means) bool {
+	return c.holds && float64(c.load) < affinityRatio*m.usable+affinitySlack
+}
+
 // precedes reports whether the candidate is preferred to another for a key.
 func (c *candidate) precedes(other *candidate) bool {
 	if other == nil || c.preferred != other.preferred {
@@ -81,7 +87,12 @@
 // the least loaded of all, all would take the same one until they next hear from each
 // other.
 func (b *Balancer) pickPlain(all []candidate) *candidate {
-	var healthy, suspects []*candidate
+	healthy, suspects := usable(all)
+	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
+}
+
+// usable returns the candidates that may be sent a request now, the suspect ones apart.
+func usable(all []candidate) (healthy, suspects []*candidate) {
 	for i := range all {
 		c := &all[i]
 		switch {
@@ -92,7 +103,7 @@
 			healthy = append(healthy, c)
 		}
 	}
-	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
+	return healthy, suspects
 }
 
 // lessLoadedOfTwo draws two candidates and returns the one with the lower cost.
