Answer where a request would go now, and why

GET /explain on a node's metrics address and the command bulrushhinge explain show the route, account, residency, candidates, queue and rejections of a request that is not sent. The handler runs the code of a request: admit, prepare, the balancer's and queue's decisions on copies of their state. Tests compare state and metrics before and after, and the explained endpoint with the one that the next request gets.

--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -179,7 +179,7 @@
 // TestSettingsPage guards against differences between the operators' page and the
 // command line. The page's tables are the output of the command below.
 func TestSettingsPage(t *testing.T) {
-	code, stdout, stderr := run(t, nil, "settings", "node", "serve", "state", "manifest")
+	code, stdout, stderr := run(t, nil, "settings", "node", "serve", "state", "explain", "manifest")
 	require.Zero(t, code, stderr)
 	page, err := os.ReadFile("../../docs/operators/settings.md")
 	require.NoError(t, err)
--- /dev/null
+++ b/cmd/bulrushhinge/explain.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/gateway"
+)
+
+// maxExplanationBytes bounds a node's explanation; one with 32 candidates has about
+// 15 KB.
+const maxExplanationBytes = 1 << 20
+
+// errExplain is returned if a node does not explain a request.
+var errExplain = errors.New("explain: the node did not answer")
+
+// explainCommand shows where nodes would route a request now, and why.
+type explainCommand struct {
+	Node     []address `help:"Addresses and ports at which nodes serve their metrics and state, separated by commas (required)." need:"yes"`
+	Host     string    `help:"Host of the request (required)." need:"yes"`
+	Path     string    `help:"Path of the request." default:"/"`
+	Method   string    `help:"Method of the request." default:"GET"`
+	Account  string    `help:"Name of the client account, never its key."`
+	Service  string    `help:"Service, if the route is split; without it, the one with the most weight."`
+	Zone     string    `help:"Availability zone of the caller, to show the nodes that it is told."`
+	Prompt   string    `help:"Parts of the prompt, as in the request's header."`
+	Model    string    `help:"Model that is requested."`
+	Tokens   count     `help:"Number of prompt tokens." placeholder:"N"`
+	Deadline duration  `help:"How long the caller waits." placeholder:"1500ms"`
+	JSON     bool      `name:"json" help:"Print the nodes' answers as JSON."`
+}
+
+// Validate reports every invalid setting at once.
+func (c *explainCommand) Validate() error { return checkSettings(c) }
+
+// Run prints the explanation of each node. Errors of nodes that did not answer are
+// returned after the others are printed.
+func (c *explainCommand) Run() error {
+	var errs []error
+	for _, addr := range c.Node {
+		data, err := c.fetch(addr)
+		if err == nil {
+			err = c.print(data)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", addr, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// params returns the parameters that describe the request to a node.
+func (c *explainCommand) params() url.Values {
+	v := url.Values{}
+	for name, text := range map[string]string{
+		"host": c.Host, "path": c.Path, "method": c.Method, "account": c.Account, "service": c.Service, "zone": c.Zone, "prompt": c.Prompt, "model": c.Model,
+	} {
+		if text != "" {
+			v.Set(name, text)
+		}
+	}
+	if c.Tokens.n > 0 {
+		v.Set("tokens", strconv.Itoa(c.Tokens.n))
+	}
+	if c.Deadline.Duration > 0 {
+		v.Set("deadline", c.Deadline.String())
+	}
+	return v
+}
+
+func (c *explainCommand) fetch(addr address) ([]byte, error) {
+	client := http.Client{Timeout: stateTimeout}
+	resp, err := client.Get("http://" + addr.String() + "/explain?" + c.params().Encode())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", errExplain, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxExplanationBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", errExplain, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: %s: %s", errExplain, resp.Status, strings.TrimSpace(string(data)))
+	}
+	return data, nil
+}
+
+func (c *explainCommand) print(data []byte) error {
+	var x gateway.Explanation
+	if err := json.Unmarshal(data, &x); err != nil {
+		return fmt.Errorf("%w: %v", errExplain, err)
+	}
+	if c.JSON {
+		_, err := os.Stdout.Write(append(data, '\n'))
+		return err
+	}
+	table([]string{"node " + x.Node, ""}, explainedRows(x))
+	if x.Choice != nil && len(x.Choice.Candidates) > 0 {
+		table(
+			[]string{"endpoint", "zone", "chosen", "load", "own+others/reported", "slots", "cost", "order", "holds", "prefill", "state", "blocked"},
+			candidateRows(x.Choice.Candidates),
+		)
+	}
+	return nil
+}
+
+// explainedRows returns the rows of an explanation, without the candidates.
+func explainedRows(x gateway.Explanation) [][]string {
+	var rows [][]string
+	add := func(name, format string, args ...any) {
+		rows = append(rows, []string{name, fmt.Sprintf(format, args...)})
+	}
+	add("outcome", "%s", x.Outcome)
+	for _, r := range x.Rejections {
+		add("rejected by", "%s (%d) %s", r.Reason, r.Status, r.Detail)
+	}
+	add("configuration", "version %d, confirmed %s ago", x.Version, shownMS(x.ConfirmedMS))
+	if x.Stopping {
+		add("node", "stopping")
+	}
+	if r := x.Route; r != nil {
+		add("route", "%s (%s), priority %d, objective %s, timeout %s", r.Name, r.Prefix, r.Priority, shownMS(r.ObjectiveMS), shownMS(r.TimeoutMS))
+	}
+	if a := x.Account; a != nil {
+		add("account", "%s, priority %d", a.Name, a.Priority)
+	}
+	if x.Restricted {
+		add("residency", "%s", strings.Join(x.Regions, ", "))
+	}
+	for _, n := range x.Nodes {
+		add("node for the caller", "%s", n)
+	}
+	if x.Service != "" {
+		add("service", "%s, %d endpoints%s", x.Service, x.Endpoints, map[bool]string{false: ", not reached by this node"}[x.Reached])
+	}
+	if x.Owner != "" {
+		add("owner", "%s", x.Owner)
+	}
+	if x.BodyUnknown {
+		add("note", "whether this very request ends endpoints depends on its body")
+	}
+	if x.WaitsForHolder {
+		add("note", "waits for an engine that holds its prompt first")
+	}
+	return append(rows, append(choiceRows(x), queueRows(x)...)...)
+}
+
+func choiceRows(x gateway.Explanation) [][]string {
+	c := x.Choice
+	if c == nil {
+		return nil
+	}
+	var rows [][]string
+	add := func(name, format string, args ...any) {
+		rows = append(rows, []string{name, fmt.Sprintf(format, args...)})
+	}
+	switch c.Draw {
+	case balance.DrawTwo:
+		add("chosen", "the better of two of %d", c.Drawn)
+	case balance.DrawCold:
+		add("chosen", "one of %d cold ones if drawn, or else %s", c.Drawn, orNone(c.Chosen))
+	default:
+		add("chosen", "%s", orNone(c.Chosen))
+	}
+	if c.Source != "" {
+		add("cached parts from", "%s", c.Source)
+	}
+	if c.PrefillMS > 0 {
+		add("expected prefill", "%s", shownMS(c.PrefillMS))
+	}
+	if x.Reserves {
+		add("note", "reserves a slot first")
+	}
+	add("load", "mean %.1f, %.1f with evacuated zones, bound %.1f, others' part %s old", c.Mean, c.MeanAll, c.Bound, shownMS(c.LoadsAgeMS))
+	add("candidates", "%d of %d shown; no candidates: %d draining, %d evacuated, %d gone", len(c.Candidates), c.Total, c.Draining, c.Evacuated, c.Gone)
+	return rows
+}
+
+func queueRows(x gateway.Explanation) [][]string {
+	q := x.Queue
+	if q == nil {
+		return nil
+	}
+	wait, position := "unknown", "not let in: "+q.Rejected
+	if q.ExpectedWaitMS != nil {
+		wait = shownMS(*q.ExpectedWaitMS)
+	}
+	if q.Position > 0 {
+		position = fmt.Sprintf("position %d, at most %s", q.Position, shownMS(q.MayWaitMS))
+	}
+	rows := [][]string{{"queue", fmt.Sprintf("order %s, %d waiting, %d of the kind, %s, expected wait %s", q.Order, q.Waiting, q.OfKind, position, wait)}}
+	if q.WorkMS > 0 {
+		rows = append(rows, []string{"cost", fmt.Sprintf(
+			"due in %s, work %s, weight %.3g, backlog %s at %.3g/s, known for %s", shownMS(q.DueMS), shownMS(q.WorkMS), q.Weight, shownMS(q.BacklogMS), q.Rate, shownMS(q.RateAgeMS),
+		)})
+	}
+	return rows
+}
+
+func candidateRows(list []balance.ExplainedCandidate) [][]string {
+	var rows [][]string
+	for _, c := range list {
+		var state, blocked []string
+		for name, is := range map[string]bool{"suspect": c.Suspect, "probed next": c.Probe, "cold": c.Cold} {
+			if is {
+				state = append(state, name)
+			}
+		}
+		if c.SlowdownPercent > 0 {
+			state = append(state, fmt.Sprintf("work takes %.0f %%", c.SlowdownPercent))
+		}
+		for _, b := range c.Blocked {
+			blocked = append(blocked, b.Reason)
+		}
+		rows = append(rows, []string{
+			c.Endpoint, c.Zone, map[bool]string{true: "yes"}[c.Chosen] + map[bool]string{true: "may be drawn"}[c.Drawn], strconv.Itoa(c.Load),
+			fmt.Sprintf("%d+%d/%d", c.Own, c.Others, c.Reported), strconv.Itoa(c.Slots), fmt.Sprintf("%.2f", c.Cost), strconv.Itoa(c.Rank),
+			strconv.FormatBool(c.Holds), fmt.Sprintf("%d (%s)", c.Prefill, shownMS(c.PrefillMS)), strings.Join(state, ", "), strings.Join(blocked, ", "),
+		})
+	}
+	return rows
+}
+
+// shownMS returns a time in milliseconds as text.
+func shownMS(ms float64) string {
+	return time.Duration(ms * float64(time.Millisecond)).Round(100 * time.Microsecond).String()
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
--- a/cmd/bulrushhinge/main.go
+++ b/cmd/bulrushhinge/main.go
@@ -23,6 +23,7 @@
 	Manifest manifestCommand `cmd:"" help:"Check, compare, accept and reject manifests."`
 	State    stateCommand    `cmd:"" help:"Show the state of a running node."`
 	Zones    zonesCommand    `cmd:"" help:"Show which availability zones nodes of the gateway take for evacuated."`
+	Explain  explainCommand  `cmd:"" help:"Show where nodes of the gateway would route a request now, and why, without sending it."`
 	Settings settingsCommand `cmd:"" help:"Print every setting of every command as a table."`
 	Replay   replayCommand   `cmd:"" help:"Replay traces through the decisions of a whole fleet in virtual time."`
 }
--- a/gateway.go
+++ b/gateway.go
@@ -243,11 +243,7 @@
 
 // Resolve returns the addresses of nodes for a caller, and their TTL.
 func (g *Gateway) Resolve(c gateway.Caller) ([]netip.AddrPort, time.Duration) {
-	var regions []string
-	if config := g.state.Snapshot().Config; config != nil {
-		regions = config.Regions(c.Host)
-	}
-	all := gateway.Nearest(c, g.callerNodes(), g.config.Regions, regions)
+	all := g.nearest(c)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxAddresses)], min(addressTTL, cmp.Or(g.config.AddressTTL, addressTTL))
 }
@@ -351,6 +347,7 @@
 		g.storeMetrics.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
+	operators.HandleFunc("GET /explain", g.serveExplain)
 	operators.HandleFunc("DELETE /crashes/{print}", g.crashes.ServeClear)
 	// The listener enforces the timeouts, as they follow the configuration.
 	g.callers = &http.Server{Handler: g.handler, MaxHeaderBytes: maxHeaderBytes}
--- a/handover.go
+++ b/handover.go
@@ -56,6 +56,15 @@
 	return list
 }
 
+// nearest returns the addresses of the nodes that a caller should use.
+func (g *Gateway) nearest(c gateway.Caller) []netip.AddrPort {
+	var regions []string
+	if config := g.state.Snapshot().Config; config != nil {
+		regions = config.Regions(c.Host)
+	}
+	return gateway.Nearest(c, g.callerNodes(), g.config.Regions, regions)
+}
+
 // callerNodes returns the nodes that callers should use: those that reach all services,
 // if these are at least half of all. Otherwise a service may be down, and the nodes
 // that have not found out yet must not get all callers.
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -220,6 +220,14 @@
 	return t.records.Isolated(now, features...)
 }
 
+// Explain returns the isolation of a request as the records were last judged, and
+// changes nothing.
+func (t *Tracker) Explain(features []Feature) Isolation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records.longest(time.Now(), features)
+}
+
 // Recent returns what this node has learned after since, for the other nodes. It is
 // called for each heartbeat, and does the upkeep of the records.
 func (t *Tracker) Recent(now, since time.Time) News {
--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -225,13 +225,16 @@
 // Isolated returns the longest isolation of a request with some features; its Left is 0
 // if there is none.
 func (r *Records) Isolated(now time.Time, features ...Feature) Isolation {
-	var longest Isolation
-	if len(r.suspects) == 0 {
-		return longest
-	}
-	if !r.judgeAt.IsZero() && !now.Before(r.judgeAt) {
+	if len(r.suspects) > 0 && !r.judgeAt.IsZero() && !now.Before(r.judgeAt) {
 		r.judge(now)
 	}
+	return r.longest(now, features)
+}
+
+// longest returns the longest isolation of a request with some features, as the records
+// were last judged.
+func (r *Records) longest(now time.Time, features []Feature) Isolation {
+	var longest Isolation
 	for _, f := range features {
 		if !r.suspects[f.ID] {
 			continue
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -98,10 +98,7 @@
 	stay := began.Add(time.Duration(affinityShare * float64(c.route.Objective)))
 	for ctx.Err() == nil {
 		now := time.Now()
-		choice := h.Balancer.Choose(now, c.endpoints(), balance.Request{
-			Service: c.service, Key: c.promptKey, Tried: c.progress.tried, AllowTried: c.fallback != nil, Repeatable: c.canRetry(), WaitForHolder: now.Before(stay),
-			Objective: c.route.Objective, Prompt: c.prompt,
-		})
+		choice := h.Balancer.Choose(now, c.endpoints(), c.balanceRequest(now.Before(stay)))
 		if choice == nil {
 			c.queue().NoPlace(now)
 			return nil
@@ -115,6 +112,14 @@
 	return nil
 }
 
+// balanceRequest returns what the choice of an endpoint depends on.
+func (c *call) balanceRequest(waitForHolder bool) balance.Request {
+	return balance.Request{
+		Service: c.service, Key: c.promptKey, Tried: c.progress.tried, AllowTried: c.fallback != nil, Repeatable: c.canRetry(), WaitForHolder: waitForHolder,
+		Objective: c.route.Objective, Prompt: c.prompt,
+	}
+}
+
 // countAdmitted counts a request that has got its first slot.
 func (c *call) countAdmitted(now time.Time) {
 	if !c.progress.admitted {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -17,6 +17,8 @@
 	// Isolated returns why and for how long a request with some features must not be
 	// sent.
 	Isolated(features []crash.Feature) crash.Isolation
+	// Explain returns the same as Isolated, by what was last judged, and changes nothing.
+	Explain(features []crash.Feature) crash.Isolation
 	// Broke records that the endpoint closed the connection of a run, and reports
 	// whether it has ended.
 	Broke(features []crash.Feature, e *deployment.Endpoint) bool
--- /dev/null
+++ b/internal/gateway/explain_call.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/admission"
+	"bulrushhinge.example/bulrushhinge/internal/balance"
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+// explain adds what would become of an admitted request.
+func (c *call) explain(now time.Time, x *Explanation) {
+	h := c.handler.config
+	list := c.endpoints()
+	x.Service, x.Endpoints, x.Reached = c.service.Name, len(list), h.Reach.Reaches(c.service.Name)
+	x.Outcome = OutcomeWaits
+	offered := c.mayHandOver()
+	if o, ok := h.Handovers.(ownerNamer); ok {
+		var other bool
+		x.Owner, other = o.Owner(c.service.Name)
+		offered = offered || other
+	}
+	if offered {
+		x.Outcome = OutcomeOffered
+	}
+	c.explainChoice(now, x, list)
+	queue := c.handler.explainer(c.service.Name).Explain(now, c.admissionRequest())
+	x.Queue = &queue
+	c.explainRejections(now, x, list)
+	if x.Outcome != OutcomeWaits {
+		return
+	}
+	tries := queue.MayTry && !x.WaitsForHolder
+	switch {
+	case tries && x.Choice.Draw == balance.DrawCold:
+		x.Outcome = OutcomeMaySend
+	case tries && (x.Choice.Chosen != "" || x.Choice.Draw != ""):
+		x.Outcome = OutcomeSent
+	case queue.Rejected == admission.RejectedExcess:
+		x.reject(c.giveUp(reasonExcess), "places are scarce, and the account sends far more than usual")
+	case queue.Rejected != "":
+		x.reject(c.giveUp(reasonFull), "no slot is expected to be free in time")
+	}
+}
+
+// explainChoice adds the choice of an endpoint. If the request would first wait for an
+// engine that holds its prompt, it is the choice after that.
+func (c *call) explainChoice(now time.Time, x *Explanation, list []*deployment.Endpoint) {
+	b := c.handler.config.Balancer
+	choice := b.Explain(now, list, c.balanceRequest(true))
+	if choice.Chosen == "" && choice.Draw == "" && c.promptKey != "" {
+		if later := b.Explain(now, list, c.balanceRequest(false)); later.Chosen != "" || later.Draw != "" {
+			choice, x.WaitsForHolder = later, true
+		}
+	}
+	x.Choice = &choice
+	if i := slices.IndexFunc(list, func(e *deployment.Endpoint) bool { return e.ID == choice.Chosen }); i >= 0 {
+		x.Reserves = c.service.Model && choice.NearlyFull && c.handler.reservations.supported(list[i].Start(), now)
+	}
+}
+
+// explainRejections adds the reasons that would reject the request however long it
+// waits.
+func (c *call) explainRejections(now time.Time, x *Explanation, list []*deployment.Endpoint) {
+	h := c.handler.config
+	features := c.features
+	if c.in.Method != http.MethodGet && c.in.Method != http.MethodHead {
+		// The first feature is the whole request, with its body.
+		x.BodyUnknown, features = true, features[1:]
+	}
+	if i := h.Crashes.Explain(features); i.Left > 0 {
+		x.reject(notRun(reasonCrashes, i.Left), fmt.Sprintf("%s %s, %d crashes", i.Scope, i.Print(), i.Crashes))
+	}
+	if reason := c.blockedReason(); reason != "" {
+		x.reject(c.giveUp(reason), "")
+	}
+	if len(list) == 0 && !c.residency.restricted {
+		x.reject(c.giveUp(reasonNoEndpoint), "unless one becomes known while it waits")
+	}
+	until := now.Add(time.Duration(x.Queue.MayWaitMS * float64(time.Millisecond)))
+	if first, all := h.Balancer.BackingOff(now, list...); all && first.After(until) {
+		x.reject(c.giveUp(reasonBackoff), fmt.Sprintf("the first backoff ends in %v", first.Sub(now).Round(time.Millisecond)))
+	}
+}
+
+// explainer returns the queue of a service, an empty one if it has none yet.
+func (h *Handler) explainer(service string) queueExplainer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if q := h.queues[service]; q != nil {
+		return q
+	}
+	return admission.NewQueue()
+}
+
+// explainedService returns the service that is explained: one of the route's.
+func (c *call) explainedService(name string) (string, error) {
+	split := c.route.Split
+	if name != "" {
+		if !slices.ContainsFunc(split, func(s deployment.Share) bool { return s.Service == name }) {
+			return "", fmt.Errorf("%w: service: route %s has no service %q", ErrQuery, c.route.Name, name)
+		}
+		return name, nil
+	}
+	best := deployment.Share{}
+	for _, s := range split {
+		if best.Service == "" || s.Weight > best.Weight {
+			best = s
+		}
+	}
+	return best.Service, nil
+}
+
+// admissionDetail returns why a request has no route or account.
+func (c *call) admissionDetail(q Query, config *deployment.Config) string {
+	if c.route == nil {
+		return noRouteDetail(q.Host, config)
+	}
+	switch {
+	case c.account != nil || c.route.Public:
+		return ""
+	case q.Account == "":
+		return fmt.Sprintf("route %s needs an account", c.route.Name)
+	case slices.ContainsFunc(config.Accounts, func(a deployment.Account) bool { return a.Name == q.Account }):
+		return fmt.Sprintf("account %s has no API key", q.Account)
+	}
+	return fmt.Sprintf("there is no account %s", q.Account)
+}
+
+// noRouteDetail returns why no route matches a host and path.
+func noRouteDetail(host string, config *deployment.Config) string {
+	var hosts, prefixes []string
+	for _, r := range config.Routes {
+		hosts = append(hosts, r.Host)
+		if strings.EqualFold(r.Host, host) {
+			prefixes = append(prefixes, r.Prefix)
+		}
+	}
+	if len(prefixes) > 0 {
+		return "the routes of the host have the prefixes " + shortList(prefixes)
+	}
+	return "no route has the host; there are " + shortList(hosts)
+}
+
+// shortList returns the distinct texts of a list, sorted, with a mark if there are more
+// than maxExplainedItems.
+func shortList(list []string) string {
+	slices.Sort(list)
+	list = slices.Compact(list)
+	if len(list) > maxExplainedItems {
+		list = append(slices.Clone(list[:maxExplainedItems]), "…")
+	}
+	return strings.Join(list, ", ")
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,6 +64,9 @@
 		endpoints []*endpoint
 		snapshot  *deployment.Snapshot
 		crashes   *crash.Tracker
+		handler   *gateway.Handler
+		balancer  *balance.Balancer
+		metrics   *gateway.Metrics
 		// left are the endpoints that have sent a leave notice.
 		left []string
 	}
@@ -278,15 +281,16 @@
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
 	d := staticDeployment{snapshot: f.snapshot, left: &f.left}
 	f.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
-	h := gateway.New(gateway.Config{
+	f.balancer, f.metrics = balance.New(balance.Config{Loads: loads}), gateway.NewMetrics()
+	f.handler = gateway.New(gateway.Config{
 		Headers: headers(), Deployment: d, Pool: pool, Reserver: places,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
-		Balancer: balance.New(balance.Config{Loads: loads}),
+		Balancer: f.balancer,
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
-		Crashes:  f.crashes, Metrics: gateway.NewMetrics(),
+		Crashes:  f.crashes, Metrics: f.metrics,
 		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
 	})
-	f.server = httptest.NewServer(h)
+	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(pool.Close)
 	t.Cleanup(f.server.Close)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -307,39 +307,10 @@
 	// caller disconnects.
 	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
-	name := ""
-	if c.account != nil {
-		name = c.account.Name
-	}
-	h := c.handler.config.Headers
-	c.header = h.forEndpoint(c.in.Header, name)
-	c.service = c.config.Services[c.serviceName()]
-	parts := readPrompt(h.PromptParts(c.in.Header.Get(h.Prompt)))
-	c.features = features(c.in.RequestURI, name, body, parts.shared)
-	if c.route.Cached {
-		c.promptKey, c.prompt = parts.placement(c.in.Header.Get(h.Model))
-	}
-	if c.service.Model {
-		c.header.Set(h.Priority, strconv.Itoa(c.enginePriority()))
-	}
-	last, err := strconv.ParseUint(c.in.Header.Get(h.LastEventID), 10, 64)
-	if err == nil {
-		c.progress.lastEvent = max(c.progress.lastEvent, last)
-	}
+	c.prepare(c.serviceName())
 	return nil
 }
 
-// enginePriority returns the request's priority at an engine, from 0 to 9; the
-// account's takes precedence over the route's.
-func (c *call) enginePriority() int {
-	const ranks, last = 3, 9
-	account := 0
-	if c.account != nil {
-		account = c.account.Priority
-	}
-	return min(account*ranks+min(c.route.Priority, ranks-1), last)
-}
-
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
