--- a/internal/balance/explain_test.go
+++ b/internal/balance/explain_test.go
@@ -215,6 +215,29 @@
 	require.True(t, b.Explain(now, list, r).Candidates[0].Suspect, "the probe is used up by the request")
 }
 
+// TestExplainKeepsColdDraws guards against an explanation that uses up the time since
+// the last draw, by which a node earns a request to a cold endpoint.
+func TestExplainKeepsColdDraws(t *testing.T) {
+	now := time.Now()
+	list := endpoints(1)
+	list[0].ColdUntil = now.Add(time.Minute)
+	// Shared by the 330 nodes that a new node assumes, this is one request in 10 ms.
+	r := balance.Request{Service: deployment.Service{Name: "s", ColdRate: 66_000}}
+	b := balance.New(balance.Config{Loads: peers{}, Draw: func() float64 { return 0.5 }})
+	require.NotNil(t, b.Choose(now, list, r))
+	b.Release(now, startOf("e0"), balance.Served)
+	now = now.Add(20 * time.Millisecond)
+	for range 3 {
+		x := b.Explain(now, list, r)
+		require.Equal(t, balance.DrawCold, x.Draw)
+		require.Equal(t, 1, x.Drawn)
+		require.Empty(t, x.Chosen)
+	}
+	require.NotNil(t, b.Choose(now, list, r))
+	b.Release(now, startOf("e0"), balance.Served)
+	require.Nil(t, b.Choose(now, list, r), "the request has used it up")
+}
+
 // TestExplanationIsBounded guards against an answer that grows with the service.
 func TestExplanationIsBounded(t *testing.T) {
 	now := time.Now()
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
 // explain returns the explanation of a valid query.
@@ -178,6 +180,40 @@
 	require.Equal(t, "shares", x.Queue.Order)
 }
 
+// ownedElsewhere is a Handovers by which another node owns each service.
+type ownedElsewhere struct{}
+
+// Offer implements gateway.Handovers: there is no other node.
+func (ownedElsewhere) Offer(context.Context, *handover.Offer, []string) (string, *handover.Exchange, error) {
+	return "", nil, nil
+}
+
+// Done implements gateway.Handovers.
+func (ownedElsewhere) Done(string, *handover.Exchange) {}
+
+// Owner returns the owner of a service.
+func (ownedElsewhere) Owner(string) (node string, other bool) { return "n7", true }
+
+// TestExplainedOwner guards against an explanation by a node that is not the owner
+// which shows its own choice as the outcome.
+func TestExplainedOwner(t *testing.T) {
+	config := &deployment.Config{
+		Routes:   []deployment.Route{{Name: "r", Host: "h", Prefix: "/p/", Public: true, Timeout: time.Second, Objective: time.Second, Split: []deployment.Share{{Service: "s", Weight: 1}}}},
+		Services: map[string]deployment.Service{"s": {Name: "s"}}, Limits: deployment.Limits{BodyBytes: 100},
+	}
+	config.Index()
+	d := staticDeployment{snapshot: &deployment.Snapshot{Config: config, Endpoints: map[string][]*deployment.Endpoint{"s": {{ID: "e0", Service: "s", Slots: 4}}}}}
+	h := gateway.New(gateway.Config{
+		Headers: headers(), Deployment: d, Handovers: ownedElsewhere{}, Balancer: balance.New(balance.Config{Loads: noLoads{}}),
+		Crashes: crash.NewTracker(crash.Config{Deployment: d}), Metrics: gateway.NewMetrics(),
+	})
+	x, err := h.Explain(time.Now(), gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet})
+	require.NoError(t, err)
+	require.Equal(t, gateway.OutcomeOffered, x.Outcome)
+	require.Equal(t, "n7", x.Owner)
+	require.Equal(t, "e0", x.Choice.Chosen, "what this node would choose if the owner did not take it")
+}
+
 // TestExplainQueries guards against invalid queries that are answered as something
 // else, and against unbounded input.
 func TestExplainQueries(t *testing.T) {
