--- a/cmd/bulrushhinge/explain.go
+++ b/cmd/bulrushhinge/explain.go
@@ -103,12 +103,10 @@
 		_, err := os.Stdout.Write(append(data, '\n'))
 		return err
 	}
-	table([]string{"node " + x.Node, ""}, explainedRows(x))
+	table([]string{"question", "answer"}, explainedRows(x))
 	if x.Choice != nil && len(x.Choice.Candidates) > 0 {
-		table(
-			[]string{"endpoint", "zone", "chosen", "load", "own+others/reported", "slots", "cost", "order", "holds", "prefill", "state", "blocked"},
-			candidateRows(x.Choice.Candidates),
-		)
+		head, rows := candidateRows(x.Choice)
+		table(head, rows)
 	}
 	return nil
 }
@@ -119,14 +117,12 @@
 	add := func(name, format string, args ...any) {
 		rows = append(rows, []string{name, fmt.Sprintf(format, args...)})
 	}
+	add("node", "%s%s", x.Node, map[bool]string{true: ", stopping"}[x.Stopping])
 	add("outcome", "%s", x.Outcome)
 	for _, r := range x.Rejections {
 		add("rejected by", "%s (%d) %s", r.Reason, r.Status, r.Detail)
 	}
 	add("configuration", "version %d, confirmed %s ago", x.Version, shownMS(x.ConfirmedMS))
-	if x.Stopping {
-		add("node", "stopping")
-	}
 	if r := x.Route; r != nil {
 		add("route", "%s (%s), priority %d, objective %s, timeout %s", r.Name, r.Prefix, r.Priority, shownMS(r.ObjectiveMS), shownMS(r.TimeoutMS))
 	}
@@ -180,7 +176,10 @@
 	if x.Reserves {
 		add("note", "reserves a slot first")
 	}
-	add("load", "mean %.1f, %.1f with evacuated zones, bound %.1f, others' part %s old", c.Mean, c.MeanAll, c.Bound, shownMS(c.LoadsAgeMS))
+	add("mean load", "%.1f, %.1f with evacuated zones, other nodes' part %s old", c.Mean, c.MeanAll, shownMS(c.LoadsAgeMS))
+	if c.Bound > 0 {
+		add("bound", "%.1f", c.Bound)
+	}
 	add("candidates", "%d of %d shown; no candidates: %d draining, %d evacuated, %d gone", len(c.Candidates), c.Total, c.Draining, c.Evacuated, c.Gone)
 	return rows
 }
@@ -190,12 +189,12 @@
 	if q == nil {
 		return nil
 	}
-	wait, position := "unknown", "not let in: "+q.Rejected
+	wait, position := "unknown", "would not be let in ("+q.Rejected+")"
 	if q.ExpectedWaitMS != nil {
 		wait = shownMS(*q.ExpectedWaitMS)
 	}
 	if q.Position > 0 {
-		position = fmt.Sprintf("position %d, at most %s", q.Position, shownMS(q.MayWaitMS))
+		position = fmt.Sprintf("would be number %d, for at most %s", q.Position, shownMS(q.MayWaitMS))
 	}
 	rows := [][]string{{"queue", fmt.Sprintf("order %s, %d waiting, %d of the kind, %s, expected wait %s", q.Order, q.Waiting, q.OfKind, position, wait)}}
 	if q.WorkMS > 0 {
@@ -206,28 +205,53 @@
 	return rows
 }
 
-func candidateRows(list []balance.ExplainedCandidate) [][]string {
-	var rows [][]string
-	for _, c := range list {
-		var state, blocked []string
-		for name, is := range map[string]bool{"suspect": c.Suspect, "probed next": c.Probe, "cold": c.Cold} {
-			if is {
-				state = append(state, name)
-			}
+// candidateRows returns a row for each candidate, with the values that matter for a
+// request with a prompt or without.
+func candidateRows(x *balance.Explanation) (head []string, rows [][]string) {
+	prompt := x.Bound > 0
+	head = []string{"endpoint", "zone", "chosen", "load", "own and others'", "reported", "slots"}
+	if prompt {
+		head = append(head, "rank", "holds", "prefill tokens", "prefill")
+	} else {
+		head = append(head, "cost")
+	}
+	for _, c := range x.Candidates {
+		row := []string{
+			c.Endpoint, c.Zone, map[bool]string{true: "yes"}[c.Chosen] + map[bool]string{true: "drawn from"}[c.Drawn], strconv.Itoa(c.Load),
+			fmt.Sprintf("%d and %d", c.Own, c.Others), strconv.Itoa(c.Reported), strconv.Itoa(c.Slots),
 		}
-		if c.SlowdownPercent > 0 {
-			state = append(state, fmt.Sprintf("work takes %.0f %%", c.SlowdownPercent))
+		if prompt {
+			row = append(row, strconv.Itoa(c.Rank), map[bool]string{true: "yes"}[c.Holds], strconv.Itoa(c.Prefill), shownMS(c.PrefillMS))
+		} else {
+			row = append(row, fmt.Sprintf("%.2f", c.Cost))
+		}
+		rows = append(rows, append(row, candidateState(c)))
+	}
+	return append(head, "state"), rows
+}
+
+// candidateState returns what keeps requests from an endpoint, or may.
+func candidateState(c balance.ExplainedCandidate) string {
+	var state []string
+	for _, s := range []struct {
+		name string
+		is   bool
+	}{{"suspect", c.Suspect}, {"suspect, to be probed", c.Probe}, {"cold", c.Cold}} {
+		if s.is {
+			state = append(state, s.name)
 		}
-		for _, b := range c.Blocked {
-			blocked = append(blocked, b.Reason)
+	}
+	if c.SlowdownPercent > 0 {
+		state = append(state, fmt.Sprintf("work takes %.0f %%", c.SlowdownPercent))
+	}
+	for _, b := range c.Blocked {
+		text := "blocked: " + b.Reason
+		if b.LeftMS > 0 {
+			text += " for " + shownMS(b.LeftMS)
 		}
-		rows = append(rows, []string{
-			c.Endpoint, c.Zone, map[bool]string{true: "yes"}[c.Chosen] + map[bool]string{true: "may be drawn"}[c.Drawn], strconv.Itoa(c.Load),
-			fmt.Sprintf("%d+%d/%d", c.Own, c.Others, c.Reported), strconv.Itoa(c.Slots), fmt.Sprintf("%.2f", c.Cost), strconv.Itoa(c.Rank),
-			strconv.FormatBool(c.Holds), fmt.Sprintf("%d (%s)", c.Prefill, shownMS(c.PrefillMS)), strings.Join(state, ", "), strings.Join(blocked, ", "),
-		})
+		state = append(state, text)
 	}
-	return rows
+	return strings.Join(state, ", ")
 }
 
 // shownMS returns a time in milliseconds as text.
