--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -139,7 +139,7 @@
 		}
 	}
 	x.Drawn = len(drawn)
-	for _, c := range b.best(d, drawn, r)[:min(len(d.all), maxExplained)] {
+	for _, c := range b.best(d, drawn, r) {
 		e := b.explain(now, len(list), c, d, r, failures)
 		e.Chosen, e.Drawn = e.Endpoint == x.Chosen, drawn[c.key]
 		x.Candidates = append(x.Candidates, e)
@@ -210,40 +210,47 @@
 // best returns the candidates, the chosen one and those that are drawn from first,
 // then by what precedes in a choice.
 func (b *Balancer) best(d decision, drawn map[uint32]bool, r Request) []*candidate {
-	list := make([]*candidate, len(d.all))
-	class := make(map[uint32]int, len(d.all))
+	type entry struct {
+		*candidate
+		class int
+		cost  float64
+	}
+	list := make([]entry, len(d.all))
 	for i := range d.all {
-		c := &d.all[i]
-		list[i] = c
-		c.preferred = c.prefers(d.mean)
+		e := entry{candidate: &d.all[i], class: 2}
+		e.preferred = e.prefers(d.mean)
 		switch {
-		case d.chosen != nil && c.key == d.chosen.key && r.Key != "":
-			class[c.key] = 0
-		case drawn[c.key]:
-			class[c.key] = 1
-		case c.blocked:
-			class[c.key] = 4
-		case c.suspect:
-			class[c.key] = 3
-		default:
-			class[c.key] = 2
+		case d.chosen != nil && e.key == d.chosen.key && r.Key != "":
+			e.class = 0
+		case drawn[e.key]:
+			e.class = 1
+		case e.blocked:
+			e.class = 4
+		case e.suspect:
+			e.class = 3
+		}
+		if r.Key == "" {
+			e.cost = b.plainCost(e.candidate)
 		}
+		list[i] = e
 	}
-	slices.SortStableFunc(list, func(p, q *candidate) int {
-		if order := cmp.Compare(class[p.key], class[q.key]); order != 0 {
+	slices.SortFunc(list, func(p, q entry) int {
+		if order := cmp.Or(cmp.Compare(p.class, q.class), cmp.Compare(p.cost, q.cost)); order != 0 {
 			return order
 		}
 		switch {
-		case r.Key == "":
-			return cmp.Compare(b.plainCost(p), b.plainCost(q))
-		case p.precedes(q):
+		case p.precedes(q.candidate):
 			return -1
-		case q.precedes(p):
+		case q.precedes(p.candidate):
 			return 1
 		}
-		return 0
+		return cmp.Compare(p.endpoint.ID, q.endpoint.ID)
 	})
-	return list
+	best := make([]*candidate, min(len(list), maxExplained))
+	for i := range best {
+		best[i] = list[i].candidate
+	}
+	return best
 }
 
 // explain returns the values of a candidate. Failures is the mean failure rate of the
