--- a/internal/gateway/explain_call.go
+++ b/internal/gateway/explain_call.go
@@ -24,13 +24,15 @@
 		x.Owner, other = o.Owner(c.service.Name)
 		offered = offered || other
 	}
-	if offered {
-		x.Outcome = OutcomeOffered
-	}
 	c.explainChoice(now, x, list)
 	queue := c.handler.explainer(c.service.Name).Explain(now, c.admissionRequest())
 	x.Queue = &queue
+	isolated := c.explainIsolation(x)
 	c.explainRejections(now, x, list)
+	if offered && !isolated {
+		// The rejections are those if no other node takes the request.
+		x.Outcome = OutcomeOffered
+	}
 	if x.Outcome != OutcomeWaits {
 		return
 	}
@@ -63,18 +65,24 @@
 	}
 }
 
-// explainRejections adds the reasons that would reject the request however long it
-// waits.
-func (c *call) explainRejections(now time.Time, x *Explanation, list []*deployment.Endpoint) {
-	h := c.handler.config
+// explainIsolation reports whether the request would be rejected because it, or a part
+// of its prompt, ends endpoints.
+func (c *call) explainIsolation(x *Explanation) bool {
 	features := c.features
 	if c.in.Method != http.MethodGet && c.in.Method != http.MethodHead {
 		// The first feature is the whole request, with its body.
 		x.BodyUnknown, features = true, features[1:]
 	}
-	if i := h.Crashes.Explain(features); i.Left > 0 {
+	i := c.handler.config.Crashes.Explain(features)
+	if i.Left > 0 {
 		x.reject(notRun(reasonCrashes, i.Left), fmt.Sprintf("%s %s, %d crashes", i.Scope, i.Print(), i.Crashes))
 	}
+	return i.Left > 0
+}
+
+// explainRejections adds the reasons why this node's endpoints would not be sent the
+// request however long it waits.
+func (c *call) explainRejections(now time.Time, x *Explanation, list []*deployment.Endpoint) {
 	if reason := c.blockedReason(); reason != "" {
 		x.reject(c.giveUp(reason), "")
 	}
@@ -82,7 +90,7 @@
 		x.reject(c.giveUp(reasonNoEndpoint), "unless one becomes known while it waits")
 	}
 	until := now.Add(time.Duration(x.Queue.MayWaitMS * float64(time.Millisecond)))
-	if first, all := h.Balancer.BackingOff(now, list...); all && first.After(until) {
+	if first, all := c.handler.config.Balancer.BackingOff(now, list...); all && first.After(until) {
 		x.reject(c.giveUp(reasonBackoff), fmt.Sprintf("the first backoff ends in %v", first.Sub(now).Round(time.Millisecond)))
 	}
 }
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -212,6 +212,12 @@
 	require.Equal(t, gateway.OutcomeOffered, x.Outcome)
 	require.Equal(t, "n7", x.Owner)
 	require.Equal(t, "e0", x.Choice.Chosen, "what this node would choose if the owner did not take it")
+
+	d.snapshot.Endpoints["s"][0].Draining = true
+	x, err = h.Explain(time.Now(), gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet})
+	require.NoError(t, err)
+	require.Equal(t, gateway.OutcomeOffered, x.Outcome, "the owner may know another endpoint")
+	require.Equal(t, "endpoints-leaving", x.Rejections[0].Reason)
 }
 
 // TestExplainQueries guards against invalid queries that are answered as something
