--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -63,17 +63,17 @@
 	x := Explanation{
 		Order: "shares", Waiting: len(c.waiting), OfKind: k.waiting, MayTry: c.MayTry(now, r), Scarce: c.scarce(now),
 		Overserved: c.overserved(k, now), Excess: r.Excess, ServedShare: k.served.Get(now) / max(k.requested.Get(now), 1),
-		LimitMS: milliseconds(waitLimit(r, k)),
+		LimitMS: 1000 * waitLimit(r, k).Seconds(),
 	}
 	if wait := c.expectedWait(k, k.queuedAhead(r), now); wait < math.MaxInt64 {
-		ms := milliseconds(wait)
+		ms := 1000 * wait.Seconds()
 		x.ExpectedWaitMS = &ms
 	}
 	w := c.Join(now, r)
 	switch {
 	case w != nil:
 		x.Position = slices.Index(c.inOrder(now, slices.Clone(c.waiting)), w) + 1
-		x.MayWaitMS = milliseconds(w.until.Sub(now))
+		x.MayWaitMS = 1000 * w.until.Sub(now).Seconds()
 	case r.Excess && c.rejectsExcess(now):
 		x.Rejected = RejectedExcess
 	default:
@@ -104,6 +104,3 @@
 	}
 	return c
 }
-
-// milliseconds returns a time in milliseconds.
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -121,7 +121,7 @@
 	d := b.decide(now, list, r)
 	r.brittle = b.isBrittle(now, r.Service.Name)
 	x := Explanation{
-		Mean: d.mean.usable, MeanAll: d.mean.all, LoadsAgeMS: milliseconds(b.config.Loads.Age(now)), Brittle: r.brittle, Total: len(d.all),
+		Mean: d.mean.usable, MeanAll: d.mean.all, LoadsAgeMS: 1000 * b.config.Loads.Age(now).Seconds(), Brittle: r.brittle, Total: len(d.all),
 	}
 	x.count(b, list)
 	if r.Key != "" {
@@ -133,7 +133,7 @@
 	drawn := b.drawn(&x, d, r)
 	if d.chosen != nil && x.Draw != DrawTwo {
 		choice := b.choice(now, list, r, d)
-		x.Chosen, x.NearlyFull, x.PrefillMS = choice.Endpoint.ID, choice.NearlyFull, milliseconds(choice.PrefillTime)
+		x.Chosen, x.NearlyFull, x.PrefillMS = choice.Endpoint.ID, choice.NearlyFull, 1000*choice.PrefillTime.Seconds()
 		if choice.Source != nil {
 			x.Source = choice.Source.ID
 		}
@@ -262,14 +262,14 @@
 		Suspect: c.suspect, Probe: !c.suspect && o.health.suspect(failures), Cold: c.cold,
 	}
 	if e.Reported > 0 {
-		e.ReportAgeMS = milliseconds(now.Sub(b.reports.latest[o.key].at))
+		e.ReportAgeMS = 1000 * now.Sub(b.reports.latest[o.key].at).Seconds()
 	}
 	if r.Key == "" {
 		e.Cost = b.plainCost(c)
 	} else {
 		choice := Choice{}
 		b.estimatePrefill(&choice, c, r)
-		e.Rank, e.Holds, e.Preferred, e.Prefill, e.PrefillMS = rank(d.all, c)+1, c.holds, c.preferred, c.prefill, milliseconds(choice.PrefillTime)
+		e.Rank, e.Holds, e.Preferred, e.Prefill, e.PrefillMS = rank(d.all, c)+1, c.holds, c.preferred, c.prefill, 1000*choice.PrefillTime.Seconds()
 	}
 	if c.blocked {
 		e.Blocked = r.blocks(now, c.endpoint, o, b.load(now, o, endpoints, r))
@@ -283,7 +283,7 @@
 	var list []Block
 	add := func(reason string, s endpointState, load float64, until time.Time) {
 		if r.blocked(now, e, &s, load) {
-			list = append(list, Block{Reason: reason, LeftMS: max(milliseconds(until.Sub(now)), 0)})
+			list = append(list, Block{Reason: reason, LeftMS: max(1000*until.Sub(now).Seconds(), 0)})
 		}
 	}
 	h := o.health
@@ -303,6 +303,3 @@
 	}
 	return list
 }
-
-// milliseconds returns a time in milliseconds.
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -169,7 +169,7 @@
 		return x, err
 	}
 	if age, known := h.config.Deployment.Age(); known {
-		x.ConfirmedMS = milliseconds(age)
+		x.ConfirmedMS = 1000 * age.Seconds()
 	}
 	config := h.config.Deployment.Snapshot().Config
 	if config == nil {
@@ -234,7 +234,7 @@
 		in.Header.Set(names.Tokens, strconv.Itoa(q.Tokens))
 	}
 	if q.Deadline > 0 {
-		in.Header.Set(names.Deadline, strconv.FormatFloat(milliseconds(q.Deadline), 'f', -1, 64))
+		in.Header.Set(names.Deadline, strconv.FormatFloat(1000*q.Deadline.Seconds(), 'f', -1, 64))
 	}
 	return in, nil
 }
@@ -244,7 +244,7 @@
 	if r := c.route; r != nil {
 		x.Route = &ExplainedRoute{
 			Name: r.Name, Prefix: r.Prefix, Priority: r.Priority, Public: r.Public, Cached: r.Cached, Streams: r.Kind.Streams(),
-			Repeatable: r.Kind.Retryable(), Attempts: r.Attempts, ObjectiveMS: milliseconds(r.Objective), TimeoutMS: milliseconds(r.Timeout),
+			Repeatable: r.Kind.Retryable(), Attempts: r.Attempts, ObjectiveMS: 1000 * r.Objective.Seconds(), TimeoutMS: 1000 * r.Timeout.Seconds(),
 		}
 		for _, s := range r.Split[:min(len(r.Split), maxExplainedItems)] {
 			x.Split = append(x.Split, ExplainedShare{Service: s.Service, Weight: s.Weight})
@@ -254,7 +254,7 @@
 		x.Account = &ExplainedAccount{Name: a.Name, Priority: a.Priority}
 	}
 	if !c.deadline.IsZero() {
-		x.DeadlineMS = milliseconds(c.deadline.Sub(c.started))
+		x.DeadlineMS = 1000 * c.deadline.Sub(c.started).Seconds()
 		x.Restricted, x.Regions = c.residency.restricted, c.residency.regions
 	}
 }
@@ -262,8 +262,5 @@
 // reject adds a reason why the request would be rejected.
 func (x *Explanation) reject(r *refusal, detail string) {
 	x.Outcome = OutcomeRejected
-	x.Rejections = append(x.Rejections, Rejection{Reason: r.reason, Status: r.status, RetryAfterMS: milliseconds(r.retryAfter), Detail: detail})
+	x.Rejections = append(x.Rejections, Rejection{Reason: r.reason, Status: r.status, RetryAfterMS: 1000 * r.retryAfter.Seconds(), Detail: detail})
 }
-
-// milliseconds returns a time in milliseconds.
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
