--- a/internal/crash/records.go
+++ b/internal/crash/records.go
@@ -231,10 +231,8 @@
 	return r.longest(now, features)
 }
 
-// longest returns the longest isolation of a request with some features, as the records
-// were last judged.
-func (r *Records) longest(now time.Time, features []Feature) Isolation {
-	var longest Isolation
+// longest is Isolated as the records were last judged.
+func (r *Records) longest(now time.Time, features []Feature) (longest Isolation) {
 	for _, f := range features {
 		if !r.suspects[f.ID] {
 			continue
