Give small services one owner node

Other nodes hand its requests over to it; one that can not runs them itself, as before. The owner fills endpoints to their slots plus one and takes the least loaded of all.

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -35,13 +36,14 @@
 type serveCommand struct {
 	Metrics uint16 `help:"Port at which metrics and state are served." default:"9464"`
 	Egress  string `help:"Address of an HTTP proxy through which endpoints are reached, with CONNECT; empty for none."`
+	Owners  ratio  `help:"Plain services with fewer slots than this many for each node get one owner, a node through which all their requests pass; 0 to 1,000, 0 for none." default:"0" env:"BULRUSHHINGE_SERVE_OWNERS"`
 	Check   bool   `help:"Check the platform's settings and end."`
 }
 
 // Run serves the platform's callers until it is told to stop.
 func (c *serveCommand) Run() error {
 	s, err := platform.ReadSettings()
-	if err != nil {
+	if err := errors.Join(checkSettings(c), err); err != nil {
 		return err
 	}
 	if c.Check {
@@ -120,7 +122,7 @@
 		Places:  func(p *http1.Pool) gateway.Reserver { return platform.NewReserver(p) },
 		Answers: func(g *bulrushhinge.Gateway) http.Handler { return platform.NewDirectoryHandler(g) },
 		Retry:   budget.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
-		Apply:   s.Bounds.Apply, LoadCap: s.Bounds.LoadCap,
+		Apply:   s.Bounds.Apply, LoadCap: s.Bounds.LoadCap, Owners: c.Owners.value,
 		Drain: s.Bounds.Drain, Grace: s.Bounds.Grace, AddressTTL: s.Bounds.AddressTTL, Log: os.Stdout,
 	}
 }
--- a/cmd/bulrushhinge/setting.go
+++ b/cmd/bulrushhinge/setting.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"cmp"
 	"crypto/ed25519"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/owner"
 	"bulrushhinge.example/bulrushhinge/internal/peer"
 )
 
@@ -44,6 +47,12 @@
 		n int
 	}
 
+	// ratio is the setting of a ratio of slots to nodes.
+	ratio struct {
+		fault
+		value float64
+	}
+
 	// publicKey is the setting of an Ed25519 public key.
 	publicKey struct {
 		fault
@@ -89,6 +98,17 @@
 	return nil
 }
 
+// UnmarshalText reads a ratio of slots to nodes, such as 0.5.
+func (r *ratio) UnmarshalText(text []byte) error {
+	r.value, r.err = strconv.ParseFloat(string(text), 64)
+	if r.err != nil {
+		r.err = fmt.Errorf("%q is no number", text)
+		return nil
+	}
+	r.err = owner.CheckRatio(r.value)
+	return nil
+}
+
 // UnmarshalText reads a public key in hexadecimal.
 func (k *publicKey) UnmarshalText(text []byte) error {
 	key, err := hex.DecodeString(string(text))
@@ -137,11 +157,12 @@
 		if given := f.Tag.Get("name"); given != "" {
 			name = given
 		}
+		env := cmp.Or(f.Tag.Get("env"), envOf(name))
 		if f.Tag.Get(needTag) != "" && v.Field(i).IsZero() {
-			errs = append(errs, fmt.Errorf("--%s (%s) is missing", name, envOf(name)))
+			errs = append(errs, fmt.Errorf("--%s (%s) is missing", name, env))
 		}
 		for _, err := range faultsOf(v.Field(i)) {
-			errs = append(errs, fmt.Errorf("--%s (%s): %w", name, envOf(name), err))
+			errs = append(errs, fmt.Errorf("--%s (%s): %w", name, env, err))
 		}
 	}
 	return errors.Join(errs...)
--- a/gateway.go
+++ b/gateway.go
@@ -27,6 +27,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/owner"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/reach"
 	"bulrushhinge.example/bulrushhinge/internal/store"
@@ -104,6 +105,9 @@
 		// LoadCap is the greatest multiple of the mean load that an endpoint
 		// may have.
 		LoadCap float64
+		// Owners is how many slots a plain service has at most for each node to get an
+		// owner, 0 to owner.MaxRatio; 0 means that no service has one.
+		Owners float64
 		// Grace is how long the process may run after it is told to stop.
 		Grace time.Duration
 		// Log receives JSON lines.
@@ -128,14 +132,16 @@
 		reachMetrics  *reach.Metrics
 		handovers     *handovers
 		handoverCalls *handover.Server
-		storeMetrics  *store.Metrics
-		callers       *http.Server
-		servers       []*http.Server
-		seeds         atomic.Pointer[[]netip.Addr]
-		stopping      atomic.Bool
-		began         time.Time
-		cancel        context.CancelFunc
-		running       sync.WaitGroup
+		// owners is nil if no service may have an owner.
+		owners       *owners
+		storeMetrics *store.Metrics
+		callers      *http.Server
+		servers      []*http.Server
+		seeds        atomic.Pointer[[]netip.Addr]
+		stopping     atomic.Bool
+		began        time.Time
+		cancel       context.CancelFunc
+		running      sync.WaitGroup
 	}
 
 	// peerLoads reads the other nodes' loads through the gateway, because the
@@ -159,6 +165,9 @@
 
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
+	if err := owner.CheckRatio(c.Owners); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), reachMetrics: reach.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
@@ -192,10 +201,12 @@
 	}
 	c.Retry.Nodes = nodes
 	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
-	g.handler = gateway.New(gateway.Config{
+	handler := gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
 		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
-	})
+	}
+	g.startOwners(ctx, &handler)
+	g.handler = gateway.New(handler)
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Metrics: g.storeMetrics, Log: g.log,
 		Reads: g.gossip.Reads, Bound: shorterBound(c.Drain, c.Apply),
@@ -296,6 +307,7 @@
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 		"isolated": g.crashes.List(time.Now()), "refusing": g.crashes.Refusing(time.Now()), "lost_services": g.reach.Lost(), "handed_over": g.handovers.chooser.Active(),
+		"owners": g.owners.dump(),
 	}
 }
 
@@ -348,6 +360,7 @@
 		g.gossipMetrics.Write(w)
 		g.crashMetrics.Write(w)
 		g.reachMetrics.Write(w)
+		g.owners.writeMetrics(w)
 		g.storeMetrics.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
--- a/handover.go
+++ b/handover.go
@@ -48,7 +48,7 @@
 		if m.State != gossip.Ready || !m.Reaches(key) {
 			continue
 		}
-		if region, known := h.gateway.config.Regions[m.Zone]; len(regions) > 0 && !(known && slices.Contains(regions, region)) {
+		if !h.gateway.inRegions(m.Zone, regions) {
 			continue
 		}
 		list = append(list, handover.Peer{Name: m.Name, Zone: m.Zone, Addr: netip.AddrPortFrom(m.IP, h.gateway.config.HandoverPort)})
@@ -56,6 +56,13 @@
 	return list
 }
 
+// inRegions reports whether an availability zone is in one of some regions, or none are
+// given.
+func (g *Gateway) inRegions(zone string, regions []string) bool {
+	region, known := g.config.Regions[zone]
+	return len(regions) == 0 || known && slices.Contains(regions, region)
+}
+
 // callerNodes returns the nodes that callers should use: those that reach all services,
 // if these are at least half of all. Otherwise a service may be down, and the nodes
 // that have not found out yet must not get all callers.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -33,7 +33,11 @@
 	// same endpoint below the bound at the same time cause more refusals than the
 	// limit avoids.
 	plainDepth = 4.0
-	// modelDepth is the same for model engines: requests wait at the node instead,
+	// exclusiveExtra is how many requests more than slots an endpoint of a plain service
+	// may have if all requests pass through this node: the next one is there when a slot
+	// becomes free, and the others wait where they are ordered.
+	exclusiveExtra = 1
+	// modelDepth is the same as plainDepth for model engines: requests wait at the node instead,
 	// where they take the first slot that becomes free on any engine.
 	modelDepth = 1.0
 	// refusedBackoff is how long an endpoint that refused a request as full is not
@@ -127,6 +131,10 @@
 		// WaitForHolder makes the request wait for an engine that holds its prompt rather than
 		// take one of the last slots of another engine.
 		WaitForHolder bool
+		// Exclusive says that all requests for the service pass through this node, so
+		// that its counts of requests in progress are exact. Only requests without a
+		// key may be exclusive.
+		Exclusive bool
 		// Objective is the time within which the answer should begin; 0 if there is
 		// none.
 		Objective time.Duration
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -73,12 +73,15 @@
 // block it: that may be older than it seems, and the endpoint refuses excess requests
 // itself.
 func (r Request) blocked(now time.Time, e *deployment.Endpoint, o *endpointState, load float64) bool {
-	depth := plainDepth
-	if r.Key != "" || r.brittle {
-		depth = modelDepth
+	limit := plainDepth * float64(slots(e, r.Service))
+	switch {
+	case r.Key != "" || r.brittle:
+		limit = modelDepth * float64(slots(e, r.Service))
+	case r.Exclusive:
+		limit = float64(slots(e, r.Service) + exclusiveExtra)
 	}
 	return o.health.gone || o.backoff.blocks(now) || now.Before(o.health.unreachableUntil) || now.Before(o.health.refusedUntil) || now.Before(o.health.noPlaceUntil) ||
-		load >= depth*float64(slots(e, r.Service))
+		load >= limit
 }
 
 // means are the mean loads of a service's endpoints.
@@ -93,7 +96,8 @@
 	states, failures := b.states(now, list)
 	r.brittle = b.isBrittle(now, r.Service.Name)
 	failing := b.failing(now, states, r.Service.Name)
-	over := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
+	shared := r.brittle && r.Key == "" && !r.Exclusive
+	over := shared && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
 	part := xxhash.Sum64String(r.Key)
 	all := make([]candidate, 0, len(list))
@@ -117,7 +121,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
-		full := r.brittle && r.Key == "" && (over || b.overEndpointShare(o, c.slots))
+		full := shared && (over || b.overEndpointShare(o, c.slots))
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
 			c.prefill = o.prefill + b.config.Loads.OthersPrefill(key)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -14,7 +14,7 @@
 		}
 		return c
 	}
-	return b.pickPlain(all)
+	return b.pickPlain(all, r)
 }
 
 // pickKeyed takes the first endpoint of the key's rendezvous order that is under the
@@ -79,8 +79,8 @@
 
 // pickPlain takes the better of two random endpoints, by load per slot. If nodes took
 // the least loaded of all, all would take the same one until they next hear from each
-// other.
-func (b *Balancer) pickPlain(all []candidate) *candidate {
+// other. Where all requests pass through this node, it takes the least loaded of all.
+func (b *Balancer) pickPlain(all []candidate, r Request) *candidate {
 	var healthy, suspects []*candidate
 	for i := range all {
 		c := &all[i]
@@ -92,6 +92,9 @@
 			healthy = append(healthy, c)
 		}
 	}
+	if r.Exclusive {
+		return cmp.Or(b.leastLoaded(healthy), b.leastLoaded(suspects))
+	}
 	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
 }
 
@@ -111,6 +114,26 @@
 	return list[i]
 }
 
+// leastLoaded returns the candidate with the lowest load per slot, nil if there is none.
+// Of several, one in this node's zone is preferred; the search starts at a random one,
+// so that they take turns.
+func (b *Balancer) leastLoaded(list []*candidate) *candidate {
+	var best *candidate
+	if len(list) == 0 {
+		return nil
+	}
+	offset := rand.IntN(len(list))
+	for i := range list {
+		c := list[(offset+i)%len(list)]
+		if best == nil || cmp.Or(cmp.Compare(c.loadPerSlot(), best.loadPerSlot()), cmp.Compare(b.plainCost(c), b.plainCost(best))) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+func (c *candidate) loadPerSlot() float64 { return float64(c.load) / float64(c.slots) }
+
 func (b *Balancer) plainCost(c *candidate) float64 {
 	cost := float64(c.load) / float64(c.slots)
 	if c.endpoint.Zone != b.config.Zone {
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -100,7 +100,7 @@
 		now := time.Now()
 		choice := h.Balancer.Choose(now, c.endpoints(), balance.Request{
 			Service: c.service, Key: c.promptKey, Tried: c.progress.tried, AllowTried: c.fallback != nil, Repeatable: c.canRetry(), WaitForHolder: now.Before(stay),
-			Objective: c.route.Objective, Prompt: c.prompt,
+			Objective: c.route.Objective, Prompt: c.prompt, Exclusive: c.exclusive(),
 		})
 		if choice == nil {
 			c.queue().NoPlace(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,12 +129,17 @@
 //
 // An endpoint resets connections beyond a limit that counts those of all nodes,
 // idle ones included, and an at-most-once request is lost with a reset. A burst
-// that leaves many idle connections would cause resets of new ones.
+// that leaves many idle connections would cause resets of new ones. The owner of a
+// service keeps those of all nodes, as the others rarely open any.
 func (c *call) maxIdleConns() int {
 	if c.service.Connections == 0 {
 		return 0
 	}
-	return max(int(idleShare*float64(c.service.Connections))/max(c.handler.config.Nodes(), 1), 1)
+	nodes := max(c.handler.config.Nodes(), 1)
+	if c.exclusive() {
+		nodes = 1
+	}
+	return max(int(idleShare*float64(c.service.Connections))/nodes, 1)
 }
 
 // request builds the request that is sent to the endpoint.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -64,8 +64,14 @@
 		// Handovers hands requests over to nodes that reach a service; nil if there
 		// are none.
 		Handovers Handovers
-		Metrics   *Metrics
-		Log       *decision.Log
+		// Owners hands requests over to the owners of their services; nil if no service
+		// has one.
+		Owners Owners
+		// Owned reports whether this node is the owner of a service; nil means that it
+		// owns none.
+		Owned   func(service string) bool
+		Metrics *Metrics
+		Log     *decision.Log
 		// Reserver reserves slots at engines; nil if they support no reservations.
 		Reserver Reserver
 		// Regions maps the names of availability zones to their regions.
@@ -138,6 +144,8 @@
 		// counted says that the request was counted in the retry budget and for its
 		// account, at this node or the one that has handed it over.
 		counted bool
+		// askedOwner says that the request was offered to the owner of its service.
+		askedOwner bool
 		// nobodyUntil is until when no other node is offered the request.
 		nobodyUntil time.Time
 		// admitted says that it has had a slot.
@@ -156,6 +164,9 @@
 	if c.Reach == nil {
 		c.Reach = reachesAll{}
 	}
+	if c.Owned == nil {
+		c.Owned = func(string) bool { return false }
+	}
 	return &Handler{config: c, reservations: newReservations(c.Reserver), queues: map[string]*admission.Queue{}}
 }
 
@@ -329,17 +340,6 @@
 	return nil
 }
 
-// enginePriority returns the request's priority at an engine, from 0 to 9; the
-// account's takes precedence over the route's.
-func (c *call) enginePriority() int {
-	const ranks, last = 3, 9
-	account := 0
-	if c.account != nil {
-		account = c.account.Priority
-	}
-	return min(account*ranks+min(c.route.Priority, ranks-1), last)
-}
-
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -33,9 +33,22 @@
 		Done(peer string, x *handover.Exchange)
 	}
 
+	// Owners hands requests over to the owners of their services.
+	Owners interface {
+		// Offer offers a request to the owner of its service, if that is another node
+		// in some regions, if any are given, which may be asked now. It returns the
+		// owner's name, empty if there is none. An error means that the owner has not
+		// taken the request.
+		Offer(ctx context.Context, o *handover.Offer, regions []string) (peer string, x *handover.Exchange, err error)
+		// Done ends a request that an owner had taken.
+		Done(peer string, x *handover.Exchange)
+	}
+
 	// hop is a request at another node.
 	hop struct {
-		peer    string
+		peer string
+		// owner says that the other node is the owner of the service.
+		owner   bool
 		started time.Time
 		// first is the time until the first part of the response.
 		first time.Duration
@@ -53,7 +66,7 @@
 // handOver has another node serve the request, and reports whether one has taken it.
 func (c *call) handOver(ctx context.Context) (res result, ref *refusal, taken bool) {
 	for range maxOffers {
-		peer, x, err := c.offer(ctx)
+		peer, x, err := c.offer(ctx, c.handler.config.Handovers, false)
 		if peer == "" || err != nil && ctx.Err() != nil {
 			break
 		}
@@ -74,14 +87,45 @@
 	return 0, nil, false
 }
 
-// offer offers the request to another node.
-func (c *call) offer(ctx context.Context) (peer string, x *handover.Exchange, err error) {
+// mayAskOwner reports whether the request should be offered to the owner of its service.
+// That happens once: after an owner has not taken it, or has broken off, it runs here.
+func (c *call) mayAskOwner() bool {
+	return c.handler.config.Owners != nil && c.handed == nil && !c.progress.askedOwner
+}
+
+// handToOwner has the owner of the service serve the request, and reports whether it has
+// taken it. What the owner refuses because of a shortage is refused: it sees all
+// requests for the service, so that no other node has a better place.
+func (c *call) handToOwner(ctx context.Context) (res result, ref *refusal, taken bool) {
+	owners := c.handler.config.Owners
+	peer, x, err := c.offer(ctx, owners, true)
+	if peer == "" {
+		return 0, nil, false
+	}
+	c.progress.askedOwner = true
+	if err != nil {
+		if ctx.Err() != nil {
+			return 0, c.giveUp(reasonTimeout), true
+		}
+		return 0, nil, false
+	}
+	res, ref = c.follow(ctx, &hop{peer: peer, owner: true, started: time.Now()}, x)
+	owners.Done(peer, x)
+	if res == resultNotSent || ref != nil && c.mayTryOther(ref) {
+		return 0, nil, false
+	}
+	return res, ref, true
+}
+
+// offer offers the request to another node, which is the owner of its service or another
+// one that reaches it.
+func (c *call) offer(ctx context.Context, to Handovers, owner bool) (peer string, x *handover.Exchange, err error) {
 	began, p := time.Now(), &c.progress
 	var regions []string
 	if c.residency.restricted {
 		regions = c.residency.regions
 	}
-	peer, x, err = c.handler.config.Handovers.Offer(ctx, &handover.Offer{
+	peer, x, err = to.Offer(ctx, &handover.Offer{
 		Method: c.in.Method, URI: c.in.RequestURI, Host: c.in.Host, Header: c.in.Header, Size: int64(len(c.body)),
 		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started),
 		Progress: handover.Progress{
@@ -90,7 +134,7 @@
 		},
 	}, regions)
 	if err != nil {
-		c.logHop(&hop{peer: peer, started: began, cause: err.Error()}, resultNotSent)
+		c.logHop(&hop{peer: peer, owner: owner, started: began, cause: err.Error()}, resultNotSent)
 	}
 	return peer, x, err
 }
@@ -191,11 +235,14 @@
 
 // logHop logs and counts a request that was offered to another node.
 func (c *call) logHop(a *hop, res result) {
-	c.handler.config.Metrics.handedOver(res, time.Since(a.started))
+	c.handler.config.Metrics.handedOver(a, res)
 	f := decision.Fields{
 		"service": c.service.Name, "peer": a.peer, "result": res.String(), "took_ms": time.Since(a.started).Milliseconds(),
 		"first_ms": a.first.Milliseconds(),
 	}
+	if a.owner {
+		f["owner"] = true
+	}
 	if a.cause != "" {
 		f["cause"] = a.cause
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -76,9 +76,12 @@
 }
 
 // handedOver counts a request that was offered to another node.
-func (m *Metrics) handedOver(res result, took time.Duration) {
+func (m *Metrics) handedOver(a *hop, res result) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`handovers_total{result=%q}`, res)).Inc()
-	m.handoverTime.Update(took.Seconds())
+	if a.owner {
+		m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`owner_handovers_total{result=%q}`, res)).Inc()
+	}
+	m.handoverTime.UpdateDuration(a.started)
 }
 
 func (m *Metrics) observeFirstEvent(c *call) { m.firstEvent.Update(time.Since(c.started).Seconds()) }
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -73,3 +73,14 @@
 	}
 	return tokens
 }
+
+// enginePriority returns the request's priority at an engine, from 0 to 9; the
+// account's takes precedence over the route's.
+func (c *call) enginePriority() int {
+	const ranks, last = 3, 9
+	account := 0
+	if c.account != nil {
+		account = c.account.Priority
+	}
+	return min(account*ranks+min(c.route.Priority, ranks-1), last)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -60,6 +60,11 @@
 // try tries one endpoint, or has another node serve the request.
 func (c *call) try(ctx context.Context) (result, *refusal) {
 	for {
+		if c.mayAskOwner() {
+			if res, ref, taken := c.handToOwner(ctx); taken {
+				return res, ref
+			}
+		}
 		if c.mayHandOver() {
 			if res, ref, taken := c.handOver(ctx); taken {
 				return res, ref
@@ -136,10 +141,13 @@
 // otherHasRoom reports whether an endpoint other than s has room for the call.
 func (c *call) otherHasRoom(s deployment.Start) bool {
 	return c.handler.config.Balancer.HasRoom(time.Now(), c.endpoints(), balance.Request{
-		Service: c.service, Key: c.promptKey, Tried: append(slices.Clone(c.progress.tried), s),
+		Service: c.service, Key: c.promptKey, Tried: append(slices.Clone(c.progress.tried), s), Exclusive: c.exclusive(),
 	})
 }
 
+// exclusive reports whether all requests for the call's service pass through this node.
+func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
+
 // callerGone reports whether the caller has disconnected.
 func (c *call) callerGone() bool { return c.in.Context().Err() != nil }
 
