--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -34,9 +34,15 @@
 		*gateway.Handler
 		reach    *reached
 		stopping atomic.Bool
+		// owns says that it owns the service, owners are what it hands over to; nil if
+		// no service has an owner.
+		owns     atomic.Bool
+		owners   gateway.Owners
 		budget   *budget.Budget
 		crashes  *crash.Tracker
 		snapshot *deployment.Snapshot
+		// deployment is what it knows, snapshot at first.
+		deployment changingDeployment
 		// left are the endpoints that have sent a leave notice.
 		left     []string
 		addr     netip.AddrPort
@@ -105,11 +111,13 @@
 	m.snapshot = &snapshot
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
 	t.Cleanup(pool.Close)
-	d := staticDeployment{snapshot: m.snapshot, left: &m.left}
+	d := &m.deployment
+	d.staticDeployment = staticDeployment{snapshot: m.snapshot, left: &m.left}
 	m.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
 	m.Handler = gateway.New(gateway.Config{
 		Headers: headers(), Deployment: d, Pool: pool, Balancer: balance.New(balance.Config{Loads: noLoads{}}), Budget: m.budget,
 		Crashes: m.crashes, Metrics: gateway.NewMetrics(), Reach: m.reach, Handovers: peers,
+		Owners: memberOwners{member: m}, Owned: func(string) bool { return m.owns.Load() },
 		Nodes: func() int { return 1 }, Stopping: m.stopping.Load,
 	})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
