--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -22,6 +22,9 @@
 	hopMargin = 10 * time.Millisecond
 )
 
+// ownReasons are the reasons of refusals that hold for the refusing node only.
+var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}
+
 type (
 	// Handovers hands requests over to other nodes.
 	Handovers interface {
@@ -111,12 +114,22 @@
 	}
 	res, ref = c.follow(ctx, &hop{peer: peer, owner: true, started: time.Now()}, x)
 	owners.Done(peer, x)
-	if res == resultNotSent || ref != nil && c.mayTryOther(ref) {
+	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
 		return 0, nil, false
 	}
 	return res, ref, true
 }
 
+// mayRunHere reports whether this node may run a request that the owner has refused: it
+// may run, or run again, and the reason was the owner's own. The owner has taken a retry
+// from the budget for each run that broke.
+func (c *call) mayRunHere(r *refusal) bool {
+	if c.progress.started || c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
+		return false
+	}
+	return slices.Contains(ownReasons[:], r.reason)
+}
+
 // offer offers the request to another node, which is the owner of its service or another
 // one that reaches it.
 func (c *call) offer(ctx context.Context, to Handovers, owner bool) (peer string, x *handover.Exchange, err error) {
@@ -221,7 +234,7 @@
 	if c.progress.started || c.progress.runs > 0 {
 		return false
 	}
-	return slices.Contains([]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}, r.reason)
+	return slices.Contains(ownReasons[:], r.reason)
 }
 
 // serviceName returns the service that the request goes to: the one that the node
