--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -91,7 +91,12 @@
 		if err := stream.MsgRecv(&p, cborcodec.Codec{}); err != nil {
 			return nil, err
 		}
-		body = append(body, p.Data...)
+		if body == nil {
+			// Most bodies are one part, which needs no copy.
+			body = p.Data
+		} else {
+			body = append(body, p.Data...)
+		}
 		switch {
 		case int64(len(body)) > size, p.Last && int64(len(body)) < size:
 			return nil, fmt.Errorf("%w: a body of %d bytes, not %d", ErrMessage, len(body), size)
