--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -35,7 +35,9 @@
 	plainDepth = 4.0
 	// exclusiveExtra is how many requests more than slots an endpoint of a plain service
 	// may have if all requests pass through this node: the next one is there when a slot
-	// becomes free, and the others wait where they are ordered.
+	// becomes free, and the others wait where they are ordered. What other nodes report
+	// does not count: after a change of the owner it is of requests that have ended, and
+	// would leave slots free.
 	exclusiveExtra = 1
 	// modelDepth is the same as plainDepth for model engines: requests wait at the node instead,
 	// where they take the first slot that becomes free on any engine.
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -78,7 +78,7 @@
 	case r.Key != "" || r.brittle:
 		limit = modelDepth * float64(slots(e, r.Service))
 	case r.Exclusive:
-		limit = float64(slots(e, r.Service) + exclusiveExtra)
+		load, limit = float64(o.active), float64(slots(e, r.Service)+exclusiveExtra)
 	}
 	return o.health.gone || o.backoff.blocks(now) || now.Before(o.health.unreachableUntil) || now.Before(o.health.refusedUntil) || now.Before(o.health.noPlaceUntil) ||
 		load >= limit
