Order waiting requests by their cost to callers, if configured

admission.CostQueue plans requests by due time and moves those to a late set whose delay costs callers least (weight per expected time in a slot, with floors by kind, account and size class).

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -33,9 +33,10 @@
 )
 
 type serveCommand struct {
-	Metrics uint16 `help:"Port at which metrics and state are served." default:"9464"`
-	Egress  string `help:"Address of an HTTP proxy through which endpoints are reached, with CONNECT; empty for none."`
-	Check   bool   `help:"Check the platform's settings and end."`
+	Metrics   uint16 `help:"Port at which metrics and state are served." default:"9464"`
+	Egress    string `help:"Address of an HTTP proxy through which endpoints are reached, with CONNECT; empty for none."`
+	CostOrder string `help:"Services whose waiting requests are ordered by cost to callers: never, owned (those that have an owner) or always." enum:"never,owned,always" default:"never" env:"BULRUSHHINGE_SERVE_COST_ORDER"`
+	Check     bool   `help:"Check the platform's settings and end."`
 }
 
 // Run serves the platform's callers until it is told to stop.
@@ -121,6 +122,6 @@
 		Answers: func(g *bulrushhinge.Gateway) http.Handler { return platform.NewDirectoryHandler(g) },
 		Retry:   budget.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
 		Apply:   s.Bounds.Apply, LoadCap: s.Bounds.LoadCap,
-		Drain: s.Bounds.Drain, Grace: s.Bounds.Grace, AddressTTL: s.Bounds.AddressTTL, Log: os.Stdout,
+		CostOrder: gateway.CostOrder(c.CostOrder), Drain: s.Bounds.Drain, Grace: s.Bounds.Grace, AddressTTL: s.Bounds.AddressTTL, Log: os.Stdout,
 	}
 }
--- a/gateway.go
+++ b/gateway.go
@@ -104,6 +104,9 @@
 		// LoadCap is the greatest multiple of the mean load that an endpoint
 		// may have.
 		LoadCap float64
+		// CostOrder says for which services waiting requests are ordered by cost;
+		// empty means never.
+		CostOrder gateway.CostOrder
 		// Grace is how long the process may run after it is told to stop.
 		Grace time.Duration
 		// Log receives JSON lines.
@@ -159,6 +162,9 @@
 
 // NewGateway starts a gateway.
 func NewGateway(c GatewayConfig) (*Gateway, error) {
+	if _, err := gateway.ParseCostOrder(string(c.CostOrder)); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), reachMetrics: reach.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
@@ -194,7 +200,7 @@
 	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
 	g.handler = gateway.New(gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
+		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, CostOrder: c.CostOrder,
 	})
 	g.follower = store.NewFollower(store.FollowerConfig{
 		Source: c.Source, Sink: g.state, Metrics: g.storeMetrics, Log: g.log,
--- /dev/null
+++ b/internal/admission/costorder.go
@@ -0,0 +1,309 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Rejection is what is known of a request that a CostQueue rejects.
+type Rejection struct {
+	// RetryAfter is when the caller should try again; 0 if nothing is known.
+	RetryAfter time.Duration
+	// Due is the time left until the request had to have a slot.
+	Due    time.Duration
+	Work   time.Duration
+	Weight float64
+	// Backlog is the work of the planned requests, and Rate how many seconds of work
+	// the slots complete in a second. RateAge is the time since the last completion.
+	Backlog time.Duration
+	Rate    float64
+	RateAge time.Duration
+	Waiting int
+}
+
+// maxRetryShare is the fraction of a caller's remaining time after which it returns at
+// the latest.
+const maxRetryShare = 1.0 / 3
+
+// minRetryDelay is the shortest retry delay: a new connection takes some round trips.
+const minRetryDelay = 10 * time.Millisecond
+
+// Rejection returns what a request is told and what is logged when it is rejected.
+//
+// The caller is to return when the requests ahead of it are served, but so early that
+// it can still wait its share and begin within its objective, which counts from its
+// first arrival.
+func (q *CostQueue) Rejection(now time.Time, r Request) Rejection {
+	at := q.lock(now)
+	defer q.mu.Unlock()
+	j := &q.newWaiter(now, r).cost.job
+	backlog, rate := q.plannedWork(), q.capacity.rate(at)
+	left := j.due - at
+	x := Rejection{
+		Due: left, Work: time.Duration(j.work * float64(time.Second)), Weight: j.weight, Rate: rate, RateAge: at - q.capacity.completed,
+		Backlog: time.Duration(backlog * float64(time.Second)), Waiting: len(q.planned) + len(q.late),
+	}
+	if rate > 0 {
+		x.RetryAfter = drainTime(backlog+q.first(), rate)
+	} else {
+		x.RetryAfter = minimumWait(r)
+	}
+	if left > 0 {
+		x.RetryAfter = min(x.RetryAfter, time.Duration((1-joinShare)*float64(left)))
+	}
+	if !r.Deadline.IsZero() {
+		x.RetryAfter = min(x.RetryAfter, time.Duration(maxRetryShare*float64(r.Deadline.Sub(now))))
+	}
+	x.RetryAfter = max(x.RetryAfter, minRetryDelay)
+	return x
+}
+
+// Shares returns the served share of each kind of request over shareWindow, for those
+// of which enough were requested.
+func (q *CostQueue) Shares() map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	shares := map[string]float64{}
+	for name, k := range q.kinds {
+		if s, known := k.all.get(q.last); known {
+			shares[name] = s
+		}
+	}
+	return shares
+}
+
+// standing returns a request's standing.
+func (q *CostQueue) standing(k *costKind, size int, account string, excess bool) standing {
+	switch {
+	case excess:
+		return standingExcess
+	case k.below || k.belowSize[size] || q.accounts.belowFloor(q.epoch.Add(q.last), account):
+		return standingFloor
+	}
+	return standingUsual
+}
+
+func (q *CostQueue) compareFloors(at time.Duration) {
+	if at-q.floorAt < floorInterval {
+		return
+	}
+	q.floorAt = at
+	compareShares(at, q.kinds, &q.all)
+}
+
+// vain reports whether a search for a place has just failed, and none has become free
+// since.
+func (q *CostQueue) vain(at time.Duration) bool {
+	return q.searched && q.freed == 0 && at-q.noPlaceAt < noPlaceFor
+}
+
+// rejectsExcess reports whether an account's excess gets no place now: none is free,
+// and other requests were recently refused for that reason.
+func (q *CostQueue) rejectsExcess(at time.Duration) bool {
+	if !q.vain(at) {
+		return false
+	}
+	for _, k := range q.kinds {
+		if k.refused.get(at) >= minRefused {
+			return true
+		}
+	}
+	return false
+}
+
+// first is the mean work of the requests in the slots, in seconds: divided by the
+// rate, the time until the next slot is free.
+func (q *CostQueue) first() float64 {
+	n := q.capacity.completions.get(q.last)
+	if n <= 0 {
+		return 0
+	}
+	return q.capacity.expected.get(q.last) / n
+}
+
+func (q *CostQueue) plannedWork() float64 {
+	sum := 0.0
+	for _, j := range q.planned {
+		sum += j.work
+	}
+	return sum
+}
+
+// fits reports whether an arriving request is planned. Requests that precede it and
+// cost less become late in its place.
+func (q *CostQueue) fits(at time.Duration, j *job) bool {
+	rate := q.capacity.rate(at)
+	if rate <= 0 {
+		return false
+	}
+	budget := joinShare*(j.due-at).Seconds()*rate - q.first()
+	ahead, cheapest := q.ahead(j)
+	if budget < 0 || ahead > budget && (cheapest == nil || !cheapest.cheaper(j)) {
+		return false
+	}
+	var removed []*job
+	for ahead > budget {
+		if cheapest == nil || !cheapest.cheaper(j) {
+			break
+		}
+		cheapest.late = true
+		removed = append(removed, cheapest)
+		ahead, cheapest = q.ahead(j)
+	}
+	if ahead > budget || !worthwhile(j, removed) {
+		for _, v := range removed {
+			v.late = false
+		}
+		return false
+	}
+	q.planned = slices.DeleteFunc(q.planned, func(o *job) bool { return o.late })
+	for _, v := range removed {
+		q.inflow.add(at, -v.work)
+		q.insert(v)
+	}
+	return true
+}
+
+// ahead returns the work of the planned requests that precede one, in seconds, and the
+// cheapest of them; nil if there is none.
+func (q *CostQueue) ahead(j *job) (work float64, cheapest *job) {
+	for _, o := range q.planned {
+		if o.precedes(j) > 0 {
+			break
+		}
+		if o.late {
+			continue
+		}
+		work += o.work
+		if cheapest == nil || o.cheaper(cheapest) {
+			cheapest = o
+		}
+	}
+	return work, cheapest
+}
+
+// spare is how many seconds of work the slots complete in a second beyond what is
+// planned; 0 if that is too little to be told from none.
+func (q *CostQueue) spare(at time.Duration) float64 {
+	rate := q.capacity.rate(at)
+	spare := rate - q.inflow.get(at)/rateWindow.Seconds()
+	if spare < minSpare*rate {
+		return 0
+	}
+	return spare
+}
+
+// worthWaiting reports whether a request that would be late is to wait: it can be
+// served before its latest time, or it is not known that no place is free.
+func (q *CostQueue) worthWaiting(at time.Duration, j *job) bool {
+	if !q.vain(at) {
+		return true
+	}
+	ahead := q.plannedWork() + q.first()
+	for _, o := range q.late {
+		if byCost(o, j) > 0 {
+			break
+		}
+		ahead += o.work
+	}
+	return at+drainTime(ahead, q.spare(at)) <= j.latest
+}
+
+// mayWaitAsFirst reports whether a request waits a little although it may not get a
+// slot, so that no slot stays free: it is the only one of its kind, and the rate is
+// unknown or uncertain.
+func (q *CostQueue) mayWaitAsFirst(at time.Duration, k *costKind) bool {
+	return k.waiting == 0 && (q.capacity.rate(at) <= 0 || q.capacity.slots < fewSlots)
+}
+
+// replan makes a new plan if the last one is old enough, and gives up requests that
+// cannot be served.
+func (q *CostQueue) replan(at time.Duration) {
+	n := len(q.planned) + len(q.late)
+	age := at - q.planAt
+	if n == 0 || age < roundInterval || age < maxPlanAge && float64(q.changes) < planBatch*float64(n) {
+		return
+	}
+	rate := q.capacity.rate(at)
+	if rate <= 0 {
+		return
+	}
+	q.planAt, q.changes = at, 0
+	q.compareFloors(at)
+	jobs := append(q.planned, q.late...)
+	for _, j := range jobs {
+		c := j.waiter.cost
+		j.standing = q.standing(c.kind, c.size, c.account, j.standing == standingExcess)
+		j.wasLate = j.late
+	}
+	slices.SortFunc(jobs, (*job).precedes)
+	total := plan(at, jobs, rate, q.first())
+	q.split(at, jobs)
+	if !q.vain(at) {
+		return
+	}
+	for _, j := range unservable(at, q.late, total+q.first(), q.spare(at)) {
+		q.remove(j.waiter.cost)
+		close(j.waiter.cost.rejected)
+	}
+}
+
+// split sorts the jobs into planned and late ones.
+func (q *CostQueue) split(at time.Duration, jobs []*job) {
+	q.planned, q.late = make([]*job, 0, len(jobs)), q.late[:0]
+	for _, j := range jobs {
+		if j.late {
+			q.late = append(q.late, j)
+		} else {
+			q.planned = append(q.planned, j)
+		}
+		switch {
+		case j.late && !j.wasLate:
+			q.inflow.add(at, -j.work)
+		case !j.late && j.wasLate:
+			q.inflow.add(at, j.work)
+		}
+	}
+	slices.SortFunc(q.late, byCost)
+}
+
+// beginRound starts a round, in which the first waiting requests look for a place, and
+// some others in addition.
+func (q *CostQueue) beginRound(extra int) {
+	q.round++
+	q.failures, q.extra = 0, extra
+	q.signalNext()
+}
+
+// signalNext gives the turn to the first request in the order that has not had it in
+// this round, or to one of the additional ones after enough have failed.
+func (q *CostQueue) signalNext() {
+	if q.failures < maxFailures {
+		for _, list := range [][]*job{q.planned, q.late} {
+			for _, j := range list {
+				if j.waiter.signal(q.round) {
+					return
+				}
+			}
+		}
+		return
+	}
+	n := len(q.planned) + len(q.late)
+	for range min(n, maxFailures+extraTurns) {
+		if q.extra == 0 {
+			return
+		}
+		q.cursor = (q.cursor + 1) % n
+		if q.waitingAt(q.cursor).waiter.signal(q.round) {
+			q.extra--
+			return
+		}
+	}
+}
+
+func (q *CostQueue) waitingAt(i int) *job {
+	if i < len(q.planned) {
+		return q.planned[i]
+	}
+	return q.late[i-len(q.planned)]
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -64,25 +64,6 @@
 )
 
 type (
-	// Request holds what a request's position in the queue depends on.
-	Request struct {
-		// Kind names the requests that compete for places on equal terms: the route.
-		Kind string
-		// Priority is the kind's priority; 0 is the most urgent.
-		Priority int
-		// AccountPriority is the priority of the request's client account, which outweighs
-		// the kind's.
-		AccountPriority int
-		// Account is the name of the account; empty if there is none.
-		Account string
-		// Excess reports whether Arrived has counted the request as its account's
-		// excess.
-		Excess bool
-		// Objective is the time from the request's arrival within which the answer
-		// should begin.
-		Objective time.Duration
-	}
-
 	// Queue holds the requests of one service that wait at this node. It is safe for
 	// concurrent use.
 	Queue struct {
@@ -99,17 +80,6 @@
 		lastNoPlace time.Time
 	}
 
-	// Waiter is a waiting request.
-	Waiter struct {
-		kind    *kind
-		account int
-		excess  bool
-		// notBefore is when the request may have its first turn.
-		notBefore time.Time
-		until     time.Time
-		turn      chan struct{}
-	}
-
 	// kind is the state of one kind of request.
 	kind struct {
 		priority int
@@ -285,12 +255,6 @@
 	return len(q.kinds)
 }
 
-// Turn returns a channel that receives when the request may look for a place.
-func (w *Waiter) Turn() <-chan struct{} { return w.turn }
-
-// Deadline is when the request gives up.
-func (w *Waiter) Deadline() time.Time { return w.until }
-
 func (q *Queue) signalNext() {
 	if len(q.round) == 0 {
 		return
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -18,25 +18,15 @@
 	affinityShare = 1.0 / 16
 )
 
-// queue returns the queue of the call's service.
-func (c *call) queue() *admission.Queue {
-	h := c.handler
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	q := h.queues[c.service.Name]
-	if q == nil {
-		q = admission.NewQueue()
-		h.queues[c.service.Name] = q
-	}
-	return q
-}
-
 // admissionRequest returns what the call's order in the queue depends on.
 func (c *call) admissionRequest() admission.Request {
 	r := admission.Request{Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective}
 	if c.account != nil {
 		r.AccountPriority, r.Account, r.Excess = c.account.Priority, c.account.Name, c.progress.excess
 	}
+	if c.cost != nil {
+		r.Came, r.Deadline, r.Work, r.Tokens = c.started, c.deadline, c.work, c.prompt.Own+c.prompt.Shared
+	}
 	return r
 }
 
@@ -50,11 +40,15 @@
 		return nil, c.giveUp(reason)
 	}
 	q, began := c.queue(), time.Now()
-	if q.MayTry(began, c.admissionRequest()) {
-		if choice := c.choose(ctx, began); choice != nil {
+	tried := q.MayTry(began, c.admissionRequest())
+	if tried {
+		if choice := c.choose(ctx, began, nil); choice != nil {
 			return choice, nil
 		}
 	}
+	if c.cost != nil {
+		return c.waitByCost(ctx, began, tried && c.promptKey == "")
+	}
 	w := q.Join(time.Now(), c.admissionRequest())
 	if w == nil {
 		return nil, c.refuseNoSlot(began)
@@ -72,7 +66,7 @@
 		}
 		select {
 		case <-w.Turn():
-			choice := c.choose(ctx, began)
+			choice := c.choose(ctx, began, w)
 			q.NextTurn()
 			if choice != nil {
 				return choice, nil
@@ -92,8 +86,79 @@
 	return nil, c.refuseNoSlot(began)
 }
 
-// choose chooses an endpoint that has a free slot now, or returns nil.
-func (c *call) choose(ctx context.Context, began time.Time) *balance.Choice {
+// waitByCost waits in a queue by cost, like acquire. The queue starts the rounds, and
+// wakes a request that it has given up.
+func (c *call) waitByCost(ctx context.Context, began time.Time, tried bool) (*balance.Choice, *refusal) {
+	q := c.cost
+	w := q.Join(time.Now(), c.admissionRequest())
+	if w == nil {
+		return c.lastLook(ctx, began, tried)
+	}
+	defer q.Leave(w)
+	if ref := c.backoffRefusal(w.Deadline()); ref != nil {
+		return nil, ref
+	}
+	q.poll(func() bool { return c.handler.config.Reach.Reaches(c.service.Name) })
+	expired := time.NewTimer(time.Until(w.Deadline()))
+	defer expired.Stop()
+	for {
+		woken := q.wake()
+		if ref := c.isolated(); ref != nil {
+			return nil, ref
+		}
+		if c.mayHandOver() {
+			return nil, nil
+		}
+		select {
+		case <-w.Turn():
+			choice, ref := c.takeTurn(ctx, began, w)
+			if choice != nil || ref != nil {
+				return choice, ref
+			}
+		case <-woken:
+		case <-w.Rejected():
+			return c.lastLook(ctx, began, false)
+		case <-expired.C:
+			return c.lastLook(ctx, began, false)
+		case <-ctx.Done():
+			return nil, c.giveUp(reasonTimeout)
+		}
+	}
+}
+
+// takeTurn has a waiting call look for a slot. It returns neither a choice nor a refusal
+// if there is none yet.
+func (c *call) takeTurn(ctx context.Context, began time.Time, w *admission.Waiter) (*balance.Choice, *refusal) {
+	if ref := c.isolated(); ref != nil {
+		return nil, ref
+	}
+	choice := c.choose(ctx, began, w)
+	w.Searched()
+	c.cost.NextTurn()
+	if choice != nil {
+		return choice, nil
+	}
+	if reason := c.blockedReason(); reason != "" {
+		return nil, c.giveUp(reason)
+	}
+	return nil, c.backoffRefusal(w.Deadline())
+}
+
+// lastLook refuses the call unless it has not looked for a slot itself just before and
+// there is one: others that wait may not be allowed to use the endpoints that it may.
+func (c *call) lastLook(ctx context.Context, began time.Time, looked bool) (*balance.Choice, *refusal) {
+	if !looked {
+		// Without a beginning, it takes a slot of any endpoint.
+		if choice := c.choose(ctx, time.Time{}, nil); choice != nil {
+			return choice, nil
+		}
+	}
+	return nil, c.refuseNoSlot(began)
+}
+
+// choose chooses an endpoint that has a free slot now, or returns nil; w is nil if the
+// call does not wait.
+func (c *call) choose(ctx context.Context, began time.Time, w *admission.Waiter) *balance.Choice {
 	h := c.handler.config
 	stay := began.Add(time.Duration(affinityShare * float64(c.route.Objective)))
 	for ctx.Err() == nil {
@@ -109,6 +174,7 @@
 		if c.reserve(ctx, choice) {
 			h.Balancer.Sent(now, choice)
 			c.countAdmitted(now)
+			c.tookSlot(now, w)
 			return choice
 		}
 	}
@@ -138,5 +204,11 @@
 		"service": c.service.Name, "endpoints": len(list), "tried": endpointIDs(c.progress.tried), "full": c.progress.full,
 		"last": c.progress.reason, "waiting": c.queue().Waiting(), "waited_ms": time.Since(began).Milliseconds(),
 	})
-	return c.giveUp(reason)
+	ref := c.giveUp(reason)
+	if c.cost != nil {
+		if retryAfter := c.logRejected(reason, began); ref.retryAfter > 0 {
+			ref.retryAfter = retryAfter
+		}
+	}
+	return ref
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,11 +9,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"bulrushhinge.example/bulrushhinge/internal/admission"
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/budget"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
@@ -74,6 +72,11 @@
 		Nodes func() int
 		// Peers returns the state of the other nodes; nil means PeersServing.
 		Peers func() PeerState
+		// CostOrder says for which services waiting requests are ordered by cost;
+		// empty means CostOrderNever.
+		CostOrder CostOrder
+		// Owned reports whether a service has an owner; nil means that none has.
+		Owned func(service string) bool
 		// Stopping reports whether the node is being stopped.
 		Stopping func() bool
 	}
@@ -82,8 +85,7 @@
 	Handler struct {
 		config       Config
 		reservations *reservations
-		mu           sync.Mutex
-		queues       map[string]*admission.Queue
+		queues       queues
 		heldBytes    atomic.Int64
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
@@ -112,6 +114,7 @@
 		// deadline is when the caller must have its response.
 		deadline time.Time
 		progress progress
+		callQueue
 		// handed is set if another node has handed the request over.
 		handed *handed
 		// fallback is an endpoint's failure, sent if no attempt gets a better
@@ -156,7 +159,11 @@
 	if c.Reach == nil {
 		c.Reach = reachesAll{}
 	}
-	return &Handler{config: c, reservations: newReservations(c.Reserver), queues: map[string]*admission.Queue{}}
+	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
+	if c.Metrics != nil {
+		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
+	}
+	return h
 }
 
 // Active returns the number of requests in progress.
@@ -375,25 +382,3 @@
 	}
 	r.write(c.out)
 }
-
-// log logs an event of the request.
-func (c *call) log(event string, f decision.Fields) {
-	f["request"] = c.id
-	f["age_ms"] = time.Since(c.started).Milliseconds()
-	if c.config != nil {
-		f["version"] = c.config.Version
-	}
-	if c.route != nil {
-		f["route"], f["due_ms"] = c.route.Name, c.route.Objective.Milliseconds()
-	}
-	if len(c.features) > 0 {
-		f["print"] = c.features[0].Print()
-	}
-	if c.handed != nil {
-		f["from"] = c.handed.from
-	}
-	if c.account != nil {
-		f["account"] = c.account.Name
-	}
-	c.handler.config.Log.Event(event, f)
-}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -150,7 +150,7 @@
 	defer func() {
 		c.handler.config.Balancer.PrefillDone(time.Now(), choice, 0)
 		c.handler.config.Balancer.Release(time.Now(), choice.Endpoint.Start(), a.outcome)
-		c.queue().StartRound(time.Now())
+		c.released(time.Now(), time.Since(a.started), a.outcome == balance.Served)
 		c.handler.config.Metrics.attempted(a, res)
 		c.log("attempt", a.fields(res))
 	}()
