--- a/internal/admission/cost.go
+++ b/internal/admission/cost.go
@@ -11,10 +11,17 @@
 	// request may be expected to wait in order to be planned. The rest is for the
 	// variation of the times in slots, and for a request that returns after a
 	// rejection. The queue need not be longer to keep all slots in use.
-	joinShare = 0.5
+	joinShare = 0.3
+	// floorJoinShare is the same for requests that are served too rarely: with few
+	// slots, the time until the next one is free may exceed joinShare for kinds with
+	// short objectives only, whose requests would then be rejected while others wait.
+	floorJoinShare = 0.8
 	// minSpare is the least fraction of the rate that has to be left by planned
 	// requests for late ones to wait: the measured rates vary by some hundredths.
 	minSpare = 0.1
+	// spareDeviations is the same in standard deviations of the work that is planned:
+	// few large requests vary more than many small ones.
+	spareDeviations = 3
 	// planBatch is the fraction of the waiting requests that have to arrive or leave
 	// for a new plan, and maxPlanAge the time after which a plan is replaced anyway: a
 	// plan for 1,000 requests takes as long as 30 decisions.
@@ -46,8 +53,9 @@
 		all      share
 		accounts *accounts
 		capacity capacity
-		// inflow is the work of the requests that were planned, over rateWindow.
-		inflow flow
+		// inflow is the work of the requests that were planned, and inflowSquares the
+		// sum of its squares, over rateWindow.
+		inflow, inflowSquares flow
 		// planned and late are the waiting requests: the planned ones by due time, the
 		// late ones by cost density.
 		planned []*job
@@ -66,6 +74,9 @@
 		// round numbers the rounds; failures counts the failed searches of this one,
 		// and extra the turns left of extraTurns. cursor is the next of these.
 		round, failures, extra, cursor int
+		// timed says that this round was not started by a freed slot, and succeeded
+		// that a request has got a slot in it.
+		timed, succeeded bool
 	}
 )
 
@@ -73,7 +84,7 @@
 func NewCostQueue() *CostQueue {
 	return &CostQueue{
 		kinds: map[string]*costKind{}, all: newShare(), accounts: newAccounts(), capacity: newCapacity(),
-		inflow: flow{window: rateWindow},
+		inflow: flow{window: rateWindow}, inflowSquares: flow{window: rateWindow},
 	}
 }
 
@@ -114,8 +125,9 @@
 	defer q.mu.Unlock()
 	q.capacity.started(at)
 	q.freed = max(q.freed-1, 0)
+	q.succeeded = true
 	if w == nil {
-		q.inflow.add(at, q.work(q.kind(r), r))
+		q.addInflow(at, q.work(q.kind(r), r), 1)
 	}
 }
 
@@ -180,7 +192,7 @@
 	case r.Excess && q.rejectsExcess(at):
 		return nil
 	case q.fits(at, j):
-		q.inflow.add(at, j.work)
+		q.addInflow(at, j.work, 1)
 	case q.worthWaiting(at, j):
 		j.late = true
 	case q.mayWaitAsFirst(at, w.cost.kind):
--- a/internal/admission/cost_loads_test.go
+++ b/internal/admission/cost_loads_test.go
@@ -74,6 +74,39 @@
 				streamDemand("batch", 2, 600*time.Millisecond, steady(30)),
 			},
 		},
+		{
+			name: "many nodes", nodes: 77, lastLook: true, slots: fixedPlaces(18), speed: usualSpeed, length: length, retries: 1,
+			demands: []demand{plainDemand("a", 1, steady(375)), plainDemand("b", 1, steady(375))},
+		},
+		{
+			name: "nine nodes, streams", nodes: 9, lastLook: true, slots: fixedPlaces(126), speed: usualSpeed, length: length, retries: 1,
+			demands: []demand{
+				streamDemand("chat", 0, 400*time.Millisecond, steady(60)), streamDemand("agent", 1, 800*time.Millisecond, steady(30)),
+				streamDemand("batch", 2, 600*time.Millisecond, steady(30)),
+			},
+		},
+		{
+			name: "slow for less than a second", slots: fixedPlaces(6), speed: func(at time.Duration) float64 {
+				if at%(3*time.Second) < 600*time.Millisecond {
+					return 0.4
+				}
+				return 1
+			}, length: length, retries: 1,
+			demands: []demand{plainDemand("a", 1, steady(80)), plainDemand("b", 1, steady(80))},
+		},
+		{
+			name: "no completions for a while", slots: fixedPlaces(6), speed: func(at time.Duration) float64 {
+				if at > 10*time.Second && at < 13*time.Second {
+					return 0.001
+				}
+				return 1
+			}, length: length, retries: 1,
+			demands: []demand{plainDemand("a", 1, steady(80)), plainDemand("b", 1, steady(80))},
+		},
+		{
+			name: "moderate load", slots: fixedPlaces(6), speed: usualSpeed, length: length, retries: 1,
+			demands: []demand{plainDemand("a", 1, steady(80)), plainDemand("b", 1, steady(80))},
+		},
 		{
 			name: "surging account", slots: fixedPlaces(6), speed: usualSpeed, length: length, retries: 1,
 			demands: []demand{
--- a/internal/admission/cost_model_test.go
+++ b/internal/admission/cost_model_test.go
@@ -62,6 +62,9 @@
 		demands []demand
 		length  time.Duration
 		retries int
+		// lastLook says that requests look for a slot once more before they are
+		// rejected, as the gateway has them do.
+		lastLook bool
 	}
 
 	// result counts the outcomes of a group of requests.
@@ -334,6 +337,10 @@
 
 func (m *costModel) reject(node int, c caller, r admission.Request, joined time.Duration) {
 	o := m.orders[node]
+	if m.lastLook && m.free() {
+		m.take(node, c, r, nil)
+		return
+	}
 	o.Refused(m.at(), r)
 	if m.free() {
 		m.needless++
--- a/internal/admission/costorder.go
+++ b/internal/admission/costorder.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -21,12 +22,18 @@
 	Waiting int
 }
 
-// maxRetryShare is the fraction of a caller's remaining time after which it returns at
-// the latest.
-const maxRetryShare = 1.0 / 3
-
-// minRetryDelay is the shortest retry delay: a new connection takes some round trips.
-const minRetryDelay = 10 * time.Millisecond
+const (
+	// returnShare is the fraction of the time left until a rejected request's due time
+	// after which it returns at the latest. The node does not recognize it then, so it
+	// may wait as long as a new one.
+	returnShare = 0.3
+	// maxRetryShare is the fraction of a caller's remaining time after which it
+	// returns at the latest.
+	maxRetryShare = 1.0 / 3
+	// minRetryDelay is the shortest retry delay: a new connection takes some round
+	// trips.
+	minRetryDelay = 10 * time.Millisecond
+)
 
 // Rejection returns what a request is told and what is logged when it is rejected.
 //
@@ -49,7 +56,7 @@
 		x.RetryAfter = minimumWait(r)
 	}
 	if left > 0 {
-		x.RetryAfter = min(x.RetryAfter, time.Duration((1-joinShare)*float64(left)))
+		x.RetryAfter = min(x.RetryAfter, time.Duration(returnShare*float64(left)))
 	}
 	if !r.Deadline.IsZero() {
 		x.RetryAfter = min(x.RetryAfter, time.Duration(maxRetryShare*float64(r.Deadline.Sub(now))))
@@ -136,7 +143,7 @@
 	if rate <= 0 {
 		return false
 	}
-	budget := joinShare*(j.due-at).Seconds()*rate - q.first()
+	budget := j.joinShare()*(j.due-at).Seconds()*rate - q.first()
 	ahead, cheapest := q.ahead(j)
 	if budget < 0 || ahead > budget && (cheapest == nil || !cheapest.cheaper(j)) {
 		return false
@@ -158,12 +165,19 @@
 	}
 	q.planned = slices.DeleteFunc(q.planned, func(o *job) bool { return o.late })
 	for _, v := range removed {
-		q.inflow.add(at, -v.work)
+		q.addInflow(at, v.work, -1)
 		q.insert(v)
 	}
 	return true
 }
 
+// addInflow counts a request that is planned, or with a sign of -1 one that no longer
+// is.
+func (q *CostQueue) addInflow(at time.Duration, work, sign float64) {
+	q.inflow.add(at, sign*work)
+	q.inflowSquares.add(at, sign*work*work)
+}
+
 // ahead returns the work of the planned requests that precede one, in seconds, and the
 // cheapest of them; nil if there is none.
 func (q *CostQueue) ahead(j *job) (work float64, cheapest *job) {
@@ -187,7 +201,10 @@
 func (q *CostQueue) spare(at time.Duration) float64 {
 	rate := q.capacity.rate(at)
 	spare := rate - q.inflow.get(at)/rateWindow.Seconds()
-	if spare < minSpare*rate {
+	// The variance of a decaying sum over Poisson arrivals is half the decaying sum of
+	// the squares.
+	deviation := math.Sqrt(q.inflowSquares.get(at)/2) / rateWindow.Seconds()
+	if spare < max(minSpare*rate, spareDeviations*deviation) {
 		return 0
 	}
 	return spare
@@ -259,9 +276,9 @@
 		}
 		switch {
 		case j.late && !j.wasLate:
-			q.inflow.add(at, -j.work)
+			q.addInflow(at, j.work, -1)
 		case !j.late && j.wasLate:
-			q.inflow.add(at, j.work)
+			q.addInflow(at, j.work, 1)
 		}
 	}
 	slices.SortFunc(q.late, byCost)
@@ -271,13 +288,17 @@
 // some others in addition.
 func (q *CostQueue) beginRound(extra int) {
 	q.round++
-	q.failures, q.extra = 0, extra
+	q.failures, q.succeeded, q.extra, q.timed = 0, false, extra, extra > 0
 	q.signalNext()
 }
 
 // signalNext gives the turn to the first request in the order that has not had it in
 // this round, or to one of the additional ones after enough have failed.
 func (q *CostQueue) signalNext() {
+	if q.succeeded && q.failures == 0 && q.freed == 0 && !q.timed {
+		// The slot that has started the round is taken.
+		return
+	}
 	if q.failures < maxFailures {
 		for _, list := range [][]*job{q.planned, q.late} {
 			for _, j := range list {
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -58,6 +58,15 @@
 // density is the request's cost density: what it is worth per second of a slot.
 func (j *job) density() float64 { return j.weight / j.work }
 
+// joinShare is the fraction of the time left until the due time that the request may be
+// expected to wait in order to be planned.
+func (j *job) joinShare() float64 {
+	if j.standing == standingFloor {
+		return floorJoinShare
+	}
+	return joinShare
+}
+
 // cheaper reports whether it costs callers less if j is late than if other is: by
 // standing, then by cost density; of equal ones, the one that arrived last.
 func (j *job) cheaper(other *job) bool {
@@ -95,10 +104,11 @@
 	total := 0.0
 	var removed []*job
 	for _, j := range jobs {
-		budget := (j.due-now).Seconds()*rate - first
+		allowed := (j.due - now).Seconds()
 		if j.wasLate {
-			budget = joinShare*(j.due-now).Seconds()*rate - first
+			allowed *= j.joinShare()
 		}
+		budget := allowed*rate - first
 		j.late = budget < 0
 		removed = removed[:0]
 		for !j.late && total > budget {
