--- a/gateway.go
+++ b/gateway.go
@@ -108,6 +108,9 @@
 		// Owners is how many slots a plain service has at most for each node to get an
 		// owner, 0 to owner.MaxRatio; 0 means that no service has one.
 		Owners float64
+		// CostOrder says for which services waiting requests are ordered by cost;
+		// empty means never.
+		CostOrder gateway.CostOrder
 		// Grace is how long the process may run after it is told to stop.
 		Grace time.Duration
 		// Log receives JSON lines.
@@ -168,6 +171,9 @@
 	if err := owner.CheckRatio(c.Owners); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStart, err)
 	}
+	if _, err := gateway.ParseCostOrder(string(c.CostOrder)); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStart, err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{config: c, log: decision.New(decision.LogConfig{To: c.Log, Node: c.Node}), metrics: gateway.NewMetrics(), gossipMetrics: gossip.NewMetrics(), crashMetrics: crash.NewMetrics(), reachMetrics: reach.NewMetrics(), storeMetrics: store.NewMetrics(), began: time.Now(), cancel: cancel}
 	g.SetSeeds(c.Seeds)
@@ -203,7 +209,7 @@
 	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
 	handler := gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load,
+		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, CostOrder: c.CostOrder,
 	}
 	g.startOwners(ctx, &handler)
 	g.handler = gateway.New(handler)
