Choose endpoints by their reported slowdown

Plain requests go to the better of two endpoints by expected time, and engines that are slow are passed over for other holders of the prompt's part. Slowdowns decay with a time constant of 0.3 s and are exchanged in heartbeats (key 23) and relay updates (key 7). Services whose endpoints report no slowdown are served as before.

--- a/gateway.go
+++ b/gateway.go
@@ -294,7 +294,7 @@
 	return map[string]any{
 		"node": g.config.Node, "stopping": g.stopping.Load(), "active": g.handler.Active(), "config": snap.Config, "epoch": snap.Epoch, "revision": snap.Revision,
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
-		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
+		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "slowdowns": g.balancer.SlowdownsByID(time.Now()), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 		"isolated": g.crashes.List(time.Now()), "refusing": g.crashes.Refusing(time.Now()), "lost_services": g.reach.Lost(), "handed_over": g.handovers.chooser.Active(),
 	}
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -86,6 +86,11 @@
 		Announce func()
 		// Draw returns uniformly distributed numbers in [0, 1); nil means math/rand.
 		Draw func() float64
+		// IntN returns uniformly distributed numbers in [0, n); nil means math/rand.
+		IntN func(n int) int
+		// SlowdownDecay is the time constant with which a reported slowdown decays to
+		// usual; 0 means 0.3 s.
+		SlowdownDecay time.Duration
 	}
 
 	// Balancer chooses endpoints. It is safe for concurrent use.
@@ -101,6 +106,8 @@
 		prefillPerToken time.Duration
 		// requests counts the requests for each service, over failureMemory.
 		requests map[string]*rates.Decayed
+		// speeds are the services of which an endpoint has reported a slowdown.
+		speeds map[string]bool
 		// brittle are the services that were brittle lately, by their Keys.
 		brittle map[uint32]brittle
 		// rounding decides whether this node rounds its shares of brittle services up:
@@ -160,6 +167,10 @@
 		// Cold reports whether the endpoint sustains only a low request rate at
 		// present and may be slow.
 		Cold bool
+		// Slowdown is how long work probably takes at the endpoint, as a multiple of
+		// usual; 0 if it is unknown. SlowdownAge is the age of the report of it.
+		Slowdown    float64
+		SlowdownAge time.Duration
 
 		// PrefillTime is the expected time until the engine has processed the prompt,
 		// including those of other requests that come first.
@@ -202,10 +213,16 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.IntN == nil {
+		c.IntN = rand.IntN
+	}
+	if c.SlowdownDecay == 0 {
+		c.SlowdownDecay = defaultSlowdownDecay
+	}
 	if c.Nodes == nil {
 		c.Nodes = func() int { return 1 }
 	}
-	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, brittle: map[uint32]brittle{}, started: time.Now()}
+	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, speeds: map[string]bool{}, brittle: map[uint32]brittle{}, started: time.Now()}
 }
 
 // Choose chooses an endpoint and counts the request there until Release. It returns
@@ -228,6 +245,9 @@
 	o.service, o.slots = c.endpoint.Service, c.slots
 	o.backoff.lastSent = now
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
+	if c.slowdownAge > 0 || c.slowdown != 1 {
+		choice.Slowdown, choice.SlowdownAge = c.slowdown, c.slowdownAge
+	}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
@@ -318,7 +338,7 @@
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reports.forget(now)
+	b.reports.forget(now, b.config.SlowdownDecay)
 	maps.DeleteFunc(b.brittle, func(_ uint32, s brittle) bool { return now.After(s.until) })
 	maps.DeleteFunc(b.requests, func(_ string, count *rates.Decayed) bool { return count.Get(now) < negligibleRequests })
 	for s, o := range b.endpoints {
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -82,8 +82,7 @@
 // alone for a while, and others hear at once that it is full.
 func (b *Balancer) turnedAway(now time.Time, e *endpointState) {
 	e.health.refusedUntil = now.Add(brittleBackoff)
-	full := report{load: max(e.slots, b.inProgress(e)), at: now}
-	b.reports.local[e.key], b.reports.latest[e.key] = full, full
+	b.reports.set(e.key, now, max(e.slots, b.inProgress(e)), 0)
 	if b.config.Announce != nil {
 		b.config.Announce()
 	}
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -29,6 +29,10 @@
 	preferred bool
 	// prefill is the number of tokens that it still has to process for all nodes.
 	prefill int
+	// slowdown is how long work probably takes there, as a multiple of usual, and
+	// slowdownAge the age of the report of it.
+	slowdown    float64
+	slowdownAge time.Duration
 }
 
 // HasRoom reports whether an endpoint other than the tried and the cold ones has room
@@ -95,7 +99,7 @@
 	failing := b.failing(now, states, r.Service.Name)
 	over := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
-	part := xxhash.Sum64String(r.Key)
+	part, timed := xxhash.Sum64String(r.Key), b.speeds[r.Service.Name]
 	all := make([]candidate, 0, len(list))
 	for i, e := range list {
 		o := states[i]
@@ -103,9 +107,9 @@
 			continue
 		}
 		key := o.key
-		sent := b.inProgress(o)
+		sent, rep := b.inProgress(o), b.reports.latest[key]
 		// The endpoint may have reported more.
-		load := max(sent, b.reports.load(key, now))
+		load := max(sent, rep.currentLoad(now))
 		if e.Evacuated {
 			evacuated++
 			evacuatedLoad += load
@@ -117,6 +121,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
+		b.setSpeed(&c, rep, timed, r.Key == "", now)
 		full := r.brittle && r.Key == "" && (over || b.overEndpointShare(o, c.slots))
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -100,8 +99,8 @@
 	if len(list) < 2 {
 		return slices.Concat(list, []*candidate{nil})[0]
 	}
-	i := rand.IntN(len(list))
-	j := rand.IntN(len(list) - 1)
+	i := b.config.IntN(len(list))
+	j := b.config.IntN(len(list) - 1)
 	if j >= i {
 		j++
 	}
@@ -113,6 +112,9 @@
 
 func (b *Balancer) plainCost(c *candidate) float64 {
 	cost := float64(c.load) / float64(c.slots)
+	if b.speeds[c.endpoint.Service] {
+		cost = c.expectedTime()
+	}
 	if c.endpoint.Zone != b.config.Zone {
 		cost += crossZoneCost
 	}
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -36,13 +36,13 @@
 }
 
 // PrefillDone records that an engine has processed a request's prompt, and how long that
-// took; 0 means that it will not process it. The time of a cold engine is ignored, as
-// it does not apply to warm ones.
+// took; 0 means that it will not process it. The time of a cold or slow engine is ignored,
+// as it does not apply to others.
 func (b *Balancer) PrefillDone(now time.Time, c *Choice, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.state(c.Endpoint.Start(), now).prefill -= c.prefill
-	if !c.Cold {
+	if !c.Cold && !isSlow(c.Slowdown) {
 		b.learnPrefillRate(c.prefill+c.backlog, took)
 	}
 	c.prefill = 0
@@ -82,7 +82,10 @@
 // that has begun on ten thousand tokens looks idle. Short requests would wait behind
 // long prompts while neighboring engines have nothing to process.
 func (b *Balancer) avoidPrefillQueue(all []candidate, best *candidate, bound float64, r Request) *candidate {
-	if time.Duration(best.prefill)*b.prefillPerToken <= time.Duration(busyPrefillShare*float64(r.Objective)) {
+	if best.isSlow() {
+		best = b.avoidSlowHolder(all, best, bound, r)
+	}
+	if b.prefillTime(best, best.prefill) <= time.Duration(busyPrefillShare*float64(r.Objective)) {
 		return best
 	}
 	held := slices.ContainsFunc(all, func(c candidate) bool { return c.holds })
@@ -92,7 +95,7 @@
 		if c == best || c.blocked || c.suspect || float64(c.load) >= bound || (!held && rank(all, c) >= orderDepth) {
 			continue
 		}
-		if other == nil || c.prefill < other.prefill {
+		if other == nil || b.prefillTime(c, c.prefill) < b.prefillTime(other, other.prefill) {
 			other = c
 		}
 	}
@@ -103,7 +106,7 @@
 	if held && !other.holds {
 		tokens += recomputeFactor * r.Prompt.Shared
 	}
-	if shorterBy*tokens < best.prefill {
+	if shorterBy*b.prefillTime(other, tokens) < b.prefillTime(best, best.prefill) {
 		return other
 	}
 	return best
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -21,9 +21,15 @@
 	latest map[uint32]report
 }
 
+// report is the last load that an endpoint has reported, and when, and its last
+// slowdown.
 type report struct {
 	load int
 	at   time.Time
+	// slots is how many requests the endpoint runs at once by its own report; 0 if it
+	// is unknown.
+	slots    int
+	slowdown slowdown
 }
 
 func newReports() *reports { return &reports{local: map[uint32]report{}, latest: map[uint32]report{}} }
@@ -33,8 +39,7 @@
 func (b *Balancer) SetReportedLoad(now time.Time, s deployment.Start, load int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := report{load: load, at: now}
-	b.reports.local[s.Key()], b.reports.latest[s.Key()] = r, r
+	b.reports.set(s.Key(), now, load, 0)
 }
 
 // Reports returns the loads that endpoints have reported to this node since a time,
@@ -57,7 +62,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, load := range list {
-		b.reports.latest[key] = report{load: load, at: now}
+		r := b.reports.latest[key]
+		b.reports.latest[key] = report{load: load, at: now, slots: r.slots, slowdown: r.slowdown}
 	}
 }
 
@@ -71,16 +77,34 @@
 
 // load returns the last reported load of an endpoint; 0 if that has expired.
 func (r *reports) load(key uint32, now time.Time) int {
-	if latest := r.latest[key]; now.Sub(latest.at) < reportTTL {
-		return latest.load
+	return r.latest[key].currentLoad(now)
+}
+
+// currentLoad returns the reported load; 0 if that has expired.
+func (r report) currentLoad(now time.Time) int {
+	if now.Sub(r.at) < reportTTL {
+		return r.load
 	}
 	return 0
 }
 
+func (r report) withSlowdown(s slowdown) report {
+	r.slowdown = s
+	return r
+}
+
+// set records a load and, if not 0, the slots that an endpoint reports to this node.
+func (r *reports) set(key uint32, now time.Time, load, slots int) {
+	local, latest := r.local[key], r.latest[key]
+	local.load, local.at, local.slots = load, now, slots
+	latest.load, latest.at, latest.slots = load, now, slots
+	r.local[key], r.latest[key] = local, latest
+}
+
 // forget drops expired reports.
-func (r *reports) forget(now time.Time) {
+func (r *reports) forget(now time.Time, decayTime time.Duration) {
 	for key, rep := range r.latest {
-		if now.Sub(rep.at) >= reportTTL {
+		if now.Sub(rep.at) >= reportTTL && now.Sub(rep.slowdown.at) >= slowdownTTL*decayTime {
 			delete(r.latest, key)
 			delete(r.local, key)
 		}
--- /dev/null
+++ b/internal/balance/slowdown.go
@@ -0,0 +1,237 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
+)
+
+const (
+	// defaultSlowdownDecay is the time constant with which a reported slowdown decays
+	// to usual: endpoints that share their machines are slow for about 0.6 s, so that a
+	// report is about half a slow period from its end.
+	defaultSlowdownDecay = 300 * time.Millisecond
+	// slowdownTTL is the age, in time constants, from which a slowdown is ignored: 2 %
+	// of it remain.
+	slowdownTTL = 4
+	// unusualPercent is how far from usual a slowdown is that other nodes should know.
+	unusualPercent = 10
+	// maxSlowdownPercent is the highest slowdown that is accepted from other nodes.
+	maxSlowdownPercent = 10_000
+	usualPercent       = 100
+	// MaxSlowdowns bounds the slowdowns in one message to 2 KB: a fifth of 1,200
+	// endpoints that are slow at the same time.
+	MaxSlowdowns = 256
+)
+
+type (
+	// Report is what an endpoint reports of itself.
+	Report struct {
+		// Load is the number of its requests, running and waiting.
+		Load int
+		// Slots is how many it runs at once; 0 if it does not report that.
+		Slots int
+		// Slowdown is how long work takes there at present, as a multiple of usual; 0
+		// if it does not report that.
+		Slowdown float64
+	}
+
+	// Slowdowns are how long work takes at endpoints at present, in percent of usual, by
+	// the Keys of their Starts.
+	Slowdowns map[uint32]int
+
+	// slowdown is how long work takes at an endpoint, by its last report.
+	slowdown struct {
+		// factor is the multiple of usual at a time; 0 if none was reported.
+		factor float64
+		at     time.Time
+		// usualSince is when it was first reported as usual after one that was not.
+		usualSince time.Time
+	}
+)
+
+// SetReport records what an endpoint reports to this node.
+func (b *Balancer) SetReport(now time.Time, e *deployment.Endpoint, r Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := e.Start().Key()
+	b.reports.set(key, now, r.Load, r.Slots)
+	if r.Slowdown <= 0 {
+		return
+	}
+	b.speeds[e.Service] = true
+	before := b.reports.local[key].slowdown
+	s := slowdown{factor: r.Slowdown, at: now, usualSince: before.usualSince}
+	if before.unusual() && !s.unusual() {
+		s.usualSince = now
+	}
+	b.reports.local[key] = b.reports.local[key].withSlowdown(s)
+	b.reports.latest[key] = b.reports.latest[key].withSlowdown(s)
+}
+
+// Slowdowns returns the slowdowns that endpoints have reported to this node since a
+// time and that differ from usual, for the other nodes, and those that no longer do.
+// They have decayed by their age until now, so that receivers need not know it.
+func (b *Balancer) Slowdowns(now, since time.Time) Slowdowns {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := Slowdowns{}
+	for key, r := range b.reports.local {
+		s := r.slowdown
+		if s.factor == 0 || !s.at.After(since) || b.expired(s, now) {
+			continue
+		}
+		if s.unusual() || s.usualSince.After(since) {
+			list[key] = percent(b.decayed(s, now))
+		}
+	}
+	return list.Largest(MaxSlowdowns)
+}
+
+// AddSlowdowns adds slowdowns received from another node. Invalid ones are ignored.
+func (b *Balancer) AddSlowdowns(now time.Time, list Slowdowns) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, p := range list {
+		if p < 1 || p > maxSlowdownPercent {
+			continue
+		}
+		b.reports.latest[key] = b.reports.latest[key].withSlowdown(slowdown{factor: float64(p) / usualPercent, at: now})
+	}
+}
+
+// Slowdown returns how long work probably takes at an endpoint now, as a multiple of
+// usual; 1 if nothing is known.
+func (b *Balancer) Slowdown(now time.Time, s deployment.Start) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.decayed(b.reports.latest[s.Key()].slowdown, now)
+}
+
+// SlowdownsByID returns the known slowdowns that differ from usual, as multiples of it,
+// by the IDs of the endpoints, for operators.
+func (b *Balancer) SlowdownsByID(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := map[string]float64{}
+	for s, o := range b.endpoints {
+		if p := percent(b.decayed(b.reports.latest[o.key].slowdown, now)); p != usualPercent {
+			list[s.ID] = float64(p) / usualPercent
+		}
+	}
+	return list
+}
+
+// DecaySlowdown returns a slowdown, in percent of usual, after a time without news.
+func DecaySlowdown(p int, after time.Duration) int {
+	return percent(decay(float64(p)/usualPercent, after, defaultSlowdownDecay))
+}
+
+// Largest returns the slowdowns, or a number of those that differ most from usual.
+func (s Slowdowns) Largest(most int) Slowdowns {
+	if len(s) <= most {
+		return s
+	}
+	keys := slices.SortedFunc(maps.Keys(s), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(deviation(s[b]), deviation(s[a])), cmp.Compare(a, b))
+	})
+	list := make(Slowdowns, most)
+	for _, key := range keys[:most] {
+		list[key] = s[key]
+	}
+	return list
+}
+
+func deviation(percent int) int { return max(percent-usualPercent, usualPercent-percent) }
+
+func percent(factor float64) int { return max(int(math.Round(factor*usualPercent)), 1) }
+
+// unusual reports whether the other nodes should know the slowdown.
+func (s slowdown) unusual() bool {
+	return s.factor > 0 && deviation(percent(s.factor)) >= unusualPercent
+}
+
+// decayed returns how long work probably takes now; 1 if nothing is known.
+func (b *Balancer) decayed(s slowdown, now time.Time) float64 {
+	if s.factor == 0 || b.expired(s, now) {
+		return 1
+	}
+	return decay(s.factor, now.Sub(s.at), b.config.SlowdownDecay)
+}
+
+func (b *Balancer) expired(s slowdown, now time.Time) bool {
+	return now.Sub(s.at) >= slowdownTTL*b.config.SlowdownDecay
+}
+
+func decay(factor float64, age, constant time.Duration) float64 {
+	return 1 + (factor-1)*math.Exp(-float64(max(age, 0))/float64(constant))
+}
+
+// setSpeed sets what a candidate's endpoint has reported of its speed. timed reports
+// whether an endpoint of its service has ever reported a slowdown; reported slots then
+// count at plain services.
+func (b *Balancer) setSpeed(c *candidate, rep report, timed, plain bool, now time.Time) {
+	c.slowdown = 1
+	if timed && plain && rep.slots > 0 && now.Sub(rep.at) < reportTTL {
+		c.slots = min(c.slots, rep.slots)
+	}
+	if rep.slowdown.factor == 0 {
+		return
+	}
+	if !timed {
+		// The report was to another node.
+		b.speeds[c.endpoint.Service] = true
+	}
+	if !b.expired(rep.slowdown, now) {
+		c.slowdown, c.slowdownAge = b.decayed(rep.slowdown, now), now.Sub(rep.slowdown.at)
+	}
+}
+
+// expectedTime returns the expected time until a request would be complete at a
+// candidate, as a multiple of the usual time of its work. That is the same at all
+// endpoints of a service, so that it does not change which is the best.
+func (c *candidate) expectedTime() float64 {
+	return c.slowdown * (1 + float64(c.load)/float64(c.slots))
+}
+
+// isSlow reports whether a slowdown is one that engines are passed over for.
+func isSlow(factor float64) bool { return factor >= 1+float64(unusualPercent)/usualPercent }
+
+func (c *candidate) isSlow() bool { return isSlow(c.slowdown) }
+
+// prefillTime returns the expected time in which an engine processes some tokens.
+//
+// A slow period ends while long prompts are processed: with the decay of its report, it
+// adds at most the time constant.
+func (b *Balancer) prefillTime(c *candidate, tokens int) time.Duration {
+	usual := time.Duration(tokens) * b.prefillPerToken
+	if c.slowdown <= 1 {
+		return usual
+	}
+	added := min(float64(usual)*(c.slowdown-1), float64(b.config.SlowdownDecay)*(1-1/c.slowdown))
+	return usual + time.Duration(added)
+}
+
+// avoidSlowHolder returns an engine that holds the prompt's part too and would begin the
+// answer sooner than best, which is slow at present, or else best. An engine that does
+// not hold it would have to process it, which often takes longer than the slow period.
+func (b *Balancer) avoidSlowHolder(all []candidate, best *candidate, bound float64, r Request) *candidate {
+	if !best.holds {
+		return best
+	}
+	chosen := best
+	for i := range all {
+		c := &all[i]
+		if !c.preferred || c.blocked || c.suspect || float64(c.load) >= bound {
+			continue
+		}
+		if b.prefillTime(c, c.prefill+r.Prompt.Own) < b.prefillTime(chosen, chosen.prefill+r.Prompt.Own) {
+			chosen = c
+		}
+	}
+	return chosen
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -351,6 +351,9 @@
 	if a.load > 0 {
 		f["reported"] = a.load
 	}
+	if a.choice.Slowdown > 0 {
+		f["slowdown"], f["slowdown_ms"] = float64(int(a.choice.Slowdown*100))/100, a.choice.SlowdownAge.Milliseconds()
+	}
 	if a.notice.Leaving {
 		f["leaving"] = true
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -110,11 +110,23 @@
 func headers() gateway.Headers {
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", ExpectEndpoint: "Expect-Endpoint",
-		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", PromptParts: promptParts, Tokens: "Tokens",
+		Load: "Load", EndpointLoad: endpointLoad, NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", PromptParts: promptParts, Tokens: "Tokens",
 		Leaving: leaving, RetryAfter: retryAfter, Brittle: brittle, Model: "Model", Priority: "Priority", LastEventID: "Last-Event-Id", FetchFrom: "Fetch", Reservation: reserved, Internal: []string{"Fetch", "Account"},
 	}
 }
 
+// endpointLoad reads two to four numbers.
+func endpointLoad(header string) (gateway.EndpointLoad, error) {
+	var l gateway.EndpointLoad
+	percent := 0
+	n, err := fmt.Sscanf(header, "%d,%d,%d,%d", &l.Running, &l.Waiting, &l.Slots, &percent)
+	if n < 2 {
+		return gateway.EndpointLoad{}, err
+	}
+	l.Slowdown = float64(percent) / 100
+	return l, nil
+}
+
 // promptParts reads parts that are written as ID:TOKENS.
 func promptParts(prompt string) iter.Seq[gateway.Part] {
 	return func(yield func(gateway.Part) bool) {
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -21,8 +21,10 @@
 		// ExpectEndpoint is the ID of the endpoint that a request is meant for; another
 		// process may be at its address.
 		ExpectEndpoint string
-		// Load is an endpoint's running and waiting requests and its slots.
-		Load string
+		// Load is an endpoint's report of its load and speed, which EndpointLoad
+		// decodes. It returns an error for a malformed one.
+		Load         string
+		EndpointLoad func(header string) (EndpointLoad, error)
 		// NotRun marks a response whose request did not run.
 		NotRun string
 		// Leaving marks a response of an endpoint that is leaving.
@@ -54,6 +56,17 @@
 		Internal []string
 	}
 
+	// EndpointLoad is what an endpoint reports of itself in a response.
+	EndpointLoad struct {
+		// Running and Waiting are its requests.
+		Running, Waiting int
+		// Slots is how many requests it runs at once; 0 if it does not report that.
+		Slots int
+		// Slowdown is how long work takes there at present, as a multiple of usual; 0
+		// if it does not report that.
+		Slowdown float64
+	}
+
 	// headerSet is a set of header names in canonical form.
 	headerSet map[string]bool
 )
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,10 @@
 	opened      *metrics.Counter
 	// handoverTime is the time that other nodes took for requests handed over.
 	handoverTime *metrics.Histogram
+	// slowdown is how long work takes at endpoints, as a multiple of usual, by their
+	// reports.
+	slowdown       *metrics.Histogram
+	malformedLoads *metrics.Counter
 }
 
 // NewMetrics returns Metrics whose counters are 0.
@@ -32,6 +36,9 @@
 		opened:      s.NewCounter(metricPrefix + "connections_total"),
 
 		handoverTime: s.NewHistogram(metricPrefix + "handover_seconds"),
+
+		slowdown:       s.NewHistogram(metricPrefix + "endpoint_slowdown"),
+		malformedLoads: s.NewCounter(metricPrefix + "malformed_loads_total"),
 	}
 }
 
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 )
 
@@ -30,6 +30,12 @@
 	// coldFactor is how many times longer a cold endpoint may be silent: it is slow,
 	// which is no sign of a fault.
 	coldFactor = 2
+	// maxSlowAllowance bounds the time that is added for an endpoint that reports that
+	// it is slow: a slow period lasts about 0.6 s, and a wrong report must not keep
+	// requests at a silent endpoint.
+	maxSlowAllowance = time.Second
+	// maxLoggedLoad is how many bytes of a malformed load header are logged.
+	maxLoggedLoad = 64
 )
 
 // stallTimeout returns after how long without a response the endpoint is
@@ -82,24 +88,33 @@
 //
 // Nor is a prompt that an engine has yet to read: a long one would be abandoned at
 // a slow engine, and read again from its beginning at the next.
+//
+// An endpoint that reports that it is slow, or did when it was chosen, gets
+// proportionally more time.
 func (a *attempt) busyTimeout(stall time.Duration) time.Duration {
-	busy := a.call.handler.config.Balancer.Utilization(time.Now(), a.choice.Endpoint, a.call.service)
-	return max(time.Duration(float64(stall)*max(busy, 1)), prefillFactor*a.choice.PrefillTime)
+	balancer, now := a.call.handler.config.Balancer, time.Now()
+	busy := balancer.Utilization(now, a.choice.Endpoint, a.call.service)
+	timeout := max(time.Duration(float64(stall)*max(busy, 1)), prefillFactor*a.choice.PrefillTime)
+	slow := max(balancer.Slowdown(now, a.choice.Endpoint.Start()), a.choice.Slowdown, 1)
+	return timeout + min(time.Duration(float64(timeout)*(slow-1)), maxSlowAllowance)
 }
 
-// reportLoad reports an endpoint's load, the sum of its running and waiting
-// requests, to the balancer.
+// reportLoad reports what an endpoint says of its load and speed to the balancer.
 func (a *attempt) reportLoad(header http.Header) {
 	h := a.call.handler.config
 	text := header.Get(h.Headers.Load)
 	if text == "" {
 		return
 	}
-	var running, waiting int
-	if n, err := fmt.Sscanf(text, "%d,%d", &running, &waiting); n < 2 || running < 0 || waiting < 0 {
-		a.call.log("load.bad", decision.Fields{"endpoint": a.choice.Endpoint.ID, "load": text, "error": fmt.Sprint(err)})
+	load, err := h.Headers.EndpointLoad(text)
+	if err != nil {
+		h.Metrics.malformedLoads.Inc()
+		a.call.log("load.bad", decision.Fields{"endpoint": a.choice.Endpoint.ID, "load": text[:min(len(text), maxLoggedLoad)], "error": err.Error()})
 		return
 	}
-	a.load = running + waiting
-	h.Balancer.SetReportedLoad(time.Now(), a.choice.Endpoint.Start(), a.load)
+	a.load = load.Running + load.Waiting
+	if load.Slowdown > 0 {
+		h.Metrics.slowdown.Update(load.Slowdown)
+	}
+	h.Balancer.SetReport(time.Now(), a.choice.Endpoint, balance.Report{Load: a.load, Slots: load.Slots, Slowdown: load.Slowdown})
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -86,6 +86,10 @@
 		// since. AddReports adds those reported by another node.
 		Reports(now, since time.Time) map[uint32]int
 		AddReports(now time.Time, list map[uint32]int)
+		// Slowdowns returns how long work takes now at endpoints that have reported it
+		// to this node after since. AddSlowdowns adds those reported to another node.
+		Slowdowns(now, since time.Time) balance.Slowdowns
+		AddSlowdowns(now time.Time, list balance.Slowdowns)
 		// Brittle returns the services that have told this node that they are brittle,
 		// by their Keys. AddBrittle adds those that have told another node.
 		Brittle(now time.Time) []uint32
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,6 +57,9 @@
 		// other nodes sent.
 		reports         map[uint32]int
 		receivedReports map[uint32]int
+		// slowdowns and receivedSlowdowns are the same for slowdowns.
+		slowdowns         balance.Slowdowns
+		receivedSlowdowns balance.Slowdowns
 		// brittle are services that have told this node that they are brittle,
 		// receivedBrittle those that other nodes sent.
 		brittle         []uint32
@@ -228,6 +231,20 @@
 	w.receivedReports = list
 }
 
+// Slowdowns implements gossip.Work.
+func (w *fakeWork) Slowdowns(_, _ time.Time) balance.Slowdowns {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.slowdowns)
+}
+
+// AddSlowdowns implements gossip.Work.
+func (w *fakeWork) AddSlowdowns(_ time.Time, list balance.Slowdowns) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.receivedSlowdowns = list
+}
+
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, network: fmt.Sprintf("127.%d.%d.", 128+rand.IntN(64), 1+rand.IntN(250))}
 	l, err := net.Listen("tcp4", f.network+"1:0")
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -97,6 +97,9 @@
 		Placements []balance.Placement `cbor:"9,keyasint,omitempty"`
 		// EndpointLoads are the loads that endpoints have recently reported.
 		EndpointLoads map[uint32]int `cbor:"12,keyasint,omitempty"`
+		// Slowdowns are how long work takes at endpoints, by the time of sending, where
+		// that differs from usual or did just before.
+		Slowdowns balance.Slowdowns `cbor:"23,keyasint,omitempty"`
 		// Leaving are endpoints that have announced that they leave: all of them in
 		// some heartbeats, the newest in others.
 		Leaving []uint32 `cbor:"18,keyasint,omitempty"`
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -109,6 +109,9 @@
 	if len(b.EndpointLoads) > 0 {
 		g.config.Work.AddReports(now, b.EndpointLoads)
 	}
+	if len(b.Slowdowns) > 0 {
+		g.config.Work.AddSlowdowns(now, b.Slowdowns)
+	}
 	if len(b.Brittle) > 0 {
 		g.config.Work.AddBrittle(now, b.Brittle)
 	}
--- a/internal/gossip/relayed.go
+++ b/internal/gossip/relayed.go
@@ -167,7 +167,7 @@
 		ID: shortID(b.ID), Addr: addr, Sequence: b.Sequence, Status: statusOf(b), Position: b.position(),
 		Loads: b.Loads, PendingPrefill: b.PendingPrefill, Failures: b.Failures, Follows: b.Delivery == deliverFollow,
 		Updates: relay.Updates{
-			Placements: b.Placements, EndpointLoads: b.EndpointLoads, Leaving: b.Leaving,
+			Placements: b.Placements, EndpointLoads: b.EndpointLoads, Slowdowns: b.Slowdowns, Leaving: b.Leaving,
 			Crashes: mapSlice(b.Crashes, relayedCrash), Cleared: mapSlice(b.Cleared, relayedCrash), Unproven: mapSlice(b.Unproven, relayedCrash),
 		},
 	}
@@ -233,7 +233,7 @@
 			n.position = deployment.Later(n.position, fleet.Position())
 		}
 	})
-	b := &heartbeat{Placements: fleet.Updates.Placements, EndpointLoads: fleet.Updates.EndpointLoads, Leaving: fleet.Updates.Leaving}
+	b := &heartbeat{Placements: fleet.Updates.Placements, EndpointLoads: fleet.Updates.EndpointLoads, Slowdowns: fleet.Updates.Slowdowns, Leaving: fleet.Updates.Leaving}
 	b.Crashes, b.Cleared = mapSlice(fleet.Updates.Crashes, receivedCrash), mapSlice(fleet.Updates.Cleared, receivedCrash)
 	b.Unproven = mapSlice(fleet.Updates.Unproven, receivedCrash)
 	g.applyUpdates(l, b, sourceRelay, now)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -91,7 +91,7 @@
 		State: g.config.State(), Access: g.config.Replica.Access(),
 		Loads: g.config.Work.Active(), PendingPrefill: g.config.Work.PendingPrefill(), Failures: g.config.Work.Failures(now), Contacts: l.contacts(contactsPerHeartbeat),
 		// Each placement is sent twice, as datagrams get lost.
-		Placements: g.config.Work.Placements(now, t.previous), EndpointLoads: g.config.Work.Reports(now, t.last),
+		Placements: g.config.Work.Placements(now, t.previous), EndpointLoads: g.config.Work.Reports(now, t.last), Slowdowns: g.config.Work.Slowdowns(now, t.last),
 		Leaving: g.config.Replica.Leaving(now.Add(-repeatLeavingFor)), Lost: g.config.Lost(), Brittle: g.config.Work.Brittle(now),
 	}
 	b.setNews(g.config.Crashes.Recent(now, t.previous))
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -69,6 +69,8 @@
 		// Unproven are ends that are not proven; those without a feature are of an
 		// endpoint that refuses connections, whatever it ran.
 		Unproven []Crash `cbor:"6,keyasint,omitempty"`
+		// Slowdowns are how long work takes at endpoints, by the time of sending.
+		Slowdowns balance.Slowdowns `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Report is what one node reports of itself to its relays.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -195,7 +195,7 @@
 	}
 	p.receivedAt, p.peer = now, from
 	n.parts[s.ID] = p
-	n.addForFollowers(n.seen.filter(now, s.Updates))
+	n.addForFollowers(now, n.seen.filter(now, s.Updates))
 	return false
 }
 
@@ -223,17 +223,17 @@
 // addUpdates queues new updates of the node's own zone.
 func (n *Node) addUpdates(now time.Time, updates Updates) {
 	fresh := n.seen.filter(now, updates)
-	n.addForFollowers(fresh)
+	n.addForFollowers(now, fresh)
 	fresh.Crashes = append(n.seen.crashes.suspects(fresh.Crashes), fresh.Crashes...)
 	fresh.Unproven = append(n.seen.unproven.suspects(fresh.Unproven), fresh.Unproven...)
-	n.toRelays.add(fresh, n.seen)
+	n.toRelays.add(now, fresh, n.seen)
 }
 
 // addForFollowers queues new updates, but of crashes only those of suspected requests.
-func (n *Node) addForFollowers(fresh Updates) {
+func (n *Node) addForFollowers(now time.Time, fresh Updates) {
 	fresh.Crashes = n.seen.crashes.suspects(fresh.Crashes)
 	fresh.Unproven = n.seen.unproven.suspects(fresh.Unproven)
-	n.toFollowers.add(fresh, n.seen)
+	n.toFollowers.add(now, fresh, n.seen)
 }
 
 // rememberReport keeps the node's own report.
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -44,7 +44,7 @@
 // size returns the encoded size of a summary, at most.
 func (s *Summary) size() int {
 	return summaryBytes + nodeBytes*s.Covered.Len() + len(s.Lost) + len(s.UpToDate) +
-		loadBytes*(len(s.Loads)+len(s.Failures)+len(s.Updates.EndpointLoads)) + tokensBytes*len(s.PendingPrefill) +
+		loadBytes*(len(s.Loads)+len(s.Failures)+len(s.Updates.EndpointLoads)+len(s.Updates.Slowdowns)) + tokensBytes*len(s.PendingPrefill) +
 		placementBytes*len(s.Updates.Placements) + crashBytes*(len(s.Updates.Crashes)+len(s.Updates.Cleared)+len(s.Updates.Unproven)) + leavingBytes*len(s.Updates.Leaving)
 }
 
@@ -61,9 +61,9 @@
 	}
 	first := shards[0]
 	first.UpToDate = s.UpToDate
-	loads := first.Updates.EndpointLoads
+	loads, slowdowns := first.Updates.EndpointLoads, first.Updates.Slowdowns
 	first.Updates = s.Updates
-	first.Updates.EndpointLoads = loads
+	first.Updates.EndpointLoads, first.Updates.Slowdowns = loads, slowdowns
 	return shards
 }
 
@@ -81,7 +81,7 @@
 		ID: s.ID, Zone: s.Zone, Sequence: s.Sequence, Fleet: s.Fleet, Age: s.Age, Oldest: s.Oldest, Epoch: s.Epoch, Revision: s.Revision,
 		Shard: uint8(i), Shards: uint8(of), Lost: s.Lost,
 		Loads: filtered(s.Loads, inShard), PendingPrefill: filtered(s.PendingPrefill, inShard), Failures: filtered(s.Failures, inShard),
-		Updates: Updates{EndpointLoads: filtered(s.Updates.EndpointLoads, inShard)},
+		Updates: Updates{EndpointLoads: filtered(s.Updates.EndpointLoads, inShard), Slowdowns: filtered(s.Updates.Slowdowns, inShard)},
 	}
 	s.Covered.Each(func(n int, id ID) {
 		if inShard(uint32(id)) {
--- a/internal/relay/sum.go
+++ b/internal/relay/sum.go
@@ -68,7 +68,7 @@
 func (n *Node) zoneSummary(now time.Time, peers []Peer, own Report, first bool) *Summary {
 	s := &Summary{
 		ID: n.config.ID, Zone: n.config.Zone, Sequence: n.sequence,
-		Loads: map[uint32]int{}, PendingPrefill: map[uint32]int{}, Failures: map[uint32]int{}, Updates: n.toRelays.take(n.seen),
+		Loads: map[uint32]int{}, PendingPrefill: map[uint32]int{}, Failures: map[uint32]int{}, Updates: n.toRelays.take(now, n.seen),
 	}
 	var ages time.Duration
 	add := func(r *Report, age time.Duration) {
@@ -162,7 +162,7 @@
 		}
 	}
 	fleet := *own
-	fleet.Fleet, fleet.Lost, fleet.Updates = true, nil, n.toFollowers.take(n.seen)
+	fleet.Fleet, fleet.Lost, fleet.Updates = true, nil, n.toFollowers.take(now, n.seen)
 	fleet.Loads, fleet.PendingPrefill, fleet.Failures = copied(own.Loads), copied(own.PendingPrefill), copied(own.Failures)
 	fleet.Covered, fleet.Statuses = slices.Clone(own.Covered), slices.Clone(own.Statuses)
 	ages := own.Age * time.Duration(own.Covered.Len())
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -42,6 +42,13 @@
 		unproven   []pending[Crash]
 		leaving    []pending[uint32]
 		loads      map[uint32]int
+		slowdowns  map[uint32]heldSlowdown
+	}
+
+	// heldSlowdown is an endpoint's slowdown, in percent, and when the relay got it.
+	heldSlowdown struct {
+		percent int
+		at      time.Time
 	}
 
 	// pending is an update and how many sends are left.
@@ -85,6 +92,10 @@
 		n.EndpointLoads = map[uint32]int{}
 	}
 	maps.Copy(n.EndpointLoads, more.EndpointLoads)
+	if n.Slowdowns == nil {
+		n.Slowdowns = balance.Slowdowns{}
+	}
+	maps.Copy(n.Slowdowns, more.Slowdowns)
 }
 
 // filter returns the updates that were not seen recently, and remembers them.
@@ -92,7 +103,7 @@
 	return Updates{
 		Placements: filterSeen(s.placements, now, n.Placements), Crashes: s.crashes.filter(now, n.Crashes),
 		Cleared: filterSeen(s.cleared, now, n.Cleared), Unproven: s.unproven.filter(now, n.Unproven),
-		Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads,
+		Leaving: filterSeen(s.leaving, now, n.Leaving), EndpointLoads: n.EndpointLoads, Slowdowns: n.Slowdowns,
 	}
 }
 
@@ -172,7 +183,7 @@
 }
 
 // add queues updates.
-func (o *outbox) add(n Updates, known *seen) {
+func (o *outbox) add(now time.Time, n Updates, known *seen) {
 	o.placements = enqueue(o.placements, n.Placements)
 	o.crashes = known.crashes.enqueue(o.crashes, n.Crashes)
 	o.unproven = known.unproven.enqueue(o.unproven, n.Unproven)
@@ -184,6 +195,12 @@
 	for key, load := range n.EndpointLoads {
 		o.loads[key] = load
 	}
+	if o.slowdowns == nil {
+		o.slowdowns = map[uint32]heldSlowdown{}
+	}
+	for key, p := range n.Slowdowns {
+		o.slowdowns[key] = heldSlowdown{percent: p, at: now}
+	}
 }
 
 // enqueue adds crashes to a queue, and drops those of the least suspected features beyond
@@ -197,7 +214,7 @@
 }
 
 // take removes and returns the updates to send now.
-func (o *outbox) take(known *seen) Updates {
+func (o *outbox) take(now time.Time, known *seen) Updates {
 	var n Updates
 	known.crashes.sort(o.crashes)
 	known.unproven.sort(o.unproven)
@@ -207,9 +224,19 @@
 	n.Unproven, o.unproven = dequeue(o.unproven)
 	n.Leaving, o.leaving = dequeue(o.leaving)
 	n.EndpointLoads, o.loads = o.loads, nil
+	n.Slowdowns, o.slowdowns = decayed(o.slowdowns, now).Largest(balance.MaxSlowdowns), nil
 	return n
 }
 
+// decayed returns slowdowns as they probably are by now.
+func decayed(held map[uint32]heldSlowdown, now time.Time) balance.Slowdowns {
+	list := make(balance.Slowdowns, len(held))
+	for key, h := range held {
+		list[key] = balance.DecaySlowdown(h.percent, now.Sub(h.at))
+	}
+	return list
+}
+
 // enqueue adds updates to a queue and drops the oldest beyond maxPending.
 func enqueue[T any](out []pending[T], list []T) []pending[T] {
 	for _, item := range list {
