--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -142,6 +142,8 @@
 
 		// brittle reports whether the service is brittle.
 		brittle bool
+		// now is when the endpoint is chosen.
+		now time.Time
 	}
 
 	// Choice is the chosen endpoint and the reasons for the choice.
@@ -230,6 +232,7 @@
 func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	r.now = now
 	all, mean := b.candidates(now, list, r)
 	c := b.pickWarmFirst(all, mean, r, now)
 	if c == nil && r.AllowTried {
@@ -245,8 +248,8 @@
 	o.service, o.slots = c.endpoint.Service, c.slots
 	o.backoff.lastSent = now
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
-	if c.slowdownAge > 0 || c.slowdown != 1 {
-		choice.Slowdown, choice.SlowdownAge = c.slowdown, c.slowdownAge
+	if rep := c.report; rep != nil && rep.slowdown.factor > 0 && !b.expired(rep.slowdown, now) {
+		choice.Slowdown, choice.SlowdownAge = b.decayed(rep.slowdown, now), now.Sub(rep.slowdown.at)
 	}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -29,10 +29,8 @@
 	preferred bool
 	// prefill is the number of tokens that it still has to process for all nodes.
 	prefill int
-	// slowdown is how long work probably takes there, as a multiple of usual, and
-	// slowdownAge the age of the report of it.
-	slowdown    float64
-	slowdownAge time.Duration
+	// report is the endpoint's last report, nil if there is none.
+	report *report
 }
 
 // HasRoom reports whether an endpoint other than the tried and the cold ones has room
@@ -99,7 +97,7 @@
 	failing := b.failing(now, states, r.Service.Name)
 	over := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
-	part, timed := xxhash.Sum64String(r.Key), b.speeds[r.Service.Name]
+	part, reported := xxhash.Sum64String(r.Key), false
 	all := make([]candidate, 0, len(list))
 	for i, e := range list {
 		o := states[i]
@@ -120,8 +118,10 @@
 		if slices.Contains(r.Tried, e.Start()) {
 			continue
 		}
-		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
-		b.setSpeed(&c, rep, timed, r.Key == "", now)
+		if rep != nil && rep.slowdown.factor > 0 {
+			reported = true
+		}
+		c := candidate{endpoint: e, key: key, report: rep, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
 		full := r.brittle && r.Key == "" && (over || b.overEndpointShare(o, c.slots))
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
@@ -130,6 +130,10 @@
 		}
 		all = append(all, c)
 	}
+	if reported {
+		// The first report may have been to another node.
+		b.speeds[r.Service.Name] = true
+	}
 	return all, means{
 		usable: float64(total) / float64(max(ready, 1)),
 		all:    float64(total+evacuatedLoad) / float64(max(ready+evacuated, 1)),
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -13,7 +13,7 @@
 		}
 		return c
 	}
-	return b.pickPlain(all)
+	return b.pickPlain(all, r)
 }
 
 // pickKeyed takes the first endpoint of the key's rendezvous order that is under the
@@ -79,7 +79,7 @@
 // pickPlain takes the better of two random endpoints, by load per slot. If nodes took
 // the least loaded of all, all would take the same one until they next hear from each
 // other.
-func (b *Balancer) pickPlain(all []candidate) *candidate {
+func (b *Balancer) pickPlain(all []candidate, r Request) *candidate {
 	var healthy, suspects []*candidate
 	for i := range all {
 		c := &all[i]
@@ -91,11 +91,11 @@
 			healthy = append(healthy, c)
 		}
 	}
-	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
+	return cmp.Or(b.lessLoadedOfTwo(healthy, r), b.lessLoadedOfTwo(suspects, r))
 }
 
 // lessLoadedOfTwo draws two candidates and returns the one with the lower cost.
-func (b *Balancer) lessLoadedOfTwo(list []*candidate) *candidate {
+func (b *Balancer) lessLoadedOfTwo(list []*candidate, r Request) *candidate {
 	if len(list) < 2 {
 		return slices.Concat(list, []*candidate{nil})[0]
 	}
@@ -104,16 +104,18 @@
 	if j >= i {
 		j++
 	}
-	if b.plainCost(list[j]) < b.plainCost(list[i]) {
+	if b.plainCost(list[j], r) < b.plainCost(list[i], r) {
 		return list[j]
 	}
 	return list[i]
 }
 
-func (b *Balancer) plainCost(c *candidate) float64 {
+// plainCost is the load per slot or, where the service's endpoints report slowdowns, the
+// expected time.
+func (b *Balancer) plainCost(c *candidate, r Request) float64 {
 	cost := float64(c.load) / float64(c.slots)
-	if b.speeds[c.endpoint.Service] {
-		cost = c.expectedTime()
+	if b.speeds[r.Service.Name] {
+		cost = b.expectedTime(c, r.now)
 	}
 	if c.endpoint.Zone != b.config.Zone {
 		cost += crossZoneCost
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -82,21 +82,22 @@
 // that has begun on ten thousand tokens looks idle. Short requests would wait behind
 // long prompts while neighboring engines have nothing to process.
 func (b *Balancer) avoidPrefillQueue(all []candidate, best *candidate, bound float64, r Request) *candidate {
-	if best.isSlow() {
+	if b.isSlow(best, r.now) {
 		best = b.avoidSlowHolder(all, best, bound, r)
 	}
-	if b.prefillTime(best, best.prefill) <= time.Duration(busyPrefillShare*float64(r.Objective)) {
+	if b.prefillTime(best, best.prefill, r.now) <= time.Duration(busyPrefillShare*float64(r.Objective)) {
 		return best
 	}
 	held := slices.ContainsFunc(all, func(c candidate) bool { return c.holds })
 	var other *candidate
+	var shortest time.Duration
 	for i := range all {
 		c := &all[i]
 		if c == best || c.blocked || c.suspect || float64(c.load) >= bound || (!held && rank(all, c) >= orderDepth) {
 			continue
 		}
-		if other == nil || b.prefillTime(c, c.prefill) < b.prefillTime(other, other.prefill) {
-			other = c
+		if t := b.prefillTime(c, c.prefill, r.now); other == nil || t < shortest {
+			other, shortest = c, t
 		}
 	}
 	if other == nil {
@@ -106,7 +107,7 @@
 	if held && !other.holds {
 		tokens += recomputeFactor * r.Prompt.Shared
 	}
-	if shorterBy*b.prefillTime(other, tokens) < b.prefillTime(best, best.prefill) {
+	if shorterBy*b.prefillTime(other, tokens, r.now) < b.prefillTime(best, best.prefill, r.now) {
 		return other
 	}
 	return best
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -17,8 +17,8 @@
 type reports struct {
 	// local are the reports that this node received itself, latest those of all
 	// nodes.
-	local  map[uint32]report
-	latest map[uint32]report
+	local  map[uint32]*report
+	latest map[uint32]*report
 }
 
 // report is the last load that an endpoint has reported, and when, and its last
@@ -32,7 +32,7 @@
 	slowdown slowdown
 }
 
-func newReports() *reports { return &reports{local: map[uint32]report{}, latest: map[uint32]report{}} }
+func newReports() *reports { return &reports{local: map[uint32]*report{}, latest: map[uint32]*report{}} }
 
 // SetReportedLoad records the number of requests, running and waiting, that an endpoint
 // reports.
@@ -62,8 +62,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, load := range list {
-		r := b.reports.latest[key]
-		b.reports.latest[key] = report{load: load, at: now, slots: r.slots, slowdown: r.slowdown}
+		r := of(b.reports.latest, key)
+		r.load, r.at = load, now
 	}
 }
 
@@ -80,25 +80,30 @@
 	return r.latest[key].currentLoad(now)
 }
 
-// currentLoad returns the reported load; 0 if that has expired.
-func (r report) currentLoad(now time.Time) int {
-	if now.Sub(r.at) < reportTTL {
+// currentLoad returns the reported load; 0 if there is none or it has expired.
+func (r *report) currentLoad(now time.Time) int {
+	if r != nil && now.Sub(r.at) < reportTTL {
 		return r.load
 	}
 	return 0
 }
 
-func (r report) withSlowdown(s slowdown) report {
-	r.slowdown = s
+// of returns the report of an endpoint, an empty one if there was none.
+func of(list map[uint32]*report, key uint32) *report {
+	r := list[key]
+	if r == nil {
+		r = &report{}
+		list[key] = r
+	}
 	return r
 }
 
 // set records a load and, if not 0, the slots that an endpoint reports to this node.
 func (r *reports) set(key uint32, now time.Time, load, slots int) {
-	local, latest := r.local[key], r.latest[key]
-	local.load, local.at, local.slots = load, now, slots
-	latest.load, latest.at, latest.slots = load, now, slots
-	r.local[key], r.latest[key] = local, latest
+	for _, list := range []map[uint32]*report{r.local, r.latest} {
+		rep := of(list, key)
+		rep.load, rep.at, rep.slots = load, now, slots
+	}
 }
 
 // forget drops expired reports.
--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -69,13 +69,12 @@
 		return
 	}
 	b.speeds[e.Service] = true
-	before := b.reports.local[key].slowdown
-	s := slowdown{factor: r.Slowdown, at: now, usualSince: before.usualSince}
-	if before.unusual() && !s.unusual() {
+	local := b.reports.local[key]
+	s := slowdown{factor: r.Slowdown, at: now, usualSince: local.slowdown.usualSince}
+	if local.slowdown.unusual() && !s.unusual() {
 		s.usualSince = now
 	}
-	b.reports.local[key] = b.reports.local[key].withSlowdown(s)
-	b.reports.latest[key] = b.reports.latest[key].withSlowdown(s)
+	local.slowdown, b.reports.latest[key].slowdown = s, s
 }
 
 // Slowdowns returns the slowdowns that endpoints have reported to this node since a
@@ -103,10 +102,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, p := range list {
-		if p < 1 || p > maxSlowdownPercent || now.Sub(b.reports.local[key].slowdown.at) < ownPrecedence {
+		own := b.reports.local[key]
+		if p < 1 || p > maxSlowdownPercent || own != nil && now.Sub(own.slowdown.at) < ownPrecedence {
 			continue
 		}
-		b.reports.latest[key] = b.reports.latest[key].withSlowdown(slowdown{factor: float64(p) / usualPercent, at: now})
+		of(b.reports.latest, key).slowdown = slowdown{factor: float64(p) / usualPercent, at: now}
 	}
 }
 
@@ -115,7 +115,7 @@
 func (b *Balancer) Slowdown(now time.Time, s deployment.Start) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.decayed(b.reports.latest[s.Key()].slowdown, now)
+	return b.slowdown(b.reports.latest[s.Key()], now)
 }
 
 // SlowdownsByID returns the known slowdowns that differ from usual, as multiples of it,
@@ -125,7 +125,7 @@
 	defer b.mu.Unlock()
 	list := map[string]float64{}
 	for s, o := range b.endpoints {
-		if p := percent(b.decayed(b.reports.latest[o.key].slowdown, now)); p != usualPercent {
+		if p := percent(b.slowdown(b.reports.latest[o.key], now)); p != usualPercent {
 			list[s.ID] = float64(p) / usualPercent
 		}
 	}
@@ -161,6 +161,14 @@
 	return s.factor > 0 && deviation(percent(s.factor)) >= unusualPercent
 }
 
+// slowdown returns how long work probably takes now by a report, which may be nil.
+func (b *Balancer) slowdown(r *report, now time.Time) float64 {
+	if r == nil {
+		return 1
+	}
+	return b.decayed(r.slowdown, now)
+}
+
 // decayed returns how long work probably takes now; 1 if nothing is known.
 func (b *Balancer) decayed(s slowdown, now time.Time) float64 {
 	if s.factor == 0 || b.expired(s, now) {
@@ -177,48 +185,35 @@
 	return 1 + (factor-1)*math.Exp(-float64(max(age, 0))/float64(constant))
 }
 
-// setSpeed sets what a candidate's endpoint has reported of its speed. timed reports
-// whether an endpoint of its service has ever reported a slowdown; reported slots then
-// count at plain services.
-func (b *Balancer) setSpeed(c *candidate, rep report, timed, plain bool, now time.Time) {
-	c.slowdown = 1
-	if timed && plain && rep.slots > 0 && now.Sub(rep.at) < reportTTL {
-		c.slots = min(c.slots, rep.slots)
-	}
-	if rep.slowdown.factor == 0 {
-		return
-	}
-	if !timed {
-		// The report was to another node.
-		b.speeds[c.endpoint.Service] = true
-	}
-	if !b.expired(rep.slowdown, now) {
-		c.slowdown, c.slowdownAge = b.decayed(rep.slowdown, now), now.Sub(rep.slowdown.at)
+// expectedTime returns the expected time until a request would be complete at a candidate
+// of a plain service, as a multiple of the usual time of its work. That is the same at
+// all endpoints of a service, so that it does not change which is the best.
+//
+// Reported slots replace the listed ones where they are fewer.
+func (b *Balancer) expectedTime(c *candidate, now time.Time) float64 {
+	slots := c.slots
+	if r := c.report; r != nil && r.slots > 0 && now.Sub(r.at) < reportTTL {
+		slots = min(slots, r.slots)
 	}
-}
-
-// expectedTime returns the expected time until a request would be complete at a
-// candidate, as a multiple of the usual time of its work. That is the same at all
-// endpoints of a service, so that it does not change which is the best.
-func (c *candidate) expectedTime() float64 {
-	return c.slowdown * (1 + float64(c.load)/float64(c.slots))
+	return b.slowdown(c.report, now) * (1 + float64(c.load)/float64(slots))
 }
 
 // isSlow reports whether a slowdown is one that engines are passed over for.
 func isSlow(factor float64) bool { return factor >= 1+float64(unusualPercent)/usualPercent }
 
-func (c *candidate) isSlow() bool { return isSlow(c.slowdown) }
+func (b *Balancer) isSlow(c *candidate, now time.Time) bool { return isSlow(b.slowdown(c.report, now)) }
 
 // prefillTime returns the expected time in which an engine processes some tokens.
 //
 // A slow period ends while long prompts are processed: with the decay of its report, it
 // adds at most the time constant.
-func (b *Balancer) prefillTime(c *candidate, tokens int) time.Duration {
+func (b *Balancer) prefillTime(c *candidate, tokens int, now time.Time) time.Duration {
 	usual := time.Duration(tokens) * b.prefillPerToken
-	if c.slowdown <= 1 {
+	slowdown := b.slowdown(c.report, now)
+	if slowdown <= 1 {
 		return usual
 	}
-	added := min(float64(usual)*(c.slowdown-1), float64(b.config.SlowdownDecay)*(1-1/c.slowdown))
+	added := min(float64(usual)*(slowdown-1), float64(b.config.SlowdownDecay)*(1-1/slowdown))
 	return usual + time.Duration(added)
 }
 
@@ -229,14 +224,14 @@
 	if !best.holds {
 		return best
 	}
-	chosen := best
+	chosen, shortest := best, b.prefillTime(best, best.prefill+r.Prompt.Own, r.now)
 	for i := range all {
 		c := &all[i]
 		if !c.preferred || c.blocked || c.suspect || float64(c.load) >= bound {
 			continue
 		}
-		if b.prefillTime(c, c.prefill+r.Prompt.Own) < b.prefillTime(chosen, chosen.prefill+r.Prompt.Own) {
-			chosen = c
+		if t := b.prefillTime(c, c.prefill+r.Prompt.Own, r.now); t < shortest {
+			chosen, shortest = c, t
 		}
 	}
 	return chosen
