--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -92,6 +92,11 @@
 		Announce func()
 		// Draw returns uniformly distributed numbers in [0, 1); nil means math/rand.
 		Draw func() float64
+		// IntN returns uniformly distributed numbers in [0, n); nil means math/rand.
+		IntN func(n int) int
+		// SlowdownDecay is the time constant with which a reported slowdown decays to
+		// usual; 0 means 0.3 s.
+		SlowdownDecay time.Duration
 	}
 
 	// Balancer chooses endpoints. It is safe for concurrent use.
@@ -107,6 +112,8 @@
 		prefillPerToken time.Duration
 		// requests counts the requests for each service, over failureMemory.
 		requests map[string]*rates.Decayed
+		// speeds are the services of which an endpoint has reported a slowdown.
+		speeds map[string]bool
 		// brittle are the services that were brittle lately, by their Keys.
 		brittle map[uint32]brittle
 		// rounding decides whether this node rounds its shares of brittle services up:
@@ -145,6 +152,8 @@
 
 		// brittle reports whether the service is brittle.
 		brittle bool
+		// now is when the endpoint is chosen.
+		now time.Time
 	}
 
 	// Choice is the chosen endpoint and the reasons for the choice.
@@ -170,6 +179,10 @@
 		// Cold reports whether the endpoint sustains only a low request rate at
 		// present and may be slow.
 		Cold bool
+		// Slowdown is how long work probably takes at the endpoint, as a multiple of
+		// usual; 0 if it is unknown. SlowdownAge is the age of the report of it.
+		Slowdown    float64
+		SlowdownAge time.Duration
 
 		// PrefillTime is the expected time until the engine has processed the prompt,
 		// including those of other requests that come first.
@@ -212,10 +225,16 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.IntN == nil {
+		c.IntN = rand.IntN
+	}
+	if c.SlowdownDecay == 0 {
+		c.SlowdownDecay = defaultSlowdownDecay
+	}
 	if c.Nodes == nil {
 		c.Nodes = func() int { return 1 }
 	}
-	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, brittle: map[uint32]brittle{}, started: time.Now()}
+	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, speeds: map[string]bool{}, brittle: map[uint32]brittle{}, started: time.Now()}
 }
 
 // Choose chooses an endpoint and counts the request there until Release. It returns
@@ -223,6 +242,7 @@
 func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	r.now = now
 	all, mean := b.candidates(now, list, r)
 	c := b.pickWarmFirst(all, mean, r, now)
 	if c == nil && r.AllowTried {
@@ -238,6 +258,9 @@
 	o.service, o.slots = c.endpoint.Service, c.slots
 	o.backoff.lastSent = now
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
+	if rep := c.report; rep != nil && rep.slowdown.factor > 0 && !b.expired(rep.slowdown, now) {
+		choice.Slowdown, choice.SlowdownAge = b.decayed(rep.slowdown, now), now.Sub(rep.slowdown.at)
+	}
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
@@ -328,7 +351,7 @@
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reports.forget(now)
+	b.reports.forget(now, b.config.SlowdownDecay)
 	maps.DeleteFunc(b.brittle, func(_ uint32, s brittle) bool { return now.After(s.until) })
 	maps.DeleteFunc(b.requests, func(_ string, count *rates.Decayed) bool { return count.Get(now) < negligibleRequests })
 	for s, o := range b.endpoints {
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -17,24 +17,31 @@
 type reports struct {
 	// local are the reports that this node received itself, latest those of all
 	// nodes.
-	local  map[uint32]report
-	latest map[uint32]report
+	local  map[uint32]*report
+	latest map[uint32]*report
 }
 
+// report is the last load that an endpoint has reported, and when, and its last
+// slowdown.
 type report struct {
 	load int
 	at   time.Time
+	// slots is how many requests the endpoint runs at once by its own report; 0 if it
+	// is unknown.
+	slots    int
+	slowdown slowdown
 }
 
-func newReports() *reports { return &reports{local: map[uint32]report{}, latest: map[uint32]report{}} }
+func newReports() *reports {
+	return &reports{local: map[uint32]*report{}, latest: map[uint32]*report{}}
+}
 
 // SetReportedLoad records the number of requests, running and waiting, that an endpoint
 // reports.
 func (b *Balancer) SetReportedLoad(now time.Time, s deployment.Start, load int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := report{load: load, at: now}
-	b.reports.local[s.Key()], b.reports.latest[s.Key()] = r, r
+	b.reports.set(s.Key(), now, load, 0)
 }
 
 // Reports returns the loads that endpoints have reported to this node since a time,
@@ -57,7 +64,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, load := range list {
-		b.reports.latest[key] = report{load: load, at: now}
+		r := of(b.reports.latest, key)
+		r.load, r.at = load, now
 	}
 }
 
@@ -71,16 +79,39 @@
 
 // load returns the last reported load of an endpoint; 0 if that has expired.
 func (r *reports) load(key uint32, now time.Time) int {
-	if latest := r.latest[key]; now.Sub(latest.at) < reportTTL {
-		return latest.load
+	return r.latest[key].currentLoad(now)
+}
+
+// currentLoad returns the reported load; 0 if there is none or it has expired.
+func (r *report) currentLoad(now time.Time) int {
+	if r != nil && now.Sub(r.at) < reportTTL {
+		return r.load
 	}
 	return 0
 }
 
+// of returns the report of an endpoint, an empty one if there was none.
+func of(list map[uint32]*report, key uint32) *report {
+	r := list[key]
+	if r == nil {
+		r = &report{}
+		list[key] = r
+	}
+	return r
+}
+
+// set records a load and, if not 0, the slots that an endpoint reports to this node.
+func (r *reports) set(key uint32, now time.Time, load, slots int) {
+	for _, list := range []map[uint32]*report{r.local, r.latest} {
+		rep := of(list, key)
+		rep.load, rep.at, rep.slots = load, now, slots
+	}
+}
+
 // forget drops expired reports.
-func (r *reports) forget(now time.Time) {
+func (r *reports) forget(now time.Time, decayTime time.Duration) {
 	for key, rep := range r.latest {
-		if now.Sub(rep.at) >= reportTTL {
+		if now.Sub(rep.at) >= reportTTL && now.Sub(rep.slowdown.at) >= slowdownTTL*decayTime {
 			delete(r.latest, key)
 			delete(r.local, key)
 		}
