--- a/cmd/bulrushhinge/command_test.go
+++ b/cmd/bulrushhinge/command_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Guards against a node that starts with a setting that no comparison holds for.
+func TestServeReportsInvalidOwners(t *testing.T) {
+	for _, value := range []string{"NaN", "-1", "1000.5", "+Inf", "few"} {
+		for _, c := range []struct{ env, args []string }{
+			{args: []string{"serve", "--check", "--owners=" + value}},
+			{env: []string{"BULRUSHHINGE_SERVE_OWNERS=" + value}, args: []string{"serve", "--check"}},
+		} {
+			code, _, stderr := run(t, c.env, c.args...)
+			require.NotZero(t, code)
+			require.Contains(t, stderr, "--owners (BULRUSHHINGE_SERVE_OWNERS): ", value)
+		}
+	}
+	for _, value := range []string{"0", "0.5", "1000"} {
+		_, _, stderr := run(t, nil, "serve", "--check", "--owners="+value)
+		require.NotContains(t, stderr, "--owners", value)
+	}
+}
+
 func TestManifestCheck(t *testing.T) {
 	good := write(t, "manifest.json", sample(t, 1, 5))
 	code, stdout, stderr := run(t, nil, "manifest", "check", good)
