Leave an owner that is lost, or that has lost the service

Requests that may be repeated no longer wait for a paused owner until their time is over, and those that wait at an owner without a path to the endpoints run at the node where they arrived.

--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -70,6 +70,10 @@
 		if c.mayHandOver() {
 			return nil, nil
 		}
+		if c.owned() && !c.handler.config.Reach.Reaches(c.service.Name) {
+			// The node that has handed the request over may reach the service.
+			return nil, c.giveUp(reasonUnreachable)
+		}
 		select {
 		case <-w.Turn():
 			choice := c.choose(ctx, began)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/decision"
@@ -17,6 +18,9 @@
 	maxOffers = 3
 	// nobodyTime is how long after that no other node is offered the request.
 	nobodyTime = 200 * time.Millisecond
+	// ownerCheckInterval is how often it is checked whether the owner that has a request
+	// is lost: about the time after which another offer to it counts as not answered.
+	ownerCheckInterval = 250 * time.Millisecond
 	// hopMargin is how much sooner the node that runs a request ends it than the one
 	// that has handed it over, so that its reason gets there.
 	hopMargin = 10 * time.Millisecond
@@ -45,14 +49,18 @@
 		Offer(ctx context.Context, o *handover.Offer, regions []string) (peer string, x *handover.Exchange, err error)
 		// Done ends a request that an owner had taken.
 		Done(peer string, x *handover.Exchange)
+		// Lost reports whether an owner no longer answers.
+		Lost(peer string) bool
 	}
 
 	// hop is a request at another node.
 	hop struct {
 		peer string
 		// owner says that the other node is the owner of the service.
-		owner   bool
-		started time.Time
+		owner bool
+		// answered is set once the response has begun.
+		answered atomic.Bool
+		started  time.Time
 		// first is the time until the first part of the response.
 		first time.Duration
 		cause string
@@ -101,7 +109,9 @@
 // requests for the service, so that no other node has a better place.
 func (c *call) handToOwner(ctx context.Context) (res result, ref *refusal, taken bool) {
 	owners := c.handler.config.Owners
-	peer, x, err := c.offer(ctx, owners, true)
+	exchange, abandon := context.WithCancel(ctx)
+	defer abandon()
+	peer, x, err := c.offer(exchange, owners, true)
 	if peer == "" {
 		return 0, nil, false
 	}
@@ -112,7 +122,11 @@
 		}
 		return 0, nil, false
 	}
-	res, ref = c.follow(ctx, &hop{peer: peer, owner: true, started: time.Now()}, x)
+	a := &hop{peer: peer, owner: true, started: time.Now()}
+	if c.canRetry() {
+		defer c.watchOwner(exchange, a, abandon).Stop()
+	}
+	res, ref = c.follow(ctx, a, x)
 	owners.Done(peer, x)
 	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
 		return 0, nil, false
@@ -120,6 +134,23 @@
 	return res, ref, true
 }
 
+// watchOwner abandons an owner that is lost before its response begins, as a paused one
+// is: the request may be repeated here. An owner that answers other offers is only slow.
+func (c *call) watchOwner(ctx context.Context, a *hop, abandon func()) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(c.route.Timeout, func() {
+		switch {
+		case ctx.Err() != nil || a.answered.Load():
+		case c.handler.config.Owners.Lost(a.peer):
+			abandon()
+		default:
+			timer.Reset(ownerCheckInterval)
+		}
+	})
+	timer.Reset(ownerCheckInterval)
+	return timer
+}
+
 // mayRunHere reports whether this node may run a request that the owner has refused: it
 // may run, or run again, and the reason was the owner's own. The owner has taken a retry
 // from the budget for each run that broke.
@@ -170,6 +201,7 @@
 		}
 		if a.first == 0 {
 			a.first = time.Since(a.started)
+			a.answered.Store(true)
 		}
 		if f.Refusal != nil {
 			if f.Refusal.Runs == 0 {
--- a/internal/gateway/owner_paused_test.go
+++ b/internal/gateway/owner_paused_test.go
@@ -72,6 +72,34 @@
 	require.Equal(t, 1, e.count())
 }
 
+// Guards against requests that wait for a paused owner until their time is over although
+// they may be repeated, and against those that leave an owner which is only slow.
+func TestRequestLeavesOwnerThatIsLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind deployment.Kind
+		lost bool
+		here bool
+	}{
+		{name: "lost", kind: deployment.Idempotent, lost: true, here: true},
+		{name: "lost, at most once", kind: deployment.AtMostOnce, lost: true},
+		{name: "slow", kind: deployment.Idempotent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, whole(200, "hi"))
+			o := newOwned(t, deployment.Route{Kind: c.kind, Attempts: 2, Objective: 300 * time.Millisecond, Timeout: 1500 * time.Millisecond}, e)
+			p := newPausedOwner(t, o, false)
+			close(p.resumed)
+			o.owners.lost.Store(c.lost)
+			r := o.post(t, "/p/x", nil)
+			require.Equal(t, c.here, r.status == 200, r.body)
+			require.Equal(t, c.here, e.count() == 1)
+			<-p.answered
+			require.Equal(t, int64(1), p.runs.Load())
+		})
+	}
+}
+
 // Guards against callers without an end, and second runs, while an owner is paused that
 // has got a request: whether it runs is unknown until the time is over.
 func TestOwnerThatIsPausedWithARequest(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -148,6 +148,10 @@
 // exclusive reports whether all requests for the call's service pass through this node.
 func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
 
+// owned reports whether another node has handed the request over while services may have
+// owners.
+func (c *call) owned() bool { return c.handed != nil && c.handler.config.Owners != nil }
+
 // callerGone reports whether the caller has disconnected.
 func (c *call) callerGone() bool { return c.in.Context().Err() != nil }
 
--- a/internal/owner/contacts.go
+++ b/internal/owner/contacts.go
@@ -99,6 +99,14 @@
 	c.byName[name].active--
 }
 
+// Lost reports whether an owner has not answered since an offer to it was not answered.
+func (c *Contacts) Lost(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.byName[name]
+	return o != nil && o.silent
+}
+
 // Active returns the requests of this node that owners have, by the owners' names.
 func (c *Contacts) Active() map[string]int {
 	c.mu.Lock()
--- a/internal/owner/contacts_test.go
+++ b/internal/owner/contacts_test.go
@@ -56,8 +56,11 @@
 	require.True(t, k.Begin(at(1260), "n1"), "the caller left before the answer")
 	k.Offered(at(1500), "n1", owner.Silent)
 	require.False(t, k.Begin(at(2499), "n1"))
+	require.True(t, k.Lost("n1"))
+	require.False(t, k.Lost("n2"))
 	require.True(t, k.Begin(at(2500), "n1"))
 	k.Offered(at(2501), "n1", owner.Taken)
+	require.False(t, k.Lost("n1"))
 	require.True(t, k.Begin(at(2501), "n1"))
 	require.True(t, k.Begin(at(2501), "n1"))
 }
--- a/owners.go
+++ b/owners.go
@@ -76,6 +76,12 @@
 	o.contacts.Done(peer)
 }
 
+// Lost implements gateway.Owners.
+func (o *owners) Lost(peer string) bool {
+	_, alive := o.alive(peer)
+	return !alive || o.contacts.Lost(peer)
+}
+
 // outcome returns how an offer ended, by its error.
 func outcome(ctx context.Context, err error) owner.Outcome {
 	switch {
@@ -95,6 +101,11 @@
 	if name == "" || name == o.gateway.config.Node {
 		return gossip.Member{}, false
 	}
+	return o.alive(name)
+}
+
+// alive returns a node that is alive.
+func (o *owners) alive(name string) (gossip.Member, bool) {
 	alive := o.gateway.gossip.View().Alive
 	i, ok := slices.BinarySearchFunc(alive, name, func(m gossip.Member, name string) int { return cmp.Compare(m.Name, name) })
 	if !ok {
