--- a/internal/admission/cost.go
+++ b/internal/admission/cost.go
@@ -196,9 +196,9 @@
 		return nil
 	case q.fits(at, j):
 		q.addInflow(at, j.work, 1)
-	case q.worthWaiting(at, j):
+	case q.capacity.rate(at) > 0 && q.worthWaiting(at, j):
 		j.late = true
-	case q.mayWaitAsFirst(at, w.cost.kind):
+	case q.mayWaitAsFirst(at, w.cost.kind), q.capacity.rate(at) <= 0 && !q.vain(at):
 		j.late, j.first = true, true
 		w.until = earlier(w.until, now.Add(minimumWait(r)))
 		j.latest = min(j.latest, at+minimumWait(r))
--- a/internal/admission/costorder.go
+++ b/internal/admission/costorder.go
@@ -143,7 +143,7 @@
 	if rate <= 0 {
 		return false
 	}
-	left, first := (j.due-at).Seconds(), q.first()
+	left, first := (j.due - at).Seconds(), q.first()
 	ahead, cheapest := q.ahead(j)
 	if ahead <= j.joinShare()*left*rate-first {
 		return true
@@ -241,8 +241,8 @@
 }
 
 // mayWaitAsFirst reports whether a request waits a little although it may not get a
-// slot, so that no slot stays free: it is the only one of its kind, and the rate is
-// unknown or uncertain.
+// slot, so that no slot stays free: the rate is unknown or uncertain, and it is the
+// only one of its kind.
 func (q *CostQueue) mayWaitAsFirst(at time.Duration, k *costKind) bool {
 	return k.waiting == 0 && (q.capacity.rate(at) <= 0 || q.capacity.slots < fewSlots)
 }
@@ -257,6 +257,7 @@
 	}
 	rate := q.capacity.rate(at)
 	if rate <= 0 {
+		q.rejectOverdue(at)
 		return
 	}
 	q.planAt, q.changes = at, 0
@@ -274,11 +275,29 @@
 		return
 	}
 	for _, j := range unservable(at, q.late, total+q.first(), q.spare(at)) {
-		q.remove(j.waiter.cost)
-		close(j.waiter.cost.rejected)
+		q.giveUp(j)
 	}
 }
 
+// rejectOverdue gives up the requests whose due time has passed, while no rate is known
+// by which they could be served later.
+func (q *CostQueue) rejectOverdue(at time.Duration) {
+	if !q.vain(at) {
+		return
+	}
+	for _, j := range slices.Concat(q.planned, q.late) {
+		if at > j.due {
+			q.giveUp(j)
+		}
+	}
+}
+
+// giveUp rejects a waiting request.
+func (q *CostQueue) giveUp(j *job) {
+	q.remove(j.waiter.cost)
+	close(j.waiter.cost.rejected)
+}
+
 // split sorts the jobs into planned and late ones.
 func (q *CostQueue) split(at time.Duration, jobs []*job) {
 	q.planned, q.late = make([]*job, 0, len(jobs)), q.late[:0]
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -56,6 +56,13 @@
 		Waiting() int
 	}
 
+	// QueueState is the state of a service's queue for operators.
+	QueueState struct {
+		// Order is what requests are ordered by: shares or cost.
+		Order   string `json:"order"`
+		Waiting int    `json:"waiting"`
+	}
+
 	// queues are the queues of the services.
 	queues struct {
 		mu     sync.Mutex
@@ -203,6 +210,21 @@
 	}
 }
 
+// Queues returns the state of the services' queues, by service. A service has two
+// while the setting of its order has changed and requests still wait in the former one.
+func (h *Handler) Queues() map[string][]QueueState {
+	h.queues.mu.Lock()
+	defer h.queues.mu.Unlock()
+	states := map[string][]QueueState{}
+	for name, q := range h.queues.shares {
+		states[name] = append(states[name], QueueState{Order: "shares", Waiting: q.Waiting()})
+	}
+	for name, q := range h.queues.cost {
+		states[name] = append(states[name], QueueState{Order: "cost", Waiting: q.Waiting()})
+	}
+	return states
+}
+
 // poll starts timed rounds until no request waits, as slots are also freed by other
 // nodes' requests. One goroutine does so for all waiting requests.
 func (q *costQueue) poll(reaches func() bool) {
