Reuse memory between choices and hash endpoint IDs once

A keyed choice among 1,200 endpoints takes 179 us instead of 445 us (least of 8 runs on one CPU each, on a shared machine). 43,208 choices from random loads, reports, failures and prompts were the same before and after.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -116,6 +116,15 @@
 		roundedAt time.Time
 		// started is when the node started.
 		started time.Time
+		// scratch is memory that choices reuse, one after another.
+		scratch scratch
+	}
+
+	// scratch are lists of one choice.
+	scratch struct {
+		candidates []candidate
+		states     []*endpointState
+		failures   []float64
 	}
 
 	// Request describes the request that an endpoint is chosen for.
@@ -186,8 +195,9 @@
 
 	// endpointState is what this node knows of an endpoint.
 	endpointState struct {
-		// key is the Key of the endpoint's Start.
-		key uint32
+		// key is the Key of the endpoint's Start, and idHash a hash of its ID.
+		key    uint32
+		idHash uint64
 		// service is the name of its service, and slots how many requests it runs at
 		// once, since it was chosen.
 		service string
@@ -354,7 +364,7 @@
 func (b *Balancer) state(s deployment.Start, now time.Time) *endpointState {
 	o := b.endpoints[s]
 	if o == nil {
-		o = &endpointState{key: s.Key(), warmupMargin: b.drawWarmupMargin(), failures: rates.Decayed{TimeConstant: failureMemory}}
+		o = &endpointState{key: s.Key(), idHash: hashID(s.ID), warmupMargin: b.drawWarmupMargin(), failures: rates.Decayed{TimeConstant: failureMemory}}
 		b.endpoints[s] = o
 	}
 	o.lastUsed = now
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -90,7 +90,8 @@
 	usable, all float64
 }
 
-// candidates returns the endpoints that may be chosen, and the mean loads.
+// candidates returns the endpoints that may be chosen, and the mean loads. The list is
+// valid until the next call.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, means) {
 	states, failures := b.states(now, list)
 	r.brittle = b.isBrittle(now, r.Service.Name)
@@ -98,7 +99,8 @@
 	over := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
 	part, reported := xxhash.Sum64String(r.Key), false
-	all := make([]candidate, 0, len(list))
+	holding := b.holders.get(part)
+	all := slices.Grow(b.scratch.candidates[:0], len(list))
 	for i, e := range list {
 		o := states[i]
 		if e.Draining || o.health.gone {
@@ -126,10 +128,11 @@
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
 			c.prefill = o.prefill + b.config.Loads.OthersPrefill(key)
-			c.score, c.holds = score(part, e), b.holders.has(part, key, now) && !o.backoff.active(now)
+			c.score, c.holds = scoreOf(part, o.idHash), holds(holding, key, now) && !o.backoff.active(now)
 		}
 		all = append(all, c)
 	}
+	b.scratch.candidates = all
 	if reported {
 		// The first report may have been to another node.
 		b.speeds[r.Service.Name] = true
@@ -156,11 +159,13 @@
 // states returns the state of each endpoint, and their mean failure rate.
 func (b *Balancer) states(now time.Time, list []*deployment.Endpoint) ([]*endpointState, float64) {
 	total := 0.0
-	states := make([]*endpointState, len(list))
-	for i, e := range list {
-		states[i] = b.state(e.Start(), now)
-		total += states[i].health.failureRate
+	states := b.scratch.states[:0]
+	for _, e := range list {
+		o := b.state(e.Start(), now)
+		states = append(states, o)
+		total += o.health.failureRate
 	}
+	b.scratch.states = states
 	return states, total / float64(max(len(list), 1))
 }
 
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -64,7 +64,10 @@
 // seconds. If each had to find out for itself, hundreds of requests would fail at an
 // endpoint that reports itself healthy.
 func (b *Balancer) failing(now time.Time, states []*endpointState, service string) failing {
-	f := failing{failures: make([]float64, len(states))}
+	if len(b.scratch.failures) < len(states) {
+		b.scratch.failures = make([]float64, len(states))
+	}
+	f := failing{failures: b.scratch.failures[:len(states)]}
 	for i, o := range states {
 		f.failures[i] = o.failures.Get(now) + float64(b.config.Loads.OthersFailures(o.key))
 		f.mean += f.failures[i] / float64(len(states))
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -63,7 +63,12 @@
 
 // has reports whether an endpoint, given by its Key, probably holds a part.
 func (h *holders) has(part uint64, key uint32, now time.Time) bool {
-	for _, o := range h.get(part) {
+	return holds(h.get(part), key, now)
+}
+
+// holds reports whether an endpoint, given by its Key, is in the list of a part.
+func holds(list []holder, key uint32, now time.Time) bool {
+	for _, o := range list {
 		if o.endpoint == key && now.Sub(o.at) < holdTTL {
 			return true
 		}
--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -23,9 +23,14 @@
 
 // score is the weight of an endpoint in a part's rendezvous order; the highest comes
 // first.
-func score(part uint64, e *deployment.Endpoint) uint64 {
+func score(part uint64, e *deployment.Endpoint) uint64 { return scoreOf(part, hashID(e.ID)) }
+
+// scoreOf is score for an endpoint whose ID has a hash.
+func scoreOf(part, id uint64) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:], part)
-	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(e.ID))
+	binary.LittleEndian.PutUint64(b[8:], id)
 	return xxhash.Sum64(b[:])
 }
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/internal/balance/reports.go
+++ b/internal/balance/reports.go
@@ -32,7 +32,9 @@
 	slowdown slowdown
 }
 
-func newReports() *reports { return &reports{local: map[uint32]*report{}, latest: map[uint32]*report{}} }
+func newReports() *reports {
+	return &reports{local: map[uint32]*report{}, latest: map[uint32]*report{}}
+}
 
 // SetReportedLoad records the number of requests, running and waiting, that an endpoint
 // reports.
