--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -22,6 +23,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/budget"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
@@ -65,7 +67,11 @@
 		snapshot  *deployment.Snapshot
 		crashes   *crash.Tracker
 		// left are the endpoints that have sent a leave notice.
-		left []string
+		left    []string
+		metrics *gateway.Metrics
+		// logged has the lines of log once that is closed.
+		log    *decision.Log
+		logged bytes.Buffer
 	}
 
 	// response is what a caller got.
@@ -290,12 +296,14 @@
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
 	d := staticDeployment{snapshot: f.snapshot, left: &f.left}
 	f.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
+	f.metrics, f.log = gateway.NewMetrics(), decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
+	t.Cleanup(f.log.Close)
 	h := gateway.New(gateway.Config{
-		Headers: headers(), Deployment: d, Pool: pool, Reserver: places,
+		Headers: headers(), Deployment: d, Pool: pool, Reserver: places, Log: f.log,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: balance.New(balance.Config{Loads: loads}),
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
-		Crashes:  f.crashes, Metrics: gateway.NewMetrics(),
+		Crashes:  f.crashes, Metrics: f.metrics,
 		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
 	})
 	f.server = httptest.NewServer(h)
