--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -103,7 +103,7 @@
 	defer b.mu.Unlock()
 	for key, p := range list {
 		own := b.reports.local[key]
-		if p < 1 || p > maxSlowdownPercent || own != nil && now.Sub(own.slowdown.at) < ownPrecedence {
+		if !IsSlowdown(p) || own != nil && now.Sub(own.slowdown.at) < ownPrecedence {
 			continue
 		}
 		of(b.reports.latest, key).slowdown = slowdown{factor: float64(p) / usualPercent, at: now}
@@ -132,6 +132,9 @@
 	return list
 }
 
+// IsSlowdown reports whether a slowdown, in percent of usual, is valid.
+func IsSlowdown(percent int) bool { return percent >= 1 && percent <= maxSlowdownPercent }
+
 // DecaySlowdown returns a slowdown, in percent of usual, after a time without news.
 func DecaySlowdown(p int, after time.Duration) int {
 	return percent(decay(float64(p)/usualPercent, after, defaultSlowdownDecay))
@@ -189,13 +192,14 @@
 // of a plain service, as a multiple of the usual time of its work. That is the same at
 // all endpoints of a service, so that it does not change which is the best.
 //
-// Reported slots replace the listed ones where they are fewer.
+// Reported slots replace the listed ones where they are fewer. An endpoint that reports
+// that it is faster than usual is not preferred: it may be fast because it fails.
 func (b *Balancer) expectedTime(c *candidate, now time.Time) float64 {
 	slots := c.slots
 	if r := c.report; r != nil && r.slots > 0 && now.Sub(r.at) < reportTTL {
 		slots = min(slots, r.slots)
 	}
-	return b.slowdown(c.report, now) * (1 + float64(c.load)/float64(slots))
+	return max(b.slowdown(c.report, now), 1) * (1 + float64(c.load)/float64(slots))
 }
 
 // isSlow reports whether a slowdown is one that engines are passed over for.
--- a/internal/balance/slowdown_test.go
+++ b/internal/balance/slowdown_test.go
@@ -143,7 +143,12 @@
 		}
 		require.Len(t, chosenOften(b, now, list), 4)
 	})
-	t.Run("of no slots", func(t *testing.T) {
+	t.Run("far faster than usual", func(t *testing.T) {
+		b := balance.New(balance.Config{Loads: peers{}})
+		b.SetReport(now, list[0], balance.Report{Slowdown: 0.01})
+		require.Less(t, chosenOften(b, now, list)["e0"], 150)
+	})
+	t.Run("more slots than listed", func(t *testing.T) {
 		b := balance.New(balance.Config{Loads: peers{}})
 		b.SetReport(now, list[0], balance.Report{Load: 3, Slots: 1_000_000_000, Slowdown: 1})
 		require.Zero(t, chosenOften(b, now, list)["e0"])
@@ -284,3 +289,48 @@
 		}
 	}
 }
+
+// Guards against engine choices that change where no endpoint is slow: reports of slots
+// and of the usual speed make no difference.
+func TestEngineChoicesWithoutSlowdownsAreTheSame(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		list, loads := endpoints(2+random.IntN(30)), peers{}
+		for _, e := range list {
+			loads[e.ID], e.Draining = random.IntN(7), random.IntN(9) == 0
+		}
+		var balancers []*balance.Balancer
+		for range 3 {
+			draws := rand.New(rand.NewPCG(seed, 2))
+			balancers = append(balancers, balance.New(balance.Config{Loads: loads, Draw: draws.Float64, IntN: draws.IntN}))
+		}
+		now := time.Unix(1000, 0)
+		for range 150 {
+			now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
+			e, load, took, ends := list[random.IntN(len(list))], random.IntN(12), time.Duration(random.IntN(200))*time.Millisecond, random.IntN(4) > 0
+			balancers[0].SetReportedLoad(now, e.Start(), load)
+			balancers[1].SetReport(now, e, balance.Report{Load: load, Slots: 1 + random.IntN(4)})
+			balancers[2].SetReport(now, e, balance.Report{Load: load, Slots: 1 + random.IntN(4), Slowdown: 1})
+			r := balance.Request{
+				Key: fmt.Sprint("p", random.IntN(9)), Objective: time.Duration(random.IntN(400)) * time.Millisecond, Repeatable: true,
+				Prompt: balance.Prompt{Own: random.IntN(9000), Shared: random.IntN(3000)}, WaitForHolder: random.IntN(3) == 0,
+			}
+			want := ""
+			for i, b := range balancers {
+				got, prefill := "", time.Duration(0)
+				if c := send(b, now, list, r); c != nil {
+					got, prefill = c.Endpoint.ID, c.PrefillTime
+					if ends {
+						b.PrefillDone(now, c, took)
+						b.Release(now, c.Endpoint.Start(), balance.Served)
+					}
+				}
+				got += prefill.String()
+				if i == 0 {
+					want = got
+				}
+				require.Equal(t, want, got, "seed %d, balancer %d", seed, i)
+			}
+		}
+	}
+}
--- a/internal/relay/updates.go
+++ b/internal/relay/updates.go
@@ -199,6 +199,10 @@
 		o.slowdowns = map[uint32]heldSlowdown{}
 	}
 	for key, p := range n.Slowdowns {
+		if !balance.IsSlowdown(p) {
+			// Decayed, it might become valid.
+			continue
+		}
 		o.slowdowns[key] = heldSlowdown{percent: p, at: now}
 	}
 }
