--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -68,8 +68,8 @@
 	return o
 }
 
-// slow replies after a time.
-func slow(after time.Duration) reply {
+// delayed replies after a time.
+func delayed(after time.Duration) reply {
 	return func(c net.Conn, r *http.Request) bool {
 		time.Sleep(after)
 		return whole(200, "hi")(c, r)
@@ -129,7 +129,7 @@
 // to return, and what is rejected has not run.
 func TestCostOrderUnderOverload(t *testing.T) {
 	const callers, timeout = 200, 300 * time.Millisecond
-	e := newEndpoint(t, slow(30*time.Millisecond))
+	e := newEndpoint(t, delayed(30*time.Millisecond))
 	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Objective: 150 * time.Millisecond, Timeout: timeout}, e)
 	o := newOrdered(t, f, gateway.CostOrderAlways, nil, nil)
 	var served, rejected atomic.Int64
@@ -174,7 +174,7 @@
 func TestChangeOfTheOrderLosesNoRequest(t *testing.T) {
 	const callers = 60
 	var owned atomic.Bool
-	e := newEndpoint(t, slow(10*time.Millisecond))
+	e := newEndpoint(t, delayed(10*time.Millisecond))
 	f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: 5 * time.Second, Timeout: 10 * time.Second}, e)
 	o := newOrdered(t, f, gateway.CostOrderOwned, func(string) bool { return owned.Load() }, nil)
 	var group sync.WaitGroup
