Add scarce services, sizes and surges to experiments

A plan can give kinds a priority and large requests, a service uneven speeds, an account a surge, and the nodes the settings owners and cost_order.

The times of requests are now drawn before the run instead of being added up from sleeps: scarce.toml at 270 requests a second sent 3540 of about 4800 requests, since each sleep was late.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -17,8 +17,10 @@
 type command struct {
 	Plan    string   `arg:"" help:"Path of the plan, in TOML."`
 	Program []string `help:"Paths of the programs that are compared, one run each." default:"target/bulrushhinge"`
-	Out     string   `help:"Folder for result.json, latency.svg and load.svg; empty for none."`
-	Logs    string   `help:"Folder for the processes' settings and logs; empty for the system's temporary folder."`
+	// Settings are compared with each program.
+	Settings []string `help:"Settings of the nodes that are compared, one run each: plan for those of the plan, off for none, or ORDER/OWNERS such as owned/1." default:"plan"`
+	Out      string   `help:"Folder for result.json, latency.svg, timely.svg and load.svg; empty for none."`
+	Logs     string   `help:"Folder for the processes' settings and logs; empty for the system's temporary folder."`
 }
 
 func main() {
@@ -36,31 +38,36 @@
 	if err != nil {
 		return err
 	}
+	variants, err := experiment.Variants(plan, c.Program, c.Settings)
+	if err != nil {
+		return err
+	}
+	var names []string
 	var results []*experiment.Result
-	for _, program := range c.Program {
-		r, err := c.runProgram(plan, program)
+	for _, v := range variants {
+		r, err := c.runVariant(plan, v)
 		if err != nil {
 			return err
 		}
-		results = append(results, r)
+		names, results = append(names, v.Name), append(results, r)
 	}
-	if err := experiment.Table(os.Stdout, c.Program, results); err != nil {
+	if err := experiment.Table(os.Stdout, plan, names, results); err != nil {
 		return err
 	}
 	for i, r := range results {
 		for _, s := range plan.Services {
-			fmt.Printf("%s: %s at most %.2f times the mean in 95 of 100 samples\n", c.Program[i], s.Name, r.Skew(s.Name))
+			fmt.Printf("%s: %s at most %.2f times the mean in 95 of 100 samples\n", names[i], s.Name, r.Skew(s.Name))
 		}
 	}
-	return c.write(results)
+	return c.write(names, results)
 }
 
-func (c *command) runProgram(plan *experiment.Plan, program string) (*experiment.Result, error) {
-	folder, err := experiment.Folder(c.Logs, program)
+func (c *command) runVariant(plan *experiment.Plan, v experiment.Variant) (*experiment.Result, error) {
+	folder, err := experiment.Folder(c.Logs, v.Name)
 	if err != nil {
 		return nil, err
 	}
-	r, err := experiment.Run(context.Background(), experiment.Config{Plan: plan, Program: program, Folder: folder})
+	r, err := experiment.Run(context.Background(), experiment.Config{Plan: plan, Program: v.Program, Folder: folder, Settings: &v.Settings})
 	if err != nil {
 		return nil, fmt.Errorf("%w; logs: %s", err, folder)
 	}
@@ -73,7 +80,7 @@
 	return r, nil
 }
 
-func (c *command) write(results []*experiment.Result) error {
+func (c *command) write(names []string, results []*experiment.Result) error {
 	if c.Out == "" {
 		return nil
 	}
@@ -87,5 +94,5 @@
 	if err := os.WriteFile(filepath.Join(c.Out, "result.json"), data, 0o644); err != nil {
 		return fmt.Errorf("experiment: %w", err)
 	}
-	return experiment.Charts(c.Out, c.Program, results)
+	return experiment.Charts(c.Out, names, results)
 }
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -30,9 +29,6 @@
 		client *http.Client
 		// random is used only by the goroutine that draws requests.
 		random *rand.Rand
-		// cumulativeShares are the running sums of the accounts' shares of the
-		// requests.
-		cumulativeShares []float64
 
 		mu        sync.Mutex
 		addresses []netip.AddrPort
@@ -42,46 +38,48 @@
 	// outcome is the result of one request.
 	outcome struct {
 		request string
+		account int
+		large   bool
 		at      time.Duration
 		status  int
 		// firstByte is the time until the first byte arrived, and complete says that
 		// all bytes did.
 		firstByte time.Duration
 		complete  bool
+		// headers is the time until the response headers arrived.
+		headers time.Duration
 	}
 )
 
 func newCallers(r *run) *callers {
 	p := r.config.Plan
-	c := &callers{
+	return &callers{
 		run: r, random: rand.New(rand.NewPCG(p.Seed, 0)),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}},
 	}
-	total := 0.0
-	for n := range p.Accounts {
-		total += math.Pow(float64(n+1), -p.Skew)
-		c.cumulativeShares = append(c.cumulativeShares, total)
-	}
-	return c
 }
 
 // sendRequests sends requests until ctx ends, and waits for the answers.
 func (c *callers) sendRequests(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for n := 0; ; n++ {
-		pause := c.random.ExpFloat64() / c.run.config.Plan.RateAt(time.Since(c.run.began))
-		if !wait(ctx, time.Duration(pause*float64(time.Second))) {
+	for n, at := 0, time.Duration(0); ; n++ {
+		// The time of a request follows from that of the one before, not from when it
+		// was sent: late timers would add up to a lower rate than the plan's.
+		at += time.Duration(c.random.ExpFloat64() / c.run.config.Plan.RateAt(at) * float64(time.Second))
+		if !wait(ctx, at-time.Since(c.run.began)) {
 			return
 		}
-		r, k, id := c.drawRequest(), c.drawAccount(), fmt.Sprint("q", n)
-		group.Go(func() { c.run.result.addOutcome(c.send(ctx, r, k, id)) })
+		r, k, id := c.drawRequest(at), c.drawAccount(at), fmt.Sprint("q", n)
+		large := r.Large > 0 && c.random.Float64() < r.Large
+		group.Go(func() { c.run.result.addOutcome(c.send(ctx, r, k, large, id)) })
 	}
 }
 
-// drawRequest draws a kind of request by the plan's shares.
-func (c *callers) drawRequest() Request {
-	plan, at := c.run.config.Plan, time.Since(c.run.began)
+// drawRequest draws a kind of request by the plan's shares at a time since the
+// start.
+func (c *callers) drawRequest(at time.Duration) Request {
+	plan := c.run.config.Plan
 	total := 0.0
 	for _, r := range plan.Requests {
 		total += plan.ShareAt(r, at)
@@ -95,28 +93,37 @@
 	return plan.Requests[len(plan.Requests)-1]
 }
 
-// drawAccount draws an account by its share.
-func (c *callers) drawAccount() int {
-	drawn := c.random.Float64() * c.cumulativeShares[len(c.cumulativeShares)-1]
-	for n, sum := range c.cumulativeShares {
-		if drawn < sum {
+// drawAccount draws an account by its share at a time since the start.
+func (c *callers) drawAccount(at time.Duration) int {
+	plan := c.run.config.Plan
+	total := 0.0
+	for n := range plan.Accounts {
+		total += plan.AccountShareAt(n, at)
+	}
+	left := c.random.Float64() * total
+	for n := range plan.Accounts {
+		if left -= plan.AccountShareAt(n, at); left < 0 {
 			return n
 		}
 	}
-	return len(c.cumulativeShares) - 1
+	return plan.Accounts - 1
 }
 
 // send sends one request. It continues past the end of the run, so that requests sent
 // late are answered too.
-func (c *callers) send(ctx context.Context, r Request, account int, id string) outcome {
-	o := outcome{request: r.Name, at: time.Since(c.run.began)}
+func (c *callers) send(ctx context.Context, r Request, account int, large bool, id string) outcome {
+	o := outcome{request: r.Name, account: account, large: large, at: time.Since(c.run.began)}
 	addr, err := c.address()
 	if err != nil {
 		return o
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.Timeout)
 	defer cancel()
-	req, err := standin.NewRequest(ctx, addr, r.prefix()+"x", id, key(account), r.Timeout)
+	body := "body of " + id
+	if large {
+		body = standin.WorkBody(r.LargeTimes, body)
+	}
+	req, err := standin.NewRequestWithBody(ctx, addr, r.prefix()+"x", id, key(account), body, r.Timeout)
 	if err != nil {
 		return o
 	}
@@ -126,7 +133,7 @@
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
-	o.status = resp.StatusCode
+	o.status, o.headers = resp.StatusCode, time.Since(c.run.began)-o.at
 	var begin [1]byte
 	if _, err := io.ReadFull(resp.Body, begin[:]); err != nil && !errors.Is(err, io.EOF) {
 		return o
--- a/internal/experiment/chart.go
+++ b/internal/experiment/chart.go
@@ -10,13 +10,17 @@
 	"bulrushhinge.example/bulrushhinge/internal/chart"
 )
 
-// Charts writes two files to a folder, with one line per build: latency.svg, the 95th
-// percentile of the time to the first byte in each second, and load.svg, the load of
-// the most loaded endpoint and the mean of each service.
+// Charts writes three files to a folder, with one line per build: latency.svg, the 95th
+// percentile of the time to the first byte in each second, timely.svg, the share of each
+// kind of request that was served in time, and load.svg, the load of the most loaded
+// endpoint and the mean of each service.
 func Charts(folder string, names []string, results []*Result) error {
-	var latencies, loads []chart.Line
+	var latencies, timely, loads []chart.Line
 	for b, r := range results {
 		latencies = append(latencies, chart.Line{Name: names[b], Points: seconds(r)})
+		for _, q := range r.Requests {
+			timely = append(timely, chart.Line{Name: names[b] + " " + q.Name, Points: timelyShares(r, q.Name)})
+		}
 		for _, s := range services(r) {
 			most, mean := points(r, s)
 			loads = append(loads, chart.Line{Name: names[b] + " " + s + " most", Points: most}, chart.Line{Name: names[b] + " " + s + " mean", Points: mean})
@@ -24,6 +28,7 @@
 	}
 	return errors.Join(
 		chart.Save(filepath.Join(folder, "latency.svg"), "time to the first byte, p95", "ms", latencies),
+		chart.Save(filepath.Join(folder, "timely.svg"), "served in time", "%", timely),
 		chart.Save(filepath.Join(folder, "load.svg"), "load of endpoints", "requests", loads),
 	)
 }
@@ -36,6 +41,18 @@
 	return list
 }
 
+// timelyShares returns the percentage of a kind of request that was served in time, for
+// each second in which any was sent.
+func timelyShares(r *Result, request string) plotter.XYs {
+	var list plotter.XYs
+	for i, s := range r.Seconds {
+		if asked := s.AskedOf[request]; asked > 0 {
+			list = append(list, plotter.XY{X: float64(i), Y: 100 * float64(s.Timely[request]) / float64(asked)})
+		}
+	}
+	return list
+}
+
 // services returns the names of the services in the order of the samples.
 func services(r *Result) []string {
 	var list []string
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -121,11 +121,11 @@
 	require.NotEmpty(t, r.Loads)
 
 	var table bytes.Buffer
-	require.NoError(t, experiment.Table(&table, []string{"before", "after"}, []*experiment.Result{r, r}))
+	require.NoError(t, experiment.Table(&table, plan, []string{"before", "after"}, []*experiment.Result{r, r}))
 	require.Equal(t, 2, strings.Count(table.String(), "chat"))
 	folder := t.TempDir()
 	require.NoError(t, experiment.Charts(folder, []string{"before"}, []*experiment.Result{r}))
-	for _, name := range []string{"latency.svg", "load.svg"} {
+	for _, name := range []string{"latency.svg", "timely.svg", "load.svg"} {
 		data, err := os.ReadFile(filepath.Join(folder, name))
 		require.NoError(t, err)
 		require.Contains(t, string(data), "<svg")
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -46,12 +46,16 @@
 		Accounts int     `toml:"accounts"`
 		Skew     float64 `toml:"skew"`
 		Seed     uint64  `toml:"seed"`
+		// Settings are extra settings of the nodes.
+		Settings
 
 		Services []Service `toml:"service"`
 		Requests []Request `toml:"request"`
 		Faults   []Fault   `toml:"fault"`
 		// Shifts change the load during the run, in order of time.
 		Shifts []Shift `toml:"shift"`
+		// Surges make single accounts send more for a time.
+		Surges []Surge `toml:"surge"`
 	}
 
 	// Shift changes the load for the rest of the run, or until the next shift.
@@ -73,6 +77,9 @@
 		Work time.Duration `toml:"work"`
 		// Events is the number of events of a stream; 0 for plain answers.
 		Events int `toml:"events"`
+		// Uneven makes some of the endpoints slower, others in each period; nil if
+		// all keep their speed.
+		Uneven *Uneven `toml:"uneven"`
 	}
 
 	// Request is one kind of request.
@@ -87,6 +94,11 @@
 		// up.
 		Objective time.Duration `toml:"objective"`
 		Timeout   time.Duration `toml:"timeout"`
+		// Priority is the rank of the request's route; 0 is the most urgent.
+		Priority int `toml:"priority"`
+		// Large is the part of these requests that take LargeTimes as much work.
+		Large      float64 `toml:"large"`
+		LargeTimes float64 `toml:"large_times"`
 	}
 
 	// Fault is an injected fault.
@@ -133,6 +145,9 @@
 		if s.Name == "" || s.Endpoints < 1 || s.Slots < 1 || s.Queue < 0 || s.Work <= 0 {
 			return fmt.Errorf("%w: service %q needs a name, endpoints, slots and work", ErrPlan, s.Name)
 		}
+		if err := s.checkUneven(); err != nil {
+			return err
+		}
 	}
 	for _, r := range p.Requests {
 		if err := p.checkRequest(r); err != nil {
@@ -144,7 +159,7 @@
 			return err
 		}
 	}
-	return p.checkShifts()
+	return errors.Join(p.checkShifts(), p.checkSurges(), p.Settings.check())
 }
 
 func (p *Plan) checkShifts() error {
@@ -177,7 +192,7 @@
 	case kind.Streams() != (s.Events > 0):
 		return fmt.Errorf("%w: request %q and service %q do not agree on whether to stream events", ErrPlan, r.Name, r.Service)
 	}
-	return nil
+	return r.checkOrder()
 }
 
 func (f Fault) check() error {
@@ -206,10 +221,10 @@
 
 // RateAt returns the requests a second at a time since the start.
 func (p *Plan) RateAt(at time.Duration) float64 {
-	rate := p.Rate
+	rate := p.Rate * p.surgeAt(at)
 	for _, s := range p.Shifts {
 		if at >= s.At && s.Rate > 0 {
-			rate = s.Rate
+			rate = s.Rate * p.surgeAt(at)
 		}
 	}
 	for _, f := range p.Faults {
@@ -245,7 +260,7 @@
 	for _, r := range p.Requests {
 		c.Routes = append(c.Routes, deployment.Route{
 			Name: r.Name, Host: host, Prefix: r.prefix(), Kind: kinds[r.Kind], Split: []deployment.Share{{Service: r.Service, Weight: 1}},
-			Timeout: r.Timeout, Objective: r.Objective, EventGap: 400 * time.Millisecond, Attempts: 2,
+			Timeout: r.Timeout, Objective: r.Objective, EventGap: 400 * time.Millisecond, Attempts: 2, Priority: r.Priority,
 		})
 	}
 	for n := range p.Accounts {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -1,16 +1,12 @@
 package experiment
 
 import (
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/olekukonko/tablewriter"
 )
 
 const (
@@ -25,12 +21,18 @@
 	// Result is what callers observed in one run.
 	Result struct {
 		Requests []Class `json:"requests"`
+		// Sizes are the same requests by kind and size, for kinds with large requests,
+		// and Accounts by account.
+		Sizes    []Class `json:"sizes,omitempty"`
+		Accounts []Class `json:"accounts"`
+		// OtherAccounts are those without a surge together.
+		OtherAccounts Class `json:"other_accounts"`
 		// Seconds are the same requests by the second in which they were sent.
 		Seconds []Second `json:"seconds"`
 		Loads   []Load   `json:"loads"`
 	}
 
-	// Class sums up the requests of one kind.
+	// Class sums up the requests of one kind, size or account.
 	Class struct {
 		Name  string `json:"name"`
 		Asked int    `json:"asked"`
@@ -45,13 +47,20 @@
 		P50 time.Duration `json:"p50"`
 		P95 time.Duration `json:"p95"`
 		P99 time.Duration `json:"p99"`
+		// RefusedP50 and RefusedP99 are percentiles of the time until a refusal.
+		RefusedP50 time.Duration `json:"refused_p50"`
+		RefusedP99 time.Duration `json:"refused_p99"`
 	}
 
 	// Second is one second of the run.
 	Second struct {
-		Asked  int           `json:"asked"`
-		Served int           `json:"served"`
-		P95    time.Duration `json:"p95"`
+		Asked  int `json:"asked"`
+		Served int `json:"served"`
+		// Timely is how many requests were served in time, and AskedOf how many were
+		// sent, by kind.
+		Timely  map[string]int `json:"timely"`
+		AskedOf map[string]int `json:"asked_of"`
+		P95     time.Duration  `json:"p95"`
 	}
 
 	// Load is the highest and mean load of a service's endpoints at one moment.
@@ -91,48 +100,74 @@
 	defer r.mu.Unlock()
 	res := &Result{Loads: r.loads}
 	for _, q := range r.plan.Requests {
-		res.Requests = append(res.Requests, r.class(q))
+		ofKind := func(o outcome) bool { return o.request == q.Name }
+		res.Requests = append(res.Requests, r.class(q.Name, ofKind))
+		if q.Large > 0 {
+			res.Sizes = append(res.Sizes,
+				r.class(q.Name+" usual", func(o outcome) bool { return ofKind(o) && !o.large }),
+				r.class(q.Name+" large", func(o outcome) bool { return ofKind(o) && o.large }))
+		}
+	}
+	for n := range r.plan.Accounts {
+		res.Accounts = append(res.Accounts, r.class(account(n), func(o outcome) bool { return o.account == n }))
 	}
+	res.OtherAccounts = r.class(otherAccounts, func(o outcome) bool {
+		return !slices.ContainsFunc(r.plan.Surges, func(s Surge) bool { return s.Account == o.account })
+	})
 	for at := time.Duration(0); at < r.plan.Length; at += time.Second {
 		res.Seconds = append(res.Seconds, r.second(at))
 	}
 	return res
 }
 
-func (r *recorder) class(q Request) Class {
-	c := Class{Name: q.Name}
-	h := newHistogram()
+// class sums up the outcomes that belong to a class.
+func (r *recorder) class(name string, belongs func(outcome) bool) Class {
+	c := Class{Name: name}
+	served, refused := newHistogram(), newHistogram()
 	for _, o := range r.outcomes {
-		if o.request != q.Name {
+		if !belongs(o) {
 			continue
 		}
 		c.Asked++
 		switch {
-		case o.served() && o.firstByte <= q.Objective:
+		case r.timely(o):
 			c.Timely++
 		case o.served():
 			c.Late++
-		case o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests:
+		case o.refused():
 			c.Refused++
+			record(refused, o.headers)
 		default:
 			c.Failed++
 		}
 		if o.served() {
-			record(h, o.firstByte)
+			record(served, o.firstByte)
 		}
 	}
-	c.P50, c.P95, c.P99 = quantile(h, 50), quantile(h, 95), quantile(h, 99)
+	c.P50, c.P95, c.P99 = quantile(served, 50), quantile(served, 95), quantile(served, 99)
+	c.RefusedP50, c.RefusedP99 = quantile(refused, 50), quantile(refused, 99)
 	return c
 }
 
+// timely reports whether a request was answered completely, with the first byte within
+// its objective.
+func (r *recorder) timely(o outcome) bool {
+	i := slices.IndexFunc(r.plan.Requests, func(q Request) bool { return q.Name == o.request })
+	return o.served() && o.firstByte <= r.plan.Requests[i].Objective
+}
+
 func (r *recorder) second(from time.Duration) Second {
-	var s Second
+	s := Second{Timely: map[string]int{}, AskedOf: map[string]int{}}
 	h := newHistogram()
 	for _, o := range r.outcomes {
 		if o.at < from || o.at >= from+time.Second {
 			continue
 		}
 		s.Asked++
+		s.AskedOf[o.request]++
+		if r.timely(o) {
+			s.Timely[o.request]++
+		}
 		if o.served() {
 			s.Served++
 			record(h, o.firstByte)
@@ -144,6 +179,11 @@
 
 func (o outcome) served() bool { return o.status == http.StatusOK && o.complete }
 
+// refused reports whether the caller was told when to retry.
+func (o outcome) refused() bool {
+	return o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(minLatency, maxLatency, latencyDigits)
 }
@@ -173,30 +213,3 @@
 	slices.Sort(list)
 	return list[(len(list)-1)*95/100]
 }
-
-// Table writes the results of builds, one row per kind of request and build.
-func Table(w io.Writer, names []string, results []*Result) error {
-	t := tablewriter.NewWriter(w)
-	t.Header("request", "build", "asked", "timely", "late", "refused", "failed", "p50", "p95", "p99")
-	if len(results) == 0 {
-		return nil
-	}
-	for i := range results[0].Requests {
-		for b, r := range results {
-			c := r.Requests[i]
-			err := t.Append(c.Name, names[b], strconv.Itoa(c.Asked), percentage(c.Timely, c.Asked), percentage(c.Late, c.Asked),
-				percentage(c.Refused, c.Asked), percentage(c.Failed, c.Asked), formatLatency(c.P50), formatLatency(c.P95), formatLatency(c.P99))
-			if err != nil {
-				return fmt.Errorf("experiment: table: %w", err)
-			}
-		}
-	}
-	if err := t.Render(); err != nil {
-		return fmt.Errorf("experiment: table: %w", err)
-	}
-	return nil
-}
-
-func percentage(n, of int) string { return fmt.Sprintf("%.2f%%", 100*float64(n)/float64(max(of, 1))) }
-
-func formatLatency(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -45,6 +45,8 @@
 		Program string
 		// Folder receives the nodes' settings and logs.
 		Folder string
+		// Settings are the nodes' extra settings in this run; the plan's if nil.
+		Settings *Settings
 	}
 
 	run struct {
@@ -55,7 +57,9 @@
 		endpoints map[string][]*standin.Endpoint
 		servers   []*http.Server
 		result    *recorder
-		began     time.Time
+		// created is when the run was created, and began when callers began to send.
+		created time.Time
+		began   time.Time
 	}
 )
 
@@ -64,6 +68,7 @@
 	r := &run{
 		config: c, network: fmt.Sprintf("127.%d.%d.", 192+rand.IntN(62), 1+rand.IntN(250)),
 		store: standin.NewStore(), endpoints: map[string][]*standin.Endpoint{}, result: newRecorder(c.Plan),
+		created: time.Now(),
 	}
 	defer r.end()
 	if err := r.start(); err != nil {
@@ -106,7 +111,7 @@
 	}
 	for n := range r.config.Plan.Nodes {
 		p := &fleet.Process{
-			Program: r.config.Program, Folder: r.config.Folder,
+			Program: r.config.Program, Folder: r.config.Folder, Args: r.nodeSettings().args(),
 			Settings: standin.Settings{
 				Node: fmt.Sprint("n", n+1), IP: r.ip(n + 1), Port: port, Seeds: []netip.Addr{r.ip(1)}, Store: store,
 				Drain: drain, Grace: grace, RetrySlack: retrySlack,
@@ -120,6 +125,14 @@
 	return fleet.WaitForMembers(r.settings(), joinTimeout)
 }
 
+// nodeSettings returns the nodes' extra settings.
+func (r *run) nodeSettings() Settings {
+	if r.config.Settings != nil {
+		return *r.config.Settings
+	}
+	return r.config.Plan.Settings
+}
+
 // settings returns the nodes' settings.
 func (r *run) settings() []standin.Settings {
 	var list []standin.Settings
@@ -145,14 +158,14 @@
 }
 
 func (r *run) addEndpoint(s Service, n int) error {
-	id := fmt.Sprintf("%s-%d", s.Name, n)
-	e := standin.NewEndpoint(standin.EndpointConfig{ID: id, Slots: s.Slots, Queue: s.Queue, Events: s.Events, Pause: s.Work})
+	c := r.config.Plan.endpointConfig(s, n, func(at time.Time) time.Duration { return at.Sub(r.created) })
+	e := standin.NewEndpoint(c)
 	addr, err := r.serve(e)
 	if err != nil {
 		return err
 	}
 	r.endpoints[s.Name] = append(r.endpoints[s.Name], e)
-	err = r.store.Register(deployment.Endpoint{ID: id, Service: s.Name, Addr: addr, Zone: "z1", Slots: s.Slots})
+	err = r.store.Register(deployment.Endpoint{ID: c.ID, Service: s.Name, Addr: addr, Zone: "z1", Slots: s.Slots})
 	if err != nil {
 		return fmt.Errorf("experiment: register: %w", err)
 	}
