Give the soak a scarce service with an owner

Faults of the node that owns it, as seen from the nodes' traffic to its endpoints: killed, paused, stopped; endpoints become uneven. Checked: a request ends and runs within its deadline, and urgent requests are not served less often than less urgent ones.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -32,6 +32,8 @@
 		client    *http.Client
 		addresses []netip.AddrPort
 		expires   time.Time
+		// patience is how much longer than the deadline of a request the caller waits.
+		patience time.Duration
 	}
 
 	// answer is the outcome of a request as its caller sees it.
@@ -138,7 +140,7 @@
 
 // sendPrompt sends a request with the parts of its prompt, if there are any.
 func (c *caller) sendPrompt(ctx context.Context, addr netip.AddrPort, route, id, body string, parts []string, timeout time.Duration) answer {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+c.patience)
 	defer cancel()
 	a := answer{sent: time.Now(), sentBody: body}
 	req, err := standin.NewRequestWithBody(ctx, addr, "/"+route+"/x", id, "", body, timeout)
--- a/internal/soak/egress.go
+++ b/internal/soak/egress.go
@@ -7,22 +7,28 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // egress is the proxy through which one node reaches all endpoints.
-type egress struct{ *proxy }
+type egress struct {
+	*proxy
+	// toScarce is how many bytes the node has sent to endpoints of the scarce service.
+	toScarce atomic.Int64
+}
 
 // cutModes are the ways in which a node is cut off from the endpoints.
 var cutModes = []mode{modeBlackhole, modeReset, modeRefuse}
 
-// newEgress starts an egress proxy on a free port of ip.
-func newEgress(ip string) (*egress, error) {
+// newEgress starts an egress proxy on a free port of ip, in front of a world's endpoints.
+func newEgress(ip string, w *world) (*egress, error) {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, fmt.Errorf("soak: egress: %w", err)
 	}
 	e := &egress{proxy: &proxy{listener: l, open: map[net.Conn]bool{}}}
+	e.forwarded = w.countScarce(e)
 	e.accept(e.serveConnect)
 	return e, nil
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -20,6 +20,8 @@
 		// endpoints.
 		spares bool
 		cuts   bool
+		// owner says that it disturbs only the owner of the scarce service.
+		owner  bool
 		inject func(ctx context.Context, s *soak, r *rand.Rand) (what string)
 	}
 )
@@ -48,13 +50,24 @@
 	}},
 	{name: "pause", inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		n := s.node(r)
-		s.ledger.notices.recordPause(n.Node)
-		n.Signal(syscall.SIGSTOP)
-		wait(ctx, r, 4*time.Second)
-		n.Signal(syscall.SIGCONT)
-		s.ledger.notices.recordPause(n.Node)
+		s.pauseNode(ctx, r, n)
 		return n.Node
 	}},
+	{name: "owner killed", owner: true, inject: func(_ context.Context, s *soak, r *rand.Rand) string {
+		return s.hitOwner(func(n *node) { s.restart(n, syscall.SIGKILL, time.Duration(r.IntN(2000))*time.Millisecond) })
+	}},
+	{name: "owner paused", owner: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.hitOwner(func(n *node) { s.pauseNode(ctx, r, n) })
+	}},
+	{name: "owner stopped", planned: true, owner: true, inject: func(_ context.Context, s *soak, _ *rand.Rand) string {
+		return s.hitOwner(func(n *node) { s.restart(n, syscall.SIGTERM, 0) })
+	}},
+	{name: "endpoints uneven", spares: true, inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
+		return s.unevenEndpoints(ctx, r)
+	}},
+	{name: "service short", spares: true, inject: func(ctx context.Context, s *soak, _ *rand.Rand) string {
+		return s.short(ctx)
+	}},
 	{name: "store down", inject: func(ctx context.Context, s *soak, r *rand.Rand) string {
 		s.world.store.SetDown(true)
 		wait(ctx, r, 5*time.Second)
@@ -206,10 +219,7 @@
 		names = append(names, n.Node)
 	}
 	wait(ctx, r, 2*time.Second)
-	select {
-	case <-time.After(recoveryTime + 2*time.Second):
-	case <-ctx.Done():
-	}
+	sleep(ctx, recoveryTime+2*time.Second)
 	for _, n := range nodes {
 		s.ledger.cuts.set(n.Callers(), time.Time{})
 		n.egress.set(modePass)
@@ -228,9 +238,16 @@
 
 // wait waits for a random time below most, or until ctx ends.
 func wait(ctx context.Context, r *rand.Rand, most time.Duration) {
+	sleep(ctx, time.Duration(r.Int64N(int64(most))))
+}
+
+// sleep waits for a time, and reports whether it has passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(time.Duration(r.Int64N(int64(most)))):
+	case <-time.After(d):
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -38,6 +38,7 @@
 		cuts    *cuts
 		// brittles are the falls of brittle endpoints.
 		brittles brittles
+		scarce   *scarce
 	}
 
 	// run is one execution of a request at an endpoint.
@@ -53,6 +54,8 @@
 		// spares says that the fault disturbs no node.
 		spares bool
 		cuts   bool
+		// owner says that the fault disturbs only the owner of the scarce service.
+		owner bool
 	}
 
 	// kind says how far a request may be retried.
@@ -112,6 +115,9 @@
 	if _, refused := l.notRun[id]; refused {
 		l.violation("%s ran at %s after it was said not to have run", id, e.id)
 	}
+	if due := l.scarce.dueOf(id); l.timed && !due.IsZero() && at.After(due) && l.ownerAtMost(due.Add(-scarceDeadline-heldBound), at) {
+		l.violation("%s ran at %s %v after its deadline", id, e.id, at.Sub(due)+heldBound)
+	}
 	l.runs[id] = append(l.runs[id], run{endpoint: e, after: after, at: at})
 	if left, ok := l.leaves[e]; ok && l.timed && at.Sub(left) > drainBound+drainSlack && l.undisturbed(left, at) {
 		l.violation("%s reached %s %v after its leave", id, e.id, at.Sub(left))
@@ -215,7 +221,7 @@
 		list = &l.planned
 	}
 	i := len(*list)
-	*list = append(*list, span{from: time.Now(), spares: f.spares, cuts: f.cuts})
+	*list = append(*list, span{from: time.Now(), spares: f.spares, cuts: f.cuts, owner: f.owner})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -279,6 +285,7 @@
 		l.broken = append(l.broken, l.crashes.check(l.nodesUndisturbed)...)
 		l.broken = append(l.broken, l.cuts.check()...)
 		l.broken = append(l.broken, l.brittles.check()...)
+		l.broken = append(l.broken, l.scarce.check()...)
 	}
 	return l.broken
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -37,6 +37,8 @@
 		mu       sync.Mutex
 		mode     mode
 		open     map[net.Conn]bool
+		// forwarded is called for the bytes forwarded to a connection; it may be nil.
+		forwarded func(to net.Conn, n int)
 	}
 )
 
@@ -166,6 +168,9 @@
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				break
 			}
+			if p.forwarded != nil {
+				p.forwarded(to, n)
+			}
 		}
 		if err != nil {
 			break
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -103,6 +103,9 @@
 		Callers int
 		// Faults names the faults to inject; all if empty.
 		Faults []string
+		// Owners is the number of slots per node below which a service has an owner; 0
+		// for nodes without owners, which then get no settings for them.
+		Owners float64
 		// Timed also checks the guarantees with a time bound. On a machine with other
 		// load their results mean little.
 		Timed bool
@@ -124,6 +127,9 @@
 		restoring sync.Mutex
 		// rushing allows one rush to brittle endpoints at a time.
 		rushing sync.Mutex
+		// shortening allows one shortage of the scarce service at a time.
+		shortening sync.Mutex
+		scarce     *scarce
 
 		mu     sync.Mutex
 		errs   []error
@@ -138,7 +144,8 @@
 	if err != nil {
 		return err
 	}
-	s := &soak{config: c, faults: selected, ledger: newLedger(c.Timed), began: time.Now()}
+	s := &soak{config: c, faults: selected, ledger: newLedger(c.Timed), scarce: newScarce(), began: time.Now()}
+	s.ledger.scarce = s.scarce
 	defer s.end()
 	if err := s.start(); err != nil {
 		return err
@@ -148,7 +155,9 @@
 	s.callers = &callers{soak: s, ledger: s.ledger}
 	var group sync.WaitGroup
 	group.Go(func() { s.callers.run(ctx, c.Callers, c.Seed) })
+	group.Go(func() { s.callers.runScarce(ctx, c.Seed) })
 	group.Go(func() { s.callers.probe(ctx) })
+	group.Go(func() { s.watchOwner(ctx) })
 	group.Go(func() { s.injectFaults(ctx, rand.New(rand.NewPCG(c.Seed, 1))) })
 	group.Wait()
 	return s.report()
@@ -176,10 +185,10 @@
 			Node: fmt.Sprint("n", i+1), IP: netip.MustParseAddr(fmt.Sprint(network, i+1)), Port: port,
 			Seeds: seeds(network, s.config.Nodes), Store: n.storeProxy.addr(), Drain: drainBound, Grace: grace, RetrySlack: retrySlack,
 		}
-		if n.egress, err = newEgress(world); err != nil {
+		if n.egress, err = newEgress(world, s.world); err != nil {
 			return err
 		}
-		n.Args = []string{"--egress", n.egress.addr().String()}
+		n.Args = append([]string{"--egress", n.egress.addr().String()}, s.config.ownerArgs()...)
 		if n.callerProxy, err = newProxy(world, func() netip.AddrPort { return n.Callers() }); err != nil {
 			return err
 		}
@@ -260,6 +269,7 @@
 		outcomes = append(outcomes, fmt.Sprintf("rushes: %d, %d endpoints fell over", rushes, falls))
 	}
 	fmt.Fprintf(s.config.Out, "seed %d: %d faults, %v\n", s.config.Seed, len(s.events), outcomes)
+	fmt.Fprintf(s.config.Out, "seed %d: %s\n", s.config.Seed, s.scarce.report(s.config.Folder))
 	if err := errors.Join(s.errs...); err != nil {
 		return err
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
@@ -26,6 +27,10 @@
 		started   int
 		version   int
 		routes    []deployment.Route
+		// uneven is the time of uneven speeds that lasts, nil for none, and scarceAddrs
+		// are the addresses of the scarce service's endpoints.
+		uneven      atomic.Pointer[unevenPhase]
+		scarceAddrs sync.Map
 	}
 
 	// endpoint is an endpoint behind a proxy of its own.
@@ -68,6 +73,11 @@
 			return nil, err
 		}
 	}
+	for range scarceEndpoints {
+		if err := w.addEndpoint(serviceScarce); err != nil {
+			return nil, err
+		}
+	}
 	for range engineEndpoints {
 		if err := w.addEndpoint(serviceEngine); err != nil {
 			return nil, err
@@ -88,9 +98,10 @@
 			route("safe", deployment.Idempotent, servicePlain, 2), route("once", deployment.AtMostOnce, servicePlain, 1),
 			route("small", deployment.Idempotent, serviceSmall, 2), route("tiny", deployment.Idempotent, serviceTiny, 2),
 			route("stream/resume", deployment.Resumable, serviceEngine, 2), route("stream/once", deployment.Streaming, serviceEngine, 1),
-		}, w.routes...),
+		}, append(scarceRoutes(), w.routes...)...),
 		Services: map[string]deployment.Service{
-			servicePlain: {Name: servicePlain, Connections: 200}, serviceSmall: {Name: serviceSmall, Connections: 200}, serviceTiny: {Name: serviceTiny, Connections: 200}, serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
+			servicePlain: {Name: servicePlain, Connections: 200}, serviceSmall: {Name: serviceSmall, Connections: 200}, serviceTiny: {Name: serviceTiny, Connections: 200}, serviceScarce: {Name: serviceScarce, Connections: 200},
+			serviceEngine: {Name: serviceEngine, Connections: 200, Model: true, Slots: slots, Cold: coldTime, ColdRate: coldRate},
 		},
 		Limits: deployment.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
@@ -115,10 +126,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
-	width, queue := slotsOf(service)
+	width, queue, work := slotsOf(service)
 	e := &endpoint{id: fmt.Sprintf("%s-%d", service, w.started), service: service, unannounced: w.started%2 == 1, zone: zones[w.started/2%len(zones)]}
 	e.standIn = standin.NewEndpoint(standin.EndpointConfig{
-		ID: e.id, Slots: width, Queue: queue, Events: streamEvents, Pause: workTime,
+		ID: e.id, Slots: width, Queue: queue, Events: streamEvents, Pause: work, Slowdown: w.slowdown(service, w.started),
 		Ran:     func(id, _ string, after uint64) { w.ledger.recordRun(id, e, after, time.Now()) },
 		Arrived: func(id string, backoff time.Duration) { w.ledger.notices.arrived(id, e.id, backoff, time.Now()) },
 		Crash: func(name string) {
@@ -139,12 +150,15 @@
 	if e.proxy, err = newProxyAt(addr, func() netip.AddrPort { return to }); err != nil {
 		return fmt.Errorf("soak: endpoint: %w", err)
 	}
+	if service == serviceScarce {
+		w.scarceAddrs.Store(e.proxy.addr().String(), true)
+	}
 	w.endpoints = append(w.endpoints, e)
 	return w.register(e, false)
 }
 
 func (w *world) register(e *endpoint, draining bool) error {
-	width, _ := slotsOf(e.service)
+	width, _, _ := slotsOf(e.service)
 	err := w.store.Register(deployment.Endpoint{
 		ID: e.id, Service: e.service, Addr: e.proxy.addr(), Zone: e.zone, Slots: width, Draining: draining,
 	})
@@ -154,12 +168,16 @@
 	return nil
 }
 
-// slotsOf returns the slots of a service's endpoints, and how many requests wait there.
-func slotsOf(service string) (width, queue int) {
-	if service == serviceSmall {
-		return smallSlots, smallQueue
+// slotsOf returns the slots of a service's endpoints, how many requests wait there, and
+// how long one takes.
+func slotsOf(service string) (width, queue int, work time.Duration) {
+	switch service {
+	case serviceSmall:
+		return smallSlots, smallQueue, workTime
+	case serviceScarce:
+		return scarceSlots, scarceQueue, scarceWork
 	}
-	return slots, 0
+	return slots, 0, workTime
 }
 
 // pick returns a random endpoint that is not leaving, or nil if its service has no
