Run soak nodes with owners, and judge each request of a shortage

The kinds of a service are compared by the requests that were sent in a shortage while no node was disturbed; whole shortages seldom are calm. Each run begins with a shortage and says how many requests were handed over to owners, or that no owner was exercised. A request sent to a node that an owner's fault has hit is not judged by its deadline: the node may read it late, and does not know its age.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,7 +24,7 @@
 	Nodes   int           `help:"How many nodes run." default:"6"`
 	Callers int           `help:"How many callers ask." default:"24"`
 	Faults  []string      `help:"Names of the faults that are drawn, separated by commas; all if empty."`
-	Owners  float64       `help:"Slots per node below which a service has an owner; 0 for programs without owners." default:"0"`
+	Owners  float64       `help:"Slots per node below which a service has an owner; 0 for programs without owners." default:"2"`
 	Untimed bool          `help:"Leave out the promises with a time bound."`
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -115,8 +115,8 @@
 	if _, refused := l.notRun[id]; refused {
 		l.violation("%s ran at %s after it was said not to have run", id, e.id)
 	}
-	if due := l.scarce.dueOf(id); l.timed && !due.IsZero() && at.After(due) && l.ownerAtMost(due.Add(-scarceDeadline-heldBound), at) {
-		l.violation("%s ran at %s %v after its deadline", id, e.id, at.Sub(due)+heldBound)
+	if late := l.beyondDeadline(id, at); late > 0 {
+		l.violation("%s ran at %s %v after its deadline", id, e.id, late)
 	}
 	l.runs[id] = append(l.runs[id], run{endpoint: e, after: after, at: at})
 	if left, ok := l.leaves[e]; ok && l.timed && at.Sub(left) > drainBound+drainSlack && l.undisturbed(left, at) {
--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -16,15 +16,20 @@
 	"bulrushhinge.example/bulrushhinge/platform/standin"
 )
 
-// handedOverLine marks the log lines of requests that were handed over to an owner.
-const handedOverLine = `"owner"`
+// handedOverLine and ownerField mark the log lines of requests that were handed over to
+// an owner, and answeredField those that it answered.
+const (
+	handedOverLine = `"event":"handover"`
+	ownerField     = `"owner":true`
+	answeredField  = `"result":"answered"`
+)
 
 // ownerArgs returns the nodes' arguments for owners.
 func (c Config) ownerArgs() []string {
 	if c.Owners == 0 {
 		return nil
 	}
-	return []string{"--owners", fmt.Sprint(c.Owners), "--cost-order", "owned"}
+	return []string{"--owners", fmt.Sprint(c.Owners)}
 }
 
 // unevenPhase is a time in which endpoints are uneven.
@@ -93,14 +98,6 @@
 	s.hits[n.Callers()] = h
 }
 
-// wasHit reports whether a fault of an owner has hit a node since a time, or lasts.
-func (s *scarce) wasHit(addr netip.AddrPort, since time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := s.hits[addr]
-	return h.lasting > 0 || h.last.After(since)
-}
-
 // pauseNode suspends a node for up to 4 s.
 func (s *soak) pauseNode(ctx context.Context, r *rand.Rand, n *node) {
 	s.ledger.notices.recordPause(n.Node)
@@ -155,14 +152,19 @@
 	}
 	calm := ""
 	for _, k := range scarceKinds {
-		calm += fmt.Sprintf(", %s %.2f of %d", k.route, s.calm[k.route].share(), s.calm[k.route].asked)
+		calm += fmt.Sprintf(" %s %.3f of %d", k.route, s.calm[k.route].share(), s.calm[k.route].asked)
+	}
+	handed, answered := countLines(folder, handedOverLine, ownerField), countLines(folder, handedOverLine, ownerField, answeredField)
+	text := fmt.Sprintf("%d requests handed over to owners, %d answered; one node sends in %d of %d samples, %d in all; owners hit %d times; in calm shortages%s",
+		handed, answered, s.owned, s.samples, len(s.owners), hits, calm)
+	if answered == 0 {
+		text = "NO OWNER WAS EXERCISED: " + text
 	}
-	return fmt.Sprintf("owner in %d of %d samples, %d nodes, hit %d times, %d lines of handed over requests; served in %d calm shortages%s",
-		s.owned, s.samples, len(s.owners), hits, countLines(folder, handedOverLine), s.calmShortages, calm)
+	return text
 }
 
-// countLines counts the lines of the nodes' logs that contain a text.
-func countLines(folder, text string) int {
+// countLines counts the lines of the nodes' logs that contain all texts.
+func countLines(folder string, texts ...string) int {
 	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
 	if err != nil {
 		return 0
@@ -176,7 +178,7 @@
 		lines := bufio.NewScanner(f)
 		lines.Buffer(nil, 1<<20)
 		for lines.Scan() {
-			if strings.Contains(lines.Text(), text) {
+			if !slices.ContainsFunc(texts, func(t string) bool { return !strings.Contains(lines.Text(), t) }) {
 				n++
 			}
 		}
--- a/internal/soak/scarce.go
+++ b/internal/soak/scarce.go
@@ -75,12 +75,11 @@
 		mu sync.Mutex
 		// shortages is how many shortages last.
 		shortages int
-		// inShortage are the requests of the shortages that last, by kind, and calm
-		// those of the shortages during which no node was disturbed.
-		inShortage, calm map[string]tally
-		calmShortages    int
-		// due is when each request must have ended.
-		due map[string]time.Time
+		// calm are the requests that were sent in shortages while no node was
+		// disturbed, by route.
+		calm map[string]tally
+		// sent is where and when each request was sent.
+		sent map[string]sentTo
 		// owner is the node that sent most requests to the service lately, and hits are
 		// the faults of owners, by node.
 		owner *node
@@ -98,12 +97,18 @@
 		last           time.Time
 	}
 
+	// sentTo is the node to which a request was sent, and when.
+	sentTo struct {
+		node netip.AddrPort
+		at   time.Time
+	}
+
 	// tally counts requests and those that were served.
 	tally struct{ asked, served int }
 )
 
 func newScarce() *scarce {
-	return &scarce{inShortage: map[string]tally{}, calm: map[string]tally{}, due: map[string]time.Time{}, hits: map[netip.AddrPort]ownerHits{}, owners: map[string]bool{}}
+	return &scarce{calm: map[string]tally{}, sent: map[string]sentTo{}, hits: map[netip.AddrPort]ownerHits{}, owners: map[string]bool{}}
 }
 
 // scarceRoutes returns the routes of the service.
@@ -163,7 +168,7 @@
 func (c *callers) askScarce(ctx context.Context, k *caller, addr netip.AddrPort, q scarceKind) (unreached bool) {
 	id := fmt.Sprintf("%s-%d", q.route[len("scarce/"):], c.next.Add(1))
 	c.ledger.recordRequest(id, q.kind)
-	short := c.soak.scarce.recordSent(id, time.Now())
+	short := c.soak.scarce.recordSent(id, addr, time.Now())
 	a := k.send(ctx, addr, q.route, id, "body of "+id, scarceDeadline)
 	if ctx.Err() != nil {
 		a.abandoned, a.cut = true, false
@@ -172,10 +177,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if short {
+	if short && c.ledger.calm(a.sent) {
 		c.soak.scarce.recordShort(q.route, a)
 	}
-	c.ledger.recordEnd(id, addr, a, c.soak.scarce)
+	c.ledger.recordEnd(id, a)
 	return a.status == 0
 }
 
@@ -190,62 +195,45 @@
 }
 
 // recordSent records a request, and reports whether it is sent in a shortage.
-func (s *scarce) recordSent(id string, at time.Time) (short bool) {
+func (s *scarce) recordSent(id string, node netip.AddrPort, at time.Time) (short bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.due[id] = at.Add(scarceDeadline + heldBound)
+	s.sent[id] = sentTo{node: node, at: at}
 	return s.shortages > 0
 }
 
-// recordShort records the outcome of a request that was sent in a shortage.
+// recordShort records the outcome of a request that was sent in a calm shortage.
 func (s *scarce) recordShort(route string, a answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.inShortage[route]
+	t := s.calm[route]
 	t.asked++
 	if a.status == http.StatusOK && a.err == nil {
 		t.served++
 	}
-	s.inShortage[route] = t
+	s.calm[route] = t
 }
 
 // short makes callers ask for more than the service can do.
 func (s *soak) short(ctx context.Context) string {
-	if !s.shortening.TryLock() {
-		return ""
-	}
-	defer s.shortening.Unlock()
-	began := time.Now()
 	s.scarce.setShort(1)
+	defer s.scarce.setShort(-1)
 	sleep(ctx, shortTime)
-	s.scarce.setShort(-1)
-	sleep(ctx, scarceDeadline+heldBound)
-	s.ledger.mu.Lock()
-	calm := s.ledger.nodesUndisturbed(began, time.Now()) && ctx.Err() == nil
-	s.ledger.mu.Unlock()
-	return s.scarce.endShortage(calm)
+	return fmt.Sprint(shortDemand, " times the capacity")
 }
 
-func (s *scarce) setShort(by int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.shortages += by
+// calm reports whether no node has been disturbed since a time, and the recovery time
+// before it.
+func (l *ledger) calm(since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nodesUndisturbed(since, time.Now())
 }
 
-// endShortage adds the requests of a shortage to those that are judged if it was calm.
-func (s *scarce) endShortage(calm bool) string {
+func (s *scarce) setShort(by int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	what := fmt.Sprintf("%v, calm %t", s.inShortage, calm)
-	if calm {
-		s.calmShortages++
-		for route, t := range s.inShortage {
-			sum := s.calm[route]
-			s.calm[route] = tally{asked: sum.asked + t.asked, served: sum.served + t.served}
-		}
-	}
-	clear(s.inShortage)
-	return what
+	s.shortages += by
 }
 
 // check returns a violation if urgent requests were served less often than less urgent
@@ -258,7 +246,7 @@
 	for _, k := range scarceKinds[1:] {
 		other := s.calm[k.route]
 		if min(urgent.asked, other.asked) >= urgentSample && urgent.share() < other.share()-urgentBound {
-			broken = append(broken, fmt.Sprintf("%d of %d urgent requests were served, but %d of %d of %s, in %d shortages", urgent.served, urgent.asked, other.served, other.asked, k.route, s.calmShortages))
+			broken = append(broken, fmt.Sprintf("%d of %d urgent requests were served, but %d of %d of %s, in calm shortages", urgent.served, urgent.asked, other.served, other.asked, k.route))
 		}
 	}
 	return broken
@@ -266,18 +254,28 @@
 
 func (t tally) share() float64 { return float64(t.served) / float64(max(t.asked, 1)) }
 
-// recordEnd checks that a request has ended in time, unless nodes were disturbed other
-// than its owner.
-func (l *ledger) recordEnd(id string, node netip.AddrPort, a answer, s *scarce) {
-	now := time.Now()
-	if !now.After(s.dueOf(id)) || s.wasHit(node, a.sent.Add(-recoveryTime)) {
-		return
-	}
+// recordEnd checks that a request has ended in time.
+func (l *ledger) recordEnd(id string, a answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timed && l.ownerAtMost(a.sent, now) {
-		l.violation("%s was held by %s for %v, beyond its deadline of %v: %s", id, node, now.Sub(a.sent), scarceDeadline, a.outcome())
+	if late := l.beyondDeadline(id, time.Now()); late > 0 {
+		l.violation("%s ended %v after its deadline: %s", id, late, a.outcome())
+	}
+}
+
+// beyondDeadline returns how long after its deadline a request ends or runs if that is
+// longer than it may be, and 0 if it is not or if nodes were disturbed, other than the
+// owner of the service by its own faults. A node that was disturbed itself may have got
+// the request late, and does not know its age. The mutex must be held.
+func (l *ledger) beyondDeadline(id string, now time.Time) time.Duration {
+	q, hit := l.scarce.sentTo(id)
+	if !l.timed || q.at.IsZero() || hit || !l.ownerAtMost(q.at, now) {
+		return 0
+	}
+	if late := now.Sub(q.at) - scarceDeadline; late > heldBound {
+		return late
 	}
+	return 0
 }
 
 // ownerAtMost reports whether no node was disturbed during a span or the recovery time
@@ -294,9 +292,12 @@
 	return !overlaps(disturbs, from.Add(-recoveryTime), to)
 }
 
-// dueOf returns when a request must have ended, zero for one of another service.
-func (s *scarce) dueOf(id string) time.Time {
+// sentTo returns where and when a request was sent, zero for one of another service, and
+// whether a fault of an owner has hit that node since, or shortly before.
+func (s *scarce) sentTo(id string) (q sentTo, hit bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.due[id]
+	q = s.sent[id]
+	h := s.hits[q.node]
+	return q, h.lasting > 0 || h.last.After(q.at.Add(-recoveryTime))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -127,9 +127,7 @@
 		restoring sync.Mutex
 		// rushing allows one rush to brittle endpoints at a time.
 		rushing sync.Mutex
-		// shortening allows one shortage of the scarce service at a time.
-		shortening sync.Mutex
-		scarce     *scarce
+		scarce  *scarce
 
 		mu     sync.Mutex
 		errs   []error
@@ -158,6 +156,8 @@
 	group.Go(func() { s.callers.runScarce(ctx, c.Seed) })
 	group.Go(func() { s.callers.probe(ctx) })
 	group.Go(func() { s.watchOwner(ctx) })
+	// Each run begins with a shortage, since there is often no other calm one.
+	group.Go(func() { s.short(ctx) })
 	group.Go(func() { s.injectFaults(ctx, rand.New(rand.NewPCG(c.Seed, 1))) })
 	group.Wait()
 	return s.report()
