--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -29,7 +29,7 @@
 	if c.Owners == 0 {
 		return nil
 	}
-	return []string{"--owners", fmt.Sprint(c.Owners)}
+	return []string{"--owners", fmt.Sprint(c.Owners), "--cost-order", "owned"}
 }
 
 // unevenPhase is a time in which endpoints are uneven.
