--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -55,6 +55,7 @@
 		return err
 	}
 	for i, r := range results {
+		fmt.Printf("%s: 99 of 100 requests were sent at most %v late\n", names[i], r.SentLate)
 		for _, s := range plan.Services {
 			fmt.Printf("%s: %s at most %.2f times the mean in 95 of 100 samples\n", names[i], s.Name, r.Skew(s.Name))
 		}
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -46,6 +46,8 @@
 		// all bytes did.
 		firstByte time.Duration
 		complete  bool
+		// sentLate is how late the caller sent the request.
+		sentLate time.Duration
 		// headers is the time until the response headers arrived.
 		headers time.Duration
 	}
@@ -72,7 +74,12 @@
 		}
 		r, k, id := c.drawRequest(at), c.drawAccount(at), fmt.Sprint("q", n)
 		large := r.Large > 0 && c.random.Float64() < r.Large
-		group.Go(func() { c.run.result.addOutcome(c.send(ctx, r, k, large, id)) })
+		late := time.Since(c.run.began) - at
+		group.Go(func() {
+			o := c.send(ctx, r, k, large, id)
+			o.sentLate = late
+			c.run.result.addOutcome(o)
+		})
 	}
 }
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -27,6 +27,9 @@
 		Accounts []Class `json:"accounts"`
 		// OtherAccounts are those without a surge together.
 		OtherAccounts Class `json:"other_accounts"`
+		// SentLate is the 99th percentile of how late callers sent their requests: on a
+		// busy machine, all times include some of that.
+		SentLate time.Duration `json:"sent_late_p99"`
 		// Seconds are the same requests by the second in which they were sent.
 		Seconds []Second `json:"seconds"`
 		Loads   []Load   `json:"loads"`
@@ -114,6 +117,11 @@
 	res.OtherAccounts = r.class(otherAccounts, func(o outcome) bool {
 		return !slices.ContainsFunc(r.plan.Surges, func(s Surge) bool { return s.Account == o.account })
 	})
+	late := newHistogram()
+	for _, o := range r.outcomes {
+		record(late, o.sentLate)
+	}
+	res.SentLate = quantile(late, 99)
 	for at := time.Duration(0); at < r.plan.Length; at += time.Second {
 		res.Seconds = append(res.Seconds, r.second(at))
 	}
