--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -98,17 +98,17 @@
 }
 
 // TestRun runs real processes and kills one of them. It guards against requests that
-// are counted twice or not at all, and against a fleet that serves at most half of
+// are counted twice or not at all, by kind, size or account, and against a fleet that serves at most half of
 // them.
 func TestRun(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "bulrushhinge")
 	out, err := exec.Command("go", "build", "-o", program, "bulrushhinge.example/bulrushhinge/cmd/bulrushhinge").CombinedOutput()
 	require.NoError(t, err, string(out))
-	plan, err := experiment.Parse(planText)
+	plan, err := experiment.Parse(planText + scarceText)
 	require.NoError(t, err)
 	r, err := experiment.Run(context.Background(), experiment.Config{Plan: plan, Program: program, Folder: t.TempDir()})
 	require.NoError(t, err)
-	require.Len(t, r.Requests, 2)
+	require.Len(t, r.Requests, 3)
 	asked, served := 0, 0
 	for _, c := range r.Requests {
 		require.Equal(t, c.Asked, c.Timely+c.Late+c.Refused+c.Failed, c.Name)
@@ -119,10 +119,13 @@
 	require.Greater(t, served, asked/2)
 	require.Len(t, r.Seconds, 3)
 	require.NotEmpty(t, r.Loads)
+	requireSums(t, r)
 
 	var table bytes.Buffer
 	require.NoError(t, experiment.Table(&table, plan, []string{"before", "after"}, []*experiment.Result{r, r}))
-	require.Equal(t, 2, strings.Count(table.String(), "chat"))
+	for _, name := range []string{"chat", "quote large", "account1", "other accounts"} {
+		require.Equal(t, 2, strings.Count(table.String(), name), name)
+	}
 	folder := t.TempDir()
 	require.NoError(t, experiment.Charts(folder, []string{"before"}, []*experiment.Result{r}))
 	for _, name := range []string{"latency.svg", "timely.svg", "load.svg"} {
--- a/internal/experiment/scarce_test.go
+++ b/internal/experiment/scarce_test.go
@@ -1,10 +1,6 @@
 package experiment_test
 
 import (
-	"bytes"
-	"context"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -127,17 +123,10 @@
 	}
 }
 
-// TestRunWithSizesAndSurge runs real processes. It guards against results by size or
-// account that lose or repeat requests, and against a table without them.
-func TestRunWithSizesAndSurge(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "bulrushhinge")
-	out, err := exec.Command("go", "build", "-o", program, "bulrushhinge.example/bulrushhinge/cmd/bulrushhinge").CombinedOutput()
-	require.NoError(t, err, string(out))
-	text, _, _ := strings.Cut(planText, "[[fault]]")
-	plan, err := experiment.Parse(text + scarceText)
-	require.NoError(t, err)
-	r, err := experiment.Run(context.Background(), experiment.Config{Plan: plan, Program: program, Folder: t.TempDir()})
-	require.NoError(t, err)
+// requireSums checks that the results by size and account neither lose nor repeat
+// requests.
+func requireSums(t *testing.T, r *experiment.Result) {
+	t.Helper()
 	asked := map[string]int{}
 	for _, c := range append(append(r.Requests, r.Sizes...), r.Accounts...) {
 		require.Equal(t, c.Asked, c.Timely+c.Late+c.Refused+c.Failed, c.Name)
@@ -147,10 +136,4 @@
 	require.Positive(t, asked["quote large"])
 	require.Equal(t, asked["lookup"]+asked["chat"]+asked["quote"], asked["account0"]+asked["account1"]+asked["account2"])
 	require.Equal(t, asked["account0"]+asked["account2"], r.OtherAccounts.Asked)
-
-	var table bytes.Buffer
-	require.NoError(t, experiment.Table(&table, plan, []string{"before", "after"}, []*experiment.Result{r, r}))
-	for _, name := range []string{"quote large", "account1", "other accounts"} {
-		require.Equal(t, 2, strings.Count(table.String(), name), name)
-	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -182,7 +182,7 @@
 			return err
 		}
 		n.Settings = standin.Settings{
-			Node: fmt.Sprint("n", i+1), IP: netip.MustParseAddr(fmt.Sprint(network, i+1)), Port: port,
+			Node: s.nodeName(i), IP: netip.MustParseAddr(fmt.Sprint(network, i+1)), Port: port,
 			Seeds: seeds(network, s.config.Nodes), Store: n.storeProxy.addr(), Drain: drainBound, Grace: grace, RetrySlack: retrySlack,
 		}
 		if n.egress, err = newEgress(world, s.world); err != nil {
@@ -204,6 +204,13 @@
 	return fleet.WaitForMembers(all, joinTimeout)
 }
 
+// nodeName returns the name of the node at a position. It depends on the seed: names
+// decide which node owns a service, and it should not always be at the same position.
+func (s *soak) nodeName(i int) string {
+	nodes := uint64(s.config.Nodes)
+	return fmt.Sprint("n", (uint64(i)+s.config.Seed)%nodes+1)
+}
+
 // incarnation returns the running incarnation of the node at an address.
 func (s *soak) incarnation(addr netip.AddrPort) incarnation {
 	for _, n := range s.nodes {
