--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -29,6 +29,8 @@
 	preferred bool
 	// prefill is the number of tokens that it still has to process for all nodes.
 	prefill int
+	// report is the endpoint's last report, nil if there is none.
+	report *report
 }
 
 // HasRoom reports whether an endpoint other than the tried and the cold ones has room
@@ -99,7 +101,7 @@
 	shared := r.brittle && r.Key == "" && !r.Exclusive
 	over := shared && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
-	part := xxhash.Sum64String(r.Key)
+	part, reported := xxhash.Sum64String(r.Key), false
 	all := make([]candidate, 0, len(list))
 	for i, e := range list {
 		o := states[i]
@@ -107,9 +109,9 @@
 			continue
 		}
 		key := o.key
-		sent := b.inProgress(o)
+		sent, rep := b.inProgress(o), b.reports.latest[key]
 		// The endpoint may have reported more.
-		load := max(sent, b.reports.load(key, now))
+		load := max(sent, rep.currentLoad(now))
 		if e.Evacuated {
 			evacuated++
 			evacuatedLoad += load
@@ -120,7 +122,10 @@
 		if slices.Contains(r.Tried, e.Start()) {
 			continue
 		}
-		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
+		if rep != nil && rep.slowdown.factor > 0 {
+			reported = true
+		}
+		c := candidate{endpoint: e, key: key, report: rep, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
 		full := shared && (over || b.overEndpointShare(o, c.slots))
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
@@ -129,6 +134,10 @@
 		}
 		all = append(all, c)
 	}
+	if reported {
+		// The first report may have been to another node.
+		b.speeds[r.Service.Name] = true
+	}
 	return all, means{
 		usable: float64(total) / float64(max(ready, 1)),
 		all:    float64(total+evacuatedLoad) / float64(max(ready+evacuated, 1)),
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -93,51 +92,59 @@
 		}
 	}
 	if r.Exclusive {
-		return cmp.Or(b.leastLoaded(healthy), b.leastLoaded(suspects))
+		return cmp.Or(b.leastLoaded(healthy, r), b.leastLoaded(suspects, r))
 	}
-	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
+	return cmp.Or(b.lessLoadedOfTwo(healthy, r), b.lessLoadedOfTwo(suspects, r))
 }
 
 // lessLoadedOfTwo draws two candidates and returns the one with the lower cost.
-func (b *Balancer) lessLoadedOfTwo(list []*candidate) *candidate {
+func (b *Balancer) lessLoadedOfTwo(list []*candidate, r Request) *candidate {
 	if len(list) < 2 {
 		return slices.Concat(list, []*candidate{nil})[0]
 	}
-	i := rand.IntN(len(list))
-	j := rand.IntN(len(list) - 1)
+	i := b.config.IntN(len(list))
+	j := b.config.IntN(len(list) - 1)
 	if j >= i {
 		j++
 	}
-	if b.plainCost(list[j]) < b.plainCost(list[i]) {
+	if b.plainCost(list[j], r) < b.plainCost(list[i], r) {
 		return list[j]
 	}
 	return list[i]
 }
 
-// leastLoaded returns the candidate with the lowest load per slot, nil if there is none.
+// leastLoaded returns the candidate with the lowest load, nil if there is none.
 // Of several, one in this node's zone is preferred; the search starts at a random one,
 // so that they take turns.
-func (b *Balancer) leastLoaded(list []*candidate) *candidate {
+func (b *Balancer) leastLoaded(list []*candidate, r Request) *candidate {
 	var best *candidate
 	if len(list) == 0 {
 		return nil
 	}
-	offset := rand.IntN(len(list))
+	offset := b.config.IntN(len(list))
 	for i := range list {
 		c := list[(offset+i)%len(list)]
-		if best == nil || cmp.Or(cmp.Compare(c.loadPerSlot(), best.loadPerSlot()), cmp.Compare(b.plainCost(c), b.plainCost(best))) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(b.plainLoad(c, r), b.plainLoad(best, r)), cmp.Compare(b.plainCost(c, r), b.plainCost(best, r))) < 0 {
 			best = c
 		}
 	}
 	return best
 }
 
-func (c *candidate) loadPerSlot() float64 { return float64(c.load) / float64(c.slots) }
-
-func (b *Balancer) plainCost(c *candidate) float64 {
-	cost := float64(c.load) / float64(c.slots)
+// plainCost is the load, plus the penalty for another availability zone.
+func (b *Balancer) plainCost(c *candidate, r Request) float64 {
+	cost := b.plainLoad(c, r)
 	if c.endpoint.Zone != b.config.Zone {
 		cost += crossZoneCost
 	}
 	return cost
 }
+
+// plainLoad is the load per slot or, where the service's endpoints report slowdowns, the
+// expected time.
+func (b *Balancer) plainLoad(c *candidate, r Request) float64 {
+	if b.speeds[r.Service.Name] {
+		return b.expectedTime(c, r.now)
+	}
+	return float64(c.load) / float64(c.slots)
+}
