--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -24,6 +24,12 @@
 	answeredField  = `"result":"answered"`
 )
 
+// unevenPhase is a time in which endpoints are uneven.
+type unevenPhase struct {
+	standin.Uneven
+	began time.Time
+}
+
 // ownerArgs returns the nodes' arguments for owners.
 func (c Config) ownerArgs() []string {
 	if c.Owners == 0 {
@@ -32,12 +38,6 @@
 	return []string{"--owners", fmt.Sprint(c.Owners), "--cost-order", "owned"}
 }
 
-// unevenPhase is a time in which endpoints are uneven.
-type unevenPhase struct {
-	standin.Uneven
-	began time.Time
-}
-
 // watchOwner determines the owner of the scarce service from the nodes' traffic to its
 // endpoints, until ctx ends.
 func (s *soak) watchOwner(ctx context.Context) {
