--- a/cmd/bulrushhinge/explain.go
+++ b/cmd/bulrushhinge/explain.go
@@ -138,8 +138,8 @@
 	if x.Service != "" {
 		add("service", "%s, %d endpoints%s", x.Service, x.Endpoints, map[bool]string{false: ", not reached by this node"}[x.Reached])
 	}
-	if x.Owner != "" {
-		add("owner", "%s", x.Owner)
+	if x.Owner != nil {
+		add("owner", "%s%s", x.Owner.Name, ownerNote(x.Owner))
 	}
 	if x.BodyUnknown {
 		add("note", "whether this very request ends endpoints depends on its body")
@@ -150,6 +150,17 @@
 	return append(rows, append(choiceRows(x), queueRows(x)...)...)
 }
 
+// ownerNote returns what the owner of a service means for the request.
+func ownerNote(o *gateway.ExplainedOwner) string {
+	switch {
+	case o.Self:
+		return ", this node"
+	case o.Asked:
+		return ", would be asked"
+	}
+	return ", would not be asked now"
+}
+
 func choiceRows(x gateway.Explanation) [][]string {
 	c := x.Choice
 	if c == nil {
@@ -162,6 +173,8 @@
 	switch c.Draw {
 	case balance.DrawTwo:
 		add("chosen", "the better of two of %d", c.Drawn)
+	case balance.DrawEqual:
+		add("chosen", "one of %d that are equally good", c.Drawn)
 	case balance.DrawCold:
 		add("chosen", "one of %d cold ones if drawn, or else %s", c.Drawn, orNone(c.Chosen))
 	default:
@@ -199,7 +212,7 @@
 	rows := [][]string{{"queue", fmt.Sprintf("order %s, %d waiting, %d of the kind, %s, expected wait %s", q.Order, q.Waiting, q.OfKind, position, wait)}}
 	if q.WorkMS > 0 {
 		rows = append(rows, []string{"cost", fmt.Sprintf(
-			"due in %s, work %s, weight %.3g, backlog %s at %.3g/s, known for %s", shownMS(q.DueMS), shownMS(q.WorkMS), q.Weight, shownMS(q.BacklogMS), q.Rate, shownMS(q.RateAgeMS),
+			"due in %s, work %s, weight %.3g, backlog %s at %.3g s/s, last completion %s ago", shownMS(q.DueMS), shownMS(q.WorkMS), q.Weight, shownMS(q.BacklogMS), q.Rate, shownMS(q.RateAgeMS),
 		)})
 	}
 	return rows
@@ -241,8 +254,8 @@
 			state = append(state, s.name)
 		}
 	}
-	if c.SlowdownPercent > 0 {
-		state = append(state, fmt.Sprintf("work takes %.0f %%", c.SlowdownPercent))
+	if c.Slowdown > 0 {
+		state = append(state, fmt.Sprintf("work takes %.2f times as long as usual, reported %s ago", c.Slowdown, shownMS(c.SlowdownMS)))
 	}
 	for _, b := range c.Blocked {
 		text := "blocked: " + b.Reason
--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -43,15 +43,23 @@
 	Excess     bool `json:"excess,omitempty"`
 	// ServedShare is the fraction of the kind's recent requests that got a place.
 	ServedShare float64 `json:"served_share"`
-	// DueMS, WorkMS and Weight are what an order by cost compares; BacklogMS is the
-	// work ahead of the request, Rate the rate at which work is completed, in seconds
-	// of work a second, and RateAgeMS its age.
-	DueMS     float64 `json:"due_ms,omitempty"`
-	WorkMS    float64 `json:"work_ms,omitempty"`
-	Weight    float64 `json:"weight,omitempty"`
+	// The other fields are set by an order by cost only. DueMS is the time left until
+	// the request has to have a slot, negative if that is past; WorkMS is its expected
+	// time in a slot, and Weight what it is worth. Late reports whether it would wait
+	// without being planned to begin within its objective.
+	DueMS  float64 `json:"due_ms,omitempty"`
+	WorkMS float64 `json:"work_ms,omitempty"`
+	Weight float64 `json:"weight,omitempty"`
+	Late   bool    `json:"late,omitempty"`
+	// BacklogMS is the work of the planned requests, Rate how many seconds of work the
+	// slots complete in a second, 0 if that is unknown, and RateAgeMS the time since
+	// the last completion.
 	BacklogMS float64 `json:"backlog_ms,omitempty"`
 	Rate      float64 `json:"rate,omitempty"`
 	RateAgeMS float64 `json:"rate_age_ms,omitempty"`
+	// RetryAfterMS is when the caller would be told to try again if the request were
+	// rejected.
+	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 }
 
 // Explain describes what would happen to a request that arrived now. It changes
@@ -97,10 +105,17 @@
 	for _, w := range q.waiting {
 		c.waiting = append(c.waiting, &Waiter{kind: kinds[w.kind], account: w.account, excess: w.excess, notBefore: w.notBefore, until: w.until})
 	}
-	c.accounts.all = q.accounts.all
-	if a := q.accounts.byName[r.Account]; a != nil {
-		clone := *a
-		c.accounts.byName[r.Account] = &clone
+	c.accounts = q.accounts.copy(r.Account)
+	return c
+}
+
+// copy returns a copy that has only one of the accounts.
+func (a *accounts) copy(name string) *accounts {
+	c := newAccounts()
+	c.all = a.all
+	if one := a.byName[name]; one != nil {
+		clone := *one
+		c.byName[name] = &clone
 	}
 	return c
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -33,7 +33,13 @@
 	// same endpoint below the bound at the same time cause more refusals than the
 	// limit avoids.
 	plainDepth = 4.0
-	// modelDepth is the same for model engines: requests wait at the node instead,
+	// exclusiveExtra is how many requests more than slots an endpoint of a plain service
+	// may have if all requests pass through this node: the next one is there when a slot
+	// becomes free, and the others wait where they are ordered. What other nodes report
+	// does not count: after a change of the owner it is of requests that have ended, and
+	// would leave slots free.
+	exclusiveExtra = 1
+	// modelDepth is the same as plainDepth for model engines: requests wait at the node instead,
 	// where they take the first slot that becomes free on any engine.
 	modelDepth = 1.0
 	// refusedBackoff is how long an endpoint that refused a request as full is not
@@ -86,6 +92,11 @@
 		Announce func()
 		// Draw returns uniformly distributed numbers in [0, 1); nil means math/rand.
 		Draw func() float64
+		// IntN returns uniformly distributed numbers in [0, n); nil means math/rand.
+		IntN func(n int) int
+		// SlowdownDecay is the time constant with which a reported slowdown decays to
+		// usual; 0 means 0.3 s.
+		SlowdownDecay time.Duration
 	}
 
 	// Balancer chooses endpoints. It is safe for concurrent use.
@@ -101,6 +112,8 @@
 		prefillPerToken time.Duration
 		// requests counts the requests for each service, over failureMemory.
 		requests map[string]*rates.Decayed
+		// speeds are the services of which an endpoint has reported a slowdown.
+		speeds map[string]bool
 		// brittle are the services that were brittle lately, by their Keys.
 		brittle map[uint32]brittle
 		// rounding decides whether this node rounds its shares of brittle services up:
@@ -109,6 +122,15 @@
 		roundedAt time.Time
 		// started is when the node started.
 		started time.Time
+		// scratch is memory that choices reuse, one after another.
+		scratch scratch
+	}
+
+	// scratch are lists of one choice.
+	scratch struct {
+		candidates []candidate
+		states     []*endpointState
+		failures   []float64
 	}
 
 	// Request describes the request that an endpoint is chosen for.
@@ -127,6 +149,10 @@
 		// WaitForHolder makes the request wait for an engine that holds its prompt rather than
 		// take one of the last slots of another engine.
 		WaitForHolder bool
+		// Exclusive says that all requests for the service pass through this node, so
+		// that its counts of requests in progress are exact. Only requests without a
+		// key may be exclusive.
+		Exclusive bool
 		// Objective is the time within which the answer should begin; 0 if there is
 		// none.
 		Objective time.Duration
@@ -135,6 +161,8 @@
 
 		// brittle reports whether the service is brittle.
 		brittle bool
+		// now is when the endpoint is chosen.
+		now time.Time
 	}
 
 	// Choice is the chosen endpoint and the reasons for the choice.
@@ -160,6 +188,10 @@
 		// Cold reports whether the endpoint sustains only a low request rate at
 		// present and may be slow.
 		Cold bool
+		// Slowdown is how long work probably takes at the endpoint, as a multiple of
+		// usual; 0 if it is unknown. SlowdownAge is the age of the report of it.
+		Slowdown    float64
+		SlowdownAge time.Duration
 
 		// PrefillTime is the expected time until the engine has processed the prompt,
 		// including those of other requests that come first.
@@ -171,17 +203,11 @@
 		prefill, backlog int
 	}
 
-	// decision is the candidate that was picked, if any, and what it was picked from.
-	decision struct {
-		chosen *candidate
-		all    []candidate
-		mean   means
-	}
-
 	// endpointState is what this node knows of an endpoint.
 	endpointState struct {
-		// key is the Key of the endpoint's Start.
-		key uint32
+		// key is the Key of the endpoint's Start, and idHash a hash of its ID.
+		key    uint32
+		idHash uint64
 		// service is the name of its service, and slots how many requests it runs at
 		// once, since it was chosen.
 		service string
@@ -209,10 +235,16 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.IntN == nil {
+		c.IntN = rand.IntN
+	}
+	if c.SlowdownDecay == 0 {
+		c.SlowdownDecay = defaultSlowdownDecay
+	}
 	if c.Nodes == nil {
 		c.Nodes = func() int { return 1 }
 	}
-	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, brittle: map[uint32]brittle{}, started: time.Now()}
+	return &Balancer{config: c, endpoints: map[deployment.Start]*endpointState{}, holders: newHolders(), reports: newReports(), requests: map[string]*rates.Decayed{}, speeds: map[string]bool{}, brittle: map[uint32]brittle{}, started: time.Now()}
 }
 
 // Choose chooses an endpoint and counts the request there until Release. It returns
@@ -220,6 +252,7 @@
 func (b *Balancer) Choose(now time.Time, list []*deployment.Endpoint, r Request) *Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	r.now = now
 	d := b.decide(now, list, r)
 	if d.chosen == nil {
 		return nil
@@ -231,23 +264,11 @@
 	return b.choice(now, list, r, d)
 }
 
-// decide picks an endpoint among the candidates, or none if none has room.
-func (b *Balancer) decide(now time.Time, list []*deployment.Endpoint, r Request) decision {
-	d := decision{}
-	d.all, d.mean = b.candidates(now, list, r)
-	d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
-	if d.chosen == nil && r.AllowTried {
-		r.Tried = nil
-		d.all, d.mean = b.candidates(now, list, r)
-		d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
-	}
-	return d
-}
-
 // choice returns the chosen endpoint and the reasons for the choice.
 func (b *Balancer) choice(now time.Time, list []*deployment.Endpoint, r Request, d decision) *Choice {
 	c := d.chosen
 	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: d.mean.usable, Ready: len(d.all), Cold: c.cold, Age: b.config.Loads.Age(now)}
+	choice.Slowdown, choice.SlowdownAge = b.knownSlowdown(c, now)
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
@@ -338,7 +359,7 @@
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reports.forget(now)
+	b.reports.forget(now, b.config.SlowdownDecay)
 	maps.DeleteFunc(b.brittle, func(_ uint32, s brittle) bool { return now.After(s.until) })
 	maps.DeleteFunc(b.requests, func(_ string, count *rates.Decayed) bool { return count.Get(now) < negligibleRequests })
 	for s, o := range b.endpoints {
@@ -351,7 +372,7 @@
 func (b *Balancer) state(s deployment.Start, now time.Time) *endpointState {
 	o := b.endpoints[s]
 	if o == nil {
-		o = &endpointState{key: s.Key(), warmupMargin: b.drawWarmupMargin(), failures: rates.Decayed{TimeConstant: failureMemory}}
+		o = &endpointState{key: s.Key(), idHash: hashID(s.ID), warmupMargin: b.drawWarmupMargin(), failures: rates.Decayed{TimeConstant: failureMemory}}
 		b.endpoints[s] = o
 	}
 	o.lastUsed = now
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -29,6 +29,8 @@
 	preferred bool
 	// prefill is the number of tokens that it still has to process for all nodes.
 	prefill int
+	// report is the endpoint's last report, nil if there is none.
+	report *report
 }
 
 // HasRoom reports whether an endpoint other than the tried and the cold ones has room
@@ -73,14 +75,21 @@
 // block it: that may be older than it seems, and the endpoint refuses excess requests
 // itself.
 func (r Request) blocked(now time.Time, e *deployment.Endpoint, o *endpointState, load float64) bool {
-	depth := plainDepth
-	if r.Key != "" || r.brittle {
-		depth = modelDepth
+	limit := plainDepth * float64(slots(e, r.Service))
+	switch {
+	case r.Key != "" || r.brittle:
+		limit = modelDepth * float64(slots(e, r.Service))
+	case r.limitedByOwner():
+		load, limit = float64(o.active), float64(slots(e, r.Service)+exclusiveExtra)
 	}
 	return o.health.gone || o.backoff.blocks(now) || now.Before(o.health.unreachableUntil) || now.Before(o.health.refusedUntil) || now.Before(o.health.noPlaceUntil) ||
-		load >= depth*float64(slots(e, r.Service))
+		load >= limit
 }
 
+// limitedByOwner reports whether this node's own requests at an endpoint limit it, as all
+// requests for the service pass through this node.
+func (r Request) limitedByOwner() bool { return r.Exclusive && r.Key == "" && !r.brittle }
+
 // means are the mean loads of a service's endpoints.
 type means struct {
 	// usable is the mean over the endpoints that may be sent requests; all includes
@@ -88,24 +97,27 @@
 	usable, all float64
 }
 
-// candidates returns the endpoints that may be chosen, and the mean loads.
+// candidates returns the endpoints that may be chosen, and the mean loads. The list is
+// valid until the next call.
 func (b *Balancer) candidates(now time.Time, list []*deployment.Endpoint, r Request) ([]candidate, means) {
 	states, failures := b.states(now, list)
 	r.brittle = b.isBrittle(now, r.Service.Name)
 	failing := b.failing(now, states, r.Service.Name)
-	over := r.brittle && r.Key == "" && b.overBrittleShare(now, list, states, r, failing)
+	shared := r.brittle && r.Key == "" && !r.Exclusive
+	over := shared && b.overBrittleShare(now, list, states, r, failing)
 	var total, ready, evacuated, evacuatedLoad int
-	part := xxhash.Sum64String(r.Key)
-	all := make([]candidate, 0, len(list))
+	part, reported := xxhash.Sum64String(r.Key), false
+	holding := b.holders.get(part)
+	all := slices.Grow(b.scratch.candidates[:0], len(list))
 	for i, e := range list {
 		o := states[i]
 		if e.Draining || o.health.gone {
 			continue
 		}
 		key := o.key
-		sent := b.inProgress(o)
+		sent, rep := b.inProgress(o), b.reports.latest[key]
 		// The endpoint may have reported more.
-		load := max(sent, b.reports.load(key, now))
+		load := max(sent, rep.currentLoad(now))
 		if e.Evacuated {
 			evacuated++
 			evacuatedLoad += load
@@ -116,15 +128,23 @@
 		if slices.Contains(r.Tried, e.Start()) {
 			continue
 		}
-		c := candidate{endpoint: e, key: key, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
-		full := r.brittle && r.Key == "" && (over || b.overEndpointShare(o, c.slots))
+		if rep != nil && rep.slowdown.factor > 0 {
+			reported = true
+		}
+		c := candidate{endpoint: e, key: key, report: rep, load: load, slots: slots(e, r.Service), suspect: e.Replaced || failing.avoid(i, r.Repeatable) || b.avoid(o, failures, now)}
+		full := shared && (over || b.overEndpointShare(o, c.slots))
 		c.blocked, c.cold = full || r.blocked(now, e, o, b.load(now, o, len(list), r)), b.cold(e, o, r.Service, now)
 		if r.Key != "" {
 			c.prefill = o.prefill + b.config.Loads.OthersPrefill(key)
-			c.score, c.holds = score(part, e), b.holders.has(part, key, now) && !o.backoff.active(now)
+			c.score, c.holds = scoreOf(part, o.idHash), holds(holding, key, now) && !o.backoff.active(now)
 		}
 		all = append(all, c)
 	}
+	b.scratch.candidates = all
+	if reported {
+		// The first report may have been to another node.
+		b.speeds[r.Service.Name] = true
+	}
 	return all, means{
 		usable: float64(total) / float64(max(ready, 1)),
 		all:    float64(total+evacuatedLoad) / float64(max(ready+evacuated, 1)),
@@ -147,11 +167,13 @@
 // states returns the state of each endpoint, and their mean failure rate.
 func (b *Balancer) states(now time.Time, list []*deployment.Endpoint) ([]*endpointState, float64) {
 	total := 0.0
-	states := make([]*endpointState, len(list))
-	for i, e := range list {
-		states[i] = b.state(e.Start(), now)
-		total += states[i].health.failureRate
+	states := b.scratch.states[:0]
+	for _, e := range list {
+		o := b.state(e.Start(), now)
+		states = append(states, o)
+		total += o.health.failureRate
 	}
+	b.scratch.states = states
 	return states, total / float64(max(len(list), 1))
 }
 
--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -17,6 +17,9 @@
 	// DrawTwo is a draw of two candidates, of which the one with the lower cost is
 	// chosen.
 	DrawTwo Draw = "better-of-two"
+	// DrawEqual is a draw among candidates that are equally good and better than all
+	// others, where all requests for the service pass through this node.
+	DrawEqual Draw = "equally-good"
 	// DrawCold is a draw of the cold endpoints that this node may send a request to.
 	DrawCold Draw = "cold-endpoints"
 )
@@ -80,7 +83,9 @@
 		// that counts.
 		ReportAgeMS float64 `json:"report_age_ms,omitempty"`
 		Slots       int     `json:"slots"`
-		// Cost is what a plain request compares.
+		// Cost is what a plain request compares: the load per slot or, where the
+		// service's endpoints report slowdowns, the expected time as a multiple of the
+		// usual time of the work; with a penalty for another zone.
 		Cost float64 `json:"cost,omitempty"`
 		// Rank is the position in the rendezvous order of the prompt's part, from 1.
 		Rank int `json:"rank,omitempty"`
@@ -98,9 +103,10 @@
 		Cold  bool `json:"cold,omitempty"`
 		// Blocked lists why the endpoint may not be sent anything now.
 		Blocked []Block `json:"blocked,omitempty"`
-		// SlowdownPercent is how long work currently takes there, as a percentage of
-		// usual; 0 if that is not known.
-		SlowdownPercent float64 `json:"slowdown_percent,omitempty"`
+		// Slowdown is how long work probably takes there, as a multiple of usual; 0 if
+		// that is not known. SlowdownMS is the age of the report of it, in milliseconds.
+		Slowdown   float64 `json:"slowdown,omitempty"`
+		SlowdownMS float64 `json:"slowdown_ms,omitempty"`
 	}
 
 	// Block is a reason why an endpoint may not be sent anything now.
@@ -116,7 +122,8 @@
 func (b *Balancer) Explain(now time.Time, list []*deployment.Endpoint, r Request) Explanation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	defer b.isolate(now, list)()
+	defer b.isolate(now, list, r.Service.Name)()
+	r.now = now
 	_, failures := b.states(now, list)
 	d := b.decide(now, list, r)
 	r.brittle = b.isBrittle(now, r.Service.Name)
@@ -131,7 +138,7 @@
 		}
 	}
 	drawn := b.drawn(&x, d, r)
-	if d.chosen != nil && x.Draw != DrawTwo {
+	if d.chosen != nil && x.Draw != DrawTwo && x.Draw != DrawEqual {
 		choice := b.choice(now, list, r, d)
 		x.Chosen, x.NearlyFull, x.PrefillMS = choice.Endpoint.ID, choice.NearlyFull, 1000*choice.PrefillTime.Seconds()
 		if choice.Source != nil {
@@ -149,9 +156,12 @@
 
 // isolate replaces the state that a decision on some endpoints may change by a copy,
 // and returns a function that restores it. Random numbers are replaced by 0, with
-// which no cold endpoint is admitted.
-func (b *Balancer) isolate(now time.Time, list []*deployment.Endpoint) (restore func()) {
-	endpoints, config, roundedAt := b.endpoints, b.config, b.roundedAt
+// which no cold endpoint is admitted. The memory that choices reuse is not copied: no
+// list in it outlasts the lock.
+func (b *Balancer) isolate(now time.Time, list []*deployment.Endpoint, service string) (restore func()) {
+	endpoints, config, roundedAt, speeds := b.endpoints, b.config, b.roundedAt, b.speeds
+	b.speeds = map[string]bool{service: speeds[service]}
+	b.config.IntN = func(int) int { return 0 }
 	copies := make(map[deployment.Start]*endpointState, len(list))
 	for _, e := range list {
 		if o := endpoints[e.Start()]; o != nil {
@@ -162,7 +172,7 @@
 	b.endpoints, b.config.Draw = copies, func() float64 { return 0 }
 	// The share of a brittle service keeps its last rounding.
 	b.roundedAt = now
-	return func() { b.endpoints, b.config, b.roundedAt = endpoints, config, roundedAt }
+	return func() { b.endpoints, b.config, b.roundedAt, b.speeds = endpoints, config, roundedAt, speeds }
 }
 
 // count counts the endpoints of a list that are no candidates, by the first reason.
@@ -188,8 +198,12 @@
 		if len(healthy) == 0 {
 			healthy = suspects
 		}
+		draw := DrawTwo
+		if r.Exclusive {
+			draw, healthy = DrawEqual, b.equallyGood(healthy, r)
+		}
 		if len(healthy) > 1 {
-			x.Draw = DrawTwo
+			x.Draw = draw
 			for _, c := range healthy {
 				keys[c.key] = true
 			}
@@ -207,6 +221,14 @@
 	return keys
 }
 
+// equallyGood returns the candidates among which leastLoaded takes turns.
+func (b *Balancer) equallyGood(list []*candidate, r Request) []*candidate {
+	best := b.leastLoaded(list, r)
+	return slices.DeleteFunc(list, func(c *candidate) bool {
+		return b.plainLoad(c, r) > b.plainLoad(best, r) || b.plainCost(c, r) > b.plainCost(best, r)
+	})
+}
+
 // best returns the candidates, the chosen one and those that are drawn from first,
 // then by what precedes in a choice.
 func (b *Balancer) best(d decision, drawn map[uint32]bool, r Request) []*candidate {
@@ -220,7 +242,7 @@
 		e := entry{candidate: &d.all[i], class: 2}
 		e.preferred = e.prefers(d.mean)
 		switch {
-		case d.chosen != nil && e.key == d.chosen.key && r.Key != "":
+		case d.chosen != nil && e.key == d.chosen.key && (r.Key != "" || r.Exclusive):
 			e.class = 0
 		case drawn[e.key]:
 			e.class = 1
@@ -230,7 +252,7 @@
 			e.class = 3
 		}
 		if r.Key == "" {
-			e.cost = b.plainCost(e.candidate)
+			e.cost = b.plainCost(e.candidate, r)
 		}
 		list[i] = e
 	}
@@ -264,8 +286,10 @@
 	if e.Reported > 0 {
 		e.ReportAgeMS = 1000 * now.Sub(b.reports.latest[o.key].at).Seconds()
 	}
+	slowdown, age := b.knownSlowdown(c, now)
+	e.Slowdown, e.SlowdownMS = slowdown, 1000*age.Seconds()
 	if r.Key == "" {
-		e.Cost = b.plainCost(c)
+		e.Cost = b.plainCost(c, r)
 	} else {
 		choice := Choice{}
 		b.estimatePrefill(&choice, c, r)
@@ -296,7 +320,11 @@
 	} else {
 		add("trial-after-backoff", endpointState{backoff: o.backoff}, none, o.backoff.lastSent.Add(trialInterval))
 	}
-	add("full", endpointState{}, load, now)
+	if r.limitedByOwner() {
+		add("owner-limit", endpointState{active: o.active}, none, now)
+	} else {
+		add("full", endpointState{}, load, now)
+	}
 	if len(list) == 0 {
 		// What candidates adds to blocked: the share of a brittle service.
 		list = []Block{{Reason: "brittle-share"}}
--- a/internal/balance/explain_test.go
+++ b/internal/balance/explain_test.go
@@ -161,12 +161,20 @@
 		name    string
 		arrange func(b *balance.Balancer)
 		load    int
-		want    []string
+		// exclusive says that all requests pass through this node.
+		exclusive bool
+		want      []string
 	}{
 		{name: "full", load: 32, want: []string{"full"}},
 		{name: "unreachable", arrange: func(b *balance.Balancer) { fail(b, now, balance.Unreachable) }, want: []string{"unreachable"}},
 		{name: "refused, and full", arrange: func(b *balance.Balancer) { fail(b, now, balance.Refused) }, load: 31, want: []string{"refused"}},
 		{name: "reservation refused", arrange: func(b *balance.Balancer) { fail(b, now, balance.ReservationRefused) }, want: []string{"reservation-refused"}},
+		{name: "full by the requests of the owner", exclusive: true, arrange: func(b *balance.Balancer) {
+			for b.Choose(now, endpoints(1), balance.Request{Exclusive: true}) != nil {
+				continue
+			}
+		}, want: []string{"owner-limit"}},
+		{name: "backoff of an owner", exclusive: true, load: 90, arrange: func(b *balance.Balancer) { b.Backoff(now, startOf("e0"), time.Second) }, want: []string{"backoff"}},
 		{name: "backoff", arrange: func(b *balance.Balancer) { b.Backoff(now, startOf("e0"), time.Second) }, want: []string{"backoff"}},
 	}
 	for _, c := range cases {
@@ -175,7 +183,7 @@
 			if c.arrange != nil {
 				c.arrange(b)
 			}
-			x := b.Explain(now, endpoints(1), balance.Request{})
+			x := b.Explain(now, endpoints(1), balance.Request{Exclusive: c.exclusive})
 			var got []string
 			for _, block := range x.Candidates[0].Blocked {
 				got = append(got, block.Reason)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,10 +2,33 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
+// decision is the candidate that was picked, if any, and what it was picked from.
+type decision struct {
+	chosen *candidate
+	all    []candidate
+	mean   means
+}
+
+// decide picks an endpoint among the candidates, or none if none has room. The decision
+// is valid until the next call of candidates.
+func (b *Balancer) decide(now time.Time, list []*deployment.Endpoint, r Request) decision {
+	d := decision{}
+	d.all, d.mean = b.candidates(now, list, r)
+	d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	if d.chosen == nil && r.AllowTried {
+		r.Tried = nil
+		d.all, d.mean = b.candidates(now, list, r)
+		d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	}
+	return d
+}
+
 func (b *Balancer) pick(all []candidate, m means, r Request) *candidate {
 	if r.Key != "" {
 		c := b.pickKeyed(all, m, r)
@@ -14,7 +37,7 @@
 		}
 		return c
 	}
-	return b.pickPlain(all)
+	return b.pickPlain(all, r)
 }
 
 // pickKeyed takes the first endpoint of the key's rendezvous order that is under the
@@ -85,10 +108,13 @@
 
 // pickPlain takes the better of two random endpoints, by load per slot. If nodes took
 // the least loaded of all, all would take the same one until they next hear from each
-// other.
-func (b *Balancer) pickPlain(all []candidate) *candidate {
+// other. Where all requests pass through this node, it takes the least loaded of all.
+func (b *Balancer) pickPlain(all []candidate, r Request) *candidate {
 	healthy, suspects := usable(all)
-	return cmp.Or(b.lessLoadedOfTwo(healthy), b.lessLoadedOfTwo(suspects))
+	if r.Exclusive {
+		return cmp.Or(b.leastLoaded(healthy, r), b.leastLoaded(suspects, r))
+	}
+	return cmp.Or(b.lessLoadedOfTwo(healthy, r), b.lessLoadedOfTwo(suspects, r))
 }
 
 // usable returns the candidates that may be sent a request now, the suspect ones apart.
@@ -107,25 +133,53 @@
 }
 
 // lessLoadedOfTwo draws two candidates and returns the one with the lower cost.
-func (b *Balancer) lessLoadedOfTwo(list []*candidate) *candidate {
+func (b *Balancer) lessLoadedOfTwo(list []*candidate, r Request) *candidate {
 	if len(list) < 2 {
 		return slices.Concat(list, []*candidate{nil})[0]
 	}
-	i := rand.IntN(len(list))
-	j := rand.IntN(len(list) - 1)
+	i := b.config.IntN(len(list))
+	j := b.config.IntN(len(list) - 1)
 	if j >= i {
 		j++
 	}
-	if b.plainCost(list[j]) < b.plainCost(list[i]) {
+	if b.plainCost(list[j], r) < b.plainCost(list[i], r) {
 		return list[j]
 	}
 	return list[i]
 }
 
-func (b *Balancer) plainCost(c *candidate) float64 {
-	cost := float64(c.load) / float64(c.slots)
+// leastLoaded returns the candidate with the lowest load, nil if there is none.
+// Of several, one in this node's zone is preferred; the search starts at a random one,
+// so that they take turns.
+func (b *Balancer) leastLoaded(list []*candidate, r Request) *candidate {
+	var best *candidate
+	if len(list) == 0 {
+		return nil
+	}
+	offset := b.config.IntN(len(list))
+	for i := range list {
+		c := list[(offset+i)%len(list)]
+		if best == nil || cmp.Or(cmp.Compare(b.plainLoad(c, r), b.plainLoad(best, r)), cmp.Compare(b.plainCost(c, r), b.plainCost(best, r))) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+// plainCost is the load, plus the penalty for another availability zone.
+func (b *Balancer) plainCost(c *candidate, r Request) float64 {
+	cost := b.plainLoad(c, r)
 	if c.endpoint.Zone != b.config.Zone {
 		cost += crossZoneCost
 	}
 	return cost
 }
+
+// plainLoad is the load per slot or, where the service's endpoints report slowdowns, the
+// expected time.
+func (b *Balancer) plainLoad(c *candidate, r Request) float64 {
+	if b.speeds[r.Service.Name] {
+		return b.expectedTime(c, r.now)
+	}
+	return float64(c.load) / float64(c.slots)
+}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -92,9 +92,9 @@
 		// Service is the one that is explained, of Split.
 		Service string           `json:"service,omitempty"`
 		Split   []ExplainedShare `json:"split,omitempty"`
-		// Owner is the node through which all requests for the service pass; empty if
-		// it has no owner.
-		Owner string `json:"owner,omitempty"`
+		// Owner is the node through which all requests for the service pass; nil if it
+		// has no owner.
+		Owner *ExplainedOwner `json:"owner,omitempty"`
 		// Reached reports whether this node reaches the service.
 		Reached bool `json:"reached"`
 		// BodyUnknown reports that the request was not looked up among those that end
@@ -146,16 +146,22 @@
 		Priority int    `json:"priority"`
 	}
 
-	// queueExplainer is a queue that can say what it would do with a request.
-	queueExplainer interface {
-		Explain(now time.Time, r admission.Request) admission.Explanation
+	// ExplainedOwner is the owner of a service.
+	ExplainedOwner struct {
+		// Name is the node's name, empty if the service has no owner.
+		Name string `json:"name"`
+		// Self reports whether that is the node that explains the request, and Asked
+		// whether the request would be offered to it if it is another one.
+		Self  bool `json:"this_node"`
+		Asked bool `json:"asked"`
 	}
 
-	// ownerNamer is implemented by Handovers that know the owners of services.
-	ownerNamer interface {
-		// Owner returns the name of the node that owns a service, empty if none does,
-		// and whether that is another node.
-		Owner(service string) (node string, other bool)
+	// ownerExplainer is implemented by Owners that can say what they would do.
+	ownerExplainer interface {
+		// ExplainOwner returns the owner of a service, and whether a request that may
+		// run in some regions only, if any are given, would be offered to it. It
+		// changes and counts nothing.
+		ExplainOwner(now time.Time, service string, regions []string) ExplainedOwner
 	}
 )
 
--- a/internal/gateway/explain_call.go
+++ b/internal/gateway/explain_call.go
@@ -18,14 +18,10 @@
 	list := c.endpoints()
 	x.Service, x.Endpoints, x.Reached = c.service.Name, len(list), h.Reach.Reaches(c.service.Name)
 	x.Outcome = OutcomeWaits
-	offered := c.mayHandOver()
-	if o, ok := h.Handovers.(ownerNamer); ok {
-		var other bool
-		x.Owner, other = o.Owner(c.service.Name)
-		offered = offered || other
-	}
-	c.explainChoice(now, x, list)
-	queue := c.handler.explainer(c.service.Name).Explain(now, c.admissionRequest())
+	owned := c.explainOwner(now, x)
+	offered := c.mayHandOver() || x.Owner != nil && x.Owner.Asked
+	c.explainChoice(now, x, list, owned)
+	queue := c.explainQueue(now, owned)
 	x.Queue = &queue
 	isolated := c.explainIsolation(x)
 	c.explainRejections(now, x, list)
@@ -37,25 +33,47 @@
 		return
 	}
 	tries := queue.MayTry && !x.WaitsForHolder
+	if c.cost != nil && queue.Rejected != "" {
+		// It looks for any slot before it is refused.
+		tries = true
+	}
 	switch {
 	case tries && x.Choice.Draw == balance.DrawCold:
 		x.Outcome = OutcomeMaySend
 	case tries && (x.Choice.Chosen != "" || x.Choice.Draw != ""):
 		x.Outcome = OutcomeSent
 	case queue.Rejected == admission.RejectedExcess:
-		x.reject(c.giveUp(reasonExcess), "places are scarce, and the account sends far more than usual")
+		x.reject(c.rejected(reasonExcess, queue), "places are scarce, and the account sends far more than usual")
 	case queue.Rejected != "":
-		x.reject(c.giveUp(reasonFull), "no slot is expected to be free in time")
+		x.reject(c.rejected(reasonFull, queue), "no slot is expected to be free in time")
 	}
 }
 
+// explainOwner adds the owner of the service, and reports whether that is this node.
+func (c *call) explainOwner(now time.Time, x *Explanation) (owned bool) {
+	o, ok := c.handler.config.Owners.(ownerExplainer)
+	if !ok {
+		return c.exclusive()
+	}
+	var regions []string
+	if c.residency.restricted {
+		regions = c.residency.regions
+	}
+	found := o.ExplainOwner(now, c.service.Name, regions)
+	if found.Name == "" {
+		return false
+	}
+	x.Owner = &found
+	return found.Self
+}
+
 // explainChoice adds the choice of an endpoint. If the request would first wait for an
 // engine that holds its prompt, it is the choice after that.
-func (c *call) explainChoice(now time.Time, x *Explanation, list []*deployment.Endpoint) {
+func (c *call) explainChoice(now time.Time, x *Explanation, list []*deployment.Endpoint, owned bool) {
 	b := c.handler.config.Balancer
-	choice := b.Explain(now, list, c.balanceRequest(true))
+	choice := b.Explain(now, list, c.balanceRequest(true, owned))
 	if choice.Chosen == "" && choice.Draw == "" && c.promptKey != "" {
-		if later := b.Explain(now, list, c.balanceRequest(false)); later.Chosen != "" || later.Draw != "" {
+		if later := b.Explain(now, list, c.balanceRequest(false, owned)); later.Chosen != "" || later.Draw != "" {
 			choice, x.WaitsForHolder = later, true
 		}
 	}
@@ -95,14 +113,32 @@
 	}
 }
 
-// explainer returns the queue of a service, an empty one if it has none yet.
-func (h *Handler) explainer(service string) queueExplainer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if q := h.queues[service]; q != nil {
-		return q
-	}
-	return admission.NewQueue()
+// explainQueue returns what the queue of the service would do with the request; an empty
+// one if the service has none yet.
+func (c *call) explainQueue(now time.Time, owned bool) admission.Explanation {
+	shares, cost := c.handler.queues.known(c.service.Name)
+	if !c.handler.config.CostOrder.applies(func() bool { return owned }) {
+		if shares == nil {
+			shares = admission.NewQueue()
+		}
+		c.waitQueue = shares
+		return shares.Explain(now, c.admissionRequest())
+	}
+	if cost == nil {
+		cost = newCostQueue()
+	}
+	c.waitQueue, c.cost = cost, cost
+	c.work = cost.work.Work(c.route.Name, c.admissionRequest().Tokens)
+	return cost.Explain(now, c.admissionRequest())
+}
+
+// rejected returns the refusal of a request that the queue rejects.
+func (c *call) rejected(reason string, x admission.Explanation) *refusal {
+	ref := c.giveUp(reason)
+	if c.cost != nil && ref.retryAfter > 0 {
+		ref.retryAfter = time.Duration(x.RetryAfterMS * float64(time.Millisecond))
+	}
+	return ref
 }
 
 // explainedService returns the service that is explained: one of the route's.
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -180,19 +180,29 @@
 	require.Equal(t, "shares", x.Queue.Order)
 }
 
-// ownedElsewhere is a Handovers by which another node owns each service.
-type ownedElsewhere struct{}
+// ownedElsewhere is an Owners by which another node owns each service, and which counts
+// offers.
+type ownedElsewhere struct {
+	asked  bool
+	offers int
+}
 
-// Offer implements gateway.Handovers: there is no other node.
-func (ownedElsewhere) Offer(context.Context, *handover.Offer, []string) (string, *handover.Exchange, error) {
+// Offer implements gateway.Owners.
+func (o *ownedElsewhere) Offer(context.Context, *handover.Offer, []string) (string, *handover.Exchange, error) {
+	o.offers++
 	return "", nil, nil
 }
 
-// Done implements gateway.Handovers.
-func (ownedElsewhere) Done(string, *handover.Exchange) {}
+// Done implements gateway.Owners.
+func (*ownedElsewhere) Done(string, *handover.Exchange) {}
+
+// Lost implements gateway.Owners.
+func (*ownedElsewhere) Lost(string) bool { return false }
 
-// Owner returns the owner of a service.
-func (ownedElsewhere) Owner(string) (node string, other bool) { return "n7", true }
+// ExplainOwner returns the owner of a service.
+func (o *ownedElsewhere) ExplainOwner(time.Time, string, []string) gateway.ExplainedOwner {
+	return gateway.ExplainedOwner{Name: "n7", Asked: o.asked}
+}
 
 // TestExplainedOwner guards against an explanation by a node that is not the owner
 // which shows its own choice as the outcome.
@@ -203,21 +213,29 @@
 	}
 	config.Index()
 	d := staticDeployment{snapshot: &deployment.Snapshot{Config: config, Endpoints: map[string][]*deployment.Endpoint{"s": {{ID: "e0", Service: "s", Slots: 4}}}}}
+	o := &ownedElsewhere{asked: true}
 	h := gateway.New(gateway.Config{
-		Headers: headers(), Deployment: d, Handovers: ownedElsewhere{}, Balancer: balance.New(balance.Config{Loads: noLoads{}}),
+		Headers: headers(), Deployment: d, Owners: o, Balancer: balance.New(balance.Config{Loads: noLoads{}}),
 		Crashes: crash.NewTracker(crash.Config{Deployment: d}), Metrics: gateway.NewMetrics(),
 	})
 	x, err := h.Explain(time.Now(), gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet})
 	require.NoError(t, err)
 	require.Equal(t, gateway.OutcomeOffered, x.Outcome)
-	require.Equal(t, "n7", x.Owner)
+	require.Equal(t, &gateway.ExplainedOwner{Name: "n7", Asked: true}, x.Owner)
 	require.Equal(t, "e0", x.Choice.Chosen, "what this node would choose if the owner did not take it")
 
+	o.asked = false
+	x, err = h.Explain(time.Now(), gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet})
+	require.NoError(t, err)
+	require.Equal(t, gateway.OutcomeSent, x.Outcome, "the owner was silent a moment ago")
+	o.asked = true
+
 	d.snapshot.Endpoints["s"][0].Draining = true
 	x, err = h.Explain(time.Now(), gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet})
 	require.NoError(t, err)
 	require.Equal(t, gateway.OutcomeOffered, x.Outcome, "the owner may know another endpoint")
 	require.Equal(t, "endpoints-leaving", x.Rejections[0].Reason)
+	require.Zero(t, o.offers, "an explanation offers nothing")
 }
 
 // TestExplainQueries guards against invalid queries that are answered as something
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -22,6 +23,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/budget"
 	"bulrushhinge.example/bulrushhinge/internal/crash"
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
@@ -66,9 +68,12 @@
 		crashes   *crash.Tracker
 		handler   *gateway.Handler
 		balancer  *balance.Balancer
-		metrics   *gateway.Metrics
 		// left are the endpoints that have sent a leave notice.
-		left []string
+		left    []string
+		metrics *gateway.Metrics
+		// logged has the lines of log once that is closed.
+		log    *decision.Log
+		logged bytes.Buffer
 	}
 
 	// response is what a caller got.
@@ -113,11 +118,23 @@
 func headers() gateway.Headers {
 	return gateway.Headers{
 		RequestID: id, Deadline: "Deadline-Ms", APIKey: "Api-Key", Account: "Account", ExpectEndpoint: "Expect-Endpoint",
-		Load: "Load", NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", PromptParts: promptParts, Tokens: "Tokens",
+		Load: "Load", EndpointLoad: endpointLoad, NotRun: "Not-Run", Seal: seal, Prompt: "Prompt", PromptParts: promptParts, Tokens: "Tokens",
 		Leaving: leaving, RetryAfter: retryAfter, Brittle: brittle, Model: "Model", Priority: "Priority", LastEventID: "Last-Event-Id", FetchFrom: "Fetch", Reservation: reserved, Internal: []string{"Fetch", "Account"},
 	}
 }
 
+// endpointLoad reads two to four numbers.
+func endpointLoad(header string) (gateway.EndpointLoad, error) {
+	var l gateway.EndpointLoad
+	percent := 0
+	n, err := fmt.Sscanf(header, "%d,%d,%d,%d", &l.Running, &l.Waiting, &l.Slots, &percent)
+	if n < 2 {
+		return gateway.EndpointLoad{}, err
+	}
+	l.Slowdown = float64(percent) / 100
+	return l, nil
+}
+
 // promptParts reads parts that are written as ID:TOKENS.
 func promptParts(prompt string) iter.Seq[gateway.Part] {
 	return func(yield func(gateway.Part) bool) {
@@ -282,8 +299,10 @@
 	d := staticDeployment{snapshot: f.snapshot, left: &f.left}
 	f.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
 	f.balancer, f.metrics = balance.New(balance.Config{Loads: loads}), gateway.NewMetrics()
+	f.log = decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
+	t.Cleanup(f.log.Close)
 	f.handler = gateway.New(gateway.Config{
-		Headers: headers(), Deployment: d, Pool: pool, Reserver: places,
+		Headers: headers(), Deployment: d, Pool: pool, Reserver: places, Log: f.log,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: f.balancer,
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/decision"
@@ -17,11 +18,17 @@
 	maxOffers = 3
 	// nobodyTime is how long after that no other node is offered the request.
 	nobodyTime = 200 * time.Millisecond
+	// ownerCheckInterval is how often it is checked whether the owner that has a request
+	// is lost: about the time after which another offer to it counts as not answered.
+	ownerCheckInterval = 250 * time.Millisecond
 	// hopMargin is how much sooner the node that runs a request ends it than the one
 	// that has handed it over, so that its reason gets there.
 	hopMargin = 10 * time.Millisecond
 )
 
+// ownReasons are the reasons of refusals that hold for the refusing node only.
+var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}
+
 type (
 	// Handovers hands requests over to other nodes.
 	Handovers interface {
@@ -33,10 +40,27 @@
 		Done(peer string, x *handover.Exchange)
 	}
 
+	// Owners hands requests over to the owners of their services.
+	Owners interface {
+		// Offer offers a request to the owner of its service, if that is another node
+		// in some regions, if any are given, which may be asked now. It returns the
+		// owner's name, empty if there is none. An error means that the owner has not
+		// taken the request.
+		Offer(ctx context.Context, o *handover.Offer, regions []string) (peer string, x *handover.Exchange, err error)
+		// Done ends a request that an owner had taken.
+		Done(peer string, x *handover.Exchange)
+		// Lost reports whether an owner no longer answers.
+		Lost(peer string) bool
+	}
+
 	// hop is a request at another node.
 	hop struct {
-		peer    string
-		started time.Time
+		peer string
+		// owner says that the other node is the owner of the service.
+		owner bool
+		// answered is set once the response has begun.
+		answered atomic.Bool
+		started  time.Time
 		// first is the time until the first part of the response.
 		first time.Duration
 		cause string
@@ -53,7 +77,7 @@
 // handOver has another node serve the request, and reports whether one has taken it.
 func (c *call) handOver(ctx context.Context) (res result, ref *refusal, taken bool) {
 	for range maxOffers {
-		peer, x, err := c.offer(ctx)
+		peer, x, err := c.offer(ctx, c.handler.config.Handovers, false)
 		if peer == "" || err != nil && ctx.Err() != nil {
 			break
 		}
@@ -74,14 +98,78 @@
 	return 0, nil, false
 }
 
-// offer offers the request to another node.
-func (c *call) offer(ctx context.Context) (peer string, x *handover.Exchange, err error) {
+// mayAskOwner reports whether the request should be offered to the owner of its service.
+// That happens once: after an owner has not taken it, or has broken off, it runs here.
+func (c *call) mayAskOwner() bool {
+	return c.handler.config.Owners != nil && c.handed == nil && !c.progress.askedOwner
+}
+
+// handToOwner has the owner of the service serve the request, and reports whether it has
+// taken it. What the owner refuses because of a shortage is refused: it sees all
+// requests for the service, so that no other node has a better place.
+func (c *call) handToOwner(ctx context.Context) (res result, ref *refusal, taken bool) {
+	owners := c.handler.config.Owners
+	exchange, abandon := context.WithCancel(ctx)
+	defer abandon()
+	peer, x, err := c.offer(exchange, owners, true)
+	if peer == "" {
+		return 0, nil, false
+	}
+	c.progress.askedOwner = true
+	if err != nil {
+		if ctx.Err() != nil {
+			return 0, c.giveUp(reasonTimeout), true
+		}
+		return 0, nil, false
+	}
+	a := &hop{peer: peer, owner: true, started: time.Now()}
+	if c.canRetry() {
+		defer c.watchOwner(exchange, a, abandon).Stop()
+	}
+	res, ref = c.follow(ctx, a, x)
+	owners.Done(peer, x)
+	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
+		return 0, nil, false
+	}
+	return res, ref, true
+}
+
+// watchOwner abandons an owner that is lost before its response begins, as a paused one
+// is: the request may be repeated here. An owner that answers other offers is only slow.
+func (c *call) watchOwner(ctx context.Context, a *hop, abandon func()) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(c.route.Timeout, func() {
+		switch {
+		case ctx.Err() != nil || a.answered.Load():
+		case c.handler.config.Owners.Lost(a.peer):
+			abandon()
+		default:
+			timer.Reset(ownerCheckInterval)
+		}
+	})
+	timer.Reset(ownerCheckInterval)
+	return timer
+}
+
+// mayRunHere reports whether this node may run a request that the owner has refused: it
+// may run, or run again, and the reason was the owner's own. The owner has taken a retry
+// from the budget for each run that broke.
+func (c *call) mayRunHere(r *refusal) bool {
+	if c.progress.started || c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
+		return false
+	}
+	return slices.Contains(ownReasons[:], r.reason)
+}
+
+// offer offers the request to another node, which is the owner of its service or another
+// one that reaches it.
+func (c *call) offer(ctx context.Context, to Handovers, owner bool) (peer string, x *handover.Exchange, err error) {
 	began, p := time.Now(), &c.progress
 	var regions []string
 	if c.residency.restricted {
 		regions = c.residency.regions
 	}
-	peer, x, err = c.handler.config.Handovers.Offer(ctx, &handover.Offer{
+	peer, x, err = to.Offer(ctx, &handover.Offer{
 		Method: c.in.Method, URI: c.in.RequestURI, Host: c.in.Host, Header: c.in.Header, Size: int64(len(c.body)),
 		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started),
 		Progress: handover.Progress{
@@ -90,7 +178,7 @@
 		},
 	}, regions)
 	if err != nil {
-		c.logHop(&hop{peer: peer, started: began, cause: err.Error()}, resultNotSent)
+		c.logHop(&hop{peer: peer, owner: owner, started: began, cause: err.Error()}, resultNotSent)
 	}
 	return peer, x, err
 }
@@ -113,6 +201,7 @@
 		}
 		if a.first == 0 {
 			a.first = time.Since(a.started)
+			a.answered.Store(true)
 		}
 		if f.Refusal != nil {
 			if f.Refusal.Runs == 0 {
@@ -177,7 +266,7 @@
 	if c.progress.started || c.progress.runs > 0 {
 		return false
 	}
-	return slices.Contains([]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}, r.reason)
+	return slices.Contains(ownReasons[:], r.reason)
 }
 
 // serviceName returns the service that the request goes to: the one that the node
@@ -191,11 +280,14 @@
 
 // logHop logs and counts a request that was offered to another node.
 func (c *call) logHop(a *hop, res result) {
-	c.handler.config.Metrics.handedOver(res, time.Since(a.started))
+	c.handler.config.Metrics.handedOver(a, res)
 	f := decision.Fields{
 		"service": c.service.Name, "peer": a.peer, "result": res.String(), "took_ms": time.Since(a.started).Milliseconds(),
 		"first_ms": a.first.Milliseconds(),
 	}
+	if a.owner {
+		f["owner"] = true
+	}
 	if a.cause != "" {
 		f["cause"] = a.cause
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -60,6 +60,11 @@
 // try tries one endpoint, or has another node serve the request.
 func (c *call) try(ctx context.Context) (result, *refusal) {
 	for {
+		if c.mayAskOwner() {
+			if res, ref, taken := c.handToOwner(ctx); taken {
+				return res, ref
+			}
+		}
 		if c.mayHandOver() {
 			if res, ref, taken := c.handOver(ctx); taken {
 				return res, ref
@@ -136,10 +141,17 @@
 // otherHasRoom reports whether an endpoint other than s has room for the call.
 func (c *call) otherHasRoom(s deployment.Start) bool {
 	return c.handler.config.Balancer.HasRoom(time.Now(), c.endpoints(), balance.Request{
-		Service: c.service, Key: c.promptKey, Tried: append(slices.Clone(c.progress.tried), s),
+		Service: c.service, Key: c.promptKey, Tried: append(slices.Clone(c.progress.tried), s), Exclusive: c.exclusive(),
 	})
 }
 
+// exclusive reports whether all requests for the call's service pass through this node.
+func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
+
+// owned reports whether another node has handed the request over while services may have
+// owners.
+func (c *call) owned() bool { return c.handed != nil && c.handler.config.Owners != nil }
+
 // callerGone reports whether the caller has disconnected.
 func (c *call) callerGone() bool { return c.in.Context().Err() != nil }
 
@@ -150,7 +162,7 @@
 	defer func() {
 		c.handler.config.Balancer.PrefillDone(time.Now(), choice, 0)
 		c.handler.config.Balancer.Release(time.Now(), choice.Endpoint.Start(), a.outcome)
-		c.queue().StartRound(time.Now())
+		c.released(time.Now(), time.Since(a.started), a.outcome == balance.Served)
 		c.handler.config.Metrics.attempted(a, res)
 		c.log("attempt", a.fields(res))
 	}()
