Send nothing to endpoints once the caller's time is over, by the clock

A node that was paused for 2.9 s as the owner of a service ran a request 2.6 s after its caller's time was over: the caller had got 504 from the node that had handed it over. The log shows one attempt that failed at once as its connection timed out, and a second one on a kept connection: the timer of the request's context had not fired yet, though the clock was past the deadline. The clock is now asked as the last question before each send, and before each retry.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -54,11 +54,16 @@
 }
 
 // maySend returns the last question before a request is sent to an endpoint. Slots are
-// reserved and connections opened after the endpoint was chosen.
+// reserved and connections opened after the endpoint was chosen. A process that was
+// paused meanwhile resumes before the timers of its contexts fire, so that the clock
+// decides whether the caller still waits.
 func (c *call) maySend(e *deployment.Endpoint) func() bool {
-	return func() bool { return c.isolated() == nil && c.available(e) }
+	return func() bool { return c.isolated() == nil && c.available(e) && !c.overdue() }
 }
 
+// overdue reports whether the caller no longer waits for a response.
+func (c *call) overdue() bool { return !time.Now().Before(c.deadline) }
+
 // recordBreak records a run that ended without a complete response, as the endpoint
 // may have ended with it.
 func (a *attempt) recordBreak(err error) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -66,6 +66,8 @@
 		endpoints []*endpoint
 		snapshot  *deployment.Snapshot
 		crashes   *crash.Tracker
+		// dialer opens the connections to endpoints; nil is the pool's own.
+		dialer http1.Dialer
 		// left are the endpoints that have sent a leave notice.
 		left    []string
 		metrics *gateway.Metrics
@@ -293,7 +295,7 @@
 			ID: fmt.Sprintf("e%d", i), Service: "s", Slots: 4, Addr: netip.MustParseAddrPort(e.listener.Addr().String()),
 		})
 	}
-	pool := http1.NewPool(http1.PoolConfig{RequestID: id})
+	pool := http1.NewPool(http1.PoolConfig{RequestID: id, Dialer: f.dialer})
 	d := staticDeployment{snapshot: f.snapshot, left: &f.left}
 	f.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
 	f.metrics, f.log = gateway.NewMetrics(), decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -111,7 +111,7 @@
 		c.progress.runs++
 		c.progress.reason = reasonBroken
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || c.overdue() {
 		return c.giveUp(reasonTimeout)
 	}
 	if res == resultCut {
