--- a/gateway.go
+++ b/gateway.go
@@ -260,11 +260,7 @@
 
 // Resolve returns the addresses of nodes for a caller, and their TTL.
 func (g *Gateway) Resolve(c gateway.Caller) ([]netip.AddrPort, time.Duration) {
-	var regions []string
-	if config := g.state.Snapshot().Config; config != nil {
-		regions = config.Regions(c.Host)
-	}
-	all := gateway.Nearest(c, g.callerNodes(), g.config.Regions, regions)
+	all := g.nearest(c)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxAddresses)], min(addressTTL, cmp.Or(g.config.AddressTTL, addressTTL))
 }
@@ -313,7 +309,7 @@
 		"endpoints": snap.Endpoints, "evacuated": snap.Evacuated, "members": g.gossip.View().Alive, "store_age": age.String(), "store_known": known,
 		"loads": g.balancer.Active(), "loads_age": g.gossip.Age(time.Now()).String(), "slowdowns": g.balancer.SlowdownsByID(time.Now()), "relayed": g.gossip.Relayed(), "dropped": g.log.Dropped(),
 		"isolated": g.crashes.List(time.Now()), "refusing": g.crashes.Refusing(time.Now()), "lost_services": g.reach.Lost(), "handed_over": g.handovers.chooser.Active(),
-		"owners": g.owners.dump(),
+		"owners": g.owners.dump(), "queues": g.handler.Queues(),
 	}
 }
 
@@ -370,6 +366,7 @@
 		g.storeMetrics.Write(w)
 	})
 	operators.HandleFunc("GET /state", g.serveState)
+	operators.HandleFunc("GET /explain", g.serveExplain)
 	operators.HandleFunc("DELETE /crashes/{print}", g.crashes.ServeClear)
 	// The listener enforces the timeouts, as they follow the configuration.
 	g.callers = &http.Server{Handler: g.handler, MaxHeaderBytes: maxHeaderBytes}
--- a/handover.go
+++ b/handover.go
@@ -56,6 +56,15 @@
 	return list
 }
 
+// nearest returns the addresses of the nodes that a caller should use.
+func (g *Gateway) nearest(c gateway.Caller) []netip.AddrPort {
+	var regions []string
+	if config := g.state.Snapshot().Config; config != nil {
+		regions = config.Regions(c.Host)
+	}
+	return gateway.Nearest(c, g.callerNodes(), g.config.Regions, regions)
+}
+
 // inRegions reports whether an availability zone is in one of some regions, or none are
 // given.
 func (g *Gateway) inRegions(zone string, regions []string) bool {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -253,24 +253,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.now = now
-	all, mean := b.candidates(now, list, r)
-	c := b.pickWarmFirst(all, mean, r, now)
-	if c == nil && r.AllowTried {
-		r.Tried = nil
-		all, mean = b.candidates(now, list, r)
-		c = b.pickWarmFirst(all, mean, r, now)
-	}
-	if c == nil {
+	d := b.decide(now, list, r)
+	if d.chosen == nil {
 		return nil
 	}
-	o := b.endpoints[c.endpoint.Start()]
+	o := b.endpoints[d.chosen.endpoint.Start()]
 	o.active++
-	o.service, o.slots = c.endpoint.Service, c.slots
+	o.service, o.slots = d.chosen.endpoint.Service, d.chosen.slots
 	o.backoff.lastSent = now
-	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: mean.usable, Ready: len(all), Cold: c.cold, Age: b.config.Loads.Age(now)}
-	if rep := c.report; rep != nil && rep.slowdown.factor > 0 && !b.expired(rep.slowdown, now) {
-		choice.Slowdown, choice.SlowdownAge = b.decayed(rep.slowdown, now), now.Sub(rep.slowdown.at)
-	}
+	return b.choice(now, list, r, d)
+}
+
+// choice returns the chosen endpoint and the reasons for the choice.
+func (b *Balancer) choice(now time.Time, list []*deployment.Endpoint, r Request, d decision) *Choice {
+	c := d.chosen
+	choice := &Choice{Endpoint: c.endpoint, Load: c.load, Mean: d.mean.usable, Ready: len(d.all), Cold: c.cold, Age: b.config.Loads.Age(now)}
+	choice.Slowdown, choice.SlowdownAge = b.knownSlowdown(c, now)
 	if r.Key != "" {
 		part := xxhash.Sum64String(r.Key)
 		choice.First = first(part, list, nil)
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -79,13 +79,17 @@
 	switch {
 	case r.Key != "" || r.brittle:
 		limit = modelDepth * float64(slots(e, r.Service))
-	case r.Exclusive:
+	case r.limitedByOwner():
 		load, limit = float64(o.active), float64(slots(e, r.Service)+exclusiveExtra)
 	}
 	return o.health.gone || o.backoff.blocks(now) || now.Before(o.health.unreachableUntil) || now.Before(o.health.refusedUntil) || now.Before(o.health.noPlaceUntil) ||
 		load >= limit
 }
 
+// limitedByOwner reports whether this node's own requests at an endpoint limit it, as all
+// requests for the service pass through this node.
+func (r Request) limitedByOwner() bool { return r.Exclusive && r.Key == "" && !r.brittle }
+
 // means are the mean loads of a service's endpoints.
 type means struct {
 	// usable is the mean over the endpoints that may be sent requests; all includes
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -3,8 +3,32 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
+// decision is the candidate that was picked, if any, and what it was picked from.
+type decision struct {
+	chosen *candidate
+	all    []candidate
+	mean   means
+}
+
+// decide picks an endpoint among the candidates, or none if none has room. The decision
+// is valid until the next call of candidates.
+func (b *Balancer) decide(now time.Time, list []*deployment.Endpoint, r Request) decision {
+	d := decision{}
+	d.all, d.mean = b.candidates(now, list, r)
+	d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	if d.chosen == nil && r.AllowTried {
+		r.Tried = nil
+		d.all, d.mean = b.candidates(now, list, r)
+		d.chosen = b.pickWarmFirst(d.all, d.mean, r, now)
+	}
+	return d
+}
+
 func (b *Balancer) pick(all []candidate, m means, r Request) *candidate {
 	if r.Key != "" {
 		c := b.pickKeyed(all, m, r)
@@ -35,7 +59,7 @@
 		if c.suspect {
 			continue
 		}
-		c.preferred = c.holds && float64(c.load) < affinityRatio*m.usable+affinitySlack
+		c.preferred = c.prefers(m)
 		if float64(c.load) < bound && c.precedes(best) {
 			best = c
 		}
@@ -68,6 +92,12 @@
 // nearlyFull reports whether the engine may be full by now.
 func (c *candidate) nearlyFull() bool { return float64(c.load) >= nearlyFullShare*float64(c.slots) }
 
+// prefers reports whether the endpoint precedes those that do not hold the prompt's
+// part.
+func (c *candidate) prefers(m means) bool {
+	return c.holds && float64(c.load) < affinityRatio*m.usable+affinitySlack
+}
+
 // precedes reports whether the candidate is preferred to another for a key.
 func (c *candidate) precedes(other *candidate) bool {
 	if other == nil || c.preferred != other.preferred {
@@ -80,7 +110,15 @@
 // the least loaded of all, all would take the same one until they next hear from each
 // other. Where all requests pass through this node, it takes the least loaded of all.
 func (b *Balancer) pickPlain(all []candidate, r Request) *candidate {
-	var healthy, suspects []*candidate
+	healthy, suspects := usable(all)
+	if r.Exclusive {
+		return cmp.Or(b.leastLoaded(healthy, r), b.leastLoaded(suspects, r))
+	}
+	return cmp.Or(b.lessLoadedOfTwo(healthy, r), b.lessLoadedOfTwo(suspects, r))
+}
+
+// usable returns the candidates that may be sent a request now, the suspect ones apart.
+func usable(all []candidate) (healthy, suspects []*candidate) {
 	for i := range all {
 		c := &all[i]
 		switch {
@@ -91,10 +129,7 @@
 			healthy = append(healthy, c)
 		}
 	}
-	if r.Exclusive {
-		return cmp.Or(b.leastLoaded(healthy, r), b.leastLoaded(suspects, r))
-	}
-	return cmp.Or(b.lessLoadedOfTwo(healthy, r), b.lessLoadedOfTwo(suspects, r))
+	return healthy, suspects
 }
 
 // lessLoadedOfTwo draws two candidates and returns the one with the lower cost.
--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -180,6 +180,16 @@
 	return decay(s.factor, now.Sub(s.at), b.config.SlowdownDecay)
 }
 
+// knownSlowdown returns how long work probably takes at a candidate now, as a multiple of
+// usual, and the age of the report of it; 0 if nothing is known.
+func (b *Balancer) knownSlowdown(c *candidate, now time.Time) (factor float64, age time.Duration) {
+	r := c.report
+	if r == nil || r.slowdown.factor <= 0 || b.expired(r.slowdown, now) {
+		return 0, 0
+	}
+	return b.decayed(r.slowdown, now), now.Sub(r.slowdown.at)
+}
+
 func (b *Balancer) expired(s slowdown, now time.Time) bool {
 	return now.Sub(s.at) >= slowdownTTL*b.config.SlowdownDecay
 }
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -167,10 +167,7 @@
 	stay := began.Add(time.Duration(affinityShare * float64(c.route.Objective)))
 	for ctx.Err() == nil {
 		now := time.Now()
-		choice := h.Balancer.Choose(now, c.endpoints(), balance.Request{
-			Service: c.service, Key: c.promptKey, Tried: c.progress.tried, AllowTried: c.fallback != nil, Repeatable: c.canRetry(), WaitForHolder: now.Before(stay),
-			Objective: c.route.Objective, Prompt: c.prompt, Exclusive: c.exclusive(),
-		})
+		choice := h.Balancer.Choose(now, c.endpoints(), c.balanceRequest(now.Before(stay), c.exclusive()))
 		if choice == nil {
 			c.queue().NoPlace(now)
 			return nil
@@ -185,6 +182,15 @@
 	return nil
 }
 
+// balanceRequest returns what the choice of an endpoint depends on. Exclusive says that
+// all requests for the service pass through this node.
+func (c *call) balanceRequest(waitForHolder, exclusive bool) balance.Request {
+	return balance.Request{
+		Service: c.service, Key: c.promptKey, Tried: c.progress.tried, AllowTried: c.fallback != nil, Repeatable: c.canRetry(), WaitForHolder: waitForHolder,
+		Objective: c.route.Objective, Prompt: c.prompt, Exclusive: exclusive,
+	}
+}
+
 // countAdmitted counts a request that has got its first slot.
 func (c *call) countAdmitted(now time.Time) {
 	if !c.progress.admitted {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -66,6 +66,8 @@
 		endpoints []*endpoint
 		snapshot  *deployment.Snapshot
 		crashes   *crash.Tracker
+		handler   *gateway.Handler
+		balancer  *balance.Balancer
 		// dialer opens the connections to endpoints; nil is the pool's own.
 		dialer http1.Dialer
 		// left are the endpoints that have sent a leave notice.
@@ -298,17 +300,18 @@
 	pool := http1.NewPool(http1.PoolConfig{RequestID: id, Dialer: f.dialer})
 	d := staticDeployment{snapshot: f.snapshot, left: &f.left}
 	f.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
-	f.metrics, f.log = gateway.NewMetrics(), decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
+	f.balancer, f.metrics = balance.New(balance.Config{Loads: loads}), gateway.NewMetrics()
+	f.log = decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
 	t.Cleanup(f.log.Close)
-	h := gateway.New(gateway.Config{
+	f.handler = gateway.New(gateway.Config{
 		Headers: headers(), Deployment: d, Pool: pool, Reserver: places, Log: f.log,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
-		Balancer: balance.New(balance.Config{Loads: loads}),
+		Balancer: f.balancer,
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
 		Crashes:  f.crashes, Metrics: f.metrics,
 		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
 	})
-	f.server = httptest.NewServer(h)
+	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(pool.Close)
 	t.Cleanup(f.server.Close)
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -111,11 +111,17 @@
 
 // ordersByCost reports whether new requests for a service are ordered by cost.
 func (h *Handler) ordersByCost(service string) bool {
-	switch h.config.CostOrder {
+	return h.config.CostOrder.applies(func() bool { return h.config.Owned != nil && h.config.Owned(service) })
+}
+
+// applies reports whether new requests for a service are ordered by cost; owned reports
+// whether this node owns it.
+func (o CostOrder) applies(owned func() bool) bool {
+	switch o {
 	case CostOrderAlways:
 		return true
 	case CostOrderOwned:
-		return h.config.Owned != nil && h.config.Owned(service)
+		return owned()
 	}
 	return false
 }
@@ -147,13 +153,17 @@
 	if len(s.cost) >= maxCostQueues {
 		maps.DeleteFunc(s.cost, func(_ string, old *costQueue) bool { return old.Waiting() == 0 })
 	}
-	q = &costQueue{
-		CostQueue: admission.NewCostQueue(), work: admission.NewWorkEstimator(), woken: make(chan struct{}), rejected: map[string]uint64{},
-	}
+	q = newCostQueue()
 	s.cost[service] = q
 	return q
 }
 
+func newCostQueue() *costQueue {
+	return &costQueue{
+		CostQueue: admission.NewCostQueue(), work: admission.NewWorkEstimator(), woken: make(chan struct{}), rejected: map[string]uint64{},
+	}
+}
+
 // known returns the queues that a service has, each of which may be nil.
 func (s *queues) known(service string) (*admission.Queue, *costQueue) {
 	s.mu.Lock()
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -110,6 +110,51 @@
 	}
 }
 
+// Guards against an explanation by another order than the one that requests wait in, and
+// against one that creates a queue or counts anything.
+func TestExplainedOrder(t *testing.T) {
+	owner := func(string) bool { return true }
+	q := gateway.Query{Host: "h", Path: "/p/x", Method: http.MethodGet}
+	for _, c := range []struct {
+		name  string
+		order gateway.CostOrder
+		owned func(string) bool
+		want  string
+	}{
+		{name: "never", order: gateway.CostOrderNever, owned: owner, want: "shares"},
+		{name: "owned, without owners", order: gateway.CostOrderOwned, want: "shares"},
+		{name: "owned", order: gateway.CostOrderOwned, owned: owner, want: "cost"},
+		{name: "always", order: gateway.CostOrderAlways, want: "cost"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: time.Second}, newEndpoint(t, whole(200, "hi")))
+			o := newOrdered(t, f, c.order, c.owned, nil)
+			x, err := o.handler.Explain(time.Now(), q)
+			require.NoError(t, err)
+			require.Equal(t, c.want, x.Queue.Order)
+			require.Empty(t, o.handler.Queues())
+
+			require.Equal(t, 200, o.post(t, "/p/x", nil).status)
+			before, queues := o.text(), o.handler.Queues()
+			x, err = o.handler.Explain(time.Now(), q)
+			require.NoError(t, err)
+			require.Equal(t, gateway.OutcomeSent, x.Outcome)
+			require.True(t, x.Queue.MayTry)
+			require.Equal(t, c.want == "cost", x.Queue.WorkMS > 0)
+			require.Equal(t, c.want == "cost", x.Queue.Weight > 0)
+			require.Equal(t, queues, o.handler.Queues())
+			require.Equal(t, before, o.text())
+		})
+	}
+}
+
+// text returns all metrics of the gateway.
+func (o *ordered) text() string {
+	var b bytes.Buffer
+	o.metrics.Write(&b)
+	return b.String()
+}
+
 // Guards against settings that are taken for another one.
 func TestParseCostOrder(t *testing.T) {
 	for _, name := range []string{"never", "owned", "always"} {
--- a/internal/owner/contacts.go
+++ b/internal/owner/contacts.go
@@ -64,7 +64,7 @@
 		o = &contact{}
 		c.byName[name] = o
 	}
-	if now.Before(o.avoidUntil) || o.silent && o.trying {
+	if !o.mayAsk(now) {
 		return false
 	}
 	o.active++
@@ -72,6 +72,18 @@
 	return true
 }
 
+// MayAsk reports whether Begin would allow that an owner is asked. It changes nothing.
+func (c *Contacts) MayAsk(now time.Time, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.byName[name]
+	return o == nil || o.mayAsk(now)
+}
+
+func (o *contact) mayAsk(now time.Time) bool {
+	return !now.Before(o.avoidUntil) && !(o.silent && o.trying)
+}
+
 // Offered records the outcome of an offer. Done must follow if the request was taken.
 func (c *Contacts) Offered(now time.Time, name string, out Outcome) {
 	c.mu.Lock()
--- a/internal/owner/contacts_test.go
+++ b/internal/owner/contacts_test.go
@@ -87,3 +87,36 @@
 	}
 	require.LessOrEqual(t, k.Known(), 1024)
 }
+
+// Guards against an explanation that asks an owner, or that takes the one request by
+// which it is tried whether an owner answers again.
+func TestAskingWhetherAnOwnerMayBeAskedChangesNothing(t *testing.T) {
+	k := owner.NewContacts()
+	require.True(t, k.MayAsk(at(0), "n1"))
+	require.Zero(t, k.Known())
+	require.True(t, k.Begin(at(0), "n1"))
+	k.Offered(at(0), "n1", owner.Silent)
+	require.False(t, k.MayAsk(at(999), "n1"))
+	require.True(t, k.MayAsk(at(1000), "n1"))
+	require.True(t, k.MayAsk(at(1000), "n1"))
+	require.True(t, k.Begin(at(1000), "n1"), "one request tries it")
+	require.False(t, k.MayAsk(at(1000), "n1"))
+	require.Equal(t, map[string]int{"n1": 1}, k.Active())
+}
+
+// Guards against an explanation after which a change of the owner is not logged, or is
+// logged twice.
+func TestPeekRecordsNothing(t *testing.T) {
+	changes := 0
+	tr := owner.NewTracker(owner.Config{Ratio: 2, Changed: func(string, owner.Decision, owner.Decision) { changes++ }})
+	in := func() owner.Input {
+		return owner.Input{Service: "s", Slots: 1, Nodes: 1, Members: []owner.Member{{Name: "n1", Power: 1000, Ready: true, Reaches: true}}}
+	}
+	require.Equal(t, "n1", tr.Peek("s", owner.Key{Ready: true}, in).Owner)
+	require.Zero(t, changes)
+	require.Empty(t, tr.Decisions())
+	decided := tr.Decide("s", owner.Key{Ready: true}, in)
+	require.Equal(t, 1, changes)
+	require.Equal(t, decided, tr.Peek("s", owner.Key{Ready: true}, in))
+	require.Equal(t, 1, changes)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,6 +137,20 @@
 	return now
 }
 
+// Peek returns what Decide would return, but records nothing and does not call Changed.
+func (t *Tracker) Peek(service string, k Key, in func() Input) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.services[service]
+	if e == nil {
+		e = &entry{}
+	}
+	if e.key == k {
+		return e.decision
+	}
+	return t.config.decide(e.decision.Small, in())
+}
+
 // Forget forgets the services other than some. Their owners change to none.
 func (t *Tracker) Forget(except func(service string) bool) {
 	t.mu.Lock()
--- a/owners.go
+++ b/owners.go
@@ -114,8 +114,24 @@
 	return alive[i], true
 }
 
+// ExplainOwner returns the owner of a service by this node's present view, and whether a
+// request would be offered to it now. It changes and counts nothing.
+func (o *owners) ExplainOwner(now time.Time, service string, regions []string) (x gateway.ExplainedOwner) {
+	x.Name = o.decideBy(service, o.tracker.Peek).Owner
+	x.Self = x.Name != "" && x.Name == o.gateway.config.Node
+	if x.Name == "" || x.Self {
+		return x
+	}
+	m, ok := o.alive(x.Name)
+	x.Asked = ok && o.gateway.inRegions(m.Zone, regions) && o.contacts.MayAsk(now, x.Name)
+	return x
+}
+
 // decide returns whether a service has an owner, and which.
-func (o *owners) decide(service string) owner.Decision {
+func (o *owners) decide(service string) owner.Decision { return o.decideBy(service, o.tracker.Decide) }
+
+// decideBy decides by a method of the tracker.
+func (o *owners) decideBy(service string, by func(string, owner.Key, func() owner.Input) owner.Decision) owner.Decision {
 	g := o.gateway
 	view, snapshot := g.gossip.View(), g.state.Snapshot()
 	if snapshot.Config == nil {
@@ -126,7 +142,7 @@
 		return owner.Decision{}
 	}
 	k := owner.Key{Members: view, Endpoints: snapshot, Ready: g.Ready(), Reaches: g.reach.Reaches(service)}
-	return o.tracker.Decide(service, k, func() owner.Input {
+	return by(service, k, func() owner.Input {
 		return owner.Input{Service: service, Slots: slotsOf(s, snapshot.Endpoints[service]), Nodes: view.Known, Members: o.members(service, k, view)}
 	})
 }
