--- a/internal/admission/cost.go
+++ b/internal/admission/cost.go
@@ -198,7 +198,7 @@
 		q.addInflow(at, j.work, 1)
 	case q.capacity.rate(at) > 0 && q.worthWaiting(at, j):
 		j.late = true
-	case q.mayWaitAsFirst(at, w.cost.kind), q.capacity.rate(at) <= 0 && !q.vain(at):
+	case q.mayWaitAsFirst(at, w.cost.kind), q.capacity.rate(at) <= 0 && !q.searchFailed(at):
 		j.late, j.first = true, true
 		w.until = earlier(w.until, now.Add(minimumWait(r)))
 		j.latest = min(j.latest, at+minimumWait(r))
--- a/internal/admission/costorder.go
+++ b/internal/admission/costorder.go
@@ -35,7 +35,7 @@
 	minRetryDelay = 10 * time.Millisecond
 )
 
-// Rejection returns what a request is told and what is logged when it is rejected.
+// Rejection returns the retry delay of a request that is rejected, and what is logged.
 //
 // The caller is to return when the requests ahead of it are served, but so early that
 // it can still wait its share and begin within its objective, which counts from its
@@ -98,16 +98,16 @@
 	compareShares(at, q.kinds, &q.all)
 }
 
-// vain reports whether a search for a place has just failed, and none has become free
+// searchFailed reports whether a search for a place has just failed, and none has become free
 // since.
-func (q *CostQueue) vain(at time.Duration) bool {
+func (q *CostQueue) searchFailed(at time.Duration) bool {
 	return q.searched && q.freed == 0 && at-q.noPlaceAt < noPlaceFor
 }
 
 // rejectsExcess reports whether an account's excess gets no place now: none is free,
 // and other requests were recently refused for that reason.
 func (q *CostQueue) rejectsExcess(at time.Duration) bool {
-	if !q.vain(at) {
+	if !q.searchFailed(at) {
 		return false
 	}
 	for _, k := range q.kinds {
@@ -211,7 +211,7 @@
 }
 
 // spare is how many seconds of work the slots complete in a second beyond what is
-// planned; 0 if that is too little to be told from none.
+// planned; 0 if that is within the variation of the rates.
 func (q *CostQueue) spare(at time.Duration) float64 {
 	rate := q.capacity.rate(at)
 	spare := rate - q.inflow.get(at)/rateWindow.Seconds()
@@ -227,7 +227,7 @@
 // worthWaiting reports whether a request that would be late is to wait: it can be
 // served before its latest time, or it is not known that no place is free.
 func (q *CostQueue) worthWaiting(at time.Duration, j *job) bool {
-	if !q.vain(at) {
+	if !q.searchFailed(at) {
 		return true
 	}
 	ahead := q.plannedWork() + q.first()
@@ -271,7 +271,7 @@
 	slices.SortFunc(jobs, (*job).precedes)
 	total := plan(at, jobs, rate, q.first())
 	q.split(at, jobs)
-	if !q.vain(at) {
+	if !q.searchFailed(at) {
 		return
 	}
 	for _, j := range unservable(at, q.late, total+q.first(), q.spare(at)) {
@@ -282,7 +282,7 @@
 // rejectOverdue gives up the requests whose due time has passed, while no rate is known
 // by which they could be served later.
 func (q *CostQueue) rejectOverdue(at time.Duration) {
-	if !q.vain(at) {
+	if !q.searchFailed(at) {
 		return
 	}
 	for _, j := range slices.Concat(q.planned, q.late) {
--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -30,7 +30,7 @@
 	Position int    `json:"position,omitempty"`
 	Rejected string `json:"rejected,omitempty"`
 	// ExpectedWaitMS is the expected time in the queue, in milliseconds; nil if it is
-	// unknown, as no request of the kind has got a place lately. LimitMS is how much
+	// unknown, as no request of the kind has got a place recently. LimitMS is how much
 	// of it would be accepted, and MayWaitMS for how long it would wait at most.
 	ExpectedWaitMS *float64 `json:"expected_wait_ms,omitempty"`
 	LimitMS        float64  `json:"limit_ms"`
@@ -57,7 +57,7 @@
 	BacklogMS float64 `json:"backlog_ms,omitempty"`
 	Rate      float64 `json:"rate,omitempty"`
 	RateAgeMS float64 `json:"rate_age_ms,omitempty"`
-	// RetryAfterMS is when the caller would be told to try again if the request were
+	// RetryAfterMS is the retry delay of the caller if the request were
 	// rejected.
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 }
--- a/internal/admission/explaincost.go
+++ b/internal/admission/explaincost.go
@@ -11,7 +11,7 @@
 func (q *CostQueue) Explain(now time.Time, r Request) Explanation {
 	c := q.copy(r)
 	r.Excess = c.Arrived(now, r)
-	x := Explanation{Order: "cost", OfKind: c.kind(r).waiting, MayTry: c.MayTry(now, r), Scarce: c.vain(c.last), Excess: r.Excess}
+	x := Explanation{Order: "cost", OfKind: c.kind(r).waiting, MayTry: c.MayTry(now, r), Scarce: c.searchFailed(c.last), Excess: r.Excess}
 	x.ServedShare, _ = c.kind(r).all.get(c.last)
 	if x.MayTry {
 		c.NoPlace(now)
--- a/internal/admission/work.go
+++ b/internal/admission/work.go
@@ -8,7 +8,7 @@
 
 const (
 	// workSample is the weight of one request in the learned times in a slot: some 50
-	// requests tell the mean.
+	// requests determine the mean.
 	workSample = 0.02
 	// maxWorkRatio bounds how far an estimate is from the mean. The relation of time
 	// and tokens is learned from the sizes that occur, and says little about others.
--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -135,7 +135,7 @@
 // IsSlowdown reports whether a slowdown, in percent of usual, is valid.
 func IsSlowdown(percent int) bool { return percent >= 1 && percent <= maxSlowdownPercent }
 
-// DecaySlowdown returns a slowdown, in percent of usual, after a time without news.
+// DecaySlowdown returns a slowdown, in percent of usual, after a time without a report.
 func DecaySlowdown(p int, after time.Duration) int {
 	return percent(decay(float64(p)/usualPercent, after, defaultSlowdownDecay))
 }
--- a/internal/balance/slowdown_test.go
+++ b/internal/balance/slowdown_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against messages that grow with the number of endpoints that run as usual, and
-// against nodes that do not hear that an endpoint does so again.
+// against nodes that are not informed that an endpoint does so again.
 func TestOnlyUnusualSlowdownsAreSent(t *testing.T) {
 	list, now := endpoints(1), time.Now()
 	key := list[0].Start().Key()
--- a/internal/balance/speed_model_test.go
+++ b/internal/balance/speed_model_test.go
@@ -37,7 +37,7 @@
 	speedWay struct {
 		name string
 		// reported says that endpoints report slowdowns, and late how long what nodes
-		// tell each other of them takes in addition.
+		// report them to each other takes in addition.
 		reported bool
 		late     time.Duration
 		// decay is the time constant, 0 for the default.
@@ -177,7 +177,7 @@
 	return speedResult{mean: sum / time.Duration(n), p99: m.latencies[n*99/100], inTime: float64(inTime) / float64(n+m.rejected)}
 }
 
-// heartbeat tells the other nodes what a node knows.
+// heartbeat sends the other nodes what a node knows.
 func (m *speedModel) heartbeat(n *speedNode) {
 	active, pending := n.balancer.Active(), n.balancer.PendingPrefill()
 	reports, placements := n.balancer.Reports(m.now, n.lastHeartbeat), n.balancer.Placements(m.now, n.lastHeartbeat)
@@ -312,7 +312,7 @@
 }
 
 // Guards against slowdowns that make plain requests later than without, because what
-// nodes tell each other of them is late.
+// nodes report them to each other late.
 func TestPlainEndpointsOfChangingSpeed(t *testing.T) {
 	if *speedTable {
 		for _, utilization := range []float64{0.4, 0.6, 0.75} {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -187,7 +187,7 @@
 
 func (o outcome) served() bool { return o.status == http.StatusOK && o.complete }
 
-// refused reports whether the caller was told when to retry.
+// refused reports whether the response said when to retry.
 func (o outcome) refused() bool {
 	return o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -57,7 +57,7 @@
 
 // maySend returns the last question before a request is sent to an endpoint. Slots are
 // reserved and connections opened after the endpoint was chosen. A process that was
-// paused meanwhile resumes before the timers of its contexts fire, so that the clock
+// paused in between resumes before the timers of its contexts fire, so that the clock
 // decides whether the caller still waits.
 func (c *call) maySend(e *deployment.Endpoint) func() bool {
 	return func() bool { return c.isolated() == nil && c.available(e) && !c.overdue() }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -78,7 +78,7 @@
 		Version     uint64  `json:"version"`
 		ConfirmedMS float64 `json:"confirmed_ms"`
 		Stopping    bool    `json:"stopping,omitempty"`
-		// Nodes are the addresses that callers in the query's zone are told.
+		// Nodes are the addresses returned to callers in the query's zone.
 		Nodes   []netip.AddrPort `json:"nodes,omitempty"`
 		Outcome Outcome          `json:"outcome"`
 		// Rejections lists what would reject the request now.
--- a/internal/gateway/owner_paused_test.go
+++ b/internal/gateway/owner_paused_test.go
@@ -58,7 +58,7 @@
 }
 
 // Guards against a second run by an owner that was paused when it got an offer: its node
-// has run the request meanwhile.
+// has run the request in the meantime.
 func TestOwnerThatResumesHasNothingToRun(t *testing.T) {
 	e := newEndpoint(t, whole(200, "hi"))
 	o := newOwned(t, deployment.Route{Kind: deployment.AtMostOnce, Objective: 2 * time.Second}, e)
--- a/internal/gateway/paused_test.go
+++ b/internal/gateway/paused_test.go
@@ -12,7 +12,7 @@
 )
 
 // pausedDialer opens connections and returns them only after a time, whatever the context
-// says: a process that was paused meanwhile.
+// says: a process that was paused in between.
 type pausedDialer struct {
 	net.Dialer
 	pause time.Duration
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -155,7 +155,7 @@
 	return b.String()
 }
 
-// Guards against settings that are taken for another one.
+// Guards against settings that are mistaken for another one.
 func TestParseCostOrder(t *testing.T) {
 	for _, name := range []string{"never", "owned", "always"} {
 		o, err := gateway.ParseCostOrder(name)
@@ -170,7 +170,7 @@
 }
 
 // Guards against requests that are lost, or wait without an end, when there are more
-// than the endpoint has slots for: each caller gets a response or is told in time when
+// than the endpoint has slots for: each caller gets a response or learns in time when
 // to return, and what is rejected has not run.
 func TestCostOrderUnderOverload(t *testing.T) {
 	const callers, timeout = 200, 300 * time.Millisecond
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -11,7 +11,7 @@
 	// metricPrefix is the prefix of every metric's name.
 	metricPrefix = "bulrushhinge_owner_"
 	// avoided is the label of requests that were not offered because their owner is
-	// left alone for a while.
+	// not asked for a while.
 	avoided = "avoided"
 )
 
@@ -35,7 +35,7 @@
 // Offered counts an offer to an owner.
 func (m *Metrics) Offered(o Outcome) { m.offers(o.String()).Inc() }
 
-// Avoided counts a request that was not offered because its owner is left alone.
+// Avoided counts a request that was not offered because its owner is not asked for a while.
 func (m *Metrics) Avoided() { m.offers(avoided).Inc() }
 
 // Changed records that a service has another owner, and whether this node was its owner
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -4,8 +4,8 @@
 // A service whose slots are shared by many more nodes than there are slots has an owner:
 // one node through which all its requests pass, so that one queue orders them and the
 // counts of requests in progress are exact. Each node determines the owner from its own
-// view of the membership. Nodes that disagree briefly use two owners meanwhile, which
-// affects only the order of requests.
+// view of the membership. Nodes that disagree briefly use two owners for that time,
+// which affects only the order of requests.
 package owner
 
 import (
--- a/internal/soak/scarce.go
+++ b/internal/soak/scarce.go
@@ -28,7 +28,7 @@
 	usualDemand = 0.5
 	shortDemand = 1.25
 	shortTime   = 4 * time.Second
-	// scarceDeadline is when callers of the service give up, as they tell the nodes,
+	// scarceDeadline is when callers of the service give up, as their requests say,
 	// and scarcePatience how much longer they wait to see whether they get an answer.
 	scarceDeadline = time.Second
 	scarcePatience = 3 * time.Second
@@ -82,7 +82,7 @@
 		calm map[string]tally
 		// sent is where and when each request was sent.
 		sent map[string]sentTo
-		// owner is the node that sent most requests to the service lately, and hits are
+		// owner is the node that sent most requests to the service recently, and hits are
 		// the faults of owners, by node.
 		owner *node
 		hits  map[netip.AddrPort]ownerHits
