--- a/internal/balance/speed_model_test.go
+++ b/internal/balance/speed_model_test.go
@@ -36,8 +36,8 @@
 	// speedWay is what nodes know of slowdowns.
 	speedWay struct {
 		name string
-		// reported says that endpoints report slowdowns, and late how long what nodes
-		// report them to each other takes in addition.
+		// reported says that endpoints report slowdowns, and late by how long the
+		// reports between nodes are delayed.
 		reported bool
 		late     time.Duration
 		// decay is the time constant, 0 for the default.
@@ -311,8 +311,8 @@
 	return fmt.Sprintf("mean %.1f ms, p99 %.1f ms, in time %.4f", r.mean.Seconds()*1000, r.p99.Seconds()*1000, r.inTime)
 }
 
-// Guards against slowdowns that make plain requests later than without, because what
-// nodes report them to each other late.
+// Guards against slowdowns that make plain requests later than without, because nodes
+// report them to each other late.
 func TestPlainEndpointsOfChangingSpeed(t *testing.T) {
 	if *speedTable {
 		for _, utilization := range []float64{0.4, 0.6, 0.75} {
