Let an endpoint that leaves say so in any of its answers before the test's first request

Each of its answers says that it leaves, also those to the nodes' calls for its load; on a busy machine such an answer comes before the first request, and the node rightly sends nothing.

--- a/internal/loopback/notice_test.go
+++ b/internal/loopback/notice_test.go
@@ -59,9 +59,8 @@
 			f := start(t, small())
 			e := preferred(t, f, "n1")
 			e.SetFaults(standin.EndpointFaults{Stale: true})
-			before := e.Started()
+			// Its answers to the nodes' own calls say so too: it may get no request any more.
 			e.SetLeaving(true)
-			require.Eventually(t, func() bool { return askInARow(f, "n1", once) && e.Started() > before }, patience, time.Millisecond, "it has answered a request")
 			for _, node := range []string{"n1", "n2"} {
 				require.Eventually(t, func() bool {
 					before := e.Started()
