Answer and log a request whose handler panics

What callers saw: a connection that closed without any answer, as if the node had lost the request. What operators saw: nothing. The server that serves callers recovers from a handler's panic by closing the connection, and its error log is discarded; only requests that another node had handed over left a line, without a stack, and their callers got `endpoint-broke-off` from the first node.

One function now recovers at both entries. http.ErrAbortHandler, by which answers are aborted on purpose, passes on without a line. Any other panic becomes one line `panic` with the request's fields, the error (512 bytes at most) and the 16 innermost functions, and counts in panics_total. If the caller has no part of an answer, it gets a whole one: 502 `internal-error` without Retry-After, as an endpoint may have been running the request; what had been set of the answer's header is dropped first. The refusal of a handed-over request goes to the node that handed it over. Otherwise the connection is aborted as before. So that "no part" is known, a buffered answer marks its beginning like streams do.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -295,6 +295,7 @@
 	c.copyHeader(w.head)
 	c.out.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
 	c.out.WriteHeader(w.head.StatusCode)
+	c.progress.started = true
 	// An error means that the caller has disconnected.
 	_, _ = c.out.Write(w.body)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -76,6 +76,8 @@
 		// logged has the lines of log once that is closed.
 		log    *decision.Log
 		logged bytes.Buffer
+		// change changes the settings of gateways; it may be nil.
+		change func(c *gateway.Config)
 	}
 
 	// response is what a caller got.
@@ -303,14 +305,18 @@
 	f.balancer, f.metrics = balance.New(balance.Config{Loads: loads}), gateway.NewMetrics()
 	f.log = decision.New(decision.LogConfig{To: &f.logged, Node: "n"})
 	t.Cleanup(f.log.Close)
-	f.handler = gateway.New(gateway.Config{
+	c := gateway.Config{
 		Headers: headers(), Deployment: d, Pool: pool, Reserver: places, Log: f.log,
 		Regions:  map[string]string{"z0": "r0", "z1": "r1"},
 		Balancer: f.balancer,
 		Budget:   budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, Nodes: func() int { return 1 }}),
 		Crashes:  f.crashes, Metrics: f.metrics,
 		Nodes: func() int { return 1 }, Stopping: func() bool { return false },
-	})
+	}
+	if f.change != nil {
+		f.change(&c)
+	}
+	f.handler = gateway.New(c)
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(pool.Close)
 	t.Cleanup(f.server.Close)
--- a/internal/gateway/handed.go
+++ b/internal/gateway/handed.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"time"
 
-	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
@@ -76,23 +74,17 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			if p != http.ErrAbortHandler {
-				h.config.Log.Event("panic", decision.Fields{"from": o.From, "error": fmt.Sprint(p)})
-			}
-			panic(http.ErrAbortHandler)
-		}
-	}()
 	p := o.Progress
-	h.serve(&call{
+	c := &call{
 		handler: h, out: w, in: r.WithContext(ctx), id: o.Header.Get(h.config.Headers.RequestID), started: time.Now().Add(-o.Age),
 		handed: &handed{from: o.From, service: o.Service, out: w},
 		progress: progress{
 			tried: p.Tried, sends: p.Sends, runs: p.Runs, lastEvent: p.LastEvent, events: p.Events, started: p.Started,
 			counted: p.Counted, excess: p.Excess,
 		},
-	})
+	}
+	defer c.recovered()
+	h.serve(c)
 }
 
 // refuse passes a refusal to the node that has handed the request over.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -197,7 +197,9 @@
 	if h.config.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	h.serve(&call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()})
+	c := &call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()}
+	defer c.recovered()
+	h.serve(c)
 }
 
 // serve serves one request, of a caller or of another node.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -114,12 +114,16 @@
 	d := &m.deployment
 	d.staticDeployment = staticDeployment{snapshot: m.snapshot, left: &m.left}
 	m.crashes = crash.NewTracker(crash.Config{Prober: pool, Deployment: d})
-	m.Handler = gateway.New(gateway.Config{
+	c := gateway.Config{
 		Headers: headers(), Deployment: d, Pool: pool, Balancer: balance.New(balance.Config{Loads: noLoads{}}), Budget: m.budget,
 		Crashes: m.crashes, Metrics: gateway.NewMetrics(), Reach: m.reach, Handovers: peers,
 		Owners: memberOwners{member: m}, Owned: func(string) bool { return m.owns.Load() },
-		Nodes: func() int { return 1 }, Stopping: m.stopping.Load,
-	})
+		Nodes: func() int { return 1 }, Stopping: m.stopping.Load, Log: f.log,
+	}
+	if f.change != nil {
+		f.change(&c)
+	}
+	m.Handler = gateway.New(c)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	m.conns = &countedListener{Listener: l, accepted: make(chan net.Conn, 64)}
@@ -136,11 +140,16 @@
 	for range others {
 		h.team.members = append(h.team.members, h.newMember(t, h.team))
 	}
+	h.front(t)
+	return h
+}
+
+// front starts the gateway that does not reach the endpoints.
+func (h *hops) front(t *testing.T) {
 	h.near = h.newMember(t, h.team)
 	h.near.reach.lost.Store(true)
 	h.server = httptest.NewServer(h.near)
 	t.Cleanup(h.server.Close)
-	return h
 }
 
 // The response of a request that was handed over is the endpoint's, whatever the
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	// reports.
 	slowdown       *metrics.Histogram
 	malformedLoads *metrics.Counter
+	panics         *metrics.Counter
 }
 
 // NewMetrics returns Metrics whose counters are 0.
@@ -39,6 +40,7 @@
 
 		slowdown:       s.NewHistogram(metricPrefix + "endpoint_slowdown"),
 		malformedLoads: s.NewCounter(metricPrefix + "malformed_loads_total"),
+		panics:         s.NewCounter(metricPrefix + "panics_total"),
 	}
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -33,6 +33,7 @@
 	reasonWithdrawn   = "endpoint-left"
 	reasonLeaving     = "endpoints-leaving"
 	reasonBackoff     = "endpoints-resting"
+	reasonPanic       = "internal-error"
 )
 
 const (
