Abandon a silent endpoint only once another one responds

Callers lost responses of sound endpoints: a resumable stream whose endpoint was silent for 1.2 s between two events was cut with `retry-budget` or `endpoints-full`, and an idempotent request got 502 `retry-budget` after a quarter of a second although its response was on its way. Beside a change of the configuration this is more frequent: the budget is counted by service, and a new service begins with none at every node.

Cause: the watch ended the attempt when a time had passed, and only then did the call ask whether the request may run elsewhere: attempts left, the retry budget, a slot, and the next endpoint's own refusal. Whatever said no ended a request that was being served.

Evidence: TestSilentEndpointIsKeptUntilAnotherResponds, on the code before: all eleven cases failed (502 `retry-budget` after 0.11 s, streams cut after two events, 504 where the repeat was silent as well). TestDroppedRepeatFreesItsSlot failed too.

Now the watch begins the repeat while the attempt goes on: it takes a retry and a slot, sends, and ends the first attempt when the other endpoint has answered with a response that may be the caller's. A refusal, a broken connection or a failure there costs nothing but the retry, which is returned if nothing was sent. If the first endpoint breaks in between, the repeat takes its place. The runs count against the route's attempts as before, and the first attempt ends as the other begins, so that no two go on side by side. An owner that is lost is left under the same condition.

One check changes: in TestSlowEndpointIsNotAbandonedAsSilent the endpoint that is as fast as usual was 50 ms later than the repeat, which may now be answered first on a busy machine (once of 30 in six copies). It is silent for good now, so that the request must be repeated.

Measured: the package's tests pass with the race detector; five repeats of the new ones in six copies at once passed.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -57,20 +57,39 @@
 	w.requests[w.slot()]++
 }
 
+// Allows reports whether a retry is left.
+func (b *Budget) Allows(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.window(now, service))
+}
+
 // Retry takes one retry from the budget, or returns false if none is left.
 func (b *Budget) Retry(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	slack := float64(b.config.Slack) / float64(max(b.config.Nodes(), 1))
-	allowed := margin * (b.config.Ratio*float64(sum(w.requests)) + slack)
-	if float64(sum(w.retries)+1) > allowed {
+	if !b.allows(w) {
 		return false
 	}
 	w.retries[w.slot()]++
 	return true
 }
 
+// Return returns a retry that was taken and not sent. After a step of the window it is
+// kept: the step in which it was taken is not known any more.
+func (b *Budget) Return(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	w.retries[w.slot()] = max(w.retries[w.slot()]-1, 0)
+}
+
+func (b *Budget) allows(w *window) bool {
+	slack := float64(b.config.Slack) / float64(max(b.config.Nodes(), 1))
+	return float64(sum(w.retries)+1) <= margin*(b.config.Ratio*float64(sum(w.requests))+slack)
+}
+
 func (b *Budget) window(now time.Time, service string) *window {
 	w := b.services[service]
 	if w == nil {
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -172,12 +172,16 @@
 			c.queue().NoPlace(now)
 			return nil
 		}
-		if c.reserve(ctx, choice) {
-			h.Balancer.Sent(now, choice)
-			c.countAdmitted(now)
-			c.tookSlot(now, w)
-			return choice
+		s := c.reserve(ctx, choice)
+		if s.denied {
+			c.release(choice, s)
+			continue
 		}
+		c.reservation = s.reservation
+		h.Balancer.Sent(now, choice)
+		c.countAdmitted(now)
+		c.tookSlot(now, w)
+		return choice
 	}
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,8 +42,15 @@
 	choice  *balance.Choice
 	started time.Time
 	outcome balance.Outcome
-	// reserved reports that the request uses a slot reserved at the endpoint.
-	reserved bool
+	// reservation names the slot that is reserved for the request at the endpoint; empty
+	// if there is none.
+	reservation string
+	// newConn says that the request must not be sent on a connection used before.
+	newConn bool
+	// lastEvent is the ID of the newest event that the caller had when the attempt began.
+	lastEvent uint64
+	// cancel ends the attempt.
+	cancel context.CancelFunc
 	// status is the response's status, 0 if there was no response.
 	status int
 	// load is the number of requests that the endpoint reports in its response,
@@ -56,28 +63,55 @@
 	cause   string
 	// timedOut reports that the endpoint was abandoned because it sent nothing.
 	timedOut atomic.Bool
+	// dropped reports that another endpoint's response is used instead.
+	dropped atomic.Bool
 	// ended reports that the endpoint has ended during the run.
 	ended bool
+	// noResponse says that the request was sent and not answered at all.
+	noResponse bool
+	// events and full are those of the call's progress at the end of the attempt.
+	events, full int
 }
 
-// run sends the request and forwards the response.
-func (a *attempt) run(ctx context.Context) result {
+// run receives the response whose head is awaited, and forwards it. The context is the
+// call's: what repeats the request outlives the attempt.
+func (a *attempt) run(ctx context.Context, head func() (*http1.Exchange, result)) (res result) {
 	c := a.call
-	pool := c.handler.config.Pool
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := a.watch(ctx, cancel)
-	if timer != nil {
-		defer timer.Stop()
-	}
-	x, err := pool.Do(ctx, http1.Request{
+	res = resultBroken
+	w := a.watch(ctx)
+	defer func() {
+		c.next = w.stop(res)
+		a.events, a.full = c.progress.events, c.progress.full
+		a.done(res)
+	}()
+	x, res := head()
+	if x == nil {
+		return res
+	}
+	defer x.Abort()
+	w.answered()
+	switch {
+	case c.progress.started && a.status/100 != 2:
+		// The caller already has part of a stream, which this cannot continue.
+		a.outcome, a.cause = balance.Failed, "not-resumed"
+		return resultBroken
+	case c.route.Kind.Streams() && a.status/100 == 2:
+		return a.stream(x, w)
+	}
+	return a.forward(x, w)
+}
+
+// send sends the request and returns the exchange once the head of a response has
+// arrived that is the endpoint's; otherwise nil, and what became of the request.
+func (a *attempt) send(ctx context.Context) (*http1.Exchange, result) {
+	c := a.call
+	x, err := c.handler.config.Pool.Do(ctx, http1.Request{
 		Addr: a.choice.Endpoint.Addr, Process: a.choice.Endpoint.Start().Key(), ID: c.id, HTTP: a.request(),
-		MaxIdle: c.maxIdle(), MaxIdleConns: c.maxIdleConns(), MaySend: c.maySend(a.choice.Endpoint),
+		MaxIdle: a.maxIdle(), MaxIdleConns: c.maxIdleConns(), MaySend: c.maySend(a.choice.Endpoint),
 	})
 	if err != nil {
-		return a.classify(err)
+		return nil, a.classify(err)
 	}
-	defer x.Abort()
 	if x.NewConn {
 		c.handler.config.Reach.Opened(c.service.Name)
 	}
@@ -87,24 +121,29 @@
 	c.applyNotice(a.choice.Endpoint, a.notice)
 	h := c.handler.config.Headers
 	if x.Response.Header.Get(h.NotRun) != "" || a.status == http.StatusMisdirectedRequest {
-		return a.notRun(x)
+		defer x.Abort()
+		return nil, a.notRun(x)
 	}
 	c.handler.config.Crashes.Reached(a.choice.Endpoint, a.started)
 	if !http1.IsOverload(a.status) {
 		c.handler.config.Balancer.Accepted(time.Now(), a.choice.Endpoint.Start())
 	}
-	switch {
-	case !a.valid(x.Response):
+	if !a.valid(x.Response) {
+		x.Abort()
 		a.outcome, a.cause = balance.Failed, "unsound-answer"
-		return resultBroken
-	case c.progress.started && a.status/100 != 2:
-		// The caller already has part of a stream, which this cannot continue.
-		a.outcome, a.cause = balance.Failed, "not-resumed"
-		return resultBroken
-	case c.route.Kind.Streams() && a.status/100 == 2:
-		return a.stream(x, timer)
+		return nil, resultBroken
 	}
-	return a.forward(x, timer)
+	return x, resultDone
+}
+
+// done frees the attempt's slot, and logs and counts how it ended.
+func (a *attempt) done(res result) {
+	c, now := a.call, time.Now()
+	c.handler.config.Balancer.PrefillDone(now, a.choice, 0)
+	c.handler.config.Balancer.Release(now, a.choice.Endpoint.Start(), a.outcome)
+	c.released(now, time.Since(a.started), a.outcome == balance.Served)
+	c.handler.config.Metrics.attempted(a, res)
+	c.log("attempt", a.fields(res))
 }
 
 // maxIdle returns how long the connection may have been idle, 0 for a new one.
@@ -114,11 +153,11 @@
 // does not happen shortly after a response. Responses without a request ID can be
 // matched to requests only on a new connection. After an attempt without any
 // response a new one is used too, as the next might be lost in the same way.
-func (c *call) maxIdle() time.Duration {
+func (a *attempt) maxIdle() time.Duration {
 	switch {
-	case c.id == "" || c.progress.noResponse:
+	case a.call.id == "" || a.newConn:
 		return 0
-	case c.route.Kind.Retryable():
+	case a.call.route.Kind.Retryable():
 		return http1.MaxIdle
 	}
 	return onceMaxIdle
@@ -153,12 +192,11 @@
 	if a.choice.Source != nil {
 		header.Set(h.FetchFrom, a.choice.Source.Addr.String())
 	}
-	if c.reservation != "" {
-		header.Set(h.Reservation, c.reservation)
-		c.reservation, a.reserved = "", true
+	if a.reservation != "" {
+		header.Set(h.Reservation, a.reservation)
 	}
-	if c.progress.lastEvent > 0 {
-		header.Set(h.LastEventID, strconv.FormatUint(c.progress.lastEvent, 10))
+	if a.lastEvent > 0 {
+		header.Set(h.LastEventID, strconv.FormatUint(a.lastEvent, 10))
 	}
 	req := &http.Request{
 		Method: c.in.Method, URL: &url.URL{Scheme: "http", Host: c.in.Host, Opaque: c.in.RequestURI},
@@ -176,6 +214,10 @@
 	c := a.call
 	a.cause = a.explain(err)
 	sent := !errors.Is(err, http1.ErrConnect) && !errors.Is(err, http1.ErrWithdrawn)
+	if sent && a.dropped.Load() {
+		c.handler.config.Crashes.Abandoned(c.features, a.choice.Endpoint)
+		return resultDropped
+	}
 	if sent {
 		a.recordBreak(err)
 	}
@@ -194,7 +236,7 @@
 		return resultWithdrawn
 	}
 	a.outcome = balance.Failed
-	c.progress.noResponse = c.progress.noResponse || a.status == 0
+	a.noResponse = a.status == 0
 	return resultBroken
 }
 
@@ -204,6 +246,8 @@
 	switch {
 	case a.timedOut.Load():
 		return "endpoint silent, given up"
+	case a.dropped.Load():
+		return "another endpoint responded"
 	case a.call.callerGone():
 		return "caller gone"
 	case !time.Now().Before(a.call.deadline):
@@ -250,7 +294,7 @@
 // forward forwards a response that is not a stream once it is complete. A
 // retryable failure becomes the fallback: it is still the endpoint's response if
 // no attempt gets a better one.
-func (a *attempt) forward(x *http1.Exchange, timer *time.Timer) result {
+func (a *attempt) forward(x *http1.Exchange, w *watch) result {
 	c := a.call
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxBuffered+1))
 	if err != nil {
@@ -259,9 +303,9 @@
 	a.latency = time.Since(a.started)
 	c.queue().ObserveLatency(c.admissionRequest(), a.latency)
 	if len(body) > maxBuffered {
-		if timer != nil {
-			// The endpoint is responding, and no other could continue its response.
-			timer.Stop()
+		// The endpoint is responding, and no other could continue its response.
+		if !w.keep() {
+			return a.interrupted(errAbandoned)
 		}
 		return a.forwardLarge(x, body)
 	}
@@ -372,13 +416,13 @@
 	if reading := a.choice.PrefillTime; reading > 0 {
 		f["reading_ms"] = reading.Milliseconds()
 	}
-	if a.reserved {
+	if a.reservation != "" {
 		f["reserved"] = true
 	}
 	if a.choice.Cold {
 		f["cold"] = true
 	}
-	if n := a.call.progress.full; n > 0 {
+	if n := a.full; n > 0 {
 		f["full"] = n
 	}
 	if a.choice.Source != nil {
@@ -391,8 +435,8 @@
 		f["ended"] = true
 		f["parts"] = partPrints(a.call.features)
 	}
-	if a.call.progress.events > 0 {
-		f["events"] = a.call.progress.events
+	if a.events > 0 {
+		f["events"] = a.events
 	}
 	return f
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -126,6 +126,11 @@
 		fallback *bufferedResponse
 		// reservation names the reservation that the next attempt uses.
 		reservation string
+		// next is a repeat that takes the place of an attempt that has ended; nil if
+		// there is none.
+		next *repeat
+		// paid says that the next attempt's retry is taken from the budget.
+		paid bool
 	}
 
 	// progress is the state of a call's attempts so far.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
@@ -58,8 +59,10 @@
 		peer string
 		// owner says that the other node is the owner of the service.
 		owner bool
-		// answered is set once the response has begun.
+		// answered is set once the response has begun, and paid if a retry was taken from
+		// the budget when the other node was abandoned.
 		answered atomic.Bool
+		paid     atomic.Bool
 		started  time.Time
 		// first is the time until the first part of the response.
 		first time.Duration
@@ -128,6 +131,10 @@
 	}
 	res, ref = c.follow(ctx, a, x)
 	owners.Done(peer, x)
+	if c.paid = a.paid.Load(); c.paid && (res != resultBroken || ref != nil) {
+		c.paid = false
+		c.returnRetry()
+	}
 	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
 		return 0, nil, false
 	}
@@ -135,19 +142,37 @@
 }
 
 // watchOwner abandons an owner that is lost before its response begins, as a paused one
-// is: the request may be repeated here. An owner that answers other offers is only slow.
+// is, once the request may be repeated here: the retry budget allows it, and an endpoint
+// has room. An owner that answers other offers is only slow.
 func (c *call) watchOwner(ctx context.Context, a *hop, abandon func()) *time.Timer {
-	var timer *time.Timer
-	timer = time.AfterFunc(c.route.Timeout, func() {
+	return startTimer(ownerCheckInterval, func(timer *time.Timer) {
 		switch {
 		case ctx.Err() != nil || a.answered.Load():
-		case c.handler.config.Owners.Lost(a.peer):
+		case c.handler.config.Owners.Lost(a.peer) && c.takeRetry():
+			a.paid.Store(true)
 			abandon()
 		default:
 			timer.Reset(ownerCheckInterval)
 		}
 	})
-	timer.Reset(ownerCheckInterval)
+}
+
+// takeRetry takes a retry from the budget if an endpoint has room for the request.
+func (c *call) takeRetry() bool {
+	h, now := c.handler.config, time.Now()
+	r := balance.Request{Service: c.service, Key: c.promptKey, Tried: c.progress.tried}
+	return h.Reach.Reaches(c.service.Name) && h.Balancer.HasRoom(now, c.endpoints(), r) && h.Budget.Retry(now, c.service.Name)
+}
+
+// startTimer calls a function after a time, with the timer, which it may reset.
+func startTimer(d time.Duration, f func(timer *time.Timer)) *time.Timer {
+	var timer *time.Timer
+	set := make(chan struct{})
+	timer = time.AfterFunc(d, func() {
+		<-set
+		f(timer)
+	})
+	close(set)
 	return timer
 }
 
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -30,9 +30,7 @@
 	if p == http.ErrAbortHandler {
 		panic(p)
 	}
-	c.handler.config.Metrics.panics.Inc()
-	text := fmt.Sprint(p)
-	c.log("panic", decision.Fields{"error": text[:min(len(text), maxPanicText)], "stack": panicStack()})
+	c.logPanic(p)
 	if c.progress.started {
 		panic(http.ErrAbortHandler)
 	}
@@ -42,6 +40,13 @@
 	c.refuse(unknown(reasonPanic))
 }
 
+// logPanic logs and counts the value of a panic.
+func (c *call) logPanic(p any) {
+	c.handler.config.Metrics.panics.Inc()
+	text := fmt.Sprint(p)
+	c.log("panic", decision.Fields{"error": text[:min(len(text), maxPanicText)], "stack": panicStack()})
+}
+
 // panicStack returns the functions that were running when the current panic began, the
 // innermost first.
 func panicStack() []string {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -51,6 +51,15 @@
 		Notice Notice
 	}
 
+	// slot is a slot at an endpoint as far as the endpoint was asked for it.
+	slot struct {
+		// reservation names what is reserved, empty if nothing is.
+		reservation string
+		// denied says that the request must not be sent there, and outcome why.
+		denied  bool
+		outcome balance.Outcome
+	}
+
 	// Reserver reserves slots at engines.
 	Reserver interface {
 		// Reserve returns the engine's response, also along with ErrFull and
@@ -93,17 +102,16 @@
 	r.unsupported[e] = now.Add(unsupportedTTL)
 }
 
-// reserve reserves a slot at the chosen engine if it may be full, and reports
-// whether the request may be sent there.
+// reserve reserves a slot at the chosen engine if it may be full.
 //
 // Nodes learn of each other's requests late. While slots are scarce, all nodes
 // with waiting requests see the same slot become free and send to it. Most of
 // these requests would wait at that engine, and could have waited here for the
 // next free slot of any engine. The engine itself grants each slot only once.
-func (c *call) reserve(ctx context.Context, choice *balance.Choice) bool {
+func (c *call) reserve(ctx context.Context, choice *balance.Choice) slot {
 	h, start := c.handler.config, choice.Endpoint.Start()
 	if !c.service.Model || !choice.NearlyFull || !c.handler.reservations.supported(start, time.Now()) {
-		return true
+		return slot{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -112,14 +120,10 @@
 	h.Metrics.noticed(place.Notice)
 	c.applyNotice(choice.Endpoint, place.Notice)
 	if errors.Is(err, ErrFull) {
-		c.progress.full++
-		h.Balancer.Release(time.Now(), start, balance.ReservationRefused)
-		return false
+		return slot{denied: true, outcome: balance.ReservationRefused}
 	}
 	if place.Notice.Leaving {
-		c.progress.tried = append(c.progress.tried, start)
-		h.Balancer.Release(time.Now(), start, balance.Unknown)
-		return false
+		return slot{denied: true, outcome: balance.Unknown}
 	}
 	if err != nil {
 		if errors.Is(err, ErrNoReservations) {
@@ -130,6 +134,15 @@
 	if err == nil {
 		h.Balancer.Accepted(time.Now(), start)
 	}
-	c.reservation = place.Name
-	return true
+	return slot{reservation: place.Name}
+}
+
+// release releases the slot of a choice at which no slot could be reserved.
+func (c *call) release(choice *balance.Choice, s slot) {
+	if s.outcome == balance.ReservationRefused {
+		c.progress.full++
+	} else {
+		c.progress.tried = append(c.progress.tried, choice.Endpoint.Start())
+	}
+	c.handler.config.Balancer.Release(time.Now(), choice.Endpoint.Start(), s.outcome)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
 const (
@@ -31,6 +31,8 @@
 	resultCallerGone
 	// resultCut means that the caller has part of a response that cannot be resumed.
 	resultCut
+	// resultDropped means that another endpoint's response was used.
+	resultDropped
 )
 
 // result is how an attempt ended for the call.
@@ -38,6 +40,7 @@
 
 // run tries endpoints until the caller has its response, or cannot get one.
 func (c *call) run(ctx context.Context) {
+	defer c.dropNext()
 	if ref := c.isolated(); ref != nil {
 		c.refuse(ref)
 		return
@@ -59,6 +62,9 @@
 
 // try tries one endpoint, or has another node serve the request.
 func (c *call) try(ctx context.Context) (result, *refusal) {
+	if c.next != nil {
+		return c.adopt(ctx), nil
+	}
 	for {
 		if c.mayAskOwner() {
 			if res, ref, taken := c.handToOwner(ctx); taken {
@@ -79,9 +85,7 @@
 			// Meanwhile this node has lost the service.
 			continue
 		}
-		res := c.attempt(ctx, choice)
-		c.progress.tried = append(c.progress.tried, choice.Endpoint.Start())
-		return res, nil
+		return c.attempt(ctx, choice), nil
 	}
 }
 
@@ -117,6 +121,11 @@
 	if res == resultCut {
 		return unknown(reasonBroken)
 	}
+	if c.next != nil || c.paid {
+		// Its retry is already taken from the budget.
+		c.paid = false
+		return nil
+	}
 	if res == resultBroken && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
 		return c.giveUp(reasonBroken)
 	}
@@ -138,13 +147,6 @@
 	return notRun(reason, max(time.Duration(retryShare*float64(c.route.Objective)), minRetryDelay))
 }
 
-// otherHasRoom reports whether an endpoint other than s has room for the call.
-func (c *call) otherHasRoom(s deployment.Start) bool {
-	return c.handler.config.Balancer.HasRoom(time.Now(), c.endpoints(), balance.Request{
-		Service: c.service, Key: c.promptKey, Tried: append(slices.Clone(c.progress.tried), s), Exclusive: c.exclusive(),
-	})
-}
-
 // exclusive reports whether all requests for the call's service pass through this node.
 func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
 
@@ -157,22 +159,29 @@
 
 // attempt sends the request to an endpoint and forwards the response.
 func (c *call) attempt(ctx context.Context, choice *balance.Choice) result {
-	a := &attempt{call: c, choice: choice, outcome: balance.Unknown, started: time.Now()}
-	res := resultBroken
-	defer func() {
-		c.handler.config.Balancer.PrefillDone(time.Now(), choice, 0)
-		c.handler.config.Balancer.Release(time.Now(), choice.Endpoint.Start(), a.outcome)
-		c.released(time.Now(), time.Since(a.started), a.outcome == balance.Served)
-		c.handler.config.Metrics.attempted(a, res)
-		c.log("attempt", a.fields(res))
-	}()
-	res = a.run(ctx)
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := c.newAttempt(choice, cancel)
+	a.reservation, c.reservation = c.reservation, ""
+	a.lastEvent, a.newConn = c.progress.lastEvent, c.progress.noResponse
+	res := a.run(ctx, func() (*http1.Exchange, result) { return a.send(sending) })
+	c.attempted(a)
 	return res
 }
 
+func (c *call) newAttempt(choice *balance.Choice, cancel context.CancelFunc) *attempt {
+	return &attempt{call: c, choice: choice, outcome: balance.Unknown, started: time.Now(), cancel: cancel}
+}
+
+// attempted records an attempt that has ended.
+func (c *call) attempted(a *attempt) {
+	c.progress.tried = append(c.progress.tried, a.choice.Endpoint.Start())
+	c.progress.noResponse = c.progress.noResponse || a.noResponse
+}
+
 // String returns the result's name in logs and metrics.
 func (r result) String() string {
-	return [...]string{"answered", "not-sent", "withdrawn", "not-run", "broken", "caller-gone", "cut"}[r]
+	return [...]string{"answered", "not-sent", "withdrawn", "not-run", "broken", "caller-gone", "cut", "dropped"}[r]
 }
 
 // endpointIDs returns the IDs of endpoints, for logs.
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -20,14 +20,14 @@
 	for _, c := range []struct {
 		name, load, body string
 		sends            int
+		late             time.Duration
 	}{
-		{name: "as usual", load: "Load: 0,0,4,100\r\n", body: "hi", sends: 2},
-		{name: "slow", load: "Load: 0,0,4,500\r\n", body: "late", sends: 1},
+		{name: "as usual", load: "Load: 0,0,4,100\r\n", body: "hi", sends: 2, late: time.Minute},
+		{name: "slow", load: "Load: 0,0,4,500\r\n", body: "late", sends: 1, late: objective * 3 / 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			late := func(conn net.Conn, r *http.Request) bool {
-				time.Sleep(objective * 3 / 4)
-				return whole(200, "late", c.load)(conn, r)
+				return pause(conn, c.late) && whole(200, "late", c.load)(conn, r)
 			}
 			f := newFixture(t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: objective},
 				newEndpoint(t, whole(200, "first", c.load), late), newEndpoint(t, whole(200, "hi", c.load)))
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -38,9 +37,9 @@
 	maxLoggedLoad = 64
 )
 
-// stallTimeout returns after how long without a response the endpoint is
-// abandoned, 0 for never. A request that must not be repeated waits as long as its
-// caller.
+// stallTimeout returns after how long without a response the request is repeated at
+// another endpoint, 0 for never. A request that must not be repeated waits as long as
+// its caller.
 func (a *attempt) stallTimeout() time.Duration {
 	c := a.call
 	if !c.canRetry() {
@@ -57,31 +56,6 @@
 	return stall
 }
 
-// watch abandons a silent endpoint, unless no other one has room: in an overload
-// all of them respond late, and requests would be ended just before their response.
-// It returns nil for a request that must wait.
-func (a *attempt) watch(ctx context.Context, abandon func()) *time.Timer {
-	c, stall := a.call, a.stallTimeout()
-	if stall == 0 {
-		return nil
-	}
-	var timer *time.Timer
-	timer = time.AfterFunc(c.route.Timeout, func() {
-		if ctx.Err() != nil {
-			// The attempt has ended; the timer must not be restarted.
-			return
-		}
-		if !c.otherHasRoom(a.choice.Endpoint.Start()) || time.Since(a.started) < a.busyTimeout(stall) {
-			timer.Reset(stall)
-			return
-		}
-		a.timedOut.Store(true)
-		abandon()
-	})
-	timer.Reset(stall)
-	return timer
-}
-
 // busyTimeout returns how long an endpoint may be silent given its reported load: a
 // request that waits in its queue is no sign of a fault. If abandoned in an
 // overload, it would have to wait again elsewhere.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,7 @@
 // If the stream breaks and may be resumed, the call continues at another endpoint
 // after the last complete event that was forwarded; the caller sees one response,
 // with the header of the first.
-func (a *attempt) stream(x *http1.Exchange, timer *time.Timer) result {
+func (a *attempt) stream(x *http1.Exchange, w *watch) result {
 	c := a.call
 	events := sse.NewReader(x.Response.Body)
 	for {
@@ -38,9 +38,7 @@
 		if err != nil {
 			return a.interrupted(err)
 		}
-		if timer != nil {
-			timer.Reset(a.pauseTimeout())
-		}
+		w.progress(a.pauseTimeout())
 		if a.latency == 0 {
 			a.latency = time.Since(a.started)
 			c.queue().ObserveLatency(c.admissionRequest(), a.latency)
@@ -53,6 +51,7 @@
 			a.cause = err.Error()
 			return resultCallerGone
 		}
+		w.forwarded(c.progress.lastEvent)
 	}
 }
 
