Decide a request by one configuration, wherever it runs

Cause: a request that is handed over, to the owner of its service or because this node does not reach it, is admitted again by the configuration of the node that takes it, which may be newer. Its denial was passed on as final, also within a response that had begun. And a refusal for a reason of the other node's own ended a begun stream, as only requests without a run could go elsewhere.

Now a node that does not admit another node's request refuses it as `other-config`, for a reason of its own, and the first node serves it or offers it to another. A resumable stream that may run again goes elsewhere after such a refusal like a request that has not begun.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -212,7 +212,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	if ref := c.admit(); ref != nil {
-		c.refuse(ref)
+		c.refuse(c.denial(ref))
 		return
 	}
 	if c.handed == nil {
@@ -228,7 +228,7 @@
 		defer h.heldBytes.Add(-size)
 	}
 	if ref := c.read(); ref != nil {
-		c.refuse(ref)
+		c.refuse(c.denial(ref))
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
@@ -281,6 +281,16 @@
 	return nil
 }
 
+// denial returns the refusal of a request that is not admitted here. Another node's
+// request has been admitted there; if this node's configuration does not allow it, it is
+// a newer one, and the request goes elsewhere.
+func (c *call) denial(r *refusal) *refusal {
+	if c.handed == nil || r.status == http.StatusServiceUnavailable {
+		return r
+	}
+	return notRun(reasonOtherConfig, retrySoon)
+}
+
 // denied refuses what the configuration does not allow. If the configuration is so
 // old that it may have been replaced, the caller is asked to retry instead.
 func (c *call) denied(status int, reason string) *refusal {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -28,7 +28,7 @@
 )
 
 // ownReasons are the reasons of refusals that hold for the refusing node only.
-var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}
+var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn, reasonOtherConfig}
 
 type (
 	// Handovers hands requests over to other nodes.
@@ -89,7 +89,7 @@
 		}
 		res, ref = c.follow(ctx, &hop{peer: peer, started: time.Now()}, x)
 		c.handler.config.Handovers.Done(peer, x)
-		if res == resultNotSent || ref != nil && c.mayTryOther(ref) {
+		if res == resultNotSent || ref != nil && c.mayRunElsewhere(ref) {
 			continue
 		}
 		return res, ref, true
@@ -135,7 +135,7 @@
 		c.paid = false
 		c.returnRetry()
 	}
-	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
+	if res == resultNotSent || ref != nil && c.mayRunElsewhere(ref) {
 		return 0, nil, false
 	}
 	return res, ref, true
@@ -176,11 +176,11 @@
 	return timer
 }
 
-// mayRunHere reports whether this node may run a request that the owner has refused: it
-// may run, or run again, and the reason was the owner's own. The owner has taken a retry
-// from the budget for each run that broke.
-func (c *call) mayRunHere(r *refusal) bool {
-	if c.progress.started || c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
+// mayRunElsewhere reports whether a request that a node has refused may run at another
+// one: it may run, or run again, and the reason was that node's own. That node has taken
+// a retry from the budget for each run that broke.
+func (c *call) mayRunElsewhere(r *refusal) bool {
+	if c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
 		return false
 	}
 	return slices.Contains(ownReasons[:], r.reason)
@@ -285,15 +285,6 @@
 	return &refusal{status: r.Status, reason: r.Reason, retryAfter: r.RetryAfter}
 }
 
-// mayTryOther reports whether a further node may serve a request that one has refused:
-// it has not run, and the reason was that node's own.
-func (c *call) mayTryOther(r *refusal) bool {
-	if c.progress.started || c.progress.runs > 0 {
-		return false
-	}
-	return slices.Contains(ownReasons[:], r.reason)
-}
-
 // serviceName returns the service that the request goes to: the one that the node
 // which handed it over has drawn, or one drawn here.
 func (c *call) serviceName() string {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,6 +34,7 @@
 	reasonLeaving     = "endpoints-leaving"
 	reasonBackoff     = "endpoints-resting"
 	reasonPanic       = "internal-error"
+	reasonOtherConfig = "other-config"
 )
 
 const (
