Call nothing after the end of a periodic task

Cause: once a call has lasted longer than the interval, both the end of the context and the next tick are ready, and select takes either. A task that has been ended could so run once more, after what it uses is closed.

Evidence: TestRunCallsNothingAfterTheEnd failed on the code before (2 calls, or more, in place of 1). Now the end is checked before each call; 20 repeats of the package's tests with the race detector passed.

--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -16,6 +16,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			if ctx.Err() != nil {
+				return
+			}
 			f(now)
 		}
 	}
--- a/internal/periodic/periodic_test.go
+++ b/internal/periodic/periodic_test.go
@@ -34,3 +34,20 @@
 		require.Equal(t, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, at)
 	})
 }
+
+// Guards against a call after the context has ended, when the next interval has passed
+// as well.
+func TestRunCallsNothingAfterTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 100 {
+			ctx, cancel := context.WithCancel(t.Context())
+			calls := 0
+			periodic.Run(ctx, time.Second, func(time.Time) {
+				calls++
+				cancel()
+				time.Sleep(2 * time.Second)
+			})
+			require.Equal(t, 1, calls)
+		}
+	})
+}
