Let a begun stream wait for a slot as long as its caller does

Callers whose stream's endpoint broke off got two thirds of an answer, the comment `unknown: endpoints-full` and a closed connection, when no other endpoint had a slot at that moment.

Cause: the queue treats a stream that resumes like a new request. It may wait until its answer could no longer begin within the objective, which is long over, or is refused at once. For a caller that already has part of the answer the objective says nothing; it waits for the rest for seconds.

Evidence: TestBegunStreamWaitsForASlot: all slots are taken as the stream's endpoint breaks off and become free after 0.5 s; on the code before it was cut with `endpoints-full`.

Now such a request goes first, is not refused for the time it has to wait, and waits up to two seconds.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,6 +23,9 @@
 	// place stays free. minWait is its lower bound: two rounds.
 	minWaitShare = 0.125
 	minWait      = 2 * roundInterval
+	// begunWait is how long a request waits whose caller already has part of the answer:
+	// callers leave an answer that pauses for longer.
+	begunWait = 2 * time.Second
 	// rateWindow is the time over which rates are averaged: long compared with the
 	// time between two places, short compared with a burst.
 	rateWindow = 2 * time.Second
@@ -138,13 +141,13 @@
 	k.startLatency += time.Duration(sampleWeight * float64(first-k.startLatency))
 }
 
-// MayTry reports whether an arriving request may look for a place at once: no request
-// waits, its kind is not served more than others, and it is no excess while places
+// MayTry reports whether an arriving request may look for a place at once: it has begun,
+// or no request waits, its kind is not served more than others, and it is no excess while places
 // are scarce.
 func (q *Queue) MayTry(now time.Time, r Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) == 0 && !q.overserved(q.kind(r), now) && !(r.Excess && q.rejectsExcess(now))
+	return r.Begun || len(q.waiting) == 0 && !q.overserved(q.kind(r), now) && !(r.Excess && q.rejectsExcess(now))
 }
 
 // Refused counts a request that got no place.
@@ -166,6 +169,9 @@
 	// of the time left.
 	left := r.Objective - k.startLatency
 	minimum := max(time.Duration(minWaitShare*float64(r.Objective)), minWait)
+	if r.Begun {
+		return q.add(&Waiter{kind: k, account: r.AccountPriority, excess: r.Excess, begun: true, notBefore: now, until: now.Add(begunWait)})
+	}
 	if r.Excess && q.rejectsExcess(now) {
 		return nil
 	}
@@ -176,11 +182,16 @@
 		}
 		left = minimum
 	}
-	w := &Waiter{kind: k, account: r.AccountPriority, excess: r.Excess, notBefore: now, until: now.Add(max(left, minimum)), turn: make(chan struct{}, 1)}
+	w := &Waiter{kind: k, account: r.AccountPriority, excess: r.Excess, notBefore: now, until: now.Add(max(left, minimum))}
 	if q.overserved(k, now) {
 		w.notBefore = now.Add(minimum / 2)
 	}
-	k.addWaiting(w, 1)
+	return q.add(w)
+}
+
+func (q *Queue) add(w *Waiter) *Waiter {
+	w.turn = make(chan struct{}, 1)
+	w.kind.addWaiting(w, 1)
 	q.waiting = append(q.waiting, w)
 	return w
 }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -53,8 +53,11 @@
 }
 
 // penalty is how far a request is put behind others of its kind, in units of a served
-// share.
+// share; a negative one puts it ahead.
 func (w *Waiter) penalty() float64 {
+	if w.begun {
+		return -excessPenalty
+	}
 	if w.excess {
 		return excessPenalty
 	}
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -20,6 +20,9 @@
 		// Objective is the time from the request's arrival within which the answer
 		// should begin.
 		Objective time.Duration
+		// Begun reports whether the caller already has part of the answer. Such a request
+		// goes first, and is not refused for the time that it has to wait.
+		Begun bool
 
 		// The other fields are used by CostQueue only.
 
@@ -41,6 +44,7 @@
 		kind    *kind
 		account int
 		excess  bool
+		begun   bool
 		// notBefore is when the request may have its first turn.
 		notBefore time.Time
 		until     time.Time
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -40,7 +40,9 @@
 		return nil, c.giveUp(reason)
 	}
 	q, began := c.queue(), time.Now()
-	tried := q.MayTry(began, c.admissionRequest())
+	request := c.admissionRequest()
+	request.Begun = c.progress.started
+	tried := q.MayTry(began, request)
 	if tried {
 		if choice := c.choose(ctx, began, nil); choice != nil {
 			return choice, nil
@@ -49,7 +51,7 @@
 	if c.cost != nil {
 		return c.waitByCost(ctx, began, tried && c.promptKey == "")
 	}
-	w := q.Join(time.Now(), c.admissionRequest())
+	w := q.Join(time.Now(), request)
 	if w == nil {
 		return nil, c.refuseNoSlot(began)
 	}
