Hand a request over when its endpoint is silent and the service is out of reach

Now a silence counts as a sign that the endpoint may be out of reach, once for each attempt, which makes the node ask its endpoints. Once it knows that it has lost the service, the attempt is ended, if the retry budget allows, and the request is handed over as before; at an owner it goes back to the node that handed it over.

Evidence: TestRequestLeavesNodeThatLosesTheService, a request whose endpoints fall silent as its node loses the service.

--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -40,6 +40,9 @@
 		mu      sync.Mutex
 		timer   *time.Timer
 		stopped bool
+		// reported says that the silence was reported as a failure to reach the endpoint,
+		// and paid that a retry was taken from the budget when it was abandoned.
+		reported, paid bool
 		// repeat is the repeat in progress.
 		repeat *repeat
 		ended  endedRepeats
@@ -117,6 +120,16 @@
 		w.timer.Reset(min(due-passed, stall))
 		return
 	}
+	if !w.reported {
+		// The endpoint may be out of reach.
+		w.reported = true
+		a.call.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
+	}
+	if a.call.mayLeave() {
+		w.paid = true
+		w.abandon()
+		return
+	}
 	recheck := max(time.Duration(recheckShare*float64(stall)), minStallTimeout)
 	choice := w.replacement()
 	if choice == nil {
@@ -178,8 +191,7 @@
 		return
 	}
 	if r.exchange != nil {
-		w.attempt.timedOut.Store(true)
-		w.attempt.cancel()
+		w.abandon()
 		return
 	}
 	w.repeat = nil
@@ -187,6 +199,23 @@
 	w.timer.Reset(recheck)
 }
 
+// abandon ends the watched attempt.
+func (w *watch) abandon() {
+	w.attempt.timedOut.Store(true)
+	w.attempt.cancel()
+}
+
+// mayLeave takes a retry from the budget for a request that another node should serve:
+// this one has lost its paths to the service, so that nothing can arrive from a silent
+// endpoint.
+func (c *call) mayLeave() bool {
+	h := c.handler.config
+	if h.Reach.Reaches(c.service.Name) || !c.owned() && !c.mayHandOver() {
+		return false
+	}
+	return h.Budget.Retry(time.Now(), c.service.Name)
+}
+
 // keep stops watching an endpoint whose response no other could continue from now on.
 // It returns false if the endpoint was abandoned.
 func (w *watch) keep() bool {
@@ -217,6 +246,11 @@
 	case resultDone, resultCallerGone, resultCut:
 		w.drop()
 		r = nil
+		if w.paid {
+			w.attempt.call.returnRetry()
+		}
+	default:
+		w.attempt.call.paid = w.paid
 	}
 	w.attempt.call.ended(&w.ended)
 	return r
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -121,9 +121,8 @@
 	if res == resultCut {
 		return unknown(reasonBroken)
 	}
-	if c.next != nil || c.paid {
+	if c.next != nil {
 		// Its retry is already taken from the budget.
-		c.paid = false
 		return nil
 	}
 	if res == resultBroken && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
@@ -132,7 +131,9 @@
 	if try+1 >= maxTries {
 		return c.giveUp(c.progress.reason)
 	}
-	if res != resultNotSent && res != resultWithdrawn && !c.handler.config.Budget.Retry(time.Now(), c.service.Name) {
+	paid := c.paid
+	c.paid = false
+	if res != resultNotSent && res != resultWithdrawn && !paid && !c.handler.config.Budget.Retry(time.Now(), c.service.Name) {
 		return c.giveUp(reasonBudget)
 	}
 	return nil
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -154,3 +154,24 @@
 	require.Eventually(t, func() bool { return f.arrivals() < 2 || dropped.Load() }, 10*time.Second, time.Millisecond)
 	require.Empty(t, f.balancer.Active())
 }
+
+// Guards against requests that wait for a silent endpoint until their time is over
+// although this node has lost its paths to the service and another one has not.
+func TestRequestLeavesNodeThatLosesTheService(t *testing.T) {
+	var h *hops
+	var n atomic.Int64
+	play := func(c net.Conn, r *http.Request) bool {
+		if n.Add(1) > 2 {
+			return whole(200, "hi")(c, r)
+		}
+		h.near.reach.lost.Store(true)
+		_ = pause(c, time.Minute)
+		return false
+	}
+	h = newHops(t, 1, deployment.Route{Kind: deployment.Idempotent, Attempts: 4, Objective: 200 * time.Millisecond, Timeout: 20 * time.Second},
+		newEndpoint(t, play), newEndpoint(t, play), newEndpoint(t, play))
+	h.near.reach.lost.Store(false)
+	r := h.post(t, "/p/x", nil)
+	require.Equal(t, 200, r.status, r.body)
+	require.NotZero(t, h.team.offers.Load())
+}
