Bound the head of an endpoint's response

A status line, a header line, header lines, continued lines or informational responses without end were read until the caller's time was over: hundreds of megabytes for a single request, where a node has 160 to 284 MB. Its process would be ended, and all of its callers would be left without an answer.

TestErrorsAreShort failed with an error of 61,491 bytes, which went into the log.

A reader below the connection's buffer counts bytes and lines while a head is awaited, informational responses included, and returns ErrHeadTooLarge, which wraps ErrBroken and says what was exceeded: 64 KiB, as for callers, or 1,000 lines. As a buffer is filled only when it is used up, all but the last read belongs to the head, so that the bytes of a body do not count. Errors quote no more than 256 bytes.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -73,6 +73,7 @@
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
+	head   *headReader
 	reader *bufio.Reader
 	// used says that an exchange has ended on it.
 	used bool
@@ -126,7 +127,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrConnect, err)
 	}
-	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	head := &headReader{from: c}
+	return &conn{Conn: c, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBuffer)}, nil
 }
 
 // Probe opens a connection to an address and closes it again.
@@ -168,12 +170,5 @@
 
 // readResponse reads the next response's header, skipping informational ones.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
-	resp, err := http.ReadResponse(c.reader, req)
-	for err == nil && resp.StatusCode/100 == 1 {
-		resp, err = http.ReadResponse(c.reader, req)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-	}
-	return resp, nil
+	return c.head.response(c.reader, req)
 }
--- a/internal/http1/egress.go
+++ b/internal/http1/egress.go
@@ -51,15 +51,17 @@
 	if err := req.Write(c); err != nil {
 		return fmt.Errorf("%w: %w", ErrEgress, err)
 	}
-	in := bufio.NewReader(c)
-	resp, err := http.ReadResponse(in, req)
+	head := &headReader{from: c}
+	in := bufio.NewReader(head)
+	resp, err := head.response(in, req)
 	switch {
 	case err != nil:
-		return fmt.Errorf("%w: %w", ErrEgress, err)
+		// Not ErrBroken: nothing was sent to the address.
+		return fmt.Errorf("%w: %v", ErrEgress, err)
 	case resp.StatusCode == http.StatusBadGateway:
 		return fmt.Errorf("%w: %s: %w", ErrEgress, address, syscall.ECONNREFUSED)
 	case resp.StatusCode != http.StatusOK || in.Buffered() > 0:
-		return fmt.Errorf("%w: %s: %s", ErrEgress, address, resp.Status)
+		return fmt.Errorf("%w: %s: %s", ErrEgress, address, shorten(resp.Status))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,87 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+const (
+	// maxHeadBytes bounds the bytes that are read for the head of a response, with the
+	// informational responses before it.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of these: a field takes some hundred bytes of memory
+	// in addition to its text.
+	maxHeadLines = 1000
+	// maxErrorText bounds the text of errors, some of which quote what was received.
+	maxErrorText = 256
+)
+
+var (
+	// ErrHeadTooLarge is returned if the head of a response was too large, or had no end.
+	ErrHeadTooLarge = fmt.Errorf("%w: head too large", ErrBroken)
+	errHeadBytes    = fmt.Errorf("%w: more than %d bytes", ErrHeadTooLarge, maxHeadBytes)
+	errHeadLines    = fmt.Errorf("%w: more than %d lines", ErrHeadTooLarge, maxHeadLines)
+)
+
+// headReader bounds what is read from a connection for the head of a response. A
+// bufio.Reader reads from it only if what it has buffered is not enough, so that all that
+// was read before, but not the last time, belongs to the head.
+type headReader struct {
+	from io.Reader
+	// limited says that a head is being read, of which so many bytes and lines were read.
+	limited bool
+	bytes   int
+	lines   int
+	// err is the limit that was exceeded.
+	err error
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(b []byte) (int, error) {
+	if !r.limited {
+		return r.from.Read(b)
+	}
+	switch {
+	case r.bytes >= maxHeadBytes:
+		r.err = errHeadBytes
+	case r.lines >= maxHeadLines:
+		r.err = errHeadLines
+	}
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.from.Read(b[:min(len(b), maxHeadBytes-r.bytes)])
+	r.bytes += n
+	r.lines += bytes.Count(b[:n], []byte("\n"))
+	return n, err
+}
+
+// response reads the next response's head from in, which reads from r. It skips
+// informational responses.
+func (r *headReader) response(in *bufio.Reader, req *http.Request) (*http.Response, error) {
+	r.limited, r.bytes, r.lines = true, 0, 0
+	defer func() { r.limited = false }()
+	resp, err := http.ReadResponse(in, req)
+	for err == nil && resp.StatusCode/100 == 1 {
+		resp, err = http.ReadResponse(in, req)
+	}
+	switch {
+	case err == nil:
+		return resp, nil
+	case r.err != nil:
+		// The error may say instead that what was read is malformed.
+		return nil, r.err
+	case len(err.Error()) > maxErrorText:
+		return nil, fmt.Errorf("%w: %s", ErrBroken, shorten(err.Error()))
+	}
+	return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
+// shorten returns the beginning of a text that was received.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorText)], "")
+}
