Do not wait for the rest of a response that is not used

Callers of at-most-once requests got a 503 or a 504 although another endpoint could serve them: the body of a refusal was read up to 1 MiB or to its end before the request was sent elsewhere, so that a refusal whose body does not end kept the request until its time was over. The connection then went back to the pool although the body may have had more than 1 MiB, or, of a reservation, than 4 KiB: what followed was taken for the beginning of the next response.

Discard reads a body for 50 ms and up to 64 KiB, as it usually arrives with its header, and so that connections that follow refusals are still reused (TestConnectionOfADiscardedResponseIsReused). An exchange now knows whether the body was read to its end, and Finish closes the connection if not.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,9 +226,7 @@
 		a.outcome = balance.Gone
 		a.call.handler.config.Crashes.Ended(a.choice.Endpoint.Start())
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxBuffered)); err == nil {
-		x.Finish()
-	}
+	x.Discard()
 	return resultNotRun
 }
 
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -29,6 +29,10 @@
 	// writeGrace is how long a request may still be being written after its
 	// response. A goroutine is scheduled within that time, even on a busy machine.
 	writeGrace = 100 * time.Millisecond
+	// discardTimeout is how long the body of a response that is not used may take, and
+	// maxDiscarded its largest size: it usually arrives with its header.
+	discardTimeout = 50 * time.Millisecond
+	maxDiscarded   = 64 << 10
 )
 
 type (
@@ -63,6 +67,7 @@
 		peer         peer
 		maxIdleConns int
 		conn         *conn
+		body         *trackedBody
 		stop         func() bool
 		// writeErr receives the result of writing the request.
 		writeErr chan error
@@ -71,8 +76,21 @@
 		// chunk rather than by the end of the connection.
 		framed bool
 	}
+
+	// trackedBody is a body that knows whether it was read to its end.
+	trackedBody struct {
+		io.ReadCloser
+		ended bool
+	}
 )
 
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Do sends a request and waits for the response's header. ErrConnect and ErrWithdrawn
 // mean that nothing was sent; after any other error the request may have run. The end
 // of ctx closes the connection, which tells the endpoint to stop.
@@ -104,6 +122,8 @@
 		x.Abort()
 		return nil, err
 	}
+	x.body = &trackedBody{ReadCloser: resp.Body}
+	resp.Body = x.body
 	x.Response = resp
 	x.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return x, nil
@@ -133,13 +153,13 @@
 	return nil, fmt.Errorf("%w: responses to other requests", ErrBroken)
 }
 
-// Finish ends an exchange whose response has been read to its end. The connection
-// is returned to the pool if it may be reused.
+// Finish ends an exchange. The connection is returned to the pool if it may be reused
+// and the response has been read to its end.
 func (x *Exchange) Finish() {
 	if !x.ended.CompareAndSwap(false, true) {
 		return
 	}
-	if alive := x.stop(); !alive || x.Response.Close || !x.framed {
+	if alive := x.stop(); !alive || x.Response.Close || !x.framed || !x.body.ended {
 		_ = x.conn.Close()
 		return
 	}
@@ -151,6 +171,17 @@
 	}
 }
 
+// Discard ends an exchange whose response's body is not used. The body is read if it is
+// short and arrives soon, so that the connection can be reused.
+func (x *Exchange) Discard() {
+	if x.framed {
+		// An error means that the connection is not reused.
+		_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+		_, _ = io.CopyN(io.Discard, x.Response.Body, maxDiscarded+1)
+	}
+	x.Finish()
+}
+
 // awaitWrite recycles the connection of an exchange whose response came before the
 // request was known to be written: its goroutine may not have been scheduled yet, or
 // the endpoint has not read all of the request.
