Treat a status below 200 as no response

Callers got a closed connection instead of a response: http.ReadResponse accepts any three digits as a status, and http.ResponseWriter panics on those below 100. Such a response of an endpoint is now invalid like one without a seal, so that an idempotent request is retried and another one ends with 502.

What nodes pass on to each other is checked too: the Writer breaks a response with an invalid status off, and an Exchange one that arrives with such a status, or whose refusal has one, as the other node may have another version.

TestInvalidStatus of both packages failed before (expected 502, actual 0, which is no response; "Expected error with "handover: broken" in chain but got nil").

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,7 +232,8 @@
 
 // valid reports whether a response may be an endpoint's: a success has the seal
 // header and no content encoding. A status which implies that the request did not
-// run is invalid here, as run has handled the responses that say so explicitly.
+// run is invalid here, as run has handled the responses that say so explicitly. So is
+// one below 200, which ends no response.
 func (a *attempt) valid(resp *http.Response) bool {
 	h := a.call.handler.config.Headers
 	switch resp.StatusCode {
@@ -240,7 +241,7 @@
 		return false
 	}
 	if resp.StatusCode/100 != 2 {
-		return true
+		return resp.StatusCode >= http.StatusOK
 	}
 	return resp.Header.Get(h.Seal) != "" && resp.Header.Get("Content-Encoding") == ""
 }
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -124,6 +124,9 @@
 	if err := x.stream.MsgRecv(f, cborcodec.Codec{}); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	if f.Status != 0 && !isStatus(f.Status) || f.Refusal != nil && !isStatus(f.Refusal.Status) {
+		return nil, fmt.Errorf("%w: %w: status", ErrBroken, ErrMessage)
+	}
 	return f, nil
 }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -21,6 +21,8 @@
 	// partBytes is the size of the parts in which requests' bodies are sent, and from
 	// which on those of responses are.
 	partBytes = 32 << 10
+	// maxStatus is the largest number that an http.ResponseWriter takes as a status.
+	maxStatus = 999
 )
 
 var (
@@ -109,3 +111,7 @@
 		Last bool   `cbor:"2,keyasint,omitempty"`
 	}
 )
+
+// isStatus reports whether a number is a valid status of a response. An
+// http.ResponseWriter panics on most others.
+func isStatus(n int) bool { return n >= http.StatusOK && n <= maxStatus }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -123,10 +123,14 @@
 // Header implements http.ResponseWriter.
 func (w *Writer) Header() http.Header { return w.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. An invalid status breaks the response
+// off.
 func (w *Writer) WriteHeader(status int) {
 	if !w.wrote {
 		w.wrote = true
+		if !isStatus(status) && w.err == nil {
+			w.err = fmt.Errorf("%w: status %d", ErrMessage, status)
+		}
 		w.frame.Status, w.frame.Header = status, w.header.Clone()
 	}
 }
