Bound the head of the store's responses

The transport to the store had the default limit of 10 MiB for a response's head, of which fields take several times as much memory, where a node has 160 to 284 MB. The limit is 64 KiB now, as for endpoints. The transport is made in the store's package, so that its test has the one that nodes use.

TestStoreResponseWithoutEnd failed before for status lines, header lines and informational responses ("" is not less than or equal to "131072" bytes read).

--- a/cmd/bulrushhinge/serve.go
+++ b/cmd/bulrushhinge/serve.go
@@ -109,12 +109,7 @@
 }
 
 func (c *serveCommand) config(s platform.Settings, dialer bulrushhinge.Dialer) bulrushhinge.GatewayConfig {
-	transport := &http.Transport{
-		DialContext:           http1.NewDialer(http1.DialerConfig{Timeout: storeDialTimeout, Silence: storeSilence}).DialContext,
-		MaxIdleConnsPerHost:   1,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: 0,
-	}
+	transport := platform.NewTransport(http1.NewDialer(http1.DialerConfig{Timeout: storeDialTimeout, Silence: storeSilence}).DialContext)
 	return bulrushhinge.GatewayConfig{
 		Dialer: dialer,
 		Node:   s.Node, Zone: s.Zone, Regions: s.Regions, Power: s.Power, IP: s.IP, Port: s.Ports[0], HandoverPort: s.Ports[0] + 1, Seeds: s.Seeds,
