--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,11 @@
 // Opened counts a new connection to an endpoint.
 func (m *Metrics) Opened() { m.opened.Inc() }
 
+// ServerError counts an error that one of the node's HTTP servers has reported.
+func (m *Metrics) ServerError(server string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`server_errors_total{server=%q}`, server)).Inc()
+}
+
 func (m *Metrics) refused(r *refusal) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`refused_total{status="%d",reason=%q}`, r.status, r.reason)).Inc()
 }
