Count callers' connections by what closed them

What operators saw: nothing when a caller's connection closed: whether the caller had left, or a limit, a late header or a shutdown had ended it, could not be said afterwards, nor whether a node that stops closes connections on which a request is just arriving.

The listener now counts connections, and closed ones by cause: `node` (with a response, or within one), `caller`, `caller-in-request`, `idle`, `header-late`, `shutdown`, and `shutdown-in-header`, if a request's header had begun to arrive. The cause is the first error that ends the reading, and is counted when the server reports the connection as closed; a connection that the server closes while it is idle without reading again is a shutdown's. There is no line for each connection, only for late headers: event `header.late` with the caller's address, five a second at most.

TestClosedConnectionsAreCountedByCause ends a connection in each of these ways.

--- a/gateway.go
+++ b/gateway.go
@@ -137,12 +137,14 @@
 		owners       *owners
 		storeMetrics *store.Metrics
 		callers      *http.Server
-		servers      []*http.Server
-		seeds        atomic.Pointer[[]netip.Addr]
-		stopping     atomic.Bool
-		began        time.Time
-		cancel       context.CancelFunc
-		running      sync.WaitGroup
+		// callersListener accepts the connections of callers.
+		callersListener *http1.Listener
+		servers         []*http.Server
+		seeds           atomic.Pointer[[]netip.Addr]
+		stopping        atomic.Bool
+		began           time.Time
+		cancel          context.CancelFunc
+		running         sync.WaitGroup
 	}
 
 	// peerLoads reads the other nodes' loads through the gateway, because the
--- a/gateway_listen.go
+++ b/gateway_listen.go
@@ -21,8 +21,9 @@
 			return http1.Timeouts{}
 		}
 		return http1.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
-	})
+	}, g.log)
 	g.callers.ConnState = b.ConnState
+	g.callersListener = b
 	return b
 }
 
@@ -37,6 +38,7 @@
 	operators := http.NewServeMux()
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.Write(w)
+		g.callersListener.WriteMetrics(w)
 		g.gossipMetrics.Write(w)
 		g.crashMetrics.Write(w)
 		g.reachMetrics.Write(w)
--- a/internal/http1/listener.go
+++ b/internal/http1/listener.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 )
 
 const (
@@ -17,6 +19,9 @@
 	DefaultHeaderTimeout = 10 * time.Second
 	// DefaultIdleTimeout is the same for a connection without a request.
 	DefaultIdleTimeout = time.Minute
+	// lateInterval and lateBurst limit the lines about late headers.
+	lateInterval = 200 * time.Millisecond
+	lateBurst    = 20
 )
 
 // timeoutResponse is sent to a caller whose request's header was not complete in
@@ -49,6 +54,8 @@
 	Listener struct {
 		net.Listener
 		limits func() Timeouts
+		counts connCounts
+		late   *decision.Limited
 	}
 
 	// callerConn is a caller's connection. The server's own read deadlines
@@ -56,18 +63,21 @@
 	// reading.
 	callerConn struct {
 		*net.TCPConn
-		limits func() Timeouts
-		mu     sync.Mutex
-		phase  phase
+		listener *Listener
+		mu       sync.Mutex
+		phase    phase
 		// headerBegun says that part of a header has been received.
 		headerBegun bool
+		// cause is why it is closed, and counted says that it was counted as closed.
+		cause   closeCause
+		counted bool
 	}
 )
 
 // NewListener returns a listener with limits; its ConnState must be set as that of
-// the http.Server that uses it.
-func NewListener(l net.Listener, limits func() Timeouts) *Listener {
-	return &Listener{Listener: l, limits: limits}
+// the http.Server that uses it. Late headers are logged; log may be nil.
+func NewListener(l net.Listener, limits func() Timeouts, log *decision.Log) *Listener {
+	return &Listener{Listener: l, limits: limits, late: decision.NewLimited(log, lateInterval, lateBurst)}
 }
 
 // Accept returns the next caller's connection.
@@ -80,7 +90,8 @@
 	if !ok {
 		return nil, fmt.Errorf("http1: accept: %T is not TCP", c)
 	}
-	conn := &callerConn{TCPConn: tcp, limits: l.limits}
+	l.counts.accepted.Add(1)
+	conn := &callerConn{TCPConn: tcp, listener: l}
 	// A caller may connect before it has a request.
 	conn.enter(idle)
 	return conn, nil
@@ -97,7 +108,9 @@
 		conn.enter(active)
 	case http.StateIdle:
 		conn.enter(idle)
-	case http.StateNew, http.StateHijacked, http.StateClosed:
+	case http.StateClosed:
+		conn.closed()
+	case http.StateNew, http.StateHijacked:
 	}
 }
 
@@ -110,7 +123,13 @@
 	if n > 0 {
 		c.received()
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.headerLate() {
+	if err == nil {
+		return n, nil
+	}
+	late := errors.Is(err, os.ErrDeadlineExceeded) && c.headerLate()
+	c.ended(err, late)
+	if late {
+		c.listener.logLate(c)
 		// The connection ends, whether the caller reads this or not.
 		_, _ = io.WriteString(c.TCPConn, timeoutResponse)
 	}
@@ -137,9 +156,9 @@
 	var until time.Time
 	switch p {
 	case readingHeader:
-		until = time.Now().Add(orDefault(c.limits().Header, DefaultHeaderTimeout))
+		until = time.Now().Add(orDefault(c.listener.limits().Header, DefaultHeaderTimeout))
 	case idle:
-		until = time.Now().Add(orDefault(c.limits().Idle, DefaultIdleTimeout))
+		until = time.Now().Add(orDefault(c.listener.limits().Idle, DefaultIdleTimeout))
 	case active:
 	}
 	// A connection that is closed already needs no deadline.
--- a/internal/http1/listener_test.go
+++ b/internal/http1/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
@@ -19,23 +21,42 @@
 type limitedServer struct {
 	addr   string
 	limits atomic.Pointer[http1.Timeouts]
+	// reads counts how often the limits were read: once for each phase that has one.
+	reads  atomic.Int64
+	server *http.Server
+	// idle receives when a connection has become idle after a response.
+	idle chan struct{}
+	// bounded is the listener, and logged has the lines of log once that is closed.
+	bounded *http1.Listener
+	log     *decision.Log
+	logged  bytes.Buffer
 }
 
 func newLimitedServer(t *testing.T, limits http1.Timeouts) *limitedServer {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &limitedServer{addr: l.Addr().String()}
+	s := &limitedServer{addr: l.Addr().String(), idle: make(chan struct{}, 16)}
 	s.limits.Store(&limits)
-	bounded := http1.NewListener(l, func() http1.Timeouts { return *s.limits.Load() })
-	server := &http.Server{
-		ConnState: bounded.ConnState,
+	s.log = decision.New(decision.LogConfig{To: &s.logged, Node: "n"})
+	t.Cleanup(s.log.Close)
+	s.bounded = http1.NewListener(l, func() http1.Timeouts {
+		s.reads.Add(1)
+		return *s.limits.Load()
+	}, s.log)
+	s.server = &http.Server{
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.bounded.ConnState(c, state)
+			if state == http.StateIdle {
+				s.idle <- struct{}{}
+			}
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			_, _ = fmt.Fprintf(w, "%d", len(body))
 		}),
 	}
-	go func() { _ = server.Serve(bounded) }()
-	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = s.server.Serve(s.bounded) }()
+	t.Cleanup(func() { _ = s.server.Close() })
 	return s
 }
 
