Recover panics of requests, answer them and log them

A caller whose handler panicked got a closed connection, and the node's log had no line of it: net/http printed the stack as plain text. A panic in the run of a ticket, or while a peer's call was served, ended the process with every request that it held.

Cause: the callers' handler left panics to net/http, Record.Run runs work in a goroutine of its own, and drpc serves calls in goroutines that recover nothing.

Evidence: without the change TestPanicIsAnsweredAndLogged shows "http: panic serving 127.0.0.1" on standard error and EOF at the caller; its cases with a ticket, and TestPanicInPeerCallIsLogged, end the test process with "panic: panic of the test".

Change: the handler recovers each panic but http.ErrAbortHandler, logs one line with the request, the value and a bounded stack, counts it in bulrushhinge_panics_total, and answers 500 `internal` with ran=unknown, or aborts an answer that has started as before. The run of a ticket ends as unknown and all its copies get that answer. Calls of peers end with an error. The run at the endpoint is closed, so that its permit does not count on.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -277,7 +277,7 @@
 		Key:      n.key,
 		Listener: n.metrics.Listener(n.config.Peers), Beats: n.control, Permits: permits,
 		Values: localValues{cache: n.cache, lister: &n.lister},
-		Relays: n.handler, Leases: leases,
+		Relays: n.handler, Leases: leases, Log: n.config.Log,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -91,10 +91,12 @@
 
 // handler returns a handler that dispatches to the endpoints.
 func handler(e *endpoints, v *kernel.View, limits caller.Config) *caller.Handler {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	if limits.Log == nil {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		limits.Log = log
+	}
 	limits.View = func() *kernel.View { return v }
-	limits.Log = log
 	limits.Dispatcher = dispatch.New(dispatch.Config{View: limits.View, Gate: openGate{}, Endpoints: e, Sink: discardSink{}})
 	limits.Tickets = atmostonce.New(atmostonce.Config{Node: v.Self.Name, Incarnation: 1})
 	return caller.New(limits)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -34,27 +34,20 @@
 	answer func(w http.ResponseWriter, run *dispatch.Run) error
 }
 
-// startedWriter records whether an answer has started.
-type startedWriter struct {
-	http.ResponseWriter
-	started bool
-}
-
-// WriteHeader writes the status and header of the answer.
-func (w *startedWriter) WriteHeader(status int) {
-	w.started = true
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write writes a piece of the answer.
-func (w *startedWriter) Write(data []byte) (int, error) {
-	w.started = true
-	return w.ResponseWriter.Write(data)
+// forward forwards the answer of a run. If that panics, it closes the run first: the
+// endpoint would otherwise go on and its permit count until its lease ends.
+func (k *work) forward(w http.ResponseWriter, run *dispatch.Run) error {
+	panicked := true
+	defer func() {
+		if panicked {
+			_ = run.Close()
+		}
+	}()
+	err := k.answer(w, run)
+	panicked = false
+	return err
 }
 
-// Unwrap returns the underlying writer, for http.ResponseController.
-func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // run executes a request: directly, or with its ticket if it must not be
 // repeated.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, k work) {
@@ -79,7 +72,7 @@
 	var last error
 	for err == nil {
 		k.stopWaiting()
-		answerErr := k.answer(out, run)
+		answerErr := k.forward(out, run)
 		if answerErr == nil {
 			return atmostonce.Done, run.Close()
 		}
@@ -201,25 +194,31 @@
 // executeDetached executes a request independently of its caller's connection. It
 // takes its own slots and memory: a caller that sends requests and disconnects
 // must not load the node beyond its limits.
-func (h *Handler) executeDetached(ctx context.Context, w http.ResponseWriter, k work) (atmostonce.State, error) {
+func (h *Handler) executeDetached(ctx context.Context, w http.ResponseWriter, k work) (state atmostonce.State, err error) {
+	out := &startedWriter{ResponseWriter: w}
+	defer func() {
+		if value := recover(); value != nil {
+			state, err = atmostonce.Unknown, h.panicked(out, k.request, value)
+		}
+	}()
 	leave, ok := h.slots.enter()
 	if !ok {
-		busy(http.StatusServiceUnavailable, "the node serves too many requests").write(w)
+		busy(http.StatusServiceUnavailable, "the node serves too many requests").write(out)
 		return atmostonce.Void, nil
 	}
 	defer leave()
 	done, p := h.slots.startWaiting(k.account.Name)
 	if p != nil {
-		p.write(w)
+		p.write(out)
 		return atmostonce.Void, nil
 	}
 	defer done()
 	held, ok := h.slots.reserve(int64(len(k.call.Body)))
 	if !ok {
-		bodyMemoryFull().write(w)
+		bodyMemoryFull().write(out)
 		return atmostonce.Void, nil
 	}
 	defer held.release()
 	k.stopWaiting = done
-	return h.execute(ctx, w, k)
+	return h.execute(ctx, out, k)
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -133,8 +133,11 @@
 	if h.refusing.Load() || h.config.View().Leaving {
 		w.Header().Set("Connection", "close")
 	}
+	out := &startedWriter{ResponseWriter: w}
+	defer h.recoverPanic(out, r)
+	w = out
 	if r.Header.Get(HeaderTicket) != "" {
-		w = &uncheckedWriter{ResponseWriter: w}
+		w = &uncheckedWriter{ResponseWriter: out}
 	}
 	h.mux.ServeHTTP(w, r)
 }
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"bulrushhinge.example/bulrushhinge/internal/panics"
 	"bulrushhinge.example/bulrushhinge/internal/peer/peerpb"
 )
 
@@ -79,6 +80,9 @@
 		// A handler panics to abort a response, as with net/http. The other node
 		// must see an aborted response, not a complete one.
 		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panics.Report(h.config.Log, p)
+			}
 			err = fmt.Errorf("%w: %v", ErrRelay, p)
 		}
 	}()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -55,6 +56,8 @@
 		Values    Values
 		Relays    RelayHandler
 		Leases    Leases
+		// Log receives panics; nil is logrus' standard logger.
+		Log logrus.FieldLogger
 	}
 
 	// Server serves peers until it is closed.
@@ -70,13 +73,16 @@
 
 // NewServer starts serving on the listener.
 func NewServer(c ServerConfig) (*Server, error) {
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &handler{config: c}); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrServe, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
-	server := drpcserver.NewWithOptions(&endHandler{Handler: mux}, serverOptions())
+	server := drpcserver.NewWithOptions(&endHandler{Handler: mux, log: c.Log}, serverOptions())
 	go func() {
 		s.done <- server.Serve(ctx, &listener{Listener: c.Listener, config: c.Key.config(), timeout: cmp.Or(c.Handshake, DefaultHandshake)})
 	}()
