Let the demo's endpoints fall silent and send answers without end

The faults of the stand-ins that tests and the demo run had no endpoint that pauses while it is sound, and none whose answer has no end. Silent and SilentAt stop an answer before one of its parts and go on with it; Endless sends a head or a body until the connection is closed. Both can be set on the command line and by the admin calls like the others.

--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -184,7 +184,14 @@
 	for at := from; ; {
 		parts, ended, changed := a.partsFrom(at)
 		for _, part := range parts {
+			if at+1 == max(a.faults.SilentAt, 1) && !out.resumed && !pause(r, a.faults.Silent) {
+				return
+			}
 			out.writeHeader(a)
+			if a.faults.Endless != "" && !out.resumed {
+				writeEndless(w, r, a.faults.Endless)
+				return
+			}
 			if !out.writePart(at, part) {
 				return
 			}
--- a/internal/standin/endpoint_fault.go
+++ b/internal/standin/endpoint_fault.go
@@ -51,6 +51,13 @@
 	// of the node.
 	Shed bool          `help:"Turn all requests away."`
 	Rest time.Duration `help:"Time for which nodes that were turned away are to send nothing."`
+	// Silent is how long an answer stops before part SilentAt, counted from 1, or before
+	// the first part if that is 0; it goes on afterwards.
+	Silent   time.Duration `help:"Pause within each answer."`
+	SilentAt int           `help:"Part of an answer before which it pauses."`
+	// Endless makes the "head" of answers, or the "body", go on until the connection is
+	// closed.
+	Endless string `help:"Answers without end: head or body."`
 	// Budget is how many more answers get faults, over all endpoints that share
 	// it; nil means no limit.
 	Budget *atomic.Int64 `kong:"-"`
@@ -78,6 +85,9 @@
 	s.StringVar(&f.Frame, "frame", f.Frame, "")
 	s.BoolVar(&f.Shed, "shed", f.Shed, "")
 	s.DurationVar(&f.Rest, "rest", f.Rest, "")
+	s.DurationVar(&f.Silent, "silent", f.Silent, "")
+	s.IntVar(&f.SilentAt, "silent-at", f.SilentAt, "")
+	s.StringVar(&f.Endless, "endless", f.Endless, "")
 	return s
 }
 
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -29,7 +29,14 @@
 	if !s.step() {
 		return
 	}
+	if !pause(r, f.Silent) {
+		return
+	}
 	w.Header().Set(endpoint.HeaderAttempt, r.Header.Get(endpoint.HeaderAttempt))
+	if f.Endless != "" {
+		writeEndless(w, r, f.Endless)
+		return
+	}
 	answerPlain(w, f, echo{Endpoint: e.config.Name, Path: r.URL.Path, Echo: string(body)})
 }
 
