Let more streams run while endpoints fall silent

Sixteen callers now send streams for the time of the fault, and half of the silences cover all endpoints of a service.

--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -19,11 +19,21 @@
 	longestSilence  = 2 * time.Second
 	mostSilent      = 4
 	mostSilences    = 8
+	// streamCallers send streams while endpoints fall silent.
+	streamCallers = 16
 )
 
 // silenceEndpoints lets sound endpoints fall silent and go on where they stopped: some of
 // them, or all of a service.
 func (s *soak) silenceEndpoints(ctx context.Context, r *rand.Rand) string {
+	streaming, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer stop()
+	for range streamCallers {
+		random := rand.New(rand.NewPCG(r.Uint64(), 0))
+		callers.Go(func() { s.callers.sendStreams(streaming, random) })
+	}
 	var names []string
 	for range mostSilences/2 + r.IntN(mostSilences/2) {
 		share := []float64{0.3, 1}[r.IntN(2)]
@@ -50,7 +60,7 @@
 	if first == nil {
 		return nil
 	}
-	if r.IntN(3) == 0 {
+	if r.IntN(2) == 0 {
 		return w.endpointsOf(first.service)
 	}
 	list := []*endpoint{first}
@@ -61,3 +71,23 @@
 	}
 	return list
 }
+
+// sendStreams sends requests for streams until ctx ends.
+func (c *callers) sendStreams(ctx context.Context, r *rand.Rand) {
+	sender := c.caller(r)
+	for ctx.Err() == nil {
+		if addr, ok := sender.address(); ok {
+			k, name := resumed, "stream/resume"
+			if r.IntN(2) == 0 {
+				k, name = streamOnce, "stream/once"
+			}
+			id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, "/", "-"), c.next.Add(1))
+			c.ledger.recordRequest(id, k)
+			a := sender.sendPrompt(ctx, addr, name, id, "body of "+id, append(sharedParts(), id), callerTimeout)
+			a.abandoned = a.abandoned || ctx.Err() != nil
+			a.cut = a.cut && ctx.Err() == nil
+			c.ledger.recordAnswer(id, a)
+		}
+		wait(ctx, r, thinkTime)
+	}
+}
