Apply a longer idle limit to connections that are idle already

Callers that have learned of a new configuration keep connections for as long as its idle limit says; a node closed those that had become idle under an earlier, shorter limit, so that a request could meet the close of its connection.

Cause: the limit was read when a connection became idle, and its deadline was never changed.

Evidence: TestLongerIdleLimitAppliesToIdleConnections failed without the new check (unexpected EOF in place of the second response). Now the limit is read again when the deadline passes. A shorter limit still applies from the next idle phase on, as callers may not know it yet. The package's tests pass with the race detector.

--- a/internal/http1/listener.go
+++ b/internal/http1/listener.go
@@ -48,9 +48,10 @@
 	}
 
 	// Listener accepts callers' connections and bounds how long they may take
-	// for a request's header and stay idle. The limits may change at any time and
-	// apply from a connection's next phase on; an http.Server reads its own only
-	// once.
+	// for a request's header and stay idle. The limits may change at any time; an
+	// http.Server reads its own only once. A longer limit applies at once to idle
+	// connections, as callers that know it use them for as long; a shorter one applies
+	// from a connection's next phase on.
 	Listener struct {
 		net.Listener
 		limits func() Timeouts
@@ -66,6 +67,8 @@
 		listener *Listener
 		mu       sync.Mutex
 		phase    phase
+		// since is when the phase began.
+		since time.Time
 		// headerBegun says that part of a header has been received.
 		headerBegun bool
 		// cause is why it is closed, and counted says that it was counted as closed.
@@ -120,6 +123,9 @@
 // descriptor each. After the limit the caller gets a 408 and the connection ends.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+		n, err = c.TCPConn.Read(b)
+	}
 	if n > 0 {
 		c.received()
 	}
@@ -151,20 +157,33 @@
 func (c *callerConn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = p
+	c.phase, c.since = p, time.Now()
 	c.headerBegun = false
 	var until time.Time
 	switch p {
 	case readingHeader:
-		until = time.Now().Add(orDefault(c.listener.limits().Header, DefaultHeaderTimeout))
+		until = c.since.Add(orDefault(c.listener.limits().Header, DefaultHeaderTimeout))
 	case idle:
-		until = time.Now().Add(orDefault(c.listener.limits().Idle, DefaultIdleTimeout))
+		until = c.idleUntil()
 	case active:
 	}
 	// A connection that is closed already needs no deadline.
 	_ = c.TCPConn.SetReadDeadline(until)
 }
 
+// idleUntil returns until when the connection may be idle.
+func (c *callerConn) idleUntil() time.Time {
+	return c.since.Add(orDefault(c.listener.limits().Idle, DefaultIdleTimeout))
+}
+
+// extendIdle extends the deadline of an idle connection if the limit has become longer.
+func (c *callerConn) extendIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.idleUntil()
+	return c.phase == idle && time.Now().Before(until) && c.TCPConn.SetReadDeadline(until) == nil
+}
+
 // received handles the arrival of bytes; on an idle connection they begin a header.
 func (c *callerConn) received() {
 	c.mu.Lock()
--- a/internal/http1/listener_test.go
+++ b/internal/http1/listener_test.go
@@ -47,7 +47,10 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.bounded.ConnState(c, state)
 			if state == http.StateIdle {
-				s.idle <- struct{}{}
+				select {
+				case s.idle <- struct{}{}:
+				default:
+				}
 			}
 		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -117,3 +120,24 @@
 	_, err = in.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a connection that is closed by an earlier, shorter limit while its
+// caller uses it by the one in force.
+func TestLongerIdleLimitAppliesToIdleConnections(t *testing.T) {
+	s := newLimitedServer(t, http1.Timeouts{Idle: time.Second})
+	conn, err := net.Dial("tcp4", s.addr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for range 2 {
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		<-s.idle
+		s.limits.Store(&http1.Timeouts{Idle: time.Hour})
+		time.Sleep(1200 * time.Millisecond)
+	}
+}
