Answer requests that are being read when a node stops

A caller whose request was arriving as its node stopped got a closed connection without an answer.

Cause: the Shutdown of an http.Server counts a kept connection as idle until a request's header is complete, and closes it; and a request whose header it has read in that moment is dropped, as the server looks for the shutdown before it calls the handler.

Evidence: TestDrainAnswersWhatItReads, with Shutdown in place of Drain: unexpected EOF for a request of which the first bytes had been read, and five seconds until a connection without a request ended.

Now the callers' listener ends its connections itself: those that are idle by their read deadlines, which what was read does not meet, the others when they become idle. Responses of a stopping node close their connections as before.

--- a/gateway.go
+++ b/gateway.go
@@ -275,7 +275,7 @@
 	time.Sleep(time.Duration(closeShare * float64(g.config.Grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
 	defer cancel()
-	err := errors.Join(g.callers.Shutdown(ctx), g.handler.Wait(ctx))
+	err := errors.Join(g.callersListener.Drain(ctx), g.handler.Wait(ctx))
 	g.log.Event("stopped", decision.Fields{"active": g.handler.Active(), "took_ms": time.Since(began).Milliseconds()})
 	return errors.Join(err, g.Close())
 }
--- a/internal/http1/listener.go
+++ b/internal/http1/listener.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/decision"
@@ -17,6 +19,8 @@
 	// DefaultHeaderTimeout is how long a caller may take for a request's header if
 	// the configuration does not say: the longest that servers commonly allow.
 	DefaultHeaderTimeout = 10 * time.Second
+	// drainInterval is how often draining looks whether connections are left.
+	drainInterval = 20 * time.Millisecond
 	// DefaultIdleTimeout is the same for a connection without a request.
 	DefaultIdleTimeout = time.Minute
 	// lateInterval and lateBurst limit the lines about late headers.
@@ -54,9 +58,13 @@
 	// from a connection's next phase on.
 	Listener struct {
 		net.Listener
-		limits func() Timeouts
-		counts connCounts
-		late   *decision.Limited
+		limits   func() Timeouts
+		counts   connCounts
+		late     *decision.Limited
+		draining atomic.Bool
+
+		mu    sync.Mutex
+		conns map[*callerConn]bool
 	}
 
 	// callerConn is a caller's connection. The server's own read deadlines
@@ -80,7 +88,7 @@
 // NewListener returns a listener with limits; its ConnState must be set as that of
 // the http.Server that uses it. Late headers are logged; log may be nil.
 func NewListener(l net.Listener, limits func() Timeouts, log *decision.Log) *Listener {
-	return &Listener{Listener: l, limits: limits, late: decision.NewLimited(log, lateInterval, lateBurst)}
+	return &Listener{Listener: l, limits: limits, late: decision.NewLimited(log, lateInterval, lateBurst), conns: map[*callerConn]bool{}}
 }
 
 // Accept returns the next caller's connection.
@@ -95,6 +103,7 @@
 	}
 	l.counts.accepted.Add(1)
 	conn := &callerConn{TCPConn: tcp, listener: l}
+	l.track(conn, true)
 	// A caller may connect before it has a request.
 	conn.enter(idle)
 	return conn, nil
@@ -112,6 +121,7 @@
 	case http.StateIdle:
 		conn.enter(idle)
 	case http.StateClosed:
+		conn.listener.track(conn, false)
 		conn.closed()
 	case http.StateNew, http.StateHijacked:
 	}
@@ -173,6 +183,9 @@
 
 // idleUntil returns until when the connection may be idle.
 func (c *callerConn) idleUntil() time.Time {
+	if c.listener.draining.Load() {
+		return c.since
+	}
 	return c.since.Add(orDefault(c.listener.limits().Idle, DefaultIdleTimeout))
 }
 
@@ -206,6 +219,59 @@
 	return late
 }
 
+func (l *Listener) track(c *callerConn, open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open {
+		l.conns[c] = true
+		return
+	}
+	delete(l.conns, c)
+}
+
+// Drain ends the listener and its connections, each when it is idle, until all are
+// closed or the context ends.
+//
+// The Shutdown of an http.Server drops a request that it has read at that moment. Here
+// idle connections end by their read deadlines, so that what was read is answered.
+func (l *Listener) Drain(ctx context.Context) error {
+	err := l.Close()
+	l.draining.Store(true)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for l.endIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("http1: drain: %w", ctx.Err())
+		}
+	}
+	return err
+}
+
+// endIdle ends idle connections, and returns the number of all.
+func (l *Listener) endIdle() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.endIdle()
+	}
+	return len(l.conns)
+}
+
+func (c *callerConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != idle {
+		return
+	}
+	if c.cause == closedByNode {
+		c.cause = closedShutdown
+	}
+	// A connection that is closed already needs no deadline.
+	_ = c.TCPConn.SetReadDeadline(c.since)
+}
+
 func orDefault(d, other time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/internal/http1/listener_test.go
+++ b/internal/http1/listener_test.go
@@ -141,3 +141,40 @@
 		time.Sleep(1200 * time.Millisecond)
 	}
 }
+
+// Guards against requests that are dropped without an answer because the node stops
+// while it reads them.
+func TestDrainAnswersWhatItReads(t *testing.T) {
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+	s := newLimitedServer(t, http1.Timeouts{Idle: time.Hour, Header: time.Hour})
+	conn, err := net.Dial("tcp4", s.addr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	resting, err := net.Dial("tcp4", s.addr)
+	require.NoError(t, err)
+	defer func() { _ = resting.Close() }()
+	in := bufio.NewReader(conn)
+	answered := func() {
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+	}
+	_, err = io.WriteString(conn, request)
+	require.NoError(t, err)
+	answered()
+	<-s.idle
+	before := s.reads.Load()
+	_, err = io.WriteString(conn, request[:10])
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.reads.Load() > before }, 10*time.Second, time.Millisecond)
+	ended := make(chan error, 1)
+	go func() { ended <- s.bounded.Drain(t.Context()) }()
+	require.Empty(t, readAll(resting), "a connection without a request ends at once")
+	_, err = io.WriteString(conn, request[10:])
+	require.NoError(t, err)
+	answered()
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, <-ended)
+}
