Serve routes that have no timeout

A configuration that brought a route without a timeout ended every node that had an idempotent request on it whose endpoint was slow, and with it all requests of these nodes: closed connections, neither an answer nor a refusal. Callers that named no time themselves got 503 `timeout` at once.

Cause: the watch of a silent endpoint was started with the route's timeout as its first time and set to the right one afterwards. With none it fired at once, in a goroutine of its own, before its variable was set: a nil pointer there ends the process, as only handlers are recovered. And no time at all was counted as a deadline that had passed.

Here a request that has no time limit gets one of a minute.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,9 @@
 	// maxHeldBytes bounds the bodies held at once. A node has 284 MB in the
 	// smallest installations, of which the process itself takes about 20.
 	maxHeldBytes = 64 << 20
+	// defaultTimeout is how long a request may take if neither its route nor its caller
+	// says.
+	defaultTimeout = time.Minute
 	// answerMargin is how long before the caller's deadline it gets a response.
 	answerMargin = 30 * time.Millisecond
 	// waitInterval is how often a stopping node looks whether requests are left.
@@ -300,14 +304,14 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// timeout returns how long the request may take: the route's timeout, or the
-// caller's if that is shorter.
+// timeout returns how long the request may take: the route's timeout, or the caller's if
+// that is shorter or the route has none.
 func (c *call) timeout() time.Duration {
 	wait, asked := c.route.Timeout, c.callerTimeout()
 	if wait == 0 || asked > 0 && asked < wait {
-		return asked
+		wait = asked
 	}
-	return wait
+	return cmp.Or(wait, defaultTimeout)
 }
 
 // callerTimeout returns how long the caller says that it waits, 0 if it doesn't.
