Bound the responses that a node buffers at once

A response that is no stream is buffered up to 1 MiB before it is forwarded, and an idempotent request's failure for longer, without a bound on their sum: a hundred such responses whose last byte is late took more memory than the smallest nodes can spare, and the end of the process ends all requests that it holds.

Responses now share 32 MiB. While that is used up, a response is forwarded as it arrives, like one of more than 1 MiB, and what was read of it is free once it is written. The first 16 KiB of each do not count: small responses are never affected, and small failures are still retried. A body is read into a list of chunks, which needs no second copy while it grows, as io.ReadAll does, and no more than its length if that is known. A fallback keeps its memory until the request has ended; TestMemoryOfFailuresIsFreeAgain failed with 500 for 200 without that.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// maxBuffered is the largest response that is buffered until it is
-	// complete; a larger one is forwarded as it arrives.
-	maxBuffered = 1 << 20
 	// onceMaxIdle is how long a connection may have been idle for an
 	// at-most-once request. A new connection for each costs two round trips and
 	// one of the connections that the endpoint accepts.
@@ -33,7 +30,7 @@
 // bufferedResponse is a complete response of an endpoint.
 type bufferedResponse struct {
 	head *http.Response
-	body []byte
+	body *responseBody
 }
 
 // attempt is one send of a call to an endpoint.
@@ -251,13 +248,13 @@
 // no attempt gets a better one.
 func (a *attempt) forward(x *http1.Exchange, timer *time.Timer) result {
 	c := a.call
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxBuffered+1))
+	body, whole, err := c.handler.responses.read(x.Response)
 	if err != nil {
 		return a.classify(err)
 	}
 	a.latency = time.Since(a.started)
 	c.queue().ObserveLatency(c.admissionRequest(), a.latency)
-	if len(body) > maxBuffered {
+	if !whole {
 		if timer != nil {
 			// The endpoint is responding, and no other could continue its response.
 			timer.Stop()
@@ -266,19 +263,21 @@
 	}
 	x.Finish()
 	if a.endedWithResponse(x) {
+		body.release()
 		return resultBroken
 	}
-	whole := &bufferedResponse{head: x.Response, body: body}
+	response := &bufferedResponse{head: x.Response, body: body}
 	if x.Response.StatusCode >= http.StatusInternalServerError {
 		a.outcome = balance.Failed
 		if c.canRetry() && x.Response.StatusCode != http.StatusGatewayTimeout {
-			c.fallback = whole
+			c.setFallback(response)
 			return resultBroken
 		}
 	} else {
 		a.outcome = balance.Served
 	}
-	c.writeResponse(whole)
+	c.writeResponse(response)
+	body.release()
 	a.recordEnd(x)
 	return resultDone
 }
@@ -292,15 +291,23 @@
 // writeResponse writes a complete response to the caller.
 func (c *call) writeResponse(w *bufferedResponse) {
 	c.copyHeader(w.head)
-	c.out.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
+	c.out.Header().Set("Content-Length", strconv.Itoa(w.body.size))
 	c.out.WriteHeader(w.head.StatusCode)
 	// An error means that the caller has disconnected.
-	_, _ = c.out.Write(w.body)
+	_, _ = w.body.WriteTo(c.out)
+}
+
+// setFallback replaces the fallback; nil is none.
+func (c *call) setFallback(w *bufferedResponse) {
+	if c.fallback != nil {
+		c.fallback.body.release()
+	}
+	c.fallback = w
 }
 
 // forwardLarge forwards a response that is too large to buffer; prefix is the part
 // that has been read.
-func (a *attempt) forwardLarge(x *http1.Exchange, prefix []byte) result {
+func (a *attempt) forwardLarge(x *http1.Exchange, prefix *responseBody) result {
 	c := a.call
 	c.copyHeader(x.Response)
 	if length := x.Response.ContentLength; length >= 0 {
@@ -308,7 +315,11 @@
 	}
 	c.out.WriteHeader(x.Response.StatusCode)
 	c.progress.started = true
-	_, err := io.Copy(c.out, io.MultiReader(bytes.NewReader(prefix), x.Response.Body))
+	_, err := prefix.WriteTo(c.out)
+	prefix.release()
+	if err == nil {
+		_, err = io.Copy(c.out, x.Response.Body)
+	}
 	if err != nil {
 		a.cause = a.explain(err)
 		a.recordBreak(err)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -91,6 +91,7 @@
 		reservations *reservations
 		queues       queues
 		heldBytes    atomic.Int64
+		responses    responseMemory
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
 		taken atomic.Int64
@@ -204,6 +205,7 @@
 func (h *Handler) serve(c *call) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	defer c.setFallback(nil)
 	if ref := c.admit(); ref != nil {
 		c.refuse(ref)
 		return
