--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -64,7 +63,7 @@
 		tried       []deployment.Start
 		sends, runs int
 		noResponse  bool
-		failure     *bufferedResponse
+		failures    []*bufferedResponse
 	}
 )
 
@@ -284,9 +283,12 @@
 	}
 	// A failure is no reason to abandon another endpoint.
 	a.outcome, a.cause, r.result = balance.Failed, "failed", resultBroken
-	body, err := io.ReadAll(io.LimitReader(r.exchange.Response.Body, maxBuffered+1))
-	if err == nil && len(body) <= maxBuffered {
+	body, whole, err := a.call.handler.responses.read(r.exchange.Response)
+	switch {
+	case err == nil && whole:
 		r.failure = &bufferedResponse{head: r.exchange.Response, body: body}
+	case err == nil:
+		body.release()
 	}
 	r.exchange.Abort()
 	r.exchange = nil
@@ -339,9 +341,7 @@
 	}
 	e.tried = append(e.tried, a.choice.Endpoint.Start())
 	e.noResponse = e.noResponse || a.noResponse
-	if r.failure != nil {
-		e.failure = r.failure
-	}
+	e.failures = append(e.failures, r.failure)
 	a.done(res)
 }
 
@@ -351,12 +351,23 @@
 	c.progress.sends += e.sends
 	c.progress.runs += e.runs
 	c.progress.noResponse = c.progress.noResponse || e.noResponse
-	if c.fallback == nil && !c.progress.started {
-		c.fallback = e.failure
+	for _, f := range e.failures {
+		c.keepFailure(f)
 	}
 	*e = endedRepeats{}
 }
 
+// keepFailure keeps an endpoint's failure as the fallback if there is none; it may be nil.
+func (c *call) keepFailure(f *bufferedResponse) {
+	switch {
+	case f == nil:
+	case c.fallback == nil && !c.progress.started:
+		c.setFallback(f)
+	default:
+		f.body.release()
+	}
+}
+
 // adopt continues with the repeat that takes the place of an attempt.
 func (c *call) adopt(ctx context.Context) result {
 	r := c.next
@@ -366,9 +377,7 @@
 		<-r.done
 		return r.exchange, r.result
 	})
-	if r.failure != nil && c.fallback == nil {
-		c.fallback = r.failure
-	}
+	c.keepFailure(r.failure)
 	if res == resultNotSent || res == resultWithdrawn {
 		c.returnRetry()
 	}
