Bound the heads of endpoints' and the platform's answers

An endpoint that sends a head without end took up to 10 MB of the node's memory for each call: a status line, one header line, header lines, continued lines or informational responses. A hundred at once are 1 GB, on instances of 160 MB and more; the process is ended for its memory, and every caller of the node loses its request.

Cause: no transport set MaxResponseHeaderBytes, whose default is 10 MB.

Change: the three transports to endpoints and the one to the platform read heads of at most 64 KiB, with the informational responses before them, and then close the connection.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -26,6 +26,10 @@
 	loadTimeout  = 2 * time.Second
 	maxLoadBytes = 1 << 16
 	idlePerHost  = 64
+	// maxHeadBytes bounds the head of an answer, with the informational responses
+	// before it. net/http's own limit of 10 MB exceeds a node's memory if many
+	// endpoints send a head without end at once.
+	maxHeadBytes = 64 << 10
 )
 
 var (
@@ -111,20 +115,23 @@
 	}
 	return &Client{
 		shared: newHTTP(c, &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: idlePerHost,
-			DisableCompression:  true,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    idlePerHost,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 		control: newHTTP(c, &http.Transport{
-			DialContext:           dialer.DialContext,
-			MaxIdleConnsPerHost:   idlePerHost,
-			DisableCompression:    true,
-			ResponseHeaderTimeout: cmp.Or(c.Resume, DefaultResume),
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    idlePerHost,
+			DisableCompression:     true,
+			ResponseHeaderTimeout:  cmp.Or(c.Resume, DefaultResume),
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 		oneShot: newHTTP(c, &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -43,8 +43,10 @@
 	watchPath  = "/v1/watch/"
 
 	maxValueBytes = 1 << 20
-	watchSlack    = time.Second
-	readTimeout   = 5 * time.Second
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	watchSlack   = time.Second
+	readTimeout  = 5 * time.Second
 	// readRate and readBurst limit the calls of one node per second, so that 330
 	// nodes stay below 2,000. The burst allows the first read of all sections.
 	readRate  = 6
@@ -104,7 +106,9 @@
 	if c.Dialer == nil {
 		c.Dialer = &net.Dialer{}
 	}
-	transport := &http.Transport{DialContext: c.Dialer.DialContext, MaxIdleConnsPerHost: maxReads}
+	transport := &http.Transport{
+		DialContext: c.Dialer.DialContext, MaxIdleConnsPerHost: maxReads, MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	return &Client{
 		base:  "http://" + c.Addr.String(),
 		wait:  c.Wait,
