Count no endpoint as dead when a caller disconnects

A caller that left a stream without event numbers, or whose time was over, made its request a suspect of having ended the endpoint. After three such callers the request was isolated: every further copy of it was refused with 422, at all nodes.

Cause: a stream that breaks asks the endpoint for the rest. With the request's context canceled that fails too, and the failure was taken for an endpoint that no longer answers; the same for an unstreamed answer whose context ends while it is read again.

Evidence: TestCanceledStreamIsNoDeath failed at its first try: "Target error should not be in err chain ... in chain: endpoint: died: endpoint: answer cut: connection broke: context canceled".

Change: a failure to resume proves nothing once the context has ended.

Result: the test passes, also 20 times in a row.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -26,8 +26,8 @@
 	// chunk, so that a truncated body can be told from a complete one.
 	Framed bool
 
-	// Meter is called before ReadAll keeps a piece of the answer; an error,
-	// ErrFull, ends the read. Nil keeps all.
+	// Meter is called before ReadAll or a Stream keeps a piece of the answer; an
+	// error, ErrFull, ends the read. Nil keeps all.
 	Meter func(bytes int) error
 
 	// complete is set once the answer was read to its proper end.
@@ -83,7 +83,7 @@
 func (a *Answer) resumeRead(limit int64, broken error) ([]byte, error) {
 	_ = a.Body.Close()
 	again, err := a.client.Resume(a.ctx, a.addr, a.attempt, 0)
-	if errors.Is(err, errConnection) {
+	if errors.Is(err, errConnection) && a.ctx.Err() == nil {
 		return nil, fmt.Errorf("%w: %v", ErrDied, broken)
 	}
 	if err != nil {
--- a/internal/endpoint/resume.go
+++ b/internal/endpoint/resume.go
@@ -45,7 +45,7 @@
 			_ = rest.Body.Close()
 			return false
 		case !s.numbered:
-			s.attemptLost = errors.Is(err, errConnection)
+			s.attemptLost = errors.Is(err, errConnection) && a.ctx.Err() == nil
 			return false
 		}
 	}
