End streams that have no further event of their attempt

An endpoint that sent comments, blank lines, repeated events or events of other attempts without end kept its request, a connection and a share of the processor until the request's deadline, 3 to 15 minutes; the caller got nothing all the while.

Cause: Stream skips such lines without a limit.

Change: a stream is cut once it has skipped 1 MiB more between two events than the whole answer has had so far, so that an endpoint may repeat the answer from its beginning. A line that exceeds the buffer is reported to the answer's Meter.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -14,6 +14,10 @@
 
 const (
 	maxEventBytes = 1 << 20
+	// maxSkippedBytes bounds what is skipped between two events of the attempt: other
+	// fields, repeated events and those of other attempts. Once that many bytes more
+	// were skipped than the whole answer has had so far, the answer has no end.
+	maxSkippedBytes = 1 << 20
 	// noNumber stands for the number of an event that has none.
 	noNumber         = -1
 	streamBufferSize = 4 << 10
@@ -43,6 +47,10 @@
 	// long collects a line that exceeds the buffer.
 	long    []byte
 	dropped int
+	// accepted is the size of the events that were accepted, and skipped that of the
+	// lines since the last of them.
+	accepted int
+	skipped  int
 	// next is the number of the next expected event.
 	next int
 	// numbered is set once the endpoint numbered an event.
@@ -68,8 +76,9 @@
 }
 
 // Next returns the data of the next event as the endpoint wrote it, valid until
-// the next call; io.EOF after the end mark; or ErrCut if the answer ended
-// without one or had a bad event, and could not be resumed. Repeated events and
+// the next call; io.EOF after the end mark; ErrFull if the answer's Meter refuses
+// the memory for a long line; or ErrCut if the answer ended without an end mark or
+// had a bad event, and could not be resumed. Repeated events and
 // those of other attempts are dropped and counted: a late answer, or one to
 // another attempt, must never reach another caller.
 func (s *Stream) Next() ([]byte, error) {
@@ -82,6 +91,8 @@
 		case errors.Is(err, io.EOF):
 			s.answer.complete = true
 			return nil, io.EOF
+		case errors.Is(err, ErrFull):
+			return nil, err
 		case !s.resume():
 			return nil, s.died(err)
 		}
@@ -123,11 +134,16 @@
 		line, err := s.line()
 		data, isData := bytes.CutPrefix(line, dataField)
 		data = bytes.TrimSpace(data)
+		if s.skipped += len(line); s.skipped > maxSkippedBytes+s.accepted {
+			return nil, fmt.Errorf("%w: no event of the attempt in %d bytes", ErrCut, s.skipped)
+		}
 		switch {
 		case isData && string(data) == DoneMark:
 			return nil, s.end(id)
 		case err == io.EOF:
 			return nil, fmt.Errorf("%w: no end mark", ErrCut)
+		case errors.Is(err, ErrFull):
+			return nil, err
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w: %v", ErrCut, errConnection, err)
 		case !isData:
@@ -157,6 +173,8 @@
 		return false, nil
 	}
 	s.next++
+	s.accepted += len(data)
+	s.skipped = 0
 	s.numbered = id != noNumber
 	s.finished = s.finished || finishes(data)
 	return true, nil
@@ -218,7 +236,9 @@
 		if err == nil && len(s.long) == 0 {
 			return part, nil
 		}
-		s.long = append(s.long, part...)
+		if full := s.keep(part); full != nil {
+			return nil, full
+		}
 		switch {
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return s.long, err
@@ -228,6 +248,17 @@
 	}
 }
 
+// keep adds a part of a line that exceeds the buffer. It reports the memory that this
+// takes to the answer's Meter.
+func (s *Stream) keep(part []byte) error {
+	before := cap(s.long)
+	s.long = append(s.long, part...)
+	if grown := cap(s.long) - before; grown > 0 && s.answer.Meter != nil {
+		return s.answer.Meter(grown)
+	}
+	return nil
+}
+
 // peek returns what is buffered beyond the blank line that ends an event.
 func (s *Stream) peek() []byte {
 	ahead, err := s.lines.Peek(s.lines.Buffered())
