Take no retry for a request that has ended

Requests whose endpoint failed were refused as `retry_budget`, or got a cut answer, although few endpoints failed: callers who had disconnected, and requests whose deadline had passed at an endpoint, had used up the retries of the node. Such requests were also recorded as refused for want of a retry, and refusals of the rate limit, of suspected requests and of waits that ended were recorded nowhere.

Cause: a run that ends with its context counts as lost, and the plan then takes a retry from the node's budget (20 at most, a tenth of the requests) before it finds that there is no time left.

Change: once the context has ended, a request is refused as `canceled` or `deadline` without a look at the plan, and each refusal is recorded for log, traces and metrics.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -34,7 +34,7 @@
 		}
 		if !waitForWake(ctx, step.Until, entry.Wake()) {
 			entry.Cancel()
-			return &Refusal{Reason: route.ReasonDeadline, NotRun: true}
+			return &Refusal{Reason: endReason(ctx), NotRun: true}
 		}
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -176,6 +176,7 @@
 // has arrived, or a *Refusal.
 func (d *Dispatcher) Do(ctx context.Context, req route.Request, call endpoint.Call) (*Run, error) {
 	if refusal := d.admit(ctx, req); refusal != nil {
+		d.recordRefusal(req, refusal)
 		return nil, refusal
 	}
 	j := &job{d: d, plan: d.config.Router.Plan(time.Now(), req), req: req, call: call}
@@ -186,8 +187,7 @@
 func (j *job) execute(ctx context.Context) (*Run, error) {
 	for {
 		if refusal := j.clear(ctx); refusal != nil {
-			j.releaseLease(false)
-			return nil, refusal
+			return nil, j.refuse(refusal)
 		}
 		step := j.plan.Next(time.Now(), j.d.config.View())
 		switch step.Kind {
@@ -199,10 +199,12 @@
 				return run, nil
 			}
 			j.plan.Report(outcome)
+			if refusal := j.refuseEnded(ctx); refusal != nil {
+				return nil, refusal
+			}
 		case route.StepWait:
 			if err := sleepUntil(ctx, step.Until); err != nil {
-				j.releaseLease(false)
-				return nil, &Refusal{Reason: route.ReasonDeadline, RetryAfter: route.RetryAfter, NotRun: !j.mayHaveRun}
+				return nil, j.refuse(&Refusal{Reason: endReason(ctx), RetryAfter: route.RetryAfter, NotRun: !j.mayHaveRun})
 			}
 		case route.StepRefuse:
 			j.releaseLease(false)
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -74,6 +76,30 @@
 	r.recorder.Record(rec)
 }
 
+// refuse ends the job with a refusal that its plan does not know of.
+func (j *job) refuse(r *Refusal) *Refusal {
+	j.releaseLease(false)
+	j.d.recordRefusal(j.req, r)
+	return r
+}
+
+// recordRefusal records a refusal that no plan has returned.
+func (d *Dispatcher) recordRefusal(req route.Request, r *Refusal) {
+	if d.config.Recorder == nil {
+		return
+	}
+	step := route.Step{Kind: route.StepRefuse, Reason: r.Reason, RetryAfter: r.RetryAfter}
+	d.config.Recorder.Record(Record{Time: time.Now(), Request: req, Step: step})
+}
+
+// endReason returns why a request whose context has ended is refused.
+func endReason(ctx context.Context) route.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return route.ReasonCanceled
+	}
+	return route.ReasonDeadline
+}
+
 // withRecorder wraps the plan so that its steps are recorded, if there is a recorder.
 func (j *job) withRecorder() *job {
 	if recorder := j.d.config.Recorder; recorder != nil {
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -17,5 +17,20 @@
 	_ = r.Close()
 	r.job.mayHaveRun = true
 	r.job.plan.Report(route.OutcomeLost)
+	if refusal := r.job.refuseEnded(ctx); refusal != nil {
+		return nil, refusal
+	}
 	return r.job.execute(ctx)
 }
+
+// refuseEnded returns a refusal if the job's context has ended.
+//
+// The plan would otherwise take a retry from the node's budget for each caller that
+// disconnects and each deadline that passes while an endpoint runs the request. Requests
+// whose endpoint fails would then be refused for want of a retry.
+func (j *job) refuseEnded(ctx context.Context) *Refusal {
+	if ctx.Err() == nil {
+		return nil
+	}
+	return j.refuse(&Refusal{Reason: endReason(ctx), RetryAfter: route.RetryAfter, NotRun: !j.mayHaveRun})
+}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -70,7 +70,7 @@
 		}
 		until := time.Now().Add(leaseRetryDelay)
 		if until.After(j.req.Deadline) || sleepUntil(ctx, until) != nil {
-			return &Refusal{Reason: route.ReasonDeadline, RetryAfter: poison.DefaultCooldown, NotRun: !j.mayHaveRun}
+			return &Refusal{Reason: endReason(ctx), RetryAfter: poison.DefaultCooldown, NotRun: !j.mayHaveRun}
 		}
 	}
 	return nil
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -57,6 +57,9 @@
 	ReasonLimited Reason = "limited"
 	// ReasonBudget is a request whose retry would exceed the node's budget.
 	ReasonBudget Reason = "retry_budget"
+	// ReasonCanceled is a request that was canceled while it waited: its caller has
+	// disconnected, or the node stops.
+	ReasonCanceled Reason = "canceled"
 	// ReasonAttempts is a request that used up its attempts.
 	ReasonAttempts Reason = "attempts"
 )
