Suspect no request of an endpoint that answers with other bytes

A request whose endpoint sent bytes that are no answer became a suspect of having ended it: copies of it waited for its lease up to their deadlines, and after three such endpoints it was refused with 422 at all nodes.

Cause: an endpoint counted as dead if the call and the request to resume it both failed, also if the second failed because of what it had sent.

Evidence: without the change TestEndpointWithoutProperAnswersIsNotDead fails: "in chain: endpoint: died: endpoint: lost: connection broke: ... malformed HTTP response".

Change: a resume that received a byte proves that the endpoint runs.

--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,14 +24,22 @@
 // Resume requests the answer to an attempt again, starting at event number
 // from. It returns ErrLost if the endpoint does not have it, which proves
 // nothing: the call may still be on its way. If the endpoint does not answer at
-// all, the error also wraps errConnection.
+// all, the error also wraps errConnection. An endpoint that sends bytes that are no
+// answer has not died: its requests are not suspected of having ended it.
 func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Answer, error) {
+	var answered atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { answered.Store(true) },
+	})
 	query := url.Values{"from": {strconv.Itoa(from)}}.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, attemptURL(addr, attempt)+"?"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrLost, err)
 	}
 	resp, err := c.control.Do(req)
+	if err != nil && answered.Load() {
+		return nil, fmt.Errorf("%w: %v", ErrLost, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w: %v", ErrLost, errConnection, err)
 	}
--- a/internal/endpoint/canceled_test.go
+++ b/internal/endpoint/canceled_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,3 +39,22 @@
 		_ = s.Close()
 	}
 }
+
+// Guards against an endpoint that answers every call with bytes that are no answer, and so
+// makes its requests suspects of having ended it.
+func TestEndpointWithoutProperAnswersIsNotDead(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer": "hello\n", "half a status line": "HTTP/1.1 2", "endless header": "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = c.Write([]byte(text))
+				}
+			})
+			_, err := newClient(t).Do(t.Context(), addr, endpoint.Call{Attempt: "1f", Once: true})
+			require.ErrorIs(t, err, endpoint.ErrLost)
+			require.NotErrorIs(t, err, endpoint.ErrDied)
+		})
+	}
+}
