Say for each request without an answer what ended it

What operators saw: a `refused` line with a reason such as `retry-budget`, but not whether an endpoint had broken off before or was only given up as silent; the same reason, `endpoint-broke-off`, for a kind that must not run twice, for runs used up and for an answer that cannot be resumed; no line at all when the caller had left, or when the node closed the connection as it stopped; and at the first of two nodes nothing that says whether the refusal was its own or the other's.

Each request of a caller now counts once in ended_total{cause,last,cut}, and its last line has the same: `refused` gets `cause` and `last`, how the last attempt ended (`silent`, `broke-off`, `deadline`, `refused`, `unreachable`, ...), a new line `ended` says `caller-gone` or `stop`. A refusal that another node sent names it (`peer`, `peer_status`, `peer_reason`), and carries that node's cause and last attempt; `peer-broke-off` is the loss of the other node. Both fields travel in the messages between nodes under new numbers, which nodes without them ignore. A caller that closes its connection within its body no longer looks like a malformed request. A gateway that closes waits up to 0.2 s for the lines of the requests that it ends, only if there are any; a stop keeps 0.4 s of its grace for closing.

--- a/gateway.go
+++ b/gateway.go
@@ -43,6 +43,9 @@
 	closeShare = 0.5
 	// graceMargin is how long before the end of the grace a stopping node closes.
 	graceMargin = 400 * time.Millisecond
+	// abandonTime is how long a gateway that closes waits for the lines of requests that
+	// it ends.
+	abandonTime = 200 * time.Millisecond
 	// maxHeaderBytes bounds a request's header before the configured limit is
 	// checked.
 	maxHeaderBytes = 64 << 10
@@ -283,11 +286,16 @@
 // Close stops the gateway at once.
 func (g *Gateway) Close() error {
 	g.cancel()
+	g.handler.Abandon()
 	var errs []error
 	for _, s := range g.servers {
 		errs = append(errs, s.Close())
 	}
 	g.handoverCalls.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTime)
+	defer cancel()
+	// Requests that are still in progress then leave no line.
+	_ = g.handler.Wait(ctx)
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
--- a/internal/gateway/handed.go
+++ b/internal/gateway/handed.go
@@ -80,7 +80,7 @@
 		handed: &handed{from: o.From, service: o.Service, out: w},
 		progress: progress{
 			tried: p.Tried, sends: p.Sends, runs: p.Runs, lastEvent: p.LastEvent, events: p.Events, started: p.Started,
-			counted: p.Counted, excess: p.Excess,
+			counted: p.Counted, excess: p.Excess, last: p.Last,
 		},
 	}
 	defer c.recovered()
@@ -88,8 +88,9 @@
 }
 
 // refuse passes a refusal to the node that has handed the request over.
-func (f *handed) refuse(c *call, r *refusal) {
+func (f *handed) refuse(c *call, r *refusal, cause string) {
 	f.out.Refuse(handover.Refusal{
 		Status: r.status, Reason: r.reason, RetryAfter: r.retryAfter, Sends: c.progress.sends, Runs: c.progress.runs,
+		Cause: cause, Last: c.progress.last,
 	})
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -94,6 +94,8 @@
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
 		taken atomic.Int64
+		// abandoned says that the requests in progress are ended.
+		abandoned atomic.Bool
 	}
 
 	// call is one request of a caller.
@@ -126,6 +128,8 @@
 		fallback *bufferedResponse
 		// reservation names the reservation that the next attempt uses.
 		reservation string
+		// refused says that it has ended with a refusal.
+		refused bool
 	}
 
 	// progress is the state of a call's attempts so far.
@@ -155,8 +159,9 @@
 		full int
 		// noResponse says that an attempt got no response at all.
 		noResponse bool
-		// reason is why the latest attempt failed.
+		// reason is why the latest attempt failed, and last how it ended.
 		reason string
+		last   string
 	}
 )
 
@@ -229,6 +234,9 @@
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
 	c.run(ctx)
+	if !c.refused {
+		c.finished()
+	}
 }
 
 // hold reserves memory for a body, and reports whether there is enough.
@@ -318,6 +326,8 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	case http1.IsTimeout(err):
 		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
+	case leftWithinBody(err):
+		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed, cause: endCallerGone}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed}
 	}
@@ -332,10 +342,18 @@
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
+	c.refused = true
 	if c.handed == nil {
 		h.Metrics.refused(r)
 	}
-	f := decision.Fields{"status": r.status, "reason": r.reason, "sends": c.progress.sends, "runs": c.progress.runs}
+	cause := c.cause(r)
+	f := decision.Fields{"status": r.status, "reason": r.reason, "cause": cause, "sends": c.progress.sends, "runs": c.progress.runs}
+	if c.progress.last != "" {
+		f["last"] = c.progress.last
+	}
+	if r.peer != "" {
+		f["peer"], f["peer_status"], f["peer_reason"] = r.peer, r.status, r.reason
+	}
 	if r.retryAfter > 0 {
 		f["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
@@ -350,13 +368,15 @@
 	}
 	if c.fallback != nil && !c.progress.started {
 		f["status"], f["kept"] = c.fallback.head.StatusCode, true
+		c.countEnd(endKept, c.progress.last)
 		c.log("refused", f)
 		c.writeResponse(c.fallback)
 		return
 	}
+	c.countEnd(cause, c.progress.last)
 	c.log("refused", f)
 	if c.handed != nil {
-		c.handed.refuse(c, r)
+		c.handed.refuse(c, r, cause)
 		return
 	}
 	if c.progress.started {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -64,6 +64,8 @@
 		// first is the time until the first part of the response.
 		first time.Duration
 		cause string
+		// refused says that the other node has refused the request.
+		refused bool
 	}
 )
 
@@ -174,7 +176,7 @@
 		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started),
 		Progress: handover.Progress{
 			Tried: p.tried, Sends: p.sends, Runs: p.runs, LastEvent: p.lastEvent, Events: p.events, Started: p.started,
-			Counted: p.counted, Excess: p.excess,
+			Counted: p.counted, Excess: p.excess, Last: p.last,
 		},
 	}, regions)
 	if err != nil {
@@ -208,7 +210,8 @@
 				res = resultNotRun
 			}
 			a.cause = f.Refusal.Reason
-			return res, c.received(f.Refusal)
+			a.refused = true
+			return res, c.received(a.peer, f.Refusal)
 		}
 		if err := c.writeFrame(f); err != nil {
 			a.cause, res = err.Error(), resultCallerGone
@@ -255,9 +258,10 @@
 }
 
 // received returns the refusal of another node as this node's own.
-func (c *call) received(r *handover.Refusal) *refusal {
+func (c *call) received(peer string, r *handover.Refusal) *refusal {
 	c.progress.sends, c.progress.runs = max(c.progress.sends, r.Sends), max(c.progress.runs, r.Runs)
-	return &refusal{status: r.Status, reason: r.Reason, retryAfter: r.RetryAfter}
+	c.progress.last = r.Last
+	return &refusal{status: r.Status, reason: r.Reason, retryAfter: r.RetryAfter, cause: r.Cause, peer: peer}
 }
 
 // mayTryOther reports whether a further node may serve a request that one has refused:
@@ -281,6 +285,7 @@
 // logHop logs and counts a request that was offered to another node.
 func (c *call) logHop(a *hop, res result) {
 	c.handler.config.Metrics.handedOver(a, res)
+	c.progress.last = a.end(res, c.progress.last)
 	f := decision.Fields{
 		"service": c.service.Name, "peer": a.peer, "result": res.String(), "took_ms": time.Since(a.started).Milliseconds(),
 		"first_ms": a.first.Milliseconds(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`refused_total{status="%d",reason=%q}`, r.status, r.reason)).Inc()
 }
 
+// ended counts the end of a request; last is how its last attempt ended, if that has got
+// no response, and cut says that its caller has a part of a response.
+func (m *Metrics) ended(cause, last string, cut bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`ended_total{cause=%q,last=%q,cut="%t"}`, cause, last, cut)).Inc()
+}
+
 func (m *Metrics) attempted(a *attempt, res result) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`attempts_total{result=%q}`, res)).Inc()
 	m.attemptTime.UpdateDuration(a.started)
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -34,12 +34,15 @@
 	text := fmt.Sprint(p)
 	c.log("panic", decision.Fields{"error": text[:min(len(text), maxPanicText)], "stack": panicStack()})
 	if c.progress.started {
+		c.countEnd(reasonPanic, "")
 		panic(http.ErrAbortHandler)
 	}
 	// An endpoint may have been running it.
 	c.progress.runs = max(c.progress.runs, 1)
 	maps.DeleteFunc(c.out.Header(), func(name string, _ []string) bool { return name != "Connection" })
-	c.refuse(unknown(reasonPanic))
+	ref := unknown(reasonPanic)
+	ref.cause = reasonPanic
+	c.refuse(ref)
 }
 
 // panicStack returns the functions that were running when the current panic began, the
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -63,6 +63,10 @@
 	retryAfter time.Duration
 	// isolation is why a request that ends endpoints is refused.
 	isolation crash.Isolation
+	// cause is why the request ends, empty if it follows from the rest.
+	cause string
+	// peer is the node that has refused the request, empty for this one.
+	peer string
 }
 
 func (r *refusal) write(w http.ResponseWriter) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -163,6 +163,7 @@
 		c.handler.config.Balancer.PrefillDone(time.Now(), choice, 0)
 		c.handler.config.Balancer.Release(time.Now(), choice.Endpoint.Start(), a.outcome)
 		c.released(time.Now(), time.Since(a.started), a.outcome == balance.Served)
+		c.progress.last = a.end(res)
 		c.handler.config.Metrics.attempted(a, res)
 		c.log("attempt", a.fields(res))
 	}()
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -71,6 +71,8 @@
 		// and for its account, Excess that it is the account's excess.
 		Counted bool `cbor:"7,keyasint,omitempty"`
 		Excess  bool `cbor:"8,keyasint,omitempty"`
+		// Last is how the last attempt ended.
+		Last string `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Refusal is the response of a node that ends the request itself.
@@ -78,9 +80,12 @@
 		Status     int           `cbor:"1,keyasint"`
 		Reason     string        `cbor:"2,keyasint"`
 		RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
-		// Sends and Runs are those of Progress, at the end.
-		Sends int `cbor:"4,keyasint,omitempty"`
-		Runs  int `cbor:"5,keyasint,omitempty"`
+		// Sends, Runs and Last are those of Progress, at the end, and Cause is why the
+		// request ends.
+		Sends int    `cbor:"4,keyasint,omitempty"`
+		Runs  int    `cbor:"5,keyasint,omitempty"`
+		Cause string `cbor:"6,keyasint,omitempty"`
+		Last  string `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Frame is a part of the response.
