Show the memory that a node uses, and log when it becomes short

What operators saw: if a process ends because of its memory, all of its requests end without an answer, and nothing says so but the `start` line of its successor, which looks like any other start. Neither logs nor metrics had the heap, its limit or what it was used for.

A watcher reads the runtime's metrics every 0.1 s, without stopping the program, and logs a line `memory` while the heap takes over 80 % of the limit that `serve` sets, at most one a second: heap, what the limit applies to, the limit, goroutines, collections, requests in progress, those of other nodes, and the bytes of bodies that are held. The metrics address shows the same as gauges, and the start time of the process. `start` has the limit.

TestHighUseIsLogged has five lines in five seconds above the share and none below it; TestConnectionsAndMemoryAreShown reads a whole node's metrics, which had none of these before.

--- a/gateway.go
+++ b/gateway.go
@@ -25,6 +25,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/memory"
 	"bulrushhinge.example/bulrushhinge/internal/owner"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/reach"
@@ -139,6 +140,7 @@
 		// owners is nil if no service may have an owner.
 		owners       *owners
 		storeMetrics *store.Metrics
+		memory       *memory.Watcher
 		callers      *http.Server
 		// callersListener accepts the connections of callers.
 		callersListener *http1.Listener
@@ -221,14 +223,16 @@
 		Reads: g.gossip.Reads, Bound: shorterBound(c.Drain, c.Apply),
 	})
 	follower.Store(g.follower)
+	g.memory = memory.NewWatcher(memory.Config{Fields: g.held, Log: g.log})
 	if err := g.listen(ctx); err != nil {
+		g.memory.Close()
 		cancel()
 		return nil, err
 	}
 	g.running.Go(func() {
 		periodic.Run(ctx, forgetInterval, func(now time.Time) { g.balancer.Forget(now, forgetAfter) })
 	})
-	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds})
+	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds, "memory_limit": memory.Read().Limit})
 	return g, nil
 }
 
@@ -304,6 +308,7 @@
 	errs = append(errs, g.handovers.client.Close())
 	g.state.Close()
 	g.pool.Close()
+	g.memory.Close()
 	g.log.Close()
 	return errors.Join(errs...)
 }
--- a/gateway_listen.go
+++ b/gateway_listen.go
@@ -27,6 +27,11 @@
 	return b
 }
 
+// held returns what the node holds for requests, for the lines about its memory.
+func (g *Gateway) held() decision.Fields {
+	return decision.Fields{"active": g.handler.Active(), "held": g.handler.Held(), "taken": g.handler.Taken()}
+}
+
 // listen starts the servers.
 func (g *Gateway) listen(ctx context.Context) error {
 	calls, err := http1.NewListenConfig(handover.MaxSilence).Listen(ctx, "tcp4", netip.AddrPortFrom(g.config.IP, g.config.HandoverPort).String())
@@ -39,6 +44,7 @@
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.Write(w)
 		g.callersListener.WriteMetrics(w)
+		g.memory.WriteMetrics(w)
 		g.gossipMetrics.Write(w)
 		g.crashMetrics.Write(w)
 		g.reachMetrics.Write(w)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -176,6 +176,7 @@
 	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
 	if c.Metrics != nil {
 		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
+		c.Metrics.set.RegisterMetricsWriter(h.writeHeldMetrics)
 	}
 	return h
 }
@@ -183,6 +184,12 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// Held returns the size of the request bodies that are held, in bytes.
+func (h *Handler) Held() int64 { return h.heldBytes.Load() }
+
+// Taken returns the number of requests in progress that other nodes have handed over.
+func (h *Handler) Taken() int64 { return h.taken.Load() }
+
 // Wait waits until no request is in progress, or until ctx ends.
 func (h *Handler) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(waitInterval)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -104,4 +104,11 @@
 	m.handoverTime.UpdateDuration(a.started)
 }
 
+// writeHeldMetrics writes what the node holds for requests in the Prometheus text format.
+func (h *Handler) writeHeldMetrics(w io.Writer) {
+	metrics.WriteGaugeUint64(w, metricPrefix+"active_requests", uint64(h.Active()))
+	metrics.WriteGaugeUint64(w, metricPrefix+"taken_requests", uint64(h.Taken()))
+	metrics.WriteGaugeUint64(w, metricPrefix+"held_body_bytes", uint64(h.Held()))
+}
+
 func (m *Metrics) observeFirstEvent(c *call) { m.firstEvent.Update(time.Since(c.started).Seconds()) }
