Take an answer with a status below 200 for no answer

What callers saw: if an endpoint answered with a status of 000 to 099, their connection closed without an answer, as the server panics when such a status is written. If another node had run the request and the status was 000, they got 200 with the endpoint's body: to the first node, a part of an answer with status 0 is one without a status.

http.ReadResponse accepts any three digits, and every status other than a success, 503, 429 and 408 was taken for an endpoint's own failure.

Such an answer is now unsound, as one without a seal is: 502, or a further attempt if the request may run again.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,7 +242,7 @@
 		return false
 	}
 	if resp.StatusCode/100 != 2 {
-		return true
+		return resp.StatusCode >= http.StatusOK
 	}
 	return resp.Header.Get(h.Seal) != "" && resp.Header.Get("Content-Encoding") == ""
 }
