--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -381,7 +381,7 @@
 	if res == resultNotSent || res == resultWithdrawn {
 		c.returnRetry()
 	}
-	c.attempted(r.attempt)
+	c.attempted(r.attempt, res)
 	return res
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -166,7 +166,7 @@
 	a.reservation, c.reservation = c.reservation, ""
 	a.lastEvent, a.newConn = c.progress.lastEvent, c.progress.noResponse
 	res := a.run(ctx, func() (*http1.Exchange, result) { return a.send(sending) })
-	c.attempted(a)
+	c.attempted(a, res)
 	return res
 }
 
@@ -175,7 +175,8 @@
 }
 
 // attempted records an attempt that has ended.
-func (c *call) attempted(a *attempt) {
+func (c *call) attempted(a *attempt, res result) {
+	c.progress.last = a.end(res)
 	c.progress.tried = append(c.progress.tried, a.choice.Endpoint.Start())
 	c.progress.noResponse = c.progress.noResponse || a.noResponse
 }
