Let endpoints of added services fall silent in the soak

A service that a change brings in starts without retries at every node. In half of the series of changes, endpoints of the added service now fall silent while routes move to it.

The report counts requests that ended without a complete response and might, by the reason, and each violation has the line of the log on it.

--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -53,6 +53,10 @@
 		random := rand.New(rand.NewPCG(r.Uint64(), 0))
 		group.Go(func() { s.callers.sendExtra(calling, random) })
 	}
+	if r.IntN(2) == 0 {
+		random := rand.New(rand.NewPCG(r.Uint64(), 0))
+		group.Go(func() { s.silenceAdded(calling, random, to) })
+	}
 	for _, step := range changeSteps(r, from, to) {
 		s.recordError(s.world.change(step))
 		wait(ctx, r, changePause)
@@ -69,6 +73,16 @@
 	return fmt.Sprintf("%s to %s, version %d", from, to, s.ledger.newest())
 }
 
+// silenceAdded lets endpoints of an added service fall silent, for which no node has
+// counted requests or retries before.
+func (s *soak) silenceAdded(ctx context.Context, r *rand.Rand, service string) {
+	defer s.ledger.recordFault(fault{})()
+	s.silence(ctx, r, func(r *rand.Rand) []*endpoint {
+		list := s.world.endpointsOf(service)
+		return list[r.IntN(max(len(list), 1)):]
+	})
+}
+
 // changeSteps returns the changes of a series in random order. Routes are split between
 // two services first or moved at once.
 func changeSteps(r *rand.Rand, from, to string) []func(*overlay) {
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,8 @@
 		// silent are the requests whose endpoints were silent.
 		silent map[string]bool
 		lost   []loss
+		// excused counts the others that ended so, by the reason why they might.
+		excused map[string]int
 	}
 
 	// loss is a request that ended without a complete response.
@@ -45,7 +48,7 @@
 	}
 )
 
-func newLosses() *losses { return &losses{silent: map[string]bool{}} }
+func newLosses() *losses { return &losses{silent: map[string]bool{}, excused: map[string]int{}} }
 
 // recordLimits records the limits of a configuration.
 func (l *losses) recordLimits(c *deployment.Config, at time.Time) {
@@ -102,35 +105,41 @@
 }
 
 // checkLoss records a request that its node has read and that ended without a complete
-// response, unless its endpoint broke off, its time was over, or the node was disturbed.
+// response, unless it might.
 func (s *soak) checkLoss(addr netip.AddrPort, route, id string, timeout time.Duration, a answer) {
-	if a.err == nil || a.status == 0 && a.wrote.IsZero() {
-		return
-	}
-	now := time.Now()
-	if now.Sub(a.sent) >= min(timeout, s.ledger.losses.shortest(route, a.sent))-limitSlack {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.Callers() == addr })
+	if a.err == nil || i < 0 {
 		return
 	}
+	n, now := s.nodes[i], time.Now()
+	lost := loss{id: id, node: fmt.Sprintf("%s (start %d)", n.Node, n.Starts()), after: now.Sub(a.sent)}
 	runs := s.ledger.runsOf(id)
-	crosses := !s.config.Timed || now.Sub(a.wrote) <= lossSlack || !s.ledger.losses.mayReuse(a.idle, a.sent)
-	if a.status == 0 && len(runs) == 0 && crosses {
-		return
-	}
-	if s.brokenOff(id, runs, a.sent) {
-		return
-	}
-	for _, n := range s.nodes {
-		if n.Callers() != addr {
-			continue
-		}
-		if n.disturbedSince(a.sent.Add(-recoveryTime)) || n.callerProxy.disturbedSince(a.sent) || n.egress.disturbedSince(a.sent) {
-			return
-		}
-		s.ledger.losses.record(loss{
-			id: id, node: fmt.Sprintf("%s (start %d)", n.Node, n.Starts()), after: now.Sub(a.sent),
-			what: fmt.Sprintf("status %d, %d bytes, %d runs, %v", a.status, len(a.body), len(runs), a.err),
-		})
-	}
+	lost.what = fmt.Sprintf("status %d, %d bytes, %d runs, %v", a.status, len(a.body), len(runs), a.err)
+	s.ledger.losses.record(lost, s.excuse(n, route, id, timeout, a, runs))
+}
+
+// excuse returns why a request might end without a complete response, empty if it might
+// not: its node had not read it, its endpoint broke off, its time was over, or the node
+// was disturbed.
+func (s *soak) excuse(n *node, route, id string, timeout time.Duration, a answer, runs []run) string {
+	now := time.Now()
+	switch unread := a.status == 0 && len(runs) == 0; {
+	case a.status == 0 && a.wrote.IsZero():
+		return "not written"
+	case now.Sub(a.sent) >= min(timeout, s.ledger.losses.shortest(route, a.sent))-limitSlack:
+		return "time over"
+	case unread && (!s.config.Timed || now.Sub(a.wrote) <= lossSlack):
+		return "crossed the close"
+	case unread && !s.ledger.losses.mayReuse(a.idle, a.sent):
+		return "idle too long"
+	case s.brokenOff(id, runs, a.sent):
+		return "endpoint broke off"
+	case n.disturbedSince(a.sent.Add(-recoveryTime)):
+		return "node disturbed"
+	case n.callerProxy.disturbedSince(a.sent) || n.egress.disturbedSince(a.sent):
+		return "node cut off"
+	}
+	return ""
 }
 
 // brokenOff reports whether an endpoint that ran a request broke off its response, ended
@@ -151,9 +160,14 @@
 	return append([]run(nil), l.runs[id]...)
 }
 
-func (l *losses) record(lost loss) {
+// record records a request that ended without a complete response, and why it might.
+func (l *losses) record(lost loss, excuse string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if excuse != "" {
+		l.excused[excuse]++
+		return
+	}
 	l.lost = append(l.lost, lost)
 }
 
@@ -167,7 +181,7 @@
 			silent++
 		}
 	}
-	return fmt.Sprintf("%d requests at silent endpoints; %d lost, %d of them at silent endpoints", len(l.silent), len(l.lost), silent)
+	return fmt.Sprintf("%d requests at silent endpoints; %d lost, %d of them at silent endpoints; excused %v", len(l.silent), len(l.lost), silent, l.excused)
 }
 
 // check returns a violation for each lost request, with the last line of a node's log on
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -26,6 +26,11 @@
 // silenceEndpoints lets sound endpoints fall silent and go on where they stopped: some of
 // them, or all of a service.
 func (s *soak) silenceEndpoints(ctx context.Context, r *rand.Rand) string {
+	return s.silence(ctx, r, s.world.pickSilent)
+}
+
+// silence lets endpoints fall silent several times, those that pick returns each time.
+func (s *soak) silence(ctx context.Context, r *rand.Rand, pick func(*rand.Rand) []*endpoint) string {
 	streaming, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	defer callers.Wait()
@@ -38,7 +43,7 @@
 	for range mostSilences/2 + r.IntN(mostSilences/2) {
 		share := []float64{0.3, 1}[r.IntN(2)]
 		var group sync.WaitGroup
-		for _, e := range s.world.pickSilent(r) {
+		for _, e := range pick(r) {
 			silence := standin.Silence{Share: share, Head: r.IntN(2) == 0, Seed: r.Uint64()}
 			d := shortestSilence + time.Duration(r.Int64N(int64(longestSilence-shortestSilence)))
 			names = append(names, fmt.Sprintf("%s %v of %v", e.id, d.Round(time.Millisecond), share))
