--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -126,6 +126,11 @@
 		fallback *bufferedResponse
 		// reservation names the reservation that the next attempt uses.
 		reservation string
+		// next is a repeat that takes the place of an attempt that has ended; nil if
+		// there is none.
+		next *repeat
+		// paid says that the next attempt's retry is taken from the budget.
+		paid bool
 	}
 
 	// progress is the state of a call's attempts so far.
@@ -197,7 +202,9 @@
 	if h.config.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	h.serve(&call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()})
+	c := &call{handler: h, out: w, in: r, id: r.Header.Get(h.config.Headers.RequestID), started: time.Now()}
+	defer c.recovered()
+	h.serve(c)
 }
 
 // serve serves one request, of a caller or of another node.
@@ -205,7 +212,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	if ref := c.admit(); ref != nil {
-		c.refuse(ref)
+		c.refuse(c.denial(ref))
 		return
 	}
 	if c.handed == nil {
@@ -221,7 +228,7 @@
 		defer h.heldBytes.Add(-size)
 	}
 	if ref := c.read(); ref != nil {
-		c.refuse(ref)
+		c.refuse(c.denial(ref))
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
@@ -274,6 +281,16 @@
 	return nil
 }
 
+// denial returns the refusal of a request that is not admitted here. Another node's
+// request has been admitted there; if this node's configuration does not allow it, it is
+// a newer one, and the request goes elsewhere.
+func (c *call) denial(r *refusal) *refusal {
+	if c.handed == nil || r.status == http.StatusServiceUnavailable {
+		return r
+	}
+	return notRun(reasonOtherConfig, retrySoon)
+}
+
 // denied refuses what the configuration does not allow. If the configuration is so
 // old that it may have been replaced, the caller is asked to retry instead.
 func (c *call) denied(status int, reason string) *refusal {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
@@ -27,7 +28,7 @@
 )
 
 // ownReasons are the reasons of refusals that hold for the refusing node only.
-var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn}
+var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn, reasonOtherConfig}
 
 type (
 	// Handovers hands requests over to other nodes.
@@ -58,8 +59,10 @@
 		peer string
 		// owner says that the other node is the owner of the service.
 		owner bool
-		// answered is set once the response has begun.
+		// answered is set once the response has begun, and paid if a retry was taken from
+		// the budget when the other node was abandoned.
 		answered atomic.Bool
+		paid     atomic.Bool
 		started  time.Time
 		// first is the time until the first part of the response.
 		first time.Duration
@@ -86,7 +89,7 @@
 		}
 		res, ref = c.follow(ctx, &hop{peer: peer, started: time.Now()}, x)
 		c.handler.config.Handovers.Done(peer, x)
-		if res == resultNotSent || ref != nil && c.mayTryOther(ref) {
+		if res == resultNotSent || ref != nil && c.mayRunElsewhere(ref) {
 			continue
 		}
 		return res, ref, true
@@ -128,34 +131,56 @@
 	}
 	res, ref = c.follow(ctx, a, x)
 	owners.Done(peer, x)
-	if res == resultNotSent || ref != nil && c.mayRunHere(ref) {
+	if c.paid = a.paid.Load(); c.paid && (res != resultBroken || ref != nil) {
+		c.paid = false
+		c.returnRetry()
+	}
+	if res == resultNotSent || ref != nil && c.mayRunElsewhere(ref) {
 		return 0, nil, false
 	}
 	return res, ref, true
 }
 
 // watchOwner abandons an owner that is lost before its response begins, as a paused one
-// is: the request may be repeated here. An owner that answers other offers is only slow.
+// is, once the request may be repeated here: the retry budget allows it, and an endpoint
+// has room. An owner that answers other offers is only slow.
 func (c *call) watchOwner(ctx context.Context, a *hop, abandon func()) *time.Timer {
-	var timer *time.Timer
-	timer = time.AfterFunc(c.route.Timeout, func() {
+	return startTimer(ownerCheckInterval, func(timer *time.Timer) {
 		switch {
 		case ctx.Err() != nil || a.answered.Load():
-		case c.handler.config.Owners.Lost(a.peer):
+		case c.handler.config.Owners.Lost(a.peer) && c.takeRetry():
+			a.paid.Store(true)
 			abandon()
 		default:
 			timer.Reset(ownerCheckInterval)
 		}
 	})
-	timer.Reset(ownerCheckInterval)
+}
+
+// takeRetry takes a retry from the budget if an endpoint has room for the request.
+func (c *call) takeRetry() bool {
+	h, now := c.handler.config, time.Now()
+	r := balance.Request{Service: c.service, Key: c.promptKey, Tried: c.progress.tried}
+	return h.Reach.Reaches(c.service.Name) && h.Balancer.HasRoom(now, c.endpoints(), r) && h.Budget.Retry(now, c.service.Name)
+}
+
+// startTimer calls a function after a time, with the timer, which it may reset.
+func startTimer(d time.Duration, f func(timer *time.Timer)) *time.Timer {
+	var timer *time.Timer
+	set := make(chan struct{})
+	timer = time.AfterFunc(d, func() {
+		<-set
+		f(timer)
+	})
+	close(set)
 	return timer
 }
 
-// mayRunHere reports whether this node may run a request that the owner has refused: it
-// may run, or run again, and the reason was the owner's own. The owner has taken a retry
-// from the budget for each run that broke.
-func (c *call) mayRunHere(r *refusal) bool {
-	if c.progress.started || c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
+// mayRunElsewhere reports whether a request that a node has refused may run at another
+// one: it may run, or run again, and the reason was that node's own. That node has taken
+// a retry from the budget for each run that broke.
+func (c *call) mayRunElsewhere(r *refusal) bool {
+	if c.progress.runs > 0 && (!c.route.Kind.Retryable() || c.progress.runs >= c.route.Attempts) {
 		return false
 	}
 	return slices.Contains(ownReasons[:], r.reason)
@@ -260,15 +285,6 @@
 	return &refusal{status: r.Status, reason: r.Reason, retryAfter: r.RetryAfter}
 }
 
-// mayTryOther reports whether a further node may serve a request that one has refused:
-// it has not run, and the reason was that node's own.
-func (c *call) mayTryOther(r *refusal) bool {
-	if c.progress.started || c.progress.runs > 0 {
-		return false
-	}
-	return slices.Contains(ownReasons[:], r.reason)
-}
-
 // serviceName returns the service that the request goes to: the one that the node
 // which handed it over has drawn, or one drawn here.
 func (c *call) serviceName() string {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -33,6 +33,8 @@
 	reasonWithdrawn   = "endpoint-left"
 	reasonLeaving     = "endpoints-leaving"
 	reasonBackoff     = "endpoints-resting"
+	reasonPanic       = "internal-error"
+	reasonOtherConfig = "other-config"
 )
 
 const (
