Close a stopping node before it takes what it must cut

Callers lost responses as nodes stopped: four of eight nodes got SIGTERM at once, a stream was taken 3.44 s later, ran at a sound endpoint, and was cut with its connection at the end of the grace (LOST). No line of the log said so.

Cause: a stopping node accepted requests for half of its grace of 8 s, as some callers keep addresses for three times their lifetime, and cut what was left 7.6 s after the signal. A stream that is taken in the fourth second and lasts for more than 3.6 s cannot end in time.

TestStoppingNodeTakesNoLateRequests failed before: a connection was accepted three seconds after the signal.

Now the listener and idle connections are closed after two and a half seconds, or half of a shorter grace. Callers that still have the address are refused a connection and use another one. The grace of the tests' nodes is that of the deployments.

--- a/gateway.go
+++ b/gateway.go
@@ -38,10 +38,11 @@
 	addressTTL = time.Second
 	// maxAddresses is the most addresses that callers accept.
 	maxAddresses = 64
-	// closeShare is the fraction of the grace after which a stopping node closes
-	// its listener and idle connections. Some callers keep addresses for three
-	// times their TTL.
+	// A stopping node closes its listener and idle connections after maxAccept, or
+	// closeShare of its grace if that is shorter. By then most callers have learned
+	// other addresses; what is taken later may have to be cut at the end of the grace.
 	closeShare = 0.5
+	maxAccept  = 2500 * time.Millisecond
 	// graceMargin is how long before the end of the grace a stopping node closes.
 	graceMargin = 400 * time.Millisecond
 	// abandonTime is how long a gateway that closes waits for the lines of requests that
@@ -279,7 +280,7 @@
 	began := time.Now()
 	g.stopping.Store(true)
 	g.log.Event("stop", decision.Fields{"active": g.handler.Active()})
-	time.Sleep(time.Duration(closeShare * float64(g.config.Grace)))
+	time.Sleep(min(time.Duration(closeShare*float64(g.config.Grace)), maxAccept))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
 	defer cancel()
 	err := errors.Join(g.callersListener.Drain(ctx), g.handler.Wait(ctx))
