Keep a request's time, kind and service at another node

Beside a change of the configuration, a request that was handed over, as all are to the owner of a small service, could still end by the other node's newer one: with 504 after the route's new, shorter timeout; with a second run of an at-most-once request, if the route had become idempotent; or, for a begun stream, with the rest of another service's endpoint, or cut, if the route had moved.

Cause: the other node took timeout, kind and attempts from its own configuration, and drew a service again if its route did not have the request's.

Now the offer carries the time left, the kind and the attempts. A node whose route is of another kind or has no such service refuses the request as `other-config`, and the first node serves it. Timers that run beside a request are recovered from panics.

--- a/gateway.go
+++ b/gateway.go
@@ -215,7 +215,7 @@
 	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
 	handler := gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, CostOrder: c.CostOrder,
+		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Takers: g.handovers.anyTakes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, CostOrder: c.CostOrder,
 	}
 	g.startOwners(ctx, &handler)
 	g.handler = gateway.New(handler)
--- a/handover.go
+++ b/handover.go
@@ -39,6 +39,12 @@
 	h.chooser.Release(time.Now(), peer, nil)
 }
 
+// anyTakes reports whether a node may take requests for a service, of those in some
+// regions if any are given.
+func (h *handovers) anyTakes(service string, regions []string) bool {
+	return len(h.peers(service, regions)) > 0
+}
+
 // peers returns the nodes that serve callers and reach a service, of those in some
 // regions if any are given.
 func (h *handovers) peers(service string, regions []string) []handover.Peer {
--- a/internal/gateway/handed.go
+++ b/internal/gateway/handed.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
+	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
@@ -29,7 +31,11 @@
 	// from is that node's name, and service the service that it has drawn.
 	from    string
 	service string
-	out     *handover.Writer
+	// deadline, kind and attempts are those by which that node has admitted the request.
+	deadline time.Time
+	kind     deployment.Kind
+	attempts int
+	out      *handover.Writer
 }
 
 // Take implements handover.Handler. The configuration in force here must not be older
@@ -77,7 +83,7 @@
 	p := o.Progress
 	c := &call{
 		handler: h, out: w, in: r.WithContext(ctx), id: o.Header.Get(h.config.Headers.RequestID), started: time.Now().Add(-o.Age),
-		handed: &handed{from: o.From, service: o.Service, out: w},
+		handed: &handed{from: o.From, service: o.Service, deadline: time.Now().Add(o.Left), kind: o.Kind, attempts: o.Attempts, out: w},
 		progress: progress{
 			tried: p.Tried, sends: p.Sends, runs: p.Runs, lastEvent: p.LastEvent, events: p.Events, started: p.Started,
 			counted: p.Counted, excess: p.Excess, last: p.Last,
@@ -87,6 +93,20 @@
 	h.serve(c)
 }
 
+// admitHanded ends the admission of another node's request, which keeps its time and its
+// attempts. A route of another kind, or to other services, is that of a newer
+// configuration.
+func (c *call) admitHanded() *refusal {
+	f := c.handed
+	if c.route.Kind != f.kind || !slices.ContainsFunc(c.route.Split, func(s deployment.Share) bool { return s.Service == f.service }) {
+		return notRun(reasonOtherConfig, retrySoon)
+	}
+	route := *c.route
+	route.Attempts = f.attempts
+	c.route, c.deadline = &route, f.deadline.Add(-hopMargin)
+	return nil
+}
+
 // refuse passes a refusal to the node that has handed the request over.
 func (f *handed) refuse(c *call, r *refusal, cause string) {
 	f.out.Refuse(handover.Refusal{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -76,6 +76,9 @@
 		Log     *decision.Log
 		// Reserver reserves slots at engines; nil if they support no reservations.
 		Reserver Reserver
+		// Takers reports whether other nodes may take requests for a service, of those in
+		// some regions if any are given; nil means that they may.
+		Takers func(service string, regions []string) bool
 		// Regions maps the names of availability zones to their regions.
 		Regions map[string]string
 		// Nodes returns how many nodes there are.
@@ -183,6 +186,9 @@
 	if c.Owned == nil {
 		c.Owned = func(string) bool { return false }
 	}
+	if c.Takers == nil {
+		c.Takers = func(string, []string) bool { return true }
+	}
 	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
 	if c.Metrics != nil {
 		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
@@ -297,7 +303,7 @@
 	c.residency = residencyOf(c.route, c.account)
 	c.deadline = c.started.Add(c.timeout() - answerMargin)
 	if c.handed != nil {
-		c.deadline = c.deadline.Add(-hopMargin)
+		return c.admitHanded()
 	}
 	return nil
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -10,7 +10,6 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/decision"
-	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
@@ -148,6 +147,7 @@
 // has room. An owner that answers other offers is only slow.
 func (c *call) watchOwner(ctx context.Context, a *hop, abandon func()) *time.Timer {
 	return startTimer(ownerCheckInterval, func(timer *time.Timer) {
+		defer c.contain()
 		switch {
 		case ctx.Err() != nil || a.answered.Load():
 		case c.handler.config.Owners.Lost(a.peer) && c.takeRetry():
@@ -192,24 +192,29 @@
 // one that reaches it.
 func (c *call) offer(ctx context.Context, to Handovers, owner bool) (peer string, x *handover.Exchange, err error) {
 	began, p := time.Now(), &c.progress
-	var regions []string
-	if c.residency.restricted {
-		regions = c.residency.regions
-	}
 	peer, x, err = to.Offer(ctx, &handover.Offer{
 		Method: c.in.Method, URI: c.in.RequestURI, Host: c.in.Host, Header: c.in.Header, Size: int64(len(c.body)),
-		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started),
+		Service: c.service.Name, Version: c.config.Version, Age: time.Since(c.started), Left: time.Until(c.deadline),
+		Kind: c.route.Kind, Attempts: c.route.Attempts,
 		Progress: handover.Progress{
 			Tried: p.tried, Sends: p.sends, Runs: p.runs, LastEvent: p.lastEvent, Events: p.events, Started: p.started,
 			Counted: p.counted, Excess: p.excess, Last: p.last,
 		},
-	}, regions)
+	}, c.regions())
 	if err != nil {
 		c.logHop(&hop{peer: peer, owner: owner, started: began, cause: err.Error()}, resultNotSent)
 	}
 	return peer, x, err
 }
 
+// regions returns the regions in which the request may run; nil means all.
+func (c *call) regions() []string {
+	if c.residency.restricted {
+		return c.residency.regions
+	}
+	return nil
+}
+
 // follow sends the request's body to the node that has taken it, and forwards the
 // response.
 func (c *call) follow(ctx context.Context, a *hop, x *handover.Exchange) (res result, ref *refusal) {
@@ -292,7 +297,7 @@
 // serviceName returns the service that the request goes to: the one that the node
 // which handed it over has drawn, or one drawn here.
 func (c *call) serviceName() string {
-	if c.handed != nil && slices.ContainsFunc(c.route.Split, func(s deployment.Share) bool { return s.Service == c.handed.service }) {
+	if c.handed != nil {
 		return c.handed.service
 	}
 	return c.route.Service(rand.Float64())
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -119,6 +119,10 @@
 		Crashes: m.crashes, Metrics: gateway.NewMetrics(), Reach: m.reach, Handovers: peers,
 		Owners: memberOwners{member: m}, Owned: func(string) bool { return m.owns.Load() },
 		Nodes: func() int { return 1 }, Stopping: m.stopping.Load, Log: f.log,
+		Takers: func(string, []string) bool {
+			others, ok := peers.(*team)
+			return !ok || len(others.members) > 0
+		},
 	}
 	if f.change != nil {
 		f.change(&c)
--- a/internal/gateway/othernode_test.go
+++ b/internal/gateway/othernode_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,3 +78,82 @@
 		})
 	}
 }
+
+// Guards against a request that another node ends by its newer configuration's timeout.
+func TestTimeoutOfOneConfiguration(t *testing.T) {
+	late := func(c net.Conn, r *http.Request) bool {
+		return pause(c, 500*time.Millisecond) && whole(200, "hi")(c, r)
+	}
+	route := deployment.Route{Kind: deployment.AtMostOnce, Objective: time.Second, Timeout: 5 * time.Second}
+	shorter := func(c *deployment.Config) {
+		c.Routes = slices.Clone(c.Routes)
+		for i := range c.Routes {
+			c.Routes[i].Timeout = 200 * time.Millisecond
+		}
+	}
+	t.Run("another node", func(t *testing.T) {
+		h := newHops(t, 1, route, newEndpoint(t, late))
+		h.team.members[0].reconfigure(shorter)
+		r := h.post(t, "/p/x", nil)
+		require.Equal(t, 200, r.status, r.body)
+	})
+	t.Run("the owner", func(t *testing.T) {
+		o := newOwned(t, route, newEndpoint(t, late))
+		o.owner.reconfigure(shorter)
+		r := o.post(t, "/p/x", nil)
+		require.Equal(t, 200, r.status, r.body)
+	})
+}
+
+// Guards against an at-most-once request that another node repeats by its newer
+// configuration.
+func TestKindOfOneConfiguration(t *testing.T) {
+	shared := &sharedReplies{replies: []reply{hangUp, whole(200, "hi")}}
+	h := newHops(t, 1, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1, Objective: time.Second, Timeout: 5 * time.Second},
+		newEndpoint(t, shared.play), newEndpoint(t, shared.play))
+	h.team.members[0].reconfigure(func(c *deployment.Config) {
+		list := append([]deployment.Route(nil), c.Routes...)
+		for i := range list {
+			list[i].Kind, list[i].Attempts = deployment.Idempotent, 3
+		}
+		c.Routes = list
+	})
+	_ = h.post(t, "/p/x", nil)
+	require.Equal(t, 1, h.arrivals(), "runs of an at-most-once request")
+}
+
+// Guards against a begun stream that another node resumes at another service.
+func TestStreamResumesAtItsService(t *testing.T) {
+	var h *hops
+	var n atomic.Int64
+	play := func(c net.Conn, r *http.Request) bool {
+		if n.Add(1) > 1 {
+			return stream(4, "", true)(c, r)
+		}
+		stream(2, "", false)(c, r)
+		h.near.reach.lost.Store(true)
+		return false
+	}
+	h = newHops(t, 1, deployment.Route{Kind: deployment.Resumable, Attempts: 3, Objective: 200 * time.Millisecond, Timeout: 5 * time.Second},
+		newEndpoint(t, play), newEndpoint(t, play))
+	h.near.reach.lost.Store(false)
+	h.team.members[0].reconfigure(func(c *deployment.Config) {
+		list := append([]deployment.Route(nil), c.Routes...)
+		for i := range list {
+			list[i].Split = []deployment.Share{{Service: "other", Weight: 1}}
+		}
+		c.Routes = list
+		c.Services = map[string]deployment.Service{"s": {Name: "s"}, "other": {Name: "other"}}
+	})
+	elsewhere := newEndpoint(t, stream(4, "", true))
+	snapshot := *h.team.members[0].deployment.current.Load()
+	snapshot.Endpoints = map[string][]*deployment.Endpoint{
+		"s":     snapshot.Endpoints["s"],
+		"other": {{ID: "other0", Service: "other", Slots: 4, Addr: netip.MustParseAddrPort(elsewhere.listener.Addr().String())}},
+	}
+	h.team.members[0].deployment.current.Store(&snapshot)
+	r := h.post(t, "/p/x", nil)
+	require.Zero(t, elsewhere.count(), "the rest of the stream came from another service")
+	require.True(t, r.complete, r.body)
+	require.Equal(t, events(1, 4), r.body)
+}
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -43,6 +43,13 @@
 	c.refuse(ref)
 }
 
+// contain is deferred in functions of timers, as a panic there would end the process.
+func (c *call) contain() {
+	if p := recover(); p != nil {
+		c.logPanic(p)
+	}
+}
+
 // logPanic logs and counts the value of a panic.
 func (c *call) logPanic(p any) {
 	c.handler.config.Metrics.panics.Inc()
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -55,6 +55,11 @@
 		// Age is how long ago the request arrived.
 		Age      time.Duration `cbor:"9,keyasint"`
 		Progress Progress      `cbor:"10,keyasint"`
+		// Left is the time until the request's deadline. Kind and Attempts are its route's
+		// by the configuration in force at the sender.
+		Left     time.Duration   `cbor:"11,keyasint"`
+		Kind     deployment.Kind `cbor:"12,keyasint"`
+		Attempts int             `cbor:"13,keyasint"`
 	}
 
 	// Progress is what became of the request before.
