Let a begun stream that no endpoint may serve keep nobody waiting

While a begun stream waited for a slot that it may use, requests of its kind were refused as `endpoints-full` although slots were free; and with the cost order a begun stream was still cut for want of a slot.

Cause: the waiting stream counted as a request ahead of others, and each of its searches as a sign that there is no slot, also when the free ones were at endpoints that it had tried. The cost queue did not know of it.

Now begun streams are not counted as waiting, their searches show no shortage, and they wait in the same queue in either order.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -147,7 +147,7 @@
 func (q *Queue) MayTry(now time.Time, r Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return r.Begun || len(q.waiting) == 0 && !q.overserved(q.kind(r), now) && !(r.Excess && q.rejectsExcess(now))
+	return r.Begun || !q.anyNewWaits() && !q.overserved(q.kind(r), now) && !(r.Excess && q.rejectsExcess(now))
 }
 
 // Refused counts a request that got no place.
@@ -189,6 +189,12 @@
 	return q.add(w)
 }
 
+// anyNewWaits reports whether a request waits that has not begun. One that has may be
+// unable to use the slots that are free.
+func (q *Queue) anyNewWaits() bool {
+	return slices.ContainsFunc(q.waiting, func(w *Waiter) bool { return !w.begun })
+}
+
 func (q *Queue) add(w *Waiter) *Waiter {
 	w.turn = make(chan struct{}, 1)
 	w.kind.addWaiting(w, 1)
@@ -286,6 +292,9 @@
 }
 
 func (k *kind) addWaiting(w *Waiter, n int) {
+	if w.begun {
+		return
+	}
 	k.waiting += n
 	if w.excess {
 		k.excess += n
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -40,6 +40,10 @@
 		return nil, c.giveUp(reason)
 	}
 	q, began := c.queue(), time.Now()
+	if c.progress.started {
+		// A begun response goes first in either order.
+		q = c.handler.queues.byShares(c.service.Name)
+	}
 	request := c.admissionRequest()
 	request.Begun = c.progress.started
 	tried := q.MayTry(began, request)
@@ -48,7 +52,7 @@
 			return choice, nil
 		}
 	}
-	if c.cost != nil {
+	if c.cost != nil && !request.Begun {
 		return c.waitByCost(ctx, began, tried && c.promptKey == "")
 	}
 	w := q.Join(time.Now(), request)
@@ -72,7 +76,7 @@
 		}
 		select {
 		case <-w.Turn():
-			choice := c.choose(ctx, began, w)
+			choice := c.choose(ctx, began, nil)
 			q.NextTurn()
 			if choice != nil {
 				return choice, nil
@@ -171,7 +175,10 @@
 		now := time.Now()
 		choice := h.Balancer.Choose(now, c.endpoints(), c.balanceRequest(now.Before(stay), c.exclusive()))
 		if choice == nil {
-			c.queue().NoPlace(now)
+			if !c.progress.started {
+				// A begun stream may not use every endpoint.
+				c.queue().NoPlace(now)
+			}
 			return nil
 		}
 		s := c.reserve(ctx, choice)
