Abandon a silent endpoint for a response, not for its head

A sound endpoint was still abandoned for one that sent a head and nothing more; a request whose repeat had run could be refused as not run when its time ended; an engine without a slot for a repeat was not used again for the request; and a request left its endpoint for another node when no attempt was left or no node was there to take it.

Cause: the head counted as the response; the deadline was looked at before the repeat was counted; an engine's refusal of a reservation counted as a try; and leaving asked only the budget.

Now a repeat takes over with a stream's first event, or any other response as a whole. A repeat in progress is ended and counted before the caller gets its refusal. A dropped repeat says nothing of its endpoint. A caller that reads slowly makes no endpoint silent, and nothing is sent for a caller that has left.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,10 @@
 	ended bool
 	// noResponse says that the request was sent and not answered at all.
 	noResponse bool
+	// body is the response's body as far as it was read before the attempt was taken over,
+	// and whole says that this is all.
+	body  *responseBody
+	whole bool
 	// events and full are those of the call's progress at the end of the attempt.
 	events, full int
 }
@@ -211,7 +215,10 @@
 	c := a.call
 	a.cause = a.explain(err)
 	sent := !errors.Is(err, http1.ErrConnect) && !errors.Is(err, http1.ErrWithdrawn)
-	if sent && a.dropped.Load() {
+	if a.dropped.Load() {
+		if !sent {
+			return resultNotSent
+		}
 		c.handler.config.Crashes.Abandoned(c.features, a.choice.Endpoint)
 		return resultDropped
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -60,7 +60,7 @@
 // paused in between resumes before the timers of its contexts fire, so that the clock
 // decides whether the caller still waits.
 func (c *call) maySend(e *deployment.Endpoint) func() bool {
-	return func() bool { return c.isolated() == nil && c.available(e) && !c.overdue() }
+	return func() bool { return c.isolated() == nil && c.available(e) && !c.overdue() && !c.callerGone() }
 }
 
 // overdue reports whether the caller no longer waits for a response.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,9 +15,12 @@
 // no attempt gets a better one.
 func (a *attempt) forward(x *http1.Exchange, w *watch) result {
 	c := a.call
-	body, whole, err := c.handler.responses.read(x.Response)
-	if err != nil {
-		return a.classify(err)
+	body, whole := a.body, a.whole
+	if body == nil {
+		var err error
+		if body, whole, err = c.handler.responses.read(x.Response); err != nil {
+			return a.classify(err)
+		}
 	}
 	a.latency = time.Since(a.started)
 	c.queue().ObserveLatency(c.admissionRequest(), a.latency)
@@ -44,6 +47,8 @@
 	} else {
 		a.outcome = balance.Served
 	}
+	// The response is here, whether the endpoint was abandoned or not.
+	_ = w.keep()
 	c.writeResponse(response)
 	body.release()
 	a.recordEnd(x)
--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
 	"bulrushhinge.example/bulrushhinge/internal/balance"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/sse"
 )
 
 type (
@@ -18,6 +23,8 @@
 		done     chan struct{}
 		exchange *http1.Exchange
 		result   result
+		// full says that the endpoint had no slot for it.
+		full bool
 		// failure is the endpoint's response if that is a failure.
 		failure *bufferedResponse
 	}
@@ -26,8 +33,10 @@
 	endedRepeats struct {
 		tried       []deployment.Start
 		sends, runs int
-		noResponse  bool
-		failures    []*bufferedResponse
+		// full is the number of slots that engines refused.
+		full       int
+		noResponse bool
+		failures   []*bufferedResponse
 	}
 )
 
@@ -36,26 +45,59 @@
 	a := r.attempt
 	s := a.call.reserve(ctx, a.choice)
 	if s.denied {
+		r.full = s.outcome == balance.ReservationRefused
 		a.outcome, a.cause, r.result = s.outcome, "no slot reserved", resultNotSent
 		return
 	}
 	a.call.handler.config.Balancer.Sent(time.Now(), a.choice)
 	a.reservation = s.reservation
-	r.exchange, r.result = a.send(ctx)
-	if r.exchange == nil || r.accepted() {
+	x, res := a.send(ctx)
+	r.result = res
+	if x == nil {
 		return
 	}
-	// A failure is no reason to abandon another endpoint.
+	if err := r.receive(x); err != nil {
+		r.result = a.classify(err)
+	}
+	if r.result != resultDone {
+		x.Abort()
+		return
+	}
+	r.exchange = x
+}
+
+// receive waits until the response has begun that may be the caller's: a stream's first
+// event has arrived, or any other response is whole. A failure is no reason to abandon
+// another endpoint, nor is a head.
+func (r *repeat) receive(x *http1.Exchange) error {
+	a := r.attempt
+	if a.call.route.Kind.Streams() && a.status/100 == 2 {
+		rest := bufio.NewReader(x.Response.Body)
+		first, err := sse.NewReader(rest).Next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		x.Response.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(first.Raw), rest), x.Response.Body}
+		return nil
+	}
+	body, whole, err := a.call.handler.responses.read(x.Response)
+	if err != nil {
+		return err
+	}
+	if a.status < http.StatusInternalServerError && !a.call.route.Kind.Streams() {
+		a.body, a.whole = body, whole
+		return nil
+	}
 	a.outcome, a.cause, r.result = balance.Failed, "failed", resultBroken
-	body, whole, err := a.call.handler.responses.read(r.exchange.Response)
-	switch {
-	case err == nil && whole:
-		r.failure = &bufferedResponse{head: r.exchange.Response, body: body}
-	case err == nil:
+	if whole {
+		r.failure = &bufferedResponse{head: x.Response, body: body}
+	} else {
 		body.release()
 	}
-	r.exchange.Abort()
-	r.exchange = nil
+	return nil
 }
 
 // recovered is deferred around begin: a panic there must not end the process.
@@ -72,14 +114,6 @@
 	r.result = resultBroken
 }
 
-// accepted reports whether the endpoint's response may be the caller's.
-func (r *repeat) accepted() bool {
-	if r.attempt.call.route.Kind.Streams() {
-		return r.attempt.status/100 == 2
-	}
-	return r.attempt.status < http.StatusInternalServerError
-}
-
 // end ends the repeat.
 func (r *repeat) end() {
 	r.attempt.dropped.Store(true)
@@ -88,6 +122,9 @@
 	if r.exchange != nil {
 		r.exchange.Abort()
 	}
+	if r.attempt.body != nil {
+		r.attempt.body.release()
+	}
 }
 
 // add adds a repeat that came to nothing.
@@ -103,7 +140,11 @@
 		e.sends++
 		e.runs++
 	}
-	e.tried = append(e.tried, a.choice.Endpoint.Start())
+	if r.full {
+		e.full++
+	} else {
+		e.tried = append(e.tried, a.choice.Endpoint.Start())
+	}
 	e.noResponse = e.noResponse || a.noResponse
 	e.failures = append(e.failures, r.failure)
 	a.done(res)
@@ -114,6 +155,7 @@
 	c.progress.tried = append(c.progress.tried, e.tried...)
 	c.progress.sends += e.sends
 	c.progress.runs += e.runs
+	c.progress.full += e.full
 	c.progress.noResponse = c.progress.noResponse || e.noResponse
 	for _, f := range e.failures {
 		c.keepFailure(f)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -116,6 +116,8 @@
 		c.progress.reason = reasonBroken
 	}
 	if ctx.Err() != nil || c.overdue() {
+		// What has run elsewhere in the meantime counts.
+		c.dropNext()
 		return c.giveUp(reasonTimeout)
 	}
 	if res == resultCut {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,11 +47,12 @@
 		if ev.HasID && ev.ID <= c.progress.lastEvent && c.progress.events > 0 {
 			continue
 		}
+		w.forward()
 		if err := c.writeEvent(x.Response, ev); err != nil {
 			a.cause = err.Error()
 			return resultCallerGone
 		}
-		w.forwarded(c.progress.lastEvent)
+		w.forwarded(c.progress.lastEvent, a.pauseTimeout())
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,6 +33,8 @@
 		lastEvent atomic.Uint64
 		due       atomic.Int64
 		responded atomic.Bool
+		// writing says that the caller is being sent a part of the response.
+		writing atomic.Bool
 
 		mu      sync.Mutex
 		timer   *time.Timer
@@ -77,9 +79,19 @@
 	}
 }
 
+// forward records that the caller is sent a part of the response. The endpoint is not
+// silent while the caller reads slowly.
+func (w *watch) forward() {
+	if w != nil {
+		w.writing.Store(true)
+	}
+}
+
 // forwarded records the newest event that the caller has.
-func (w *watch) forwarded(lastEvent uint64) {
+func (w *watch) forwarded(lastEvent uint64, due time.Duration) {
 	if w != nil {
+		w.progress(due)
+		w.writing.Store(false)
 		w.lastEvent.Store(lastEvent)
 	}
 }
@@ -87,12 +99,17 @@
 // check begins a repeat if the endpoint has been silent for too long and the request
 // may run at another one now.
 func (w *watch) check(ctx context.Context, stall time.Duration) {
+	defer w.attempt.call.contain()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || ctx.Err() != nil {
+	if w.stopped || w.paid || ctx.Err() != nil {
 		return
 	}
 	a := w.attempt
+	if w.writing.Load() {
+		w.timer.Reset(stall)
+		return
+	}
 	if left := w.left(stall); left > 0 {
 		w.timer.Reset(min(left, stall))
 		return
@@ -102,7 +119,7 @@
 		w.reported = true
 		a.call.handler.config.Reach.Failed(a.choice.Endpoint, a.started)
 	}
-	if a.call.mayLeave() {
+	if runs, _ := w.counts(); runs < a.call.route.Attempts && a.call.mayLeave() {
 		w.endRepeat()
 		w.paid = true
 		w.abandon()
@@ -142,15 +159,25 @@
 	return max(left, b.busyTimeout(stall)-time.Since(b.started))
 }
 
+// counts returns how many endpoints may have run the request and how many received it, if
+// the attempts in progress are counted.
+func (w *watch) counts() (runs, sends int) {
+	p := &w.attempt.call.progress
+	runs, sends = p.runs+1+w.ended.runs, p.sends+1+w.ended.sends
+	if w.repeat != nil {
+		return runs + 1, sends + 1
+	}
+	return runs, sends
+}
+
 // replacement takes a slot at another endpoint and a retry from the budget, or returns
 // nil. Requests that wait for a slot come first.
 func (w *watch) replacement() *balance.Choice {
 	c, now := w.attempt.call, time.Now()
 	h, p := c.handler.config, &c.progress
-	runs, sends := p.runs+1+w.ended.runs, p.sends+1+w.ended.sends
+	runs, sends := w.counts()
 	tried := slices.Concat(p.tried, w.ended.tried, []deployment.Start{w.attempt.choice.Endpoint.Start()})
 	if w.repeat != nil {
-		runs, sends = runs+1, sends+1
 		tried = append(tried, w.repeat.attempt.choice.Endpoint.Start())
 	}
 	switch {
@@ -208,7 +235,7 @@
 // endpoint.
 func (c *call) mayLeave() bool {
 	h := c.handler.config
-	if h.Reach.Reaches(c.service.Name) || !c.owned() && !c.mayHandOver() {
+	if h.Reach.Reaches(c.service.Name) || !c.owned() && !(c.mayHandOver() && h.Takers(c.service.Name, c.regions())) {
 		return false
 	}
 	return h.Budget.Retry(time.Now(), c.service.Name)
