Test the end after a silent endpoint where it still happens

TestEndAfterASilentEndpointSaysSo expected a refusal after a silent endpoint was given up for a repeat. It is now kept until the other one responds, so that its premise is gone: the caller got 200. An endpoint is still given up when its node has lost the service; the test lets that happen, with the only other node declining the request. Its checks are unchanged: one refused line with cause, last and counter.

--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -17,6 +17,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/crash"
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
 // noRetries leaves nothing in the retry budget.
@@ -90,19 +91,29 @@
 // Guards against the end of a run at an endpoint that was given up as silent that looks
 // like one after a broken connection.
 func TestEndAfterASilentEndpointSaysSo(t *testing.T) {
-	shared := &sharedReplies{replies: []reply{silent, whole(200, "hi")}}
-	f := newFixture(
-		t, deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: 120 * time.Millisecond, Timeout: time.Minute},
-		newEndpoint(t, shared.play), newEndpoint(t, shared.play),
-	)
-	f.change = func(c *gateway.Config) { c.Crashes = silentIsolates{Crashes: c.Crashes, silent: &atomic.Bool{}} }
-	f.serve(t, f.snapshot.Config, noLoads{}, nil)
-	require.Equal(t, http.StatusBadGateway, f.post(t, "/p/x", nil).status)
-	list := f.lines(t, "refused")
+	var metrics *gateway.Metrics
+	h := &hops{team: &team{client: handover.NewClient()}}
+	t.Cleanup(func() { _ = h.team.client.Close() })
+	// The node loses the service, and the only other node declines the request.
+	play := func(c net.Conn, r *http.Request) bool {
+		h.near.reach.lost.Store(true)
+		return silent(c, r)
+	}
+	route := deployment.Route{Kind: deployment.Idempotent, Attempts: 2, Objective: 120 * time.Millisecond, Timeout: time.Minute}
+	h.fixture = newFixture(t, route, newEndpoint(t, play))
+	h.team.members = []*member{h.newMember(t, h.team)}
+	h.team.members[0].stopping.Store(true)
+	h.change = func(c *gateway.Config) {
+		c.Crashes, metrics = silentIsolates{Crashes: c.Crashes, silent: &atomic.Bool{}}, c.Metrics
+	}
+	h.front(t)
+	h.near.reach.lost.Store(false)
+	require.Equal(t, http.StatusBadGateway, h.post(t, "/p/x", nil).status)
+	list := h.lines(t, "refused")
 	require.Len(t, list, 1)
 	require.Equal(t, "crashes-endpoints", list[0]["cause"])
 	require.Equal(t, "silent", list[0]["last"])
-	require.Equal(t, "1", value(f.metrics, ended("crashes-endpoints", "silent", false)))
+	require.Equal(t, "1", value(metrics, ended("crashes-endpoints", "silent", false)))
 }
 
 // Guards against a refusal by another node that looks like the first node's own, or whose
