Answer the requests that arrive while a node closes

A caller whose request reached a stopping node in pieces got a closed connection, though the node had read the whole request; the caller could not tell whether it was run. Connections above the limit were closed without a trace, and what net/http reported went as plain text to standard error.

Cause: Shutdown of net/http drops a request that it has read after the call, and closes kept connections on which a part of a request has arrived, as it takes them for idle until the whole head is read.

Evidence: without the change TestRequestThatArrivesDuringStopIsRefused fails for a new and for a kept connection: "Received unexpected error", EOF, "the request was read".

Change: the callers' listener tracks its connections and drains them itself. It closes those on which nothing has arrived since their last answer, and waits for the others, whose requests are refused as not run. It counts and logs the connections that it refuses, a line a second at most, and those that do not end. The HTTP servers log to the node's log.

--- a/bulrushhinge.go
+++ b/bulrushhinge.go
@@ -125,6 +125,7 @@
 		meter      *capacity.Meter
 		handler    *caller.Handler
 		callers    *http.Server
+		listener   *caller.Listener
 		operators  *http.Server
 		running    sync.WaitGroup
 	}
@@ -211,13 +212,17 @@
 		n.abortRequests(ctx)
 	}
 	pause(ctx, time.Until(refused.Add(n.config.Linger)))
-	err = errors.Join(err, n.callers.Shutdown(ctx))
+	if drain := n.listener.Drain(ctx); drain != nil {
+		n.config.Log.WithError(drain).WithField("connections", n.listener.Reading()).Warn("connections did not end; closing them")
+		err = errors.Join(err, drain)
+	}
 	return errors.Join(err, n.Close())
 }
 
 // abortRequests aborts the requests that outlast ctx and waits until their callers
 // are notified, up to abortTimeout.
 func (n *Node) abortRequests(ctx context.Context) {
+	n.config.Log.WithField("active", n.config.Limits.Active.Load()).Warn("requests outlast the stop; aborting them")
 	n.handler.End()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTimeout)
 	defer cancel()
@@ -282,18 +287,21 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStart, err)
 	}
+	n.listener = caller.NewListener(caller.ListenerConfig{Listener: n.config.Callers, Log: n.config.Log})
 	n.callers = caller.NewServer(n.metrics.Observe(n.handler))
+	n.callers.ErrorLog = newServerLog(n.config.Log)
 	n.operators = &http.Server{
 		Handler: operator.New(operator.Config{
 			View: k.View, Dump: n.dump, Record: n.record, Token: n.config.Token,
 			Metrics: n.metrics, Traces: n.traces,
 		}),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          newServerLog(n.config.Log),
 	}
 	start := func(s *http.Server, l net.Listener) {
 		n.running.Go(func() { _ = s.Serve(l) })
 	}
-	start(n.callers, caller.Limit(n.config.Callers, caller.DefaultMaxConnections))
+	start(n.callers, n.listener)
 	start(n.operators, n.config.Operators)
 	return nil
 }
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -24,7 +24,13 @@
 	"bulrushhinge.example/bulrushhinge/pkg/manifest"
 )
 
-const secret = "secret"
+const (
+	secret = "secret"
+	// patience is how long a test waits for what must happen, and pollInterval how
+	// often it looks.
+	patience     = time.Minute
+	pollInterval = time.Millisecond
+)
 
 type (
 	// endpoints fakes and counts the answers of endpoints.
@@ -113,11 +119,17 @@
 func serveView(t *testing.T, e *endpoints, v *kernel.View, limits caller.Config) (*httptest.Server, *caller.Handler) {
 	t.Helper()
 	h := handler(e, v, limits)
+	return startServer(t, h), h
+}
+
+// startServer starts a server on a real socket for a handler.
+func startServer(t *testing.T, h http.Handler) *httptest.Server {
+	t.Helper()
 	s := httptest.NewUnstartedServer(h)
 	s.Config = caller.NewServer(h)
 	s.Start()
 	t.Cleanup(s.Close)
-	return s, h
+	return s
 }
 
 func events(attempt string, more ...string) string {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -159,15 +158,10 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         trackState,
 	}
 }
 
-// Limit returns a listener that allows the given number of open connections.
-// Further ones are closed at once, before a request is read from them.
-func Limit(l net.Listener, connections int) net.Listener {
-	return &limitListener{Listener: l, max: int64(connections)}
-}
-
 // guard limits the number of requests in progress and the time to write an
 // answer. It refuses requests while the node stops.
 func (h *Handler) guard(next http.HandlerFunc) http.HandlerFunc {
