Log the cause of each request that ends without a complete answer

Operators could not find out why a caller got no answer: a stream that was cut by its endpoint, by the deadline, by a caller that left or read too slowly, or by the node's stop had the same line; a copy of a request with a ticket, one whose ticket's node was lost and one refused for want of a place had none.

Change: each such request has a line with its id and a cause: endpoint_cut, endpoint_died, answer_too_large, memory_full, deadline, stopping, caller_gone, caller_slow, peer_lost or internal, or the type of the refusal that the handler itself wrote. The dispatcher records its own refusals as before. Requests that wait when the stop's time is over are answered as `stopping`, no longer as `deadline`.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"bulrushhinge.example/bulrushhinge/internal/dispatch"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -130,10 +127,3 @@
 		return readChat(run, h.config.MaxAnswer)
 	}
 }
-
-func (h *Handler) logIncomplete(err error, req route.Request, run *dispatch.Run) {
-	h.config.Log.WithError(err).WithFields(logrus.Fields{
-		"request": strconv.FormatUint(req.ID, 16), "chat": req.Chat, "account": req.Account,
-		"endpoint": run.Endpoint.Name, "attempt": run.Attempt,
-	}).Warn("answer not delivered completely")
-}
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -39,6 +39,8 @@
 	retry  time.Duration
 	// close closes the connection after the answer.
 	close bool
+	// recorded is set if the cause is in the log already.
+	recorded bool
 }
 
 func (p *problem) body() entry.Problem {
@@ -52,6 +54,7 @@
 
 func (p *problem) write(w http.ResponseWriter) {
 	p = p.forWriter(w)
+	p.note(w)
 	data, err := json.Marshal(p.body())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -119,7 +122,7 @@
 	if !errors.As(err, &r) {
 		return &problem{status: http.StatusInternalServerError, kind: "internal", text: err.Error(), ran: RanUnknown}
 	}
-	p := &problem{status: http.StatusServiceUnavailable, kind: string(r.Reason), text: err.Error(), ran: RanUnknown, retry: r.RetryAfter}
+	p := &problem{status: http.StatusServiceUnavailable, kind: string(r.Reason), text: err.Error(), ran: RanUnknown, retry: r.RetryAfter, recorded: true}
 	if r.NotRun {
 		p.ran = RanNot
 	}
@@ -134,6 +137,19 @@
 	return p
 }
 
+// refusalProblem returns the problem for an error of the dispatcher, which may be due to
+// the node's stop.
+func (h *Handler) refusalProblem(err error) *problem {
+	var r *dispatch.Refusal
+	if h.ending.Err() == nil || !errors.As(err, &r) || r.Reason != route.ReasonCanceled {
+		return dispatchProblem(err)
+	}
+	if r.NotRun {
+		return stopping().asRecorded()
+	}
+	return aborted().asRecorded()
+}
+
 // truncated is the problem of an answer that the endpoint started but did not complete.
 func truncated() *problem {
 	return &problem{
--- a/internal/caller/recover.go
+++ b/internal/caller/recover.go
@@ -11,11 +11,20 @@
 
 var errPanic = errors.New("caller: panic while the request ran")
 
-// startedWriter records whether an answer has started.
-type startedWriter struct {
-	http.ResponseWriter
-	started bool
-}
+type (
+	// startedWriter records whether an answer has started.
+	startedWriter struct {
+		http.ResponseWriter
+		started bool
+	}
+
+	// resultWriter records how a request ended: whether an answer has started, and
+	// the problem that was written.
+	resultWriter struct {
+		startedWriter
+		problem *problem
+	}
+)
 
 // WriteHeader writes the status and header of the answer.
 func (w *startedWriter) WriteHeader(status int) {
@@ -37,7 +46,7 @@
 //
 // The HTTP server would close the connection in either case, which reveals nothing
 // to the caller, and print the stack as plain text.
-func (h *Handler) recoverPanic(w *startedWriter, r *http.Request) {
+func (h *Handler) recoverPanic(w *resultWriter, r *http.Request) {
 	value := recover()
 	if value == nil {
 		return
@@ -55,7 +64,7 @@
 
 // panicked reports a panic of a detached run. It writes a problem, or returns the error
 // of a truncated answer if the answer has started.
-func (h *Handler) panicked(w *startedWriter, req route.Request, value any) error {
+func (h *Handler) panicked(w *resultWriter, req route.Request, value any) error {
 	panics.Report(h.config.Log.WithField("request", strconv.FormatUint(req.ID, 16)), value)
 	p := internalError().forCopies(req)
 	if w.started {
@@ -77,6 +86,6 @@
 func internalError() *problem {
 	return &problem{
 		status: http.StatusInternalServerError, kind: "internal",
-		text: "the node failed while it served the request", ran: RanUnknown,
+		text: "the node failed while it served the request", ran: RanUnknown, recorded: true,
 	}
 }
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -76,7 +76,7 @@
 		if answerErr == nil {
 			return atmostonce.Done, run.Close()
 		}
-		h.logIncomplete(answerErr, k.request, run)
+		h.logIncomplete(ctx, answerErr, k.request, run)
 		if out.started || !errors.Is(answerErr, endpoint.ErrCut) {
 			return atmostonce.Unknown, h.abandon(ctx, out, k, run, answerErr)
 		}
@@ -86,7 +86,7 @@
 		run, err = run.Retry(ctx, answerErr)
 	}
 	if last != nil {
-		h.answerProblem(last, k.request.Deadline).write(w)
+		h.answerProblem(last, k.request.Deadline).asRecorded().write(w)
 		return atmostonce.Unknown, nil
 	}
 	return h.writeRefusal(w, k, err), nil
@@ -103,14 +103,14 @@
 	if out.started {
 		return &truncatedError{problem: p.forCopies(k.request), cause: cause}
 	}
-	p.write(out)
+	p.asRecorded().write(out)
 	return nil
 }
 
 // writeRefusal writes the refusal of a request, with a new ticket if the request
 // needs one and did not run.
 func (h *Handler) writeRefusal(w http.ResponseWriter, k work, err error) atmostonce.State {
-	p := dispatchProblem(err)
+	p := h.refusalProblem(err)
 	if k.request.AtMostOnce && p.ran == RanNot {
 		h.addTicket(w, k.account.Name)
 	}
@@ -182,25 +182,27 @@
 	if _, err = reader.Copy(ctx, out); err == nil {
 		err = out.finish()
 	}
-	switch {
-	case err == nil:
-	case out.started:
+	if err == nil {
+		return
+	}
+	h.logCopy(ctx, err, h.requestLog(k.request))
+	if out.started {
 		abort(out.events, h.incompleteProblem(err))
-	default:
-		h.incompleteProblem(err).write(w)
 	}
+	h.incompleteProblem(err).asRecorded().write(w)
 }
 
 // executeDetached executes a request independently of its caller's connection. It
 // takes its own slots and memory: a caller that sends requests and disconnects
 // must not load the node beyond its limits.
 func (h *Handler) executeDetached(ctx context.Context, w http.ResponseWriter, k work) (state atmostonce.State, err error) {
-	out := &startedWriter{ResponseWriter: w}
+	out := &resultWriter{startedWriter: startedWriter{ResponseWriter: w}}
 	defer func() {
 		if value := recover(); value != nil {
 			state, err = atmostonce.Unknown, h.panicked(out, k.request, value)
 		}
 	}()
+	defer func() { logProblem(out.problem, h.requestLog(k.request)) }()
 	leave, ok := h.slots.enter()
 	if !ok {
 		busy(http.StatusServiceUnavailable, "the node serves too many requests").write(out)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -132,8 +132,13 @@
 	if h.refusing.Load() || h.config.View().Leaving {
 		w.Header().Set("Connection", "close")
 	}
-	out := &startedWriter{ResponseWriter: w}
+	out := &resultWriter{startedWriter: startedWriter{ResponseWriter: w}}
 	defer h.recoverPanic(out, r)
+	defer func() {
+		logProblem(out.problem, h.config.Log.WithFields(logrus.Fields{
+			"request": out.Header().Get(HeaderRequest), "path": r.URL.Path,
+		}))
+	}()
 	w = out
 	if r.Header.Get(HeaderTicket) != "" {
 		w = &uncheckedWriter{ResponseWriter: out}
--- a/internal/caller/ticket.go
+++ b/internal/caller/ticket.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bulrushhinge.example/bulrushhinge/internal/atmostonce"
 	"bulrushhinge.example/bulrushhinge/internal/endpoint"
 	"bulrushhinge.example/bulrushhinge/internal/kernel"
@@ -135,8 +137,10 @@
 // problem if nothing was written to w. Only that node may run the request; this
 // one must not, even if it considers the other dead.
 func (h *Handler) relay(w http.ResponseWriter, r *http.Request, v *kernel.View, t ticket.Ticket, body []byte) *problem {
+	log := h.config.Log.WithFields(logrus.Fields{"request": w.Header().Get(HeaderRequest), "node": t.Node})
 	to, ok := v.Node(t.Node)
 	if !ok || r.Context().Value(relayedKey{}) != nil {
+		log.Info("node of a ticket not known")
 		return ticketProblem(atmostonce.ErrUnknown)
 	}
 	out := h.newTicketWriter(w)
@@ -147,16 +151,18 @@
 	if err == nil {
 		err = out.finish()
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return nil
+	}
+	h.logCopy(r.Context(), err, log)
+	switch {
 	case out.errorSent:
 		// The other node has sent an error event.
 		panic(http.ErrAbortHandler)
 	case out.started:
 		abort(out.events, h.incompleteProblem(err))
 	case errors.Is(err, endpoint.ErrFull), r.Context().Err() != nil:
-		return h.incompleteProblem(err)
+		return h.incompleteProblem(err).asRecorded()
 	}
 	return ticketProblem(atmostonce.ErrUnknown)
 }
