--- a/cmd/bulrushhinge/node.go
+++ b/cmd/bulrushhinge/node.go
@@ -36,7 +36,7 @@
 	ReadTimeout  duration           `name:"read-timeout" help:"How long a caller may take to send a body." default:"30s"`
 	WriteTimeout duration           `name:"write-timeout" help:"How long a caller may take to read a piece of its answer." default:"20s"`
 	MaxBody      count              `name:"max-body" help:"Largest request body, in bytes." default:"4194304"`
-	MaxHeld      count              `name:"max-held" help:"Request bodies and answers not streamed that the node holds at once, in bytes together." default:"268435456"`
+	MaxHeld      count              `name:"max-held" help:"Request bodies, answers not streamed and long events that the node holds at once, in bytes together." default:"67108864"`
 	MaxAnswer    count              `name:"max-answer" help:"Largest answer that is not streamed, in bytes." default:"16777216"`
 	MaxActive    count              `name:"max-active" help:"Requests that the node serves at once." default:"8192"`
 	MaxWaiting   count              `name:"max-waiting" help:"Requests that wait for an endpoint at once." default:"2048"`
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -84,12 +84,12 @@
 	if run.Answer.Status == http.StatusOK {
 		w.Header().Set(HeaderHint, hint.Hint{Endpoint: run.Endpoint.Name, Tokens: req.Input, At: time.Now()}.String())
 	}
-	if c.Stream && streamed && run.Answer.Status == http.StatusOK {
-		return h.stream(w, run)
-	}
 	held := h.slots.emptyReservation()
 	defer held.release()
 	run.Answer.Meter = held.grow
+	if c.Stream && streamed && run.Answer.Status == http.StatusOK {
+		return h.stream(w, run)
+	}
 	data, err := h.readAnswer(run, streamed)
 	if err != nil {
 		return err
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -39,7 +39,7 @@
 	DefaultWriteTimeout   = 20 * time.Second
 	DefaultMaxBody        = 4 << 20
 	DefaultMaxAnswer      = 16 << 20
-	DefaultMaxHeld        = 256 << 20
+	DefaultMaxHeld        = 64 << 20
 	DefaultMaxActive      = 8192
 	DefaultMaxWaiting     = 2048
 	DefaultMaxAccount     = 512
@@ -76,8 +76,8 @@
 		WriteTimeout time.Duration
 		// MaxBody is the maximum size of a request body, in bytes.
 		MaxBody int64
-		// MaxHeld is the maximum total size of the request bodies and unstreamed
-		// answers in the node's memory, in bytes.
+		// MaxHeld is the maximum total size of the request bodies, unstreamed answers
+		// and long events in the node's memory, in bytes. Instances have from 160 MB.
 		MaxHeld int64
 		// MaxAnswer is the maximum size of an unstreamed answer, in bytes.
 		MaxAnswer int64
