--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,7 +39,7 @@
 	DefaultWriteTimeout   = 20 * time.Second
 	DefaultMaxBody        = 4 << 20
 	DefaultMaxAnswer      = 16 << 20
-	DefaultMaxHeld        = 256 << 20
+	DefaultMaxHeld        = 64 << 20
 	DefaultMaxActive      = 8192
 	DefaultMaxWaiting     = 2048
 	DefaultMaxAccount     = 512
@@ -77,8 +76,8 @@
 		WriteTimeout time.Duration
 		// MaxBody is the maximum size of a request body, in bytes.
 		MaxBody int64
-		// MaxHeld is the maximum total size of the request bodies and unstreamed
-		// answers in the node's memory, in bytes.
+		// MaxHeld is the maximum total size of the request bodies, unstreamed answers
+		// and long events in the node's memory, in bytes. Instances have from 160 MB.
 		MaxHeld int64
 		// MaxAnswer is the maximum size of an unstreamed answer, in bytes.
 		MaxAnswer int64
@@ -133,8 +132,13 @@
 	if h.refusing.Load() || h.config.View().Leaving {
 		w.Header().Set("Connection", "close")
 	}
-	out := &startedWriter{ResponseWriter: w}
+	out := &resultWriter{startedWriter: startedWriter{ResponseWriter: w}}
 	defer h.recoverPanic(out, r)
+	defer func() {
+		logProblem(out.problem, h.config.Log.WithFields(logrus.Fields{
+			"request": out.Header().Get(HeaderRequest), "path": r.URL.Path,
+		}))
+	}()
 	w = out
 	if r.Header.Get(HeaderTicket) != "" {
 		w = &uncheckedWriter{ResponseWriter: out}
@@ -159,15 +163,10 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         trackState,
 	}
 }
 
-// Limit returns a listener that allows the given number of open connections.
-// Further ones are closed at once, before a request is read from them.
-func Limit(l net.Listener, connections int) net.Listener {
-	return &limitListener{Listener: l, max: int64(connections)}
-}
-
 // guard limits the number of requests in progress and the time to write an
 // answer. It refuses requests while the node stops.
 func (h *Handler) guard(next http.HandlerFunc) http.HandlerFunc {
