--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -95,9 +95,12 @@
 		reservations *reservations
 		queues       queues
 		heldBytes    atomic.Int64
+		responses    responseMemory
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
 		taken atomic.Int64
+		// abandoned says that the requests in progress are ended.
+		abandoned atomic.Bool
 	}
 
 	// call is one request of a caller.
@@ -135,6 +138,8 @@
 		next *repeat
 		// paid says that the next attempt's retry is taken from the budget.
 		paid bool
+		// refused says that it has ended with a refusal.
+		refused bool
 	}
 
 	// progress is the state of a call's attempts so far.
@@ -164,8 +169,9 @@
 		full int
 		// noResponse says that an attempt got no response at all.
 		noResponse bool
-		// reason is why the latest attempt failed.
+		// reason is why the latest attempt failed, and last how it ended.
 		reason string
+		last   string
 	}
 )
 
@@ -180,6 +186,7 @@
 	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
 	if c.Metrics != nil {
 		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
+		c.Metrics.set.RegisterMetricsWriter(h.writeHeldMetrics)
 	}
 	return h
 }
@@ -187,6 +194,12 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// Held returns the size of the request bodies that are held, in bytes.
+func (h *Handler) Held() int64 { return h.heldBytes.Load() }
+
+// Taken returns the number of requests in progress that other nodes have handed over.
+func (h *Handler) Taken() int64 { return h.taken.Load() }
+
 // Wait waits until no request is in progress, or until ctx ends.
 func (h *Handler) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(waitInterval)
@@ -215,6 +228,7 @@
 func (h *Handler) serve(c *call) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	defer c.setFallback(nil)
 	if ref := c.admit(); ref != nil {
 		c.refuse(c.denial(ref))
 		return
@@ -238,6 +252,9 @@
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
 	c.run(ctx)
+	if !c.refused {
+		c.finished()
+	}
 }
 
 // hold reserves memory for a body, and reports whether there is enough.
@@ -337,6 +354,8 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	case http1.IsTimeout(err):
 		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
+	case leftWithinBody(err):
+		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed, cause: endCallerGone}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed}
 	}
@@ -351,10 +370,18 @@
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
+	c.refused = true
 	if c.handed == nil {
 		h.Metrics.refused(r)
 	}
-	f := decision.Fields{"status": r.status, "reason": r.reason, "sends": c.progress.sends, "runs": c.progress.runs}
+	cause := c.cause(r)
+	f := decision.Fields{"status": r.status, "reason": r.reason, "cause": cause, "sends": c.progress.sends, "runs": c.progress.runs}
+	if c.progress.last != "" {
+		f["last"] = c.progress.last
+	}
+	if r.peer != "" {
+		f["peer"], f["peer_status"], f["peer_reason"] = r.peer, r.status, r.reason
+	}
 	if r.retryAfter > 0 {
 		f["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
@@ -369,13 +396,15 @@
 	}
 	if c.fallback != nil && !c.progress.started {
 		f["status"], f["kept"] = c.fallback.head.StatusCode, true
+		c.countEnd(endKept, c.progress.last)
 		c.log("refused", f)
 		c.writeResponse(c.fallback)
 		return
 	}
+	c.countEnd(cause, c.progress.last)
 	c.log("refused", f)
 	if c.handed != nil {
-		c.handed.refuse(c, r)
+		c.handed.refuse(c, r, cause)
 		return
 	}
 	if c.progress.started {
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -32,12 +32,15 @@
 	}
 	c.logPanic(p)
 	if c.progress.started {
+		c.countEnd(reasonPanic, "")
 		panic(http.ErrAbortHandler)
 	}
 	// An endpoint may have been running it.
 	c.progress.runs = max(c.progress.runs, 1)
 	maps.DeleteFunc(c.out.Header(), func(name string, _ []string) bool { return name != "Connection" })
-	c.refuse(unknown(reasonPanic))
+	ref := unknown(reasonPanic)
+	ref.cause = reasonPanic
+	c.refuse(ref)
 }
 
 // logPanic logs and counts the value of a panic.
