--- a/gateway.go
+++ b/gateway.go
@@ -25,6 +25,7 @@
 	"bulrushhinge.example/bulrushhinge/internal/gossip"
 	"bulrushhinge.example/bulrushhinge/internal/handover"
 	"bulrushhinge.example/bulrushhinge/internal/http1"
+	"bulrushhinge.example/bulrushhinge/internal/memory"
 	"bulrushhinge.example/bulrushhinge/internal/owner"
 	"bulrushhinge.example/bulrushhinge/internal/periodic"
 	"bulrushhinge.example/bulrushhinge/internal/reach"
@@ -43,6 +44,9 @@
 	closeShare = 0.5
 	// graceMargin is how long before the end of the grace a stopping node closes.
 	graceMargin = 400 * time.Millisecond
+	// abandonTime is how long a gateway that closes waits for the lines of requests that
+	// it ends.
+	abandonTime = 200 * time.Millisecond
 	// maxHeaderBytes bounds a request's header before the configured limit is
 	// checked.
 	maxHeaderBytes = 64 << 10
@@ -136,6 +140,7 @@
 		// owners is nil if no service may have an owner.
 		owners       *owners
 		storeMetrics *store.Metrics
+		memory       *memory.Watcher
 		callers      *http.Server
 		// callersListener accepts the connections of callers.
 		callersListener *http1.Listener
@@ -218,14 +223,16 @@
 		Reads: g.gossip.Reads, Bound: shorterBound(c.Drain, c.Apply),
 	})
 	follower.Store(g.follower)
+	g.memory = memory.NewWatcher(memory.Config{Fields: g.held, Log: g.log})
 	if err := g.listen(ctx); err != nil {
+		g.memory.Close()
 		cancel()
 		return nil, err
 	}
 	g.running.Go(func() {
 		periodic.Run(ctx, forgetInterval, func(now time.Time) { g.balancer.Forget(now, forgetAfter) })
 	})
-	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds})
+	g.log.Event("start", decision.Fields{"callers": c.Callers.String(), "zone": c.Zone, "seeds": c.Seeds, "memory_limit": memory.Read().Limit})
 	return g, nil
 }
 
@@ -275,7 +282,7 @@
 	time.Sleep(time.Duration(closeShare * float64(g.config.Grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
 	defer cancel()
-	err := errors.Join(g.callers.Shutdown(ctx), g.handler.Wait(ctx))
+	err := errors.Join(g.callersListener.Drain(ctx), g.handler.Wait(ctx))
 	g.log.Event("stopped", decision.Fields{"active": g.handler.Active(), "took_ms": time.Since(began).Milliseconds()})
 	return errors.Join(err, g.Close())
 }
@@ -283,11 +290,16 @@
 // Close stops the gateway at once.
 func (g *Gateway) Close() error {
 	g.cancel()
+	g.handler.Abandon()
 	var errs []error
 	for _, s := range g.servers {
 		errs = append(errs, s.Close())
 	}
 	g.handoverCalls.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTime)
+	defer cancel()
+	// Requests that are still in progress then leave no line.
+	_ = g.handler.Wait(ctx)
 	g.follower.Close()
 	g.gossip.Close()
 	g.running.Wait()
@@ -296,6 +308,7 @@
 	errs = append(errs, g.handovers.client.Close())
 	g.state.Close()
 	g.pool.Close()
+	g.memory.Close()
 	g.log.Close()
 	return errors.Join(errs...)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,9 @@
 	// maxHeldBytes bounds the bodies held at once. A node has 284 MB in the
 	// smallest installations, of which the process itself takes about 20.
 	maxHeldBytes = 64 << 20
+	// defaultTimeout is how long a request may take if neither its route nor its caller
+	// says.
+	defaultTimeout = time.Minute
 	// answerMargin is how long before the caller's deadline it gets a response.
 	answerMargin = 30 * time.Millisecond
 	// waitInterval is how often a stopping node looks whether requests are left.
@@ -91,9 +95,12 @@
 		reservations *reservations
 		queues       queues
 		heldBytes    atomic.Int64
+		responses    responseMemory
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
 		taken atomic.Int64
+		// abandoned says that the requests in progress are ended.
+		abandoned atomic.Bool
 	}
 
 	// call is one request of a caller.
@@ -131,6 +138,8 @@
 		next *repeat
 		// paid says that the next attempt's retry is taken from the budget.
 		paid bool
+		// refused says that it has ended with a refusal.
+		refused bool
 	}
 
 	// progress is the state of a call's attempts so far.
@@ -160,8 +169,9 @@
 		full int
 		// noResponse says that an attempt got no response at all.
 		noResponse bool
-		// reason is why the latest attempt failed.
+		// reason is why the latest attempt failed, and last how it ended.
 		reason string
+		last   string
 	}
 )
 
@@ -176,6 +186,7 @@
 	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
 	if c.Metrics != nil {
 		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
+		c.Metrics.set.RegisterMetricsWriter(h.writeHeldMetrics)
 	}
 	return h
 }
@@ -183,6 +194,12 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// Held returns the size of the request bodies that are held, in bytes.
+func (h *Handler) Held() int64 { return h.heldBytes.Load() }
+
+// Taken returns the number of requests in progress that other nodes have handed over.
+func (h *Handler) Taken() int64 { return h.taken.Load() }
+
 // Wait waits until no request is in progress, or until ctx ends.
 func (h *Handler) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(waitInterval)
@@ -211,6 +228,7 @@
 func (h *Handler) serve(c *call) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	defer c.setFallback(nil)
 	if ref := c.admit(); ref != nil {
 		c.refuse(c.denial(ref))
 		return
@@ -234,6 +252,9 @@
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
 	c.run(ctx)
+	if !c.refused {
+		c.finished()
+	}
 }
 
 // hold reserves memory for a body, and reports whether there is enough.
@@ -300,14 +321,14 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// timeout returns how long the request may take: the route's timeout, or the
-// caller's if that is shorter.
+// timeout returns how long the request may take: the route's timeout, or the caller's if
+// that is shorter or the route has none.
 func (c *call) timeout() time.Duration {
 	wait, asked := c.route.Timeout, c.callerTimeout()
 	if wait == 0 || asked > 0 && asked < wait {
-		return asked
+		wait = asked
 	}
-	return wait
+	return cmp.Or(wait, defaultTimeout)
 }
 
 // callerTimeout returns how long the caller says that it waits, 0 if it doesn't.
@@ -333,6 +354,8 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBody}
 	case http1.IsTimeout(err):
 		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyLate}
+	case leftWithinBody(err):
+		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed, cause: endCallerGone}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed}
 	}
@@ -347,10 +370,18 @@
 // refuse ends a request with a refusal, or with the fallback if there is one.
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
+	c.refused = true
 	if c.handed == nil {
 		h.Metrics.refused(r)
 	}
-	f := decision.Fields{"status": r.status, "reason": r.reason, "sends": c.progress.sends, "runs": c.progress.runs}
+	cause := c.cause(r)
+	f := decision.Fields{"status": r.status, "reason": r.reason, "cause": cause, "sends": c.progress.sends, "runs": c.progress.runs}
+	if c.progress.last != "" {
+		f["last"] = c.progress.last
+	}
+	if r.peer != "" {
+		f["peer"], f["peer_status"], f["peer_reason"] = r.peer, r.status, r.reason
+	}
 	if r.retryAfter > 0 {
 		f["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
@@ -365,13 +396,15 @@
 	}
 	if c.fallback != nil && !c.progress.started {
 		f["status"], f["kept"] = c.fallback.head.StatusCode, true
+		c.countEnd(endKept, c.progress.last)
 		c.log("refused", f)
 		c.writeResponse(c.fallback)
 		return
 	}
+	c.countEnd(cause, c.progress.last)
 	c.log("refused", f)
 	if c.handed != nil {
-		c.handed.refuse(c, r)
+		c.handed.refuse(c, r, cause)
 		return
 	}
 	if c.progress.started {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`refused_total{status="%d",reason=%q}`, r.status, r.reason)).Inc()
 }
 
+// ended counts the end of a request; last is how its last attempt ended, if that has got
+// no response, and cut says that its caller has a part of a response.
+func (m *Metrics) ended(cause, last string, cut bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`ended_total{cause=%q,last=%q,cut="%t"}`, cause, last, cut)).Inc()
+}
+
 func (m *Metrics) attempted(a *attempt, res result) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(metricPrefix+`attempts_total{result=%q}`, res)).Inc()
 	m.attemptTime.UpdateDuration(a.started)
@@ -98,4 +104,11 @@
 	m.handoverTime.UpdateDuration(a.started)
 }
 
+// writeHeldMetrics writes what the node holds for requests in the Prometheus text format.
+func (h *Handler) writeHeldMetrics(w io.Writer) {
+	metrics.WriteGaugeUint64(w, metricPrefix+"active_requests", uint64(h.Active()))
+	metrics.WriteGaugeUint64(w, metricPrefix+"taken_requests", uint64(h.Taken()))
+	metrics.WriteGaugeUint64(w, metricPrefix+"held_body_bytes", uint64(h.Held()))
+}
+
 func (m *Metrics) observeFirstEvent(c *call) { m.firstEvent.Update(time.Since(c.started).Seconds()) }
