Keep a silent endpoint that goes on before its repeat responds

Streams moved although their endpoint had gone on: the other one began where the caller was when the repeat began, and made again what the caller had in the meantime; callers left after two seconds without a new event.

Cause: the repeat was not compared with what the first endpoint had sent since; and a timer that fires late, after the node itself stood still, counted that time as the endpoint's silence.

Now a repeat is ended as soon as the first endpoint goes on, and a timer that is late lets the node read first what has arrived.

--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -19,6 +19,8 @@
 	// repeat is an attempt that runs in place of another one.
 	repeat struct {
 		attempt *attempt
+		// parts is the number of parts of the first response when the repeat began.
+		parts int64
 		// done is closed once exchange and result are set, as send returns them.
 		done     chan struct{}
 		exchange *http1.Exchange
--- a/internal/gateway/repeat_test.go
+++ b/internal/gateway/repeat_test.go
@@ -81,7 +81,14 @@
 		}
 		return write(c, "0\r\n\r\n")
 	}
-	f := newRetrying(t, deployment.Resumable, 2, 9, goesOn, headOnly(900*time.Millisecond, "Transfer-Encoding: chunked"))
+	restarts := func(c net.Conn, r *http.Request) bool {
+		if pause(c, 900*time.Millisecond) {
+			stream(3, "", false)(c, r)
+			_ = pause(c, 30*time.Second)
+		}
+		return false
+	}
+	f := newRetrying(t, deployment.Resumable, 2, 9, goesOn, restarts)
 	r := f.post(t, "/p/x", nil)
 	require.True(t, r.complete, r.body)
 	require.Equal(t, events(1, 20), r.body)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,9 +12,15 @@
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 )
 
-// recheckShare is the share of the stall timeout after which it is checked again
-// whether a silent endpoint's request may be repeated elsewhere.
-const recheckShare = 0.25
+const (
+	// recheckShare is the share of the stall timeout after which it is checked again
+	// whether a silent endpoint's request may be repeated elsewhere.
+	recheckShare = 0.25
+	// maxLateness is how late a timer fires at most unless this node itself has stood
+	// still. What endpoints have sent since is then read first, for readTime.
+	maxLateness = 50 * time.Millisecond
+	readTime    = 20 * time.Millisecond
+)
 
 // errAbandoned is the error of an attempt that another endpoint's response replaces.
 var errAbandoned = errors.New("gateway: endpoint abandoned")
@@ -33,6 +39,10 @@
 		lastEvent atomic.Uint64
 		due       atomic.Int64
 		responded atomic.Bool
+		// parts counts the parts of the response that have arrived, and repeating says
+		// that a repeat is in progress.
+		parts     atomic.Int64
+		repeating atomic.Bool
 		// writing says that the caller is being sent a part of the response.
 		writing atomic.Bool
 
@@ -42,6 +52,8 @@
 		// reported says that the silence was reported as a failure to reach the endpoint,
 		// and paid that a retry was taken from the budget when it was abandoned.
 		reported, paid bool
+		// next is when the timer is to fire if no part arrives, counted like due.
+		next time.Duration
 		// repeat is the repeat in progress.
 		repeat *repeat
 		ended  endedRepeats
@@ -68,6 +80,10 @@
 func (w *watch) progress(due time.Duration) {
 	if w != nil {
 		w.due.Store(int64(time.Since(w.attempt.started) + due))
+		w.parts.Add(1)
+		if w.repeating.Load() {
+			due = 0
+		}
 		w.timer.Reset(due)
 	}
 }
@@ -106,12 +122,21 @@
 		return
 	}
 	a := w.attempt
-	if w.writing.Load() {
-		w.timer.Reset(stall)
-		return
+	if w.goesOn() {
+		w.endRepeat()
 	}
-	if left := w.left(stall); left > 0 {
-		w.timer.Reset(min(left, stall))
+	passed := time.Since(a.started)
+	late := passed > max(time.Duration(w.due.Load()), w.next)+maxLateness
+	left := w.left(stall)
+	switch {
+	case w.writing.Load():
+		w.reset(stall)
+		return
+	case left > 0:
+		w.reset(min(left, stall))
+		return
+	case late:
+		w.reset(readTime)
 		return
 	}
 	if !w.reported {
@@ -128,16 +153,17 @@
 	recheck := max(time.Duration(recheckShare*float64(stall)), minStallTimeout)
 	choice := w.replacement()
 	if choice == nil {
-		w.timer.Reset(recheck)
+		w.reset(recheck)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	b := a.call.newAttempt(choice, cancel)
 	b.lastEvent, b.newConn = w.lastEvent.Load(), a.newConn || !w.responded.Load()
-	r := &repeat{attempt: b, done: make(chan struct{})}
+	r := &repeat{attempt: b, parts: w.parts.Load(), done: make(chan struct{})}
 	w.endRepeat()
 	w.repeat = r
-	w.timer.Reset(stall)
+	w.repeating.Store(true)
+	w.reset(stall)
 	go func() {
 		defer w.begun(r, recheck)
 		defer close(r.done)
@@ -159,6 +185,16 @@
 	return max(left, b.busyTimeout(stall)-time.Since(b.started))
 }
 
+// reset has the timer fire after a time.
+func (w *watch) reset(d time.Duration) {
+	w.next = time.Since(w.attempt.started) + d
+	w.timer.Reset(d)
+}
+
+// goesOn reports whether the endpoint has gone on since the repeat began. The repeat would
+// have to make again what the caller has in the meantime.
+func (w *watch) goesOn() bool { return w.repeat != nil && w.parts.Load() > w.repeat.parts }
+
 // counts returns how many endpoints may have run the request and how many received it, if
 // the attempts in progress are counted.
 func (w *watch) counts() (runs, sends int) {
@@ -216,12 +252,18 @@
 		return
 	}
 	if r.exchange != nil {
+		if w.goesOn() {
+			w.endRepeat()
+			w.reset(recheck)
+			return
+		}
 		w.abandon()
 		return
 	}
 	w.repeat = nil
+	w.repeating.Store(false)
 	w.ended.add(r, r.result)
-	w.timer.Reset(recheck)
+	w.reset(recheck)
 }
 
 // abandon ends the watched attempt.
@@ -296,4 +338,5 @@
 	w.repeat.end()
 	w.ended.add(w.repeat, resultDropped)
 	w.repeat = nil
+	w.repeating.Store(false)
 }
