Log no error of a server whose listener a stopping node closes

Each regular stop logged `http.error` with "use of closed network connection" and counted a server error: since idle connections are ended by the callers' listener, its server sees the closed listener as a failure to accept. TestStopIsNoServerError failed before; three repeats pass with the race detector.

--- a/gateway_listen.go
+++ b/gateway_listen.go
@@ -79,7 +79,7 @@
 		})
 		g.servers = append(g.servers, t.server)
 		g.running.Go(func() {
-			if err := t.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := t.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				t.server.ErrorLog.Print(err)
 			}
 		})
