Read what has arrived before an endpoint counts as silent

Now the first time that an endpoint seems silent the node reads for 20 ms, or a quarter of a shorter timeout, and looks again, as it does when a timer is late.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -16,10 +16,11 @@
 	// recheckShare is the share of the stall timeout after which it is checked again
 	// whether a silent endpoint's request may be repeated elsewhere.
 	recheckShare = 0.25
-	// maxLateness is how late a timer fires at most unless this node itself has stood
-	// still. What endpoints have sent since is then read first, for readTime.
-	maxLateness = 50 * time.Millisecond
+	// readTime is how long what has arrived is read before an endpoint counts as silent:
+	// after this node itself has stood still, timers fire before anything is read.
+	// maxLateness is how late a timer fires at most if it has not.
 	readTime    = 20 * time.Millisecond
+	maxLateness = 50 * time.Millisecond
 )
 
 // errAbandoned is the error of an attempt that another endpoint's response replaces.
@@ -52,6 +53,8 @@
 		// reported says that the silence was reported as a failure to reach the endpoint,
 		// and paid that a retry was taken from the budget when it was abandoned.
 		reported, paid bool
+		// readParts is the number of parts when what has arrived was last read first.
+		readParts int64
 		// next is when the timer is to fire if no part arrives, counted like due.
 		next time.Duration
 		// repeat is the repeat in progress.
@@ -66,7 +69,7 @@
 	if stall == 0 {
 		return nil
 	}
-	w := &watch{attempt: a}
+	w := &watch{attempt: a, readParts: -1}
 	w.lastEvent.Store(a.call.progress.lastEvent)
 	w.due.Store(int64(stall))
 	w.mu.Lock()
@@ -135,8 +138,9 @@
 	case left > 0:
 		w.reset(min(left, stall))
 		return
-	case late:
-		w.reset(readTime)
+	case late, w.readParts != w.parts.Load():
+		w.readParts = w.parts.Load()
+		w.reset(min(readTime, time.Duration(recheckShare*float64(stall))))
 		return
 	}
 	if !w.reported {
