Keep a repeat that has taken over

Found by reading: between the moment at which a repeat takes over and the end of the first attempt, an event that was read already made the watch end the repeat as needless, although the first endpoint's connection was being closed. The stream then needed another retry, and was cut without one. The watch does nothing more once its attempt is abandoned.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,9 +85,9 @@
 		a.events, a.full = c.progress.events, c.progress.full
 		a.done(res)
 	}()
-	x, res := head()
+	x, sent := head()
 	if x == nil {
-		return res
+		return sent
 	}
 	defer x.Abort()
 	w.answered()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -121,7 +121,7 @@
 	defer w.attempt.call.contain()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.paid || ctx.Err() != nil {
+	if w.stopped || w.attempt.timedOut.Load() || ctx.Err() != nil {
 		return
 	}
 	a := w.attempt
