--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -99,7 +99,7 @@
 // closed or ctx ends. The handler must close each connection with its next response.
 //
 // The Shutdown of net/http drops a request that it reads after its call, and closes kept
-// connections on which a part of a request has arrived. Callers cannot tell whether
+// connections on which a part of a request has arrived. A caller cannot know whether
 // such a request was run.
 func (l *Listener) Drain(ctx context.Context) error {
 	err := l.Close()
--- a/internal/endpoint/endless_stream_test.go
+++ b/internal/endpoint/endless_stream_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// Guards against a whole repeat of an answer that is taken for one without end.
+// Guards against a whole repeat of an answer that is cut as one without end.
 func TestRepeatedEventsAreSkippedUpToTheAnswersSize(t *testing.T) {
 	var text strings.Builder
 	event := func(id string, size int) string {
--- a/internal/http1/discard_test.go
+++ b/internal/http1/discard_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against a connection that is used again within a response of which a part was
-// read: the rest would be taken for the beginning of the next response.
+// read: the rest would be parsed as the beginning of the next response.
 func TestConnectionOfAPartlyReadResponseIsNotReused(t *testing.T) {
 	for name, end := range map[string]func(x *http1.Exchange){
 		"finished": func(x *http1.Exchange) {
