--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"returning":     returning,
 	"reborn":        reborn,
 	"long-chat":     func(w *world) (bool, error) { return crashingPart(w, 70) },
+	"foreign-entry": foreignEntry,
 	"short-chat":    func(w *world) (bool, error) { return crashingPart(w, 4) },
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -13,8 +13,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +36,7 @@
 		slots  int
 		// unframed answers have neither a length nor chunks, and end with their channel.
 		unframed bool
+		state    atomic.Value
 		// crashPart is the part of a prompt with which the worker crashes; empty if there
 		// is none.
 		crashPart string
@@ -82,7 +86,9 @@
 	if err != nil {
 		return err
 	}
+	w.state.Store("ready")
 	go w.beat()
+	go w.leave()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -96,20 +102,39 @@
 	_, _ = fmt.Fprintf(w.log, "%s worker %s born %d: %s\n", time.Now().Format(stampFormat), w.id, w.born, fmt.Sprintf(format, args...))
 }
 
+// leave has the worker report that it drains, and exit some seconds later, once it gets
+// SIGTERM.
+func (w *worker) leave() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	<-signals
+	w.state.Store("draining")
+	w.write()
+	w.note("drains")
+	time.Sleep(drain + 900*time.Millisecond)
+	w.note("exits")
+	os.Exit(0)
+}
+
 // beat writes the worker's entry at intervals.
 func (w *worker) beat() {
 	for {
-		entry, _ := json.Marshal(map[string]any{
-			"service": w.service, "address": cmp.Or(w.public, w.addr), "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": 0, "born": w.born,
-		})
-		if resp, err := http.Post("http://"+w.store+entryPath+w.id, "application/json", bytes.NewReader(entry)); err == nil {
-			_ = resp.Body.Close()
-		}
+		w.write()
 		time.Sleep(heartbeat)
 	}
 }
 
+// write writes the entry. The store's answer confirms it.
+func (w *worker) write() {
+	entry, _ := json.Marshal(map[string]any{
+		"service": w.service, "address": cmp.Or(w.public, w.addr), "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state.Load(),
+		"cold_remaining_ms": 0, "sequence": 0, "born": w.born,
+	})
+	if resp, err := http.Post("http://"+w.store+entryPath+w.id, "application/json", bytes.NewReader(entry)); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
 func (w *worker) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
