Take a response that is reset during the upload as broken off

Callers got the beginning of a response without a length as the whole, if the endpoint reset the connection while the request was still being written.

Cause: Linux reports a reset, or a timeout, to the first call on the socket that meets it. If that was the write of the request, reading returned io.EOF, as if the endpoint had closed its sending side. The result of the write was kept for the reuse of the connection only.

Fix: the body of a response without a length, which all kinds of routes read, decides at its end. If the connection is closed in both directions, which poll(2) reports, writing ends at once, and its error is the response's. EPIPE is none: writes fail so after the endpoint has closed its sending side, also if it resets the connection then.

Early responses whose endpoint reads the rest, reads it slowly, reads no more, or resets after its FIN pass as whole, and before the rest of the request is read.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,6 +49,8 @@
 		conns    map[net.Conn]bool
 		// start counts the ends and starts of the endpoint's process.
 		start int
+		// early says that replies come before the bodies of requests are read.
+		early bool
 	}
 
 	// staticDeployment is a deployment that changes only by leave notices.
@@ -165,6 +167,15 @@
 	return e
 }
 
+// newEarlyEndpoint returns an endpoint that replies before it reads the bodies of requests.
+func newEarlyEndpoint(t *testing.T, replies ...reply) *endpoint {
+	e := newEndpoint(t, replies...)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.early = true
+	return e
+}
+
 func (e *endpoint) accept(l net.Listener, start int) {
 	for {
 		c, err := l.Accept()
@@ -186,11 +197,13 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
+		if !e.early {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			r.Body = io.NopCloser(strings.NewReader(string(body)))
 		}
-		r.Body = io.NopCloser(strings.NewReader(string(body)))
 		answer := e.next(r, start)
 		if answer == nil || !answer(c, r) {
 			return
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -13,6 +13,8 @@
 	"net/netip"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -163,6 +165,21 @@
 	return err == nil && clean
 }
 
+// hungUp reports whether the connection is closed in both directions.
+func (c *conn) hungUp() bool {
+	hungUp := true
+	// An error means that this side has closed it.
+	_ = c.raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd)}}
+		_, err := unix.Poll(poll, 0)
+		for errors.Is(err, unix.EINTR) {
+			_, err = unix.Poll(poll, 0)
+		}
+		hungUp = err != nil || poll[0].Revents&unix.POLLHUP != 0
+	})
+	return hungUp
+}
+
 // usable reports whether the connection may carry a further exchange.
 func (c *conn) usable(now time.Time) bool {
 	return now.Sub(c.lastUsed) < c.idleTimeout && c.clean()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -69,24 +69,44 @@
 		conn         *conn
 		body         *trackedBody
 		stop         func() bool
-		// writeErr receives the result of writing the request.
-		writeErr chan error
+		// written is closed once writing the request has ended, with writeErr.
+		written  chan struct{}
+		writeErr error
 		ended    atomic.Bool
 		// framed says that the response's end is marked by its length or a final
 		// chunk rather than by the end of the connection.
 		framed bool
 	}
 
-	// trackedBody is a body that knows whether it was read to its end.
+	// trackedBody is a body that knows whether it was read to its end. One that ends with
+	// its connection returns io.EOF only if the endpoint has closed its sending side.
 	trackedBody struct {
 		io.ReadCloser
-		ended bool
+		exchange *Exchange
+		ended    bool
+	}
+
+	// requestWriter keeps the connection's error: http.Request.Write returns one that
+	// cannot be unwrapped.
+	requestWriter struct {
+		io.Writer
+		err error
 	}
 )
 
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.err = cmp.Or(w.err, err)
+	return n, err
+}
+
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.exchange.framed {
+		err = cmp.Or(b.exchange.broken(), err)
+	}
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
 }
@@ -107,12 +127,12 @@
 		_ = c.Close()
 		return nil, ErrWithdrawn
 	}
-	x := &Exchange{pool: p, peer: to, maxIdleConns: cmp.Or(r.MaxIdleConns, defaultMaxIdleConns), conn: c, NewConn: !c.used, writeErr: make(chan error, 1)}
+	x := &Exchange{pool: p, peer: to, maxIdleConns: cmp.Or(r.MaxIdleConns, defaultMaxIdleConns), conn: c, NewConn: !c.used, written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.HTTP.ContentLength <= maxInlineBody {
-		x.writeErr <- r.HTTP.Write(c)
+		x.write(r.HTTP)
 	} else {
-		go func() { x.writeErr <- r.HTTP.Write(c) }()
+		go x.write(r.HTTP)
 	}
 	resp, err := x.await(r)
 	if err != nil {
@@ -122,13 +142,39 @@
 		x.Abort()
 		return nil, err
 	}
-	x.body = &trackedBody{ReadCloser: resp.Body}
+	x.body = &trackedBody{ReadCloser: resp.Body, exchange: x}
 	resp.Body = x.body
 	x.Response = resp
 	x.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return x, nil
 }
 
+// write writes the request.
+func (x *Exchange) write(r *http.Request) {
+	w := &requestWriter{Writer: x.conn}
+	err := r.Write(w)
+	x.writeErr = cmp.Or(w.err, err)
+	close(x.written)
+}
+
+// broken returns the error that has broken the connection, once reading has returned
+// io.EOF; nil if the endpoint has closed its sending side.
+//
+// Linux reports a reset or a timeout to one call on the socket only. If that call writes
+// the request, reading returns io.EOF, as it does if the endpoint has closed its sending
+// side. After the latter writes fail with EPIPE, whatever comes then.
+func (x *Exchange) broken() error {
+	if !x.conn.hungUp() {
+		return nil
+	}
+	// Writing ends soon on a connection that is closed in both directions.
+	<-x.written
+	if x.writeErr == nil || errors.Is(x.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, x.writeErr)
+}
+
 // await reads responses until one repeats the request's ID.
 //
 // An endpoint may send a response twice, or late: it is then received where the next
@@ -164,8 +210,8 @@
 		return
 	}
 	select {
-	case err := <-x.writeErr:
-		x.recycle(err)
+	case <-x.written:
+		x.recycle()
 	default:
 		go x.awaitWrite()
 	}
@@ -187,8 +233,8 @@
 // the endpoint has not read all of the request.
 func (x *Exchange) awaitWrite() {
 	select {
-	case err := <-x.writeErr:
-		x.recycle(err)
+	case <-x.written:
+		x.recycle()
 	case <-time.After(writeGrace):
 		_ = x.conn.Close()
 	}
@@ -199,8 +245,8 @@
 // An endpoint may respond before it has read the request. What it reads later on
 // this connection must be the rest of that request, so the connection is reused
 // only if all of it was written.
-func (x *Exchange) recycle(err error) {
-	if err != nil {
+func (x *Exchange) recycle() {
+	if x.writeErr != nil {
 		_ = x.conn.Close()
 		return
 	}
