Reject responses in whose head the name of a field has a blank

Callers got a 200 with another body than the endpoint's, or with a line that is no field, if a line such as "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked" or "A B: x" stood in the head.

Cause: net/textproto accepts blanks in the names of fields, and net/http then leaves the field unused, so that the body ended with its connection. Other invalid names (control bytes, tabs, bytes over 0x7f, none, no colon, a blank at the beginning) already made the head malformed; the tests keep that. A line that begins with a blank after another field continues that field and stays valid.

Fix: checkHead in internal/http1, which looks at the names once net/http has parsed a head. The package's own reader calls it, for endpoints, reservations and the egress proxy, and StrictTransport for those that use http.Transport: the first interface's endpoints, the store and the platform client. A node's own commands and pkg/entry read responses of nodes only and are unchanged.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
 const (
@@ -269,7 +271,7 @@
 
 func newHTTP(c ClientConfig, t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     noticeTransport{next: t, onNotice: c.OnNotice},
+		Transport:     noticeTransport{next: http1.StrictTransport{Transport: t}, onNotice: c.OnNotice},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/endpoint/notice.go
+++ b/internal/endpoint/notice.go
@@ -23,7 +23,7 @@
 
 	// noticeTransport is a transport that reports the notices in all answers.
 	noticeTransport struct {
-		next     *http.Transport
+		next     http1.StrictTransport
 		onNotice func(addr netip.AddrPort, n Notice)
 	}
 )
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -60,6 +60,34 @@
 	return n, err
 }
 
+// StrictTransport is a transport that returns an error instead of a response whose head is
+// invalid.
+type StrictTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// checkHead returns an error if the head of a response is invalid, although net/http accepts
+// it: it ignores a field such as "Content-Length : 2", so that the body ends elsewhere.
+func checkHead(resp *http.Response) error {
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: blank in the name of a field: %q", ErrBroken, shorten(name))
+		}
+	}
+	return nil
+}
+
 // response reads the next response's head from in, which reads from r. It skips
 // informational responses.
 func (r *headReader) response(in *bufio.Reader, req *http.Request) (*http.Response, error) {
@@ -69,9 +97,13 @@
 	for err == nil && resp.StatusCode/100 == 1 {
 		resp, err = http.ReadResponse(in, req)
 	}
-	switch {
-	case err == nil:
+	if err == nil {
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		return resp, nil
+	}
+	switch {
 	case r.err != nil:
 		// The error may say instead that what was read is malformed.
 		return nil, r.err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,8 @@
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+
+	"bulrushhinge.example/bulrushhinge/internal/http1"
 )
 
 const (
@@ -106,9 +108,9 @@
 	if c.Dialer == nil {
 		c.Dialer = &net.Dialer{}
 	}
-	transport := &http.Transport{
+	transport := http1.StrictTransport{Transport: &http.Transport{
 		DialContext: c.Dialer.DialContext, MaxIdleConnsPerHost: maxReads, MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}}
 	return &Client{
 		base:  "http://" + c.Addr.String(),
 		wait:  c.Wait,
