Reject statuses below 200 where responses are read, at both interfaces

Callers of the first interface got a closed connection instead of an answer if an endpoint sent the status 000, 099 or +20. On the platform's interface the caller got a 502, as before, but an at-most-once request was sent again if such a response said that the request had not run.

Cause: net/http takes any three characters that are a number as a status. The first interface passed it on to an http.ResponseWriter, which panics on it; the gateway looked at it only after the header that says "not run".

Fix: checkHead, which decides whether a head is valid for all readers, has the check; the gateway's own is removed.

--- a/internal/endpoint/head_test.go
+++ b/internal/endpoint/head_test.go
@@ -72,3 +72,17 @@
 		require.NotErrorIs(t, err, endpoint.ErrNotRun)
 	}
 }
+
+// Guards against a panic, and against a success that no endpoint sent: an http.ResponseWriter
+// takes no status below 100, and one below 200 ends no answer.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "0", "00", "-12", "+20", "20", "2000", "2x0", ""} {
+		t.Run(status, func(t *testing.T) {
+			text := "HTTP/1.1 " + status + " X\r\n" + endpoint.HeaderAttempt + ": 1f\r\nContent-Length: 2\r\n\r\nhi"
+			for _, once := range []bool{false, true} {
+				_, err := newClient(t).Do(t.Context(), serveText(t, text), endpoint.Call{Attempt: "1f", Once: once})
+				require.ErrorIs(t, err, endpoint.ErrLost)
+			}
+		})
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -280,8 +280,7 @@
 
 // valid reports whether a response may be an endpoint's: a success has the seal
 // header and no content encoding. A status which implies that the request did not
-// run is invalid here, as run has handled the responses that say so explicitly. So is
-// one below 200, which ends no response.
+// run is invalid here, as send has handled the responses that say so explicitly.
 func (a *attempt) valid(resp *http.Response) bool {
 	h := a.call.handler.config.Headers
 	switch resp.StatusCode {
@@ -289,7 +288,7 @@
 		return false
 	}
 	if resp.StatusCode/100 != 2 {
-		return resp.StatusCode >= http.StatusOK
+		return true
 	}
 	return resp.Header.Get(h.Seal) != "" && resp.Header.Get("Content-Encoding") == ""
 }
--- a/internal/gateway/head_test.go
+++ b/internal/gateway/head_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -54,9 +55,11 @@
 
 // Guards against a request that runs twice, as a refusal with an invalid head counts as one.
 func TestRefusalWithAnInvalidHeadProvesNothing(t *testing.T) {
-	refusal := "HTTP/1.1 503 X\r\n" + id + ": {id}\r\nNot-Run: 1\r\nContent-Length : 2\r\n\r\nno"
-	shared := &sharedReplies{replies: []reply{raw(refusal), whole(200, "hi")}}
-	f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 2}, newEndpoint(t, shared.play), newEndpoint(t, shared.play))
-	require.Equal(t, 502, f.post(t, "/p/x", nil).status)
-	require.Equal(t, 1, f.arrivals())
+	refusal := "HTTP/1.1 503 X\r\n" + id + ": {id}\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno"
+	for _, invalid := range []string{strings.Replace(refusal, "Length:", "Length :", 1), strings.Replace(refusal, "503", "000", 1)} {
+		shared := &sharedReplies{replies: []reply{raw(invalid), whole(200, "hi")}}
+		f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 2}, newEndpoint(t, shared.play), newEndpoint(t, shared.play))
+		require.Equal(t, 502, f.post(t, "/p/x", nil).status)
+		require.Equal(t, 1, f.arrivals())
+	}
 }
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -11,10 +11,12 @@
 // Guards against a caller whose connection is closed without a response, as the endpoint's
 // has an invalid status.
 func TestInvalidStatus(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "+99"} {
+	for _, status := range []string{"000", "001", "099", "+99", "0", "00", "-12", "+20", "20", "2000", "2x0", ""} {
 		text := "HTTP/1.1 " + status + " X\r\n" + id + ": {id}\r\n" + seal + ": s\r\nContent-Length: 2\r\n\r\nhi"
-		f := newFixture(t, deployment.Route{Kind: deployment.AtMostOnce, Attempts: 1}, newEndpoint(t, raw(text)))
-		require.Equal(t, 502, f.post(t, "/p/x", nil).status, status)
+		for _, kind := range []deployment.Kind{deployment.AtMostOnce, deployment.Streaming, deployment.Resumable} {
+			f := newFixture(t, deployment.Route{Kind: kind, Attempts: 1}, newEndpoint(t, raw(text)))
+			require.Equal(t, 502, f.post(t, "/p/x", nil).status, status)
+		}
 	}
 }
 
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -78,8 +78,12 @@
 }
 
 // checkHead returns an error if the head of a response is invalid, although net/http accepts
-// it: it ignores a field such as "Content-Length : 2", so that the body ends elsewhere.
+// it: it ignores a field such as "Content-Length : 2", so that the body ends elsewhere, and
+// takes any number of three characters as a status. One below 200 ends no response.
 func checkHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: status %q", ErrBroken, shorten(resp.Status))
+	}
 	for name := range resp.Header {
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("%w: blank in the name of a field: %q", ErrBroken, shorten(name))
