Answer the requests that a stopping node ends, and send none that are too late

Callers of a node that was stopped got a closed connection without an answer for a request that lasted longer than what was left of the grace, also for one that must not be repeated. A body that arrived late in the grace, or a slot that came free late, still sent a request to an endpoint that was then cut.

Cause: at the end of its grace the node closed its callers' connections while their requests ran, and nothing compared what was left of the grace with the time that a request takes.

Evidence: TestRequestThatOutlastsTheGraceIsAnswered got EOF for routes of both kinds, and in TestUploadThatEndsLateInTheGraceIsNotSent the connection closed without a byte after the endpoint had run the request.

Fix: the node ends its requests before it closes connections. Their contexts end, so that each gets the answer that is true: 503 "stopping" with Retry-After if it has not run, otherwise 502; a begun stream gets the line that says how to resume it and is cut as before. Requests of other nodes are refused in the same way, and those may run them again elsewhere. After the listener is closed, nothing is sent to an endpoint once less than the route's objective is left.

--- a/gateway.go
+++ b/gateway.go
@@ -45,9 +45,12 @@
 	maxAccept  = 2500 * time.Millisecond
 	// graceMargin is how long before the end of the grace a stopping node closes.
 	graceMargin = 400 * time.Millisecond
+	// endTime is how long a gateway that closes waits for the answers to requests that it
+	// ends.
+	endTime = 100 * time.Millisecond
 	// abandonTime is how long a gateway that closes waits for the lines of requests that
 	// it ends.
-	abandonTime = 200 * time.Millisecond
+	abandonTime = 100 * time.Millisecond
 	// maxHeaderBytes bounds a request's header before the configured limit is
 	// checked.
 	maxHeaderBytes = 64 << 10
@@ -148,9 +151,11 @@
 		servers         []*http.Server
 		seeds           atomic.Pointer[[]netip.Addr]
 		stopping        atomic.Bool
-		began           time.Time
-		cancel          context.CancelFunc
-		running         sync.WaitGroup
+		// closes is when a stopping node ends its requests; nil while it accepts them.
+		closes  atomic.Pointer[time.Time]
+		began   time.Time
+		cancel  context.CancelFunc
+		running sync.WaitGroup
 	}
 
 	// peerLoads reads the other nodes' loads through the gateway, because the
@@ -215,7 +220,7 @@
 	g.handovers = &handovers{gateway: g, client: handover.NewClient(), chooser: handover.NewChooser(handover.ChooserConfig{Zone: c.Zone, Regions: c.Regions})}
 	handler := gateway.Config{
 		Headers: c.Headers, Deployment: g.state, Balancer: g.balancer, Pool: g.pool, Budget: budget.New(c.Retry),
-		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Takers: g.handovers.anyTakes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, CostOrder: c.CostOrder,
+		Crashes: g.crashes, Reach: g.reach, Handovers: g.handovers, Takers: g.handovers.anyTakes, Metrics: g.metrics, Log: g.log, Reserver: places, Regions: c.Regions, Nodes: nodes, Peers: g.peers, Stopping: g.stopping.Load, Closes: g.closesAt, CostOrder: c.CostOrder,
 	}
 	g.startOwners(ctx, &handler)
 	g.handler = gateway.New(handler)
@@ -281,7 +286,9 @@
 	g.stopping.Store(true)
 	g.log.Event("stop", decision.Fields{"active": g.handler.Active()})
 	time.Sleep(min(time.Duration(closeShare*float64(g.config.Grace)), maxAccept))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-graceMargin))
+	closes := began.Add(g.config.Grace - graceMargin)
+	g.closes.Store(&closes)
+	ctx, cancel := context.WithDeadline(context.Background(), closes)
 	defer cancel()
 	err := errors.Join(g.callersListener.Drain(ctx), g.handler.Wait(ctx))
 	g.log.Event("stopped", decision.Fields{"active": g.handler.Active(), "took_ms": time.Since(began).Milliseconds()})
@@ -291,7 +298,7 @@
 // Close stops the gateway at once.
 func (g *Gateway) Close() error {
 	g.cancel()
-	g.handler.Abandon()
+	g.endRequests()
 	var errs []error
 	for _, s := range g.servers {
 		errs = append(errs, s.Close())
@@ -314,6 +321,25 @@
 	return errors.Join(errs...)
 }
 
+// endRequests ends the requests in progress while their callers' connections are open, so
+// that these get an answer.
+func (g *Gateway) endRequests() {
+	g.handler.End()
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	// What is left is a request that still arrives, or a caller that does not read.
+	_ = g.handler.Wait(ctx)
+	g.handler.Abandon()
+}
+
+// closesAt returns when a stopping node ends its requests, zero while it accepts them.
+func (g *Gateway) closesAt() time.Time {
+	if closes := g.closes.Load(); closes != nil {
+		return *closes
+	}
+	return time.Time{}
+}
+
 // Dump returns the gateway's state for operators.
 func (g *Gateway) Dump() map[string]any {
 	age, known := g.state.Age()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -254,6 +254,8 @@
 		return "another endpoint responded"
 	case a.call.callerGone():
 		return "caller gone"
+	case a.call.handler.ending.Err() != nil:
+		return reasonStopping
 	case !time.Now().Before(a.call.deadline):
 		return "deadline"
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -60,7 +60,9 @@
 // paused in between resumes before the timers of its contexts fire, so that the clock
 // decides whether the caller still waits.
 func (c *call) maySend(e *deployment.Endpoint) func() bool {
-	return func() bool { return c.isolated() == nil && c.available(e) && !c.overdue() && !c.callerGone() }
+	return func() bool {
+		return c.isolated() == nil && c.available(e) && !c.overdue() && !c.late() && !c.callerGone()
+	}
 }
 
 // overdue reports whether the caller no longer waits for a response.
@@ -70,7 +72,7 @@
 // may have ended with it.
 func (a *attempt) recordBreak(err error) {
 	c, crashes := a.call, a.call.handler.config.Crashes
-	if c.callerGone() {
+	if c.callerGone() || c.handler.ending.Err() != nil {
 		crashes.Abandoned(c.features, a.choice.Endpoint)
 		return
 	}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -47,7 +47,11 @@
 // namedCauses are the causes of broken attempts that are names already.
 var namedCauses = [...]string{"deadline", "unsound-answer", "not-resumed", "unnamed-refusal"}
 
-// Abandon says that the requests that are in progress are ended, as the node is stopped.
+// End ends the requests that are in progress, as the node is stopped. Callers get a refusal
+// if their response has not begun.
+func (h *Handler) End() { h.end() }
+
+// Abandon says that the connections of callers are closed, as the node is stopped.
 func (h *Handler) Abandon() { h.abandoned.Store(true) }
 
 // end returns how the attempt ended, empty if its response was forwarded.
@@ -111,7 +115,7 @@
 
 // goneCause returns why the caller's connection is gone.
 func (c *call) goneCause() string {
-	if c.handler.abandoned.Load() {
+	if c.handler.abandoned.Load() || c.handler.ending.Err() != nil {
 		return endStop
 	}
 	return endCallerGone
@@ -124,6 +128,12 @@
 		c.countEnd(endAnswered, "")
 		return
 	}
+	c.left()
+}
+
+// left counts and logs a request whose caller gets no answer, or no more of it, as its
+// connection is gone or is closed.
+func (c *call) left() {
 	cause := c.goneCause()
 	c.countEnd(cause, "")
 	f := decision.Fields{"cause": cause}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -88,6 +88,9 @@
 		CostOrder CostOrder
 		// Stopping reports whether the node is being stopped.
 		Stopping func() bool
+		// Closes returns when the node ends the requests that are in progress, zero while
+		// it accepts requests; nil means that it always does.
+		Closes func() time.Time
 	}
 
 	// Handler serves callers' requests.
@@ -100,7 +103,10 @@
 		active       atomic.Int64
 		// taken counts the requests that other nodes have handed over.
 		taken atomic.Int64
-		// abandoned says that the requests in progress are ended.
+		// ending ends the requests in progress.
+		ending context.Context
+		end    context.CancelFunc
+		// abandoned says that the connections of callers are closed.
 		abandoned atomic.Bool
 	}
 
@@ -187,7 +193,11 @@
 	if c.Takers == nil {
 		c.Takers = func(string, []string) bool { return true }
 	}
+	if c.Closes == nil {
+		c.Closes = func() time.Time { return time.Time{} }
+	}
 	h := &Handler{config: c, reservations: newReservations(c.Reserver), queues: newQueues()}
+	h.ending, h.end = context.WithCancel(context.Background())
 	if c.Metrics != nil {
 		c.Metrics.set.RegisterMetricsWriter(h.writeQueueMetrics)
 		c.Metrics.set.RegisterMetricsWriter(h.writeHeldMetrics)
@@ -255,10 +265,15 @@
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	c.run(ctx)
 	if !c.refused {
 		c.finished()
 	}
+	if h.ending.Err() != nil && c.handed == nil {
+		// The connection may be closed once no request is in progress.
+		_ = flush(c.out)
+	}
 }
 
 // hold reserves memory for a body, and reports whether there is enough.
@@ -304,6 +319,13 @@
 func (c *call) refuse(r *refusal) {
 	h := c.handler.config
 	c.refused = true
+	if c.progress.started && c.handed == nil && c.handler.ending.Err() != nil {
+		c.left()
+		c.abort(r)
+	}
+	if h.Stopping() && !c.progress.started {
+		c.out.Header().Set("Connection", "close")
+	}
 	if c.handed == nil {
 		h.Metrics.refused(r)
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -27,7 +27,7 @@
 )
 
 // ownReasons are the reasons of refusals that hold for the refusing node only.
-var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn, reasonOtherConfig}
+var ownReasons = [...]string{reasonUnreachable, reasonBodiesHeld, reasonStale, reasonNoConfig, reasonWithdrawn, reasonOtherConfig, reasonStopping}
 
 type (
 	// Handovers hands requests over to other nodes.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,6 +35,7 @@
 	reasonBackoff     = "endpoints-resting"
 	reasonPanic       = "internal-error"
 	reasonOtherConfig = "other-config"
+	reasonStopping    = "stopping"
 )
 
 const (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -62,6 +62,9 @@
 
 // try tries one endpoint, or has another node serve the request.
 func (c *call) try(ctx context.Context) (result, *refusal) {
+	if c.late() {
+		return 0, c.giveUp(reasonStopping)
+	}
 	if c.next != nil {
 		return c.adopt(ctx), nil
 	}
@@ -144,6 +147,9 @@
 // giveUp returns the refusal of a request that is not tried again. It says that the
 // request did not run only if that is certain.
 func (c *call) giveUp(reason string) *refusal {
+	if reason == reasonTimeout && c.handler.ending.Err() != nil {
+		reason = reasonStopping
+	}
 	if c.progress.runs > 0 {
 		return unknown(reason)
 	}
@@ -153,6 +159,13 @@
 // exclusive reports whether all requests for the call's service pass through this node.
 func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
 
+// late reports whether the node, which is being stopped, ends its requests before a response
+// to this one is due. An endpoint that gets it now would run it in vain.
+func (c *call) late() bool {
+	closes := c.handler.config.Closes()
+	return !closes.IsZero() && time.Until(closes) < c.route.Objective
+}
+
 // owned reports whether another node has handed the request over while services may have
 // owners.
 func (c *call) owned() bool { return c.handed != nil && c.handler.config.Owners != nil }
