Keep the instance list's other entries if one is invalid

No node of the first interface followed the instance list any more once one of its entries was invalid: endpoints that joined were not used, and callers were sent to those that had left.

Cause: the list was decoded as a whole, so that an entry with a port out of range, a number that is too large, a field of another type, a name given twice or a deeply nested value made all of it invalid.

Evidence: TestInvalidEntryLeavesTheOthers, which follows a list through a Reader, failed for all of its 18 entries; "no port" was taken as an instance.

Fix: the list is split into its entries first, which are decoded one by one. The splitting does not nest, so that the depth limit of encoding/json, which applies to a whole document, concerns the entry only. An entry that is invalid names no instance and is logged. A list that is cut, or of which no entry is valid, is refused as before; the lists of TestReaderKeepsTheNewestList still are.

TestOddEntryLeavesTheOthers shows the same for the platform's store, whose entries are decoded one by one: four nodes follow it, serve and read it anew beside 45 odd entries of up to 1 MB. It passed before; nothing is changed there.

--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -127,10 +127,13 @@
 }
 
 func (r *Reader) takeInstances(_ context.Context, v Value) error {
-	list, err := ParseInstances(v.Data)
+	list, invalid, err := ParseInstances(v.Data)
 	if err != nil {
 		return err
 	}
+	if len(invalid) > 0 {
+		r.config.Log.WithError(invalid[0]).WithField("entries", len(invalid)).Warn("invalid entries in the instance list")
+	}
 	r.config.Sink.Offer(kernel.Instances{Version: v.Version, List: list})
 	return nil
 }
