Wait for the last part of handed-over responses before a node closes

A node that is stopped may have closed between the end of another node's request and the sending of its last part: the other node then found the response broken off. This was found by reading; no caller is known to have seen it.

Cause: Handler.Wait looked at the requests that are served, which end before the hand-over's server sends the last part, and not at those that were taken.

Evidence: TestStopWaitsForRequestsOfOtherNodes failed before; Wait returned while a request was taken.

Fix: Wait waits for both. A stopping node takes no further requests, so that they come to an end.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -214,11 +214,12 @@
 // Taken returns the number of requests in progress that other nodes have handed over.
 func (h *Handler) Taken() int64 { return h.taken.Load() }
 
-// Wait waits until no request is in progress, or until ctx ends.
+// Wait waits until no request is in progress, or until ctx ends. One of another node is until
+// its response is sent.
 func (h *Handler) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
-	for h.active.Load() > 0 {
+	for h.active.Load() > 0 || h.taken.Load() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"bulrushhinge.example/bulrushhinge/internal/deployment"
 	"bulrushhinge.example/bulrushhinge/internal/gateway"
+	"bulrushhinge.example/bulrushhinge/internal/handover"
 )
 
 // Guards against a closed connection without an answer for requests that a stopping node
@@ -94,3 +96,16 @@
 		}
 	}
 }
+
+// Guards against the response of a request of another node that is cut, because the node
+// that runs it closes before the last part is sent.
+func TestStopWaitsForRequestsOfOtherNodes(t *testing.T) {
+	f := newFixture(t, deployment.Route{Attempts: 1}, newEndpoint(t, whole(200, "hi")))
+	o := &handover.Offer{Method: http.MethodGet, URI: "/p/x", Service: "s", Version: 1}
+	require.Empty(t, f.handler.Take(o))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, f.handler.Wait(ctx), context.DeadlineExceeded)
+	f.handler.Release(o)
+	require.NoError(t, f.handler.Wait(t.Context()))
+}
