Adopt a repeat in progress before a stopping node refuses a request

A request whose repeat was in progress at another endpoint would have been refused shortly before the node closes, and the repeat been dropped although its response may come in time. Found by reading the change; the check moves behind the repeat. Besides, head.go has its types in one declaration, and three doc comments are shorter.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -62,12 +62,12 @@
 
 // try tries one endpoint, or has another node serve the request.
 func (c *call) try(ctx context.Context) (result, *refusal) {
-	if c.late() {
-		return 0, c.giveUp(reasonStopping)
-	}
 	if c.next != nil {
 		return c.adopt(ctx), nil
 	}
+	if c.late() {
+		return 0, c.giveUp(reasonStopping)
+	}
 	for {
 		if c.mayAskOwner() {
 			if res, ref, taken := c.handToOwner(ctx); taken {
@@ -159,8 +159,8 @@
 // exclusive reports whether all requests for the call's service pass through this node.
 func (c *call) exclusive() bool { return c.handler.config.Owned(c.service.Name) }
 
-// late reports whether the node, which is being stopped, ends its requests before a response
-// to this one is due. An endpoint that gets it now would run it in vain.
+// late reports whether the node is being stopped and ends its requests before a response to
+// this one is due, so that an endpoint would run it in vain.
 func (c *call) late() bool {
 	closes := c.handler.config.Closes()
 	return !closes.IsZero() && time.Until(closes) < c.route.Objective
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -162,7 +162,7 @@
 //
 // Linux reports a reset or a timeout to one call on the socket only. If that call writes
 // the request, reading returns io.EOF, as it does if the endpoint has closed its sending
-// side. After the latter writes fail with EPIPE, whatever comes then.
+// side. If it had done that before the reset, writing fails with EPIPE instead.
 func (x *Exchange) broken() error {
 	if !x.conn.hungUp() {
 		return nil
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -27,18 +27,24 @@
 	errHeadLines    = fmt.Errorf("%w: more than %d lines", ErrHeadTooLarge, maxHeadLines)
 )
 
-// headReader bounds what is read from a connection for the head of a response. A
-// bufio.Reader reads from it only if what it has buffered is not enough, so that all that
-// was read before, but not the last time, belongs to the head.
-type headReader struct {
-	from io.Reader
-	// limited says that a head is being read, of which so many bytes and lines were read.
-	limited bool
-	bytes   int
-	lines   int
-	// err is the limit that was exceeded.
-	err error
-}
+type (
+	// headReader bounds what is read from a connection for the head of a response. A
+	// bufio.Reader reads from it only if what it has buffered is not enough, so that all that
+	// was read before, but not the last time, belongs to the head.
+	headReader struct {
+		from io.Reader
+		// limited says that a head is being read, of which so many bytes and lines were read.
+		limited bool
+		bytes   int
+		lines   int
+		// err is the limit that was exceeded.
+		err error
+	}
+
+	// StrictTransport is a transport that returns an error instead of a response whose head is
+	// invalid.
+	StrictTransport struct{ *http.Transport }
+)
 
 // Read implements io.Reader.
 func (r *headReader) Read(b []byte) (int, error) {
@@ -60,10 +66,6 @@
 	return n, err
 }
 
-// StrictTransport is a transport that returns an error instead of a response whose head is
-// invalid.
-type StrictTransport struct{ *http.Transport }
-
 // RoundTrip implements http.RoundTripper.
 func (t StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(r)
--- a/internal/platform/instance.go
+++ b/internal/platform/instance.go
@@ -30,12 +30,11 @@
 	}
 )
 
-// ParseInstances decodes an instance list. An entry that is invalid, or names an instance
-// again, names none to use: the others hold, and invalid has an error for it. Others than
-// the platform may write an entry, and if it made the list invalid, no node would follow the
-// list any more. ParseInstances returns ErrValue if the data is no list, or one whose
-// entries are all invalid. It ignores unknown fields, as the fleet does not control the
-// platform's versions.
+// ParseInstances decodes an instance list. It leaves out entries that are invalid or name an
+// instance again, and returns an error for each: if a single one made the list invalid, the
+// whole fleet would no longer follow it. It returns ErrValue as err if the data is not a
+// list, or if all of its entries are invalid. It ignores unknown fields, as the fleet does
+// not control the platform's versions.
 func ParseInstances(data []byte) (list []kernel.Instance, invalid []error, err error) {
 	entries, err := elements(data)
 	if err != nil {
