--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -24,6 +24,29 @@
 	socketBuffer = 64 << 10
 )
 
+// calls are the calls of a Client, for an attempt with the ID 1f.
+var calls = map[string]func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error{
+	"call": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
+		_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f"})
+		return err
+	},
+	"call once": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
+		_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f", Once: true})
+		return err
+	},
+	"resume": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
+		_, err := c.Resume(ctx, addr, "1f", 0)
+		return err
+	},
+	"cancel": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
+		return c.Cancel(ctx, addr, "1f")
+	},
+	"load": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
+		_, err := c.Load(ctx, addr)
+		return err
+	},
+}
+
 // smallBuffers dials connections whose socket buffers are small.
 type smallBuffers struct{}
 
@@ -75,27 +98,6 @@
 		"continued lines":       {"HTTP/1.1 200 OK\r\nX-Long: 1\r\n", " more\r\n"},
 		"informational answers": {"", "HTTP/1.1 103 Early Hints\r\nX-More: 1\r\n\r\n"},
 	}
-	calls := map[string]func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error{
-		"call": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f"})
-			return err
-		},
-		"call once": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f", Once: true})
-			return err
-		},
-		"resume": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Resume(ctx, addr, "1f", 0)
-			return err
-		},
-		"cancel": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			return c.Cancel(ctx, addr, "1f")
-		},
-		"load": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Load(ctx, addr)
-			return err
-		},
-	}
 	for head, h := range heads {
 		for name, call := range calls {
 			t.Run(head+", "+name, func(t *testing.T) {
--- a/internal/endpoint/head_test.go
+++ b/internal/endpoint/head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -32,27 +31,6 @@
 // Guards against a caller that gets another body than the endpoint's, and against a node
 // that relies on an answer whose head it does not understand as a whole.
 func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
-	calls := map[string]func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error{
-		"call": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f"})
-			return err
-		},
-		"call once": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Do(ctx, addr, endpoint.Call{Attempt: "1f", Once: true})
-			return err
-		},
-		"resume": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Resume(ctx, addr, "1f", 0)
-			return err
-		},
-		"load": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			_, err := c.Load(ctx, addr)
-			return err
-		},
-		"cancel": func(ctx context.Context, c *endpoint.Client, addr netip.AddrPort) error {
-			return c.Cancel(ctx, addr, "1f")
-		},
-	}
 	for _, line := range invalidFields {
 		text := "HTTP/1.1 200 OK\r\n" + endpoint.HeaderAttempt + ": 1f\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}"
 		for name, call := range calls {
